--- /dev/null
+++ b/crates/testkit/src/backend.rs
@@ -0,0 +1,236 @@
+//! Stand-in for a backend server that keeps a record of every request that it ran.
+//!
+//! What a request asks for stands in its query: `work_ms` (time to run), `answer_bytes` (size of
+//! the answer; without it the body is echoed). The answer's `x-digest` is the BLAKE3 digest of the
+//! request's body, and `x-ran-by` the backend server's name.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use ::http::{HeaderValue, Request, Response, StatusCode};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::http::{Body, answer, serve};
+
+/// How a backend server behaves.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Requests run at a time; more are shed with 503.
+    pub slots: u32,
+    /// Time to run a request that does not say.
+    pub work: Duration,
+    /// Added to every request for so long after the start.
+    pub cold_start: Duration,
+    /// Answers of `GET /health`: what it claims, which may be wrong.
+    pub claims_healthy: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slots: 20,
+            work: Duration::ZERO,
+            cold_start: Duration::ZERO,
+            claims_healthy: true,
+        }
+    }
+}
+
+/// What a backend server did.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// How often each request id began to run.
+    pub runs: BTreeMap<String, u32>,
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Requests given up by the other side while they ran.
+    pub cancelled: u64,
+    /// Requests shed because all slots were taken.
+    pub shed: u64,
+    /// Most requests at a time.
+    pub peak: u32,
+    /// When the last request began.
+    pub last_begun: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    behaviour: Mutex<Behaviour>,
+    record: Mutex<Record>,
+    running: Mutex<u32>,
+    started: Instant,
+}
+
+/// A running backend server; it ends when dropped.
+#[derive(Debug)]
+pub struct Backend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Backend {
+    /// Starts on `address` under a name.
+    pub async fn start(
+        address: SocketAddr,
+        name: &str,
+        behaviour: Behaviour,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            name: name.to_owned(),
+            behaviour: Mutex::new(behaviour),
+            record: Mutex::default(),
+            running: Mutex::default(),
+            started: Instant::now(),
+        });
+        let stop = CancellationToken::new();
+        let handler = Arc::clone(&shared);
+        tokio::spawn(serve(listener, stop.clone(), move |request| {
+            let shared = Arc::clone(&handler);
+            async move { Some(shared.handle(request).await) }
+        }));
+        Ok(Self {
+            address,
+            shared,
+            stop,
+        })
+    }
+
+    /// Drops every connection and stops listening, as a crash would.
+    pub fn kill(&self) {
+        self.stop.cancel();
+    }
+
+    /// Changes the behaviour from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *lock(&self.shared.behaviour) = behaviour;
+    }
+
+    /// What it did so far.
+    pub fn record(&self) -> Record {
+        lock(&self.shared.record).clone()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// One request that runs; counts it as cancelled unless it finished.
+struct Run<'a> {
+    shared: &'a Shared,
+    finished: bool,
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        *lock(&self.shared.running) -= 1;
+        let mut record = lock(&self.shared.record);
+        if self.finished {
+            record.finished += 1;
+        } else {
+            record.cancelled += 1;
+        }
+    }
+}
+
+impl Shared {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let behaviour = lock(&self.behaviour).clone();
+        if request.uri().path() == "/health" {
+            return health(behaviour.claims_healthy);
+        }
+        let query = request.uri().query().unwrap_or("").to_owned();
+        let id = request.headers().get("x-request-id");
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+        let Some(mut run) = self.begin(&id, &behaviour) else {
+            return answer(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
+        };
+        let Ok(body) = request.into_body().collect().await else {
+            return answer(StatusCode::BAD_REQUEST, "the body broke off\n");
+        };
+        let body = body.to_bytes();
+        let mut work = number(&query, "work_ms").map_or(behaviour.work, Duration::from_millis);
+        if self.started.elapsed() < behaviour.cold_start {
+            work += behaviour.cold_start;
+        }
+        if !work.is_zero() {
+            tokio::time::sleep(work).await;
+        }
+        let digest = blake3::hash(&body).to_hex();
+        let answer_bytes = number(&query, "answer_bytes");
+        let content = answer_bytes.map_or(body, |bytes| filler(&id, bytes));
+        run.finished = true;
+        let mut response = answer(StatusCode::OK, content);
+        let headers = response.headers_mut();
+        headers.insert("x-digest", value(&digest));
+        headers.insert("x-ran-by", value(&self.name));
+        headers.insert("x-ran-id", value(&id));
+        response
+    }
+
+    fn begin(&self, id: &str, behaviour: &Behaviour) -> Option<Run<'_>> {
+        let mut record = lock(&self.record);
+        let mut running = lock(&self.running);
+        if *running >= behaviour.slots {
+            record.shed += 1;
+            return None;
+        }
+        *running += 1;
+        record.peak = record.peak.max(*running);
+        *record.runs.entry(id.to_owned()).or_default() += 1;
+        record.last_begun = Some(Instant::now());
+        Some(Run {
+            shared: self,
+            finished: false,
+        })
+    }
+}
+
+fn health(claims_healthy: bool) -> Response<Body> {
+    if claims_healthy {
+        answer(StatusCode::OK, "ok\n")
+    } else {
+        answer(StatusCode::SERVICE_UNAVAILABLE, "unhealthy\n")
+    }
+}
+
+fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("?"))
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+/// Bytes that differ from one request to the next, so that a mixed-up answer shows.
+fn filler(id: &str, bytes: u64) -> Bytes {
+    let bytes = usize::try_from(bytes).unwrap_or(0);
+    let mut content = vec![0; bytes];
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(id.as_bytes());
+    hasher.finalize_xof().fill(&mut content);
+    content.into()
+}
+
+/// Digest of the answer that [`Backend`] gives to request `id` with `answer_bytes` set.
+pub fn expected_answer_digest(id: &str, answer_bytes: u64) -> String {
+    blake3::hash(&filler(id, answer_bytes)).to_hex().to_string()
+}
--- /dev/null
+++ b/crates/testkit/src/http.rs
@@ -0,0 +1,146 @@
+//! A minimal HTTP server and client around hyper, as the stand-ins need them.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::http::{HeaderMap, Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Body of every answer of a stand-in.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A body held in memory.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer with a status and a body.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Serves until `stop`; then every connection is dropped as a killed process would drop it.
+/// `None` from the handler drops the connection without an answer.
+pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let drop_now = CancellationToken::new();
+            let dropper = drop_now.clone();
+            let service = service_fn(move |request| {
+                let answer = handle(request);
+                let dropper = dropper.clone();
+                async move {
+                    match answer.await {
+                        Some(response) => Ok::<_, Infallible>(response),
+                        None => {
+                            dropper.cancel();
+                            std::future::pending().await
+                        }
+                    }
+                }
+            });
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                _ = connection => (),
+                () = drop_now.cancelled() => (),
+                () = stop.cancelled() => (),
+            }
+        });
+    }
+}
+
+/// What a request brought.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// A header as text, empty if absent.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// Any failure of [`request`], as text.
+pub type Result<T, E = String> = std::result::Result<T, E>;
+
+/// One request on a connection of its own, HTTP/1.1.
+pub async fn request(
+    address: SocketAddr,
+    method: Method,
+    host: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<Reply> {
+    let stream = TcpStream::connect(address).await.map_err(text)?;
+    let _ = stream.set_nodelay(true);
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(text)?;
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path);
+    request = request.header("host", host);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into())).map_err(text)?;
+    let response = sender.send_request(request).await.map_err(text)?;
+    let (parts, incoming) = response.into_parts();
+    let body = incoming.collect().await.map_err(text)?.to_bytes();
+    Ok(Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+fn text(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
+
+/// Waits until `condition` holds, looking every few milliseconds; panics with `what` when it does
+/// not within `limit`, which bounds a hang and is no part of any verdict on speed.
+pub async fn wait_until<F>(what: &str, limit: Duration, mut condition: impl FnMut() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let deadline = tokio::time::Instant::now() + limit;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < deadline, "never came: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/mesh.rs
@@ -0,0 +1,267 @@
+//! A whole deployment on this machine: platform, network, backend servers, node processes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::http::Method;
+
+use crate::backend::{Backend, Behaviour};
+use crate::http::{request, wait_until};
+use crate::network::{Front, Network, Site, site_ip};
+use crate::platform::Platform;
+use crate::process::NodeProcess;
+
+/// Bounds a hang; no test judges speed by it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// One data centre of a deployment.
+#[derive(Clone, Debug)]
+pub struct DataCentre {
+    /// Its name.
+    pub name: &'static str,
+    /// Its region's name.
+    pub region: &'static str,
+    /// Number of its region.
+    pub region_number: u8,
+}
+
+/// Which deployment to start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Data centres; the position is the site's number.
+    pub data_centres: Vec<DataCentre>,
+    /// Services; each data centre has `endpoints_per_data_centre` endpoints of each.
+    pub services: Vec<&'static str>,
+    /// Endpoints of each service in each data centre.
+    pub endpoints_per_data_centre: usize,
+    /// How the backend servers behave.
+    pub behaviour: Behaviour,
+}
+
+fn data_centre(name: &'static str, region: &'static str, region_number: u8) -> DataCentre {
+    DataCentre {
+        name,
+        region,
+        region_number,
+    }
+}
+
+impl Deployment {
+    /// Chatarras Cantabrico Boletines.
+    pub fn chatarras() -> Self {
+        Self {
+            data_centres: vec![
+                data_centre("gijon", "cantabrico", 0),
+                data_centre("bilbao", "cantabrico", 0),
+                data_centre("burgos", "meseta", 1),
+                data_centre("leon", "meseta", 1),
+            ],
+            services: vec!["tablon", "cobros", "bascula", "hemeroteca"],
+            endpoints_per_data_centre: 1,
+            behaviour: Behaviour::default(),
+        }
+    }
+
+    /// Marinhas Digitais.
+    pub fn marinhas() -> Self {
+        Self {
+            data_centres: vec![
+                data_centre("aveiro-a", "norte", 0),
+                data_centre("aveiro-b", "norte", 0),
+                data_centre("olhao-a", "sul", 1),
+                data_centre("olhao-b", "sul", 1),
+            ],
+            services: vec!["armazem", "expedicao", "pesagem", "balanco"],
+            endpoints_per_data_centre: 1,
+            behaviour: Behaviour {
+                slots: 6,
+                ..Behaviour::default()
+            },
+        }
+    }
+}
+
+/// One VM: a backend server and its node.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its data centre.
+    pub site: Site,
+    /// Its service.
+    pub service: &'static str,
+    /// Its backend server.
+    pub backend: Backend,
+    /// Its node, unless a test took it away.
+    pub node: Option<NodeProcess>,
+    front: Front,
+    peer: Option<SocketAddr>,
+}
+
+impl Vm {
+    /// The running node.
+    pub fn node(&self) -> &NodeProcess {
+        self.node.as_ref().expect("the node was not taken away")
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Mesh {
+    /// What it is a deployment of.
+    pub deployment: Deployment,
+    /// The platform, in site 0.
+    pub platform: Platform,
+    /// The links between data centres.
+    pub network: Arc<Network>,
+    /// The VMs, data centre by data centre.
+    pub vms: Vec<Vm>,
+    program: PathBuf,
+    leading: Vec<String>,
+    platform_front: Front,
+}
+
+impl Mesh {
+    /// Starts everything; `program` followed by `leading` runs a node.
+    pub async fn start(
+        program: &Path,
+        leading: &[&str],
+        deployment: Deployment,
+    ) -> Result<Self, String> {
+        let region_of = deployment.data_centres.iter().map(|dc| dc.region_number);
+        let network = Network::new(region_of.collect(), 30.0);
+        network.set_delays(Duration::from_millis(1), Duration::from_millis(20));
+        let platform = Platform::start(SocketAddr::new(site_ip(0), 0)).await;
+        let platform = platform.map_err(text)?;
+        let platform_front = Front::open(&network, 0).await.map_err(text)?;
+        platform_front.set_target(platform.address);
+        let mut mesh = Self {
+            deployment,
+            platform,
+            network,
+            vms: Vec::new(),
+            program: program.to_owned(),
+            leading: leading.iter().map(|text| (*text).to_owned()).collect(),
+            platform_front,
+        };
+        mesh.start_vms().await?;
+        Ok(mesh)
+    }
+
+    async fn start_vms(&mut self) -> Result<(), String> {
+        let sites = u8::try_from(self.deployment.data_centres.len()).map_err(text)?;
+        for site in 0..sites {
+            for service in self.deployment.services.clone() {
+                for _ in 0..self.deployment.endpoints_per_data_centre {
+                    self.add_vm(site, service).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts one more VM; returns its position.
+    pub async fn add_vm(&mut self, site: Site, service: &'static str) -> Result<usize, String> {
+        let position = self.vms.len();
+        let address = SocketAddr::new(site_ip(site), 0);
+        let behaviour = self.deployment.behaviour.clone();
+        let name = format!("{service}-{position}");
+        let backend = Backend::start(address, &name, behaviour).await;
+        let front = Front::open(&self.network, site).await;
+        self.vms.push(Vm {
+            site,
+            service,
+            backend: backend.map_err(text)?,
+            node: None,
+            front: front.map_err(text)?,
+            peer: None,
+        });
+        self.start_node(position).await?;
+        Ok(position)
+    }
+
+    /// Starts the node of a VM, at the address that it had before, if it had one.
+    pub async fn start_node(&mut self, position: usize) -> Result<(), String> {
+        let arguments = self.arguments(position);
+        let node = NodeProcess::start(&self.program, &arguments).await?;
+        let vm = &mut self.vms[position];
+        vm.front.set_target(node.addresses.peer);
+        vm.peer = Some(node.addresses.peer);
+        vm.node = Some(node);
+        Ok(())
+    }
+
+    fn arguments(&self, position: usize) -> Vec<String> {
+        let vm = &self.vms[position];
+        let data_centre = &self.deployment.data_centres[usize::from(vm.site)];
+        let ip = site_ip(vm.site);
+        let any_port = SocketAddr::new(ip, 0);
+        let mut arguments = self.leading.clone();
+        let mut set = |flag: &str, value: String| {
+            arguments.push(format!("--{flag}"));
+            arguments.push(value);
+        };
+        set("caller-listen", any_port.to_string());
+        set("operator-listen", any_port.to_string());
+        set("peer-listen", vm.peer.unwrap_or(any_port).to_string());
+        set("peer-external", vm.front.address.to_string());
+        set("region", data_centre.region.to_owned());
+        set("data-centre", data_centre.name.to_owned());
+        set(
+            "platform",
+            format!("http://{}", self.platform_front.address),
+        );
+        set("dial-from", ip.to_string());
+        set("service", vm.service.to_owned());
+        set("backend-server", vm.backend.address.to_string());
+        set("log-level", "warn".to_owned());
+        arguments
+    }
+
+    /// The version that a node enforces, 0 if it does not answer.
+    pub async fn version_at(&self, position: usize) -> u64 {
+        let Some(node) = &self.vms[position].node else {
+            return 0;
+        };
+        let operator = node.addresses.operator;
+        let reply = request(operator, Method::GET, "node", "/status", &[], "").await;
+        let Ok(reply) = reply else { return 0 };
+        let status: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        status["enforced"]["version"].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until every running node enforces `version` or a later one.
+    pub async fn wait_enforced(&self, version: u64) {
+        for position in 0..self.vms.len() {
+            if self.vms[position].node.is_none() {
+                continue;
+            }
+            let what = format!("version {version} at VM {position}");
+            wait_until(&what, LIMIT, || async {
+                self.version_at(position).await >= version
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every running node knows as many living members as there are nodes.
+    pub async fn wait_joined(&self) {
+        let running = self.vms.iter().filter(|vm| vm.node.is_some()).count();
+        for vm in self.vms.iter().filter(|vm| vm.node.is_some()) {
+            let operator = vm.node().addresses.operator;
+            wait_until("all members known", LIMIT, || async {
+                let reply = request(operator, Method::GET, "node", "/status", &[], "").await;
+                let body = reply.map(|reply| reply.body).unwrap_or_default();
+                let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+                let members = status["members"].as_array().cloned().unwrap_or_default();
+                let alive = members.iter().filter(|m| m["liveness"] == "alive").count();
+                alive == running
+            })
+            .await;
+        }
+    }
+}
+
+fn text(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
--- /dev/null
+++ b/crates/testkit/src/network.rs
@@ -0,0 +1,300 @@
+//! The network between data centres: fronts that forward TCP with delay, throttle, cuts, counts.
+//!
+//! A [`Front`] stands before one listener. Who connects is told by the source address: data
+//! centre number N (a [`Site`]) dials from 127.0.N+1.x. The [`Network`] holds one policy for each
+//! ordered pair of sites; all connections of one pair of regions share one throttle, as they
+//! would share the link.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Number of a data centre, from 0.
+pub type Site = u8;
+
+const CHUNK_BYTES: usize = 16 << 10;
+/// Chunks under way in one direction of one connection: about 4 MiB, above delay times bandwidth.
+const CHUNKS_UNDER_WAY: usize = 256;
+
+/// What happens to traffic from one site to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policy {
+    /// One-way delay.
+    pub delay: Duration,
+    /// Nothing passes; connections stay open and silent, as when a link is cut.
+    pub cut: bool,
+}
+
+/// The policies and counters between sites.
+#[derive(Debug)]
+pub struct Network {
+    region_of: Vec<u8>,
+    policies: Mutex<BTreeMap<(Site, Site), Policy>>,
+    changed: watch::Sender<u64>,
+    bytes: Mutex<BTreeMap<(Site, Site), Arc<AtomicU64>>>,
+    pipes: BTreeMap<(u8, u8), Pipe>,
+}
+
+#[derive(Debug)]
+struct Pipe {
+    bytes_per_s: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Pipe {
+    /// When the last of `bytes` has left, given all that left before.
+    fn leave(&self, bytes: usize) -> Instant {
+        let mut free_at = lock(&self.free_at);
+        let begin = (*free_at).max(Instant::now());
+        *free_at = begin + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        *free_at
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Loopback address of a site.
+pub fn site_ip(site: Site) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, site + 1, 1))
+}
+
+/// The site that an address belongs to.
+pub fn site_of(ip: IpAddr) -> Option<Site> {
+    match ip {
+        IpAddr::V4(ip) if ip.octets()[0] == 127 => ip.octets()[2].checked_sub(1),
+        _ => None,
+    }
+}
+
+impl Network {
+    /// A network of sites, given the region of each; links between regions carry
+    /// `link_mbit_per_s` each way.
+    pub fn new(region_of: Vec<u8>, link_mbit_per_s: f64) -> Arc<Self> {
+        let mut pipes = BTreeMap::new();
+        for from in &region_of {
+            for to in region_of.iter().filter(|to| *to != from) {
+                let pipe = Pipe {
+                    bytes_per_s: link_mbit_per_s * 1e6 / 8.0,
+                    free_at: Mutex::new(Instant::now()),
+                };
+                pipes.insert((*from, *to), pipe);
+            }
+        }
+        Arc::new(Self {
+            region_of,
+            policies: Mutex::default(),
+            changed: watch::Sender::new(0),
+            bytes: Mutex::default(),
+            pipes,
+        })
+    }
+
+    /// Sets one-way delays: inside a site none, between sites of a region, between regions.
+    pub fn set_delays(&self, in_region: Duration, between_regions: Duration) {
+        for (from, to) in self.pairs() {
+            let delay = match (from == to, self.same_region(from, to)) {
+                (true, _) => Duration::ZERO,
+                (false, true) => in_region,
+                (false, false) => between_regions,
+            };
+            lock(&self.policies).entry((from, to)).or_default().delay = delay;
+        }
+        self.changed.send_modify(|generation| *generation += 1);
+    }
+
+    /// Cuts or heals every pair for which `which` holds, both ways.
+    pub fn set_cut(&self, cut: bool, which: impl Fn(Site, Site) -> bool) {
+        for (from, to) in self.pairs() {
+            if which(from, to) || which(to, from) {
+                lock(&self.policies).entry((from, to)).or_default().cut = cut;
+            }
+        }
+        self.changed.send_modify(|generation| *generation += 1);
+    }
+
+    /// Whether two sites are in one region.
+    pub fn same_region(&self, a: Site, b: Site) -> bool {
+        self.region_of.get(usize::from(a)) == self.region_of.get(usize::from(b))
+    }
+
+    /// Bytes carried between each ordered pair of sites.
+    pub fn bytes(&self) -> BTreeMap<(Site, Site), u64> {
+        let bytes = lock(&self.bytes);
+        let load = |(pair, count): (&(Site, Site), &Arc<AtomicU64>)| {
+            (*pair, count.load(Ordering::Relaxed))
+        };
+        bytes.iter().map(load).collect()
+    }
+
+    /// Bytes carried between regions, both ways.
+    pub fn bytes_between_regions(&self) -> u64 {
+        let between = |((from, to), _): &((Site, Site), u64)| !self.same_region(*from, *to);
+        self.bytes()
+            .into_iter()
+            .filter(between)
+            .map(|(_, n)| n)
+            .sum()
+    }
+
+    fn pairs(&self) -> impl Iterator<Item = (Site, Site)> + use<> {
+        let sites = u8::try_from(self.region_of.len()).unwrap_or(u8::MAX);
+        (0..sites).flat_map(move |from| (0..sites).map(move |to| (from, to)))
+    }
+
+    fn policy(&self, from: Site, to: Site) -> Policy {
+        lock(&self.policies)
+            .get(&(from, to))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn counter(&self, from: Site, to: Site) -> Arc<AtomicU64> {
+        Arc::clone(lock(&self.bytes).entry((from, to)).or_default())
+    }
+
+    fn pipe(&self, from: Site, to: Site) -> Option<&Pipe> {
+        let from = self.region_of.get(usize::from(from))?;
+        let to = self.region_of.get(usize::from(to))?;
+        self.pipes.get(&(*from, *to))
+    }
+
+    async fn until_open(&self, from: Site, to: Site) {
+        let mut changes = self.changed.subscribe();
+        while self.policy(from, to).cut {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Forwards connections to one listener across the network. Ends when dropped.
+#[derive(Debug)]
+pub struct Front {
+    /// Where others connect.
+    pub address: SocketAddr,
+    target: watch::Sender<Option<SocketAddr>>,
+    stop: CancellationToken,
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Front {
+    /// Opens a front for a listener in `site` whose address is not known yet.
+    pub async fn open(network: &Arc<Network>, site: Site) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::new(site_ip(site), 0)).await?;
+        let address = listener.local_addr()?;
+        let (target, targets) = watch::channel(None);
+        let stop = CancellationToken::new();
+        let accept = accept(listener, Arc::clone(network), site, targets);
+        let stopped = stop.clone();
+        tokio::spawn(async move { stopped.run_until_cancelled(accept).await });
+        Ok(Self {
+            address,
+            target,
+            stop,
+        })
+    }
+
+    /// Names the listener that it stands before.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    network: Arc<Network>,
+    site: Site,
+    targets: watch::Receiver<Option<SocketAddr>>,
+) {
+    // Connections end with the front: the set aborts its tasks when it is dropped.
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, peer)) = listener.accept().await else {
+            continue;
+        };
+        let target = *targets.borrow();
+        let (Some(target), Some(from)) = (target, site_of(peer.ip())) else {
+            continue;
+        };
+        connections.spawn(forward(Arc::clone(&network), stream, from, target, site));
+    }
+}
+
+async fn forward(network: Arc<Network>, near: TcpStream, from: Site, target: SocketAddr, to: Site) {
+    network.until_open(from, to).await;
+    tokio::time::sleep(network.policy(from, to).delay * 2).await;
+    let Ok(far) = connect(target, site_ip(from)).await else {
+        return;
+    };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::join!(
+        pump(&network, from, to, near_read, far_write),
+        pump(&network, to, from, far_read, near_write),
+    );
+}
+
+async fn connect(target: SocketAddr, from: IpAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(target).await
+}
+
+async fn pump(
+    network: &Network,
+    from: Site,
+    to: Site,
+    mut read: tokio::net::tcp::OwnedReadHalf,
+    mut write: tokio::net::tcp::OwnedWriteHalf,
+) {
+    let counter = network.counter(from, to);
+    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
+    let reading = async move {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        while let Ok(length) = read.read(&mut chunk).await {
+            if length == 0 {
+                break;
+            }
+            counter.fetch_add(length as u64, Ordering::Relaxed);
+            let left = network.pipe(from, to).map(|pipe| pipe.leave(length));
+            let arrives = left.unwrap_or_else(Instant::now) + network.policy(from, to).delay;
+            if sender
+                .send((arrives, chunk[..length].to_vec()))
+                .await
+                .is_err()
+            {
+                break;
+            }
+        }
+    };
+    let writing = async move {
+        while let Some((arrives, chunk)) = receiver.recv().await {
+            tokio::time::sleep_until(arrives).await;
+            network.until_open(from, to).await;
+            if write.write_all(&chunk).await.is_err() {
+                break;
+            }
+        }
+        let _ = write.shutdown().await;
+    };
+    tokio::join!(reading, writing);
+}
--- /dev/null
+++ b/crates/testkit/src/platform.rs
@@ -0,0 +1,316 @@
+//! Stand-in for the platform: a transactional table and an object store over HTTP/JSON.
+//!
+//! It keeps everything in memory, refuses above its rate ceilings with 429, and can be told to be
+//! down, slow, or to lose answers after a write took effect (`POST /faults` or [`Faults`]).
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use ::http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::http::{Body, answer, serve};
+
+/// Several hundred writes a second.
+const WRITES_PER_S: f64 = 400.0;
+/// About two thousand reads a second.
+const READS_PER_S: f64 = 2_000.0;
+
+/// What goes wrong at the platform.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Answers 503 to everything.
+    pub down: bool,
+    /// Delay of every answer in milliseconds.
+    pub delay_ms: u64,
+    /// So many transactions take effect and their answers are lost.
+    pub lose_answers: u32,
+    /// So many transactions are lost before they take effect.
+    pub lose_requests: u32,
+}
+
+/// How much was asked of it.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of rows and objects.
+    pub reads: u64,
+    /// Transactions and stored objects.
+    pub writes: u64,
+    /// Refused above the rate ceiling.
+    pub refused: u64,
+    /// Bytes of answers.
+    pub bytes_out: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Row {
+    revision: u64,
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+enum Condition {
+    Absent { key: String },
+    Revision { key: String, revision: u64 },
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    conditions: Vec<Condition>,
+    puts: BTreeMap<String, String>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(per_s: f64) -> Self {
+        Self {
+            per_s,
+            tokens: per_s,
+            filled: Instant::now(),
+        }
+    }
+
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let gained = now.duration_since(self.filled).as_secs_f64() * self.per_s;
+        self.tokens = (self.tokens + gained).min(self.per_s);
+        self.filled = now;
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+#[derive(Debug)]
+struct Store {
+    rows: BTreeMap<String, Row>,
+    objects: BTreeMap<String, Bytes>,
+    faults: Faults,
+    counts: Counts,
+    reads: Bucket,
+    writes: Bucket,
+}
+
+/// A running platform stand-in; it ends when dropped.
+#[derive(Debug)]
+pub struct Platform {
+    /// Where it listens.
+    pub address: SocketAddr,
+    store: Arc<Mutex<Store>>,
+    stop: CancellationToken,
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Platform {
+    /// Starts on `address`.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let store = Arc::new(Mutex::new(Store {
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            faults: Faults::default(),
+            counts: Counts::default(),
+            reads: Bucket::new(READS_PER_S),
+            writes: Bucket::new(WRITES_PER_S),
+        }));
+        let stop = CancellationToken::new();
+        let shared = Arc::clone(&store);
+        tokio::spawn(serve(listener, stop.clone(), move |request| {
+            handle(Arc::clone(&shared), request)
+        }));
+        Ok(Self {
+            address,
+            store,
+            stop,
+        })
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.store).faults = faults;
+    }
+
+    /// What was asked of it so far.
+    pub fn counts(&self) -> Counts {
+        lock(&self.store).counts
+    }
+
+    /// All rows, for tests that look at what was written.
+    pub fn rows(&self) -> BTreeMap<String, String> {
+        let store = lock(&self.store);
+        let row = |(key, row): (&String, &Row)| (key.clone(), row.value.clone());
+        store.rows.iter().map(row).collect()
+    }
+}
+
+fn lock(store: &Mutex<Store>) -> MutexGuard<'_, Store> {
+    store.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn handle(store: Arc<Mutex<Store>>, request: Request<Incoming>) -> Option<Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let path = parts.uri.path().to_owned();
+    if path == "/faults" {
+        let faults = serde_json::from_slice(&body).ok()?;
+        lock(&store).faults = faults;
+        return Some(answer(StatusCode::OK, "set\n"));
+    }
+    let faults = lock(&store).faults;
+    if faults.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if faults.down {
+        return Some(answer(StatusCode::SERVICE_UNAVAILABLE, "down\n"));
+    }
+    let query = Query(parts.uri.query().unwrap_or(""));
+    let mut store = lock(&store);
+    let response = store.run(&parts.method, &path, query, body)?;
+    let bytes = http_body::Body::size_hint(response.body()).lower();
+    store.counts.bytes_out += bytes;
+    Some(response)
+}
+
+struct Query<'a>(&'a str);
+
+impl Query<'_> {
+    fn get(&self, name: &str) -> &str {
+        let pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
+        let mut found = pairs.filter(|(key, _)| *key == name);
+        found.next().map_or("", |(_, value)| value)
+    }
+}
+
+impl Store {
+    fn run(
+        &mut self,
+        method: &Method,
+        path: &str,
+        query: Query<'_>,
+        body: Bytes,
+    ) -> Option<Response<Body>> {
+        let is_read = method == Method::GET;
+        let allowed = if is_read {
+            self.counts.reads += 1;
+            self.reads.take()
+        } else {
+            self.counts.writes += 1;
+            self.writes.take()
+        };
+        if !allowed {
+            self.counts.refused += 1;
+            return Some(answer(StatusCode::TOO_MANY_REQUESTS, "rate ceiling\n"));
+        }
+        match (is_read, path) {
+            (false, "/table/transact") => self.transact(&body),
+            (true, "/table/row") => Some(self.row(query.get("key"))),
+            (true, "/table/rows") => Some(self.list(&query)),
+            _ => Some(self.object(is_read, path, body)),
+        }
+    }
+
+    fn transact(&mut self, body: &[u8]) -> Option<Response<Body>> {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+            return Some(answer(StatusCode::BAD_REQUEST, "not a transaction\n"));
+        };
+        if self.faults.lose_requests > 0 {
+            self.faults.lose_requests -= 1;
+            return None;
+        }
+        let holds = transaction.conditions.iter().all(|c| self.holds(c));
+        if holds {
+            for (key, value) in transaction.puts {
+                let revision = self.rows.get(&key).map_or(1, |row| row.revision + 1);
+                self.rows.insert(key, Row { revision, value });
+            }
+        }
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return None;
+        }
+        let outcome = if holds {
+            "\"committed\""
+        } else {
+            "\"condition-failed\""
+        };
+        Some(answer(StatusCode::OK, outcome))
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        match condition {
+            Condition::Absent { key } => !self.rows.contains_key(key),
+            Condition::Revision { key, revision } => {
+                let row = self.rows.get(key);
+                row.is_some_and(|row| row.revision == *revision)
+            }
+        }
+    }
+
+    fn row(&self, key: &str) -> Response<Body> {
+        match self.rows.get(key) {
+            Some(row) => json(row),
+            None => answer(StatusCode::NOT_FOUND, "no such row\n"),
+        }
+    }
+
+    fn list(&self, query: &Query<'_>) -> Response<Body> {
+        let prefix = query.get("prefix");
+        let after = query.get("after");
+        let limit = query.get("limit").parse().unwrap_or(100);
+        let rows: BTreeMap<_, _> = self
+            .rows
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit)
+            .collect();
+        json(&rows)
+    }
+
+    fn object(&mut self, is_read: bool, path: &str, body: Bytes) -> Response<Body> {
+        let Some(name) = path.strip_prefix("/objects/") else {
+            return answer(StatusCode::NOT_FOUND, "no such request\n");
+        };
+        if !is_read {
+            self.objects.insert(name.to_owned(), body);
+            return answer(StatusCode::CREATED, "");
+        }
+        match self.objects.get(name) {
+            Some(bytes) => answer(StatusCode::OK, bytes.clone()),
+            None => answer(StatusCode::NOT_FOUND, "no such object\n"),
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("rows always encode");
+    answer(StatusCode::OK, body)
+}
--- /dev/null
+++ b/crates/testkit/src/process.rs
@@ -0,0 +1,92 @@
+//! Nodes as processes: started, signalled, and waited for.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use serde::Deserialize;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+
+/// A node that does not print its addresses within this has not started.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Where a node listens, as it prints it.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A signal that a test sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Please stop.
+    Terminate,
+    /// Freeze.
+    Stop,
+    /// Go on.
+    Continue,
+    /// Die at once.
+    Kill,
+}
+
+/// A running node process; killed when dropped.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Where it listens.
+    pub addresses: Addresses,
+    child: Child,
+}
+
+impl NodeProcess {
+    /// Starts `program` with `arguments` and waits for the line with its addresses.
+    pub async fn start(program: &Path, arguments: &[String]) -> Result<Self, String> {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| format!("{}: {error}", program.display()))?;
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut lines = BufReader::new(stdout).lines();
+        let line = tokio::time::timeout(START_LIMIT, lines.next_line()).await;
+        let line = line.map_err(|_| "the node printed no addresses".to_owned())?;
+        let line = line.map_err(|error| error.to_string())?;
+        let line = line.ok_or("the node ended before it listened")?;
+        let addresses = serde_json::from_str(&line).map_err(|error| error.to_string())?;
+        Ok(Self { addresses, child })
+    }
+
+    /// Process id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let number = match signal {
+            Signal::Terminate => libc::SIGTERM,
+            Signal::Stop => libc::SIGSTOP,
+            Signal::Continue => libc::SIGCONT,
+            Signal::Kill => libc::SIGKILL,
+        };
+        let Some(id) = self.id().and_then(|id| i32::try_from(id).ok()) else {
+            return;
+        };
+        // SAFETY: `kill` takes no pointers; `id` is a child that has not been waited for, so the
+        // number cannot have passed to another process.
+        unsafe { libc::kill(id, number) };
+    }
+
+    /// Waits for its end.
+    pub async fn ended(&mut self) -> std::io::Result<ExitStatus> {
+        self.child.wait().await
+    }
+}
--- /dev/null
+++ b/src/bin/dragonflywall/cli.rs
@@ -0,0 +1,136 @@
+//! Picks the command, and turns its failure into text and an exit code.
+
+use std::error::Error;
+use std::ffi::OsString;
+use std::fmt::Write as _;
+use std::future::Future;
+use std::process::ExitCode;
+
+use crate::commands::{self, Command};
+
+pub(crate) type Result<T = (), E = Failure> = std::result::Result<T, E>;
+
+/// How a command may fail; the exit codes are part of the product's interface.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// Nothing was changed.
+    Refused { text: String, hint: &'static str },
+    /// The command line or the settings are wrong; nothing was started.
+    Usage(String),
+    /// What happened is not known; the hint says how to settle it.
+    Unknown { text: String, hint: String },
+}
+
+impl Failure {
+    pub(crate) fn refused(error: &dyn Error, hint: &'static str) -> Self {
+        Self::Refused {
+            text: with_causes(error),
+            hint,
+        }
+    }
+
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Refused { .. } => ExitCode::from(1),
+            Self::Usage(_) => ExitCode::from(2),
+            Self::Unknown { .. } => ExitCode::from(3),
+        }
+    }
+
+    fn print(&self) {
+        match self {
+            Self::Refused { text, hint: "" } => eprintln!("error: {text}"),
+            Self::Refused { text, hint } => eprintln!("error: {text}\nhint: {hint}"),
+            Self::Usage(text) => eprintln!("error: {text}\nhint: see `dragonflywall help`"),
+            Self::Unknown { text, hint } => eprintln!("unknown: {text}\nhint: {hint}"),
+        }
+    }
+}
+
+impl From<lexopt::Error> for Failure {
+    fn from(error: lexopt::Error) -> Self {
+        Self::Usage(error.to_string())
+    }
+}
+
+/// An error and everything that led to it, a line each.
+pub(crate) fn with_causes(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let _ = write!(text, "\n  caused by: {cause}");
+        source = cause.source();
+    }
+    text
+}
+
+/// Runs the command that `arguments` name.
+pub(crate) fn run(arguments: Vec<OsString>) -> ExitCode {
+    match dispatch(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            failure.print();
+            failure.exit_code()
+        }
+    }
+}
+
+/// Runs an operation to its end on a runtime of one thread, which suits a command that ends.
+pub(crate) fn block_on<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime needs only a file descriptor")
+        .block_on(future)
+}
+
+fn dispatch(mut arguments: Vec<OsString>) -> Result {
+    if arguments.is_empty() {
+        return Err(Failure::Usage("no command was given".to_owned()));
+    }
+    let name = arguments.remove(0);
+    match name.to_str() {
+        Some("help" | "--help" | "-h") => {
+            println!("{}", overview());
+            return Ok(());
+        }
+        Some("--version" | "-V") => {
+            println!("dragonflywall {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        _ => (),
+    }
+    let command = commands::ALL
+        .iter()
+        .find(|command| name.to_str() == Some(command.name));
+    let Some(command) = command else {
+        let name = name.to_string_lossy();
+        return Err(Failure::Usage(format!("`{name}` is not a command")));
+    };
+    if wants_help(&arguments) {
+        println!("{}", (command.help)());
+        return Ok(());
+    }
+    (command.run)(arguments)
+}
+
+fn wants_help(arguments: &[OsString]) -> bool {
+    arguments
+        .iter()
+        .any(|argument| argument == "--help" || argument == "-h")
+}
+
+fn overview() -> String {
+    let mut text = String::from(
+        "Distributes the configuration of a service mesh, and enforces it.\n\n\
+         Usage: dragonflywall COMMAND [OPTIONS]\n\nCommands:\n",
+    );
+    for Command { name, summary, .. } in commands::ALL {
+        let _ = writeln!(text, "  {name:<10}{summary}");
+    }
+    text.push_str(
+        "\n`dragonflywall COMMAND --help` explains a command.\n\
+         Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown.",
+    );
+    text
+}
--- /dev/null
+++ b/src/bin/dragonflywall/commands.rs
@@ -0,0 +1,26 @@
+//! The commands, a file each: they parse, hand over to an operation, and print.
+
+mod check;
+mod node;
+mod publish;
+mod status;
+
+use std::ffi::OsString;
+
+use crate::cli::Result;
+
+/// One command of the command line.
+pub(crate) struct Command {
+    pub(crate) name: &'static str,
+    pub(crate) summary: &'static str,
+    pub(crate) help: fn() -> String,
+    pub(crate) run: fn(Vec<OsString>) -> Result,
+}
+
+/// All commands, in the order of the overview.
+pub(crate) const ALL: &[Command] = &[
+    check::COMMAND,
+    publish::COMMAND,
+    status::COMMAND,
+    node::COMMAND,
+];
--- /dev/null
+++ b/src/bin/dragonflywall/commands/node.rs
@@ -0,0 +1,56 @@
+//! `node`: the one long-running role.
+
+use std::ffi::OsString;
+
+use dragonflywall::node::{self, Settings, logging, settings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::Command;
+use crate::cli::{Failure, Result};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "node",
+    summary: "run the node of this VM until SIGTERM",
+    help,
+    run,
+};
+
+fn help() -> String {
+    format!(
+        "Runs the node of this VM: proxy, member of the mesh, carrier of configuration.\n\
+         Prints its addresses as one line of JSON, and drains on SIGTERM or SIGINT.\n\n\
+         Usage: dragonflywall node [OPTIONS]\n\nOptions [environment variable]:\n{}",
+        settings::help()
+    )
+}
+
+fn run(arguments: Vec<OsString>) -> Result {
+    let settings = settings::parse(arguments, |name| std::env::var(name).ok())
+        .map_err(|error| Failure::Usage(error.to_string()))?;
+    logging::init(settings.log_format, settings.log_level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .expect("a runtime needs only a file descriptor");
+    runtime.block_on(serve(settings))
+}
+
+/// A node is a guest on its backend server's VM; two threads keep control apart from a busy
+/// request path without taking more cores.
+const WORKER_THREADS: usize = 2;
+
+async fn serve(settings: Settings) -> Result {
+    let handle = node::start(settings).await.map_err(|error| {
+        Failure::refused(&error, "check that the address is this VM's and not in use")
+    })?;
+    println!("{}", handle.addresses_json());
+    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    handle.drain().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/core/version.rs
@@ -0,0 +1,117 @@
+//! Versions of the configuration and digests of its content.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Number of an accepted configuration. Version 0 is "none yet".
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// No configuration has been accepted.
+    pub const NONE: Self = Self(0);
+
+    /// The version that a publication on top of this one gets.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// BLAKE3 digest of content, written as 64 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+/// A text or byte string that is not a digest.
+#[derive(Debug, Snafu)]
+#[snafu(display("not a digest: expected 64 hexadecimal digits"))]
+pub struct NotADigest;
+
+impl Digest {
+    /// Digest of nothing at all; goes with [`Version::NONE`].
+    pub const NONE: Self = Self([0; 32]);
+
+    /// Digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// The 32 bytes, as they travel between nodes.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    /// First eight digits, for people.
+    pub fn short(&self) -> String {
+        self.to_string()[..8].to_owned()
+    }
+}
+
+impl TryFrom<&[u8]> for Digest {
+    type Error = NotADigest;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, NotADigest> {
+        bytes.try_into().map(Self).map_err(|_| NotADigest)
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = NotADigest;
+
+    fn try_from(text: String) -> Result<Self, NotADigest> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| NotADigest)?;
+        Ok(Self(*hash.as_bytes()))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({})", self.short())
+    }
+}
+
+/// A version together with the digest of its content: what travels when content need not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Number of the version.
+    pub version: Version,
+    /// Digest of the whole configuration of that version.
+    pub digest: Digest,
+}
+
+impl Stamp {
+    /// No configuration.
+    pub const NONE: Self = Self {
+        version: Version::NONE,
+        digest: Digest::NONE,
+    };
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.version, self.digest.short())
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,5 @@
+//! Decisions under load: plain functions and structs, time an argument, no sockets.
+
+pub mod admission;
+pub mod placement;
+pub mod retry;
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,17 @@
+//! The long-running process: listeners, actors, and the state that they share.
+//!
+//! [`run()`] binds the listeners, starts the control actors (membership, configuration,
+//! registration) and serves until its token is cancelled, then drains. Requests do not pass
+//! through the actors: they read [`state::NodeState`], which the actors write.
+
+pub(crate) mod configuration;
+pub mod logging;
+pub(crate) mod membership;
+pub(crate) mod operator;
+pub(crate) mod registration;
+pub mod run;
+pub mod settings;
+pub(crate) mod state;
+
+pub use run::{Error, NodeHandle, run, start};
+pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/src/node/operator.rs
@@ -0,0 +1,118 @@
+//! The operator listener: what the node is doing, and what its own VM may ask of it.
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `GET /ready` | 200 when the node enforces a configuration and takes work, else 503 and why |
+//! | `GET /status` | [`Status`] as JSON |
+//! | `GET /metrics` | Prometheus text |
+//! | `POST /backend-server` | the local backend server announces itself: [`Announcement`] |
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use metrics_exporter_prometheus::PrometheusHandle;
+use ractor::ActorRef;
+use serde::Serialize;
+
+use crate::core::member::BackendState;
+use crate::core::names::{ServiceName, is_name};
+use crate::core::status::{Announcement, Status};
+use crate::core::version::Stamp;
+use crate::node::membership::MembershipMsg;
+use crate::node::settings::BackendServer;
+use crate::node::state::NodeState;
+
+const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
+
+pub(crate) struct Operator {
+    pub(crate) node: Arc<NodeState>,
+    pub(crate) membership: ActorRef<MembershipMsg>,
+    pub(crate) metrics: PrometheusHandle,
+}
+
+impl Operator {
+    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/status") => json(&self.status()),
+            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::POST, "/backend-server") => self.announce(request).await,
+            _ => text(StatusCode::NOT_FOUND, "no such operator request\n"),
+        }
+    }
+
+    fn why_not_ready(&self) -> Option<&'static str> {
+        if self.node.draining.is_cancelled() {
+            return Some("draining");
+        }
+        if self.node.enforced.load().is_none() {
+            return Some("no configuration is enforced yet");
+        }
+        None
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        match self.why_not_ready() {
+            None => text(StatusCode::OK, "ready\n"),
+            Some(why) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n")),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let enforced = self.node.enforced.load();
+        let enforced = enforced.as_ref().map(|applied| applied.stamp);
+        Status {
+            node: self.node.me,
+            enforced: enforced.unwrap_or(Stamp::NONE),
+            ready: self.why_not_ready().is_none(),
+            members: self.node.view.load().members.clone(),
+        }
+    }
+
+    async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = Limited::new(request.into_body(), ANNOUNCEMENT_MAX_BYTES);
+        let Ok(body) = body.collect().await else {
+            return text(StatusCode::BAD_REQUEST, "the announcement is too long\n");
+        };
+        let announcement: Announcement = match serde_json::from_slice(&body.to_bytes()) {
+            Ok(announcement) => announcement,
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        if !is_name(&announcement.service) {
+            return text(StatusCode::BAD_REQUEST, "the service is not a name\n");
+        }
+        let service = ServiceName::new(announcement.service);
+        let backend = BackendServer {
+            service: service.clone(),
+            address: announcement.address,
+        };
+        let state = announcement.state;
+        let backend = (state != BackendState::Gone).then(|| Arc::new(backend));
+        self.node.backend.store(backend);
+        self.node.refresh_slots();
+        log::info!(service:%, state:?; "backend server announced itself");
+        let _ = self
+            .membership
+            .cast(MembershipMsg::SetBackend(Some(service), state));
+        text(StatusCode::OK, "noted\n")
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn json(value: &impl Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).expect("statuses always encode");
+    let mut response = text(StatusCode::OK, body);
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/src/node/settings.rs
@@ -0,0 +1,412 @@
+//! Settings of a node, from flags and environment variables, checked all at once.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::fmt::Write as _;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+
+use lexopt::ValueExt;
+use snafu::Snafu;
+
+use crate::core::member::Place;
+use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
+
+/// Result of this module.
+pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+/// Everything that is wrong with the settings, a line each.
+#[derive(Debug, Snafu)]
+#[snafu(display("{}", problems.join("\n")))]
+pub struct SettingsError {
+    /// One clear line per problem, naming flag and environment variable.
+    pub problems: Vec<String>,
+}
+
+/// One setting: its flag, its environment variable, and what it is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Flag without dashes.
+    pub flag: &'static str,
+    /// Value placeholder for the help text.
+    pub value: &'static str,
+    /// Used when neither flag nor variable is given; empty for none.
+    pub default: &'static str,
+    /// What it is for.
+    pub help: &'static str,
+}
+
+impl Spec {
+    /// The environment variable: the flag in capitals behind a prefix.
+    pub fn variable(&self) -> String {
+        let upper = self.flag.to_uppercase().replace('-', "_");
+        format!("DRAGONFLYWALL_{upper}")
+    }
+}
+
+/// Every setting of a node.
+pub const SPECS: &[Spec] = &[
+    Spec {
+        flag: "caller-listen",
+        value: "ADDR",
+        default: "127.0.0.1:0",
+        help: "address for callers (HTTP/1.1 and HTTP/2)",
+    },
+    Spec {
+        flag: "peer-listen",
+        value: "ADDR",
+        default: "127.0.0.1:0",
+        help: "address for other nodes (control and data)",
+    },
+    Spec {
+        flag: "operator-listen",
+        value: "ADDR",
+        default: "127.0.0.1:0",
+        help: "address for /ready, /status, /metrics and commands",
+    },
+    Spec {
+        flag: "peer-advertise",
+        value: "ADDR",
+        default: "",
+        help: "peer address inside the data centre; also the node's identity (default: as bound)",
+    },
+    Spec {
+        flag: "peer-external",
+        value: "ADDR",
+        default: "",
+        help: "peer address from other data centres (default: as advertised)",
+    },
+    Spec {
+        flag: "region",
+        value: "NAME",
+        default: "",
+        help: "region that the VM stands in",
+    },
+    Spec {
+        flag: "data-centre",
+        value: "NAME",
+        default: "",
+        help: "data centre that the VM stands in",
+    },
+    Spec {
+        flag: "platform",
+        value: "URL",
+        default: "",
+        help: "the platform's table service and object store",
+    },
+    Spec {
+        flag: "peer-seeds",
+        value: "ADDR,...",
+        default: "",
+        help: "peer addresses to try besides those registered with the platform",
+    },
+    Spec {
+        flag: "dial-from",
+        value: "IP",
+        default: "",
+        help: "local address of outgoing connections (default: the system's choice)",
+    },
+    Spec {
+        flag: "service",
+        value: "NAME",
+        default: "",
+        help: "service of the VM's backend server (default: wait for its announcement)",
+    },
+    Spec {
+        flag: "backend-server",
+        value: "ADDR",
+        default: "",
+        help: "address of the VM's backend server (default: wait for its announcement)",
+    },
+    Spec {
+        flag: "drain-timeout-ms",
+        value: "MS",
+        default: "600000",
+        help: "longest wait for requests in flight when stopping",
+    },
+    Spec {
+        flag: "log-format",
+        value: "FORMAT",
+        default: "text",
+        help: "text or json",
+    },
+    Spec {
+        flag: "log-level",
+        value: "LEVEL",
+        default: "info",
+        help: "error, warn, info, debug or trace",
+    },
+];
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err("expected text or json".to_owned()),
+        }
+    }
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct Settings {
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where other nodes connect.
+    pub peer_listen: SocketAddr,
+    /// Where operators and the local backend server connect.
+    pub operator_listen: SocketAddr,
+    /// Peer address inside the data centre.
+    pub peer_advertise: Option<SocketAddr>,
+    /// Peer address from other data centres.
+    pub peer_external: Option<SocketAddr>,
+    /// Where the VM stands.
+    pub place: Place,
+    /// Base URL of the platform.
+    #[builder(into)]
+    pub platform_url: String,
+    /// Further peers to try.
+    #[builder(default)]
+    pub peer_seeds: Vec<SocketAddr>,
+    /// Local address of outgoing connections.
+    pub dial_from: Option<IpAddr>,
+    /// The backend server known from the start.
+    pub backend_server: Option<BackendServer>,
+    /// Longest wait for requests in flight when stopping, in milliseconds.
+    #[builder(default = 600_000)]
+    pub drain_timeout_ms: u64,
+    /// How log lines are written.
+    #[builder(default = LogFormat::Text)]
+    pub log_format: LogFormat,
+    /// Least severe level that is logged.
+    #[builder(default = log::LevelFilter::Info)]
+    pub log_level: log::LevelFilter,
+}
+
+/// A backend server: what it serves and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendServer {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// The help text for all settings.
+pub fn help() -> String {
+    let mut text = String::new();
+    for spec in SPECS {
+        let flag = format!("--{} {}", spec.flag, spec.value);
+        let _ = writeln!(text, "  {flag:<28}{}", spec.help);
+        let default = match spec.default {
+            "" => String::new(),
+            default => format!(", default {default}"),
+        };
+        let _ = writeln!(text, "{:30}[{}{default}]", "", spec.variable());
+    }
+    text
+}
+
+/// Reads settings from `arguments` (flags) and `variable` (environment); flags go first.
+pub fn parse(
+    arguments: impl IntoIterator<Item = OsString>,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Settings> {
+    let mut reader = Reader {
+        values: BTreeMap::new(),
+        problems: Vec::new(),
+    };
+    reader.read_variables(variable);
+    reader.read_flags(arguments);
+    reader.settings()
+}
+
+struct Reader {
+    values: BTreeMap<&'static str, String>,
+    problems: Vec<String>,
+}
+
+impl Reader {
+    fn read_variables(&mut self, variable: impl Fn(&str) -> Option<String>) {
+        for spec in SPECS {
+            if let Some(value) = variable(&spec.variable()) {
+                self.values.insert(spec.flag, value);
+            }
+        }
+    }
+
+    fn read_flags(&mut self, arguments: impl IntoIterator<Item = OsString>) {
+        let mut parser = lexopt::Parser::from_args(arguments);
+        loop {
+            let name = match parser.next() {
+                Ok(None) => return,
+                Ok(Some(lexopt::Arg::Long(name))) => name.to_owned(),
+                Ok(Some(argument)) => {
+                    let problem = argument.unexpected().to_string();
+                    self.problems.push(problem);
+                    continue;
+                }
+                Err(error) => {
+                    self.problems.push(error.to_string());
+                    return;
+                }
+            };
+            let spec = SPECS.iter().find(|spec| spec.flag == name);
+            let value = parser.value().map(|value| value.string());
+            match (spec, value) {
+                (Some(spec), Ok(Ok(value))) => {
+                    self.values.insert(spec.flag, value);
+                }
+                (Some(spec), _) => self
+                    .problems
+                    .push(format!("--{} needs a value: {}", spec.flag, spec.help)),
+                (None, _) => self.problems.push(format!("--{name} is not a setting")),
+            }
+        }
+    }
+
+    fn settings(mut self) -> Result<Settings> {
+        let caller_listen = self.required("caller-listen");
+        let peer_listen = self.required("peer-listen");
+        let operator_listen = self.required("operator-listen");
+        let peer_advertise = self.optional("peer-advertise");
+        let peer_external = self.optional("peer-external");
+        let region = self.name("region");
+        let data_centre = self.name("data-centre");
+        let platform_url = self.url("platform");
+        let peer_seeds = self.list("peer-seeds");
+        let dial_from = self.optional("dial-from");
+        let backend_server = self.backend_server();
+        let drain_timeout_ms = self.required("drain-timeout-ms");
+        let log_format = self.required("log-format");
+        let log_level = self.required("log-level");
+        if !self.problems.is_empty() {
+            return Err(SettingsError {
+                problems: self.problems,
+            });
+        }
+        let checked = "no problems were found";
+        Ok(Settings {
+            caller_listen: caller_listen.expect(checked),
+            peer_listen: peer_listen.expect(checked),
+            operator_listen: operator_listen.expect(checked),
+            peer_advertise,
+            peer_external,
+            place: Place {
+                region: RegionName::new(region.expect(checked)),
+                data_centre: DataCentreName::new(data_centre.expect(checked)),
+            },
+            platform_url: platform_url.expect(checked),
+            peer_seeds,
+            dial_from,
+            backend_server,
+            drain_timeout_ms: drain_timeout_ms.expect(checked),
+            log_format: log_format.expect(checked),
+            log_level: log_level.expect(checked),
+        })
+    }
+
+    fn spec(flag: &str) -> &'static Spec {
+        let found = SPECS.iter().find(|spec| spec.flag == flag);
+        found.expect("every flag that is read has a spec")
+    }
+
+    fn text(&self, flag: &str) -> Option<String> {
+        let given = self.values.get(flag).map(String::as_str);
+        let text = given.unwrap_or(Self::spec(flag).default);
+        (!text.is_empty()).then(|| text.to_owned())
+    }
+
+    fn problem(&mut self, flag: &str, what: &str) {
+        let variable = Self::spec(flag).variable();
+        self.problems.push(format!("--{flag} ({variable}): {what}"));
+    }
+
+    fn optional<T: FromStr>(&mut self, flag: &str) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let text = self.text(flag)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.problem(flag, &format!("`{text}` is refused: {error}"));
+                None
+            }
+        }
+    }
+
+    fn required<T: FromStr>(&mut self, flag: &str) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        if self.text(flag).is_none() {
+            self.problem(flag, "is required");
+            return None;
+        }
+        self.optional(flag)
+    }
+
+    fn name(&mut self, flag: &str) -> Option<String> {
+        let name: String = self.required(flag)?;
+        if is_name(&name) {
+            return Some(name);
+        }
+        self.problem(flag, &format!("`{name}` is not a name"));
+        None
+    }
+
+    fn url(&mut self, flag: &str) -> Option<String> {
+        let url: String = self.required(flag)?;
+        let host = url.strip_prefix("http://");
+        if host.is_some_and(|host| !host.is_empty()) {
+            return Some(url);
+        }
+        self.problem(flag, &format!("`{url}` does not start with http://"));
+        None
+    }
+
+    fn list(&mut self, flag: &str) -> Vec<SocketAddr> {
+        let text = self.text(flag).unwrap_or_default();
+        let mut addresses = Vec::new();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            match part.trim().parse() {
+                Ok(address) => addresses.push(address),
+                Err(error) => self.problem(flag, &format!("`{part}` is refused: {error}")),
+            }
+        }
+        addresses
+    }
+
+    fn backend_server(&mut self) -> Option<BackendServer> {
+        let address = self.optional("backend-server");
+        let service = self.text("service").is_some().then(|| self.name("service"));
+        match (service.flatten(), address) {
+            (Some(service), Some(address)) => Some(BackendServer {
+                service: ServiceName::new(service),
+                address,
+            }),
+            (Some(_), None) if self.text("backend-server").is_none() => {
+                self.problem("service", "needs --backend-server as well");
+                None
+            }
+            (None, Some(_)) if self.text("service").is_none() => {
+                self.problem("backend-server", "needs --service as well");
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/command.rs
@@ -0,0 +1,4 @@
+//! Operations that change something.
+
+pub mod hint;
+pub mod publish;
--- /dev/null
+++ b/src/ops/query.rs
@@ -0,0 +1,5 @@
+//! Operations that only read.
+
+pub mod accepted;
+pub mod check;
+pub mod status;
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,125 @@
+//! Client of another node's control service.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use tonic::transport::{Channel, Endpoint};
+
+use super::convert;
+use super::generated as wire;
+use super::generated::control_client::ControlClient;
+use crate::core::version::{Stamp, Version};
+use crate::distribution::Content;
+use crate::membership::Gossip;
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for one answer. Twenty times the latency between regions; a peer that takes longer
+/// is frozen or cut off, and the next heartbeat tries again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Content may be a snapshot over the throttled link between regions.
+const CONTENT_TIMEOUT: Duration = Duration::from_millis(5_000);
+
+/// Why a peer gave no usable answer.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The address cannot be dialled.
+    #[snafu(display("`{address}` cannot be dialled"))]
+    Address {
+        /// The address.
+        address: SocketAddr,
+        /// From the transport.
+        source: tonic::transport::Error,
+    },
+    /// It was not reached, was late, or refused.
+    #[snafu(display("no answer from {address}"))]
+    Call {
+        /// The peer.
+        address: SocketAddr,
+        /// From the transport.
+        #[snafu(source(from(tonic::Status, Box::new)))]
+        source: Box<tonic::Status>,
+    },
+    /// The answer breaks the protocol.
+    #[snafu(display("the answer from {address} breaks the protocol: {reason}"))]
+    Answer {
+        /// The peer.
+        address: SocketAddr,
+        /// In what way.
+        reason: String,
+    },
+}
+
+/// One peer. Cheap to clone; connects when first used and again after a loss.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    address: SocketAddr,
+    client: ControlClient<Channel>,
+}
+
+impl PeerClient {
+    /// A client for the peer at `address`. Nothing is dialled yet.
+    pub fn new(address: SocketAddr, dial_from: Option<IpAddr>) -> Result<Self> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .context(AddressSnafu { address })?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .local_address(dial_from);
+        Ok(Self {
+            address,
+            client: ControlClient::new(endpoint.connect_lazy()),
+        })
+    }
+
+    /// One gossip exchange.
+    pub async fn exchange(&mut self, gossip: &Gossip) -> Result<Gossip> {
+        let request = timed(convert::gossip_to_wire(gossip), ANSWER_TIMEOUT);
+        let answer = self.client.exchange(request).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        convert::gossip_from_wire(answer.get_ref()).map_err(|error| self.broken(&error))
+    }
+
+    /// Asks for the content of a version above `have`.
+    pub async fn fetch(&mut self, have: Stamp, want: Version) -> Result<Option<(Stamp, Content)>> {
+        let request = wire::FetchRequest {
+            have: Some(convert::stamp_to_wire(have)),
+            want_version: want.0,
+        };
+        let answer = self.client.fetch(timed(request, CONTENT_TIMEOUT)).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        convert::content_from_wire(answer.into_inner()).map_err(|error| self.broken(&error))
+    }
+
+    /// Tells the peer that `head` has been accepted; answers what it enforces.
+    pub async fn hint(&mut self, head: Stamp) -> Result<Stamp> {
+        let request = wire::HintRequest {
+            head: Some(convert::stamp_to_wire(head)),
+        };
+        let answer = self.client.hint(timed(request, ANSWER_TIMEOUT)).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        convert::stamp_from_wire(answer.get_ref().enforced.as_ref())
+            .map_err(|error| self.broken(&error))
+    }
+
+    fn broken(&self, error: &convert::Error) -> Error {
+        Error::Answer {
+            address: self.address,
+            reason: error.to_string(),
+        }
+    }
+}
+
+fn timed<T>(message: T, timeout: Duration) -> tonic::Request<T> {
+    let mut request = tonic::Request::new(message);
+    request.set_timeout(timeout);
+    request
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,108 @@
+//! The control service of this node: hands each call to the actor that owns the matter.
+
+use ractor::ActorRef;
+use tonic::{Request, Response, Status};
+
+use super::convert;
+use super::generated as wire;
+use super::generated::control_server::Control;
+use crate::core::version::{Stamp, Version};
+use crate::node::configuration::ConfigurationMsg;
+use crate::node::membership::MembershipMsg;
+
+/// Longest wait for an actor of this process.
+const ACTOR_TIMEOUT_MS: u64 = 1_000;
+
+#[derive(Clone, Debug)]
+pub(crate) struct ControlService {
+    pub(crate) membership: ActorRef<MembershipMsg>,
+    pub(crate) configuration: ActorRef<ConfigurationMsg>,
+}
+
+impl ControlService {
+    fn announce(&self, stamp: Stamp, from: Option<crate::core::member::NodeId>) {
+        // The actor is gone only while the process ends.
+        let _ = self
+            .configuration
+            .cast(ConfigurationMsg::Announced { stamp, from });
+    }
+}
+
+#[tonic::async_trait]
+impl Control for ControlService {
+    async fn exchange(
+        &self,
+        request: Request<wire::Gossip>,
+    ) -> Result<Response<wire::Gossip>, Status> {
+        let gossip = convert::gossip_from_wire(request.get_ref()).map_err(|e| invalid(&e))?;
+        self.announce(gossip.enforced, Some(gossip.from));
+        let answer = ractor::call_t!(
+            self.membership,
+            MembershipMsg::Receive,
+            ACTOR_TIMEOUT_MS,
+            gossip
+        );
+        let answer = answer.map_err(|_| stopping())?;
+        Ok(Response::new(convert::gossip_to_wire(&answer)))
+    }
+
+    async fn fetch(
+        &self,
+        request: Request<wire::FetchRequest>,
+    ) -> Result<Response<wire::FetchReply>, Status> {
+        let request = request.get_ref();
+        let have = convert::stamp_from_wire(request.have.as_ref()).map_err(|e| invalid(&e))?;
+        let content = ractor::call_t!(
+            self.configuration,
+            ConfigurationMsg::ContentFor,
+            ACTOR_TIMEOUT_MS,
+            have.version
+        );
+        let content = content.map_err(|_| stopping())?;
+        Ok(Response::new(convert::content_to_wire(content)))
+    }
+
+    async fn hint(
+        &self,
+        request: Request<wire::HintRequest>,
+    ) -> Result<Response<wire::HintReply>, Status> {
+        let head = request.get_ref().head.as_ref();
+        let head = convert::stamp_from_wire(head).map_err(|e| invalid(&e))?;
+        self.announce(head, None);
+        let enforced = ractor::call_t!(
+            self.configuration,
+            ConfigurationMsg::Enforced,
+            ACTOR_TIMEOUT_MS
+        );
+        let enforced = enforced.map_err(|_| stopping())?;
+        Ok(Response::new(wire::HintReply {
+            enforced: Some(convert::stamp_to_wire(enforced)),
+        }))
+    }
+
+    async fn floor(
+        &self,
+        request: Request<wire::FloorRequest>,
+    ) -> Result<Response<wire::FloorReply>, Status> {
+        let node = convert::address(&request.get_ref().node).map_err(|e| invalid(&e))?;
+        let remembered = ractor::call_t!(
+            self.membership,
+            MembershipMsg::Remembered,
+            ACTOR_TIMEOUT_MS,
+            crate::core::member::NodeId(node)
+        );
+        let remembered = remembered.map_err(|_| stopping())?;
+        Ok(Response::new(wire::FloorReply {
+            reported_version: remembered.map_or(Version::NONE, |stamp| stamp.version).0,
+            enforced: remembered.map(convert::stamp_to_wire),
+        }))
+    }
+}
+
+fn invalid(error: &convert::Error) -> Status {
+    Status::invalid_argument(error.to_string())
+}
+
+fn stopping() -> Status {
+    Status::unavailable("the node is stopping")
+}
--- /dev/null
+++ b/src/platform/rows.rs
@@ -0,0 +1,101 @@
+//! The rows that dragonflywall keeps in the platform's table.
+//!
+//! | key | value | written by |
+//! |---|---|---|
+//! | `head` | [`HeadRow`] | each publication, conditionally |
+//! | `version/N` | [`VersionRow`] | with the head, once; the audit trail |
+//! | `publish/ID` | [`PublishRow`] | with the head, once; settles lost answers |
+//! | `node/ADDRESS` | [`NodeRow`] | that node, seldom |
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::member::{NodeId, Place};
+use crate::core::names::TeamName;
+use crate::core::version::{Digest, Stamp, Version};
+
+/// Key of the head row.
+pub const HEAD_KEY: &str = "head";
+/// Prefix of version rows.
+pub const VERSION_PREFIX: &str = "version/";
+/// Prefix of node rows.
+pub const NODE_PREFIX: &str = "node/";
+
+/// Key of a version's row; zeros keep the table's order that of versions.
+pub fn version_key(version: Version) -> String {
+    format!("{VERSION_PREFIX}{:012}", version.0)
+}
+
+/// Key of the row that a publication leaves under its id.
+pub fn publish_key(publish_id: &str) -> String {
+    format!("publish/{publish_id}")
+}
+
+/// Key of a node's registration.
+pub fn node_key(node: NodeId) -> String {
+    format!("{NODE_PREFIX}{node}")
+}
+
+/// The accepted version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeadRow {
+    /// Number and digest.
+    pub stamp: Stamp,
+}
+
+/// What one publication did: a line of the audit trail.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRow {
+    /// Number and digest.
+    pub stamp: Stamp,
+    /// The version it was made from.
+    pub parent: Stamp,
+    /// Id of the publication.
+    pub publish_id: String,
+    /// Who published.
+    pub operator: String,
+    /// When, in milliseconds since the epoch, by the publisher's clock.
+    pub time_ms: u64,
+    /// Why this version exists.
+    pub kind: PublicationKind,
+    /// Teams whose record changed.
+    pub teams_changed: Vec<TeamName>,
+    /// Object with the whole configuration.
+    pub snapshot_object: Digest,
+    /// Object with the difference from the parent.
+    pub delta_object: Digest,
+}
+
+/// Why a version exists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum PublicationKind {
+    /// Team files were published.
+    Publish,
+    /// An earlier version's content was published again.
+    Rollback {
+        /// The earlier version.
+        to: Version,
+    },
+}
+
+/// Which version a publication made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishRow {
+    /// The version.
+    pub version: Version,
+}
+
+/// Where a node may be reached: a bootstrap hint, nothing more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRow {
+    /// Peer address inside its data centre.
+    pub node: NodeId,
+    /// Peer address from elsewhere.
+    pub external: SocketAddr,
+    /// Where it stands.
+    pub place: Place,
+    /// Last renewal in milliseconds since the epoch.
+    pub renewed_ms: u64,
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,15 @@
+//! The request path: a caller's request goes entry -> gate -> backend server and back.
+//!
+//! [`entry`] runs at the node that the caller reached: it routes, places and retries. [`gate`] runs
+//! at the backend server's own node: it admits and forwards. Where the entry's own backend server
+//! is the chosen endpoint, the two meet in one process and nothing crosses a socket between them.
+//! Bodies stream in both directions. Every failure carries a verdict ([`answer::Failure`]).
+
+pub(crate) mod answer;
+pub(crate) mod backend;
+pub(crate) mod body;
+pub(crate) mod entry;
+pub(crate) mod gate;
+pub(crate) mod headers;
+pub(crate) mod listener;
+pub(crate) mod peers;
--- /dev/null
+++ b/src/proxy/backend.rs
@@ -0,0 +1,120 @@
+//! HTTP/1.1 connections to the node's own backend server.
+//!
+//! A connection carries one request at a time and goes back to the pool only after its answer has
+//! been read to the end, so a late answer can never meet another request.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+
+use super::answer::{Failure, Reason};
+use super::body::{self, Body, BoxError, Guarded};
+use crate::util::dial::dial;
+
+/// The backend server is on the same VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+type Sender = http1::SendRequest<Body>;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BackendPool {
+    idle: Arc<Mutex<Vec<(SocketAddr, Sender)>>>,
+}
+
+impl BackendPool {
+    /// Sends a request to the backend server at `address`.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, Failure> {
+        let mut request = request;
+        while let Some(sender) = self.take_idle(address) {
+            match self.exchange(address, sender, request).await {
+                Ok(response) => return Ok(response),
+                // An idle connection that the backend server had closed: nothing was sent.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((failure, None)) => return Err(failure),
+            }
+        }
+        let sender = connect(address).await.map_err(|error| {
+            log::debug!(backend:% = address, error:%; "backend server not reached");
+            Failure::not_run(Reason::Unreachable)
+        })?;
+        self.exchange(address, sender, request)
+            .await
+            .map_err(|(failure, _)| failure)
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut sender: Sender,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, (Failure, Option<Request<Body>>)> {
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(self.keep_until_read(address, sender, response)),
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => Err((Failure::not_run(Reason::Unreachable), Some(unsent))),
+                None => Err((Failure::may_have_run(Reason::Lost), None)),
+            },
+        }
+    }
+
+    fn keep_until_read(
+        &self,
+        address: SocketAddr,
+        sender: Sender,
+        response: Response<Incoming>,
+    ) -> Response<Body> {
+        let lease = Lease {
+            pool: self.clone(),
+            address,
+            sender: Some(sender),
+        };
+        response.map(|incoming| {
+            let inner = body::boxed(incoming);
+            body::boxed(Guarded::new(inner, lease))
+        })
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|(of, sender)| *of == address && !sender.is_closed());
+        let ready = idle.iter().rposition(|(_, sender)| sender.is_ready())?;
+        Some(idle.swap_remove(ready).1)
+    }
+}
+
+/// Returns a connection to the pool once its answer's body is dropped. The library reports the
+/// connection ready only when the answer was read whole; one that was not is never taken again.
+struct Lease {
+    pool: BackendPool,
+    address: SocketAddr,
+    sender: Option<Sender>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(sender) = self.sender.take().filter(|sender| !sender.is_closed()) {
+            let mut idle = self
+                .pool
+                .idle
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            idle.push((self.address, sender));
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, BoxError> {
+    let stream = dial(address, None, CONNECT_TIMEOUT).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
--- /dev/null
+++ b/src/proxy/body.rs
@@ -0,0 +1,61 @@
+//! One body type for both directions, and bodies that hold something until they end.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+
+pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, BoxError>;
+
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+pub(crate) fn boxed<B>(body: B) -> Body
+where
+    B: HttpBody<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+{
+    body.map_err(Into::into).boxed_unsync()
+}
+
+/// A body that keeps `guard` until it has been read to its end or dropped.
+pub(crate) struct Guarded<G> {
+    inner: Body,
+    _guard: G,
+}
+
+impl<G> Guarded<G> {
+    pub(crate) fn new(inner: Body, guard: G) -> Self {
+        Self {
+            inner,
+            _guard: guard,
+        }
+    }
+}
+
+impl<G: Unpin> HttpBody for Guarded<G> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.inner).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/src/proxy/headers.rs
@@ -0,0 +1,71 @@
+//! The mesh's own headers, and which headers never pass through.
+
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+
+/// Prefix of every header that nodes exchange. Callers' headers with it are dropped: a caller
+/// must not be able to set its own class, deadline or verdict.
+pub(crate) const MESH_PREFIX: &str = "x-dragonflywall-";
+/// On a request between nodes: marks data, apart from control calls on the same listener.
+pub(crate) const DATA: HeaderName = HeaderName::from_static("x-dragonflywall-data");
+/// On a request between nodes: milliseconds that remain until its deadline.
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("x-dragonflywall-deadline-ms");
+/// On a request between nodes: the service that it is for.
+pub(crate) const SERVICE: HeaderName = HeaderName::from_static("x-dragonflywall-service");
+/// On an answer between nodes: load of the endpoint in percent of its slots.
+pub(crate) const LOAD_PERCENT: HeaderName = HeaderName::from_static("x-dragonflywall-load-percent");
+/// On a failed answer: what is known of whether the request ran.
+pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
+/// On every answer to a caller: the configuration version it was served under.
+pub(crate) const VERSION: HeaderName = HeaderName::from_static("x-dragonflywall-version");
+/// On every request that reaches a backend server and every answer to a caller.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Headers that belong to one connection and are never passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Drops headers of one connection, among them those that `Connection` names.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Drops the mesh's own headers.
+pub(crate) fn strip_mesh(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(MESH_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header value from text that the mesh itself made.
+pub(crate) fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("?"))
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,4 @@
+//! Helpers used in more than one place.
+
+pub(crate) mod clock;
+pub(crate) mod dial;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! The integration tests: whole processes, and the library's decisions from outside.
+
+mod support;
+mod whole_path;
