Guard peer and operator listeners by a mesh token

Cause: any process that reached the peer listener could send data past every entry, and command a node at its operator listener. Change: a shared secret in a header, two during rotation; required beyond loopback addresses. After: 401, no record.

--- a/src/bin/dragonflywall/cli.rs
+++ b/src/bin/dragonflywall/cli.rs
@@ -6,6 +6,8 @@
 use std::future::Future;
 use std::process::ExitCode;
 
+use dragonflywall::core::token::{MeshToken, TOKEN_VARIABLE};
+
 use crate::commands::{self, Command};
 
 pub(crate) type Result<T = (), E = Failure> = std::result::Result<T, E>;
@@ -64,6 +66,15 @@
     text
 }
 
+/// The mesh token from the environment; a flag would show it in the process list.
+pub(crate) fn mesh_token() -> Result<MeshToken> {
+    let Ok(text) = std::env::var(TOKEN_VARIABLE) else {
+        return Ok(MeshToken::default());
+    };
+    text.parse()
+        .map_err(|error| Failure::Usage(format!("{TOKEN_VARIABLE}: {error}")))
+}
+
 /// Runs the command that `arguments` name.
 pub(crate) fn run(arguments: Vec<OsString>) -> ExitCode {
     match dispatch(arguments) {
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -7,11 +7,12 @@
 use dragonflywall::core::names::TeamName;
 use dragonflywall::ops::command::hint;
 use dragonflywall::ops::command::publish::{Error, PublishOptions, Published, publish};
+use dragonflywall::peer::client::DialOptions;
 use dragonflywall::platform::http::HttpPlatform;
 use lexopt::ValueExt;
 
 use super::{Command, check};
-use crate::cli::{Failure, Result, block_on, with_causes};
+use crate::cli::{Failure, Result, block_on, mesh_token, with_causes};
 
 pub(crate) const COMMAND: Command = Command {
     name: "publish",
@@ -83,11 +84,15 @@
         .removals(arguments.removals)
         .build();
     let platform = HttpPlatform::new(&platform_url, None);
+    let dial_options = DialOptions {
+        dial_from: None,
+        token: mesh_token()?,
+    };
     block_on(async {
         let published = publish(&platform, &options).await.map_err(failure)?;
         print(&options, &published);
         // The commit stands whether or not a node hears of it now.
-        let told = hint::send_hints(&platform, published.stamp).await;
+        let told = hint::send_hints(&platform, published.stamp, &dial_options).await;
         println!("Hinted {told} nodes");
         Ok(())
     })
--- a/src/bin/dragonflywall/commands/status.rs
+++ b/src/bin/dragonflywall/commands/status.rs
@@ -8,7 +8,7 @@
 use lexopt::ValueExt;
 
 use super::Command;
-use crate::cli::{Failure, Result, block_on};
+use crate::cli::{Failure, Result, block_on, mesh_token};
 
 pub(crate) const COMMAND: Command = Command {
     name: "status",
@@ -40,7 +40,8 @@
     let address: SocketAddr = node
         .parse()
         .map_err(|error| Failure::Usage(format!("--node `{node}`: {error}")))?;
-    let status = block_on(fetch(address))
+    let token = mesh_token()?;
+    let status = block_on(fetch(address, &token))
         .map_err(|error| Failure::refused(&error, "ask another node, or look at this one's log"))?;
     if json {
         let text = serde_json::to_string_pretty(&status).expect("statuses always encode");
--- a/src/core.rs
+++ b/src/core.rs
@@ -10,5 +10,6 @@
 pub mod routing;
 pub mod status;
 pub mod team_file;
+pub mod token;
 pub mod verdict;
 pub mod version;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -130,13 +130,13 @@
             let member = view.members.iter().find(|member| member.node == node)?;
             Some(member.dial_address(&self.node.settings.place))
         });
-        let dial_from = self.node.settings.dial_from;
+        let options = self.node.settings.dial_options();
         let platform = self.platform.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
             let mut found = None;
             if let Some(address) = address
-                && let Ok(mut client) = PeerClient::new(address, dial_from)
+                && let Ok(mut client) = PeerClient::new(address, &options)
             {
                 found = client.fetch(have, want.version).await.ok().flatten();
             }
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -130,7 +130,7 @@
         if let Some(client) = self.clients.get(&address) {
             return Some(client.clone());
         }
-        let client = PeerClient::new(address, self.node.settings.dial_from).ok()?;
+        let client = PeerClient::new(address, &self.node.settings.dial_options()).ok()?;
         self.clients.insert(address, client.clone());
         Some(client)
     }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -11,6 +11,8 @@
 
 use crate::core::member::Place;
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
+use crate::core::token::MeshToken;
+use crate::peer::client::DialOptions;
 
 /// Result of this module.
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
@@ -106,6 +108,12 @@
         default: "",
         help: "local address of outgoing connections (default: the system's choice)",
     },
+    Spec {
+        flag: "mesh-token",
+        value: "SECRET",
+        default: "",
+        help: "secret of the mesh; SECRET,OLD while one replaces the other; better as a variable",
+    },
     Spec {
         flag: "service",
         value: "NAME",
@@ -182,6 +190,9 @@
     pub peer_seeds: Vec<SocketAddr>,
     /// Local address of outgoing connections.
     pub dial_from: Option<IpAddr>,
+    /// Secret by which nodes and operators know each other.
+    #[builder(default)]
+    pub mesh_token: MeshToken,
     /// The backend server known from the start.
     pub backend_server: Option<BackendServer>,
     /// Longest wait for requests in flight when stopping, in milliseconds.
@@ -204,6 +215,16 @@
     pub address: SocketAddr,
 }
 
+impl Settings {
+    /// How this node dials others.
+    pub fn dial_options(&self) -> DialOptions {
+        DialOptions {
+            dial_from: self.dial_from,
+            token: self.mesh_token.clone(),
+        }
+    }
+}
+
 /// The help text for all settings.
 pub fn help() -> String {
     let mut text = String::new();
@@ -288,6 +309,8 @@
         let platform_url = self.url("platform");
         let peer_seeds = self.list("peer-seeds");
         let dial_from = self.optional("dial-from");
+        let mesh_token: MeshToken = self.optional("mesh-token").unwrap_or_default();
+        self.require_token_beyond_loopback(&mesh_token, [peer_listen, operator_listen]);
         let backend_server = self.backend_server();
         let drain_timeout_ms = self.required("drain-timeout-ms");
         let log_format = self.required("log-format");
@@ -311,6 +334,7 @@
             platform_url: platform_url.expect(checked),
             peer_seeds,
             dial_from,
+            mesh_token,
             backend_server,
             drain_timeout_ms: drain_timeout_ms.expect(checked),
             log_format: log_format.expect(checked),
@@ -318,6 +342,23 @@
         })
     }
 
+    /// Failure guarded against: a listener that anybody on the network may speak to, through
+    /// which a stranger drains nodes or feeds them gossip. Without a token only processes of the
+    /// same machine can reach the listeners, so the guard holds.
+    fn require_token_beyond_loopback(
+        &mut self,
+        token: &MeshToken,
+        listeners: [Option<SocketAddr>; 2],
+    ) {
+        let mut beyond = listeners.iter().flatten();
+        if token.is_empty() && beyond.any(|address| !address.ip().is_loopback()) {
+            self.problem(
+                "mesh-token",
+                "is required when --peer-listen or --operator-listen is not a loopback address",
+            );
+        }
+    }
+
     fn spec(flag: &str) -> &'static Spec {
         let found = SPECS.iter().find(|spec| spec.flag == flag);
         found.expect("every flag that is read has a spec")
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -74,7 +74,7 @@
 
 impl NodeState {
     pub(crate) fn new(settings: Settings, me: NodeId) -> Arc<Self> {
-        let dial_from = settings.dial_from;
+        let dial_options = settings.dial_options();
         let backend = settings.backend_server.clone().map(Arc::new);
         Arc::new(Self {
             settings,
@@ -86,7 +86,7 @@
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
             pool: BackendPool::default(),
-            peers: PeerConnections::new(dial_from),
+            peers: PeerConnections::new(dial_options),
             draining: CancellationToken::new(),
             in_flight: TaskTracker::new(),
         })
--- a/src/ops/command/hint.rs
+++ b/src/ops/command/hint.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::core::version::Stamp;
-use crate::peer::client::PeerClient;
+use crate::peer::client::{DialOptions, PeerClient};
 use crate::platform::rows::{NODE_PREFIX, NodeRow};
 use crate::platform::{Row, Table};
 
@@ -16,7 +16,7 @@
 const PAGE_ROWS: u32 = 1_000;
 
 /// Sends hints; returns how many nodes took one. Failures are left to the backstop.
-pub async fn send_hints(table: &impl Table, head: Stamp) -> usize {
+pub async fn send_hints(table: &impl Table, head: Stamp, options: &DialOptions) -> usize {
     let rows = table.rows(NODE_PREFIX, "", PAGE_ROWS).await;
     let nodes = rows.map(|rows| registered(&rows)).unwrap_or_default();
     let mut by_place: BTreeMap<String, Vec<NodeRow>> = BTreeMap::new();
@@ -28,8 +28,9 @@
     for nodes in by_place.values() {
         for node in nodes.sample(&mut rand::rng(), HINTS_PER_DATA_CENTRE) {
             let address = node.external;
+            let options = options.clone();
             hints.spawn(async move {
-                let mut client = PeerClient::new(address, None).ok()?;
+                let mut client = PeerClient::new(address, &options).ok()?;
                 client.hint(head).await.ok()
             });
         }
--- a/src/ops/query/status.rs
+++ b/src/ops/query/status.rs
@@ -12,6 +12,7 @@
 
 use crate::core::member::{Liveness, Place};
 use crate::core::status::Status;
+use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::Version;
 use crate::util::dial::dial;
 
@@ -78,20 +79,23 @@
 }
 
 /// Asks the node whose operator listener is at `address`.
-pub async fn fetch(address: SocketAddr) -> Result<Status> {
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, get(address, "/status")).await;
+pub async fn fetch(address: SocketAddr, token: &MeshToken) -> Result<Status> {
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, get(address, "/status", token)).await;
     let body = answer.map_err(|_| Error::Late { address })??;
     serde_json::from_slice(&body).context(DecodeSnafu { address })
 }
 
-async fn get(address: SocketAddr, path: &str) -> Result<Bytes> {
+async fn get(address: SocketAddr, path: &str, token: &MeshToken) -> Result<Bytes> {
     let stream = dial(address, None, ANSWER_TIMEOUT).await;
     let stream = stream.context(ConnectSnafu { address })?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.context(ExchangeSnafu { address })?;
     tokio::spawn(connection);
-    let request = Request::get(path)
-        .header(hyper::header::HOST, address.to_string())
+    let mut request = Request::get(path).header(hyper::header::HOST, address.to_string());
+    if let Some(token) = token.to_send() {
+        request = request.header(TOKEN_HEADER, token);
+    }
+    let request = request
         .body(Empty::<Bytes>::new())
         .expect("a constant path and an address make a request");
     let response = sender.send_request(request).await;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -4,11 +4,16 @@
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
+use tonic::Status;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
 
 use super::convert;
 use super::generated as wire;
 use super::generated::control_client::ControlClient;
+use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::Content;
 use crate::membership::Gossip;
@@ -53,24 +58,58 @@
     },
 }
 
+/// How peers are dialled.
+#[derive(Clone, Debug, Default)]
+pub struct DialOptions {
+    /// Local address to connect from, if it matters.
+    pub dial_from: Option<IpAddr>,
+    /// What to show them.
+    pub token: MeshToken,
+}
+
+/// Puts the mesh token on every call.
+#[derive(Clone, Debug)]
+struct TokenSender {
+    token: Option<MetadataValue<Ascii>>,
+}
+
+impl TokenSender {
+    fn new(token: &MeshToken) -> Self {
+        let token = token.to_send().and_then(|token| token.parse().ok());
+        Self { token }
+    }
+}
+
+impl Interceptor for TokenSender {
+    fn call(&mut self, mut request: tonic::Request<()>) -> Result<tonic::Request<()>, Status> {
+        if let Some(token) = &self.token {
+            request.metadata_mut().insert(TOKEN_HEADER, token.clone());
+        }
+        Ok(request)
+    }
+}
+
 /// One peer. Cheap to clone; connects when first used and again after a loss.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     address: SocketAddr,
-    client: ControlClient<Channel>,
+    client: ControlClient<InterceptedService<Channel, TokenSender>>,
 }
 
 impl PeerClient {
     /// A client for the peer at `address`. Nothing is dialled yet.
-    pub fn new(address: SocketAddr, dial_from: Option<IpAddr>) -> Result<Self> {
+    pub fn new(address: SocketAddr, options: &DialOptions) -> Result<Self> {
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .context(AddressSnafu { address })?
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
-            .local_address(dial_from);
+            .local_address(options.dial_from);
         Ok(Self {
             address,
-            client: ControlClient::new(endpoint.connect_lazy()),
+            client: ControlClient::with_interceptor(
+                endpoint.connect_lazy(),
+                TokenSender::new(&options.token),
+            ),
         })
     }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,6 +2,8 @@
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
+use crate::core::token::TOKEN_HEADER;
+
 /// Prefix of every header that nodes exchange. Callers' headers with it are dropped: a caller
 /// must not be able to set its own class, deadline or verdict.
 pub(crate) const MESH_PREFIX: &str = "x-dragonflywall-";
@@ -15,6 +17,8 @@
 pub(crate) const LOAD_PERCENT: HeaderName = HeaderName::from_static("x-dragonflywall-load-percent");
 /// On a failed answer: what is known of whether the request ran.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
+/// On every request between nodes and to an operator listener: the mesh token.
+pub(crate) const TOKEN: HeaderName = HeaderName::from_static(TOKEN_HEADER);
 /// On every answer to a caller: the configuration version it was served under.
 pub(crate) const VERSION: HeaderName = HeaderName::from_static("x-dragonflywall-version");
 /// On every request that reaches a backend server and every answer to a caller.
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -57,6 +57,9 @@
         let node = Arc::clone(&node);
         let mut control = control.clone();
         async move {
+            if !may_speak(&node, &request) {
+                return unauthorized();
+            }
             // Only nodes set this header: an entry drops it from what callers send.
             if request.headers().contains_key(headers::DATA) {
                 let token = node.in_flight.token();
@@ -77,13 +80,35 @@
     operator: Arc<Operator>,
     stop: CancellationToken,
 ) {
-    let handle = move |request| {
+    let handle = move |request: Request<Incoming>| {
         let operator = Arc::clone(&operator);
-        async move { operator.handle(request).await.map(body::boxed) }
+        async move {
+            // Whoever restarts VMs asks for readiness and holds no secret of the mesh.
+            let is_open = request.uri().path() == "/ready";
+            if !is_open && !may_speak(&operator.node, &request) {
+                return unauthorized();
+            }
+            operator.handle(request).await.map(body::boxed)
+        }
     };
     serve(listener, stop.clone(), stop, handle).await;
 }
 
+/// Failure guarded against: a process that is no part of the mesh sends data past every entry, or
+/// commands a node. It shows as requests that no entry logged. Without the secret nothing of the
+/// request is looked at, so the guard holds.
+fn may_speak(node: &NodeState, request: &Request<Incoming>) -> bool {
+    let given = request.headers().get(headers::TOKEN);
+    let token = &node.settings.mesh_token;
+    token.accepts(given.map(|value| value.as_bytes()))
+}
+
+fn unauthorized() -> Response<Body> {
+    let mut response = Response::new(body::full("the mesh token is missing or wrong\n"));
+    *response.status_mut() = StatusCode::UNAUTHORIZED;
+    response
+}
+
 /// Accepts until `stop`. `polite` asks each connection to end after the request it is serving.
 async fn serve<H, F>(
     listener: TcpListener,
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -1,7 +1,7 @@
 //! HTTP/2 connections to other nodes' gates, one per node, opened when first needed.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 
 use super::answer::{Failure, Reason};
 use super::body::Body;
+use super::headers;
+use crate::peer::client::DialOptions;
 use crate::util::dial::dial;
 
 /// Longest wait for a connection. Beyond it the endpoint is as good as gone, and another one is
@@ -24,7 +26,7 @@
 
 #[derive(Debug)]
 pub(crate) struct PeerConnections {
-    dial_from: Option<IpAddr>,
+    options: DialOptions,
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
 }
 
@@ -32,9 +34,9 @@
 type Slot = tokio::sync::Mutex<Option<Sender>>;
 
 impl PeerConnections {
-    pub(crate) fn new(dial_from: Option<IpAddr>) -> Self {
+    pub(crate) fn new(options: DialOptions) -> Self {
         Self {
-            dial_from,
+            options,
             slots: Mutex::default(),
         }
     }
@@ -43,9 +45,13 @@
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<Incoming>, Failure> {
         let mut sender = self.sender(address).await?;
+        if let Some(token) = self.options.token.to_send() {
+            let token = headers::value(token);
+            request.headers_mut().insert(headers::TOKEN, token);
+        }
         sender.try_send_request(request).await.map_err(|mut error| {
             // The library hands the request back only if none of it was sent.
             if error.take_message().is_some() {
@@ -76,7 +82,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, super::body::BoxError> {
-        let stream = dial(address, self.dial_from, CONNECT_TIMEOUT).await?;
+        let stream = dial(address, self.options.dial_from, CONNECT_TIMEOUT).await?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .keep_alive_interval(KEEP_ALIVE)
--- /dev/null
+++ b/tests/testsuite/token.rs
@@ -0,0 +1,94 @@
+//! Who may speak at the peer and operator listeners.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use http::Method;
+use testkit::backend::{Backend, Behaviour};
+use testkit::http::request;
+use testkit::platform::Platform;
+use testkit::process::NodeProcess;
+
+use crate::support::{PROGRAM, command};
+
+const SECRET: &str = "correct-horse-battery";
+const OLD_SECRET: &str = "previous-horse-battery";
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("a constant address")
+}
+
+async fn start_node(platform: &Platform, backend: &Backend) -> NodeProcess {
+    let arguments = [
+        "node".to_owned(),
+        format!("--platform={}", platform.url()),
+        "--region=cantabrico".to_owned(),
+        "--data-centre=gijon".to_owned(),
+        "--service=cobros".to_owned(),
+        format!("--backend-server={}", backend.address),
+        format!("--mesh-token={SECRET},{OLD_SECRET}"),
+        "--log-level=error".to_owned(),
+    ];
+    let node = NodeProcess::start(Path::new(PROGRAM), &arguments).await;
+    node.expect("the node starts")
+}
+
+/// A process that is no part of the mesh reaches a node's peer listener and sends a payment marked
+/// as coming from another node, past admission of any entry; or asks the operator listener to
+/// change the backend server. Without the check of the token both take effect. Either secret of a
+/// rotation is accepted, and readiness is open to whoever replaces VMs.
+#[tokio::test]
+async fn stranger_is_refused_at_peer_and_operator_listeners() {
+    let platform = Platform::start(any_port()).await.expect("it starts");
+    let backend = Backend::start(any_port(), "cobros-0", Behaviour::default()).await;
+    let backend = backend.expect("it starts");
+    let node = start_node(&platform, &backend).await;
+    let operator = node.addresses.operator;
+
+    let forged = [
+        ("x-dragonflywall-data", "1"),
+        ("x-dragonflywall-service", "cobros"),
+    ];
+    let peer = node.addresses.peer;
+    let reply = request(peer, Method::POST, "cobros", "/payments", &forged, "").await;
+    assert_eq!(reply.expect("an answer").status, 401);
+    assert!(backend.record().runs.is_empty());
+
+    for path in ["/status", "/metrics", "/backend-server"] {
+        let reply = request(operator, Method::GET, "node", path, &[], "").await;
+        assert_eq!(reply.expect("an answer").status, 401, "{path}");
+    }
+    let wrong = [("x-dragonflywall-token", "wrong-horse-battery")];
+    let reply = request(operator, Method::GET, "node", "/status", &wrong, "").await;
+    assert_eq!(reply.expect("an answer").status, 401);
+    for secret in [SECRET, OLD_SECRET] {
+        let headers = [("x-dragonflywall-token", secret)];
+        let reply = request(operator, Method::GET, "node", "/status", &headers, "").await;
+        assert_eq!(reply.expect("an answer").status, 200, "{secret}");
+    }
+    let reply = request(operator, Method::GET, "node", "/ready", &[], "").await;
+    assert_eq!(
+        reply.expect("an answer").status,
+        503,
+        "open, and not ready yet"
+    );
+}
+
+/// An operator forgets the token on a VM whose listeners face the network: the node does not start.
+#[tokio::test]
+async fn listeners_beyond_loopback_need_a_token() {
+    let arguments = [
+        "node",
+        "--platform=http://127.0.0.1:1",
+        "--region=norte",
+        "--data-centre=aveiro-a",
+        "--peer-listen=0.0.0.0:0",
+    ];
+    let output = command(&arguments).await;
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        text.contains("--mesh-token (DRAGONFLYWALL_MESH_TOKEN): is required"),
+        "{text}"
+    );
+}
