--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::names::{DataCentreName, RegionName, ServiceName};
-use crate::core::version::Stamp;
+use crate::core::version::Version;
 
 /// A node's identity: the address at which its own data centre reaches its peer listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -28,6 +28,30 @@
     pub data_centre: DataCentreName,
 }
 
+impl Place {
+    /// How far another place is.
+    pub fn distance_to(&self, other: &Self) -> Distance {
+        if self == other {
+            Distance::DataCentre
+        } else if self.region == other.region {
+            Distance::Region
+        } else {
+            Distance::Mesh
+        }
+    }
+}
+
+/// How far apart two nodes stand, nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// In the same data centre.
+    DataCentre,
+    /// In another data centre of the same region.
+    Region,
+    /// Across the billed link between regions.
+    Mesh,
+}
+
 /// Whether a node lives, as far as the mesh knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -74,8 +98,10 @@
     pub service: Option<ServiceName>,
     /// State of that backend server.
     pub backend: BackendState,
-    /// The configuration that it enforces.
-    pub enforced: Stamp,
+    /// Version that it enforces, as far as the node that holds this knows: exact for itself, as
+    /// reported inside its data centre, 0 elsewhere. No part of the statement; see
+    /// [`crate::membership::reports`].
+    pub enforced: Version,
 }
 
 impl Member {
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -1,11 +1,12 @@
 //! What a node tells its operators, and what its backend server tells it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::member::{BackendState, Member, NodeId};
-use crate::core::version::Stamp;
+use crate::core::member::{BackendState, Member, NodeId, Place};
+use crate::core::version::{Stamp, Version};
 
 /// What `GET /status` answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -18,6 +19,32 @@
     pub ready: bool,
     /// Everything it knows of the mesh, itself included.
     pub members: Vec<Member>,
+    /// What the nodes of each data centre enforce.
+    #[serde(default)]
+    pub data_centres: Vec<DataCentreSummary>,
+}
+
+/// What the nodes of one data centre enforce. Counted by one of them, spread to all at a bounded
+/// rate, so a figure from far away is a few seconds old.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DataCentreSummary {
+    /// The data centre.
+    pub place: Place,
+    /// Nodes that are alive.
+    pub nodes: usize,
+    /// How many of them enforce each version.
+    pub versions: BTreeMap<Version, usize>,
+}
+
+impl DataCentreSummary {
+    /// Such as `3 (4 nodes), 2 (1 nodes)`.
+    pub fn versions_text(&self) -> String {
+        let newest_first = self.versions.iter().rev();
+        let parts: Vec<String> = newest_first
+            .map(|(version, nodes)| format!("{version} ({nodes} nodes)"))
+            .collect();
+        parts.join(", ")
+    }
 }
 
 /// What a backend server says of itself with `POST /backend-server`.
--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -1,10 +1,15 @@
-//! How a node comes by the accepted configuration, as a state machine without sockets.
+//! How a node comes by the accepted configuration, as state machines without sockets.
 //!
-//! [`Holder`] keeps what the node enforces and knows which newer version it has heard of. Its
-//! driver asks it what to fetch, and hands it the content. Content is verified, checked for
-//! closure and compiled before it is returned as [`Applied`]; anything wrong leaves the node with
-//! what it had. Only a greater version is ever applied.
+//! [`Holder`] keeps what the node holds and enforces. [`Fetcher`] decides what to fetch, from whom
+//! and when; its driver does the fetching and hands the content to the holder. Content is verified,
+//! checked for closure and compiled before it is [`Applied`]; anything wrong leaves the node with
+//! what it had. Only a greater version is ever applied, and after a restart none below the
+//! [`Floor`]. See `docs/design/spread.md`.
 
+pub mod fetch;
+pub mod floor;
 pub mod holder;
 
-pub use holder::{Applied, Content, Holder};
+pub use fetch::{Fetch, Fetcher, Source};
+pub use floor::Floor;
+pub use holder::{Applied, Content, Holder, Step};
--- /dev/null
+++ b/src/distribution/fetch.rs
@@ -0,0 +1,255 @@
+//! What to fetch, from whom, and when to try again.
+//!
+//! Load made for: one publication and 520 nodes that hear of it within a second, most of them
+//! before any neighbour holds the content. Harm prevented: every node of a region goes to the store
+//! or across the billed link at once. So content travels from neighbour to neighbour, and only a
+//! region's gateways go further, one at a time:
+//!
+//! | source | who | from when |
+//! |---|---|---|
+//! | a peer of the region that holds it | everybody | at once |
+//! | a peer across the regional link | gateway of rank 0 | at once |
+//! | the store | gateway of rank 0 | after four times its own distance from the store |
+//! | both | gateway of rank R | R times [`RANK_DELAY_MS`] later |
+//! | both | everybody else | after [`OTHERS_DELAY_MS`], spread over [`OTHERS_SPREAD_MS`] |
+//!
+//! The gateway nearest the store thus fetches first and announces it, and the other region's finds
+//! it there while it still waits: the content crosses the link once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::core::member::{Distance, NodeId};
+use crate::core::version::{Stamp, Version};
+use crate::membership::neighbours::weight;
+
+/// A standby gateway steps in after this: several round trips between regions.
+pub const RANK_DELAY_MS: u64 = 300;
+/// A node that is no gateway leaves the store and the link alone for so long.
+pub const OTHERS_DELAY_MS: u64 = 2_000;
+/// And then comes at a random moment of this span: 520 nodes stay far below the platform's two
+/// thousand reads a second even when all gateways have failed.
+pub const OTHERS_SPREAD_MS: u64 = 8_000;
+/// Distance of the store before it has been measured.
+const STORE_DISTANCE_MS: u64 = 25;
+/// A slow store must not keep its nearest region waiting for long.
+const STORE_PATIENCE_MAX_MS: u64 = 1_000;
+/// Pauses after failures.
+const RETRY_MIN_MS: u64 = 50;
+const RETRY_MAX_MS: u64 = 10_000;
+/// Holders remembered; more would not be asked before one of these has answered.
+const HOLDERS_MAX: usize = 32;
+
+/// Where content is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A peer that holds it.
+    Peer {
+        /// Which.
+        node: NodeId,
+        /// Where to dial it.
+        address: SocketAddr,
+        /// How far it is.
+        distance: Distance,
+    },
+    /// The platform's object store.
+    Store,
+}
+
+/// A fetch that the driver is to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fetch {
+    /// What is wanted.
+    pub want: Stamp,
+    /// From where.
+    pub source: Source,
+}
+
+/// A peer that holds content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Which.
+    pub node: NodeId,
+    /// Where to dial it.
+    pub address: SocketAddr,
+    /// How far it is.
+    pub distance: Distance,
+}
+
+/// Decides about fetches. Time is an argument, in milliseconds of any steady clock.
+#[derive(Debug)]
+pub struct Fetcher {
+    me: NodeId,
+    gateway_rank: Option<usize>,
+    head: Stamp,
+    head_heard_ms: u64,
+    holders: BTreeMap<NodeId, (Stamp, Peer)>,
+    in_flight: Option<Fetch>,
+    failures: u32,
+    not_before_ms: u64,
+    store_distance_ms: u64,
+}
+
+impl Fetcher {
+    /// A fetcher that has heard of nothing.
+    pub fn new(me: NodeId) -> Self {
+        Self {
+            me,
+            gateway_rank: None,
+            head: Stamp::NONE,
+            head_heard_ms: 0,
+            holders: BTreeMap::new(),
+            in_flight: None,
+            failures: 0,
+            not_before_ms: 0,
+            store_distance_ms: STORE_DISTANCE_MS,
+        }
+    }
+
+    /// Newest stamp heard of.
+    pub fn head(&self) -> Stamp {
+        self.head
+    }
+
+    /// The process was frozen until now: a fetch from before is given up, and the next may start
+    /// at once.
+    pub fn woke(&mut self, now_ms: u64) {
+        self.in_flight = None;
+        self.failures = 0;
+        self.not_before_ms = now_ms;
+    }
+
+    /// Sets the node's place among the gateways of its region, if it has one.
+    pub fn set_gateway_rank(&mut self, rank: Option<usize>) {
+        self.gateway_rank = rank;
+    }
+
+    /// Notes how long a read from the platform took.
+    pub fn store_answered(&mut self, took_ms: u64) {
+        self.store_distance_ms = took_ms.max(1);
+    }
+
+    /// Notes that `stamp` is accepted.
+    pub fn heard(&mut self, now_ms: u64, stamp: Stamp) {
+        if stamp.version > self.head.version {
+            self.head = stamp;
+            self.head_heard_ms = now_ms;
+            // A newer version is a new matter: its first try is not held back by old failures.
+            self.failures = 0;
+            self.not_before_ms = now_ms;
+        }
+    }
+
+    /// Notes that `peer` holds the content of `stamp`.
+    pub fn held_by(&mut self, now_ms: u64, stamp: Stamp, peer: Peer) {
+        self.heard(now_ms, stamp);
+        let full = self.holders.len() >= HOLDERS_MAX;
+        if full && !self.holders.contains_key(&peer.node) {
+            self.holders.pop_first();
+        }
+        self.holders.insert(peer.node, (stamp, peer));
+    }
+
+    /// The fetch to make now, if any; the driver reports its end with [`Self::done`].
+    pub fn next(&mut self, now_ms: u64, held: Version) -> Option<Fetch> {
+        if self.in_flight.is_some() || self.head.version <= held || now_ms < self.not_before_ms {
+            return None;
+        }
+        self.holders.retain(|_, (stamp, _)| stamp.version > held);
+        let fetch = self.near_fetch().or_else(|| self.far_fetch(now_ms))?;
+        self.in_flight = Some(fetch);
+        Some(fetch)
+    }
+
+    /// When [`Self::next`] is worth asking again although nothing else happens.
+    pub fn wake_at(&self, held: Version) -> Option<u64> {
+        if self.in_flight.is_some() || self.head.version <= held {
+            return None;
+        }
+        let far = self.head_heard_ms + self.far_delay_ms();
+        let store = self.head_heard_ms + self.store_delay_ms();
+        let soonest = match self.holders.values().map(|(_, peer)| peer.distance).min() {
+            Some(Distance::DataCentre | Distance::Region) => 0,
+            Some(Distance::Mesh) => far.min(store),
+            None => store,
+        };
+        Some(soonest.max(self.not_before_ms))
+    }
+
+    /// Notes the end of the fetch: whether its content is now held. After a failure the source is
+    /// left alone until it announces itself again, and the next try waits.
+    ///
+    /// Failure guarded against: a peer or store that refuses at once, over and over. It shows as a
+    /// hot loop of fetches. The pause doubles with each failure in a row and differs from node to
+    /// node, so that a herd does not come back in step.
+    pub fn done(&mut self, now_ms: u64, fetch: &Fetch, succeeded: bool) {
+        if self.in_flight.as_ref() != Some(fetch) {
+            return;
+        }
+        self.in_flight = None;
+        if succeeded {
+            self.failures = 0;
+            return;
+        }
+        if let Source::Peer { node, .. } = fetch.source {
+            self.holders.remove(&node);
+        }
+        let pause_ms = (RETRY_MIN_MS << self.failures.min(10)).min(RETRY_MAX_MS);
+        self.failures += 1;
+        let half_ms = pause_ms / 2;
+        let jitter_ms = weight(self.me, &now_ms.to_string()) % (half_ms + 1);
+        self.not_before_ms = now_ms + half_ms + jitter_ms;
+    }
+
+    /// The nearest holder with the newest version inside the region.
+    fn near_fetch(&self) -> Option<Fetch> {
+        let near = self
+            .holders
+            .values()
+            .filter(|(_, peer)| peer.distance != Distance::Mesh);
+        // Nodes that heard from the same few must not all ask the same one.
+        let best = near.min_by_key(|(stamp, peer)| {
+            let salt = self.me.to_string();
+            let newest_first = std::cmp::Reverse(stamp.version);
+            (newest_first, peer.distance, weight(peer.node, &salt))
+        });
+        best.map(|(stamp, peer)| from_peer(*stamp, peer))
+    }
+
+    fn far_fetch(&self, now_ms: u64) -> Option<Fetch> {
+        let waited_ms = now_ms.saturating_sub(self.head_heard_ms);
+        let far = self.holders.values().next();
+        if let Some((stamp, peer)) = far
+            && waited_ms >= self.far_delay_ms()
+        {
+            return Some(from_peer(*stamp, peer));
+        }
+        (waited_ms >= self.store_delay_ms()).then_some(Fetch {
+            want: self.head,
+            source: Source::Store,
+        })
+    }
+
+    fn far_delay_ms(&self) -> u64 {
+        match self.gateway_rank {
+            Some(rank) => rank as u64 * RANK_DELAY_MS,
+            None => OTHERS_DELAY_MS + weight(self.me, "others") % OTHERS_SPREAD_MS,
+        }
+    }
+
+    fn store_delay_ms(&self) -> u64 {
+        let patience_ms = (4 * self.store_distance_ms).min(STORE_PATIENCE_MAX_MS);
+        self.far_delay_ms() + patience_ms
+    }
+}
+
+fn from_peer(want: Stamp, peer: &Peer) -> Fetch {
+    Fetch {
+        want,
+        source: Source::Peer {
+            node: peer.node,
+            address: peer.address,
+            distance: peer.distance,
+        },
+    }
+}
--- a/src/distribution/holder.rs
+++ b/src/distribution/holder.rs
@@ -1,6 +1,6 @@
 //! The configuration that a node holds, and the rule by which it is replaced.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
@@ -42,6 +42,14 @@
         /// What it had to exceed.
         lowest: Version,
     },
+    /// A chain of deltas that ends elsewhere.
+    #[snafu(display("a chain to {stamp} ends at {found}"))]
+    Chain {
+        /// What was offered.
+        stamp: Stamp,
+        /// Where it ends.
+        found: Stamp,
+    },
     /// A delta, and nothing to apply it to.
     #[snafu(display("a delta to {stamp} without its parent"))]
     NoParent {
@@ -57,6 +65,27 @@
     Delta(Vec<u8>),
     /// The whole.
     Snapshot(Vec<u8>),
+    /// Differences that lead from an older version to the newest, one by one.
+    Chain(Vec<Step>),
+}
+
+/// One difference of a chain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// What it leads to.
+    pub stamp: Stamp,
+    /// The difference from the version before.
+    pub delta: Vec<u8>,
+}
+
+impl Content {
+    /// Length of the content.
+    pub fn len_bytes(&self) -> usize {
+        match self {
+            Self::Delta(bytes) | Self::Snapshot(bytes) => bytes.len(),
+            Self::Chain(steps) => steps.iter().map(|step| step.delta.len()).sum(),
+        }
+    }
 }
 
 /// A configuration ready to be enforced: verified, closed, compiled.
@@ -68,17 +97,33 @@
     pub configuration: Configuration,
     /// Compiled routes.
     pub routes: RouteTable,
+    /// The compressed whole, made when a peer first needs it.
+    snapshot: OnceLock<Vec<u8>>,
+}
+
+impl Applied {
+    fn snapshot(&self) -> &[u8] {
+        self.snapshot
+            .get_or_init(|| self.configuration.to_snapshot())
+    }
 }
 
 /// What a node holds.
+///
+/// Content is first [prepared](Self::prepare): verified, checked for closure, compiled, and handed
+/// to peers that ask. It is [enforced](Self::enforce) in a second step, once the node's floor is
+/// known and somebody else remembers that this node is about to enforce it; see
+/// [`super::floor`].
 #[derive(Debug, Default)]
 pub struct Holder {
     enforced: Option<Arc<Applied>>,
+    /// Newest version prepared; the enforced one or a later one.
+    held: Option<Arc<Applied>>,
     /// Newest version heard of, whether or not its content is here.
     announced: Option<Stamp>,
     /// Lowest version that may be enforced: what this address has enforced before.
     floor: Version,
-    deltas: Vec<(Version, Stamp, Vec<u8>)>,
+    deltas: Vec<(Version, Step)>,
 }
 
 impl Holder {
@@ -89,9 +134,12 @@
 
     /// Stamp of what the node enforces.
     pub fn stamp(&self) -> Stamp {
-        self.enforced
-            .as_ref()
-            .map_or(Stamp::NONE, |applied| applied.stamp)
+        stamp_of(self.enforced.as_ref())
+    }
+
+    /// Stamp of the newest version whose content is here.
+    pub fn held(&self) -> Stamp {
+        stamp_of(self.held.as_ref())
     }
 
     /// Lowest version that may be enforced.
@@ -112,66 +160,144 @@
         }
     }
 
-    /// The version to fetch, if one newer than the enforced one has been announced.
+    /// The version to fetch, if one newer than the held one has been announced.
     pub fn wanted(&self) -> Option<Stamp> {
         self.announced
-            .filter(|stamp| stamp.version > self.stamp().version)
+            .filter(|stamp| stamp.version > self.held().version)
     }
 
-    /// Verifies, checks and compiles `content`, then enforces it whole. On an error nothing has
-    /// changed.
-    pub fn apply(&mut self, stamp: Stamp, content: &Content) -> Result<Arc<Applied>> {
-        let lowest = self.stamp().version;
-        ensure!(
-            stamp.version > lowest && stamp.version >= self.floor,
-            NotNewerSnafu { stamp, lowest }
-        );
+    /// The version that may be enforced next: newer than the enforced one, not below the floor.
+    pub fn enforceable(&self) -> Option<Stamp> {
+        let held = self.held();
+        let may = held.version > self.stamp().version && held.version >= self.floor;
+        may.then_some(held)
+    }
+
+    /// Verifies, checks and compiles `content`, and holds it for peers and for
+    /// [`Self::enforce`]. On an error nothing has changed.
+    pub fn prepare(&mut self, stamp: Stamp, content: &Content) -> Result<Arc<Applied>> {
+        let lowest = self.held().version;
+        ensure!(stamp.version > lowest, NotNewerSnafu { stamp, lowest });
         let configuration = self.read(stamp, content)?;
         let routes = RouteTable::compile(&configuration).context(OpenSnafu { stamp })?;
         let applied = Arc::new(Applied {
             stamp,
             configuration,
             routes,
+            snapshot: OnceLock::new(),
         });
-        if let Content::Delta(bytes) = content {
-            self.keep_delta(lowest, stamp, bytes);
-        }
-        self.enforced = Some(Arc::clone(&applied));
+        self.keep_deltas(lowest, stamp, content);
+        self.held = Some(Arc::clone(&applied));
         Ok(applied)
     }
 
-    /// What to hand to a peer that holds `have`; `None` if it holds as much.
+    /// Enforces what is held, whole, if [`Self::enforceable`] allows it.
+    pub fn enforce(&mut self) -> Option<Arc<Applied>> {
+        self.enforceable()?;
+        self.enforced.clone_from(&self.held);
+        self.enforced.clone()
+    }
+
+    /// Prepares and enforces in one step. On an error nothing has changed.
+    pub fn apply(&mut self, stamp: Stamp, content: &Content) -> Result<Arc<Applied>> {
+        let lowest = self.floor;
+        ensure!(stamp.version >= lowest, NotNewerSnafu { stamp, lowest });
+        self.prepare(stamp, content)?;
+        let lowest = self.stamp().version;
+        self.enforce().context(NotNewerSnafu { stamp, lowest })
+    }
+
+    /// What to hand to a peer that holds `have`; `None` if it holds as much. Deltas where they
+    /// lead from there to here and are shorter than the whole.
     pub fn content_for(&self, have: Version) -> Option<(Stamp, Content)> {
-        let applied = self.enforced.as_ref()?;
-        if applied.stamp.version <= have {
+        let held = self.held.as_ref()?;
+        if held.stamp.version <= have {
             return None;
         }
-        let delta = self
-            .deltas
-            .iter()
-            .find(|(parent, stamp, _)| *parent == have && *stamp == applied.stamp);
-        let content = match delta {
-            Some((_, _, bytes)) => Content::Delta(bytes.clone()),
-            None => Content::Snapshot(applied.configuration.to_snapshot()),
+        let steps = self.steps_from(have);
+        let steps_bytes: usize = steps.iter().map(|step| step.delta.len()).sum();
+        let content = match steps.as_slice() {
+            [] => Content::Snapshot(held.snapshot().to_vec()),
+            [only] => Content::Delta(only.delta.clone()),
+            _ if steps_bytes >= held.snapshot().len() => {
+                Content::Snapshot(held.snapshot().to_vec())
+            }
+            _ => Content::Chain(steps.into_iter().cloned().collect()),
         };
-        Some((applied.stamp, content))
+        Some((held.stamp, content))
+    }
+
+    /// The kept deltas from `have` to the held version; empty if one is missing.
+    fn steps_from(&self, have: Version) -> Vec<&Step> {
+        let mut reached = have;
+        let mut steps = Vec::new();
+        while reached < self.held().version {
+            let next = self.deltas.iter().find(|(parent, _)| *parent == reached);
+            let Some((_, step)) = next else {
+                return Vec::new();
+            };
+            reached = step.stamp.version;
+            steps.push(step);
+        }
+        steps
     }
 
     fn read(&self, stamp: Stamp, content: &Content) -> Result<Configuration> {
+        let parent = || {
+            let held = self.held.as_ref();
+            held.map(|held| &held.configuration)
+                .context(NoParentSnafu { stamp })
+        };
         match content {
             Content::Snapshot(bytes) => Configuration::from_snapshot(bytes, stamp),
-            Content::Delta(bytes) => {
-                let parent = self.enforced.as_ref().context(NoParentSnafu { stamp })?;
-                Delta::from_bytes(bytes).and_then(|delta| delta.apply(&parent.configuration, stamp))
+            Content::Delta(bytes) => apply_delta(parent()?, stamp, bytes),
+            Content::Chain(steps) => {
+                let mut reached = parent()?.clone();
+                for step in steps {
+                    let next = apply_delta(&reached, step.stamp, &step.delta);
+                    reached = next.context(ContentSnafu { stamp })?;
+                }
+                let found = reached.stamp();
+                ensure!(found == stamp, ChainSnafu { stamp, found });
+                Ok(reached)
             }
         }
         .context(ContentSnafu { stamp })
     }
 
-    fn keep_delta(&mut self, parent: Version, stamp: Stamp, bytes: &[u8]) {
+    fn keep_deltas(&mut self, parent: Version, stamp: Stamp, content: &Content) {
+        match content {
+            Content::Snapshot(_) => (),
+            Content::Delta(bytes) => {
+                let delta = bytes.clone();
+                self.keep_delta(parent, Step { stamp, delta });
+            }
+            Content::Chain(steps) => {
+                let mut parent = parent;
+                for step in steps {
+                    self.keep_delta(parent, step.clone());
+                    parent = step.stamp.version;
+                }
+            }
+        }
+    }
+
+    fn keep_delta(&mut self, parent: Version, step: Step) {
         if self.deltas.len() == DELTAS_KEPT {
             self.deltas.remove(0);
         }
-        self.deltas.push((parent, stamp, bytes.to_vec()));
+        self.deltas.push((parent, step));
     }
 }
+
+fn stamp_of(applied: Option<&Arc<Applied>>) -> Stamp {
+    applied.map_or(Stamp::NONE, |applied| applied.stamp)
+}
+
+fn apply_delta(
+    parent: &Configuration,
+    stamp: Stamp,
+    bytes: &[u8],
+) -> configuration::Result<Configuration> {
+    Delta::from_bytes(bytes).and_then(|delta| delta.apply(parent, stamp))
+}
--- /dev/null
+++ b/src/membership/discovery.rs
@@ -0,0 +1,156 @@
+//! Exchanges outside the links: greetings of seeds, probes for the dead, answers to claims.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use super::gossip::{Exchange, Gossip};
+use super::neighbours;
+use super::view::Membership;
+use crate::core::member::{Liveness, NodeId};
+use crate::core::version::Version;
+
+/// Longest pause between two probes of one dead member. Their number is bounded by who is asked
+/// to probe, so this bounds only the time to find each other again after a long cut.
+const PROBE_PAUSE_MAX_MS: u64 = 30_000;
+
+/// First and longest pause between greetings of seeds while the node knows nobody.
+const GREETING_MIN_MS: u64 = 200;
+const GREETING_MAX_MS: u64 = 10_000;
+/// Seeds greeted at once: a herd of 520 then costs each living node a few greetings, not hundreds.
+const GREETED_AT_ONCE: usize = 2;
+
+impl Membership {
+    /// Exchanges outside the links: answers to claims about this node.
+    pub(super) fn direct_exchanges(&mut self, now_ms: u64) -> Vec<Exchange> {
+        let direct = std::mem::take(&mut self.direct);
+        direct
+            .into_iter()
+            .filter_map(|node| self.stray_exchange(Some(node), self.address_of(node)?, now_ms))
+            .collect()
+    }
+
+    fn stray_exchange(
+        &mut self,
+        to: Option<NodeId>,
+        address: SocketAddr,
+        now_ms: u64,
+    ) -> Option<Exchange> {
+        let mut gossip = Gossip {
+            from: self.me.node,
+            view_hash: self.view_hash(),
+            version: self.held.version,
+            announce: Some(self.head).filter(|head| head.version > Version::NONE),
+            updates: vec![self.me.clone()],
+            reports: Vec::new(),
+            summaries: Vec::new(),
+            want_all: self.is_alone(),
+        };
+        gossip
+            .updates
+            .extend(to.and_then(|node| self.claim_about(node)));
+        Some(Exchange {
+            // A failed probe is no news of anybody, so nobody is named to be suspected.
+            to: None,
+            address,
+            gossip,
+            started_ms: now_ms,
+        })
+    }
+
+    /// Failure guarded against: 520 nodes start at once and all greet everybody, again and again.
+    /// It shows as a storm of whole views. Two seeds at a time, each node at another place of the
+    /// list, ever more slowly, keep it bounded.
+    pub(super) fn greetings(&mut self, now_ms: u64) -> Vec<Exchange> {
+        if now_ms < self.next_greeting_ms || self.seeds.is_empty() || !self.is_alone() {
+            return Vec::new();
+        }
+        let pause_ms = (GREETING_MIN_MS << self.greetings.min(10)).min(GREETING_MAX_MS);
+        self.next_greeting_ms = now_ms + self.jittered(pause_ms, now_ms);
+        let first = self.greetings as usize * GREETED_AT_ONCE;
+        self.greetings += 1;
+        let count = GREETED_AT_ONCE.min(self.seeds.len());
+        let seeds: Vec<SocketAddr> = (first..first + count)
+            .map(|position| self.seeds[position % self.seeds.len()])
+            .collect();
+        seeds
+            .into_iter()
+            .filter_map(|seed| self.stray_exchange(None, seed, now_ms))
+            .collect()
+    }
+
+    /// Looks for members that were declared dead, and for seeds that nobody has mentioned.
+    ///
+    /// Failure guarded against: a partition, at whose end both halves hold each other for dead; or
+    /// two groups that started apart. Neither would ever speak to the other again. Only those who
+    /// would hold the link probe it, so a healed link sees a few greetings, not one of each node.
+    pub(super) fn probe(&mut self, now_ms: u64) -> Option<Exchange> {
+        if now_ms < self.next_probe_ms {
+            return None;
+        }
+        self.next_probe_ms = now_ms + self.jittered(self.timing.probe_ms, now_ms);
+        if self.is_alone() {
+            return None;
+        }
+        if let Some((node, address)) = self.dead_to_probe(now_ms) {
+            return self.stray_exchange(Some(node), address, now_ms);
+        }
+        let seed = self.unknown_seed()?;
+        self.stray_exchange(None, seed, now_ms)
+    }
+
+    fn dead_to_probe(&mut self, now_ms: u64) -> Option<(NodeId, SocketAddr)> {
+        let mut candidates: Vec<(u64, NodeId)> = Vec::new();
+        let min_ms = self.timing.probe_ms;
+        for entry in self.roster.entries_mut() {
+            if entry.member.liveness != Liveness::Dead {
+                continue;
+            }
+            let age_ms = entry.probed_ms.saturating_sub(entry.changed_ms);
+            let pause_ms = age_ms.clamp(min_ms, PROBE_PAUSE_MAX_MS.max(min_ms));
+            if now_ms.saturating_sub(entry.probed_ms) >= pause_ms {
+                candidates.push((entry.probed_ms, entry.member.node));
+            }
+        }
+        candidates.sort_unstable();
+        let node = candidates
+            .into_iter()
+            .map(|(_, node)| node)
+            .find(|node| self.is_to_probe(*node))?;
+        for entry in self.roster.entries_mut() {
+            if entry.member.node == node {
+                entry.probed_ms = now_ms;
+            }
+        }
+        Some((node, self.address_of(node)?))
+    }
+
+    /// Dead nodes of the own data centre are probed by two of it; those elsewhere by the own end
+    /// of the link, while nobody over there is left to do it.
+    fn is_to_probe(&self, node: NodeId) -> bool {
+        let Some(dead) = self.roster.get(node) else {
+            return false;
+        };
+        if dead.place == self.me.place {
+            let watchers = neighbours::watchers(&self.me, self.members());
+            return watchers.contains(&self.me.node);
+        }
+        let anyone_there = self
+            .roster
+            .members()
+            .any(|other| other.place == dead.place && other.liveness < Liveness::Dead);
+        !anyone_there && neighbours::is_bridge_to(&self.me, dead, self.members())
+    }
+
+    fn unknown_seed(&mut self) -> Option<SocketAddr> {
+        let known: BTreeSet<SocketAddr> = self
+            .roster
+            .members()
+            .flat_map(|member| [member.node.0, member.external])
+            .collect();
+        let position = self.seeds.iter().position(|seed| !known.contains(seed))?;
+        // Those behind it are tried before it is tried again.
+        let seed = self.seeds.remove(position);
+        self.seeds.push(seed);
+        Some(seed)
+    }
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,99 +1,118 @@
 //! The membership state machine: one node's view of all members.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-use super::neighbours;
-use crate::core::member::{BackendState, Liveness, Member, NodeId};
+use super::gossip::{Exchange, Gossip, Report, Summary};
+use super::link::Link;
+use super::neighbours::{self, Kind, weight};
+use super::reports::{Reports, place_key};
+use super::roster::{Change, Roster};
+use crate::core::member::{BackendState, Distance, Liveness, Member, NodeId, Place};
 use crate::core::names::ServiceName;
-use crate::core::version::Stamp;
+use crate::core::status::DataCentreSummary;
+use crate::core::version::{Stamp, Version};
 
 /// Intervals of the protocol, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Between two heartbeats to one neighbour when nothing happens.
+    /// Between two heartbeats of this node inside its data centre, whoever is next. With eight
+    /// neighbours each is asked every eight seconds and, since eight ask, every node is asked once
+    /// a second: a dead one is noticed in about a second at a cost that does not grow with the
+    /// mesh.
     pub heartbeat_ms: u64,
+    /// Between two heartbeats across data centres of a region.
+    pub bridge_ms: u64,
+    /// Between two heartbeats across regions: billed, and news does not wait for it.
+    pub gateway_ms: u64,
     /// From suspicion to death. Long enough for a paused node to refute it over several
     /// heartbeats.
     pub suspicion_ms: u64,
-    /// How long a dead or departed member is remembered, so that old news cannot revive it.
-    pub tombstone_ms: u64,
+    /// Between two probes for dead members and unknown seeds.
+    pub probe_ms: u64,
+    /// How long a departed member is remembered, so that old news cannot revive it.
+    pub left_ms: u64,
+    /// How long a dead one is remembered and probed: longer than the hour for which regions lose
+    /// each other, so that both halves find each other again without the platform.
+    pub dead_ms: u64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
         Self {
             heartbeat_ms: 1_000,
+            bridge_ms: 2_000,
+            gateway_ms: 5_000,
             suspicion_ms: 5_000,
-            tombstone_ms: 600_000,
+            probe_ms: 3_000,
+            left_ms: 600_000,
+            dead_ms: 3 * 3_600_000,
         }
     }
 }
 
-/// One message of an exchange, either way.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Gossip {
-    /// The sender.
-    pub from: NodeId,
-    /// Hash of the sender's view.
-    pub view_hash: u64,
-    /// What the sender enforces.
-    pub enforced: Stamp,
-    /// Statements that may be news to the receiver.
-    pub updates: Vec<Member>,
-    /// The sender asks for the whole view.
-    pub want_all: bool,
-}
-
-/// An exchange that the driver is to start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Exchange {
-    /// With whom.
-    pub to: NodeId,
-    /// Where to dial.
-    pub address: SocketAddr,
-    /// What to send.
-    pub gossip: Gossip,
-}
-
-#[derive(Debug)]
-struct Entry {
-    member: Member,
-    changed_ms: u64,
-}
-
-#[derive(Debug, Default)]
-struct Link {
-    /// Statements not yet sent to this neighbour.
-    pending: BTreeSet<NodeId>,
-    last_sent_ms: Option<u64>,
-    in_flight: bool,
-    want_all: bool,
-}
+/// Between two looks for suspicions and tombstones that have run out.
+const AGE_INTERVAL_MS: u64 = 250;
 
 /// One node's view. Time is an argument, in milliseconds of any steady clock.
 #[derive(Debug)]
 pub struct Membership {
-    me: Member,
-    seeds: Vec<SocketAddr>,
-    entries: BTreeMap<NodeId, Entry>,
-    links: BTreeMap<NodeId, Link>,
-    timing: Timing,
+    pub(super) me: Member,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) roster: Roster,
+    pub(super) reports: Reports,
+    pub(super) links: BTreeMap<NodeId, Link>,
+    pub(super) timing: Timing,
+    /// Newest stamp whose content this node holds and may enforce.
+    pub(super) held: Stamp,
+    /// Newest stamp heard of.
+    pub(super) head: Stamp,
+    pub(super) witnessed: Version,
     generation: u64,
+    neighbours_stale: bool,
+    gateway_rank: Option<usize>,
+    watcher_rank: Option<usize>,
+    enforced: Version,
+    next_age_ms: u64,
+    /// Members that were told of a claim about themselves, or are owed an answer to one.
+    pub(super) direct: BTreeSet<NodeId>,
+    /// Bridge partners that gave no answer since their data centre was last heard.
+    pub(super) silent: BTreeMap<String, BTreeSet<NodeId>>,
+    pub(super) greetings: u32,
+    pub(super) next_greeting_ms: u64,
+    pub(super) next_probe_ms: u64,
+    /// Exchanges started before this are void: the process was frozen since.
+    pub(super) valid_from_ms: u64,
 }
 
 impl Membership {
     /// A view that knows only its own node and where others may be found.
     pub fn new(me: Member, seeds: Vec<SocketAddr>, timing: Timing) -> Self {
-        Self {
+        let mut membership = Self {
             me,
-            seeds,
-            entries: BTreeMap::new(),
+            seeds: Vec::new(),
+            roster: Roster::default(),
+            reports: Reports::default(),
             links: BTreeMap::new(),
             timing,
+            held: Stamp::NONE,
+            head: Stamp::NONE,
+            witnessed: Version::NONE,
             generation: 1,
-        }
+            neighbours_stale: true,
+            gateway_rank: None,
+            watcher_rank: None,
+            enforced: Version::NONE,
+            next_age_ms: 0,
+            direct: BTreeSet::new(),
+            silent: BTreeMap::new(),
+            greetings: 0,
+            next_greeting_ms: 0,
+            next_probe_ms: 0,
+            valid_from_ms: 0,
+        };
+        membership.add_seeds(seeds);
+        membership
     }
 
     /// The node's own statement.
@@ -103,22 +122,88 @@
 
     /// Every known member, the own one included.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        std::iter::once(&self.me).chain(self.entries.values().map(|entry| &entry.member))
+        std::iter::once(&self.me).chain(self.roster.members())
+    }
+
+    /// A copy of every known member with the version that it is known to enforce.
+    pub fn members_with_versions(&self) -> Vec<Member> {
+        let with_version = |member: &Member| Member {
+            enforced: self.reports.enforced_by(member),
+            ..member.clone()
+        };
+        self.members().map(with_version).collect()
     }
 
-    /// Rises whenever a statement changes; tells a driver when to publish a new copy.
+    /// Rises whenever something changes that requests or operators see.
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
     /// Peers that exchanges are started with.
-    pub fn neighbours(&self) -> Vec<NodeId> {
-        neighbours::choose(&self.me, self.members())
+    pub fn neighbours(&self) -> impl Iterator<Item = (NodeId, Kind)> {
+        self.links.iter().map(|(node, link)| (*node, link.kind))
+    }
+
+    /// Where to dial a member.
+    pub fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        let member = self.roster.get(node)?;
+        Some(member.dial_address(&self.me.place))
+    }
+
+    /// How far away a member stands.
+    pub fn distance_to(&self, node: NodeId) -> Option<Distance> {
+        let member = self.roster.get(node)?;
+        Some(self.me.place.distance_to(&member.place))
+    }
+
+    /// Place of this node among the [`neighbours::gateways`] of its region.
+    pub fn gateway_rank(&self) -> Option<usize> {
+        self.gateway_rank
+    }
+
+    /// Place of this node among the [`neighbours::watchers`] of its data centre.
+    pub fn watcher_rank(&self) -> Option<usize> {
+        self.watcher_rank
+    }
+
+    /// Highest version that a node's address has reported, in any of its lives.
+    pub fn remembered(&self, node: NodeId) -> Version {
+        self.reports.highest(node)
+    }
+
+    /// Whether no other node is believed to be there.
+    pub fn is_alone(&self) -> bool {
+        !self.roster.members().any(|m| m.liveness < Liveness::Dead)
+    }
+
+    /// Highest version of this node that a peer has confirmed to have heard: what it enforces up
+    /// to here is remembered by somebody else if it dies now.
+    pub fn witnessed(&self) -> Version {
+        self.witnessed
     }
 
-    /// What the mesh remembers of a node: the highest statement heard.
-    pub fn remembered(&self, node: NodeId) -> Option<&Member> {
-        self.entries.get(&node).map(|entry| &entry.member)
+    /// What the nodes of each data centre enforce, by data centre.
+    pub fn summaries(&self) -> Vec<DataCentreSummary> {
+        let mut living: BTreeMap<String, (&Place, usize)> = BTreeMap::new();
+        for member in self.members().filter(|m| m.liveness < Liveness::Dead) {
+            let place = living.entry(place_key(&member.place));
+            place.or_insert((&member.place, 0)).1 += 1;
+        }
+        let own_key = place_key(&self.me.place);
+        let summary_of = |(key, (place, nodes)): (String, (&Place, usize))| {
+            let own = (key == own_key).then(|| self.count_now());
+            let summary = own.or_else(|| self.reports.summary(&key).cloned());
+            let versions = summary.map(|summary| summary.versions).unwrap_or_default();
+            DataCentreSummary {
+                place: place.clone(),
+                nodes,
+                versions: versions
+                    .into_iter()
+                    .map(|(version, nodes)| (version, nodes as usize))
+                    .collect(),
+            }
+        };
+        living.into_iter().map(summary_of).collect()
     }
 
     /// Learns of further places to find peers at.
@@ -128,6 +213,10 @@
                 self.seeds.push(seed);
             }
         }
+        // Everybody reads much the same list; each starts at another place of it.
+        let own = weight(self.me.node, "seeds");
+        let order = |seed: &SocketAddr| weight(NodeId(*seed), &own.to_string());
+        self.seeds.sort_by_cached_key(order);
     }
 
     /// Changes the own statement about the backend server.
@@ -140,13 +229,34 @@
         self.restate();
     }
 
-    /// Changes the own statement about the configuration enforced.
-    pub fn set_enforced(&mut self, enforced: Stamp) {
-        if self.me.enforced == enforced {
-            return;
+    /// Notes a newer stamp, from wherever it was heard.
+    pub fn set_head(&mut self, head: Stamp) {
+        if head.version > self.head.version {
+            self.head = head;
+        }
+    }
+
+    /// The content of `held` is here and the node means to enforce it: the neighbours are told,
+    /// and fetch it here if they lack it.
+    pub fn set_held(&mut self, held: Stamp) {
+        if held.version > self.held.version {
+            self.held = held;
+            self.set_head(held);
+        }
+    }
+
+    /// The node enforces `version`: reported inside the data centre.
+    pub fn set_enforced(&mut self, version: Version) {
+        self.enforced = version;
+        self.learn_report(self.own_report(), None);
+    }
+
+    pub(super) fn own_report(&self) -> Report {
+        Report {
+            node: self.me.node,
+            incarnation_us: self.me.incarnation_us,
+            version: self.enforced,
         }
-        self.me.enforced = enforced;
-        self.restate();
     }
 
     /// Says goodbye: the last statement of this process.
@@ -156,213 +266,200 @@
         self.restate();
     }
 
+    /// The process was frozen until now: what was under way then proves nothing about others.
+    pub fn woke(&mut self, now_ms: u64) {
+        self.valid_from_ms = now_ms;
+        for link in self.links.values_mut() {
+            link.in_flight = false;
+        }
+    }
+
     /// Starts the exchanges that are due, and ages suspicions and tombstones.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Exchange> {
         self.age(now_ms);
-        let neighbours = self.neighbours();
-        self.links.retain(|node, _| neighbours.contains(node));
-        let mut exchanges = Vec::new();
-        for node in neighbours {
-            if let Some(exchange) = self.exchange_with(node, now_ms) {
-                exchanges.push(exchange);
-            }
-        }
+        self.refresh_links(now_ms);
+        self.count(now_ms);
+        let mut exchanges = self.due(now_ms);
+        exchanges.extend(self.direct_exchanges(now_ms));
+        exchanges.extend(self.greetings(now_ms));
+        exchanges.extend(self.probe(now_ms));
         exchanges
     }
 
-    /// The greeting for a seed, whose identity is not known yet: asks for the whole view.
-    pub fn greeting(&self) -> Gossip {
-        Gossip {
-            from: self.me.node,
-            view_hash: self.view_hash(),
-            enforced: self.me.enforced,
-            updates: vec![self.me.clone()],
-            want_all: true,
+    /// Takes in a message; whether the own statement had to be raised.
+    pub(super) fn merge(&mut self, now_ms: u64, gossip: &Gossip) -> bool {
+        let sequence = self.me.sequence;
+        let from = Some(gossip.from);
+        self.reports.remember(gossip.from, gossip.version);
+        let announced = gossip.announce.unwrap_or(Stamp::NONE);
+        self.set_head(announced);
+        if let Some(link) = self.links.get_mut(&gossip.from) {
+            link.heard(gossip.version, announced.version);
+        }
+        for member in &gossip.updates {
+            self.learn(now_ms, member.clone(), from);
         }
+        if let Some(sender) = self.roster.get(gossip.from) {
+            let key = place_key(&sender.place);
+            self.silent.remove(&key);
+        }
+        for report in &gossip.reports {
+            self.learn_report(*report, from);
+        }
+        for summary in &gossip.summaries {
+            self.learn_summary(summary, from);
+        }
+        self.me.sequence != sequence
     }
 
-    /// Seeds worth greeting: all, while the node is alone.
-    pub fn seeds_to_greet(&self) -> &[SocketAddr] {
-        let alone = !self
-            .entries
-            .values()
-            .any(|entry| entry.member.liveness == Liveness::Alive);
-        if alone { &self.seeds } else { &[] }
+    pub(super) fn learn(&mut self, now_ms: u64, member: Member, heard_from: Option<NodeId>) {
+        if member.node == self.me.node {
+            self.refute(&member);
+            return;
+        }
+        let node = member.node;
+        let suspicion = member.liveness != Liveness::Alive;
+        match self.roster.learn(now_ms, member) {
+            Change::None => return,
+            Change::Statement => (),
+            Change::Presence => self.neighbours_stale = true,
+        }
+        if suspicion {
+            // A suspected bridge partner is replaced at once.
+            self.neighbours_stale = true;
+        }
+        self.generation += 1;
+        for (neighbour, link) in &mut self.links {
+            // The suspected node itself is told, so that it can refute.
+            if Some(*neighbour) != heard_from && (*neighbour != node || suspicion) {
+                link.members.insert(node);
+            }
+        }
     }
 
-    /// Takes in a message and answers it.
-    pub fn receive(&mut self, now_ms: u64, gossip: &Gossip) -> Gossip {
-        self.merge(now_ms, gossip);
-        let hashes_differ = gossip.view_hash != self.view_hash();
-        let updates = if gossip.want_all {
-            self.members().cloned().collect()
+    /// Somebody says of this node what it does not say itself: a higher sequence overrules it.
+    ///
+    /// Failure guarded against: a replaced VM whose clock is behind starts with an incarnation
+    /// below the one that the mesh remembers, and everything it says would be taken for old. It
+    /// shows as the mesh's answer, a claim about this address with a higher incarnation; one above
+    /// it supersedes that life. No two processes share an address, so nobody competes.
+    fn refute(&mut self, claim: &Member) {
+        if claim.rank() <= self.me.rank() {
+            return;
+        }
+        if claim.incarnation_us > self.me.incarnation_us {
+            self.me.incarnation_us = claim.incarnation_us + 1;
+            self.learn_report(self.own_report(), None);
         } else {
-            self.take_pending(gossip.from)
-        };
-        Gossip {
-            from: self.me.node,
-            view_hash: self.view_hash(),
-            enforced: self.me.enforced,
-            // With nothing to tell and views apart, only the whole view can settle it.
-            want_all: hashes_differ && gossip.updates.is_empty() && updates.is_empty(),
-            updates,
+            self.me.sequence = self.me.sequence.max(claim.sequence);
         }
+        self.restate();
     }
 
-    /// Takes in the answer to an exchange.
-    pub fn exchange_done(&mut self, now_ms: u64, answer: &Gossip) {
-        self.merge(now_ms, answer);
-        let differs = answer.view_hash != self.view_hash();
-        let everyone = answer.want_all.then(|| self.known_nodes());
-        if let Some(link) = self.links.get_mut(&answer.from) {
-            link.in_flight = false;
-            link.want_all = differs && answer.updates.is_empty() && link.pending.is_empty();
-            if let Some(everyone) = everyone {
-                link.pending.extend(everyone);
-            }
+    fn restate(&mut self) {
+        self.me.sequence += 1;
+        self.generation += 1;
+        for link in self.links.values_mut() {
+            link.members.insert(self.me.node);
         }
     }
 
-    /// A neighbour gave no answer: suspect it.
-    pub fn exchange_failed(&mut self, now_ms: u64, to: NodeId, sent: &[Member]) {
-        if let Some(link) = self.links.get_mut(&to) {
-            link.in_flight = false;
-            link.pending.extend(sent.iter().map(|member| member.node));
-        }
-        let Some(entry) = self.entries.get(&to) else {
+    fn learn_report(&mut self, report: Report, heard_from: Option<NodeId>) {
+        if !self.reports.learn(report) {
             return;
-        };
-        if entry.member.liveness == Liveness::Alive {
-            let mut suspect = entry.member.clone();
-            suspect.liveness = Liveness::Suspect;
-            self.learn(now_ms, suspect, None);
         }
-    }
-
-    fn exchange_with(&mut self, node: NodeId, now_ms: u64) -> Option<Exchange> {
-        let address = self.entries.get(&node)?.member.dial_address(&self.me.place);
-        let link = self.links.entry(node).or_insert_with(|| Link {
-            want_all: true,
-            ..Link::default()
-        });
-        let heartbeat_due = link
-            .last_sent_ms
-            .is_none_or(|sent| now_ms.saturating_sub(sent) >= self.timing.heartbeat_ms);
-        if link.in_flight || (link.pending.is_empty() && !heartbeat_due) {
-            return None;
+        self.generation += 1;
+        for (neighbour, link) in &mut self.links {
+            if link.kind == Kind::Ring && Some(*neighbour) != heard_from {
+                link.reports.insert(report.node);
+            }
         }
-        link.in_flight = true;
-        link.last_sent_ms = Some(now_ms);
-        let want_all = std::mem::take(&mut link.want_all);
-        Some(Exchange {
-            to: node,
-            address,
-            gossip: Gossip {
-                from: self.me.node,
-                view_hash: self.view_hash(),
-                enforced: self.me.enforced,
-                updates: self.take_pending(node),
-                want_all,
-            },
-        })
-    }
-
-    fn take_pending(&mut self, to: NodeId) -> Vec<Member> {
-        let Some(link) = self.links.get_mut(&to) else {
-            return Vec::new();
-        };
-        let pending = std::mem::take(&mut link.pending);
-        let member_of = |node: &NodeId| match *node == self.me.node {
-            true => Some(self.me.clone()),
-            false => self.entries.get(node).map(|entry| entry.member.clone()),
-        };
-        pending.iter().filter_map(member_of).collect()
     }
 
-    fn known_nodes(&self) -> Vec<NodeId> {
-        self.members().map(|member| member.node).collect()
+    fn learn_summary(&mut self, summary: &Summary, heard_from: Option<NodeId>) {
+        if self.reports.learn_summary(summary.clone()) {
+            self.spread_summary(&place_key(&summary.place), heard_from);
+        }
     }
 
-    fn merge(&mut self, now_ms: u64, gossip: &Gossip) {
-        for member in &gossip.updates {
-            self.learn(now_ms, member.clone(), Some(gossip.from));
+    fn spread_summary(&mut self, key: &str, heard_from: Option<NodeId>) {
+        self.generation += 1;
+        for (neighbour, link) in &mut self.links {
+            if link.kind != Kind::Standby && Some(*neighbour) != heard_from {
+                link.summaries.insert(key.to_owned());
+            }
         }
     }
 
-    fn learn(&mut self, now_ms: u64, member: Member, heard_from: Option<NodeId>) {
-        if member.node == self.me.node {
-            self.refute(&member);
+    fn count(&mut self, now_ms: u64) {
+        if self.watcher_rank != Some(0) {
             return;
         }
-        let news = match self.entries.get(&member.node) {
-            Some(known) => member.rank() > known.member.rank(),
-            None => true,
-        };
-        if !news {
-            return;
+        let place = self.me.place.clone();
+        let living = std::iter::once(&self.me)
+            .chain(self.roster.members())
+            .filter(|m| m.place == place && m.liveness < Liveness::Dead);
+        if let Some(key) = self.reports.count(now_ms, &place, living) {
+            self.spread_summary(&key, None);
         }
-        let node = member.node;
-        let entry = Entry {
-            member,
-            changed_ms: now_ms,
-        };
-        self.entries.insert(node, entry);
-        self.spread(node, heard_from);
     }
 
-    /// Somebody says of this node what it does not say itself: a higher sequence overrules it.
-    fn refute(&mut self, claim: &Member) {
-        let claim_is_old = claim.rank() <= self.me.rank();
-        if claim_is_old || claim.incarnation_us > self.me.incarnation_us {
+    fn count_now(&self) -> Summary {
+        let place = &self.me.place;
+        let living = self.members();
+        let living = living.filter(|m| m.place == *place && m.liveness < Liveness::Dead);
+        self.reports.count_now(place, living)
+    }
+
+    fn refresh_links(&mut self, now_ms: u64) {
+        if !std::mem::take(&mut self.neighbours_stale) {
             return;
         }
-        self.me.sequence = self.me.sequence.max(claim.sequence);
-        self.restate();
+        let chosen = neighbours::choose(&self.me, self.members());
+        let own_rank = |nodes: Vec<NodeId>| nodes.iter().position(|node| *node == self.me.node);
+        self.gateway_rank = own_rank(neighbours::gateways(&self.me, self.members()));
+        self.watcher_rank = own_rank(neighbours::watchers(&self.me, self.members()));
+        self.links
+            .retain(|node, link| chosen.get(node) == Some(&link.kind));
+        let ring = chosen.values().filter(|kind| **kind == Kind::Ring).count();
+        for (node, kind) in chosen {
+            let interval_ms = match kind {
+                Kind::Ring => self.timing.heartbeat_ms * ring as u64,
+                Kind::Bridge => self.timing.bridge_ms,
+                Kind::Gateway => self.timing.gateway_ms,
+                Kind::Standby => 2 * self.timing.gateway_ms,
+            };
+            // Nodes that start together must not stay in step.
+            let first_ms = self.jittered(self.timing.heartbeat_ms, now_ms ^ weight(node, "first"));
+            let new = || Link::new(kind, now_ms, first_ms, interval_ms);
+            let link = self.links.entry(node).or_insert_with(new);
+            link.set_interval(interval_ms);
+        }
     }
 
-    fn restate(&mut self) {
-        self.me.sequence += 1;
-        self.spread(self.me.node, None);
+    /// Half to whole of a pause, different for each node and moment.
+    pub(super) fn jittered(&self, pause_ms: u64, moment: u64) -> u64 {
+        let half_ms = pause_ms / 2;
+        half_ms + weight(self.me.node, &moment.to_string()) % (half_ms + 1)
     }
 
-    fn spread(&mut self, node: NodeId, heard_from: Option<NodeId>) {
-        self.generation += 1;
-        for (neighbour, link) in &mut self.links {
-            if Some(*neighbour) != heard_from && *neighbour != node {
-                link.pending.insert(node);
-            }
+    fn age(&mut self, now_ms: u64) {
+        if now_ms < self.next_age_ms {
+            return;
         }
+        self.next_age_ms = now_ms + AGE_INTERVAL_MS;
+        for member in self.roster.overdue(now_ms, self.timing.suspicion_ms) {
+            let dead = Member {
+                liveness: Liveness::Dead,
+                ..member
+            };
+            self.learn(now_ms, dead, None);
+        }
+        self.roster
+            .forget(now_ms, self.timing.left_ms, self.timing.dead_ms);
     }
 
-    fn age(&mut self, now_ms: u64) {
-        let timing = self.timing;
-        let since = |entry: &Entry| now_ms.saturating_sub(entry.changed_ms);
-        let expired: Vec<Member> = self
-            .entries
-            .values()
-            .filter(|entry| entry.member.liveness == Liveness::Suspect)
-            .filter(|entry| since(entry) >= timing.suspicion_ms)
-            .map(|entry| entry.member.clone())
-            .collect();
-        for mut member in expired {
-            member.liveness = Liveness::Dead;
-            self.learn(now_ms, member, None);
-        }
-        self.entries.retain(|_, entry| {
-            let gone = entry.member.liveness >= Liveness::Dead;
-            !(gone && since(entry) >= timing.tombstone_ms)
-        });
-    }
-
-    /// Order-free hash over all statements but the tombstones, which age at different times.
-    fn view_hash(&self) -> u64 {
-        self.members()
-            .filter(|member| member.liveness < Liveness::Dead)
-            .map(|member| {
-                let mut hasher = DefaultHasher::new();
-                (member.node, member.rank()).hash(&mut hasher);
-                hasher.finish()
-            })
-            .fold(0, |sum, hash| sum ^ hash)
+    pub(super) fn view_hash(&self) -> u64 {
+        self.roster.hash(&self.me)
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 //! through the actors: they read [`state::NodeState`], which the actors write.
 
 pub(crate) mod configuration;
+pub(crate) mod freeze;
 pub mod logging;
 pub(crate) mod membership;
 pub(crate) mod operator;
@@ -12,6 +13,7 @@
 pub mod run;
 pub mod settings;
 pub(crate) mod state;
+pub(crate) mod store;
 
 pub use run::{Error, NodeHandle, run, start};
 pub use settings::{Settings, SettingsError};
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -1,48 +1,117 @@
-//! The actor that owns the configuration holder and fetches what it wants.
+//! The actor that drives [`Holder`], [`Fetcher`] and [`Floor`]: their sockets and their time.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
 use crate::core::member::NodeId;
 use crate::core::version::{Stamp, Version};
-use crate::distribution::{Content, Holder};
+use crate::distribution::fetch::Peer;
+use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
-use crate::ops::query::accepted;
-use crate::peer::client::PeerClient;
+use crate::node::store;
 use crate::platform::http::HttpPlatform;
+use crate::util::clock;
 
-/// How often the head is read as the backstop of hints and gossip.
-const HEAD_POLL: Duration = Duration::from_secs(2);
+/// How often floors, refreshes and head reads are looked after. Content does not wait for it.
+const TICK: Duration = Duration::from_millis(250);
+
+/// How often the head is read as the backstop of hints and gossip: by the region's first gateway,
+/// by the watcher of each data centre, and by everybody else. At 520 nodes that is about ten reads
+/// a second; a lost hint costs a second or two, and nobody depends on one node's reading it.
+const GATEWAY_POLL_MS: u64 = 2_000;
+const WATCHER_POLL_MS: u64 = 10_000;
+const MEMBER_POLL_MS: u64 = 120_000;
+/// Until the first read has worked, which settles the floor.
+const FIRST_POLL_MS: u64 = 1_000;
+/// First reads of a herd of 520 are spread over this.
+const FIRST_POLL_SPREAD_MS: u64 = 600;
+
+/// A node that knows no peer takes itself for alone only after so long: its greetings take a
+/// moment, and alone it would enforce without a witness.
+const ALONE_MS: u64 = 3_000;
+
+/// Before this age a node that knows nobody leaves the store to others: in a herd everybody is
+/// the only member of its own view for a moment, and so its first gateway.
+const YOUNG_MS: u64 = 1_500;
+
+/// Longest time that a node woken from a freeze refuses work. Peers answer in milliseconds; one
+/// that is cut off serves what it has.
+const REFRESH_MAX_MS: u64 = 2_000;
+/// Peers whose word ends a refresh, unless the head itself was read.
+const REFRESH_PEERS: usize = 2;
+
+/// What this node's part in the mesh is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Role {
+    pub(crate) gateway_rank: Option<usize>,
+    pub(crate) watcher_rank: Option<usize>,
+    pub(crate) neighbours: Vec<Peer>,
+    /// Highest own version that a peer has confirmed to have heard.
+    pub(crate) witnessed: Version,
+    pub(crate) alone: bool,
+}
 
 #[derive(Debug)]
 pub(crate) enum ConfigurationMsg {
-    /// Somebody has, or knows of, this version.
+    Tick,
+    /// The fetcher's next moment may have come.
+    Wake,
+    /// Somebody knows of this version, or holds it.
     Announced {
         stamp: Stamp,
-        from: Option<NodeId>,
+        holder: Option<Peer>,
     },
     /// A fetch ended.
     Fetched {
-        stamp: Stamp,
-        content: Option<Content>,
+        fetch: Fetch,
+        found: Option<(Stamp, Content)>,
+    },
+    /// The head row was read, or not.
+    HeadRead {
+        head: Option<Stamp>,
+        took_ms: u64,
     },
+    /// A peer told what it remembers of this node, and what it enforces.
+    FloorAnswered {
+        peer: Peer,
+        reported: Version,
+        enforced: Stamp,
+    },
+    /// The process was frozen until now.
+    Refresh,
+    Role(Role),
     ContentFor(Version, RpcReplyPort<Option<(Stamp, Content)>>),
     Enforced(RpcReplyPort<Stamp>),
-    PollHead,
-    /// The membership actor is there; it is told of every version enforced.
+    /// The membership actor is there; it is told of every version held and enforced.
     Membership(ActorRef<MembershipMsg>),
 }
 
+/// A refresh under way.
+#[derive(Debug)]
+struct Refresh {
+    until_ms: u64,
+    peers: Vec<NodeId>,
+    head_read: bool,
+}
+
 pub(crate) struct ConfigurationActor;
 
 pub(crate) struct State {
     node: Arc<NodeState>,
     platform: HttpPlatform,
     holder: Holder,
-    fetching: bool,
+    fetcher: Fetcher,
+    floor: Floor,
+    role: Role,
+    refresh: Option<Refresh>,
+    next_poll_ms: u64,
+    reading_head: bool,
+    woken_for_ms: Option<u64>,
+    told_held: Version,
     membership: Option<ActorRef<MembershipMsg>>,
 }
 
@@ -56,13 +125,20 @@
         myself: ActorRef<Self::Msg>,
         (node, platform): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
-        myself.cast(ConfigurationMsg::PollHead)?;
-        myself.send_interval(HEAD_POLL, || ConfigurationMsg::PollHead);
+        myself.send_interval(TICK, || ConfigurationMsg::Tick);
+        let now_ms = clock::since_ms(node.started);
         Ok(State {
+            fetcher: Fetcher::new(node.me),
             node,
             platform,
             holder: Holder::default(),
-            fetching: false,
+            floor: Floor::new(now_ms),
+            role: Role::default(),
+            refresh: None,
+            next_poll_ms: now_ms + rand::random_range(0..FIRST_POLL_SPREAD_MS),
+            reading_head: false,
+            woken_for_ms: None,
+            told_held: Version::NONE,
             membership: None,
         })
     }
@@ -73,119 +149,268 @@
         message: Self::Msg,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
+        let now_ms = clock::since_ms(state.node.started);
         match message {
-            ConfigurationMsg::Announced { stamp, from } => {
-                state.holder.announce(stamp);
-                state.fetch_if_wanted(&myself, from);
-            }
-            ConfigurationMsg::Fetched { stamp, content } => {
-                state.fetching = false;
-                if let Some(content) = content {
-                    state.apply(stamp, &content);
-                }
-                state.fetch_if_wanted(&myself, None);
+            ConfigurationMsg::Tick => state.tick(&myself, now_ms),
+            ConfigurationMsg::Wake => state.woken_for_ms = None,
+            ConfigurationMsg::Announced { stamp, holder } => {
+                state.announced(now_ms, stamp, holder);
             }
+            ConfigurationMsg::Fetched { fetch, found } => state.fetched(now_ms, &fetch, found),
+            ConfigurationMsg::HeadRead { head, took_ms } => state.head_read(now_ms, head, took_ms),
+            ConfigurationMsg::FloorAnswered {
+                peer,
+                reported,
+                enforced,
+            } => state.floor_answered(now_ms, peer, reported, enforced),
+            ConfigurationMsg::Refresh => state.begin_refresh(&myself, now_ms),
+            ConfigurationMsg::Role(role) => state.set_role(now_ms, role),
             ConfigurationMsg::ContentFor(have, reply) => {
                 let _ = reply.send(state.holder.content_for(have));
             }
             ConfigurationMsg::Enforced(reply) => {
                 let _ = reply.send(state.holder.stamp());
             }
-            ConfigurationMsg::PollHead => state.poll_head(&myself),
             ConfigurationMsg::Membership(membership) => state.membership = Some(membership),
         }
+        state.enforce(now_ms);
+        state.fetch(&myself, now_ms);
+        state.end_refresh(now_ms);
         Ok(())
     }
 }
 
 impl State {
-    fn poll_head(&self, myself: &ActorRef<ConfigurationMsg>) {
-        let platform = self.platform.clone();
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            match accepted::head(&platform).await {
-                Ok(head) => {
-                    let announced = ConfigurationMsg::Announced {
-                        stamp: head.stamp,
-                        from: None,
-                    };
-                    let _ = myself.cast(announced);
-                }
-                Err(error) => log::debug!(error:%; "reading the head failed"),
-            }
-        });
+    fn tick(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        self.set_gateway_rank(now_ms);
+        if now_ms >= self.next_poll_ms {
+            self.next_poll_ms = now_ms + self.poll_pause_ms();
+            self.read_head(myself);
+        }
+        if !self.floor.is_settled(now_ms) {
+            self.ask_floor(myself);
+        }
     }
 
-    fn fetch_if_wanted(&mut self, myself: &ActorRef<ConfigurationMsg>, from: Option<NodeId>) {
-        let Some(want) = self.holder.wanted() else {
-            return;
+    fn poll_pause_ms(&self) -> u64 {
+        let pause_ms = match (self.role.gateway_rank, self.role.watcher_rank) {
+            _ if self.holder.stamp() == Stamp::NONE => FIRST_POLL_MS,
+            (Some(0), _) => GATEWAY_POLL_MS,
+            (_, Some(0)) => WATCHER_POLL_MS,
+            _ => MEMBER_POLL_MS,
         };
-        if self.fetching {
+        rand::random_range(pause_ms / 2..=pause_ms)
+    }
+
+    fn set_role(&mut self, now_ms: u64, role: Role) {
+        let was = (self.role.gateway_rank, self.role.watcher_rank);
+        self.role = role;
+        if was != (self.role.gateway_rank, self.role.watcher_rank) {
+            self.set_gateway_rank(now_ms);
+            self.next_poll_ms = self.next_poll_ms.min(now_ms + self.poll_pause_ms());
+        }
+    }
+
+    fn set_gateway_rank(&mut self, now_ms: u64) {
+        let young = self.role.alone && now_ms < YOUNG_MS;
+        let rank = self.role.gateway_rank.filter(|_| !young);
+        self.fetcher.set_gateway_rank(rank);
+    }
+
+    fn announced(&mut self, now_ms: u64, stamp: Stamp, holder: Option<Peer>) {
+        self.holder.announce(stamp);
+        match holder {
+            Some(peer) => self.fetcher.held_by(now_ms, stamp, peer),
+            None => self.fetcher.heard(now_ms, stamp),
+        }
+    }
+
+    fn read_head(&mut self, myself: &ActorRef<ConfigurationMsg>) {
+        if std::mem::replace(&mut self.reading_head, true) {
             return;
         }
-        self.fetching = true;
-        let have = self.holder.stamp();
-        let address = from.and_then(|node| {
-            let view = self.node.view.load();
-            let member = view.members.iter().find(|member| member.node == node)?;
-            Some(member.dial_address(&self.node.settings.place))
-        });
-        let options = self.node.settings.dial_options();
         let platform = self.platform.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
-            let mut found = None;
-            if let Some(address) = address
-                && let Ok(mut client) = PeerClient::new(address, &options)
-            {
-                found = client.fetch(have, want.version).await.ok().flatten();
-            }
-            if found.is_none() {
-                found = from_platform(&platform, have, want).await;
-            }
-            let (stamp, content) = match found {
-                Some((stamp, content)) => (stamp, Some(content)),
-                None => (want, None),
+            let (head, took_ms) = store::head(&platform).await;
+            let _ = myself.cast(ConfigurationMsg::HeadRead { head, took_ms });
+        });
+    }
+
+    fn head_read(&mut self, now_ms: u64, head: Option<Stamp>, took_ms: u64) {
+        self.reading_head = false;
+        let Some(head) = head else { return };
+        self.fetcher.store_answered(took_ms);
+        self.floor.head_read(head.version);
+        if let Some(refresh) = &mut self.refresh {
+            refresh.head_read = true;
+        }
+        self.announced(now_ms, head, None);
+        self.tell(MembershipMsg::Head(head));
+    }
+
+    fn ask_floor(&self, myself: &ActorRef<ConfigurationMsg>) {
+        for peer in self.role.neighbours.clone() {
+            let Some(mut client) = self.node.control.client(peer.address) else {
+                continue;
             };
-            let _ = myself.cast(ConfigurationMsg::Fetched { stamp, content });
+            let me = self.node.me;
+            let myself = myself.clone();
+            tokio::spawn(async move {
+                if let Ok((reported, enforced)) = client.floor(me).await {
+                    let _ = myself.cast(ConfigurationMsg::FloorAnswered {
+                        peer,
+                        reported,
+                        enforced,
+                    });
+                }
+            });
+        }
+    }
+
+    fn floor_answered(&mut self, now_ms: u64, peer: Peer, reported: Version, enforced: Stamp) {
+        self.floor.answered(peer.node, reported, enforced.version);
+        if enforced.version > Version::NONE {
+            self.announced(now_ms, enforced, Some(peer));
+        }
+        if let Some(refresh) = &mut self.refresh
+            && !refresh.peers.contains(&peer.node)
+        {
+            refresh.peers.push(peer.node);
+        }
+    }
+
+    fn begin_refresh(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        self.refresh = Some(Refresh {
+            until_ms: now_ms + REFRESH_MAX_MS,
+            peers: Vec::new(),
+            head_read: false,
         });
+        self.fetcher.woke(now_ms);
+        self.reading_head = false;
+        self.read_head(myself);
+        self.ask_floor(myself);
     }
 
-    fn apply(&mut self, stamp: Stamp, content: &Content) {
-        let applied = match self.holder.apply(stamp, content) {
-            Ok(applied) => applied,
-            Err(error) => {
-                log::warn!(version = stamp.version.0, error:?; "refused a configuration");
-                return;
-            }
+    /// The refresh ends once what was heard from peers or the platform is in force here, or when
+    /// its time is up.
+    fn end_refresh(&mut self, now_ms: u64) {
+        let Some(refresh) = &self.refresh else { return };
+        let heard = refresh.head_read || refresh.peers.len() >= REFRESH_PEERS;
+        let caught_up = self.holder.stamp().version >= self.fetcher.head().version;
+        if (heard && caught_up) || now_ms >= refresh.until_ms {
+            self.refresh = None;
+            self.node.refreshing.store(false, Ordering::Release);
+            log::info!(caught_up; "admits work again");
+        }
+    }
+
+    fn fetch(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        let held = self.holder.held();
+        if let Some(fetch) = self.fetcher.next(now_ms, held.version) {
+            let node = Arc::clone(&self.node);
+            let platform = self.platform.clone();
+            let myself = myself.clone();
+            tokio::spawn(async move {
+                let found = run_fetch(&node, &platform, held, &fetch).await;
+                let _ = myself.cast(ConfigurationMsg::Fetched { fetch, found });
+            });
+            return;
+        }
+        let Some(wake_ms) = self.fetcher.wake_at(held.version) else {
+            return;
+        };
+        if self.woken_for_ms.is_none_or(|already| wake_ms < already) {
+            self.woken_for_ms = Some(wake_ms);
+            let pause = Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1));
+            myself.send_after(pause, || ConfigurationMsg::Wake);
+        }
+    }
+
+    fn fetched(&mut self, now_ms: u64, fetch: &Fetch, found: Option<(Stamp, Content)>) {
+        let source = source_name(&fetch.source);
+        let prepared = found.is_some_and(|(stamp, content)| self.prepare(stamp, &content, source));
+        let result = if prepared { "used" } else { "failed" };
+        metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
+            .increment(1);
+        self.fetcher.done(now_ms, fetch, prepared);
+    }
+
+    fn prepare(&mut self, stamp: Stamp, content: &Content, source: &'static str) -> bool {
+        let bytes = content.len_bytes() as u64;
+        metrics::counter!("dragonflywall_fetched_bytes_total", "source" => source).increment(bytes);
+        let prepared = self.holder.prepare(stamp, content);
+        if let Err(error) = &prepared {
+            log::warn!(version = stamp.version.0, error:?; "refused a configuration");
+            metrics::counter!("dragonflywall_refused_content_total").increment(1);
+        }
+        prepared.is_ok()
+    }
+
+    /// Enforces what is held once the floor is settled and a peer remembers it.
+    fn enforce(&mut self, now_ms: u64) {
+        if !self.floor.is_settled(now_ms) {
+            self.node.waiting.store(Arc::new(Some(
+                "it is not known yet which version this address has enforced before",
+            )));
+            return;
+        }
+        self.holder.raise_floor(self.floor.version());
+        let below = self.holder.held().version < self.holder.floor();
+        let why = below.then_some("no peer and no store has a version at or above the floor");
+        self.node.waiting.store(Arc::new(why));
+        let Some(stamp) = self.holder.enforceable() else {
+            return;
         };
-        log::info!(version = stamp.version.0, digest:% = stamp.digest.short(); "enforced a configuration");
-        metrics::gauge!("dragonflywall_enforced_version").set(stamp.version.0 as f64);
-        self.node.enforced.store(Some(applied));
-        self.node.refresh_slots();
+        if self.told_held < stamp.version {
+            self.told_held = stamp.version;
+            self.tell(MembershipMsg::SetHeld(stamp));
+        }
+        let alone = self.role.alone && now_ms >= ALONE_MS;
+        if self.role.witnessed < stamp.version && !alone {
+            return;
+        }
+        if let Some(applied) = self.holder.enforce() {
+            log::info!(version = stamp.version.0, digest:% = stamp.digest.short(); "enforced a configuration");
+            metrics::gauge!("dragonflywall_enforced_version").set(stamp.version.0 as f64);
+            self.node.enforced.store(Some(applied));
+            self.node.refresh_slots();
+            self.tell(MembershipMsg::SetEnforced(stamp.version));
+        }
+    }
+
+    fn tell(&self, message: MembershipMsg) {
         if let Some(membership) = &self.membership {
-            let _ = membership.cast(MembershipMsg::SetEnforced(stamp));
+            // The actor is gone only while the process ends.
+            let _ = membership.cast(message);
         }
     }
 }
 
-async fn from_platform(
+fn source_name(source: &Source) -> &'static str {
+    use crate::core::member::Distance;
+    match source {
+        Source::Store => "store",
+        Source::Peer { distance, .. } => match distance {
+            Distance::DataCentre => "data-centre",
+            Distance::Region => "region",
+            Distance::Mesh => "mesh",
+        },
+    }
+}
+
+async fn run_fetch(
+    node: &NodeState,
     platform: &HttpPlatform,
-    have: Stamp,
-    want: Stamp,
+    held: Stamp,
+    fetch: &Fetch,
 ) -> Option<(Stamp, Content)> {
-    let row = accepted::version_row(platform, want.version).await.ok()?;
-    let delta_fits = row.parent == have && have.version != Version::NONE;
-    let digest = if delta_fits {
-        row.delta_object
-    } else {
-        row.snapshot_object
-    };
-    let bytes = accepted::object(platform, &digest).await.ok()?;
-    let content = if delta_fits {
-        Content::Delta(bytes)
-    } else {
-        Content::Snapshot(bytes)
-    };
-    Some((row.stamp, content))
+    match fetch.source {
+        Source::Store => store::content(platform, held, fetch.want).await,
+        Source::Peer { address, .. } => {
+            let mut client = node.control.client(address)?;
+            let found = client.fetch(held, fetch.want.version).await;
+            found.ok().flatten()
+        }
+    }
 }
--- /dev/null
+++ b/src/node/freeze.rs
@@ -0,0 +1,55 @@
+//! Notices that the process was frozen, so that it catches up before it admits new work.
+//!
+//! Failure guarded against: a VM is paused, or the process stopped, while versions are published;
+//! when it goes on, it routes by what was in force before. It shows as a gap between two ticks. The
+//! steady clock goes on while a process is stopped; where it stands still, as in a paused VM, the
+//! wall clock jumps instead. The guard holds although a request may be served before the first
+//! tick after the gap, since admission itself compares the time of the last tick
+//! ([`NodeState::is_fresh`]).
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ractor::ActorRef;
+use tokio_util::sync::CancellationToken;
+
+use super::configuration::ConfigurationMsg;
+use super::membership::MembershipMsg;
+use super::state::NodeState;
+use crate::util::clock;
+
+const TICK: Duration = Duration::from_millis(250);
+
+/// A gap from which the process counts as frozen. Twelve ticks: a busy processor delays a few, and
+/// versions are in force elsewhere "within seconds" anyway.
+pub(crate) const GAP_MS: u64 = 3_000;
+
+pub(crate) async fn watch(
+    node: Arc<NodeState>,
+    membership: ActorRef<MembershipMsg>,
+    configuration: ActorRef<ConfigurationMsg>,
+    stop: CancellationToken,
+) {
+    let mut last_wall_ms = clock::wall_ms();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(TICK) => (),
+        }
+        let now_ms = clock::since_ms(node.started);
+        let wall_ms = clock::wall_ms();
+        let steady_gap_ms = now_ms.saturating_sub(node.last_tick_ms.load(Ordering::Acquire));
+        let gap_ms = steady_gap_ms.max(wall_ms.saturating_sub(last_wall_ms));
+        last_wall_ms = wall_ms;
+        if gap_ms >= GAP_MS {
+            log::warn!(gap_ms; "this process was frozen; it catches up before it admits work");
+            metrics::counter!("dragonflywall_freezes_total").increment(1);
+            // Before the tick is noted, so that admission sees one or the other.
+            node.refreshing.store(true, Ordering::Release);
+            let _ = membership.cast(MembershipMsg::Woke);
+            let _ = configuration.cast(ConfigurationMsg::Refresh);
+        }
+        node.last_tick_ms.store(now_ms, Ordering::Release);
+    }
+}
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the membership state machine and does its exchanges.
 
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,32 +9,39 @@
 
 use crate::core::member::{BackendState, Member, NodeId};
 use crate::core::names::ServiceName;
-use crate::core::version::Stamp;
+use crate::core::version::{Stamp, Version};
+use crate::distribution::fetch::Peer;
 use crate::membership::{Exchange, Gossip, Membership, Timing};
-use crate::node::configuration::ConfigurationMsg;
+use crate::node::configuration::{ConfigurationMsg, Role};
 use crate::node::state::{NodeState, View};
-use crate::peer::client::PeerClient;
 use crate::util::clock;
 
 /// How often due heartbeats and suspicions are looked for. News does not wait for it.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Between two copies of the view for requests: a burst of changes, as when a herd restarts, makes
+/// one copy instead of hundreds; a draining server still disappears at once for a person.
+const VIEW_PAUSE_MS: u64 = 50;
+
 #[derive(Debug)]
 pub(crate) enum MembershipMsg {
     Tick,
     /// A peer started an exchange.
     Receive(Gossip, RpcReplyPort<Gossip>),
     /// An exchange of ours was answered.
-    Answered(Gossip),
+    Answered(Exchange, Gossip),
     /// An exchange of ours was not answered.
-    Failed {
-        to: NodeId,
-        sent: Vec<Member>,
-    },
+    Failed(Exchange),
     Seeds(Vec<SocketAddr>),
     SetBackend(Option<ServiceName>, BackendState),
-    SetEnforced(Stamp),
-    Remembered(NodeId, RpcReplyPort<Option<Stamp>>),
+    /// A version is accepted, as a hint or the head row says.
+    Head(Stamp),
+    /// The content is here and about to be enforced.
+    SetHeld(Stamp),
+    SetEnforced(Version),
+    Remembered(NodeId, RpcReplyPort<Version>),
+    /// The process was frozen until now.
+    Woke,
     /// Say goodbye and answer once the neighbours have been told.
     Leave(RpcReplyPort<()>),
 }
@@ -51,8 +58,9 @@
     node: Arc<NodeState>,
     membership: Membership,
     configuration: ActorRef<ConfigurationMsg>,
-    clients: HashMap<SocketAddr, PeerClient>,
     published_generation: u64,
+    published_ms: u64,
+    role: Role,
 }
 
 impl Actor for MembershipActor {
@@ -71,8 +79,9 @@
             membership: Membership::new(arguments.me, seeds, Timing::default()),
             node: arguments.node,
             configuration: arguments.configuration,
-            clients: HashMap::new(),
             published_generation: 0,
+            published_ms: 0,
+            role: Role::default(),
         })
     }
 
@@ -84,33 +93,29 @@
     ) -> Result<(), ActorProcessingErr> {
         let now_ms = clock::since_ms(state.node.started);
         match message {
-            MembershipMsg::Tick => state.greet_seeds(&myself),
+            MembershipMsg::Tick => (),
             MembershipMsg::Receive(gossip, reply) => {
                 let answer = state.membership.receive(now_ms, &gossip);
                 // A caller that gave up waiting hears of it again with the next heartbeat.
                 let _ = reply.send(answer);
+                state.announce(&gossip);
             }
-            MembershipMsg::Answered(gossip) => {
-                let announced = ConfigurationMsg::Announced {
-                    stamp: gossip.enforced,
-                    from: Some(gossip.from),
-                };
-                // The actor is gone only while the process ends.
-                let _ = state.configuration.cast(announced);
-                state.membership.exchange_done(now_ms, &gossip);
-            }
-            MembershipMsg::Failed { to, sent } => {
-                state.membership.exchange_failed(now_ms, to, &sent);
+            MembershipMsg::Answered(sent, answer) => {
+                state.membership.exchange_done(now_ms, &sent, &answer);
+                state.announce(&answer);
             }
+            MembershipMsg::Failed(sent) => state.membership.exchange_failed(now_ms, &sent),
             MembershipMsg::Seeds(seeds) => state.membership.add_seeds(seeds),
             MembershipMsg::SetBackend(service, backend) => {
                 state.membership.set_backend(service, backend);
             }
-            MembershipMsg::SetEnforced(stamp) => state.membership.set_enforced(stamp),
+            MembershipMsg::Head(stamp) => state.membership.set_head(stamp),
+            MembershipMsg::SetHeld(stamp) => state.membership.set_held(stamp),
+            MembershipMsg::SetEnforced(version) => state.membership.set_enforced(version),
             MembershipMsg::Remembered(node, reply) => {
-                let remembered = state.membership.remembered(node);
-                let _ = reply.send(remembered.map(|member| member.enforced));
+                let _ = reply.send(state.membership.remembered(node));
             }
+            MembershipMsg::Woke => state.membership.woke(now_ms),
             MembershipMsg::Leave(reply) => {
                 state.membership.leave();
                 state.say_goodbye(now_ms).await;
@@ -120,84 +125,107 @@
         for exchange in state.membership.tick(now_ms) {
             state.start(&myself, exchange);
         }
-        state.publish();
+        state.tell_role();
+        state.publish(now_ms);
         Ok(())
     }
 }
 
 impl State {
-    fn client(&mut self, address: SocketAddr) -> Option<PeerClient> {
-        if let Some(client) = self.clients.get(&address) {
-            return Some(client.clone());
-        }
-        let client = PeerClient::new(address, &self.node.settings.dial_options()).ok()?;
-        self.clients.insert(address, client.clone());
-        Some(client)
-    }
-
-    fn start(&mut self, myself: &ActorRef<MembershipMsg>, exchange: Exchange) {
-        let Some(mut client) = self.client(exchange.address) else {
+    fn start(&self, myself: &ActorRef<MembershipMsg>, exchange: Exchange) {
+        let Some(mut client) = self.node.control.client(exchange.address) else {
             return;
         };
         let myself = myself.clone();
+        let node = Arc::clone(&self.node);
         tokio::spawn(async move {
             let message = match client.exchange(&exchange.gossip).await {
-                Ok(answer) => MembershipMsg::Answered(answer),
+                Ok(answer) => {
+                    count_exchange("answered");
+                    MembershipMsg::Answered(exchange, answer)
+                }
                 Err(error) => {
-                    log::debug!(peer:% = exchange.to, error:%; "heartbeat failed");
-                    MembershipMsg::Failed {
-                        to: exchange.to,
-                        sent: exchange.gossip.updates,
-                    }
+                    count_exchange("failed");
+                    log::debug!(peer:% = exchange.address, error:%; "heartbeat failed");
+                    node.control.forget(exchange.address);
+                    MembershipMsg::Failed(exchange)
                 }
             };
             let _ = myself.cast(message);
         });
     }
 
-    fn greet_seeds(&mut self, myself: &ActorRef<MembershipMsg>) {
-        let seeds = self.membership.seeds_to_greet().to_vec();
-        for seed in seeds {
-            let greeting = self.membership.greeting();
-            let Some(mut client) = self.client(seed) else {
-                continue;
-            };
-            let myself = myself.clone();
-            tokio::spawn(async move {
-                if let Ok(answer) = client.exchange(&greeting).await {
-                    let _ = myself.cast(MembershipMsg::Answered(answer));
-                }
-            });
+    /// Passes on what a peer announced, and whether it holds it.
+    fn announce(&self, gossip: &Gossip) {
+        let Some(stamp) = gossip.announce else { return };
+        let holder = self.peer(gossip.from);
+        let announced = ConfigurationMsg::Announced {
+            stamp,
+            holder: holder.filter(|_| stamp.version <= gossip.version),
+        };
+        // The actor is gone only while the process ends.
+        let _ = self.configuration.cast(announced);
+    }
+
+    fn peer(&self, node: NodeId) -> Option<Peer> {
+        Some(Peer {
+            node,
+            address: self.membership.address_of(node)?,
+            distance: self.membership.distance_to(node)?,
+        })
+    }
+
+    /// Tells the configuration actor what this node's part is, when it changes.
+    fn tell_role(&mut self) {
+        let neighbours = self.membership.neighbours();
+        let role = Role {
+            gateway_rank: self.membership.gateway_rank(),
+            watcher_rank: self.membership.watcher_rank(),
+            neighbours: neighbours.filter_map(|(node, _)| self.peer(node)).collect(),
+            witnessed: self.membership.witnessed(),
+            alone: self.membership.is_alone(),
+        };
+        if role != self.role {
+            self.role = role.clone();
+            let _ = self.configuration.cast(ConfigurationMsg::Role(role));
         }
     }
 
     async fn say_goodbye(&mut self, now_ms: u64) {
-        let exchanges = self.membership.tick(now_ms);
-        for exchange in exchanges {
-            if let Some(mut client) = self.client(exchange.address) {
+        let mut goodbyes = tokio::task::JoinSet::new();
+        for exchange in self.membership.tick(now_ms) {
+            if let Some(mut client) = self.node.control.client(exchange.address) {
                 // A neighbour that does not hear it finds out by its own heartbeat.
-                let _ = client.exchange(&exchange.gossip).await;
+                goodbyes.spawn(async move { client.exchange(&exchange.gossip).await });
             }
         }
+        goodbyes.join_all().await;
     }
 
-    /// Gives requests a new copy of the view, if it changed.
-    fn publish(&mut self) {
+    /// Gives requests a new copy of the view, if it changed and the last one is not too young;
+    /// the next tick makes up for it then.
+    fn publish(&mut self, now_ms: u64) {
         let generation = self.membership.generation();
-        if generation == self.published_generation {
+        let young = now_ms.saturating_sub(self.published_ms) < VIEW_PAUSE_MS;
+        if generation == self.published_generation || (young && self.published_generation > 0) {
             return;
         }
         self.published_generation = generation;
-        let members: Vec<Member> = self.membership.members().cloned().collect();
+        self.published_ms = now_ms;
         let neighbours = self.membership.neighbours();
-        let addresses: Vec<SocketAddr> = members
-            .iter()
-            .filter(|member| neighbours.contains(&member.node))
-            .map(|member| member.dial_address(&self.node.settings.place))
+        let wanted: BTreeSet<SocketAddr> = neighbours
+            .filter_map(|(node, _)| self.membership.address_of(node))
             .collect();
-        self.clients
-            .retain(|address, _| addresses.contains(address));
-        let view = View::new(members, &self.node.settings.place);
+        self.node.control.retain(&wanted);
+        metrics::gauge!("dragonflywall_neighbours").set(wanted.len() as f64);
+        let members = self.membership.members_with_versions();
+        let mut view = View::new(members, &self.node.settings.place);
+        view.data_centres = self.membership.summaries();
+        metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
         self.node.view.store(Arc::new(view));
     }
 }
+
+fn count_exchange(result: &'static str) {
+    metrics::counter!("dragonflywall_gossip_exchanges_total", "result" => result).increment(1);
+}
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -48,6 +48,12 @@
         if self.node.draining.is_cancelled() {
             return Some("draining");
         }
+        if let Some(why) = **self.node.waiting.load() {
+            return Some(why);
+        }
+        if !self.node.is_fresh() {
+            return Some("the process was frozen and catches up");
+        }
         if self.node.enforced.load().is_none() {
             return Some("no configuration is enforced yet");
         }
@@ -64,11 +70,13 @@
     fn status(&self) -> Status {
         let enforced = self.node.enforced.load();
         let enforced = enforced.as_ref().map(|applied| applied.stamp);
+        let view = self.node.view.load();
         Status {
             node: self.node.me,
             enforced: enforced.unwrap_or(Stamp::NONE),
             ready: self.why_not_ready().is_none(),
-            members: self.node.view.load().members.clone(),
+            members: view.members.clone(),
+            data_centres: view.data_centres.clone(),
         }
     }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -13,8 +13,9 @@
 use tokio_util::task::TaskTracker;
 
 use crate::core::member::{BackendState, Liveness, Member, NodeId};
-use crate::core::version::Stamp;
+use crate::core::version::Version;
 use crate::node::configuration::{ConfigurationActor, ConfigurationMsg};
+use crate::node::freeze;
 use crate::node::membership::{self, MembershipActor, MembershipMsg};
 use crate::node::operator::Operator;
 use crate::node::registration;
@@ -140,6 +141,12 @@
         membership.clone(),
         stop.clone(),
     ));
+    tasks.spawn(freeze::watch(
+        Arc::clone(&node),
+        membership.clone(),
+        configuration.clone(),
+        stop.clone(),
+    ));
     log::info!(
         node:% = me.node,
         caller:% = caller_address,
@@ -221,7 +228,7 @@
         liveness: Liveness::Alive,
         service,
         backend,
-        enforced: Stamp::NONE,
+        enforced: Version::NONE,
     }
 }
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -11,11 +12,15 @@
 
 use crate::core::member::{Liveness, Member, NodeId, Place};
 use crate::core::names::ServiceName;
+use crate::core::status::DataCentreSummary;
 use crate::decide::admission::Admission;
 use crate::distribution::Applied;
+use crate::node::freeze;
 use crate::node::settings::{BackendServer, Settings};
+use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::peers::PeerConnections;
+use crate::util::clock;
 
 /// An endpoint as requests see it.
 #[derive(Clone, Debug)]
@@ -30,6 +35,7 @@
 pub(crate) struct View {
     pub(crate) members: Vec<Member>,
     pub(crate) endpoints: HashMap<ServiceName, Vec<Endpoint>>,
+    pub(crate) data_centres: Vec<DataCentreSummary>,
 }
 
 impl View {
@@ -43,7 +49,11 @@
                 place: member.place.clone(),
             });
         }
-        Self { members, endpoints }
+        Self {
+            members,
+            endpoints,
+            data_centres: Vec::new(),
+        }
     }
 
     pub(crate) fn alive(&self) -> usize {
@@ -66,6 +76,14 @@
     pub(crate) backend: ArcSwapOption<BackendServer>,
     pub(crate) pool: BackendPool,
     pub(crate) peers: PeerConnections,
+    /// Connections for control traffic.
+    pub(crate) control: PeerPool,
+    /// Why nothing is enforced, or not enough.
+    pub(crate) waiting: ArcSwap<Option<&'static str>>,
+    /// The process was frozen and has not caught up yet; see [`crate::node::freeze`].
+    pub(crate) refreshing: AtomicBool,
+    /// When the process last ticked, by the clock of `started`.
+    pub(crate) last_tick_ms: AtomicU64,
     /// Cancelled when the node takes no new work.
     pub(crate) draining: CancellationToken,
     /// Requests in flight at this node, either as entry or as gate.
@@ -86,12 +104,23 @@
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
             pool: BackendPool::default(),
-            peers: PeerConnections::new(dial_options),
+            peers: PeerConnections::new(dial_options.clone()),
+            control: PeerPool::new(dial_options),
+            waiting: ArcSwap::default(),
+            refreshing: AtomicBool::new(false),
+            last_tick_ms: AtomicU64::new(0),
             draining: CancellationToken::new(),
             in_flight: TaskTracker::new(),
         })
     }
 
+    /// Whether the process has gone on without a freeze since it last caught up.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let now_ms = clock::since_ms(self.started);
+        let since_tick_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Acquire));
+        since_tick_ms < freeze::GAP_MS && !self.refreshing.load(Ordering::Acquire)
+    }
+
     pub(crate) fn loads(&self) -> MutexGuard<'_, HashMap<NodeId, u32>> {
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/src/node/store.rs
@@ -0,0 +1,80 @@
+//! Reads of the head and of content from the platform, as a node makes them.
+
+use std::time::Instant;
+
+use crate::core::version::{Stamp, Version};
+use crate::distribution::{Content, Step};
+use crate::ops::query::accepted;
+use crate::platform::http::HttpPlatform;
+use crate::platform::rows::VersionRow;
+use crate::util::clock;
+
+/// Longest chain of deltas read from the store instead of the snapshot: publications in a burst.
+const CHAIN_MAX: usize = 4;
+
+/// The accepted stamp, if the platform told it, and how long that took in milliseconds.
+pub(crate) async fn head(platform: &HttpPlatform) -> (Option<Stamp>, u64) {
+    let begin = Instant::now();
+    let head = accepted::head(platform).await;
+    if let Err(error) = &head {
+        log::debug!(error:%; "reading the head failed");
+    }
+    let result = if head.is_ok() { "read" } else { "failed" };
+    metrics::counter!("dragonflywall_head_reads_total", "result" => result).increment(1);
+    (head.ok().map(|head| head.stamp), clock::since_ms(begin))
+}
+
+/// The content of `want`: the deltas from `held` where they are few, else the snapshot.
+pub(crate) async fn content(
+    platform: &HttpPlatform,
+    held: Stamp,
+    want: Stamp,
+) -> Option<(Stamp, Content)> {
+    let newest = accepted::version_row(platform, want.version).await.ok()?;
+    let stamp = newest.stamp;
+    let snapshot = newest.snapshot_object;
+    let steps = match rows_since(platform, held, newest).await {
+        Some(rows) => deltas(platform, &rows).await?,
+        None => Vec::new(),
+    };
+    let content = match steps.len() {
+        0 => Content::Snapshot(accepted::object(platform, &snapshot).await.ok()?),
+        1 => Content::Delta(steps.into_iter().next()?.delta),
+        _ => Content::Chain(steps),
+    };
+    Some((stamp, content))
+}
+
+/// The rows from the one after `held` to `newest`, oldest first, if they are few.
+async fn rows_since(
+    platform: &HttpPlatform,
+    held: Stamp,
+    newest: VersionRow,
+) -> Option<Vec<VersionRow>> {
+    let behind = newest.stamp.version.0.checked_sub(held.version.0)?;
+    if held.version == Version::NONE || behind > CHAIN_MAX as u64 {
+        return None;
+    }
+    let mut rows = vec![newest];
+    while let Some(oldest) = rows.last()
+        && oldest.parent != held
+    {
+        let parent = oldest.parent.version;
+        if parent <= held.version {
+            return None;
+        }
+        rows.push(accepted::version_row(platform, parent).await.ok()?);
+    }
+    rows.reverse();
+    Some(rows)
+}
+
+async fn deltas(platform: &HttpPlatform, rows: &[VersionRow]) -> Option<Vec<Step>> {
+    let mut steps = Vec::with_capacity(rows.len());
+    for row in rows {
+        let delta = accepted::object(platform, &row.delta_object).await.ok()?;
+        let stamp = row.stamp;
+        steps.push(Step { stamp, delta });
+    }
+    Some(steps)
+}
--- a/src/ops/query/status.rs
+++ b/src/ops/query/status.rs
@@ -1,6 +1,5 @@
 //! Asks a node what it knows of the mesh.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,10 +9,8 @@
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 
-use crate::core::member::{Liveness, Place};
-use crate::core::status::Status;
+use crate::core::status::{DataCentreSummary, Status};
 use crate::core::token::{MeshToken, TOKEN_HEADER};
-use crate::core::version::Version;
 use crate::util::dial::dial;
 
 /// Result of this module.
@@ -56,27 +53,8 @@
     },
 }
 
-/// What the nodes of one data centre enforce.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DataCentreRow {
-    /// The data centre.
-    pub place: Place,
-    /// Nodes that are alive.
-    pub nodes: usize,
-    /// How many of them enforce each version.
-    pub versions: BTreeMap<Version, usize>,
-}
-
-impl DataCentreRow {
-    /// Such as `3 (4 nodes), 2 (1 nodes)`.
-    pub fn versions_text(&self) -> String {
-        let newest_first = self.versions.iter().rev();
-        let parts: Vec<String> = newest_first
-            .map(|(version, nodes)| format!("{version} ({nodes} nodes)"))
-            .collect();
-        parts.join(", ")
-    }
-}
+/// A line of the report by data centre.
+pub type DataCentreRow = DataCentreSummary;
 
 /// Asks the node whose operator listener is at `address`.
 pub async fn fetch(address: SocketAddr, token: &MeshToken) -> Result<Status> {
@@ -104,24 +82,7 @@
     Ok(body.context(ExchangeSnafu { address })?.to_bytes())
 }
 
-/// Sums up the living members by data centre.
+/// What the nodes of each data centre enforce, as far as the asked node knows.
 pub fn by_data_centre(status: &Status) -> Vec<DataCentreRow> {
-    let mut rows: BTreeMap<(&str, &str), DataCentreRow> = BTreeMap::new();
-    let living = status
-        .members
-        .iter()
-        .filter(|member| member.liveness <= Liveness::Suspect);
-    for member in living {
-        let place = &member.place;
-        let row = rows
-            .entry((place.region.as_str(), place.data_centre.as_str()))
-            .or_insert_with(|| DataCentreRow {
-                place: place.clone(),
-                nodes: 0,
-                versions: BTreeMap::new(),
-            });
-        row.nodes += 1;
-        *row.versions.entry(member.enforced.version).or_default() += 1;
-    }
-    rows.into_values().collect()
+    status.data_centres.clone()
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,4 +11,6 @@
 
 pub mod client;
 pub(crate) mod convert;
+pub(crate) mod counted;
+pub(crate) mod pool;
 pub(crate) mod server;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -11,8 +11,10 @@
 use tonic::transport::{Channel, Endpoint};
 
 use super::convert;
+use super::counted::Connector;
 use super::generated as wire;
 use super::generated::control_client::ControlClient;
+use crate::core::member::NodeId;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::Content;
@@ -101,13 +103,16 @@
     pub fn new(address: SocketAddr, options: &DialOptions) -> Result<Self> {
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .context(AddressSnafu { address })?
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .local_address(options.dial_from);
+            .connect_timeout(CONNECT_TIMEOUT);
+        let connector = Connector {
+            address,
+            dial_from: options.dial_from,
+            timeout: CONNECT_TIMEOUT,
+        };
         Ok(Self {
             address,
             client: ControlClient::with_interceptor(
-                endpoint.connect_lazy(),
+                endpoint.connect_with_connector_lazy(connector),
                 TokenSender::new(&options.token),
             ),
         })
@@ -149,6 +154,22 @@
             .map_err(|error| self.broken(&error))
     }
 
+    /// Asks for the highest version that the peer knows `node` to have reported, and for what the
+    /// peer itself enforces.
+    pub async fn floor(&mut self, node: NodeId) -> Result<(Version, Stamp)> {
+        let request = wire::FloorRequest {
+            node: node.to_string(),
+        };
+        let answer = self.client.floor(timed(request, ANSWER_TIMEOUT)).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        let answer = answer.get_ref();
+        let enforced = convert::stamp_from_wire(answer.enforced.as_ref());
+        let enforced = enforced.map_err(|error| self.broken(&error))?;
+        Ok((Version(answer.reported_version), enforced))
+    }
+
     fn broken(&self, error: &convert::Error) -> Error {
         Error::Answer {
             address: self.address,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -1,6 +1,6 @@
 //! Between generated messages and plain data.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -8,8 +8,8 @@
 use crate::core::member::{BackendState, Liveness, Member, NodeId, Place};
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::version::{Digest, NotADigest, Stamp, Version};
-use crate::distribution::Content;
-use crate::membership::Gossip;
+use crate::distribution::{Content, Step};
+use crate::membership::{Gossip, Report, Summary};
 
 /// Result of this module.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
@@ -47,75 +47,208 @@
     })
 }
 
+/// Names that a message mentions, each written once.
+#[derive(Default)]
+struct Names {
+    places: Vec<Place>,
+    services: Vec<ServiceName>,
+}
+
+impl Names {
+    fn place(&mut self, place: &Place) -> u32 {
+        index_in(&mut self.places, place)
+    }
+
+    /// From 1; 0 is no service.
+    fn service(&mut self, service: Option<&ServiceName>) -> u32 {
+        service.map_or(0, |service| index_in(&mut self.services, service) + 1)
+    }
+}
+
+fn index_in<T: Clone + PartialEq>(list: &mut Vec<T>, item: &T) -> u32 {
+    let position = list.iter().position(|known| known == item);
+    let position = position.unwrap_or_else(|| {
+        list.push(item.clone());
+        list.len() - 1
+    });
+    u32::try_from(position).expect("a message mentions a few names")
+}
+
 pub(crate) fn gossip_to_wire(gossip: &Gossip) -> wire::Gossip {
+    let mut names = Names::default();
+    let updates = gossip.updates.iter();
+    let updates = updates.map(|member| member_to_wire(member, &mut names));
+    let updates = updates.collect();
+    let summaries = gossip.summaries.iter();
+    let summaries = summaries.map(|summary| summary_to_wire(summary, &mut names));
+    let summaries = summaries.collect();
+    let place_to_wire = |place: &Place| wire::Place {
+        region: place.region.to_string(),
+        data_centre: place.data_centre.to_string(),
+    };
     wire::Gossip {
-        from: gossip.from.to_string(),
+        from: address_to_wire(gossip.from.0),
         view_hash: gossip.view_hash,
-        enforced: Some(stamp_to_wire(gossip.enforced)),
-        updates: gossip.updates.iter().map(member_to_wire).collect(),
+        version: gossip.version.0,
+        announce: gossip.announce.map(stamp_to_wire),
+        places: names.places.iter().map(place_to_wire).collect(),
+        services: names.services.iter().map(ToString::to_string).collect(),
+        updates,
+        reports: gossip.reports.iter().map(report_to_wire).collect(),
+        summaries,
         want_all: gossip.want_all,
     }
 }
 
 pub(crate) fn gossip_from_wire(gossip: &wire::Gossip) -> Result<Gossip> {
-    let updates: Result<Vec<Member>> = gossip.updates.iter().map(member_from_wire).collect();
+    let place_from_wire = |place: &wire::Place| Place {
+        region: RegionName::new(&place.region),
+        data_centre: DataCentreName::new(&place.data_centre),
+    };
+    let names = Names {
+        places: gossip.places.iter().map(place_from_wire).collect(),
+        services: services_from_wire(&gossip.services)?,
+    };
+    let updates = gossip.updates.iter();
+    let updates: Result<Vec<Member>> = updates.map(|m| member_from_wire(m, &names)).collect();
+    let summaries = gossip.summaries.iter();
+    let summaries: Result<_> = summaries.map(|s| summary_from_wire(s, &names)).collect();
+    let reports: Result<_> = gossip.reports.iter().map(report_from_wire).collect();
+    let announce = gossip.announce.as_ref();
+    let announce = announce.map(|stamp| stamp_from_wire(Some(stamp)));
     Ok(Gossip {
-        from: NodeId(address(&gossip.from)?),
+        from: node_from_wire(&gossip.from)?,
         view_hash: gossip.view_hash,
-        enforced: stamp_from_wire(gossip.enforced.as_ref())?,
+        version: Version(gossip.version),
+        announce: announce.transpose()?,
         updates: updates?,
+        reports: reports?,
+        summaries: summaries?,
         want_all: gossip.want_all,
     })
 }
 
-fn member_to_wire(member: &Member) -> wire::Member {
+/// IP and port as 6 or 18 bytes.
+fn address_to_wire(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+fn address_from_wire(bytes: &[u8]) -> Result<SocketAddr> {
+    let (ip, port) = bytes
+        .split_last_chunk::<2>()
+        .context(FieldSnafu { field: "address" })?;
+    let ip = match ip.len() {
+        4 => <[u8; 4]>::try_from(ip).ok().map(IpAddr::from),
+        16 => <[u8; 16]>::try_from(ip).ok().map(IpAddr::from),
+        _ => None,
+    };
+    let ip = ip.context(FieldSnafu { field: "address" })?;
+    Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
+
+fn node_from_wire(bytes: &[u8]) -> Result<NodeId> {
+    address_from_wire(bytes).map(NodeId)
+}
+
+fn services_from_wire(services: &[String]) -> Result<Vec<ServiceName>> {
+    let service_from_wire = |name: &String| match is_name(name) {
+        true => Ok(ServiceName::new(name)),
+        false => FieldSnafu { field: "services" }.fail(),
+    };
+    services.iter().map(service_from_wire).collect()
+}
+
+fn place_at(names: &Names, position: u32) -> Result<Place> {
+    let place = names.places.get(position as usize);
+    place.cloned().context(FieldSnafu { field: "place" })
+}
+
+fn report_to_wire(report: &Report) -> wire::Report {
+    wire::Report {
+        node: address_to_wire(report.node.0),
+        incarnation: report.incarnation_us,
+        version: report.version.0,
+    }
+}
+
+fn report_from_wire(report: &wire::Report) -> Result<Report> {
+    Ok(Report {
+        node: node_from_wire(&report.node)?,
+        incarnation_us: report.incarnation,
+        version: Version(report.version),
+    })
+}
+
+fn summary_to_wire(summary: &Summary, names: &mut Names) -> wire::Summary {
+    let count = |(version, nodes): (&Version, &u32)| wire::VersionCount {
+        version: version.0,
+        nodes: *nodes,
+    };
+    wire::Summary {
+        place: names.place(&summary.place),
+        nodes: summary.nodes,
+        versions: summary.versions.iter().map(count).collect(),
+        sequence: summary.sequence,
+    }
+}
+
+fn summary_from_wire(summary: &wire::Summary, names: &Names) -> Result<Summary> {
+    let count = |count: &wire::VersionCount| (Version(count.version), count.nodes);
+    Ok(Summary {
+        place: place_at(names, summary.place)?,
+        nodes: summary.nodes,
+        versions: summary.versions.iter().map(count).collect(),
+        sequence: summary.sequence,
+    })
+}
+
+fn member_to_wire(member: &Member, names: &mut Names) -> wire::Member {
     let external = if member.external == member.node.0 {
-        String::new()
+        Vec::new()
     } else {
-        member.external.to_string()
+        address_to_wire(member.external)
     };
     wire::Member {
-        node: member.node.to_string(),
+        node: address_to_wire(member.node.0),
         external,
-        region: member.place.region.to_string(),
-        data_centre: member.place.data_centre.to_string(),
+        place: names.place(&member.place),
         incarnation: member.incarnation_us,
         sequence: member.sequence,
         liveness: liveness_to_wire(member.liveness).into(),
-        service: member
-            .service
-            .as_ref()
-            .map_or_else(String::new, ToString::to_string),
+        service: names.service(member.service.as_ref()),
         backend: backend_to_wire(member.backend).into(),
-        enforced: Some(stamp_to_wire(member.enforced)),
     }
 }
 
-fn member_from_wire(member: &wire::Member) -> Result<Member> {
-    let node = NodeId(address(&member.node)?);
+fn member_from_wire(member: &wire::Member, names: &Names) -> Result<Member> {
+    let node = node_from_wire(&member.node)?;
     let external = if member.external.is_empty() {
         node.0
     } else {
-        address(&member.external)?
+        address_from_wire(&member.external)?
     };
-    let service = match member.service.as_str() {
-        "" => None,
-        name if is_name(name) => Some(ServiceName::new(name)),
-        _ => return FieldSnafu { field: "service" }.fail(),
+    let service = match member.service.checked_sub(1) {
+        None => None,
+        Some(position) => {
+            let service = names.services.get(position as usize);
+            Some(service.cloned().context(FieldSnafu { field: "service" })?)
+        }
     };
     Ok(Member {
         node,
         external,
-        place: Place {
-            region: RegionName::new(&member.region),
-            data_centre: DataCentreName::new(&member.data_centre),
-        },
+        place: place_at(names, member.place)?,
         incarnation_us: member.incarnation,
         sequence: member.sequence,
         liveness: liveness_from_wire(member.liveness())?,
         service,
         backend: backend_from_wire(member.backend())?,
-        enforced: stamp_from_wire(member.enforced.as_ref())?,
+        enforced: Version::NONE,
     })
 }
 
@@ -165,6 +298,14 @@
     let content = match content {
         Content::Delta(bytes) => wire::fetch_reply::Content::Delta(bytes),
         Content::Snapshot(bytes) => wire::fetch_reply::Content::Snapshot(bytes),
+        Content::Chain(steps) => {
+            let step_to_wire = |step: Step| wire::Step {
+                reached: Some(stamp_to_wire(step.stamp)),
+                delta: step.delta,
+            };
+            let steps = steps.into_iter().map(step_to_wire).collect();
+            wire::fetch_reply::Content::Chain(wire::Chain { steps })
+        }
     };
     wire::FetchReply {
         reached: Some(stamp_to_wire(stamp)),
@@ -174,9 +315,21 @@
 
 pub(crate) fn content_from_wire(reply: wire::FetchReply) -> Result<Option<(Stamp, Content)>> {
     let stamp = stamp_from_wire(reply.reached.as_ref())?;
-    let content = reply.content.map(|content| match content {
-        wire::fetch_reply::Content::Delta(bytes) => Content::Delta(bytes),
-        wire::fetch_reply::Content::Snapshot(bytes) => Content::Snapshot(bytes),
-    });
-    Ok(content.map(|content| (stamp, content)))
+    let content = match reply.content {
+        None => return Ok(None),
+        Some(wire::fetch_reply::Content::Delta(bytes)) => Content::Delta(bytes),
+        Some(wire::fetch_reply::Content::Snapshot(bytes)) => Content::Snapshot(bytes),
+        Some(wire::fetch_reply::Content::Chain(chain)) => {
+            let steps: Result<_> = chain.steps.into_iter().map(step_from_wire).collect();
+            Content::Chain(steps?)
+        }
+    };
+    Ok(Some((stamp, content)))
+}
+
+fn step_from_wire(step: wire::Step) -> Result<Step> {
+    Ok(Step {
+        stamp: stamp_from_wire(step.reached.as_ref())?,
+        delta: step.delta,
+    })
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -6,7 +6,7 @@
 use super::convert;
 use super::generated as wire;
 use super::generated::control_server::Control;
-use crate::core::version::{Stamp, Version};
+use crate::core::member::NodeId;
 use crate::node::configuration::ConfigurationMsg;
 use crate::node::membership::MembershipMsg;
 
@@ -19,15 +19,6 @@
     pub(crate) configuration: ActorRef<ConfigurationMsg>,
 }
 
-impl ControlService {
-    fn announce(&self, stamp: Stamp, from: Option<crate::core::member::NodeId>) {
-        // The actor is gone only while the process ends.
-        let _ = self
-            .configuration
-            .cast(ConfigurationMsg::Announced { stamp, from });
-    }
-}
-
 #[tonic::async_trait]
 impl Control for ControlService {
     async fn exchange(
@@ -35,7 +26,6 @@
         request: Request<wire::Gossip>,
     ) -> Result<Response<wire::Gossip>, Status> {
         let gossip = convert::gossip_from_wire(request.get_ref()).map_err(|e| invalid(&e))?;
-        self.announce(gossip.enforced, Some(gossip.from));
         let answer = ractor::call_t!(
             self.membership,
             MembershipMsg::Receive,
@@ -68,7 +58,12 @@
     ) -> Result<Response<wire::HintReply>, Status> {
         let head = request.get_ref().head.as_ref();
         let head = convert::stamp_from_wire(head).map_err(|e| invalid(&e))?;
-        self.announce(head, None);
+        // The actors are gone only while the process ends.
+        let _ = self.membership.cast(MembershipMsg::Head(head));
+        let _ = self.configuration.cast(ConfigurationMsg::Announced {
+            stamp: head,
+            holder: None,
+        });
         let enforced = ractor::call_t!(
             self.configuration,
             ConfigurationMsg::Enforced,
@@ -89,12 +84,18 @@
             self.membership,
             MembershipMsg::Remembered,
             ACTOR_TIMEOUT_MS,
-            crate::core::member::NodeId(node)
+            NodeId(node)
         );
         let remembered = remembered.map_err(|_| stopping())?;
+        let enforced = ractor::call_t!(
+            self.configuration,
+            ConfigurationMsg::Enforced,
+            ACTOR_TIMEOUT_MS
+        );
+        let enforced = enforced.map_err(|_| stopping())?;
         Ok(Response::new(wire::FloorReply {
-            reported_version: remembered.map_or(Version::NONE, |stamp| stamp.version).0,
-            enforced: remembered.map(convert::stamp_to_wire),
+            reported_version: remembered.0,
+            enforced: Some(convert::stamp_to_wire(enforced)),
         }))
     }
 }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Reason {
     /// This node enforces no configuration yet.
     NoConfiguration,
+    /// This node was frozen and has not caught up yet.
+    Refreshing,
     /// No such service in the configuration.
     NoService,
     /// No route of the service matches.
@@ -40,6 +42,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no configuration is enforced here yet",
+            Self::Refreshing => "this node was frozen and catches up",
             Self::NoService => "no such service",
             Self::NoRoute => "no route of the service matches",
             Self::NoEndpoint => "no endpoint of the service takes work",
@@ -59,6 +62,7 @@
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::NoConfiguration
+            | Self::Refreshing
             | Self::NoEndpoint
             | Self::Full
             | Self::Draining
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -40,6 +40,7 @@
     headers::strip_mesh(&mut parts.headers);
     parts.headers.insert(headers::REQUEST_ID, id.clone());
     let result = match applied {
+        _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
         None => Err(Failure::not_run(Reason::NoConfiguration)),
         Some(applied) => run(&node, &applied, &parts, incoming).await,
     };
