Test membership in a network without sockets

Cause: views stayed apart for good when only one end held the other for a neighbour: the other end's own statement came with each answer and counted as news, so the difference was never counted.

Change: only what changed the view counts as news.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -18,10 +18,13 @@
 impl Membership {
     /// Takes in a message and answers it.
     pub fn receive(&mut self, now_ms: u64, gossip: &Gossip) -> Gossip {
+        let generation = self.generation();
         let restated = self.merge(now_ms, gossip);
+        let learned = self.generation() != generation;
         let equal = gossip.view_hash == self.view_hash();
         let from = gossip.from;
         let mut answer = self.message(from);
+        let told = !answer.updates.is_empty();
         if gossip.want_all {
             answer.updates = self.members().cloned().collect();
             answer.summaries = self.reports.summaries().cloned().collect();
@@ -35,15 +38,16 @@
         answer.updates.extend(self.claim_about(from));
         // Only a neighbour compares again; to a stranger a difference says nothing.
         if let Some(link) = self.links.get_mut(&from) {
-            let brought = !gossip.updates.is_empty() || !answer.updates.is_empty();
-            link.compared(now_ms, equal, brought);
+            link.compared(now_ms, equal, learned || told);
         }
         answer
     }
 
     /// Takes in the answer to an exchange.
     pub fn exchange_done(&mut self, now_ms: u64, sent: &Exchange, answer: &Gossip) {
+        let generation = self.generation();
         let restated = self.merge(now_ms, answer);
+        let learned = self.generation() != generation;
         let equal = answer.view_hash == self.view_hash();
         if restated {
             self.direct.insert(answer.from);
@@ -59,8 +63,8 @@
             let announced = sent.gossip.announce.unwrap_or(Stamp::NONE);
             link.peer_knows = link.peer_knows.max(announced.version);
             link.members.extend(everyone);
-            let brought = !sent.gossip.updates.is_empty() || !answer.updates.is_empty();
-            link.compared(now_ms, equal, brought);
+            let told = !sent.gossip.updates.is_empty();
+            link.compared(now_ms, equal, learned || told);
         }
     }
 
@@ -143,6 +147,14 @@
             .collect()
     }
 
+    /// Whether [`Membership::tick`] is worth calling again after
+    /// [`super::link::NEWS_PAUSE_MS`].
+    pub fn has_deferred(&self, now_ms: u64) -> bool {
+        let announcement = self.announcement();
+        let mut links = self.links.values();
+        links.any(|link| link.is_deferred(now_ms, announcement))
+    }
+
     fn exchange_with(&mut self, node: NodeId, now_ms: u64) -> Option<Exchange> {
         let address = self.address_of(node)?;
         let mut gossip = self.message(node);
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -11,7 +11,12 @@
 /// travel in a few messages instead of 87.
 const GATHER_MS: u64 = 500;
 
-/// How long a neighbour may be asked for its whole view again. Views that differ for longer than
+/// Least time between two exchanges for the sake of statements. The first news of a quiet time goes
+/// out at once; of a burst, as when a herd restarts, the rest is gathered, or each of hundreds of
+/// statements would cause an exchange with each neighbour.
+pub const NEWS_PAUSE_MS: u64 = 50;
+
+/// After how long a neighbour may be asked for its whole view again. Views that differ for longer than
 /// news needs to cross the mesh are rare; a whole view of 520 members is about 20 KB.
 const ASK_ALL_AGAIN_MS: u64 = 5_000;
 
@@ -100,24 +105,41 @@
             return false;
         }
         let heartbeat = now_ms >= self.next_heartbeat_ms;
+        let may_tell = self.has_urgent_news(announcement)
+            || (self.has_news(announcement) && !self.is_young(now_ms));
         match self.kind {
             // News that crosses at the gateway is seen here by equal hashes.
             Kind::Standby => heartbeat,
             // Summaries wait for a heartbeat: the link is billed by volume.
-            Kind::Gateway => heartbeat || self.has_news(announcement),
+            Kind::Gateway => heartbeat || may_tell,
             Kind::Ring | Kind::Bridge => {
                 let gathered = now_ms.saturating_sub(self.last_sent_ms) >= GATHER_MS;
                 let slow_news = !self.reports.is_empty() || !self.summaries.is_empty();
-                heartbeat || self.has_news(announcement) || (gathered && slow_news)
+                heartbeat || may_tell || (gathered && slow_news)
             }
         }
     }
 
+    /// Whether news waits here only because the last exchange is too young.
+    pub fn is_deferred(&self, now_ms: u64, announcement: Announcement) -> bool {
+        let waits = !self.in_flight && self.kind != Kind::Standby && self.is_young(now_ms);
+        waits && self.has_news(announcement)
+    }
+
+    fn is_young(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.last_sent_ms) < NEWS_PAUSE_MS
+    }
+
+    /// Content that can be fetched here, or a comparison that is due.
+    fn has_urgent_news(&self, announcement: Announcement) -> bool {
+        let held = announcement.held;
+        self.want_all || (held > self.peer_version && held > self.told)
+    }
+
     fn has_news(&self, announcement: Announcement) -> bool {
-        let held = announcement.held > self.peer_version && announcement.held > self.told;
         // Across the billed link only what can be fetched there is worth a message.
         let head = self.kind != Kind::Gateway && announcement.head > self.peer_knows;
-        held || head || self.want_all || !self.members.is_empty()
+        head || !self.members.is_empty()
     }
 
     /// Notes that an exchange starts.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -171,6 +171,16 @@
         self.reports.highest(node)
     }
 
+    /// Newest stamp heard of.
+    pub fn head(&self) -> Stamp {
+        self.head
+    }
+
+    /// Newest stamp whose content is here and about to be enforced.
+    pub fn held(&self) -> Stamp {
+        self.held
+    }
+
     /// Whether no other node is believed to be there.
     pub fn is_alone(&self) -> bool {
         !self.roster.members().any(|m| m.liveness < Liveness::Dead)
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -11,6 +11,7 @@
 use crate::core::names::ServiceName;
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
+use crate::membership::link::NEWS_PAUSE_MS;
 use crate::membership::{Exchange, Gossip, Membership, Timing};
 use crate::node::configuration::{ConfigurationMsg, Role};
 use crate::node::state::{NodeState, View};
@@ -26,6 +27,8 @@
 #[derive(Debug)]
 pub(crate) enum MembershipMsg {
     Tick,
+    /// News that was gathered may go out.
+    Wake,
     /// A peer started an exchange.
     Receive(Gossip, RpcReplyPort<Gossip>),
     /// An exchange of ours was answered.
@@ -60,6 +63,7 @@
     configuration: ActorRef<ConfigurationMsg>,
     published_generation: u64,
     published_ms: u64,
+    woken: bool,
     role: Role,
 }
 
@@ -81,6 +85,7 @@
             configuration: arguments.configuration,
             published_generation: 0,
             published_ms: 0,
+            woken: false,
             role: Role::default(),
         })
     }
@@ -94,6 +99,7 @@
         let now_ms = clock::since_ms(state.node.started);
         match message {
             MembershipMsg::Tick => (),
+            MembershipMsg::Wake => state.woken = false,
             MembershipMsg::Receive(gossip, reply) => {
                 let answer = state.membership.receive(now_ms, &gossip);
                 // A caller that gave up waiting hears of it again with the next heartbeat.
@@ -125,6 +131,10 @@
         for exchange in state.membership.tick(now_ms) {
             state.start(&myself, exchange);
         }
+        if state.membership.has_deferred(now_ms) && !std::mem::replace(&mut state.woken, true) {
+            let pause = Duration::from_millis(NEWS_PAUSE_MS);
+            myself.send_after(pause, || MembershipMsg::Wake);
+        }
         state.tell_role();
         state.publish(now_ms);
         Ok(())
--- /dev/null
+++ b/tests/testsuite/spread_membership.rs
@@ -0,0 +1,204 @@
+//! Membership without sockets: convergence, partition, heal, loss, herds.
+
+use dragonflywall::core::member::{Liveness, Member};
+use dragonflywall::core::version::Version;
+
+use crate::spread_network::{TestNetwork, alive, stamp};
+
+fn joined(per_data_centre: u8) -> TestNetwork {
+    let mut network = TestNetwork::new(per_data_centre);
+    network.run_until("all know all", 60_000, TestNetwork::agree);
+    network
+}
+
+/// Pseudo-random but the same in each run.
+fn chance(seed: u64) -> u64 {
+    seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29) % 100
+}
+
+/// Six groups of nodes that each know only three neighbours find each other and agree on who is
+/// there, and when nothing happens no further statements travel.
+#[test]
+fn nodes_find_each_other_and_fall_silent() {
+    let mut network = joined(10);
+    network.run_for(15_000);
+    let before = network.statements_sent;
+    network.run_for(20_000);
+    assert_eq!(network.statements_sent, before);
+}
+
+/// What a node spends on heartbeats must not grow with the mesh: more nodes, and each still starts
+/// about one exchange a second.
+#[test]
+fn heartbeats_per_node_do_not_grow_with_the_mesh() {
+    let per_node = |per_data_centre: u8| {
+        let mut network = joined(per_data_centre);
+        network.run_for(20_000);
+        let before = network.exchanges;
+        network.run_for(60_000);
+        let nodes = network.nodes.len() as u64;
+        (network.exchanges - before) / nodes
+    };
+    let (few, many) = (per_node(6), per_node(30));
+    assert!(many <= few, "{few} grew to {many} exchanges a minute");
+}
+
+/// A version is announced by one node and known to all long before the next heartbeat is due.
+#[test]
+fn announcement_reaches_every_node_at_once() {
+    let mut network = joined(20);
+    network.run_for(10_000);
+    network.node(3).set_head(stamp(1));
+    network.node(3).set_held(stamp(1));
+    // In this test every node fetches in no time.
+    let all_hold = |network: &TestNetwork| network.running().all(|n| n.held() == stamp(1));
+    for _ in 0..200 {
+        network.run_for(5);
+        for position in 0..network.nodes.len() {
+            let node = network.node(position);
+            if node.head() == stamp(1) {
+                node.set_held(stamp(1));
+            }
+        }
+        if all_hold(&network) {
+            return;
+        }
+    }
+    panic!("a second went by and some node has not heard");
+}
+
+/// Every node enforces a version; the report of each stays in its data centre, and the count of
+/// each data centre is known at all nodes, so that an operator can ask any of them.
+#[test]
+fn summaries_tell_every_node_what_each_data_centre_enforces() {
+    let mut network = joined(8);
+    let across = network.statements_across;
+    for position in 0..network.nodes.len() {
+        network.node(position).set_held(stamp(4));
+        network.node(position).set_enforced(Version(4));
+    }
+    network.run_until("all counts everywhere", 30_000, |network| {
+        let complete = |row: &dragonflywall::core::status::DataCentreSummary| {
+            row.nodes == 8 && row.versions == [(Version(4), 8)].into()
+        };
+        let knows = |node: &dragonflywall::membership::Membership| {
+            let rows = node.summaries();
+            rows.len() == 6 && rows.iter().all(complete)
+        };
+        network.running().all(knows)
+    });
+    assert_eq!(network.statements_across, across);
+}
+
+/// A node is paused for as long as it takes to be declared dead, and goes on: it is back in
+/// everybody's view, and did not take the others for dead because its own calls had timed out.
+#[test]
+fn paused_node_is_not_thrown_out_for_good() {
+    let mut network = joined(6);
+    network.freeze(5);
+    let paused = network.statements[5].node;
+    network.run_until("the paused node is given up", 60_000, |network| {
+        let others = network.running().filter(|n| n.me().node != paused);
+        others
+            .into_iter()
+            .all(|node| !alive(node).contains(&paused))
+    });
+    network.thaw(5);
+    network.run_until("it is back", 60_000, TestNetwork::agree);
+}
+
+/// A VM is replaced by one with the same address whose clock is an hour behind, so everything it
+/// says looks older than what the mesh remembers of its predecessor.
+#[test]
+fn restarted_node_supersedes_its_past_although_its_clock_went_back() {
+    let mut network = joined(6);
+    network.stop(7);
+    network.run_for(20_000);
+    network.statements[7].incarnation_us = 10;
+    network.start(7);
+    network.run_until("it is back", 60_000, TestNetwork::agree);
+}
+
+/// The link between the regions is cut until each half holds the other for dead, and heals. Nobody
+/// restarts and the platform is not asked: they must find each other by probing.
+#[test]
+fn halves_that_hold_each_other_for_dead_merge_again() {
+    let mut network = joined(8);
+    network.set_passes(|from, to, _| from.place.region == to.place.region);
+    network.run_until("each half is on its own", 120_000, |network| {
+        network.running().all(|node| alive(node).len() == 24)
+    });
+    network.run_for(600_000);
+    network.set_passes(|_, _, _| true);
+    let before = network.statements_across;
+    network.run_until("one mesh again", 120_000, TestNetwork::agree);
+    network.run_for(20_000);
+    // Each of 48 nodes has to refute its death once; whole views cross a few times, not per node.
+    let crossed = network.statements_across - before;
+    assert!(crossed < 48 * 12, "{crossed} statements crossed");
+}
+
+/// One data centre is cut off from all others, which must not cost the others any member, and
+/// comes back.
+#[test]
+fn data_centre_that_was_cut_off_comes_back() {
+    let mut network = joined(8);
+    let cut = |member: &Member| member.place.data_centre.as_str() == "dc-1";
+    network.set_passes(move |from, to, _| cut(from) == cut(to));
+    network.run_until("both sides know", 120_000, |network| {
+        let expected = |node: &dragonflywall::membership::Membership| match cut(node.me()) {
+            true => 8,
+            false => 40,
+        };
+        network
+            .running()
+            .all(|node| alive(node).len() == expected(node))
+    });
+    network.set_passes(|_, _, _| true);
+    network.run_until("one mesh again", 120_000, TestNetwork::agree);
+}
+
+/// A fifth of all messages is lost for a minute, so nodes are suspected and declared dead wrongly;
+/// afterwards everybody is alive in every view.
+#[test]
+fn lost_messages_leave_no_lasting_damage() {
+    let mut network = joined(8);
+    network.set_passes(|_, _, number| chance(number) >= 20);
+    network.run_for(60_000);
+    network.set_passes(|_, _, _| true);
+    network.run_until("all know all", 60_000, TestNetwork::agree);
+}
+
+/// All processes die and start again at the same moment, with nothing but three addresses each:
+/// they find each other, and the greetings do not become a storm.
+#[test]
+fn herd_that_restarts_at_once_meets_again() {
+    let mut network = joined(20);
+    let before = network.exchanges;
+    for position in 0..network.nodes.len() {
+        network.statements[position].incarnation_us += 1_000_000;
+        network.start(position);
+    }
+    network.run_until("all know all", 60_000, TestNetwork::agree);
+    let per_node = (network.exchanges - before) / network.nodes.len() as u64;
+    assert!(per_node < 150, "{per_node} exchanges per node");
+}
+
+/// Half of all nodes die at once; the rest agree on who is left, and those that died are taken
+/// back when they start again.
+#[test]
+fn half_of_the_nodes_die_and_come_back() {
+    let mut network = joined(10);
+    let dead: Vec<usize> = (0..network.nodes.len()).filter(|n| n % 2 == 0).collect();
+    for position in &dead {
+        network.stop(*position);
+    }
+    network.run_until("the dead are known", 120_000, TestNetwork::agree);
+    let holds_tombstone = |m: &Member| m.liveness == Liveness::Dead;
+    assert!(network.running().all(|n| n.members().any(holds_tombstone)));
+    for position in dead {
+        network.statements[position].incarnation_us += 1_000_000;
+        network.start(position);
+    }
+    network.run_until("all are back", 120_000, TestNetwork::agree);
+}
--- /dev/null
+++ b/tests/testsuite/spread_network.rs
@@ -0,0 +1,274 @@
+//! A network of membership state machines in one thread: no sockets, its own time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
+use dragonflywall::core::names::{DataCentreName, RegionName, ServiceName};
+use dragonflywall::core::version::{Digest, Stamp, Version};
+use dragonflywall::membership::link::NEWS_PAUSE_MS;
+use dragonflywall::membership::{Exchange, Gossip, Membership, Timing};
+
+const TICK_MS: u64 = 250;
+const TIMEOUT_MS: u64 = 1_000;
+
+enum Event {
+    Tick(usize),
+    Wake(usize),
+    Request(usize, SocketAddr, Exchange),
+    Answer(usize, Exchange, Gossip),
+    Failure(usize, Exchange),
+}
+
+/// Decides whether a message passes from one node to another.
+type Passes = Box<dyn Fn(&Member, &Member, u64) -> bool>;
+
+/// The nodes, the messages under way, and the time.
+pub(crate) struct TestNetwork {
+    pub(crate) nodes: Vec<Option<Membership>>,
+    pub(crate) statements: Vec<Member>,
+    pub(crate) now_ms: u64,
+    /// Exchanges started so far.
+    pub(crate) exchanges: u64,
+    /// Statements carried so far.
+    pub(crate) statements_sent: u64,
+    /// Statements carried from one region to another so far.
+    pub(crate) statements_across: u64,
+    frozen: BTreeSet<usize>,
+    woken: BTreeSet<usize>,
+    passes: Passes,
+    events: BTreeMap<(u64, u64), Event>,
+    scheduled: u64,
+}
+
+pub(crate) fn stamp(version: u64) -> Stamp {
+    Stamp {
+        version: Version(version),
+        digest: Digest::of(&version.to_be_bytes()),
+    }
+}
+
+impl TestNetwork {
+    /// Six data centres in two regions; each node knows the next three as seeds.
+    pub(crate) fn new(per_data_centre: u8) -> Self {
+        let mut network = Self {
+            nodes: Vec::new(),
+            statements: Vec::new(),
+            now_ms: 1_000,
+            exchanges: 0,
+            statements_sent: 0,
+            statements_across: 0,
+            frozen: BTreeSet::new(),
+            woken: BTreeSet::new(),
+            passes: Box::new(|_, _, _| true),
+            events: BTreeMap::new(),
+            scheduled: 0,
+        };
+        for data_centre in 0..6 {
+            for number in 0..per_data_centre {
+                let member = statement(data_centre, number);
+                network.statements.push(member);
+            }
+        }
+        for position in 0..network.statements.len() {
+            network.nodes.push(None);
+            let phase_ms = network.now_ms + position as u64 * 7 % TICK_MS;
+            network.schedule(phase_ms, Event::Tick(position));
+            network.start(position);
+        }
+        network
+    }
+
+    /// Starts a node, as after the loss of all its memory.
+    pub(crate) fn start(&mut self, position: usize) {
+        let count = self.statements.len();
+        let seeds = (1..=3).map(|step| self.statements[(position + step) % count].external);
+        let member = self.statements[position].clone();
+        let membership = Membership::new(member, seeds.collect(), Timing::default());
+        self.nodes[position] = Some(membership);
+    }
+
+    pub(crate) fn stop(&mut self, position: usize) {
+        self.nodes[position] = None;
+    }
+
+    pub(crate) fn freeze(&mut self, position: usize) {
+        self.frozen.insert(position);
+    }
+
+    /// The process goes on; it notices the gap before anything else.
+    pub(crate) fn thaw(&mut self, position: usize) {
+        self.frozen.remove(&position);
+        let now_ms = self.now_ms;
+        self.node(position).woke(now_ms);
+    }
+
+    pub(crate) fn set_passes(&mut self, passes: impl Fn(&Member, &Member, u64) -> bool + 'static) {
+        self.passes = Box::new(passes);
+    }
+
+    pub(crate) fn node(&mut self, position: usize) -> &mut Membership {
+        self.nodes[position].as_mut().expect("it runs")
+    }
+
+    pub(crate) fn run_for(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while let Some(entry) = self.events.first_entry() {
+            let (at_ms, _) = *entry.key();
+            if at_ms > end_ms {
+                break;
+            }
+            let event = entry.remove();
+            self.now_ms = at_ms;
+            self.handle(event);
+        }
+        self.now_ms = end_ms;
+    }
+
+    /// Runs until `condition` holds; panics with `what` if it does not within `limit_ms`. Returns
+    /// how long it took.
+    pub(crate) fn run_until(
+        &mut self,
+        what: &str,
+        limit_ms: u64,
+        mut condition: impl FnMut(&Self) -> bool,
+    ) -> u64 {
+        let begin_ms = self.now_ms;
+        while !condition(self) {
+            assert!(
+                self.now_ms - begin_ms < limit_ms,
+                "never came: {what}; alive by view: {:?}",
+                self.running().map(|n| alive(n).len()).collect::<Vec<_>>()
+            );
+            self.run_for(10);
+        }
+        self.now_ms - begin_ms
+    }
+
+    /// Whether every running node knows exactly the running ones as alive.
+    pub(crate) fn agree(&self) -> bool {
+        let running: BTreeSet<NodeId> = self.running().map(|node| node.me().node).collect();
+        self.running().all(|node| alive(node) == running)
+    }
+
+    pub(crate) fn running(&self) -> impl Iterator<Item = &Membership> {
+        self.nodes.iter().flatten()
+    }
+
+    fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.scheduled += 1;
+        self.events.insert((at_ms, self.scheduled), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(position) => {
+                self.schedule(self.now_ms + TICK_MS, Event::Tick(position));
+                self.tick(position);
+            }
+            Event::Wake(position) => {
+                self.woken.remove(&position);
+                self.tick(position);
+            }
+            Event::Request(from, to, exchange) => self.request(from, to, exchange),
+            Event::Answer(position, sent, answer) => {
+                let now_ms = self.now_ms;
+                if self.is_up(position) {
+                    self.node(position).exchange_done(now_ms, &sent, &answer);
+                    self.tick(position);
+                }
+            }
+            Event::Failure(position, sent) => {
+                let now_ms = self.now_ms;
+                if self.is_up(position) {
+                    self.node(position).exchange_failed(now_ms, &sent);
+                    self.tick(position);
+                }
+            }
+        }
+    }
+
+    fn is_up(&self, position: usize) -> bool {
+        self.nodes[position].is_some() && !self.frozen.contains(&position)
+    }
+
+    fn tick(&mut self, position: usize) {
+        if !self.is_up(position) {
+            return;
+        }
+        let now_ms = self.now_ms;
+        for exchange in self.node(position).tick(now_ms) {
+            self.exchanges += 1;
+            let delay_ms = 1;
+            let event = Event::Request(position, exchange.address, exchange);
+            self.schedule(now_ms + delay_ms, event);
+        }
+        if self.node(position).has_deferred(now_ms) && self.woken.insert(position) {
+            self.schedule(now_ms + NEWS_PAUSE_MS, Event::Wake(position));
+        }
+    }
+
+    fn request(&mut self, from: usize, address: SocketAddr, exchange: Exchange) {
+        let to = self
+            .statements
+            .iter()
+            .position(|member| member.node.0 == address || member.external == address)
+            .expect("every address is a node's");
+        let near = &self.statements[from];
+        let far = &self.statements[to];
+        let across = near.place.region != far.place.region;
+        let delay_ms = if across { 20 } else { 1 };
+        let there = (self.passes)(near, far, self.scheduled);
+        let back = (self.passes)(far, near, self.scheduled + 1);
+        if self.nodes[to].is_none() {
+            self.schedule(self.now_ms + delay_ms, Event::Failure(from, exchange));
+            return;
+        }
+        if !there || self.frozen.contains(&to) {
+            self.schedule(self.now_ms + TIMEOUT_MS, Event::Failure(from, exchange));
+            return;
+        }
+        self.now_ms += delay_ms;
+        let now_ms = self.now_ms;
+        let answer = self.node(to).receive(now_ms, &exchange.gossip);
+        self.now_ms -= delay_ms;
+        let statements = (exchange.gossip.updates.len() + answer.updates.len()) as u64;
+        self.statements_sent += statements;
+        self.statements_across += if across { statements } else { 0 };
+        let event = match back {
+            true => Event::Answer(from, exchange, answer),
+            false => Event::Failure(from, exchange),
+        };
+        let wait_ms = if back { 2 * delay_ms } else { TIMEOUT_MS };
+        self.schedule(self.now_ms + wait_ms, event);
+        self.tick(to);
+    }
+}
+
+/// The nodes that `node` believes to be alive.
+pub(crate) fn alive(node: &Membership) -> BTreeSet<NodeId> {
+    node.members()
+        .filter(|member| member.liveness == Liveness::Alive)
+        .map(|member| member.node)
+        .collect()
+}
+
+fn statement(data_centre: u8, number: u8) -> Member {
+    let node = SocketAddr::from((Ipv4Addr::new(10, 0, data_centre, number), 7000));
+    let external = SocketAddr::from((Ipv4Addr::new(192, 168, data_centre, number), 7000));
+    let region = if data_centre < 3 { "norte" } else { "sul" };
+    Member {
+        node: NodeId(node),
+        external,
+        place: Place {
+            region: RegionName::new(region),
+            data_centre: DataCentreName::new(format!("dc-{data_centre}")),
+        },
+        incarnation_us: 1_000_000,
+        sequence: 1,
+        liveness: Liveness::Alive,
+        service: Some(ServiceName::new("tablon")),
+        backend: BackendState::Serving,
+        enforced: Version::NONE,
+    }
+}
