Enforce without waiting for a heartbeat; tell holders from hearers

Cause: a neighbour that already knew of a version did not learn that the sender now held it, since a known stamp is not repeated; and a node whose neighbours all held the version had nobody to tell, so it waited for the next heartbeat for its witness. Hints of an operator's command never arrived in the stand-in network: its source address is of no site, and the front closed it.

--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -230,9 +230,11 @@
             continue;
         };
         let target = *targets.borrow();
-        let (Some(target), Some(from)) = (target, site_of(peer.ip())) else {
+        let Some(target) = target else {
             continue;
         };
+        // An operator's command dials from no site's address; it runs beside the platform.
+        let from = site_of(peer.ip()).unwrap_or(0);
         connections.spawn(forward(Arc::clone(&network), stream, from, target, site));
     }
 }
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -15,6 +15,10 @@
 /// the data centre. Suspecting one at a time would keep 87 dead endpoints for minutes.
 const SILENT_MAX: usize = 3;
 
+/// Peers that are told of a version before it is enforced; one must confirm. Two, so that a slow or
+/// dead one does not delay it.
+const WITNESSES: usize = 2;
+
 impl Membership {
     /// Takes in a message and answers it.
     pub fn receive(&mut self, now_ms: u64, gossip: &Gossip) -> Gossip {
@@ -136,17 +140,40 @@
 
     pub(super) fn due(&mut self, now_ms: u64) -> Vec<Exchange> {
         let announcement = self.announcement();
-        let due: Vec<NodeId> = self
+        let mut due: BTreeSet<NodeId> = self
             .links
             .iter()
             .filter(|(_, link)| link.is_due(now_ms, announcement))
             .map(|(node, _)| *node)
             .collect();
+        self.add_witnesses(now_ms, &mut due);
         due.into_iter()
             .filter_map(|node| self.exchange_with(node, now_ms))
             .collect()
     }
 
+    /// A version waits for a witness before it is enforced. The neighbours may all hold it already,
+    /// so that there is nothing else to tell them; two are told all the same, those of the ring
+    /// first, since a restarted node asks these.
+    fn add_witnesses(&self, now_ms: u64, due: &mut BTreeSet<NodeId>) {
+        let held = self.held.version;
+        if self.witnessed >= held {
+            return;
+        }
+        let telling = self.links.values();
+        let telling = telling.filter(|link| link.in_flight && link.telling == held);
+        let asked = telling.count() + due.len();
+        let mut free: Vec<(Kind, NodeId)> = self
+            .links
+            .iter()
+            .filter(|(node, link)| link.is_free(now_ms) && !due.contains(node))
+            .map(|(node, link)| (link.kind, *node))
+            .collect();
+        free.sort_unstable();
+        let missing = WITNESSES.saturating_sub(asked);
+        due.extend(free.into_iter().take(missing).map(|(_, node)| node));
+    }
+
     /// Whether [`Membership::tick`] is worth calling again after
     /// [`super::link::NEWS_PAUSE_MS`].
     pub fn has_deferred(&self, now_ms: u64) -> bool {
@@ -168,7 +195,7 @@
             gossip.reports.push(own_report);
         }
         gossip.want_all = link.want_all;
-        link.start(now_ms);
+        link.start(now_ms, gossip.version);
         gossip.updates.extend(self.claim_about(node));
         Some(Exchange {
             to: Some(node),
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -51,6 +51,8 @@
     pub told: Version,
     /// Whether an exchange is under way.
     pub in_flight: bool,
+    /// The own version that the exchange under way tells.
+    pub telling: Version,
     /// Whether to ask it for its whole view.
     pub want_all: bool,
     interval_ms: u64,
@@ -83,6 +85,7 @@
             peer_knows: Version::NONE,
             told: Version::NONE,
             in_flight: false,
+            telling: Version::NONE,
             want_all: false,
             interval_ms,
             next_heartbeat_ms: now_ms + first_ms,
@@ -101,7 +104,7 @@
 
     /// Whether an exchange is to be started now.
     pub fn is_due(&self, now_ms: u64, announcement: Announcement) -> bool {
-        if self.in_flight || now_ms < self.not_before_ms {
+        if !self.is_free(now_ms) {
             return false;
         }
         let heartbeat = now_ms >= self.next_heartbeat_ms;
@@ -142,9 +145,15 @@
         head || !self.members.is_empty()
     }
 
+    /// Whether an exchange could be started now.
+    pub fn is_free(&self, now_ms: u64) -> bool {
+        !self.in_flight && now_ms >= self.not_before_ms
+    }
+
     /// Notes that an exchange starts.
-    pub fn start(&mut self, now_ms: u64) {
+    pub fn start(&mut self, now_ms: u64, version: Version) {
         self.in_flight = true;
+        self.telling = version;
         self.last_sent_ms = now_ms;
         self.next_heartbeat_ms = now_ms + self.interval_ms;
         if std::mem::take(&mut self.want_all) {
@@ -192,10 +201,16 @@
         }
     }
 
-    /// Takes in what the neighbour says of itself.
-    pub fn heard(&mut self, version: Version, knows: Version) {
-        // Its latest word counts, not its highest: it may have come back without memory.
+    /// Takes in what the neighbour says of itself: its version, and what it announces, unless it
+    /// takes that for known here.
+    pub fn heard(&mut self, version: Version, announces: Option<Version>) {
+        let came_back_empty = version < self.peer_version;
+        if came_back_empty {
+            self.peer_knows = version;
+            self.told = Version::NONE;
+        }
         self.peer_version = version;
-        self.peer_knows = version.max(knows);
+        let knows = announces.unwrap_or(Version::NONE).max(version);
+        self.peer_knows = self.peer_knows.max(knows);
     }
 }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -301,10 +301,9 @@
         let sequence = self.me.sequence;
         let from = Some(gossip.from);
         self.reports.remember(gossip.from, gossip.version);
-        let announced = gossip.announce.unwrap_or(Stamp::NONE);
-        self.set_head(announced);
+        self.set_head(gossip.announce.unwrap_or(Stamp::NONE));
         if let Some(link) = self.links.get_mut(&gossip.from) {
-            link.heard(gossip.version, announced.version);
+            link.heard(gossip.version, gossip.announce.map(|stamp| stamp.version));
         }
         for member in &gossip.updates {
             self.learn(now_ms, member.clone(), from);
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -165,13 +165,18 @@
         });
     }
 
-    /// Passes on what a peer announced, and whether it holds it.
+    /// Passes on what a peer knows of, and whether it holds it.
     fn announce(&self, gossip: &Gossip) {
-        let Some(stamp) = gossip.announce else { return };
-        let holder = self.peer(gossip.from);
+        // A stamp that this node has confirmed to know is not repeated; its version tells.
+        let head = self.membership.head();
+        let known = (head.version == gossip.version).then_some(head);
+        let Some(stamp) = gossip.announce.or(known) else {
+            return;
+        };
+        let holds = stamp.version > Version::NONE && stamp.version <= gossip.version;
         let announced = ConfigurationMsg::Announced {
             stamp,
-            holder: holder.filter(|_| stamp.version <= gossip.version),
+            holder: self.peer(gossip.from).filter(|_| holds),
         };
         // The actor is gone only while the process ends.
         let _ = self.configuration.cast(announced);
