Add the demo: a whole small mesh by one command

The README had no command that shows the main job. `demo` starts a deployment's 16 nodes as processes, publishes its example files, calls each service from each data centre, changes one treatment, publishes it, and ends with an error unless every node enforces each version, every caller got its own whole answer and every request ran exactly once.

The testkit starts nodes side by side, can count the traffic inside a data centre (nodes advertise their front) and can pass on the nodes' log lines with the time they were read.

Found by the demo: `publish` hinted 0 nodes, since a front dropped connections from addresses of no site, and operators' commands dial from such. They now count as standing beside the platform.

--- /dev/null
+++ b/crates/experiment/src/cli.rs
@@ -0,0 +1,69 @@
+//! Picks the command, and turns its failure into text and an exit code.
+
+use std::error::Error as _;
+use std::ffi::OsString;
+use std::future::Future;
+use std::process::ExitCode;
+
+use crate::error::{Error, Result};
+use crate::{demo, node};
+
+const HELP: &str = "\
+Runs meshes of dragonflywall nodes on this machine and measures them.
+
+Usage: experiment COMMAND
+
+Commands:
+  demo [chatarras|marinhas]  a whole small mesh: publish, call, publish again
+";
+
+/// Runs the command line.
+pub(crate) fn run(arguments: Vec<OsString>) -> ExitCode {
+    match dispatch(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            let mut source = error.source();
+            while let Some(cause) = source {
+                eprintln!("  because: {cause}");
+                source = cause.source();
+            }
+            match error {
+                Error::Usage { .. } => {
+                    eprintln!("hint: see `experiment help`");
+                    ExitCode::from(2)
+                }
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn dispatch(arguments: Vec<OsString>) -> Result {
+    let mut arguments = arguments.into_iter();
+    let command = arguments.next();
+    let command = command.as_ref().and_then(|command| command.to_str());
+    let rest: Vec<OsString> = arguments.collect();
+    match command {
+        Some("demo") => block_on(demo::run(rest)),
+        Some("node") => node::run(rest),
+        Some("help" | "--help" | "-h") => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(Error::Usage {
+            text: format!("`{other}` is not a command"),
+        }),
+        None => Err(Error::Usage {
+            text: "a command is required".to_owned(),
+        }),
+    }
+}
+
+fn block_on(run: impl Future<Output = Result>) -> Result {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime needs only a file descriptor");
+    runtime.block_on(run)
+}
--- /dev/null
+++ b/crates/experiment/src/demo.rs
@@ -0,0 +1,240 @@
+//! `demo`: the main job, start to end, on this machine.
+//!
+//! A mesh of a deployment's four data centres starts; its example files are published; every
+//! service is called from every data centre; one treatment is changed and published; what each
+//! data centre enforces and what the callers got is printed. Anything unexpected ends the run
+//! with an error.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::time::{Duration, Instant};
+
+use dragonflywall::platform::http::HttpPlatform;
+use http::Method;
+use testkit::backend::expected_answer_digest;
+use testkit::http::{Reply, request};
+use testkit::mesh::Mesh;
+
+use crate::error::{Error, Result};
+use crate::examples::{self, Call, Example};
+use crate::publication::{self, Accepted};
+
+/// The whole run is bounded, so that a fault ends it instead of hanging it.
+const RUN_LIMIT: Duration = Duration::from_secs(100);
+const ANSWER_BYTES: u64 = 2_000;
+/// Between the old timeout and the new one of either example.
+const SLOW_WORK_MS: u64 = 2_000;
+
+/// Runs the demo of the deployment named on the command line.
+pub(crate) async fn run(arguments: Vec<OsString>) -> Result {
+    let name = match arguments.as_slice() {
+        [] => "chatarras".to_owned(),
+        [name] => name.to_string_lossy().into_owned(),
+        _ => String::new(),
+    };
+    let example = examples::by_name(&name).ok_or_else(|| Error::Usage {
+        text: "`demo` takes `chatarras` or `marinhas`".to_owned(),
+    })?;
+    let finished = tokio::time::timeout(RUN_LIMIT, whole(&example)).await;
+    finished.map_err(|_| Error::Unexpected {
+        text: format!("not finished after {} s", RUN_LIMIT.as_secs()),
+    })?
+}
+
+async fn whole(example: &Example) -> Result {
+    let started = Instant::now();
+    let mesh = start(example).await?;
+    let platform = HttpPlatform::new(&mesh.platform.url(), None);
+
+    publish(&mesh, &platform, &example.files, 1).await?;
+    mesh.wait_joined().await;
+    println!("Calling each service from each data centre");
+    let mut ids = call_everything(&mesh, example, "first").await?;
+    let slow = example.edit.slow_call;
+    let given_up = slow_call(&mesh, slow, "slow-before").await?;
+    println!(
+        "Gave up {} after {} ms of its {SLOW_WORK_MS} ms: status {}, verdict {}",
+        slow.purpose,
+        given_up.took.as_millis(),
+        given_up.reply.status.as_u16(),
+        given_up.reply.header("x-dragonflywall-verdict"),
+    );
+    expect(given_up.reply.status != 200, "the old timeout holds")?;
+
+    println!(
+        "Changed `{}` to `{}` in the file of {}",
+        example.edit.from, example.edit.to, slow.service
+    );
+    publish(&mesh, &platform, &example.edited_files()[..1], 2).await?;
+    let answered = slow_call(&mesh, slow, "slow-after").await?;
+    println!(
+        "Answered {} after {} ms: status {}, under version {}",
+        slow.purpose,
+        answered.took.as_millis(),
+        answered.reply.status.as_u16(),
+        answered.reply.header("x-dragonflywall-version"),
+    );
+    expect(answered.reply.status == 200, "the new timeout holds")?;
+    ids.push("slow-after".to_owned());
+    ids.extend(call_everything(&mesh, example, "second").await?);
+    check_ran_once(&mesh, &ids)?;
+    println!(
+        "Finished: {} answers, each its caller's own, every request run exactly once, {:.1} s",
+        ids.len(),
+        started.elapsed().as_secs_f64()
+    );
+    Ok(())
+}
+
+async fn start(example: &Example) -> Result<Mesh> {
+    let program = std::env::current_exe().map_err(|error| Error::Start {
+        text: error.to_string(),
+    })?;
+    let deployment = example.deployment.clone();
+    let mesh = Mesh::start(&program, &["node"], deployment).await;
+    let mesh = mesh.map_err(|text| Error::Start { text })?;
+    println!(
+        "Started {}: {} nodes, a process each, in {} data centres; the platform's stand-in at {}",
+        example.name,
+        mesh.vms.len(),
+        mesh.deployment.data_centres.len(),
+        mesh.platform.url()
+    );
+    Ok(mesh)
+}
+
+async fn publish(
+    mesh: &Mesh,
+    platform: &HttpPlatform,
+    files: &[String],
+    version: u64,
+) -> Result<Accepted> {
+    let records = publication::records(files)?;
+    let teams: Vec<String> = records.iter().map(|r| r.team.to_string()).collect();
+    let accepted = publication::accept(platform, "demo", records, version).await?;
+    println!(
+        "Published: version {} with {}; hinted {} nodes",
+        accepted.published.stamp,
+        teams.join(", "),
+        accepted.hinted
+    );
+    mesh.wait_enforced(version).await;
+    println!(
+        "Enforced by every node {} ms after acceptance, as seen by asking each:",
+        accepted.at.elapsed().as_millis()
+    );
+    print_enforced(mesh).await;
+    Ok(accepted)
+}
+
+/// Asks every node what it enforces itself, and sums up by data centre.
+async fn print_enforced(mesh: &Mesh) {
+    let mut versions: BTreeMap<usize, BTreeMap<u64, usize>> = BTreeMap::new();
+    for (position, vm) in mesh.vms.iter().enumerate() {
+        let version = mesh.version_at(position).await;
+        let row = versions.entry(usize::from(vm.site)).or_default();
+        *row.entry(version).or_default() += 1;
+    }
+    for (site, versions) in versions {
+        let data_centre = &mesh.deployment.data_centres[site];
+        let parts: Vec<String> = versions
+            .iter()
+            .map(|(version, nodes)| format!("version {version} at {nodes} nodes"))
+            .collect();
+        println!(
+            "  {:<10} {:<10} {}",
+            data_centre.region,
+            data_centre.name,
+            parts.join(", ")
+        );
+    }
+}
+
+/// Calls every service through one node of every data centre; returns the ids of the calls.
+async fn call_everything(mesh: &Mesh, example: &Example, round: &str) -> Result<Vec<String>> {
+    let mut ids = Vec::new();
+    for (site, data_centre) in mesh.deployment.data_centres.iter().enumerate() {
+        // Another node for each call, so that callers' entries differ from the endpoints' nodes.
+        let entries = mesh.vms.iter().filter(|vm| usize::from(vm.site) == site);
+        let entries: Vec<_> = entries.map(|vm| vm.node().addresses.caller).collect();
+        for (number, call) in example.calls.iter().enumerate() {
+            let entry = entries[(number + 1) % entries.len()];
+            let id = format!("{round}-{}-{}", data_centre.name, call.service);
+            let path = format!("{}?answer_bytes={ANSWER_BYTES}", call.path);
+            let reply = send(entry, *call, &path, &id).await?;
+            check_answer(&reply, &id)?;
+            println!(
+                "  {:<10} {:<26} {:<4} {:<10} {} from {}, {} bytes, version {}",
+                data_centre.name,
+                call.purpose,
+                call.method,
+                call.service,
+                reply.status.as_u16(),
+                reply.header("x-ran-by"),
+                reply.body.len(),
+                reply.header("x-dragonflywall-version"),
+            );
+            ids.push(id);
+        }
+    }
+    Ok(ids)
+}
+
+fn check_answer(reply: &Reply, id: &str) -> Result {
+    let digest = blake3::hash(&reply.body).to_hex().to_string();
+    let own = digest == expected_answer_digest(id, ANSWER_BYTES);
+    expect(reply.status == 200, &format!("{id} is answered: {reply:?}"))?;
+    expect(own, &format!("{id} gets the whole answer to its own call"))
+}
+
+struct SlowAnswer {
+    reply: Reply,
+    took: Duration,
+}
+
+async fn slow_call(mesh: &Mesh, call: Call, id: &str) -> Result<SlowAnswer> {
+    let entry = mesh.vms.iter().find(|vm| vm.service != call.service);
+    let entry = entry.expect("an example has several services");
+    let path = format!("{}?work_ms={SLOW_WORK_MS}", call.path);
+    let begin = Instant::now();
+    let reply = send(entry.node().addresses.caller, call, &path, id).await?;
+    Ok(SlowAnswer {
+        reply,
+        took: begin.elapsed(),
+    })
+}
+
+async fn send(entry: std::net::SocketAddr, call: Call, path: &str, id: &str) -> Result<Reply> {
+    let method = Method::from_bytes(call.method.as_bytes()).expect("examples use known methods");
+    let headers = [("x-request-id", id)];
+    let reply = request(entry, method, call.service, path, &headers, "").await;
+    reply.map_err(|error| Error::Unexpected {
+        text: format!("{id} got no answer: {error}"),
+    })
+}
+
+fn check_ran_once(mesh: &Mesh, ids: &[String]) -> Result {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for vm in &mesh.vms {
+        for (id, count) in vm.backend.record().runs {
+            *runs.entry(id).or_default() += count;
+        }
+    }
+    for id in ids {
+        let count = runs.get(id).copied().unwrap_or(0);
+        expect(
+            count == 1,
+            &format!("{id} runs once, and ran {count} times"),
+        )?;
+    }
+    Ok(())
+}
+
+fn expect(holds: bool, what: &str) -> Result {
+    if holds {
+        return Ok(());
+    }
+    Err(Error::Unexpected {
+        text: format!("expected that {what}"),
+    })
+}
--- /dev/null
+++ b/crates/experiment/src/examples.rs
@@ -0,0 +1,124 @@
+//! The users' two deployments with their team files, and calls that show what these do.
+
+use testkit::mesh::Deployment;
+
+/// One call to a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Call {
+    pub(crate) service: &'static str,
+    pub(crate) method: &'static str,
+    pub(crate) path: &'static str,
+    /// What it stands for.
+    pub(crate) purpose: &'static str,
+}
+
+/// An edit of a team file whose effect a caller notices.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Edit {
+    /// The file, by position.
+    pub(crate) file: usize,
+    pub(crate) from: &'static str,
+    pub(crate) to: &'static str,
+    /// A call that takes too long before the edit and is answered after it.
+    pub(crate) slow_call: Call,
+}
+
+/// A deployment and what to do with it.
+#[derive(Debug)]
+pub(crate) struct Example {
+    pub(crate) name: &'static str,
+    pub(crate) deployment: Deployment,
+    pub(crate) files: Vec<String>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) edit: Edit,
+}
+
+impl Example {
+    /// The files with the edit made.
+    pub(crate) fn edited_files(&self) -> Vec<String> {
+        let mut files = self.files.clone();
+        let text = &mut files[self.edit.file];
+        *text = text.replacen(self.edit.from, self.edit.to, 1);
+        files
+    }
+}
+
+fn call(
+    method: &'static str,
+    service: &'static str,
+    path: &'static str,
+    purpose: &'static str,
+) -> Call {
+    Call {
+        service,
+        method,
+        path,
+        purpose,
+    }
+}
+
+/// The example of that name.
+pub(crate) fn by_name(name: &str) -> Option<Example> {
+    match name {
+        "chatarras" => Some(chatarras()),
+        "marinhas" => Some(marinhas()),
+        _ => None,
+    }
+}
+
+/// Chatarras Cantabrico Boletines.
+pub(crate) fn chatarras() -> Example {
+    let files = [
+        include_str!("../../../examples/chatarras/boletines.toml"),
+        include_str!("../../../examples/chatarras/suscripciones.toml"),
+        include_str!("../../../examples/chatarras/bascula.toml"),
+    ];
+    Example {
+        name: "chatarras",
+        deployment: Deployment::chatarras(),
+        files: files.map(str::to_owned).into(),
+        calls: vec![
+            call("GET", "tablon", "/prices/copper", "a dealer reads a price"),
+            call("POST", "cobros", "/payments", "a payment"),
+            call("PUT", "bascula", "/bundles/7", "a photo bundle"),
+            call("GET", "hemeroteca", "/archive/1998", "an archive look-up"),
+        ],
+        edit: Edit {
+            file: 0,
+            from: "timeout_ms = 800",
+            to: "timeout_ms = 3000",
+            slow_call: call("GET", "tablon", "/prices/steel", "a slow price"),
+        },
+    }
+}
+
+/// Marinhas Digitais.
+pub(crate) fn marinhas() -> Example {
+    let files = [
+        include_str!("../../../examples/marinhas/armazem.toml"),
+        include_str!("../../../examples/marinhas/expedicao.toml"),
+        include_str!("../../../examples/marinhas/balanco.toml"),
+    ];
+    Example {
+        name: "marinhas",
+        deployment: Deployment::marinhas(),
+        files: files.map(str::to_owned).into(),
+        calls: vec![
+            call("GET", "armazem", "/stock/7", "a keeper reads the stock"),
+            call("POST", "expedicao", "/dispatches", "a dispatch booking"),
+            call("PUT", "pesagem", "/sheets/3", "a weighbridge sheet"),
+            call(
+                "GET",
+                "balanco",
+                "/reconciliations/1",
+                "a clerk's reconciliation",
+            ),
+        ],
+        edit: Edit {
+            file: 0,
+            from: "timeout_ms = 1500",
+            to: "timeout_ms = 4000",
+            slow_call: call("GET", "armazem", "/stock/8", "a slow stock figure"),
+        },
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/node.rs
@@ -0,0 +1,42 @@
+//! The hidden command `node`: one node process, run as the product's own program runs it.
+
+use std::ffi::OsString;
+
+use dragonflywall::node::{self, Settings, logging, settings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::{Error, Result};
+
+/// As many as the product's program gives a node.
+const WORKER_THREADS: usize = 2;
+
+pub(crate) fn run(arguments: Vec<OsString>) -> Result {
+    let settings =
+        settings::parse(arguments, |name| std::env::var(name).ok()).map_err(|error| {
+            Error::Node {
+                text: error.to_string(),
+            }
+        })?;
+    logging::init(settings.log_format, settings.log_level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .expect("a runtime needs only a file descriptor");
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result {
+    let handle = node::start(settings).await.map_err(|error| Error::Node {
+        text: error.to_string(),
+    })?;
+    println!("{}", handle.addresses_json());
+    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    handle.drain().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/experiment/src/publication.rs
@@ -0,0 +1,68 @@
+//! Publications as an operator makes them, through the product's own operations.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use dragonflywall::core::configuration::TeamRecord;
+use dragonflywall::core::team_file;
+use dragonflywall::ops::command::hint;
+use dragonflywall::ops::command::publish::{PublishOptions, Published, publish};
+use dragonflywall::platform::http::HttpPlatform;
+use snafu::ResultExt;
+
+use crate::error::{Error, PublishSnafu, Result};
+
+/// A publication that took effect.
+#[derive(Debug)]
+pub(crate) struct Accepted {
+    /// What was published.
+    pub(crate) published: Published,
+    /// When the commit had returned.
+    pub(crate) at: Instant,
+    /// Nodes that took a hint.
+    pub(crate) hinted: usize,
+}
+
+/// Parses team files that must be right.
+pub(crate) fn records(files: &[String]) -> Result<Vec<TeamRecord>> {
+    let parse = |text: &String| {
+        team_file::parse(text).map_err(|findings| Error::Unexpected {
+            text: format!("an example file is refused: {findings:?}"),
+        })
+    };
+    files.iter().map(parse).collect()
+}
+
+/// Publishes `records` and hints nodes, as `dragonflywall publish` does.
+pub(crate) async fn accept(
+    platform: &HttpPlatform,
+    operator: &str,
+    records: Vec<TeamRecord>,
+    expected_version: u64,
+) -> Result<Accepted> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let time_ms = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
+    let options = PublishOptions::builder()
+        .publish_id(format!("{:016x}", rand::random::<u64>()))
+        .operator(operator)
+        .time_ms(time_ms)
+        .records(records)
+        .build();
+    let published = publish(platform, &options).await.context(PublishSnafu {
+        version: expected_version,
+    })?;
+    let at = Instant::now();
+    let hinted = hint::send_hints(platform, published.stamp).await;
+    if published.stamp.version.0 != expected_version {
+        return Err(Error::Unexpected {
+            text: format!(
+                "expected version {expected_version}, published {}",
+                published.stamp
+            ),
+        });
+    }
+    Ok(Accepted {
+        published,
+        at,
+        hinted,
+    })
+}
--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -6,15 +6,18 @@
 use std::time::Duration;
 
 use ::http::Method;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::backend::{Backend, Behaviour};
 use crate::http::{request, wait_until};
 use crate::network::{Front, Network, Site, site_ip};
 use crate::platform::Platform;
-use crate::process::NodeProcess;
+use crate::process::{LogLine, NodeProcess};
 
 /// Bounds a hang; no test judges speed by it.
 const LIMIT: Duration = Duration::from_secs(60);
+/// Processes that start at a time: enough to keep the cores of a small machine busy.
+const STARTS_AT_A_TIME: usize = 16;
 
 /// One data centre of a deployment.
 #[derive(Clone, Debug)]
@@ -38,6 +41,11 @@
     pub endpoints_per_data_centre: usize,
     /// How the backend servers behave.
     pub behaviour: Behaviour,
+    /// Whether traffic between nodes of one data centre passes counted fronts as well.
+    pub counts_inside: bool,
+    /// Where the nodes' log lines go, as JSON from level `info` on; without it nodes write
+    /// warnings to the standard error of whoever started the mesh.
+    pub log_lines: Option<mpsc::UnboundedSender<LogLine>>,
 }
 
 fn data_centre(name: &'static str, region: &'static str, region_number: u8) -> DataCentre {
@@ -61,6 +69,8 @@
             services: vec!["tablon", "cobros", "bascula", "hemeroteca"],
             endpoints_per_data_centre: 1,
             behaviour: Behaviour::default(),
+            counts_inside: false,
+            log_lines: None,
         }
     }
 
@@ -79,6 +89,8 @@
                 slots: 6,
                 ..Behaviour::default()
             },
+            counts_inside: false,
+            log_lines: None,
         }
     }
 }
@@ -153,15 +165,21 @@
         for site in 0..sites {
             for service in self.deployment.services.clone() {
                 for _ in 0..self.deployment.endpoints_per_data_centre {
-                    self.add_vm(site, service).await?;
+                    self.add_backend(site, service).await?;
                 }
             }
         }
-        Ok(())
+        self.start_nodes((0..self.vms.len()).collect()).await
     }
 
     /// Starts one more VM; returns its position.
     pub async fn add_vm(&mut self, site: Site, service: &'static str) -> Result<usize, String> {
+        let position = self.add_backend(site, service).await?;
+        self.start_node(position).await?;
+        Ok(position)
+    }
+
+    async fn add_backend(&mut self, site: Site, service: &'static str) -> Result<usize, String> {
         let position = self.vms.len();
         let address = SocketAddr::new(site_ip(site), 0);
         let behaviour = self.deployment.behaviour.clone();
@@ -176,21 +194,52 @@
             front: front.map_err(text)?,
             peer: None,
         });
-        self.start_node(position).await?;
         Ok(position)
     }
 
     /// Starts the node of a VM, at the address that it had before, if it had one.
     pub async fn start_node(&mut self, position: usize) -> Result<(), String> {
-        let arguments = self.arguments(position);
-        let node = NodeProcess::start(&self.program, &arguments).await?;
-        let vm = &mut self.vms[position];
-        vm.front.set_target(node.addresses.peer);
-        vm.peer = Some(node.addresses.peer);
-        vm.node = Some(node);
+        self.start_nodes(vec![position]).await
+    }
+
+    /// Starts the nodes of several VMs side by side.
+    pub async fn start_nodes(&mut self, positions: Vec<usize>) -> Result<(), String> {
+        let permits = Arc::new(Semaphore::new(STARTS_AT_A_TIME));
+        let mut starts = tokio::task::JoinSet::new();
+        for position in positions {
+            let permits = Arc::clone(&permits);
+            let program = self.program.clone();
+            let arguments = self.arguments(position);
+            let log_lines = self.deployment.log_lines.clone();
+            starts.spawn(async move {
+                let _permit = permits.acquire().await;
+                let log_lines = log_lines.map(|lines| (position, lines));
+                let node = NodeProcess::start_logged(&program, &arguments, log_lines).await;
+                (position, node)
+            });
+        }
+        while let Some(started) = starts.join_next().await {
+            let (position, node) = started.map_err(text)?;
+            let node = node?;
+            let vm = &mut self.vms[position];
+            vm.front.set_target(node.addresses.peer);
+            vm.peer = Some(node.addresses.peer);
+            vm.node = Some(node);
+        }
         Ok(())
     }
 
+    /// Bytes that passed the fronts of all nodes, both ways: the traffic between nodes. That
+    /// inside a data centre is part of it only with [`Deployment::counts_inside`].
+    pub fn bytes_between_nodes(&self) -> u64 {
+        self.vms.iter().map(|vm| vm.front.bytes()).sum()
+    }
+
+    /// Bytes between all nodes and the platform, both ways.
+    pub fn bytes_with_platform(&self) -> u64 {
+        self.platform_front.bytes()
+    }
+
     fn arguments(&self, position: usize) -> Vec<String> {
         let vm = &self.vms[position];
         let data_centre = &self.deployment.data_centres[usize::from(vm.site)];
@@ -214,7 +263,15 @@
         set("dial-from", ip.to_string());
         set("service", vm.service.to_owned());
         set("backend-server", vm.backend.address.to_string());
-        set("log-level", "warn".to_owned());
+        if self.deployment.counts_inside {
+            set("peer-advertise", vm.front.address.to_string());
+        }
+        if self.deployment.log_lines.is_some() {
+            set("log-format", "json".to_owned());
+            set("log-level", "info".to_owned());
+        } else {
+            set("log-level", "warn".to_owned());
+        }
         arguments
     }
 
--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -20,6 +21,9 @@
 /// Number of a data centre, from 0.
 pub type Site = u8;
 
+/// Where operators' commands run, which dial from an address of no site: beside the platform.
+pub const OPERATOR_SITE: Site = 0;
+
 const CHUNK_BYTES: usize = 16 << 10;
 /// Chunks under way in one direction of one connection: about 4 MiB, above delay times bandwidth.
 const CHUNKS_UNDER_WAY: usize = 256;
@@ -184,6 +188,7 @@
     /// Where others connect.
     pub address: SocketAddr,
     target: watch::Sender<Option<SocketAddr>>,
+    bytes: Arc<AtomicU64>,
     stop: CancellationToken,
 }
 
@@ -200,16 +205,29 @@
         let address = listener.local_addr()?;
         let (target, targets) = watch::channel(None);
         let stop = CancellationToken::new();
-        let accept = accept(listener, Arc::clone(network), site, targets);
+        let bytes = Arc::new(AtomicU64::new(0));
+        let accept = accept(
+            listener,
+            Arc::clone(network),
+            site,
+            targets,
+            Arc::clone(&bytes),
+        );
         let stopped = stop.clone();
         tokio::spawn(async move { stopped.run_until_cancelled(accept).await });
         Ok(Self {
             address,
             target,
+            bytes,
             stop,
         })
     }
 
+    /// Bytes that passed so far, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Names the listener that it stands before.
     pub fn set_target(&self, target: SocketAddr) {
         self.target.send_replace(Some(target));
@@ -221,6 +239,7 @@
     network: Arc<Network>,
     site: Site,
     targets: watch::Receiver<Option<SocketAddr>>,
+    bytes: Arc<AtomicU64>,
 ) {
     // Connections end with the front: the set aborts its tasks when it is dropped.
     let mut connections = tokio::task::JoinSet::new();
@@ -230,27 +249,59 @@
             continue;
         };
         let target = *targets.borrow();
-        let (Some(target), Some(from)) = (target, site_of(peer.ip())) else {
-            continue;
+        let Some(target) = target else { continue };
+        let from = site_of(peer.ip()).unwrap_or(OPERATOR_SITE);
+        let path = Path {
+            network: Arc::clone(&network),
+            from,
+            to: site,
+            front_bytes: Arc::clone(&bytes),
         };
-        connections.spawn(forward(Arc::clone(&network), stream, from, target, site));
+        connections.spawn(path.forward(stream, target));
     }
 }
 
-async fn forward(network: Arc<Network>, near: TcpStream, from: Site, target: SocketAddr, to: Site) {
-    network.until_open(from, to).await;
-    tokio::time::sleep(network.policy(from, to).delay * 2).await;
-    let Ok(far) = connect(target, site_ip(from)).await else {
-        return;
-    };
-    let _ = near.set_nodelay(true);
-    let _ = far.set_nodelay(true);
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    tokio::join!(
-        pump(&network, from, to, near_read, far_write),
-        pump(&network, to, from, far_read, near_write),
-    );
+/// Way of one connection: from the site that dialled to the front's.
+struct Path {
+    network: Arc<Network>,
+    from: Site,
+    to: Site,
+    front_bytes: Arc<AtomicU64>,
+}
+
+impl Path {
+    async fn forward(self, near: TcpStream, target: SocketAddr) {
+        let Self {
+            network,
+            from,
+            to,
+            front_bytes,
+        } = self;
+        network.until_open(from, to).await;
+        tokio::time::sleep(network.policy(from, to).delay * 2).await;
+        let Ok(far) = connect(target, site_ip(from)).await else {
+            return;
+        };
+        let _ = near.set_nodelay(true);
+        let _ = far.set_nodelay(true);
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let there = Direction {
+            network: &network,
+            from,
+            to,
+            front_bytes: &front_bytes,
+        };
+        let back = Direction {
+            from: to,
+            to: from,
+            ..there
+        };
+        tokio::join!(
+            there.pump(near_read, far_write),
+            back.pump(far_read, near_write),
+        );
+    }
 }
 
 async fn connect(target: SocketAddr, from: IpAddr) -> std::io::Result<TcpStream> {
@@ -259,42 +310,51 @@
     socket.connect(target).await
 }
 
-async fn pump(
-    network: &Network,
+/// One direction of a connection.
+#[derive(Clone, Copy)]
+struct Direction<'a> {
+    network: &'a Network,
     from: Site,
     to: Site,
-    mut read: tokio::net::tcp::OwnedReadHalf,
-    mut write: tokio::net::tcp::OwnedWriteHalf,
-) {
-    let counter = network.counter(from, to);
-    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
-    let reading = async move {
-        let mut chunk = vec![0; CHUNK_BYTES];
-        while let Ok(length) = read.read(&mut chunk).await {
-            if length == 0 {
-                break;
-            }
-            counter.fetch_add(length as u64, Ordering::Relaxed);
-            let left = network.pipe(from, to).map(|pipe| pipe.leave(length));
-            let arrives = left.unwrap_or_else(Instant::now) + network.policy(from, to).delay;
-            if sender
-                .send((arrives, chunk[..length].to_vec()))
-                .await
-                .is_err()
-            {
-                break;
+    front_bytes: &'a AtomicU64,
+}
+
+impl Direction<'_> {
+    async fn pump(self, mut read: OwnedReadHalf, mut write: OwnedWriteHalf) {
+        let Self {
+            network,
+            from,
+            to,
+            front_bytes,
+        } = self;
+        let counter = network.counter(from, to);
+        let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
+        let reading = async move {
+            let mut chunk = vec![0; CHUNK_BYTES];
+            while let Ok(length) = read.read(&mut chunk).await {
+                if length == 0 {
+                    break;
+                }
+                counter.fetch_add(length as u64, Ordering::Relaxed);
+                front_bytes.fetch_add(length as u64, Ordering::Relaxed);
+                let left = network.pipe(from, to).map(|pipe| pipe.leave(length));
+                let arrives = left.unwrap_or_else(Instant::now) + network.policy(from, to).delay;
+                let chunk = chunk[..length].to_vec();
+                if sender.send((arrives, chunk)).await.is_err() {
+                    break;
+                }
             }
-        }
-    };
-    let writing = async move {
-        while let Some((arrives, chunk)) = receiver.recv().await {
-            tokio::time::sleep_until(arrives).await;
-            network.until_open(from, to).await;
-            if write.write_all(&chunk).await.is_err() {
-                break;
+        };
+        let writing = async move {
+            while let Some((arrives, chunk)) = receiver.recv().await {
+                tokio::time::sleep_until(arrives).await;
+                network.until_open(from, to).await;
+                if write.write_all(&chunk).await.is_err() {
+                    break;
+                }
             }
-        }
-        let _ = write.shutdown().await;
-    };
-    tokio::join!(reading, writing);
+            let _ = write.shutdown().await;
+        };
+        tokio::join!(reading, writing);
+    }
 }
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{ExitStatus, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Deserialize;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncRead, BufReader};
 use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
 
 /// A node that does not print its addresses within this has not started.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -36,6 +37,17 @@
     Kill,
 }
 
+/// A line that a node logged.
+#[derive(Clone, Debug)]
+pub struct LogLine {
+    /// Which node: its position in the mesh.
+    pub position: usize,
+    /// When it was read here.
+    pub read_at: Instant,
+    /// The line.
+    pub text: String,
+}
+
 /// A running node process; killed when dropped.
 #[derive(Debug)]
 pub struct NodeProcess {
@@ -47,13 +59,29 @@
 impl NodeProcess {
     /// Starts `program` with `arguments` and waits for the line with its addresses.
     pub async fn start(program: &Path, arguments: &[String]) -> Result<Self, String> {
-        let mut child = Command::new(program)
+        Self::start_logged(program, arguments, None).await
+    }
+
+    /// Like [`Self::start`]; the log lines go to a channel, marked with a position.
+    pub async fn start_logged(
+        program: &Path,
+        arguments: &[String],
+        log_lines: Option<(usize, mpsc::UnboundedSender<LogLine>)>,
+    ) -> Result<Self, String> {
+        let mut command = Command::new(program);
+        if log_lines.is_some() {
+            command.stderr(Stdio::piped());
+        }
+        let mut child = command
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .map_err(|error| format!("{}: {error}", program.display()))?;
+        if let (Some((position, sender)), Some(stderr)) = (log_lines, child.stderr.take()) {
+            tokio::spawn(pass_on(position, stderr, sender));
+        }
         let stdout = child.stdout.take().expect("stdout is piped");
         let mut lines = BufReader::new(stdout).lines();
         let line = tokio::time::timeout(START_LIMIT, lines.next_line()).await;
@@ -90,3 +118,21 @@
         self.child.wait().await
     }
 }
+
+/// Passes log lines on until the process closes its standard error.
+async fn pass_on(
+    position: usize,
+    stderr: impl AsyncRead + Unpin,
+    sender: mpsc::UnboundedSender<LogLine>,
+) {
+    let mut lines = BufReader::new(stderr).lines();
+    while let Ok(Some(text)) = lines.next_line().await {
+        let line = LogLine {
+            position,
+            read_at: Instant::now(),
+            text,
+        };
+        // Nobody listens any more; the pipe still has to be emptied.
+        let _ = sender.send(line);
+    }
+}
