--- a/src/bin/dragonflywall/cli.rs
+++ b/src/bin/dragonflywall/cli.rs
@@ -6,7 +6,9 @@
 use std::future::Future;
 use std::process::ExitCode;
 
-use crate::commands::{self, Command};
+use dragonflywall::ops::query::check::FileFindings;
+
+use crate::commands::{self, Command, check};
 
 pub(crate) type Result<T = (), E = Failure> = std::result::Result<T, E>;
 
@@ -15,6 +17,8 @@
 pub(crate) enum Failure {
     /// Nothing was changed.
     Refused { text: String, hint: &'static str },
+    /// Team files are wrong; nothing was changed.
+    Findings(Vec<FileFindings>),
     /// The command line or the settings are wrong; nothing was started.
     Usage(String),
     /// What happened is not known; the hint says how to settle it.
@@ -31,7 +35,7 @@
 
     fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Refused { .. } => ExitCode::from(1),
+            Self::Refused { .. } | Self::Findings(_) => ExitCode::from(1),
             Self::Usage(_) => ExitCode::from(2),
             Self::Unknown { .. } => ExitCode::from(3),
         }
@@ -41,6 +45,10 @@
         match self {
             Self::Refused { text, hint: "" } => eprintln!("error: {text}"),
             Self::Refused { text, hint } => eprintln!("error: {text}\nhint: {hint}"),
+            Self::Findings(bad) => eprintln!(
+                "error: {}\nhint: nothing was changed; correct the files and check again",
+                check::describe(bad)
+            ),
             Self::Usage(text) => eprintln!("error: {text}\nhint: see `dragonflywall help`"),
             Self::Unknown { text, hint } => eprintln!("unknown: {text}\nhint: {hint}"),
         }
--- a/src/bin/dragonflywall/commands.rs
+++ b/src/bin/dragonflywall/commands.rs
@@ -1,9 +1,14 @@
 //! The commands, a file each: they parse, hand over to an operation, and print.
 
-mod check;
+mod audit;
+pub(crate) mod check;
+mod diff;
+mod drain;
+mod history;
 mod node;
 mod publish;
 mod status;
+mod watch;
 
 use std::ffi::OsString;
 
@@ -20,7 +25,12 @@
 /// All commands, in the order of the overview.
 pub(crate) const ALL: &[Command] = &[
     check::COMMAND,
+    diff::COMMAND,
     publish::COMMAND,
+    watch::COMMAND,
     status::COMMAND,
+    history::COMMAND,
+    audit::COMMAND,
+    drain::COMMAND,
     node::COMMAND,
 ];
--- /dev/null
+++ b/src/bin/dragonflywall/commands/audit.rs
@@ -0,0 +1,107 @@
+//! `audit`: who published what, when, on top of which version.
+
+use std::ffi::OsString;
+
+use dragonflywall::core::difference;
+use dragonflywall::ops::query::audit::{Entry, Selection, audit};
+
+use super::{Command, history};
+use crate::cli::{Failure, Result, block_on};
+use crate::options::{self, Common, JSON_HELP, PLATFORM_HELP, print_json};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "audit",
+    summary: "show who changed what, when, from which version",
+    help,
+    run,
+};
+
+/// An audit reads two configurations for each version, so it stops somewhere by itself.
+const DEFAULT_LAST: u64 = 20;
+
+pub(crate) const READ_HINT: &str = "try again when the platform is back";
+
+/// Options of `audit` and `history`.
+pub(crate) fn options_help() -> String {
+    format!(
+        "{PLATFORM_HELP}\
+         \x20 --last N             only the newest N versions (default {DEFAULT_LAST})\n\
+         \x20 --all                all versions\n\
+         \x20 --team TEAM          only publications that changed this team's record\n\
+         \x20 --by NAME            only publications by this operator\n\
+         {JSON_HELP}"
+    )
+}
+
+fn help() -> String {
+    format!(
+        "Shows the audit trail, newest first: who published, when, on top of which version, and\n\
+         what changed record by record. Each line was committed together with its version.\n\n\
+         Usage: dragonflywall audit [OPTIONS]\n\nOptions:\n{}",
+        options_help()
+    )
+}
+
+/// Parses the options of `audit` and `history`.
+pub(crate) fn parse(arguments: Vec<OsString>) -> Result<(Common, Selection)> {
+    let mut common = Common::from_environment();
+    let mut selection = Selection {
+        last: Some(DEFAULT_LAST),
+        ..Selection::default()
+    };
+    let mut parser = lexopt::Parser::from_args(arguments);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("last") => {
+                selection.last = Some(options::value("last", &mut parser)?);
+            }
+            lexopt::Arg::Long("all") => selection.last = None,
+            lexopt::Arg::Long("team") => {
+                selection.team = Some(options::team("team", &mut parser)?);
+            }
+            lexopt::Arg::Long("by") => {
+                selection.operator = Some(options::value("by", &mut parser)?);
+            }
+            lexopt::Arg::Long(name) => {
+                let name = name.to_owned();
+                common.take_or_refuse(&name, &mut parser)?;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok((common, selection))
+}
+
+fn run(arguments: Vec<OsString>) -> Result {
+    let (common, selection) = parse(arguments)?;
+    let platform = common.platform()?;
+    let entries = block_on(audit(&platform, &selection))
+        .map_err(|error| Failure::refused(&error, READ_HINT))?;
+    if common.json {
+        print_json(&entries);
+        return Ok(());
+    }
+    for entry in &entries {
+        print(entry);
+    }
+    if entries.is_empty() {
+        println!("Nothing was published");
+    }
+    Ok(())
+}
+
+fn print(entry: &Entry) {
+    let row = &entry.row;
+    println!("{}", history::line(row));
+    println!(
+        "  publication {}, digest {}",
+        row.publish_id, row.stamp.digest
+    );
+    println!("  parent {}", row.parent);
+    if !entry.parent_matches {
+        println!("  WARNING: the version before this one is not that parent");
+    }
+    for line in difference::to_text(&entry.changes).lines() {
+        println!("  {line}");
+    }
+}
--- a/src/bin/dragonflywall/commands/check.rs
+++ b/src/bin/dragonflywall/commands/check.rs
@@ -4,11 +4,13 @@
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
-use dragonflywall::core::configuration::TeamRecord;
-use dragonflywall::ops::query::check::{FileFindings, check_files};
+use dragonflywall::core::configuration::{Configuration, TeamRecord};
+use dragonflywall::ops::query::accepted;
+use dragonflywall::ops::query::check::{CheckedFile, FileFindings, check_files, check_set};
 
-use super::Command;
-use crate::cli::{Failure, Result};
+use super::{Command, audit};
+use crate::cli::{Failure, Result, block_on};
+use crate::options::{Common, JSON_HELP, PLATFORM_HELP, print_json};
 
 pub(crate) const COMMAND: Command = Command {
     name: "check",
@@ -18,37 +20,101 @@
 };
 
 fn help() -> String {
-    "Checks team files and names file, line and remedy of everything wrong.\n\n\
-     Usage: dragonflywall check FILE..."
-        .to_owned()
+    format!(
+        "Checks team files and names file, line and remedy of everything wrong.\n\n\
+         Usage: dragonflywall check [OPTIONS] FILE...\n\nOptions:\n\
+         \x20 --whole              the files are the whole set: check references between them\n\
+         \x20 --accepted           check references against the accepted version's other teams\n\
+         {PLATFORM_HELP}{JSON_HELP}"
+    )
+}
+
+/// What references between teams are checked against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    EachFile,
+    WholeSet,
+    Accepted,
 }
 
 fn run(arguments: Vec<OsString>) -> Result {
-    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut common = Common::from_environment();
+    let mut scope = Scope::EachFile;
     let mut paths = Vec::new();
+    let mut parser = lexopt::Parser::from_args(arguments);
     while let Some(argument) = parser.next()? {
         match argument {
+            lexopt::Arg::Long("whole") => scope = Scope::WholeSet,
+            lexopt::Arg::Long("accepted") => scope = Scope::Accepted,
             lexopt::Arg::Value(path) => paths.push(PathBuf::from(path)),
+            lexopt::Arg::Long(name) => {
+                let name = name.to_owned();
+                common.take_or_refuse(&name, &mut parser)?;
+            }
             other => return Err(other.unexpected().into()),
         }
     }
-    let records = checked(&paths)?;
-    println!("Checked {} team files: nothing wrong", records.len());
+    let checked = check(&paths, scope, &common);
+    if common.json {
+        print_findings(&checked);
+    }
+    let files = checked?;
+    if !common.json {
+        println!("Checked {} team files: nothing wrong", files.len());
+    }
     Ok(())
 }
 
+fn check(paths: &[PathBuf], scope: Scope, common: &Common) -> Result<Vec<CheckedFile>> {
+    let files = checked(paths)?;
+    let base = match scope {
+        Scope::EachFile => return Ok(files),
+        Scope::WholeSet => Configuration::default(),
+        Scope::Accepted => accepted_configuration(common)?,
+    };
+    check_set(&files, &base).map_err(refused)?;
+    Ok(files)
+}
+
+fn accepted_configuration(common: &Common) -> Result<Configuration> {
+    let platform = common.platform()?;
+    let read = block_on(async {
+        let head = accepted::head(&platform).await?;
+        accepted::configuration(&platform, head.stamp.version).await
+    });
+    read.map_err(|error| Failure::refused(&error, audit::READ_HINT))
+}
+
 /// The records of all files, or a refusal with all findings.
-pub(crate) fn checked(paths: &[PathBuf]) -> Result<Vec<TeamRecord>> {
+pub(crate) fn records(paths: &[PathBuf]) -> Result<Vec<TeamRecord>> {
+    if paths.is_empty() {
+        return Ok(Vec::new());
+    }
+    let files = checked(paths)?;
+    Ok(files.into_iter().map(|file| file.record).collect())
+}
+
+fn checked(paths: &[PathBuf]) -> Result<Vec<CheckedFile>> {
     if paths.is_empty() {
         return Err(Failure::Usage("no team file was given".to_owned()));
     }
-    check_files(paths).map_err(|bad| Failure::Refused {
-        text: describe(&bad),
-        hint: "nothing was changed; correct the files and check again",
-    })
+    check_files(paths).map_err(refused)
+}
+
+fn refused(bad: Vec<FileFindings>) -> Failure {
+    Failure::Findings(bad)
+}
+
+fn print_findings(checked: &Result<Vec<CheckedFile>>) {
+    match checked {
+        Ok(_) => print_json(&Vec::<FileFindings>::new()),
+        Err(Failure::Findings(bad)) => print_json(bad),
+        Err(_) => (),
+    }
 }
 
-fn describe(bad: &[FileFindings]) -> String {
+/// All findings, each with its place and remedy.
+pub(crate) fn describe(bad: &[FileFindings]) -> String {
     let mut text = format!("{} team files are refused", bad.len());
     for file in bad {
         for finding in &file.findings {
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -1,17 +1,23 @@
-//! `publish`: makes team files part of the accepted configuration.
+//! `publish`: makes team files, or an earlier version's records, the accepted configuration.
 
 use std::ffi::OsString;
 use std::path::PathBuf;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use dragonflywall::core::names::TeamName;
+use dragonflywall::core::version::{Stamp, Version};
 use dragonflywall::ops::command::hint;
-use dragonflywall::ops::command::publish::{Error, PublishOptions, Published, publish};
-use dragonflywall::platform::http::HttpPlatform;
-use lexopt::ValueExt;
+use dragonflywall::ops::command::publish::{
+    Error, PublishOptions, Published, abandon, is_publish_id, publish,
+};
+use dragonflywall::platform::rows::PublicationKind;
+use serde::Serialize;
 
-use super::{Command, check};
+use super::{Command, check, watch};
 use crate::cli::{Failure, Result, block_on, with_causes};
+use crate::options::{
+    self, Common, JSON_HELP, LIMIT_HELP, NODE_HELP, OPERATOR_HELP, PLATFORM_HELP, now_ms,
+    print_json_line,
+};
 
 pub(crate) const COMMAND: Command = Command {
     name: "publish",
@@ -21,79 +27,207 @@
 };
 
 fn help() -> String {
-    "Publishes team files as one new version, all of them or none.\n\n\
-     Usage: dragonflywall publish [OPTIONS] FILE...\n\nOptions:\n\
-     \x20 --platform URL    the platform [DRAGONFLYWALL_PLATFORM]\n\
-     \x20 --operator NAME   who publishes, for the audit trail [DRAGONFLYWALL_OPERATOR, USER]\n\
-     \x20 --remove TEAM     remove a team's record\n\
-     \x20 --id ID           id of this publication (default: a random one)\n\
-     \x20 --resume ID       go on with a publication whose outcome was unknown"
-        .to_owned()
+    format!(
+        "Publishes team files as one new version, all of them or none.\n\n\
+         Usage: dragonflywall publish [OPTIONS] FILE...\n\
+         \x20      dragonflywall publish [OPTIONS] --rollback-to N [--team TEAM]...\n\
+         \x20      dragonflywall publish [OPTIONS] --resume ID\n\nOptions:\n\
+         {PLATFORM_HELP}{OPERATOR_HELP}\
+         \x20 --expect N           the version that you looked at: refuse if someone published the\n\
+         \x20                      same team since (default: the version accepted right now)\n\
+         \x20 --remove TEAM        delete a team's record\n\
+         \x20 --rollback-to N      publish version N's records again, as a new version\n\
+         \x20 --team TEAM          roll back this team's record only\n\
+         \x20 --id ID              id of this publication (default: a random one)\n\
+         \x20 --resume ID          settle a publication whose outcome was unknown. With its files\n\
+         \x20                      and --expect: go on with it. Alone: find what it did, or make\n\
+         \x20                      sure that it never takes effect\n\
+         \x20 --wait               until every node enforces it; needs --node\n\
+         {NODE_HELP}{LIMIT_HELP}{JSON_HELP}\n\
+         Exit code 0 published, 1 refused and nothing changed, 2 usage, 3 outcome unknown (or, with\n\
+         --wait: published, but not seen in force everywhere)."
+    )
 }
 
-#[derive(Default)]
+#[derive(Debug)]
 struct Arguments {
-    platform_url: Option<String>,
-    operator: Option<String>,
+    common: Common,
     id: Option<String>,
+    resume: Option<String>,
+    expected: Option<Version>,
+    rollback_to: Option<Version>,
+    rollback_teams: Vec<TeamName>,
     removals: Vec<TeamName>,
     paths: Vec<PathBuf>,
+    wait: bool,
 }
 
 fn parse(arguments: Vec<OsString>) -> Result<Arguments> {
     let mut parsed = Arguments {
-        platform_url: std::env::var("DRAGONFLYWALL_PLATFORM").ok(),
-        operator: std::env::var("DRAGONFLYWALL_OPERATOR")
-            .or_else(|_| std::env::var("USER"))
-            .ok(),
-        ..Arguments::default()
+        common: Common::from_environment(),
+        id: None,
+        resume: None,
+        expected: None,
+        rollback_to: None,
+        rollback_teams: Vec::new(),
+        removals: Vec::new(),
+        paths: Vec::new(),
+        wait: false,
     };
     let mut parser = lexopt::Parser::from_args(arguments);
     while let Some(argument) = parser.next()? {
-        match argument {
-            lexopt::Arg::Long("platform") => parsed.platform_url = Some(parser.value()?.string()?),
-            lexopt::Arg::Long("operator") => parsed.operator = Some(parser.value()?.string()?),
-            lexopt::Arg::Long("id" | "resume") => parsed.id = Some(parser.value()?.string()?),
-            lexopt::Arg::Long("remove") => {
-                let team = parser.value()?.string()?;
-                parsed.removals.push(TeamName::new(team));
+        let name = match argument {
+            lexopt::Arg::Value(path) => {
+                parsed.paths.push(path.into());
+                continue;
             }
-            lexopt::Arg::Value(path) => parsed.paths.push(path.into()),
+            lexopt::Arg::Long(name) => name.to_owned(),
             other => return Err(other.unexpected().into()),
+        };
+        let parser = &mut parser;
+        match name.as_str() {
+            "id" => parsed.id = Some(publish_id("id", parser)?),
+            "resume" => parsed.resume = Some(publish_id("resume", parser)?),
+            "expect" => parsed.expected = Some(options::version("expect", parser)?),
+            "rollback-to" => parsed.rollback_to = Some(options::version("rollback-to", parser)?),
+            "team" => parsed.rollback_teams.push(options::team("team", parser)?),
+            "remove" => parsed.removals.push(options::team("remove", parser)?),
+            "wait" => parsed.wait = true,
+            _ => parsed.common.take_or_refuse(&name, parser)?,
         }
     }
+    parsed.check()?;
     Ok(parsed)
 }
 
+fn publish_id(flag: &str, parser: &mut lexopt::Parser) -> Result<String> {
+    let id: String = options::value(flag, parser)?;
+    if is_publish_id(&id) {
+        return Ok(id);
+    }
+    let text = format!("--{flag} `{id}`: use letters, digits, dashes and dots, 64 at most");
+    Err(Failure::Usage(text))
+}
+
+impl Arguments {
+    fn check(&self) -> Result {
+        let usage = |text: &str| Err(Failure::Usage(text.to_owned()));
+        let has_records = !self.paths.is_empty() || !self.removals.is_empty();
+        let has_change = has_records || self.rollback_to.is_some();
+        if has_records && self.rollback_to.is_some() {
+            return usage("--rollback-to goes without files and without --remove");
+        }
+        if self.rollback_to.is_none() && !self.rollback_teams.is_empty() {
+            return usage("--team needs --rollback-to");
+        }
+        if !has_change && self.resume.is_none() {
+            return usage("no team file was given");
+        }
+        if self.id.is_some() && self.resume.is_some() {
+            return usage("give either --id or --resume");
+        }
+        // Without it the version that stands now would count as the one that was looked at, and
+        // what others published since the first try would be overwritten unseen.
+        if has_change && self.resume.is_some() && self.expected.is_none() {
+            return usage("--resume with files needs --expect, as the first try's message says");
+        }
+        if self.wait {
+            self.common.node()?;
+        }
+        Ok(())
+    }
+
+    fn only_settles(&self) -> bool {
+        let no_records = self.paths.is_empty() && self.removals.is_empty();
+        no_records && self.rollback_to.is_none()
+    }
+
+    fn options(&self) -> Result<PublishOptions> {
+        let kind = match self.rollback_to {
+            Some(to) => PublicationKind::Rollback { to },
+            None => PublicationKind::Publish,
+        };
+        let given = self.resume.as_ref().or(self.id.as_ref()).cloned();
+        let options = PublishOptions::builder()
+            .publish_id(given.unwrap_or_else(random_id))
+            .operator(self.common.operator())
+            .time_ms(now_ms())
+            .records(check::records(&self.paths)?)
+            .removals(self.removals.clone())
+            .kind(kind)
+            .rollback_teams(self.rollback_teams.clone())
+            .maybe_expected(self.expected)
+            .build();
+        Ok(options)
+    }
+}
+
 fn run(arguments: Vec<OsString>) -> Result {
     let arguments = parse(arguments)?;
-    let platform_url = arguments
-        .platform_url
-        .ok_or_else(|| Failure::Usage("--platform is required".to_owned()))?;
-    let records = if arguments.paths.is_empty() && !arguments.removals.is_empty() {
-        Vec::new()
-    } else {
-        check::checked(&arguments.paths)?
-    };
-    let options = PublishOptions::builder()
-        .publish_id(arguments.id.unwrap_or_else(random_id))
-        .operator(arguments.operator.unwrap_or_else(|| "unknown".to_owned()))
-        .time_ms(now_ms())
-        .records(records)
-        .removals(arguments.removals)
-        .build();
-    let platform = HttpPlatform::new(&platform_url, None);
+    if let (Some(id), true) = (&arguments.resume, arguments.only_settles()) {
+        return settle(id, &arguments.common);
+    }
+    let platform = arguments.common.platform()?;
+    let options = arguments.options()?;
+    let json = arguments.common.json;
     block_on(async {
         let published = publish(&platform, &options).await.map_err(failure)?;
-        print(&options, &published);
+        print(&options, &published, json);
         // The commit stands whether or not a node hears of it now.
         let told = hint::send_hints(&platform, published.stamp).await;
-        println!("Hinted {told} nodes");
-        Ok(())
+        if !json {
+            println!("Hinted {told} nodes");
+        }
+        if !arguments.wait {
+            return Ok(());
+        }
+        let node = arguments.common.node()?;
+        let limit = arguments.common.wait_limit()?;
+        watch::follow(node, published.stamp.version, limit, json).await
     })
 }
 
-fn print(options: &PublishOptions, published: &Published) {
+fn settle(id: &str, common: &Common) -> Result {
+    let platform = common.platform()?;
+    let settled = block_on(abandon(&platform, id, common.operator(), now_ms()));
+    match settled.map_err(failure)? {
+        Some(version) if common.json => {
+            print_json_line(&serde_json::json!({ "publication": id, "version": version }));
+            Ok(())
+        }
+        Some(version) => {
+            println!("Settled: publication {id} made version {version}");
+            Ok(())
+        }
+        None => Err(Failure::Refused {
+            text: format!("publication `{id}` did not take effect, and can't any more"),
+            hint: "nothing was changed; publish again under a new id if it is still wanted",
+        }),
+    }
+}
+
+/// What `publish --json` prints.
+#[derive(Serialize)]
+struct Output<'a> {
+    #[serde(flatten)]
+    stamp: Stamp,
+    publication: &'a str,
+    operator: &'a str,
+    rebases: u32,
+    already: bool,
+}
+
+fn print(options: &PublishOptions, published: &Published, json: bool) {
+    if json {
+        print_json_line(&Output {
+            stamp: published.stamp,
+            publication: &options.publish_id,
+            operator: &options.operator,
+            rebases: published.rebases,
+            already: published.already,
+        });
+        return;
+    }
     let done = if published.already {
         "Found already published"
     } else {
@@ -103,33 +237,58 @@
         "{done}: version {} by {} (publication {})",
         published.stamp, options.operator, options.publish_id
     );
+    if published.rebases > 0 {
+        println!(
+            "Rebased {} times on other teams' publications",
+            published.rebases
+        );
+    }
 }
 
 fn failure(error: Error) -> Failure {
-    match &error {
-        Error::OutcomeUnknown { publish_id, .. } => Failure::Unknown {
-            text: with_causes(&error),
-            hint: format!("run the same command again with --resume {publish_id}"),
-        },
-        Error::Raced { .. } => Failure::refused(
-            &error,
-            "nothing was changed; look at the other change and publish again",
-        ),
-        Error::Read { .. } | Error::Store { .. } => Failure::refused(
-            &error,
-            "nothing was changed; try again when the platform is back",
-        ),
-        Error::Invalid { .. } | Error::Unchanged { .. } | Error::Contended => {
-            Failure::refused(&error, "nothing was changed")
+    let hint = match &error {
+        Error::OutcomeUnknown {
+            publish_id, seen, ..
+        } => {
+            return Failure::Unknown {
+                text: with_causes(&error),
+                hint: resume_hint(publish_id, *seen),
+            };
         }
-    }
+        Error::Raced { .. } => {
+            "nothing was changed; take the other change into your file, and publish with \
+             --expect and the version shown"
+        }
+        Error::Read { .. } | Error::Store { .. } | Error::CommitRefused { .. } => {
+            "nothing was changed; try again when the platform is back"
+        }
+        Error::NoSuchVersion { .. } => {
+            "nothing was changed; `dragonflywall history` lists the versions"
+        }
+        Error::NoSuchTeam { .. } => "nothing was changed; correct the team's name",
+        Error::Invalid { .. } => {
+            "nothing was changed; `dragonflywall check --accepted` names the lines"
+        }
+        Error::Unchanged { .. } => "nothing was changed, and nothing has to be",
+        Error::Contended => "nothing was changed; find out what publishes in a loop",
+        Error::Abandoned { .. } | Error::IdReused { .. } => {
+            "nothing was changed; publish under a new id"
+        }
+    };
+    Failure::refused(&error, hint)
 }
 
-fn random_id() -> String {
-    format!("{:016x}", rand::random::<u64>())
+fn resume_hint(publish_id: &str, seen: Option<Version>) -> String {
+    let Some(seen) = seen else {
+        return format!("run `dragonflywall publish --resume {publish_id}` again");
+    };
+    format!(
+        "do not simply publish again; when the platform answers, run the same command with \
+         --resume {publish_id} --expect {seen} to go on with it, or only \
+         `dragonflywall publish --resume {publish_id}` to find out what it did or to stop it"
+    )
 }
 
-fn now_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+fn random_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
 }
--- a/src/bin/dragonflywall/commands/status.rs
+++ b/src/bin/dragonflywall/commands/status.rs
@@ -1,14 +1,13 @@
 //! `status`: what one node knows of the mesh, by data centre.
 
 use std::ffi::OsString;
-use std::net::SocketAddr;
 
 use dragonflywall::core::status::Status;
 use dragonflywall::ops::query::status::{by_data_centre, fetch};
-use lexopt::ValueExt;
 
 use super::Command;
 use crate::cli::{Failure, Result, block_on};
+use crate::options::{Common, JSON_HELP, NODE_HELP, print_json};
 
 pub(crate) const COMMAND: Command = Command {
     name: "status",
@@ -18,33 +17,29 @@
 };
 
 fn help() -> String {
-    "Asks one node what it knows of the mesh.\n\n\
-     Usage: dragonflywall status --node ADDR [--json]\n\nOptions:\n\
-     \x20 --node ADDR   operator address of any node [DRAGONFLYWALL_NODE]\n\
-     \x20 --json        for scripts"
-        .to_owned()
+    format!(
+        "Asks one node what it knows of the mesh.\n\n\
+         Usage: dragonflywall status --node ADDR [--json]\n\nOptions:\n{NODE_HELP}{JSON_HELP}"
+    )
 }
 
 fn run(arguments: Vec<OsString>) -> Result {
-    let mut node = std::env::var("DRAGONFLYWALL_NODE").ok();
-    let mut json = false;
+    let mut common = Common::from_environment();
     let mut parser = lexopt::Parser::from_args(arguments);
     while let Some(argument) = parser.next()? {
         match argument {
-            lexopt::Arg::Long("node") => node = Some(parser.value()?.string()?),
-            lexopt::Arg::Long("json") => json = true,
+            lexopt::Arg::Long(name) => {
+                let name = name.to_owned();
+                common.take_or_refuse(&name, &mut parser)?;
+            }
             other => return Err(other.unexpected().into()),
         }
     }
-    let node = node.ok_or_else(|| Failure::Usage("--node is required".to_owned()))?;
-    let address: SocketAddr = node
-        .parse()
-        .map_err(|error| Failure::Usage(format!("--node `{node}`: {error}")))?;
+    let address = common.node()?;
     let status = block_on(fetch(address))
         .map_err(|error| Failure::refused(&error, "ask another node, or look at this one's log"))?;
-    if json {
-        let text = serde_json::to_string_pretty(&status).expect("statuses always encode");
-        println!("{text}");
+    if common.json {
+        print_json(&status);
     } else {
         print(&status);
     }
--- /dev/null
+++ b/src/bin/dragonflywall/commands/watch.rs
@@ -0,0 +1,102 @@
+//! `watch`: follows a version until every node enforces it.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dragonflywall::core::version::Version;
+use dragonflywall::ops::query::progress::Progress;
+use dragonflywall::ops::query::{accepted, watch::watch};
+
+use super::{Command, audit};
+use crate::cli::{Failure, Result, block_on};
+use crate::options::{
+    self, Common, JSON_HELP, LIMIT_HELP, NODE_HELP, PLATFORM_HELP, print_json_line,
+};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "watch",
+    summary: "follow a version until every node enforces it",
+    help,
+    run,
+};
+
+fn help() -> String {
+    format!(
+        "Prints how many nodes of each data centre enforce a version, at each change, until all\n\
+         do. Asks one node, which knows of the others.\n\n\
+         Usage: dragonflywall watch --node ADDR [OPTIONS]\n\nOptions:\n\
+         {NODE_HELP}\
+         \x20 --version N          the version (default: the accepted one, which needs --platform)\n\
+         {PLATFORM_HELP}{LIMIT_HELP}{JSON_HELP}\n\
+         Exit code 0 when all enforce it, 3 when that was not seen within the limit."
+    )
+}
+
+fn run(arguments: Vec<OsString>) -> Result {
+    let mut common = Common::from_environment();
+    let mut version: Option<Version> = None;
+    let mut parser = lexopt::Parser::from_args(arguments);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("version") => {
+                version = Some(options::version("version", &mut parser)?);
+            }
+            lexopt::Arg::Long(name) => {
+                let name = name.to_owned();
+                common.take_or_refuse(&name, &mut parser)?;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let node = common.node()?;
+    let limit = common.wait_limit()?;
+    let version = match version {
+        Some(version) => version,
+        None => accepted_version(&common)?,
+    };
+    block_on(follow(node, version, limit, common.json))
+}
+
+fn accepted_version(common: &Common) -> Result<Version> {
+    let platform = common.platform()?;
+    let head = block_on(accepted::head(&platform));
+    let head = head.map_err(|error| Failure::refused(&error, audit::READ_HINT))?;
+    Ok(head.stamp.version)
+}
+
+/// Follows `version` until every node enforces it; also the end of `publish --wait`.
+pub(crate) async fn follow(
+    node: SocketAddr,
+    version: Version,
+    limit: Duration,
+    json: bool,
+) -> Result {
+    let report = |progress: &Progress| {
+        if json {
+            print_json_line(progress);
+        } else {
+            println!("Enforced: {progress}");
+        }
+    };
+    let hint = || {
+        format!(
+            "version {version} stands; look at what lags with `dragonflywall status`, \
+             and run `dragonflywall watch --version {version}` again"
+        )
+    };
+    match watch(node, version, limit, report).await {
+        Ok(progress) if progress.is_complete() => Ok(()),
+        Ok(progress) => Err(Failure::Unknown {
+            text: format!(
+                "not every node enforces it after {} ms: {progress}",
+                limit.as_millis()
+            ),
+            hint: hint(),
+        }),
+        Err(error) => Err(Failure::Unknown {
+            text: crate::cli::with_causes(&error),
+            hint: hint(),
+        }),
+    }
+}
--- a/src/bin/dragonflywall/main.rs
+++ b/src/bin/dragonflywall/main.rs
@@ -6,6 +6,7 @@
 
 mod cli;
 mod commands;
+mod options;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/src/bin/dragonflywall/options.rs
@@ -0,0 +1,146 @@
+//! Options that several commands have: where the platform and a node are, how to print.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dragonflywall::core::names::{TeamName, is_name};
+use dragonflywall::core::version::Version;
+use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::platform::patient::Patient;
+use lexopt::{Parser, ValueExt};
+use serde::Serialize;
+
+use crate::cli::{Failure, Result};
+
+/// Help lines of the options below.
+pub(crate) const PLATFORM_HELP: &str =
+    "\x20 --platform URL       the platform [DRAGONFLYWALL_PLATFORM]\n";
+pub(crate) const NODE_HELP: &str =
+    "\x20 --node ADDR          operator address of any node [DRAGONFLYWALL_NODE]\n";
+pub(crate) const JSON_HELP: &str = "\x20 --json               for scripts\n";
+pub(crate) const OPERATOR_HELP: &str =
+    "\x20 --operator NAME      who does it, for the audit trail [DRAGONFLYWALL_OPERATOR, USER]\n";
+pub(crate) const LIMIT_HELP: &str =
+    "\x20 --wait-limit-ms MS   longest wait [DRAGONFLYWALL_WAIT_LIMIT_MS, default 60000]\n";
+
+/// Beyond the 15 s in which a configuration has to be in force everywhere, and short enough to
+/// tell an operator within a minute that something is wrong.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Options that several commands have, from environment variables first, then from flags.
+#[derive(Debug)]
+pub(crate) struct Common {
+    platform: Option<String>,
+    node: Option<String>,
+    operator: Option<String>,
+    wait_limit_ms: Option<String>,
+    pub(crate) json: bool,
+}
+
+impl Common {
+    pub(crate) fn from_environment() -> Self {
+        let variable = |name: &str| std::env::var(name).ok();
+        Self {
+            platform: variable("DRAGONFLYWALL_PLATFORM"),
+            node: variable("DRAGONFLYWALL_NODE"),
+            operator: variable("DRAGONFLYWALL_OPERATOR").or_else(|| variable("USER")),
+            wait_limit_ms: variable("DRAGONFLYWALL_WAIT_LIMIT_MS"),
+            json: false,
+        }
+    }
+
+    /// Takes the value of flag `name`, or refuses the flag.
+    pub(crate) fn take_or_refuse(&mut self, name: &str, parser: &mut Parser) -> Result {
+        let place = match name {
+            "json" => {
+                self.json = true;
+                return Ok(());
+            }
+            "platform" => &mut self.platform,
+            "node" => &mut self.node,
+            "operator" => &mut self.operator,
+            "wait-limit-ms" => &mut self.wait_limit_ms,
+            _ => return Err(Failure::Usage(format!("--{name} is not an option"))),
+        };
+        *place = Some(parser.value()?.string()?);
+        Ok(())
+    }
+
+    pub(crate) fn platform(&self) -> Result<Patient<HttpPlatform>> {
+        let url = required("platform", self.platform.as_deref())?;
+        if !url.starts_with("http://") {
+            let text = format!("--platform `{url}` does not start with http://");
+            return Err(Failure::Usage(text));
+        }
+        Ok(Patient(HttpPlatform::new(url, None)))
+    }
+
+    pub(crate) fn node(&self) -> Result<SocketAddr> {
+        parsed("node", required("node", self.node.as_deref())?)
+    }
+
+    pub(crate) fn operator(&self) -> &str {
+        self.operator.as_deref().unwrap_or("unknown")
+    }
+
+    pub(crate) fn wait_limit(&self) -> Result<Duration> {
+        match &self.wait_limit_ms {
+            None => Ok(WAIT_LIMIT),
+            Some(text) => parsed("wait-limit-ms", text).map(Duration::from_millis),
+        }
+    }
+}
+
+fn required<'a>(flag: &str, value: Option<&'a str>) -> Result<&'a str> {
+    value.ok_or_else(|| Failure::Usage(format!("--{flag} is required")))
+}
+
+fn parsed<T: FromStr>(flag: &str, text: &str) -> Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    let value = text.parse();
+    value.map_err(|error| Failure::Usage(format!("--{flag} `{text}` is refused: {error}")))
+}
+
+/// The value of a flag, parsed.
+pub(crate) fn value<T: FromStr>(flag: &str, parser: &mut Parser) -> Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    parsed(flag, &parser.value()?.string()?)
+}
+
+/// The value of a flag that is a version.
+pub(crate) fn version(flag: &str, parser: &mut Parser) -> Result<Version> {
+    value(flag, parser).map(Version)
+}
+
+/// The value of a flag that is a team.
+pub(crate) fn team(flag: &str, parser: &mut Parser) -> Result<TeamName> {
+    let name: String = value(flag, parser)?;
+    if !is_name(&name) {
+        let text = format!("--{flag} `{name}` is not a name");
+        return Err(Failure::Usage(text));
+    }
+    Ok(TeamName::new(name))
+}
+
+/// Prints `value` as indented JSON.
+pub(crate) fn print_json(value: &impl Serialize) {
+    let text = serde_json::to_string_pretty(value).expect("what is printed always encodes");
+    println!("{text}");
+}
+
+/// Prints `value` as JSON on one line, for output that goes on.
+pub(crate) fn print_json_line(value: &impl Serialize) {
+    let text = serde_json::to_string(value).expect("what is printed always encodes");
+    println!("{text}");
+}
+
+/// Milliseconds since the epoch.
+pub(crate) fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/core/difference.rs
@@ -0,0 +1,181 @@
+//! The difference between two configurations, record by record, as a database administrator
+//! reads it: which team, which field, the value before and after.
+//!
+//! A record is flattened into fields that are named as in the team file, such as
+//! `service.tablon.resource.prices.timeout_ms`; two flattened records are then compared field by
+//! field.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Write as _};
+
+use serde::Serialize;
+
+use crate::core::configuration::{
+    Class, Configuration, RouteRecord, ServiceRecord, Spill, Target, TeamRecord, Treatment,
+};
+use crate::core::names::TeamName;
+
+/// One field that is not the same.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FieldDifference {
+    /// Name of the field, as in the team file.
+    pub field: String,
+    /// Value before; `None` if the field is new.
+    pub before: Option<String>,
+    /// Value after; `None` if the field is gone.
+    pub after: Option<String>,
+}
+
+impl fmt::Display for FieldDifference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let field = &self.field;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "~ {field}: {before} -> {after}"),
+            (None, Some(after)) => write!(f, "+ {field}: {after}"),
+            (Some(before), None) => write!(f, "- {field}: {before}"),
+            (None, None) => write!(f, "  {field}"),
+        }
+    }
+}
+
+/// What became of a team's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RecordChange {
+    /// The team had no record before.
+    Inserted,
+    /// Fields of the record differ.
+    Updated,
+    /// The team has no record any more.
+    Deleted,
+}
+
+/// The difference in one team's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TeamDifference {
+    /// The team.
+    pub team: TeamName,
+    /// What became of its record.
+    pub change: RecordChange,
+    /// The fields, in the order of their names.
+    pub fields: Vec<FieldDifference>,
+}
+
+/// The difference in all records; teams whose record is the same are left out.
+pub fn between(before: &Configuration, after: &Configuration) -> Vec<TeamDifference> {
+    let names: BTreeSet<_> = before.teams.keys().chain(after.teams.keys()).collect();
+    let differences = names.into_iter().filter_map(|team| {
+        let (before, after) = (before.teams.get(team), after.teams.get(team));
+        of_team(team, before, after)
+    });
+    differences.collect()
+}
+
+/// The difference in one team's record, if there is one.
+pub fn of_team(
+    team: &TeamName,
+    before: Option<&TeamRecord>,
+    after: Option<&TeamRecord>,
+) -> Option<TeamDifference> {
+    let change = match (before, after) {
+        (None, None) => return None,
+        (None, Some(_)) => RecordChange::Inserted,
+        (Some(_), None) => RecordChange::Deleted,
+        (Some(before), Some(after)) if before == after => return None,
+        (Some(_), Some(_)) => RecordChange::Updated,
+    };
+    let fields = compare(
+        &before.map(flatten).unwrap_or_default(),
+        &after.map(flatten).unwrap_or_default(),
+    );
+    Some(TeamDifference {
+        team: team.clone(),
+        change,
+        fields,
+    })
+}
+
+/// The text that operators see, one line for a team and one for each field.
+pub fn to_text(differences: &[TeamDifference]) -> String {
+    let mut text = String::new();
+    for difference in differences {
+        let change = match difference.change {
+            RecordChange::Inserted => "inserted",
+            RecordChange::Updated => "updated",
+            RecordChange::Deleted => "deleted",
+        };
+        let _ = writeln!(text, "team {}: record {change}", difference.team);
+        for field in &difference.fields {
+            let _ = writeln!(text, "  {field}");
+        }
+    }
+    text
+}
+
+type Fields = BTreeMap<String, String>;
+
+fn compare(before: &Fields, after: &Fields) -> Vec<FieldDifference> {
+    let names: BTreeSet<_> = before.keys().chain(after.keys()).collect();
+    names
+        .into_iter()
+        .filter(|name| before.get(*name) != after.get(*name))
+        .map(|name| FieldDifference {
+            field: name.clone(),
+            before: before.get(name).cloned(),
+            after: after.get(name).cloned(),
+        })
+        .collect()
+}
+
+fn flatten(record: &TeamRecord) -> Fields {
+    let mut fields = Fields::new();
+    for (name, service) in &record.services {
+        flatten_service(&mut fields, &format!("service.{name}"), service);
+    }
+    for (service, resources) in &record.calls {
+        let names: Vec<_> = resources.iter().map(|name| name.as_str()).collect();
+        fields.insert(format!("calls.{service}"), names.join(", "));
+    }
+    fields
+}
+
+fn flatten_service(fields: &mut Fields, at: &str, service: &ServiceRecord) {
+    let mut set = |key: &str, value: u32| fields.insert(format!("{at}.{key}"), value.to_string());
+    set("slots_per_endpoint", service.slots_per_endpoint);
+    set("connections_per_endpoint", service.connections_per_endpoint);
+    set("queue_len", service.queue_len);
+    for (name, treatment) in &service.resources {
+        flatten_treatment(fields, &format!("{at}.resource.{name}"), treatment);
+    }
+    for route in &service.routes {
+        let Target { service, resource } = &route.target;
+        let key = format!("{at}.route {}", route_key(route));
+        fields.insert(key, format!("{service}/{resource}"));
+    }
+}
+
+fn flatten_treatment(fields: &mut Fields, at: &str, treatment: &Treatment) {
+    let class = match treatment.class {
+        Class::Interactive => "interactive",
+        Class::Bulk => "bulk",
+    };
+    let spill = match treatment.spill {
+        Spill::DataCentre => "data-centre",
+        Spill::Region => "region",
+        Spill::Mesh => "mesh",
+    };
+    let mut set = |key: &str, value: String| fields.insert(format!("{at}.{key}"), value);
+    set("class", class.to_owned());
+    set("idempotent", treatment.idempotent.to_string());
+    set("timeout_ms", treatment.timeout_ms.to_string());
+    set("attempts", treatment.attempts.to_string());
+    set("spill", spill.to_owned());
+}
+
+fn route_key(route: &RouteRecord) -> String {
+    if route.methods.is_empty() {
+        return format!("any {}", route.path);
+    }
+    let methods: Vec<_> = route.methods.iter().map(String::as_str).collect();
+    format!("{} {}", methods.join(","), route.path)
+}
--- a/src/core/team_file.rs
+++ b/src/core/team_file.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use toml::Spanned;
 
 use crate::core::configuration::{
@@ -24,11 +24,21 @@
 /// Most slots of one endpoint.
 pub const SLOTS_MAX: u32 = 10_000;
 
+/// Longest timeout of interactive work. Nobody waits at the yard gate for more than a minute; a
+/// longer one is bulk work that would take the places of people who do wait.
+pub const INTERACTIVE_TIMEOUT_MAX_MS: u32 = 60_000;
+/// Shortest timeout of bulk work. It may be made to wait in favour of interactive work, so one
+/// that allows no wait would fail whenever anything else runs.
+pub const BULK_TIMEOUT_MIN_MS: u32 = 1_000;
+/// Shortest timeout of what may be served across the link between regions: at 20 ms each way an
+/// answer from there takes 40 ms and more, so with less every spilled request fails.
+pub const MESH_TIMEOUT_MIN_MS: u32 = 50;
+
 const DEFAULT_TIMEOUT_MS: u32 = 2_000;
 const DEFAULT_ATTEMPTS: u32 = 2;
 
 /// One thing wrong with a team file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Finding {
     /// Line, from 1.
     pub line: usize,
@@ -38,6 +48,19 @@
     pub remedy: String,
 }
 
+/// Where a file says what, for findings about several files together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lines {
+    /// Line of the team's name.
+    pub team: usize,
+    /// Line of each offered service.
+    pub services: BTreeMap<ServiceName, usize>,
+    /// Line of each `[calls]` entry.
+    pub calls: BTreeMap<ServiceName, usize>,
+    /// Lines of the routes of each service, in the order of the file.
+    pub routes: BTreeMap<ServiceName, Vec<usize>>,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawTeam {
@@ -85,6 +108,11 @@
 
 /// Parses and checks one team file.
 pub fn parse(text: &str) -> Result<TeamRecord> {
+    parse_with_lines(text).map(|(record, _)| record)
+}
+
+/// Parses and checks one team file, and says where it says what.
+pub fn parse_with_lines(text: &str) -> Result<(TeamRecord, Lines)> {
     let raw: RawTeam = toml::from_str(text).map_err(|error| vec![syntax_finding(text, &error)])?;
     let mut checker = Checker {
         text,
@@ -92,12 +120,35 @@
         shared: &raw.treatment,
     };
     let record = checker.team(&raw);
-    if checker.findings.is_empty() {
-        Ok(record)
-    } else {
-        checker.findings.sort_by_key(|finding| finding.line);
-        Err(checker.findings)
+    let mut findings = checker.findings;
+    if findings.is_empty() {
+        return Ok((record, lines(text, &raw)));
+    }
+    // A shared treatment is looked at once for itself and once for each resource that extends it.
+    findings.sort_by(|a, b| (a.line, &a.problem).cmp(&(b.line, &b.problem)));
+    findings.dedup();
+    Err(findings)
+}
+
+fn lines(text: &str, raw: &RawTeam) -> Lines {
+    let mut lines = Lines {
+        team: line_of(text, raw.team.span().start),
+        ..Lines::default()
+    };
+    for (name, service) in &raw.service {
+        let name = ServiceName::new(name);
+        let routes = &service.get_ref().route;
+        let route_lines = routes.iter().map(|r| line_of(text, r.span().start));
+        lines.routes.insert(name.clone(), route_lines.collect());
+        lines
+            .services
+            .insert(name, line_of(text, service.span().start));
+    }
+    for (name, resources) in &raw.calls {
+        let line = line_of(text, resources.span().start);
+        lines.calls.insert(ServiceName::new(name), line);
     }
+    lines
 }
 
 fn syntax_finding(text: &str, error: &toml::de::Error) -> Finding {
@@ -105,7 +156,22 @@
     Finding {
         line: line_of(text, offset),
         problem: error.message().replace('\n', " "),
-        remedy: "compare with docs/reference/team-file.md".to_owned(),
+        remedy: syntax_remedy(error.message()).to_owned(),
+    }
+}
+
+/// The reader's messages are its library's; only their beginnings are told apart.
+fn syntax_remedy(message: &str) -> &'static str {
+    if message.starts_with("unknown field") {
+        "correct or remove the key; docs/reference/team-file.md lists all keys"
+    } else if message.starts_with("missing field") {
+        "add the key; docs/reference/team-file.md says what it means"
+    } else if message.starts_with("unknown variant") {
+        "use one of the listed words"
+    } else if message.starts_with("invalid type") || message.starts_with("invalid value") {
+        "write a value of the expected kind; docs/reference/team-file.md names it for each key"
+    } else {
+        "correct the TOML syntax at this place"
     }
 }
 
@@ -118,6 +184,11 @@
         + 1
 }
 
+/// An empty list matches all methods.
+fn methods_overlap(a: &[String], b: &[String]) -> bool {
+    a.is_empty() || b.is_empty() || a.iter().any(|method| b.contains(method))
+}
+
 struct Checker<'a> {
     text: &'a str,
     findings: Vec<Finding>,
@@ -164,6 +235,10 @@
                 "add a [service.NAME] table or a [calls] entry",
             );
         }
+        for (name, treatment) in &raw.treatment {
+            self.name("treatment", name, treatment.span().start);
+            self.inherit(treatment.get_ref().clone());
+        }
         let mut services = BTreeMap::new();
         for (name, service) in &raw.service {
             let record = self.service(name, service);
@@ -208,6 +283,7 @@
         for (resource, treatment) in &raw.resource {
             self.name("resource", resource, treatment.span().start);
             let resolved = self.treatment(resource, treatment);
+            self.contradictions(resource, treatment.span().start, &resolved, queue_len);
             resources.insert(ResourceName::new(resource), resolved);
         }
         let routes = raw
@@ -215,6 +291,7 @@
             .iter()
             .map(|route| self.route(name, raw, route))
             .collect();
+        self.same_routes(&raw.route);
         ServiceRecord {
             slots_per_endpoint: slots,
             connections_per_endpoint: connections,
@@ -227,13 +304,21 @@
     fn route(&mut self, service: &str, raw: &RawService, route: &Spanned<RawRoute>) -> RouteRecord {
         let at = route.span().start;
         let route = route.get_ref();
-        if !route.path.get_ref().starts_with('/') {
+        let path = route.path.get_ref();
+        if !path.starts_with('/') {
             self.add(
                 route.path.span().start,
-                format!("path `{}` does not start with `/`", route.path.get_ref()),
+                format!("path `{path}` does not start with `/`"),
                 "write the path from the root, such as \"/prices\"",
             );
         }
+        if path.contains(|c: char| c == '?' || c == '#' || c.is_whitespace() || c.is_control()) {
+            self.add(
+                route.path.span().start,
+                format!("path `{path}` holds a character that no request path has"),
+                "leave out query, fragment and blanks; a route matches the path alone",
+            );
+        }
         for method in &route.methods {
             if method.is_empty() || !method.chars().all(|c| c.is_ascii_uppercase()) {
                 self.add(
@@ -264,6 +349,71 @@
         }
     }
 
+    /// Two routes that match the same request: which one wins would depend on their order, and the
+    /// treatment of a payment must not.
+    fn same_routes(&mut self, routes: &[Spanned<RawRoute>]) {
+        for (position, route) in routes.iter().enumerate() {
+            let at = route.span().start;
+            let route = route.get_ref();
+            let same = |other: &&Spanned<RawRoute>| {
+                let other = other.get_ref();
+                other.path.get_ref() == route.path.get_ref()
+                    && methods_overlap(&other.methods, &route.methods)
+            };
+            let Some(first) = routes[..position].iter().find(same) else {
+                continue;
+            };
+            let line = line_of(self.text, first.span().start);
+            self.add(
+                at,
+                format!(
+                    "route `{}` matches the same requests as the one in line {line}",
+                    route.path.get_ref()
+                ),
+                "remove one of the two, or give them different methods",
+            );
+        }
+    }
+
+    /// Treatment whose parts can't all be had.
+    fn contradictions(&mut self, name: &str, at: usize, treatment: &Treatment, queue_len: u32) {
+        let timeout_ms = treatment.timeout_ms;
+        if treatment.class == Class::Interactive && timeout_ms > INTERACTIVE_TIMEOUT_MAX_MS {
+            self.add(
+                at,
+                format!("resource `{name}` is interactive, yet may take {timeout_ms} ms"),
+                format!(
+                    "set class = \"bulk\", or timeout_ms to {INTERACTIVE_TIMEOUT_MAX_MS} or less"
+                ),
+            );
+        }
+        if treatment.class == Class::Bulk && timeout_ms < BULK_TIMEOUT_MIN_MS {
+            self.add(
+                at,
+                format!("resource `{name}` is bulk, yet may take only {timeout_ms} ms"),
+                format!(
+                    "set class = \"interactive\", or timeout_ms to {BULK_TIMEOUT_MIN_MS} or more"
+                ),
+            );
+        }
+        if treatment.class == Class::Bulk && queue_len == 0 {
+            self.add(
+                at,
+                format!("resource `{name}` is bulk, yet its service has no queue to wait in"),
+                "set queue_len of the service to 1 or more",
+            );
+        }
+        if treatment.spill == Spill::Mesh && timeout_ms < MESH_TIMEOUT_MIN_MS {
+            self.add(
+                at,
+                format!(
+                    "resource `{name}` may be served in the other region, yet in {timeout_ms} ms"
+                ),
+                format!("set spill = \"region\", or timeout_ms to {MESH_TIMEOUT_MIN_MS} or more"),
+            );
+        }
+    }
+
     fn treatment(&mut self, name: &str, raw: &Spanned<RawTreatment>) -> Treatment {
         let at = raw.span().start;
         let merged = self.inherit(raw.get_ref().clone());
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -4,4 +4,5 @@
 //! traits of [`crate::platform`] and prints nothing; the command line does the printing.
 
 pub mod command;
+pub(crate) mod operator;
 pub mod query;
--- a/src/ops/command.rs
+++ b/src/ops/command.rs
@@ -1,4 +1,5 @@
 //! Operations that change something.
 
+pub mod drain;
 pub mod hint;
 pub mod publish;
--- /dev/null
+++ b/src/ops/command/drain.rs
@@ -0,0 +1,66 @@
+//! Drains a node: it takes no new work and finishes what it has.
+
+use std::io::ErrorKind::ConnectionRefused;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::ops::operator::{Error, Result, ask};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How far a drain is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draining {
+    /// Whether the node refuses new work.
+    pub draining: bool,
+    /// Requests that it is still running.
+    pub in_flight: u64,
+}
+
+impl Draining {
+    /// Whether the backend server may be stopped.
+    pub fn is_done(&self) -> bool {
+        self.draining && self.in_flight == 0
+    }
+}
+
+/// Asks the node at `address` to drain; asking again does no harm.
+pub async fn drain(address: SocketAddr) -> Result<Draining> {
+    ask(address, Method::POST, "/drain").await
+}
+
+/// Asks until nothing is in flight or `limit` is over; calls `report` at each change.
+pub async fn wait_drained(
+    address: SocketAddr,
+    limit: Duration,
+    mut report: impl FnMut(Draining),
+) -> Result<Draining> {
+    let deadline = Instant::now() + limit;
+    let mut last = drain(address).await?;
+    report(last);
+    while !last.is_done() && Instant::now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let now = match drain(address).await {
+            Ok(now) => now,
+            // Guards against a wait for a node that was stopped meanwhile: it ends only when
+            // nothing is in flight, and then nobody listens at its address.
+            Err(Error::Connect { source, .. }) if source.kind() == ConnectionRefused => Draining {
+                draining: true,
+                in_flight: 0,
+            },
+            Err(error) => {
+                log::debug!(error:%; "the node did not answer; asking again");
+                last
+            }
+        };
+        if now != last {
+            report(now);
+        }
+        last = now;
+    }
+    Ok(last)
+}
--- a/src/ops/query.rs
+++ b/src/ops/query.rs
@@ -1,5 +1,9 @@
 //! Operations that only read.
 
 pub mod accepted;
+pub mod audit;
 pub mod check;
+pub mod diff;
+pub mod progress;
 pub mod status;
+pub mod watch;
--- a/src/ops/query/accepted.rs
+++ b/src/ops/query/accepted.rs
@@ -14,6 +14,7 @@
 
 /// Why nothing could be read.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The platform failed.
     #[snafu(display("reading {what}"))]
--- a/src/ops/query/check.rs
+++ b/src/ops/query/check.rs
@@ -1,12 +1,20 @@
-//! Checks team files without publishing them.
+//! Checks team files without publishing them: each for itself, or together as a set.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
-use crate::core::configuration::TeamRecord;
-use crate::core::team_file::{self, Finding};
+use serde::Serialize;
+
+use crate::core::configuration::{Configuration, TeamRecord};
+use crate::core::names::{ResourceName, ServiceName, TeamName};
+use crate::core::routing::RouteTable;
+use crate::core::team_file::{self, Finding, Lines};
+
+/// Result of this module.
+pub type Result<T, E = Vec<FileFindings>> = std::result::Result<T, E>;
 
 /// Everything wrong with one file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct FileFindings {
     /// The file.
     pub path: PathBuf,
@@ -14,27 +22,58 @@
     pub findings: Vec<Finding>,
 }
 
+/// A file that is right as far as it alone can tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckedFile {
+    /// The file.
+    pub path: PathBuf,
+    /// Its record.
+    pub record: TeamRecord,
+    lines: Lines,
+}
+
 /// Reads and checks every file; all records, or all findings of all files.
-pub fn check_files(paths: &[PathBuf]) -> Result<Vec<TeamRecord>, Vec<FileFindings>> {
-    let mut records = Vec::with_capacity(paths.len());
+pub fn check_files(paths: &[PathBuf]) -> Result<Vec<CheckedFile>> {
+    let mut files: Vec<CheckedFile> = Vec::with_capacity(paths.len());
     let mut bad = Vec::new();
     for path in paths {
-        match check_file(path) {
-            Ok(record) => records.push(record),
+        let checked = check_file(path).and_then(|file| refuse_same_team(&files, file));
+        match checked {
+            Ok(file) => files.push(file),
             Err(findings) => bad.push(FileFindings {
                 path: path.clone(),
                 findings,
             }),
         }
     }
+    if bad.is_empty() { Ok(files) } else { Err(bad) }
+}
+
+/// Checks the references between the teams when `files` replace their records in `base`, which is
+/// the accepted configuration, or the empty one if the files are the whole set.
+pub fn check_set(files: &[CheckedFile], base: &Configuration) -> Result<()> {
+    let mut set = base.clone();
+    for file in files {
+        let record = file.record.clone();
+        set.teams.insert(record.team.clone(), record);
+    }
+    let mut bad = Vec::new();
+    for file in files {
+        let findings = set_findings(file, &set);
+        if !findings.is_empty() {
+            bad.push(FileFindings {
+                path: file.path.clone(),
+                findings,
+            });
+        }
+    }
     if bad.is_empty() {
-        Ok(records)
-    } else {
-        Err(bad)
+        bad.extend(elsewhere(files, &set));
     }
+    if bad.is_empty() { Ok(()) } else { Err(bad) }
 }
 
-fn check_file(path: &Path) -> Result<TeamRecord, Vec<Finding>> {
+fn check_file(path: &Path) -> Result<CheckedFile, Vec<Finding>> {
     let text = std::fs::read_to_string(path).map_err(|error| {
         vec![Finding {
             line: 0,
@@ -42,5 +81,113 @@
             remedy: "check the path and that the file is UTF-8 text".to_owned(),
         }]
     })?;
-    team_file::parse(&text)
+    let (record, lines) = team_file::parse_with_lines(&text)?;
+    Ok(CheckedFile {
+        path: path.to_owned(),
+        record,
+        lines,
+    })
+}
+
+/// A team has one record, so of two files one would silently replace the other.
+fn refuse_same_team(
+    before: &[CheckedFile],
+    file: CheckedFile,
+) -> Result<CheckedFile, Vec<Finding>> {
+    let team = &file.record.team;
+    let Some(other) = before.iter().find(|other| other.record.team == *team) else {
+        return Ok(file);
+    };
+    Err(vec![Finding {
+        line: file.lines.team,
+        problem: format!(
+            "team `{team}` already has the file {}",
+            other.path.display()
+        ),
+        remedy: "put all of a team's services into one file, or correct the team".to_owned(),
+    }])
+}
+
+fn set_findings(file: &CheckedFile, set: &Configuration) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let owners = owners(set);
+    let team = &file.record.team;
+    for (service, line) in &file.lines.services {
+        let other = owners[service].iter().find(|owner| **owner != team);
+        if let Some(other) = other {
+            findings.push(Finding {
+                line: *line,
+                problem: format!("service `{service}` is also offered by team `{other}`"),
+                remedy: "rename the service, or have the other team give it up first".to_owned(),
+            });
+        }
+    }
+    for (service, resources) in &file.record.calls {
+        let line = file.lines.calls[service];
+        let missing = resources.iter().map(|name| missing(set, service, name));
+        findings.extend(missing.flatten().map(|what| what.at(line)));
+    }
+    for (service, record) in &file.record.services {
+        for (route, line) in record.routes.iter().zip(&file.lines.routes[service]) {
+            let target = &route.target;
+            let missing = missing(set, &target.service, &target.resource);
+            findings.extend(missing.map(|what| what.at(*line)));
+        }
+    }
+    findings.sort_by_key(|finding| finding.line);
+    findings
+}
+
+fn owners(set: &Configuration) -> BTreeMap<&ServiceName, Vec<&TeamName>> {
+    let mut owners: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (team, record) in &set.teams {
+        for service in record.services.keys() {
+            owners.entry(service).or_default().push(team);
+        }
+    }
+    owners
+}
+
+struct Missing {
+    problem: String,
+    remedy: &'static str,
+}
+
+impl Missing {
+    fn at(self, line: usize) -> Finding {
+        Finding {
+            line,
+            problem: self.problem,
+            remedy: self.remedy.to_owned(),
+        }
+    }
+}
+
+fn missing(set: &Configuration, service: &ServiceName, name: &ResourceName) -> Option<Missing> {
+    let Some(record) = set.service(service) else {
+        return Some(Missing {
+            problem: format!("no team offers service `{service}`"),
+            remedy: "correct the name, or publish the offering team's file together with this one",
+        });
+    };
+    let found = record.resources.contains_key(name);
+    (!found).then(|| Missing {
+        problem: format!("service `{service}` has no resource `{name}`"),
+        remedy: "correct the name, or publish the offering team's file together with this one",
+    })
+}
+
+/// What breaks in records of teams whose files were not given: a service that they call is gone.
+fn elsewhere(files: &[CheckedFile], set: &Configuration) -> Option<FileFindings> {
+    let error = RouteTable::compile(set).err()?;
+    let first = files.first()?;
+    Some(FileFindings {
+        path: first.path.clone(),
+        findings: vec![Finding {
+            line: first.lines.team,
+            problem: format!("with these files, {error}"),
+            remedy: "keep what the other team refers to until its own file no longer does"
+                .to_owned(),
+        }],
+    })
 }
--- a/src/ops/query/status.rs
+++ b/src/ops/query/status.rs
@@ -2,58 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::Request;
-use hyper_util::rt::TokioIo;
-use snafu::{ResultExt, Snafu};
+use hyper::Method;
 
 use crate::core::member::{Liveness, Place};
 use crate::core::status::Status;
 use crate::core::version::Version;
-use crate::util::dial::dial;
+use crate::ops::operator::ask;
 
-/// Result of this module.
-pub type Result<T, E = Error> = std::result::Result<T, E>;
-
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Why there is no status.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The node was not reached.
-    #[snafu(display("node {address} was not reached"))]
-    Connect {
-        /// Its operator address.
-        address: SocketAddr,
-        /// From the system.
-        source: std::io::Error,
-    },
-    /// It did not answer.
-    #[snafu(display("node {address} did not answer"))]
-    Exchange {
-        /// Its operator address.
-        address: SocketAddr,
-        /// From the HTTP library.
-        source: hyper::Error,
-    },
-    /// It did not answer in time.
-    #[snafu(display("node {address} did not answer in {} ms", ANSWER_TIMEOUT.as_millis()))]
-    Late {
-        /// Its operator address.
-        address: SocketAddr,
-    },
-    /// It answered something else.
-    #[snafu(display("node {address} did not answer with a status"))]
-    Decode {
-        /// Its operator address.
-        address: SocketAddr,
-        /// From the JSON reader.
-        source: serde_json::Error,
-    },
-}
+pub use crate::ops::operator::{Error, Result};
 
 /// What the nodes of one data centre enforce.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,25 +36,7 @@
 
 /// Asks the node whose operator listener is at `address`.
 pub async fn fetch(address: SocketAddr) -> Result<Status> {
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, get(address, "/status")).await;
-    let body = answer.map_err(|_| Error::Late { address })??;
-    serde_json::from_slice(&body).context(DecodeSnafu { address })
-}
-
-async fn get(address: SocketAddr, path: &str) -> Result<Bytes> {
-    let stream = dial(address, None, ANSWER_TIMEOUT).await;
-    let stream = stream.context(ConnectSnafu { address })?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.context(ExchangeSnafu { address })?;
-    tokio::spawn(connection);
-    let request = Request::get(path)
-        .header(hyper::header::HOST, address.to_string())
-        .body(Empty::<Bytes>::new())
-        .expect("a constant path and an address make a request");
-    let response = sender.send_request(request).await;
-    let response = response.context(ExchangeSnafu { address })?;
-    let body = response.into_body().collect().await;
-    Ok(body.context(ExchangeSnafu { address })?.to_bytes())
+    ask(address, Method::GET, "/status").await
 }
 
 /// Sums up the living members by data centre.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,6 +5,7 @@
 //! [`Error::OutcomeUnknown`], since it must be looked up and never simply repeated.
 
 pub mod http;
+pub mod patient;
 pub mod rows;
 
 use std::collections::BTreeMap;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -138,7 +138,13 @@
     async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
         let body = serde_json::to_vec(transaction).expect("a transaction always encodes");
         match self.call(Method::POST, "/table/transact", body).await? {
-            (StatusCode::OK, body) => decode(&body),
+            // A garbled answer and a server's own failure say nothing of the write behind them.
+            (StatusCode::OK, body) => decode(&body).map_err(|error| Error::OutcomeUnknown {
+                reason: error.to_string(),
+            }),
+            (status, _) if status.is_server_error() => Err(Error::OutcomeUnknown {
+                reason: format!("status {status}"),
+            }),
             (status, _) => unexpected(status),
         }
     }
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `head` | [`HeadRow`] | each publication, conditionally |
 //! | `version/N` | [`VersionRow`] | with the head, once; the audit trail |
-//! | `publish/ID` | [`PublishRow`] | with the head, once; settles lost answers |
+//! | `publish/ID` | [`PublishRow`] | with the head or when abandoned, once; settles lost answers |
 //! | `node/ADDRESS` | [`NodeRow`] | that node, seldom |
 
 use std::net::SocketAddr;
@@ -80,11 +80,24 @@
     },
 }
 
-/// Which version a publication made.
+/// What became of a publication; the row is written once and never changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PublishRow {
-    /// The version.
-    pub version: Version,
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum PublishRow {
+    /// It made a version.
+    Committed {
+        /// The version.
+        version: Version,
+        /// Digest of what was asked for.
+        request: Digest,
+    },
+    /// An operator settled that it shall never take effect.
+    Abandoned {
+        /// Who.
+        operator: String,
+        /// When, in milliseconds since the epoch, by that operator's clock.
+        time_ms: u64,
+    },
 }
 
 /// Where a node may be reached: a bootstrap hint, nothing more.
