Test publish under failure, and look the id up in every round

Cause: the tests of publications in flight found that an earlier run's commit which lands between the first look-up of the id and the read of the head was told as "published by others": the run took its own version for a race.

Change: each round reads the head, then the id. Tests through the command line against the platform stand-in (lost answer, lost request, outage before, at and after the commit, operators racing on the same and on different teams, resume, stop, rollback, deletion, id used twice), and through the library with a commit that is held on its way. The stand-in can refuse transactions alone and go down after a loss.

Excluded: the id's condition alone does not order publications; the head's does.

--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -35,6 +35,10 @@
     pub lose_answers: u32,
     /// So many transactions are lost before they take effect.
     pub lose_requests: u32,
+    /// Answers 503 to transactions alone.
+    pub refuse_transactions: bool,
+    /// Is down from the next lost answer or lost request on.
+    pub down_after_loss: bool,
 }
 
 /// How much was asked of it.
@@ -241,8 +245,12 @@
         let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
             return Some(answer(StatusCode::BAD_REQUEST, "not a transaction\n"));
         };
+        if self.faults.refuse_transactions {
+            return Some(answer(StatusCode::SERVICE_UNAVAILABLE, "no writes\n"));
+        }
         if self.faults.lose_requests > 0 {
             self.faults.lose_requests -= 1;
+            self.faults.down = self.faults.down_after_loss;
             return None;
         }
         let holds = transaction.conditions.iter().all(|c| self.holds(c));
@@ -254,6 +262,7 @@
         }
         if self.faults.lose_answers > 0 {
             self.faults.lose_answers -= 1;
+            self.faults.down = self.faults.down_after_loss;
             return None;
         }
         let outcome = if holds {
--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -202,8 +202,10 @@
 
 /// How one round ended.
 enum Round {
-    /// This publication made a version.
+    /// The commit took effect.
     Published(Stamp),
+    /// The version that this publication made, maybe in an earlier run, was found by its id.
+    Found(Stamp),
     /// Another publication came first, and this one certainly did not take effect.
     Overtaken,
     /// The commit's answer was lost.
@@ -219,11 +221,7 @@
     options: &PublishOptions,
 ) -> Result<Published> {
     if let Some(stamp) = find_published(platform, options).await? {
-        return Ok(Published {
-            stamp,
-            rebases: 0,
-            already: true,
-        });
+        return Ok(done(stamp, 0, true));
     }
     let seen = seen_by_operator(platform, options).await?;
     let changes = change_set(platform, options, &seen).await?;
@@ -366,13 +364,8 @@
         let mut wait = FIRST_SETTLE_WAIT;
         while rebases < ROUNDS_MAX {
             match self.round().await {
-                Ok(Round::Published(stamp)) => {
-                    return Ok(Published {
-                        stamp,
-                        rebases,
-                        already: false,
-                    });
-                }
+                Ok(Round::Published(stamp)) => return Ok(done(stamp, rebases, false)),
+                Ok(Round::Found(stamp)) => return Ok(done(stamp, rebases, self.lost.is_none())),
                 Ok(Round::Overtaken) => {
                     rebases += 1;
                     continue;
@@ -395,18 +388,20 @@
 
     async fn round(&mut self) -> Result<Round> {
         let head = accepted::head(self.platform).await.context(ReadSnafu)?;
-        if let Some(lost) = &self.lost {
-            // The id is read after the head: see `plan::settled`.
-            let found = find_published(self.platform, self.options).await?;
-            match plan::settled(lost.sent_at_revision, head.revision, found.is_some()) {
-                Settled::TookEffect => return Ok(Round::Published(found.unwrap_or(head.stamp))),
-                Settled::Dead => {
-                    self.lost = None;
-                    return Ok(Round::Overtaken);
-                }
-                // Sending the same conditions again is safe: one of the two fails.
-                Settled::Open => (),
+        // The id is read after the head: see `plan::settled`. It is read even if this run has lost
+        // no answer: an earlier run's commit may land between the first look-up and the head, and
+        // would then be taken for somebody else's change to the same team.
+        let found = find_published(self.platform, self.options).await?;
+        let sent_at_revision = self.lost.as_ref().map(|lost| lost.sent_at_revision);
+        let sent_at_revision = sent_at_revision.unwrap_or(head.revision);
+        match plan::settled(sent_at_revision, head.revision, found.is_some()) {
+            Settled::TookEffect => return Ok(Round::Found(found.unwrap_or(head.stamp))),
+            Settled::Dead => {
+                self.lost = None;
+                return Ok(Round::Overtaken);
             }
+            // Sending the same conditions again is safe: one of the two fails.
+            Settled::Open => (),
         }
         let (row, base) = self.prepare(head).await?;
         let request = self.options.request_digest();
@@ -428,7 +423,7 @@
     /// A condition did not hold: the head moved, or an earlier try with this id committed.
     async fn overtaken(&mut self, head: Head) -> Result<Round> {
         match find_published(self.platform, self.options).await {
-            Ok(Some(stamp)) => Ok(Round::Published(stamp)),
+            Ok(Some(stamp)) => Ok(Round::Found(stamp)),
             Ok(None) => {
                 self.lost = None;
                 Ok(Round::Overtaken)
@@ -531,6 +526,14 @@
     }
 }
 
+fn done(stamp: Stamp, rebases: u32, already: bool) -> Published {
+    Published {
+        stamp,
+        rebases,
+        already,
+    }
+}
+
 /// Whether the error holds whatever becomes of a commit that is still on its way.
 fn is_final(error: &Error) -> bool {
     matches!(error, Error::Abandoned { .. } | Error::IdReused { .. })
--- /dev/null
+++ b/tests/testsuite/publish.rs
@@ -0,0 +1,412 @@
+//! `publish` and its failures, through the command line against the platform stand-in.
+
+use std::path::{Path, PathBuf};
+use std::process::Output;
+
+use serde_json::Value;
+use tempfile::TempDir;
+use testkit::platform::{Faults, Platform};
+
+use crate::support::command;
+
+/// A platform, and a directory for team files.
+struct Bench {
+    platform: Platform,
+    files: TempDir,
+}
+
+/// What a command brought.
+struct Run {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+impl From<Output> for Run {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code(),
+            stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+            stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+}
+
+impl Run {
+    #[track_caller]
+    fn expect(&self, code: i32, text: &str) {
+        let all = format!("{}{}", self.stdout, self.stderr);
+        assert_eq!(self.code, Some(code), "{all}");
+        assert!(all.contains(text), "`{text}` is not in:\n{all}");
+    }
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let platform = Platform::start(([127, 0, 0, 1], 0).into()).await;
+        Self {
+            platform: platform.expect("a port is free"),
+            files: TempDir::new().expect("there is room for files"),
+        }
+    }
+
+    /// Writes the file of a team that offers one service of the same name.
+    fn team(&self, team: &str, queue_len: u32, calls: &str) -> PathBuf {
+        let path = self.files.path().join(format!("{team}-{queue_len}.toml"));
+        let text = format!(
+            "team = \"{team}\"\n[service.{team}]\nslots_per_endpoint = 6\n\
+             connections_per_endpoint = 120\nqueue_len = {queue_len}\n\
+             [service.{team}.resource.stock]\nidempotent = true\n\
+             [[service.{team}.route]]\npath = \"/stock\"\nresource = \"stock\"\n{calls}"
+        );
+        std::fs::write(&path, text).expect("the file is written");
+        path
+    }
+
+    async fn run(&self, arguments: &[&str]) -> Run {
+        let url = self.platform.url();
+        let mut all = vec![arguments[0], "--platform", &url];
+        all.extend(&arguments[1..]);
+        command(&all).await.into()
+    }
+
+    async fn publish(&self, file: &Path, more: &[&str]) -> Run {
+        let mut arguments = vec!["publish", "--operator", "ana"];
+        arguments.extend(more);
+        arguments.push(file.to_str().expect("temporary paths are UTF-8"));
+        self.run(&arguments).await
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        self.platform.set_faults(faults);
+    }
+
+    fn versions(&self) -> Vec<Value> {
+        let rows = self.platform.rows();
+        let versions = rows.iter().filter(|(key, _)| key.starts_with("version/"));
+        let parsed = versions.map(|(_, value)| serde_json::from_str(value).expect("rows are JSON"));
+        parsed.collect()
+    }
+
+    fn head(&self) -> u64 {
+        let rows = self.platform.rows();
+        let Some(head) = rows.get("head") else {
+            return 0;
+        };
+        let head: Value = serde_json::from_str(head).expect("rows are JSON");
+        head["stamp"]["version"].as_u64().expect("a version")
+    }
+}
+
+/// The operator publishes, the platform commits, and its answer is lost on the way. The operator
+/// sees one publication done, and the audit trail holds it once: the lost answer is looked up
+/// under the publication's id instead of being taken for a failure.
+#[tokio::test]
+async fn lost_answer_is_looked_up() {
+    let bench = Bench::start().await;
+    bench.set_faults(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let file = bench.team("armazem", 12, "");
+    let run = bench.publish(&file, &["--id", "first"]).await;
+    run.expect(0, "Published: version 1");
+    assert_eq!(bench.versions().len(), 1);
+}
+
+/// The operator publishes, and the request itself is lost before the platform sees it. The same
+/// conditional transaction is sent again, and the operator sees one publication done.
+#[tokio::test]
+async fn lost_request_is_sent_again() {
+    let bench = Bench::start().await;
+    bench.set_faults(Faults {
+        lose_requests: 2,
+        ..Faults::default()
+    });
+    let file = bench.team("armazem", 12, "");
+    let run = bench.publish(&file, &[]).await;
+    run.expect(0, "Published: version 1");
+    assert_eq!(bench.versions().len(), 1);
+}
+
+/// The platform is down when the operator publishes: refused, nothing changed, exit code 1. The
+/// same command works once the platform is back.
+#[tokio::test]
+async fn outage_before_the_commit_changes_nothing() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let run = bench.publish(&file, &[]).await;
+    run.expect(1, "nothing was changed");
+    assert!(bench.platform.rows().is_empty());
+    bench.set_faults(Faults::default());
+    bench.publish(&file, &[]).await.expect(0, "version 1");
+}
+
+/// The platform takes reads and objects, and refuses the commit itself. That is a proof that
+/// nothing was written: exit code 1 and "nothing was changed", not "unknown".
+#[tokio::test]
+async fn outage_at_the_commit_changes_nothing() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.set_faults(Faults {
+        refuse_transactions: true,
+        ..Faults::default()
+    });
+    let run = bench.publish(&file, &[]).await;
+    run.expect(1, "the platform refused the commit of version 1");
+    run.expect(1, "nothing was changed");
+    assert!(bench.platform.rows().is_empty());
+}
+
+/// Nobody listens at the platform's address: refused, nothing changed.
+#[tokio::test]
+async fn unreachable_platform_changes_nothing() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    let arguments = ["publish", "--platform", "http://127.0.0.1:9"];
+    let file = file.to_str().expect("temporary paths are UTF-8");
+    let run: Run = command(&[&arguments[..], &[file]].concat()).await.into();
+    run.expect(1, "nothing was changed");
+}
+
+/// The platform commits and goes down before it answers, for longer than the command waits. The
+/// operator is told "unknown" (exit code 3) and how to settle it. Settling finds the version;
+/// running the whole command again with the id finds it too, and never commits it twice.
+#[tokio::test]
+async fn outage_after_the_commit_is_settled_by_id() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.set_faults(Faults {
+        lose_answers: 1,
+        down_after_loss: true,
+        ..Faults::default()
+    });
+    let run = bench.publish(&file, &["--id", "night"]).await;
+    run.expect(3, "--resume night --expect 0");
+    let run = bench.run(&["publish", "--resume", "night"]).await;
+    run.expect(3, "--resume night");
+    bench.set_faults(Faults::default());
+    let run = bench.run(&["publish", "--resume", "night"]).await;
+    run.expect(0, "publication night made version 1");
+    let again = ["--resume", "night", "--expect", "0"];
+    let run = bench.publish(&file, &again).await;
+    run.expect(0, "Found already published: version 1");
+    assert_eq!(bench.versions().len(), 1);
+}
+
+/// The request is lost and the platform goes down, so the outcome is unknown. Meanwhile another
+/// team publishes. Going on with the publication commits it once, on top of the other.
+#[tokio::test]
+async fn unknown_outcome_is_gone_on_with() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.set_faults(Faults {
+        lose_requests: 1,
+        down_after_loss: true,
+        ..Faults::default()
+    });
+    let run = bench.publish(&file, &["--id", "night"]).await;
+    run.expect(3, "--resume night --expect 0");
+    bench.set_faults(Faults::default());
+    let other = bench.team("balanco", 60, "");
+    bench.publish(&other, &[]).await.expect(0, "version 1");
+    let again = ["--resume", "night", "--expect", "0"];
+    let run = bench.publish(&file, &again).await;
+    run.expect(0, "Published: version 2");
+    assert_eq!(bench.versions().len(), 2);
+}
+
+/// The same, but the operator decides to stop it: settled as "did not take effect". The id can't
+/// be used any more, so that the lost request fails if it arrives after all.
+#[tokio::test]
+async fn unknown_outcome_is_stopped_for_good() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.set_faults(Faults {
+        lose_requests: 1,
+        down_after_loss: true,
+        ..Faults::default()
+    });
+    let run = bench.publish(&file, &["--id", "night"]).await;
+    run.expect(3, "unknown");
+    bench.set_faults(Faults::default());
+    let run = bench.run(&["publish", "--resume", "night"]).await;
+    run.expect(1, "did not take effect, and can't any more");
+    let run = bench.publish(&file, &["--id", "night"]).await;
+    run.expect(1, "was abandoned");
+    assert_eq!(bench.head(), 0);
+}
+
+/// An operator uses an id a second time, for other records. Without a look at what the id stands
+/// for, the second publication would be called done although nothing of it is in force.
+#[tokio::test]
+async fn id_of_another_publication_is_refused() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    let run = bench.publish(&file, &["--id", "night"]).await;
+    run.expect(0, "version 1");
+    let changed = bench.team("armazem", 24, "");
+    let run = bench.publish(&changed, &["--id", "night"]).await;
+    run.expect(1, "already made version 1, from other records");
+    assert_eq!(bench.head(), 1);
+}
+
+/// Ana and Bea look at version 1 and change the same team. Ana publishes first. Bea is refused and
+/// shown what Ana changed: otherwise Ana's change would be undone, and nobody would notice.
+#[tokio::test]
+async fn race_on_the_same_team_shows_the_difference() {
+    let bench = Bench::start().await;
+    let first = bench.team("armazem", 12, "");
+    bench.publish(&first, &[]).await.expect(0, "version 1");
+    let of_ana = bench.team("armazem", 24, "");
+    let run = bench.publish(&of_ana, &["--expect", "1"]).await;
+    run.expect(0, "version 2");
+    let of_bea = bench.team("armazem", 36, "");
+    let run = bench.publish(&of_bea, &["--expect", "1"]).await;
+    run.expect(1, "~ service.armazem.queue_len: 12 -> 24");
+    assert_eq!(bench.head(), 2);
+}
+
+/// Six operators publish changes of the same team at one moment, all on top of version 1, to a
+/// platform that is slow enough for all of them to read it before the first commits. One is
+/// accepted, five are refused; none of the refused has changed anything.
+#[tokio::test]
+async fn one_of_many_racing_operators_is_accepted() {
+    let bench = Bench::start().await;
+    let first = bench.team("armazem", 1, "");
+    bench.publish(&first, &[]).await.expect(0, "version 1");
+    bench.set_faults(Faults {
+        delay_ms: 50,
+        ..Faults::default()
+    });
+    let files: Vec<_> = (2..8).map(|len| bench.team("armazem", len, "")).collect();
+    let runs = race(&bench, &files).await;
+    let accepted = runs.iter().filter(|run| run.code == Some(0)).count();
+    assert_eq!(accepted, 1);
+    for run in runs.iter().filter(|run| run.code != Some(0)) {
+        run.expect(1, "published by others since version 1");
+    }
+    assert_eq!(bench.head(), 2);
+}
+
+/// Five teams publish at one moment. All are accepted, each as a version of its own on top of the
+/// one before: a change of another team is rebased on, not refused and not overwritten.
+#[tokio::test]
+async fn racing_teams_are_all_accepted() {
+    let bench = Bench::start().await;
+    bench.set_faults(Faults {
+        delay_ms: 30,
+        ..Faults::default()
+    });
+    let teams = ["armazem", "balanco", "expedicao", "pesagem", "salina"];
+    let files: Vec<_> = teams.iter().map(|team| bench.team(team, 6, "")).collect();
+    let runs = race(&bench, &files).await;
+    for run in &runs {
+        run.expect(0, "Published");
+    }
+    let versions = bench.versions();
+    assert_eq!(versions.len(), teams.len());
+    for pair in versions.windows(2) {
+        assert_eq!(pair[1]["parent"], pair[0]["stamp"]);
+    }
+    let run = bench.run(&["diff", "--from", "0", "--json"]).await;
+    let diff: Value = serde_json::from_str(&run.stdout).expect("diff prints JSON");
+    assert_eq!(diff["teams"].as_array().map(Vec::len), Some(teams.len()));
+}
+
+async fn race(bench: &Bench, files: &[PathBuf]) -> Vec<Run> {
+    let url = bench.platform.url();
+    let mut running = Vec::new();
+    for file in files {
+        let (url, file) = (url.clone(), file.to_str().expect("UTF-8").to_owned());
+        let expected = bench.head().to_string();
+        running.push(tokio::spawn(async move {
+            let arguments = ["publish", "--platform", &url, "--expect", &expected, &file];
+            Run::from(command(&arguments).await)
+        }));
+    }
+    let mut runs = Vec::new();
+    for task in running {
+        runs.push(task.await.expect("the command ran"));
+    }
+    runs
+}
+
+/// A bad change is taken back: the old records come as a new version, and the audit trail shows
+/// all three. A rollback to a version that never was is refused.
+#[tokio::test]
+async fn rollback_is_a_new_version_with_old_records() {
+    let bench = Bench::start().await;
+    let good = bench.team("armazem", 12, "");
+    bench.publish(&good, &[]).await.expect(0, "version 1");
+    let bad = bench.team("armazem", 0, "");
+    bench.publish(&bad, &[]).await.expect(0, "version 2");
+    let run = bench.run(&["publish", "--rollback-to", "9"]).await;
+    run.expect(1, "there is no version 9 yet");
+    let run = bench.run(&["publish", "--rollback-to", "1"]).await;
+    run.expect(0, "Published: version 3");
+    let run = bench.run(&["diff", "--from", "1", "--to", "3"]).await;
+    run.expect(0, "no difference");
+    let run = bench.run(&["audit"]).await;
+    run.expect(0, "rollback to 1");
+    run.expect(0, "~ service.armazem.queue_len: 0 -> 12");
+    let run = bench.run(&["history", "--json"]).await;
+    let history: Value = serde_json::from_str(&run.stdout).expect("history prints JSON");
+    assert_eq!(history.as_array().map(Vec::len), Some(3));
+    assert_eq!(history[0]["kind"]["to"], 1);
+}
+
+/// Ana wants the whole set of version 1 back. Since she looked, another team has published. The
+/// rollback would undo that unseen, so it is refused; rolling back the one team is not.
+#[tokio::test]
+async fn rollback_of_the_whole_set_is_raced_by_any_team() {
+    let bench = Bench::start().await;
+    let good = bench.team("armazem", 12, "");
+    bench.publish(&good, &[]).await.expect(0, "version 1");
+    let bad = bench.team("armazem", 0, "");
+    bench.publish(&bad, &[]).await.expect(0, "version 2");
+    let other = bench.team("balanco", 60, "");
+    bench.publish(&other, &[]).await.expect(0, "version 3");
+    let whole = ["publish", "--rollback-to", "1", "--expect", "2"];
+    let run = bench.run(&whole).await;
+    run.expect(1, "team balanco: record inserted");
+    let team = [&whole[..], &["--team", "armazem"]].concat();
+    bench.run(&team).await.expect(0, "version 4");
+    let run = bench.run(&["diff", "--from", "3"]).await;
+    run.expect(0, "~ service.armazem.queue_len: 0 -> 12");
+    assert!(!run.stdout.contains("balanco"), "{}", run.stdout);
+}
+
+/// A team that others call can't be deleted, a team that does not exist neither; the last caller
+/// can, and then the team itself.
+#[tokio::test]
+async fn deletion_of_a_team_keeps_references_closed() {
+    let bench = Bench::start().await;
+    let called = bench.team("armazem", 12, "");
+    bench.publish(&called, &[]).await.expect(0, "version 1");
+    let caller = bench.team("balanco", 60, "[calls]\narmazem = [\"stock\"]\n");
+    bench.publish(&caller, &[]).await.expect(0, "version 2");
+    let run = bench.run(&["publish", "--remove", "armazem"]).await;
+    run.expect(1, "team `balanco` refers to service `armazem`");
+    let run = bench.run(&["publish", "--remove", "armazen"]).await;
+    run.expect(1, "team `armazen` has no record in version 2");
+    let run = bench.run(&["publish", "--remove", "balanco"]).await;
+    run.expect(0, "version 3");
+    let run = bench.run(&["publish", "--remove", "armazem"]).await;
+    run.expect(0, "version 4");
+}
+
+/// Records that are accepted already are not published again: no version without a change.
+#[tokio::test]
+async fn unchanged_records_make_no_version() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    bench.publish(&file, &[]).await.expect(0, "version 1");
+    let run = bench.publish(&file, &[]).await;
+    run.expect(1, "version 1 already holds these records");
+    assert_eq!(bench.head(), 1);
+}
--- /dev/null
+++ b/tests/testsuite/publish_in_flight.rs
@@ -0,0 +1,215 @@
+//! Publications whose transaction is still under way when the operator acts again.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use dragonflywall::core::team_file;
+use dragonflywall::core::version::{Digest, Version};
+use dragonflywall::ops::command::publish::{Error, PublishOptions, abandon, publish};
+use dragonflywall::ops::query::accepted;
+use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::platform::patient::Patient;
+use dragonflywall::platform::rows::HEAD_KEY;
+use dragonflywall::platform::{self, ObjectStore, Outcome, Result, Row, Table, Transaction};
+
+/// A platform whose first transaction is held on the way until it is delivered, and whose reads
+/// and further transactions are refused so many times because of the rate ceiling.
+struct Slow {
+    inner: HttpPlatform,
+    held: Mutex<Option<Transaction>>,
+    hold: AtomicU32,
+    busy: AtomicU32,
+    /// So many times the held transaction arrives just before the head is read.
+    deliver_at_head: AtomicU32,
+    /// Somebody else's publication that is accepted while a transaction is held.
+    overtaking: Option<PublishOptions>,
+}
+
+impl Slow {
+    fn new(platform: &testkit::platform::Platform) -> Self {
+        Self {
+            inner: HttpPlatform::new(&platform.url(), None),
+            held: Mutex::new(None),
+            hold: AtomicU32::new(0),
+            busy: AtomicU32::new(0),
+            deliver_at_head: AtomicU32::new(0),
+            overtaking: None,
+        }
+    }
+
+    async fn deliver(&self) -> Outcome {
+        let held = self.held.lock().map(|held| held.clone());
+        let transaction = held.ok().flatten().expect("a transaction was held");
+        let delivered = self.inner.transact(&transaction).await;
+        delivered.expect("the platform works")
+    }
+
+    fn busy(&self) -> Result<()> {
+        match take(&self.busy) {
+            true => Err(platform::Error::Busy),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Takes one off a counter that is not at zero yet.
+fn take(counter: &AtomicU32) -> bool {
+    let taken = counter.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+        left.checked_sub(1)
+    });
+    taken.is_ok()
+}
+
+impl Table for Slow {
+    async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
+        self.busy()?;
+        if take(&self.hold) {
+            *self.held.lock().expect("no test panics while it holds it") =
+                Some(transaction.clone());
+            if let Some(other) = &self.overtaking {
+                let published = publish(&self.inner, other).await;
+                published.expect("nobody else publishes");
+            }
+            return Err(platform::Error::OutcomeUnknown {
+                reason: "held on the way".to_owned(),
+            });
+        }
+        self.inner.transact(transaction).await
+    }
+
+    async fn row(&self, key: &str) -> Result<Option<Row>> {
+        self.busy()?;
+        if key == HEAD_KEY && take(&self.deliver_at_head) {
+            self.deliver().await;
+        }
+        self.inner.row(key).await
+    }
+
+    async fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<BTreeMap<String, Row>> {
+        self.inner.rows(prefix, after, limit).await
+    }
+}
+
+impl ObjectStore for Slow {
+    async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> Result<()> {
+        self.inner.put_object(digest, bytes).await
+    }
+
+    async fn object(&self, digest: &Digest) -> Result<Option<Vec<u8>>> {
+        self.inner.object(digest).await
+    }
+}
+
+async fn start() -> (testkit::platform::Platform, Slow) {
+    let started = testkit::platform::Platform::start(([127, 0, 0, 1], 0).into()).await;
+    let stand_in = started.expect("a port is free");
+    let slow = Slow::new(&stand_in);
+    (stand_in, slow)
+}
+
+fn options(publish_id: &str, settle_limit_ms: u64) -> PublishOptions {
+    let text = std::fs::read_to_string(crate::support::repository_file(
+        "examples/marinhas/armazem.toml",
+    ));
+    let record = team_file::parse(&text.expect("the example exists"));
+    PublishOptions::builder()
+        .publish_id(publish_id)
+        .operator("ana")
+        .time_ms(0)
+        .records(vec![record.expect("the example is right")])
+        .settle_limit_ms(settle_limit_ms)
+        .build()
+}
+
+async fn head(table: &impl Table) -> Version {
+    let head = accepted::head(table).await;
+    head.expect("the platform works").stamp.version
+}
+
+/// The commit hangs on the way, and the operator is told "unknown". She stops the publication for
+/// good. Only then does the commit arrive: it must not take effect behind her back, so it has to
+/// fail on the id that the stop has occupied; the head has not moved and would let it through.
+#[tokio::test]
+async fn commit_that_arrives_after_the_stop_fails() {
+    let (_stand_in, slow) = start().await;
+    slow.hold.store(u32::MAX, Ordering::SeqCst);
+    let published = publish(&slow, &options("night", 0)).await;
+    assert!(
+        matches!(published, Err(Error::OutcomeUnknown { .. })),
+        "{published:?}"
+    );
+    slow.hold.store(0, Ordering::SeqCst);
+    let settled = abandon(&slow, "night", "ana", 0).await;
+    assert_eq!(settled.expect("the platform works"), None);
+    assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
+    assert_eq!(head(&slow).await, Version::NONE);
+}
+
+/// The commit hangs on the way, and the same command sends it again and succeeds. The first one
+/// arrives later, when a version stands: it fails, and no second version appears.
+#[tokio::test]
+async fn commit_that_arrives_after_its_repetition_fails() {
+    let (_stand_in, slow) = start().await;
+    slow.hold.store(1, Ordering::SeqCst);
+    let published = publish(&slow, &options("night", 60_000)).await;
+    let published = published.expect("the repetition is committed");
+    assert_eq!(published.stamp.version, Version(1));
+    assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
+    assert_eq!(head(&slow).await, Version(1));
+}
+
+/// The commit hangs on the way, and the operator resumes the publication. The first commit arrives
+/// just after the resumed run has looked the id up and before it reads the head. It must find its
+/// own version there, and not tell the operator that somebody else published the same team.
+#[tokio::test]
+async fn commit_that_arrives_during_the_resume_is_found() {
+    let (_stand_in, slow) = start().await;
+    slow.hold.store(u32::MAX, Ordering::SeqCst);
+    let published = publish(&slow, &options("night", 0)).await;
+    assert!(
+        matches!(published, Err(Error::OutcomeUnknown { .. })),
+        "{published:?}"
+    );
+    slow.hold.store(0, Ordering::SeqCst);
+    slow.deliver_at_head.store(1, Ordering::SeqCst);
+    let resumed = PublishOptions {
+        expected: Some(Version::NONE),
+        ..options("night", 0)
+    };
+    let published = publish(&slow, &resumed).await;
+    let published = published.expect("its own commit is found");
+    assert_eq!(published.stamp.version, Version(1));
+    assert!(published.already);
+}
+
+/// Ana's commit is lost on the way, and Bea's publication of the same team is accepted meanwhile.
+/// Ana's lost commit can't take effect any more, since the head has moved. So she gets the plain
+/// refusal with the difference, at once, and not "unknown" after a wait.
+#[tokio::test]
+async fn lost_commit_that_was_overtaken_is_a_plain_refusal() {
+    let (_stand_in, mut slow) = start().await;
+    let mut of_bea = options("bea", 60_000);
+    for service in of_bea.records[0].services.values_mut() {
+        service.queue_len += 1;
+    }
+    slow.overtaking = Some(of_bea);
+    slow.hold.store(1, Ordering::SeqCst);
+    let published = publish(&slow, &options("ana", 200)).await;
+    assert!(
+        matches!(published, Err(Error::Raced { .. })),
+        "{published:?}"
+    );
+    assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
+}
+
+/// A herd of restarting nodes holds the platform at its rate ceiling just when an operator
+/// publishes. A refusal by the ceiling is waited out; without that, the command fails by chance.
+#[tokio::test]
+async fn rate_ceiling_is_waited_out() {
+    let (_stand_in, slow) = start().await;
+    slow.busy.store(2, Ordering::SeqCst);
+    let published = publish(&Patient(slow), &options("busy", 60_000)).await;
+    let published = published.expect("the ceiling is waited out");
+    assert_eq!(published.stamp.version, Version(1));
+}
