--- a/src/bin/dragonflywall/cli.rs
+++ b/src/bin/dragonflywall/cli.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::process::ExitCode;
 
+use dragonflywall::core::token::{MeshToken, TOKEN_VARIABLE};
 use dragonflywall::ops::query::check::FileFindings;
 
 use crate::commands::{self, Command, check};
@@ -72,6 +73,15 @@
     text
 }
 
+/// The mesh token from the environment; a flag would show it in the process list.
+pub(crate) fn mesh_token() -> Result<MeshToken> {
+    let Ok(text) = std::env::var(TOKEN_VARIABLE) else {
+        return Ok(MeshToken::default());
+    };
+    text.parse()
+        .map_err(|error| Failure::Usage(format!("{TOKEN_VARIABLE}: {error}")))
+}
+
 /// Runs the command that `arguments` name.
 pub(crate) fn run(arguments: Vec<OsString>) -> ExitCode {
     match dispatch(arguments) {
--- a/src/bin/dragonflywall/commands/drain.rs
+++ b/src/bin/dragonflywall/commands/drain.rs
@@ -48,21 +48,27 @@
         if common.json {
             print_json_line(&draining);
         } else {
-            println!("Draining {node}: {} requests in flight", draining.in_flight);
+            println!(
+                "Draining {}: {} requests in flight",
+                node.address, draining.in_flight
+            );
         }
     };
     let last = block_on(async {
         if wait {
-            return wait_drained(node, limit, report).await;
+            return wait_drained(&node, limit, report).await;
         }
-        drain(node).await.inspect(|draining| report(*draining))
+        drain(&node).await.inspect(|draining| report(*draining))
     });
     let last = last.map_err(|error| {
         Failure::refused(&error, "check the node's operator address and that it runs")
     })?;
     if wait && !last.is_done() {
         return Err(Failure::Unknown {
-            text: format!("{} requests are still in flight at {node}", last.in_flight),
+            text: format!(
+                "{} requests are still in flight at {}",
+                last.in_flight, node.address
+            ),
             hint: "leave the backend server running, and run the same command again".to_owned(),
         });
     }
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -9,11 +9,12 @@
 use dragonflywall::ops::command::publish::{
     Error, PublishOptions, Published, abandon, is_publish_id, publish,
 };
+use dragonflywall::peer::client::DialOptions;
 use dragonflywall::platform::rows::PublicationKind;
 use serde::Serialize;
 
 use super::{Command, check, watch};
-use crate::cli::{Failure, Result, block_on, with_causes};
+use crate::cli::{Failure, Result, block_on, mesh_token, with_causes};
 use crate::options::{
     self, Common, JSON_HELP, LIMIT_HELP, NODE_HELP, OPERATOR_HELP, PLATFORM_HELP, now_ms,
     print_json_line,
@@ -170,11 +171,15 @@
     let platform = arguments.common.platform()?;
     let options = arguments.options()?;
     let json = arguments.common.json;
+    let dial_options = DialOptions {
+        dial_from: None,
+        token: mesh_token()?,
+    };
     block_on(async {
         let published = publish(&platform, &options).await.map_err(failure)?;
         print(&options, &published, json);
         // The commit stands whether or not a node hears of it now.
-        let told = hint::send_hints(&platform, published.stamp).await;
+        let told = hint::send_hints(&platform, published.stamp, &dial_options).await;
         if !json {
             println!("Hinted {told} nodes");
         }
@@ -183,7 +188,7 @@
         }
         let node = arguments.common.node()?;
         let limit = arguments.common.wait_limit()?;
-        watch::follow(node, published.stamp.version, limit, json).await
+        watch::follow(&node, published.stamp.version, limit, json).await
     })
 }
 
--- a/src/bin/dragonflywall/commands/status.rs
+++ b/src/bin/dragonflywall/commands/status.rs
@@ -35,8 +35,8 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let address = common.node()?;
-    let status = block_on(fetch(address))
+    let node = common.node()?;
+    let status = block_on(fetch(&node))
         .map_err(|error| Failure::refused(&error, "ask another node, or look at this one's log"))?;
     if common.json {
         print_json(&status);
--- a/src/bin/dragonflywall/commands/watch.rs
+++ b/src/bin/dragonflywall/commands/watch.rs
@@ -1,10 +1,10 @@
 //! `watch`: follows a version until every node enforces it.
 
 use std::ffi::OsString;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use dragonflywall::core::version::Version;
+use dragonflywall::ops::operator::NodeAccess;
 use dragonflywall::ops::query::progress::Progress;
 use dragonflywall::ops::query::{accepted, watch::watch};
 
@@ -55,7 +55,7 @@
         Some(version) => version,
         None => accepted_version(&common)?,
     };
-    block_on(follow(node, version, limit, common.json))
+    block_on(follow(&node, version, limit, common.json))
 }
 
 fn accepted_version(common: &Common) -> Result<Version> {
@@ -67,7 +67,7 @@
 
 /// Follows `version` until every node enforces it; also the end of `publish --wait`.
 pub(crate) async fn follow(
-    node: SocketAddr,
+    node: &NodeAccess,
     version: Version,
     limit: Duration,
     json: bool,
--- a/src/bin/dragonflywall/options.rs
+++ b/src/bin/dragonflywall/options.rs
@@ -1,17 +1,17 @@
 //! Options that several commands have: where the platform and a node are, how to print.
 
-use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dragonflywall::core::names::{TeamName, is_name};
 use dragonflywall::core::version::Version;
+use dragonflywall::ops::operator::NodeAccess;
 use dragonflywall::platform::http::HttpPlatform;
 use dragonflywall::platform::patient::Patient;
 use lexopt::{Parser, ValueExt};
 use serde::Serialize;
 
-use crate::cli::{Failure, Result};
+use crate::cli::{Failure, Result, mesh_token};
 
 /// Help lines of the options below.
 pub(crate) const PLATFORM_HELP: &str =
@@ -76,8 +76,11 @@
         Ok(Patient(HttpPlatform::new(url, None)))
     }
 
-    pub(crate) fn node(&self) -> Result<SocketAddr> {
-        parsed("node", required("node", self.node.as_deref())?)
+    pub(crate) fn node(&self) -> Result<NodeAccess> {
+        Ok(NodeAccess {
+            address: parsed("node", required("node", self.node.as_deref())?)?,
+            token: mesh_token()?,
+        })
     }
 
     pub(crate) fn operator(&self) -> &str {
--- a/src/ops/command/drain.rs
+++ b/src/ops/command/drain.rs
@@ -1,14 +1,13 @@
 //! Drains a node: it takes no new work and finishes what it has.
 
 use std::io::ErrorKind::ConnectionRefused;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::Method;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::ops::operator::{Error, Result, ask};
+use crate::ops::operator::{Error, NodeAccess, Result, ask};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -28,23 +27,23 @@
     }
 }
 
-/// Asks the node at `address` to drain; asking again does no harm.
-pub async fn drain(address: SocketAddr) -> Result<Draining> {
-    ask(address, Method::POST, "/drain").await
+/// Asks `node` to drain; asking again does no harm.
+pub async fn drain(node: &NodeAccess) -> Result<Draining> {
+    ask(node, Method::POST, "/drain").await
 }
 
 /// Asks until nothing is in flight or `limit` is over; calls `report` at each change.
 pub async fn wait_drained(
-    address: SocketAddr,
+    node: &NodeAccess,
     limit: Duration,
     mut report: impl FnMut(Draining),
 ) -> Result<Draining> {
     let deadline = Instant::now() + limit;
-    let mut last = drain(address).await?;
+    let mut last = drain(node).await?;
     report(last);
     while !last.is_done() && Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
-        let now = match drain(address).await {
+        let now = match drain(node).await {
             Ok(now) => now,
             // Guards against a wait for a node that was stopped meanwhile: it ends only when
             // nothing is in flight, and then nobody listens at its address.
--- a/src/ops/operator.rs
+++ b/src/ops/operator.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::util::dial::dial;
 
 /// Result of this module.
@@ -65,13 +66,23 @@
     },
 }
 
-/// One request to the operator listener at `address`, answered with JSON.
+/// Where a node's operator listener is, and what opens it.
+#[derive(Clone, Debug)]
+pub struct NodeAccess {
+    /// Its operator address.
+    pub address: SocketAddr,
+    /// The mesh's secret.
+    pub token: MeshToken,
+}
+
+/// One request to a node's operator listener, answered with JSON.
 pub(crate) async fn ask<T: DeserializeOwned>(
-    address: SocketAddr,
+    node: &NodeAccess,
     method: Method,
     path: &'static str,
 ) -> Result<T> {
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, exchange(address, method, path)).await;
+    let address = node.address;
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, exchange(node, method, path)).await;
     let (status, body) = answer.map_err(|_| Error::Late { address })??;
     ensure!(
         status == StatusCode::OK,
@@ -85,19 +96,22 @@
 }
 
 async fn exchange(
-    address: SocketAddr,
+    node: &NodeAccess,
     method: Method,
     path: &'static str,
 ) -> Result<(StatusCode, Bytes)> {
+    let address = node.address;
     let stream = dial(address, None, ANSWER_TIMEOUT).await;
     let stream = stream.context(ConnectSnafu { address })?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.context(ExchangeSnafu { address })?;
     tokio::spawn(connection);
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(hyper::header::HOST, address.to_string())
+    let mut request = Request::builder().method(method).uri(path);
+    request = request.header(hyper::header::HOST, address.to_string());
+    if let Some(token) = node.token.to_send() {
+        request = request.header(TOKEN_HEADER, token);
+    }
+    let request = request
         .body(Empty::<Bytes>::new())
         .expect("a constant path and an address make a request");
     let response = sender.send_request(request).await;
--- a/src/ops/query/status.rs
+++ b/src/ops/query/status.rs
@@ -1,14 +1,13 @@
 //! Asks a node what it knows of the mesh.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use hyper::Method;
 
 use crate::core::member::{Liveness, Place};
 use crate::core::status::Status;
 use crate::core::version::Version;
-use crate::ops::operator::ask;
+use crate::ops::operator::{NodeAccess, ask};
 
 pub use crate::ops::operator::{Error, Result};
 
@@ -34,9 +33,9 @@
     }
 }
 
-/// Asks the node whose operator listener is at `address`.
-pub async fn fetch(address: SocketAddr) -> Result<Status> {
-    ask(address, Method::GET, "/status").await
+/// Asks a node.
+pub async fn fetch(node: &NodeAccess) -> Result<Status> {
+    ask(node, Method::GET, "/status").await
 }
 
 /// Sums up the living members by data centre.
--- a/src/ops/query/watch.rs
+++ b/src/ops/query/watch.rs
@@ -1,11 +1,11 @@
 //! Follows how a version spreads, until every node enforces it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::core::version::Version;
+use crate::ops::operator::NodeAccess;
 use crate::ops::query::progress::{self, Progress};
 use crate::ops::query::status::{Result, fetch};
 
@@ -13,11 +13,11 @@
 /// millisecond.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Asks the node at `address` until it knows of no living node that enforces less than `version`,
+/// Asks `node` until it knows of no living node that enforces less than `version`,
 /// or until `limit` is over; calls `report` at each change. A node that does not answer is asked
 /// again: it may be restarting. Its last failure is the result if it never answers.
 pub async fn watch(
-    address: SocketAddr,
+    node: &NodeAccess,
     version: Version,
     limit: Duration,
     mut report: impl FnMut(&Progress),
@@ -25,7 +25,7 @@
     let deadline = Instant::now() + limit;
     let mut last: Option<Progress> = None;
     loop {
-        match fetch(address).await {
+        match fetch(node).await {
             Ok(status) => {
                 let now = progress::of_status(&status, version);
                 if last.as_ref() != Some(&now) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod publish;
 mod publish_in_flight;
 mod support;
+mod token;
 mod whole_path;
