--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -1,18 +1,161 @@
-//! Whether a failed request is tried again.
+//! Whether a failed request is tried again, and how often a whole tree of calls may do so.
+//!
+//! One call may lead to others, up to [`DEPTH_MAX`] deep. All of them draw on one budget of
+//! retries that the first entry sets: an entry keeps one retry for itself and passes the rest
+//! down; what was not spent comes back with the answer. No part is ever in two hands, so the
+//! tree as a whole retries at most [`RETRIES_PER_TREE`] times.
+
+use std::collections::HashMap;
 
 use crate::core::configuration::Treatment;
+use crate::core::names::ServiceName;
 use crate::core::verdict::Verdict;
 
-/// Load made for: a backend server that fails some requests. Harm prevented: a payment that runs
-/// twice, and a retry that doubles the load of a mesh that is already full. Reason for the limit:
-/// the team's `attempts`, and for a non-idempotent request proof that it did not run.
-pub fn may_retry(treatment: &Treatment, verdict: Verdict, attempts_made: u32) -> bool {
-    if attempts_made >= treatment.attempts {
-        return false;
-    }
-    match verdict {
-        Verdict::NotRun => true,
-        Verdict::MayHaveRun => treatment.idempotent,
-        Verdict::Answered => false,
+/// Calls below the first one. The letter's longest chain; a deeper one is a loop.
+pub const DEPTH_MAX: u32 = 7;
+
+/// Retries of a whole tree of calls. Load made for: an outage at the bottom of a chain of calls.
+/// Harm prevented: three attempts at each of seven levels are two thousand attempts at the last.
+/// Reason for the limit: one for each level, so that every level can mend one failure.
+pub const RETRIES_PER_TREE: u32 = 8;
+
+/// Endpoints that a request may find draining without using up an attempt. A planned stop is not
+/// a failure, and no more than a few endpoints of a subset stop at one time.
+const DRAINING_MAX: u32 = 4;
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    /// The endpoint no longer takes work; proved not run.
+    Draining,
+    /// Proved not run.
+    NotRun,
+    /// May have run.
+    MayHaveRun,
+}
+
+impl Failed {
+    /// What it says of the request.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::Draining | Self::NotRun => Verdict::NotRun,
+            Self::MayHaveRun => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// The attempts of one request at its entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempts {
+    most: u32,
+    idempotent: bool,
+    made: u32,
+    draining: u32,
+    budget: u32,
+}
+
+impl Attempts {
+    /// For a request of `treatment` with `budget` retries of its tree left.
+    pub fn new(treatment: &Treatment, budget: u32) -> Self {
+        Self {
+            most: treatment.attempts,
+            idempotent: treatment.idempotent,
+            made: 0,
+            draining: 0,
+            budget,
+        }
+    }
+
+    /// Retries that the attempt about to be made may spend further down.
+    pub fn passed_down(&self) -> u32 {
+        self.budget.saturating_sub(1)
+    }
+
+    /// Retries left, when an answer came that reports `unspent` of those passed down.
+    pub fn after_answer(&self, unspent: u32) -> u32 {
+        self.budget.min(1) + unspent.min(self.passed_down())
+    }
+
+    /// Retries left after a failure.
+    pub fn after_failure(&self) -> u32 {
+        self.budget
+    }
+
+    /// Whether an attempt that failed is to be made again.
+    ///
+    /// Load made for: an endpoint that fails some requests, or is full while others are not. Harm
+    /// prevented: a payment that runs twice, and retries that multiply the load of a service
+    /// which is already failing. Reason for the limits: the team's `attempts`, the budget of the
+    /// tree, the tokens of the service, and for a non-idempotent request proof that it did not
+    /// run.
+    pub fn again(&mut self, failed: Failed, tokens: &mut RetryTokens) -> bool {
+        if failed == Failed::Draining {
+            self.draining += 1;
+            return self.draining <= DRAINING_MAX;
+        }
+        self.made += 1;
+        if failed == Failed::MayHaveRun {
+            // What was passed down may have been spent there.
+            self.budget = self.budget.min(1);
+        }
+        let allowed = failed.verdict() == Verdict::NotRun || self.idempotent;
+        if !allowed || self.made >= self.most || self.budget == 0 || !tokens.take() {
+            return false;
+        }
+        self.budget -= 1;
+        true
+    }
+}
+
+/// Retries that an entry may make for one service, in proportion to its first attempts.
+///
+/// Load made for: a service that refuses or fails everything. Harm prevented: each request costs
+/// it `attempts` refusals, which keeps it down. Reason for the limits: a tenth of the traffic is
+/// far above the failures of an ordinary day; the reserve lets a quiet entry retry at all.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryTokens {
+    tenths: u32,
+}
+
+const TOKEN_TENTHS: u32 = 10;
+const RESERVE_TENTHS: u32 = 10 * TOKEN_TENTHS;
+
+/// The tokens of every service that an entry calls.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceTokens {
+    of: HashMap<ServiceName, RetryTokens>,
+}
+
+impl ServiceTokens {
+    /// Tokens of one service.
+    pub fn entry_for(&mut self, service: &ServiceName) -> &mut RetryTokens {
+        // The name is cloned for a service's first request only.
+        if !self.of.contains_key(service) {
+            self.of.insert(service.clone(), RetryTokens::default());
+        }
+        self.of.get_mut(service).expect("inserted above")
+    }
+}
+
+impl Default for RetryTokens {
+    fn default() -> Self {
+        Self {
+            tenths: RESERVE_TENTHS,
+        }
+    }
+}
+
+impl RetryTokens {
+    /// A first attempt was made.
+    pub fn earn(&mut self) {
+        self.tenths = RESERVE_TENTHS.min(self.tenths + 1);
+    }
+
+    fn take(&mut self) -> bool {
+        let enough = self.tenths >= TOKEN_TENTHS;
+        if enough {
+            self.tenths -= TOKEN_TENTHS;
+        }
+        enough
     }
 }
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -197,7 +197,7 @@
             .collect();
         self.clients
             .retain(|address, _| addresses.contains(address));
-        let view = View::new(members, &self.node.settings.place);
+        let view = View::new(members, self.node.me, &self.node.settings.place);
         self.node.view.store(Arc::new(view));
     }
 }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -6,8 +6,10 @@
 //! | `GET /status` | [`Status`] as JSON |
 //! | `GET /metrics` | Prometheus text |
 //! | `POST /backend-server` | the local backend server announces itself: [`Announcement`] |
+//! | `POST /drain` | the backend server gets no new work; answers how much it still has |
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -40,12 +42,13 @@
             (&Method::GET, "/status") => json(&self.status()),
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
             (&Method::POST, "/backend-server") => self.announce(request).await,
+            (&Method::POST, "/drain") => self.drain(),
             _ => text(StatusCode::NOT_FOUND, "no such operator request\n"),
         }
     }
 
     fn why_not_ready(&self) -> Option<&'static str> {
-        if self.node.draining.is_cancelled() {
+        if self.node.leaving.is_cancelled() {
             return Some("draining");
         }
         if self.node.enforced.load().is_none() {
@@ -72,6 +75,22 @@
         }
     }
 
+    /// Drains the backend server and leaves the node up as an entry for callers. May be asked again
+    /// to see how much is left.
+    fn drain(&self) -> Response<Full<Bytes>> {
+        if !self.node.drained.swap(true, Ordering::AcqRel) {
+            log::info!("draining the backend server by command");
+            let backend = self.node.backend.load();
+            let service = backend.as_ref().map(|backend| backend.service.clone());
+            self.node.close_gate();
+            let _ = self
+                .membership
+                .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
+        }
+        let in_flight = self.node.admission().in_use();
+        json(&serde_json::json!({ "draining": true, "in_flight": in_flight }))
+    }
+
     async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let body = Limited::new(request.into_body(), ANNOUNCEMENT_MAX_BYTES);
         let Ok(body) = body.collect().await else {
@@ -84,15 +103,24 @@
         if !is_name(&announcement.service) {
             return text(StatusCode::BAD_REQUEST, "the service is not a name\n");
         }
+        let state = announcement.state;
+        let stopping =
+            self.node.drained.load(Ordering::Acquire) || self.node.leaving.is_cancelled();
+        if stopping && state == BackendState::Serving {
+            return text(StatusCode::CONFLICT, "the node is draining\n");
+        }
         let service = ServiceName::new(announcement.service);
         let backend = BackendServer {
             service: service.clone(),
             address: announcement.address,
         };
-        let state = announcement.state;
         let backend = (state != BackendState::Gone).then(|| Arc::new(backend));
         self.node.backend.store(backend);
         self.node.refresh_slots();
+        match state {
+            BackendState::Serving => self.node.open_gate(),
+            BackendState::Draining | BackendState::Gone => self.node.close_gate(),
+        }
         log::info!(service:%, state:?; "backend server announced itself");
         let _ = self
             .membership
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -9,6 +9,7 @@
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,6 +32,14 @@
 /// Longest wait for neighbours to hear the goodbye.
 const GOODBYE_TIMEOUT_MS: u64 = 2_000;
 
+/// Callers' connections that have been idle so long are closed; until then an answer says that it
+/// is the last on its connection. A caller that sends while its idle connection is being closed
+/// cannot know whether its request was read, so few are to be closed that way.
+const LAME_DUCK: Duration = Duration::from_millis(500);
+
+/// Longest wait for other nodes to take the last bytes of answers.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -66,10 +75,20 @@
     node: Arc<NodeState>,
     membership: ActorRef<MembershipMsg>,
     configuration: ActorRef<ConfigurationMsg>,
-    stop: CancellationToken,
+    stops: Stops,
+    callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
     tasks: TaskTracker,
 }
 
+/// What ends the parts of a node, in the order in which they end.
+#[derive(Clone, Debug, Default)]
+struct Stops {
+    callers: CancellationToken,
+    peers: CancellationToken,
+    all: CancellationToken,
+}
+
 /// Runs a node until `stop` is cancelled, then drains it.
 pub async fn run(settings: Settings, stop: CancellationToken) -> Result<()> {
     let handle = start(settings).await?;
@@ -106,7 +125,7 @@
         .context(SpawnSnafu { what: "membership" })?;
     let _ = configuration.cast(ConfigurationMsg::Membership(membership.clone()));
 
-    let stop = CancellationToken::new();
+    let stops = Stops::default();
     let tasks = TaskTracker::new();
     let control = ControlService {
         membership: membership.clone(),
@@ -117,28 +136,30 @@
         membership: membership.clone(),
         metrics: recorder(),
     });
-    tasks.spawn(listener::serve_callers(
+    let callers = tasks.spawn(listener::serve_callers(
         caller,
         Arc::clone(&node),
-        stop.clone(),
+        stops.callers.clone(),
+        stops.all.clone(),
     ));
-    tasks.spawn(listener::serve_peers(
+    let peers = tasks.spawn(listener::serve_peers(
         peer,
         Arc::clone(&node),
         control,
-        stop.clone(),
+        stops.peers.clone(),
+        stops.all.clone(),
     ));
     tasks.spawn(listener::serve_operators(
         operator,
         operator_service,
-        stop.clone(),
+        stops.all.clone(),
     ));
     tasks.spawn(registration::run(
         Arc::clone(&node),
         me.clone(),
         platform,
         membership.clone(),
-        stop.clone(),
+        stops.all.clone(),
     ));
     log::info!(
         node:% = me.node,
@@ -153,7 +174,9 @@
         node,
         membership,
         configuration,
-        stop,
+        stops,
+        callers,
+        peers,
         tasks,
     })
 }
@@ -171,27 +194,42 @@
     }
 
     /// Takes no new work, tells the mesh, finishes what is in flight, then ends.
-    pub async fn drain(self) {
+    ///
+    /// The order matters. The gate closes first, while the mesh is told. Callers are still served
+    /// until the backend server has finished: its own work may lead to calls through this node.
+    /// Only then do the callers' connections end, and last the other nodes'.
+    pub async fn drain(mut self) {
         log::info!("draining");
-        self.node.draining.cancel();
+        self.node.leaving.cancel();
+        self.node.close_gate();
         let service = self.node.backend.load().as_ref().map(|b| b.service.clone());
         let _ = self
             .membership
             .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
-        self.node.in_flight.close();
         let limit = Duration::from_millis(self.node.settings.drain_timeout_ms);
-        let finished = tokio::time::timeout(limit, self.node.in_flight.wait()).await;
-        if finished.is_err() {
+        if tokio::time::timeout(limit, self.finish()).await.is_err() {
             log::warn!(drain_timeout_ms = self.node.settings.drain_timeout_ms; "requests in flight were cut");
         }
         let _ = ractor::call_t!(self.membership, MembershipMsg::Leave, GOODBYE_TIMEOUT_MS);
-        self.stop.cancel();
+        self.stops.peers.cancel();
+        // Answers that were read whole may still be on their way out.
+        let _ = tokio::time::timeout(FLUSH_TIMEOUT, &mut self.peers).await;
+        self.stops.all.cancel();
         self.tasks.close();
         self.tasks.wait().await;
         self.membership.stop(None);
         self.configuration.stop(None);
         log::info!("stopped");
     }
+
+    async fn finish(&mut self) {
+        // Whatever the gate is asked from now on it refuses at once, so a request that comes
+        // after the last one has ended cannot be lost by not being waited for.
+        self.node.in_gate.close();
+        tokio::join!(self.node.in_gate.wait(), tokio::time::sleep(LAME_DUCK));
+        self.stops.callers.cancel();
+        let _ = (&mut self.callers).await;
+    }
 }
 
 async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener> {
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -44,6 +44,9 @@
     }
 }
 
+/// The HTTP library's smallest read buffer, which the head has to fit in.
+const CALLER_HEADER_LEAST_BYTES: usize = 8_192;
+
 /// Every setting of a node.
 pub const SPECS: &[Spec] = &[
     Spec {
@@ -118,6 +121,30 @@
         default: "",
         help: "address of the VM's backend server (default: wait for its announcement)",
     },
+    Spec {
+        flag: "caller-header-max-bytes",
+        value: "BYTES",
+        default: "65536",
+        help: "longest head of a caller's request (at least 8192)",
+    },
+    Spec {
+        flag: "caller-header-timeout-ms",
+        value: "MS",
+        default: "30000",
+        help: "longest wait for the head of a caller's next request",
+    },
+    Spec {
+        flag: "caller-idle-timeout-ms",
+        value: "MS",
+        default: "60000",
+        help: "longest time that a caller may neither send nor take a byte of a body",
+    },
+    Spec {
+        flag: "caller-connections-max",
+        value: "N",
+        default: "1024",
+        help: "most connections of one caller's address",
+    },
     Spec {
         flag: "drain-timeout-ms",
         value: "MS",
@@ -184,6 +211,18 @@
     pub dial_from: Option<IpAddr>,
     /// The backend server known from the start.
     pub backend_server: Option<BackendServer>,
+    /// Longest head of a caller's request.
+    #[builder(default = 65_536)]
+    pub caller_header_max_bytes: usize,
+    /// Longest wait for the head of a caller's next request, in milliseconds.
+    #[builder(default = 30_000)]
+    pub caller_header_timeout_ms: u64,
+    /// Longest time without progress of a caller's body, either way, in milliseconds.
+    #[builder(default = 60_000)]
+    pub caller_idle_timeout_ms: u64,
+    /// Most connections of one caller's address.
+    #[builder(default = 1_024)]
+    pub caller_connections_max: u32,
     /// Longest wait for requests in flight when stopping, in milliseconds.
     #[builder(default = 600_000)]
     pub drain_timeout_ms: u64,
@@ -289,6 +328,10 @@
         let peer_seeds = self.list("peer-seeds");
         let dial_from = self.optional("dial-from");
         let backend_server = self.backend_server();
+        let caller_header_max_bytes = self.header_max_bytes();
+        let caller_header_timeout_ms = self.required("caller-header-timeout-ms");
+        let caller_idle_timeout_ms = self.required("caller-idle-timeout-ms");
+        let caller_connections_max = self.required("caller-connections-max");
         let drain_timeout_ms = self.required("drain-timeout-ms");
         let log_format = self.required("log-format");
         let log_level = self.required("log-level");
@@ -312,6 +355,10 @@
             peer_seeds,
             dial_from,
             backend_server,
+            caller_header_max_bytes: caller_header_max_bytes.expect(checked),
+            caller_header_timeout_ms: caller_header_timeout_ms.expect(checked),
+            caller_idle_timeout_ms: caller_idle_timeout_ms.expect(checked),
+            caller_connections_max: caller_connections_max.expect(checked),
             drain_timeout_ms: drain_timeout_ms.expect(checked),
             log_format: log_format.expect(checked),
             log_level: log_level.expect(checked),
@@ -359,6 +406,17 @@
         self.optional(flag)
     }
 
+    fn header_max_bytes(&mut self) -> Option<usize> {
+        let flag = "caller-header-max-bytes";
+        let bytes = self.required(flag)?;
+        if bytes >= CALLER_HEADER_LEAST_BYTES {
+            return Some(bytes);
+        }
+        let what = format!("{bytes} is below {CALLER_HEADER_LEAST_BYTES}");
+        self.problem(flag, &what);
+        None
+    }
+
     fn name(&mut self, flag: &str) -> Option<String> {
         let name: String = self.required(flag)?;
         if is_name(&name) {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,7 +1,7 @@
 //! What the actors write and requests read.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -11,37 +11,29 @@
 
 use crate::core::member::{Liveness, Member, NodeId, Place};
 use crate::core::names::ServiceName;
-use crate::decide::admission::Admission;
+use crate::decide::admission::{Admission, Limits};
+use crate::decide::placement::{Balancer, Ranked};
+use crate::decide::retry::ServiceTokens;
 use crate::distribution::Applied;
 use crate::node::settings::{BackendServer, Settings};
 use crate::proxy::backend::BackendPool;
+use crate::proxy::calls::Calls;
 use crate::proxy::peers::PeerConnections;
-
-/// An endpoint as requests see it.
-#[derive(Clone, Debug)]
-pub(crate) struct Endpoint {
-    pub(crate) node: NodeId,
-    pub(crate) address: SocketAddr,
-    pub(crate) place: Place,
-}
+use crate::proxy::slots::{self, Wake};
 
 /// The members as requests and operators see them.
 #[derive(Debug, Default)]
 pub(crate) struct View {
     pub(crate) members: Vec<Member>,
-    pub(crate) endpoints: HashMap<ServiceName, Vec<Endpoint>>,
+    pub(crate) endpoints: HashMap<ServiceName, Ranked>,
 }
 
 impl View {
-    pub(crate) fn new(members: Vec<Member>, from: &Place) -> Self {
-        let mut endpoints: HashMap<ServiceName, Vec<Endpoint>> = HashMap::new();
+    pub(crate) fn new(members: Vec<Member>, me: NodeId, from: &Place) -> Self {
+        let mut endpoints: HashMap<ServiceName, Ranked> = HashMap::new();
         for member in members.iter().filter(|member| member.takes_work()) {
             let service = member.service.clone().expect("takes_work checks it");
-            endpoints.entry(service).or_default().push(Endpoint {
-                node: member.node,
-                address: member.dial_address(from),
-                place: member.place.clone(),
-            });
+            endpoints.entry(service).or_default().add(me, from, member);
         }
         Self { members, endpoints }
     }
@@ -60,16 +52,20 @@
     pub(crate) started: Instant,
     pub(crate) enforced: ArcSwapOption<Applied>,
     pub(crate) view: ArcSwap<View>,
-    /// Load percent of endpoints as they last reported it with an answer.
-    pub(crate) loads: Mutex<HashMap<NodeId, u32>>,
-    pub(crate) admission: Mutex<Admission>,
+    /// What this node, as an entry, has seen of endpoints.
+    balancer: Mutex<Balancer>,
+    retry_tokens: Mutex<ServiceTokens>,
+    admission: Mutex<Admission<Wake>>,
     pub(crate) backend: ArcSwapOption<BackendServer>,
+    /// The operator has drained the backend server; an announcement does not undo that.
+    pub(crate) drained: AtomicBool,
     pub(crate) pool: BackendPool,
+    pub(crate) calls: Calls,
     pub(crate) peers: PeerConnections,
-    /// Cancelled when the node takes no new work.
-    pub(crate) draining: CancellationToken,
-    /// Requests in flight at this node, either as entry or as gate.
-    pub(crate) in_flight: TaskTracker,
+    /// Cancelled when the node itself is about to leave.
+    pub(crate) leaving: CancellationToken,
+    /// Requests of other nodes in flight at this node's gate.
+    pub(crate) in_gate: TaskTracker,
 }
 
 impl NodeState {
@@ -82,34 +78,67 @@
             started: Instant::now(),
             enforced: ArcSwapOption::empty(),
             view: ArcSwap::default(),
-            loads: Mutex::default(),
+            balancer: Mutex::default(),
+            retry_tokens: Mutex::default(),
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
+            drained: AtomicBool::new(false),
             pool: BackendPool::default(),
+            calls: Calls::default(),
             peers: PeerConnections::new(dial_from),
-            draining: CancellationToken::new(),
-            in_flight: TaskTracker::new(),
+            leaving: CancellationToken::new(),
+            in_gate: TaskTracker::new(),
         })
     }
 
-    pub(crate) fn loads(&self) -> MutexGuard<'_, HashMap<NodeId, u32>> {
-        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancer)
+    }
+
+    pub(crate) fn retry_tokens(&self) -> MutexGuard<'_, ServiceTokens> {
+        lock(&self.retry_tokens)
+    }
+
+    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission<Wake>> {
+        lock(&self.admission)
+    }
+
+    /// Lets the backend server have no new work; what waits for a slot is refused at once, so
+    /// that its entry takes it elsewhere.
+    pub(crate) fn close_gate(&self) {
+        self.admission().close();
+        slots::settle(self);
     }
 
-    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
-        self.admission
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Lets the backend server have new work again.
+    pub(crate) fn open_gate(&self) {
+        self.admission().open();
     }
 
-    /// Brings the number of slots in line with what is enforced and which service is local.
+    /// Brings the limits in line with what is enforced and which service is local.
     pub(crate) fn refresh_slots(&self) {
         let backend = self.backend.load_full();
         let applied = self.enforced.load_full();
-        let slots = backend.zip(applied).and_then(|(backend, applied)| {
+        let service = backend.zip(applied).and_then(|(backend, applied)| {
             let service = applied.configuration.service(&backend.service)?;
-            Some(service.slots_per_endpoint)
+            Some(service.clone())
         });
-        self.admission().set_slots(slots.unwrap_or(0));
+        let limits = service
+            .as_ref()
+            .map_or(Limits::default(), |service| Limits {
+                // Each request has a connection of its own to the backend server.
+                slots: service
+                    .slots_per_endpoint
+                    .min(service.connections_per_endpoint),
+                queue_len: service.queue_len,
+            });
+        let connections = service.map_or(0, |service| service.connections_per_endpoint);
+        self.pool.set_connections_max(connections);
+        self.admission().set_limits(limits);
+        slots::settle(self);
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -8,8 +8,13 @@
 pub(crate) mod answer;
 pub(crate) mod backend;
 pub(crate) mod body;
+pub(crate) mod calls;
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod headers;
+pub(crate) mod hop;
 pub(crate) mod listener;
 pub(crate) mod peers;
+pub(crate) mod replay;
+pub(crate) mod slots;
+pub(crate) mod stall;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -1,15 +1,17 @@
 //! Failures on the request path and the answers that callers get for them.
 
-use http::header::{HeaderValue, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 
 use super::body::{self, Body};
 use super::headers;
 use crate::core::verdict::Verdict;
+use crate::decide::retry::Failed;
 
-/// When a caller that was refused for load may come again. One second is longer than a burst at
-/// the slots' usual turnover, and short beside a person's patience.
-const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
+/// Bounds of `Retry-After`. A second is the header's unit, and longer than a burst at the slots'
+/// usual turnover; beyond half a minute an estimate says nothing.
+const RETRY_AFTER_LEAST_S: u64 = 1;
+const RETRY_AFTER_MOST_S: u64 = 30;
 
 /// Why a request got no answer from a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,19 +26,64 @@
     NoEndpoint,
     /// The endpoint's slots and queue are full.
     Full,
+    /// The deadline would pass, or passed, before the request's turn.
+    TooLate,
     /// The endpoint or this node is draining.
     Draining,
     /// The endpoint was not reached.
     Unreachable,
     /// The connection was lost after the request had been sent.
     Lost,
-    /// The deadline passed.
+    /// The deadline passed after the request had been sent.
     Deadline,
+    /// The call that led to this one was given up.
+    GivenUp,
+    /// Too many calls led to this one.
+    TooDeep,
     /// The caller's request body broke off or was malformed.
     BadRequest,
 }
 
 impl Reason {
+    const ALL: [Self; 13] = [
+        Self::NoConfiguration,
+        Self::NoService,
+        Self::NoRoute,
+        Self::NoEndpoint,
+        Self::Full,
+        Self::TooLate,
+        Self::Draining,
+        Self::Unreachable,
+        Self::Lost,
+        Self::Deadline,
+        Self::GivenUp,
+        Self::TooDeep,
+        Self::BadRequest,
+    ];
+
+    /// The word used in [`headers::REASON`].
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no-configuration",
+            Self::NoService => "no-service",
+            Self::NoRoute => "no-route",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Full => "full",
+            Self::TooLate => "too-late",
+            Self::Draining => "draining",
+            Self::Unreachable => "unreachable",
+            Self::Lost => "lost",
+            Self::Deadline => "deadline",
+            Self::GivenUp => "given-up",
+            Self::TooDeep => "too-deep",
+            Self::BadRequest => "bad-request",
+        }
+    }
+
+    fn from_word(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.word() == word)
+    }
+
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no configuration is enforced here yet",
@@ -44,10 +91,13 @@
             Self::NoRoute => "no route of the service matches",
             Self::NoEndpoint => "no endpoint of the service takes work",
             Self::Full => "the service is full",
+            Self::TooLate => "the request would not be served before its deadline",
             Self::Draining => "the endpoint is draining",
             Self::Unreachable => "the endpoint was not reached",
             Self::Lost => "the connection to the endpoint was lost",
             Self::Deadline => "the deadline passed",
+            Self::GivenUp => "the call that led to this one was given up",
+            Self::TooDeep => "too many calls led to this one",
             Self::BadRequest => "the request is malformed or broke off",
         }
     }
@@ -57,10 +107,12 @@
             Self::NoService | Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::GivenUp => StatusCode::BAD_GATEWAY,
+            Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::NoConfiguration
             | Self::NoEndpoint
             | Self::Full
+            | Self::TooLate
             | Self::Draining
             | Self::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -72,33 +124,74 @@
 pub(crate) struct Failure {
     pub(crate) verdict: Verdict,
     pub(crate) reason: Reason,
+    retry_after_s: u64,
 }
 
 impl Failure {
-    pub(crate) fn not_run(reason: Reason) -> Self {
+    fn new(verdict: Verdict, reason: Reason) -> Self {
         Self {
-            verdict: Verdict::NotRun,
+            verdict,
             reason,
+            retry_after_s: RETRY_AFTER_LEAST_S,
         }
     }
 
+    pub(crate) fn not_run(reason: Reason) -> Self {
+        Self::new(Verdict::NotRun, reason)
+    }
+
     pub(crate) fn may_have_run(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reason,
+        Self::new(Verdict::MayHaveRun, reason)
+    }
+
+    /// Sets when asking again may help.
+    pub(crate) fn retry_after_ms(mut self, ms: u64) -> Self {
+        let s = ms.div_ceil(1_000);
+        self.retry_after_s = s.clamp(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S);
+        self
+    }
+
+    /// The same failure of a request that an earlier attempt may have run.
+    pub(crate) fn after(mut self, earlier: Verdict) -> Self {
+        if earlier != Verdict::NotRun {
+            self.verdict = Verdict::MayHaveRun;
+        }
+        self
+    }
+
+    /// How it counts for a retry.
+    pub(crate) fn failed(&self) -> Failed {
+        match (self.verdict, self.reason) {
+            (Verdict::NotRun, Reason::Draining | Reason::NoEndpoint) => Failed::Draining,
+            (Verdict::NotRun, _) => Failed::NotRun,
+            (Verdict::MayHaveRun | Verdict::Answered, _) => Failed::MayHaveRun,
         }
     }
 
+    /// Reads the failure that another node answered; none if a backend server answered.
+    pub(crate) fn from_headers(headers: &HeaderMap) -> Option<Self> {
+        let verdict = headers::text(headers, &headers::VERDICT)?;
+        let reason = headers::text(headers, &headers::REASON).and_then(Reason::from_word);
+        let failure = match Verdict::from_word(verdict) {
+            Verdict::NotRun => Self::not_run(reason.unwrap_or(Reason::Full)),
+            _ => Self::may_have_run(reason.unwrap_or(Reason::Lost)),
+        };
+        let retry_after_s = headers::number(headers, &RETRY_AFTER).unwrap_or(0);
+        Some(failure.retry_after_ms(retry_after_s.saturating_mul(1_000)))
+    }
+
     /// The answer, given at once.
     pub(crate) fn into_response(self) -> Response<Body> {
         let mut response = Response::new(body::full(format!("{}\n", self.reason.as_str())));
         let status = self.reason.status();
         *response.status_mut() = status;
-        let verdict = HeaderValue::from_static(self.verdict.as_str());
         let headers = response.headers_mut();
+        let verdict = HeaderValue::from_static(self.verdict.as_str());
         headers.insert(headers::VERDICT, verdict);
+        let reason = HeaderValue::from_static(self.reason.word());
+        headers.insert(headers::REASON, reason);
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            headers.insert(RETRY_AFTER, RETRY_AFTER_S);
+            headers.insert(RETRY_AFTER, HeaderValue::from(self.retry_after_s));
         }
         response
     }
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -4,6 +4,7 @@
 //! been read to the end, so a late answer can never meet another request.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -21,12 +22,29 @@
 
 type Sender = http1::SendRequest<Body>;
 
+/// Connections to the backend server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BackendPool {
     idle: Arc<Mutex<Vec<(SocketAddr, Sender)>>>,
+    open: Arc<AtomicU32>,
+    most: Arc<AtomicU32>,
+}
+
+/// Counts one open connection until it is closed.
+struct Open(Arc<AtomicU32>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl BackendPool {
+    /// Sets how many connections the backend server accepts.
+    pub(crate) fn set_connections_max(&self, most: u32) {
+        self.most.store(most, Ordering::Release);
+    }
+
     /// Sends a request to the backend server at `address`.
     pub(crate) async fn send(
         &self,
@@ -42,7 +60,10 @@
                 Err((failure, None)) => return Err(failure),
             }
         }
-        let sender = connect(address).await.map_err(|error| {
+        // Slots are never more than connections, so this refuses only while connections of
+        // requests that were given up a moment ago are still being closed.
+        let open = self.open().ok_or(Failure::not_run(Reason::Full))?;
+        let sender = connect(address, open).await.map_err(|error| {
             log::debug!(backend:% = address, error:%; "backend server not reached");
             Failure::not_run(Reason::Unreachable)
         })?;
@@ -51,6 +72,15 @@
             .map_err(|(failure, _)| failure)
     }
 
+    fn open(&self) -> Option<Open> {
+        let most = self.most.load(Ordering::Acquire);
+        let one_more = |open| (open < most).then_some(open + 1);
+        let counted = self
+            .open
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, one_more);
+        counted.ok().map(|_| Open(Arc::clone(&self.open)))
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
@@ -112,9 +142,13 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, BoxError> {
+async fn connect(address: SocketAddr, open: Open) -> Result<Sender, BoxError> {
     let stream = dial(address, None, CONNECT_TIMEOUT).await?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
+    tokio::spawn(async move {
+        let _open = open;
+        // Its end, good or bad, is seen by the request on it.
+        let _ = connection.await;
+    });
     Ok(sender)
 }
--- a/src/proxy/body.rs
+++ b/src/proxy/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Empty, Full};
 
 pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
 pub(crate) type Body = UnsyncBoxBody<Bytes, BoxError>;
@@ -17,6 +17,10 @@
         .boxed_unsync()
 }
 
+pub(crate) fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
 pub(crate) fn boxed<B>(body: B) -> Body
 where
     B: HttpBody<Data = Bytes> + Send + 'static,
--- /dev/null
+++ b/src/proxy/calls.rs
@@ -0,0 +1,149 @@
+//! The calls that the local backend server is running, and what its own calls inherit from them.
+//!
+//! The gate gives the backend server a token with each request (header
+//! [`headers::CALL`](super::headers::CALL)). The backend server copies it to the calls that it
+//! makes meanwhile through its own node. Deadline, depth and retries left come from the record
+//! that the token names, never from a header that a caller could write; the token is looked up
+//! together with a random secret, so it cannot be guessed either.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use slotmap::{Key, KeyData, SlotMap, new_key_type};
+use tokio_util::sync::CancellationToken;
+
+use super::hop::Hop;
+
+new_key_type! {
+    /// Names a call that the local backend server is running.
+    struct CallKey;
+}
+
+#[derive(Debug)]
+struct Call {
+    secret: u128,
+    deadline: Instant,
+    depth: u32,
+    retries: u32,
+    given_up: CancellationToken,
+}
+
+/// All calls that the local backend server is running.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Calls {
+    calls: Arc<Mutex<SlotMap<CallKey, Call>>>,
+}
+
+/// What a call inherits from the call that led to it.
+#[derive(Debug)]
+pub(crate) struct Inherited {
+    pub(crate) deadline: Instant,
+    /// Calls above the new one.
+    pub(crate) depth: u32,
+    /// Cancelled when nobody waits for the call above any more.
+    pub(crate) given_up: CancellationToken,
+    pub(crate) purse: Purse,
+}
+
+/// Retries taken from a running call; what is left goes back when it is dropped. Calls made at
+/// the same time do not share one retry: the first takes all, so none is spent twice.
+#[derive(Debug, Default)]
+pub(crate) struct Purse {
+    of: Option<(Calls, CallKey)>,
+    pub(crate) retries: u32,
+}
+
+impl Purse {
+    /// For a call that none led to.
+    pub(crate) fn fresh(retries: u32) -> Self {
+        Self { of: None, retries }
+    }
+}
+
+impl Drop for Purse {
+    fn drop(&mut self) {
+        let Some((calls, key)) = self.of.take() else {
+            return;
+        };
+        if let Some(call) = calls.lock().get_mut(key) {
+            call.retries += self.retries;
+        }
+    }
+}
+
+impl Calls {
+    fn lock(&self) -> MutexGuard<'_, SlotMap<CallKey, Call>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a call that the backend server is about to run.
+    pub(crate) fn begin(&self, hop: &Hop) -> Running {
+        let secret = rand::random();
+        let call = Call {
+            secret,
+            deadline: hop.deadline,
+            depth: hop.depth,
+            retries: hop.retries,
+            given_up: CancellationToken::new(),
+        };
+        let key = self.lock().insert(call);
+        Running {
+            calls: self.clone(),
+            key,
+            secret,
+            answered: false,
+        }
+    }
+
+    /// What a call with `token` inherits; none if the token names no running call.
+    pub(crate) fn inherit(&self, token: &str) -> Option<Inherited> {
+        let (key, secret) = token.split_once('-')?;
+        let key = u64::from_str_radix(key, 16).ok()?;
+        let secret = u128::from_str_radix(secret, 16).ok()?;
+        let key = CallKey::from(KeyData::from_ffi(key));
+        let mut calls = self.lock();
+        let call = calls.get_mut(key).filter(|call| call.secret == secret)?;
+        Some(Inherited {
+            deadline: call.deadline,
+            depth: call.depth + 1,
+            given_up: call.given_up.clone(),
+            purse: Purse {
+                of: Some((self.clone(), key)),
+                retries: std::mem::take(&mut call.retries),
+            },
+        })
+    }
+}
+
+/// A call that the backend server runs; forgotten when dropped.
+#[derive(Debug)]
+pub(crate) struct Running {
+    calls: Calls,
+    key: CallKey,
+    secret: u128,
+    answered: bool,
+}
+
+impl Running {
+    /// The token for the backend server.
+    pub(crate) fn token(&self) -> String {
+        format!("{:x}-{:x}", self.key.data().as_ffi(), self.secret)
+    }
+
+    /// The backend server answered: takes the retries that were not spent.
+    pub(crate) fn answered(&mut self) -> u32 {
+        self.answered = true;
+        let mut calls = self.calls.lock();
+        let call = calls.get_mut(self.key);
+        call.map_or(0, |call| std::mem::take(&mut call.retries))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let call = self.calls.lock().remove(self.key);
+        if let Some(call) = call.filter(|_| !self.answered) {
+            call.given_up.cancel();
+        }
+    }
+}
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,29 +3,29 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::header::HeaderValue;
 use http::request::Parts;
 use http::uri::Authority;
 use http::{Request, Response, Uri};
-use http_body::Body as _;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
 
 use super::answer::{Failure, Reason};
-use super::body::{self, Body};
+use super::body::{self, Body, Guarded};
+use super::calls::Purse;
+use super::hop::Hop;
+use super::replay::Replay;
 use super::{gate, headers};
-use crate::core::configuration::Treatment;
+use crate::core::configuration::Class;
+use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
+use crate::core::routing::Route;
 use crate::core::verdict::Verdict;
-use crate::decide::placement::{self, Candidate};
-use crate::decide::retry;
+use crate::decide::placement::{Endpoint, Need, Observed};
+use crate::decide::retry::{self, Attempts};
 use crate::distribution::Applied;
-use crate::node::state::{Endpoint, NodeState};
-
-/// Longest request body that is kept for a retry. Payments and bookings are a few KB; an upload
-/// is streamed and tried once its first byte has left.
-const REPLAY_MAX_BYTES: u64 = 64 << 10;
+use crate::node::state::NodeState;
+use crate::util::clock;
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(node: Arc<NodeState>, request: Request<Incoming>) -> Response<Body> {
@@ -35,40 +35,81 @@
         .as_ref()
         .map_or(0, |applied| applied.stamp.version.0);
     let (mut parts, incoming) = request.into_parts();
+    let origin = Origin::of(&node, &parts);
     let id = request_id(&parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh(&mut parts.headers);
     parts.headers.insert(headers::REQUEST_ID, id.clone());
     let result = match applied {
         None => Err(Failure::not_run(Reason::NoConfiguration)),
-        Some(applied) => run(&node, &applied, &parts, incoming).await,
+        Some(applied) => run(&node, &applied, &parts, incoming, origin).await,
+    };
+    let mut response = match result {
+        Ok(mut response) => {
+            headers::strip_mesh(response.headers_mut());
+            count(Verdict::Answered);
+            response
+        }
+        Err(failure) => {
+            log::debug!(
+                request_id:? = id,
+                version = version,
+                verdict:% = failure.verdict;
+                "request failed: {}", failure.reason.as_str()
+            );
+            count(failure.verdict);
+            failure.into_response()
+        }
     };
-    let mut response = result.unwrap_or_else(|failure| {
-        log::debug!(
-            request_id:? = id,
-            version = version,
-            verdict:% = failure.verdict;
-            "request failed: {}", failure.reason.as_str()
-        );
-        failure.into_response()
-    });
     let headers = response.headers_mut();
-    headers.remove(headers::LOAD_PERCENT);
     headers.insert(headers::VERSION, HeaderValue::from(version));
     headers.insert(headers::REQUEST_ID, id);
     response
 }
 
+fn count(verdict: Verdict) {
+    metrics::counter!("dragonflywall_requests_total", "verdict" => verdict.as_str()).increment(1);
+}
+
 fn request_id(parts: &Parts) -> HeaderValue {
     let given = parts.headers.get(&headers::REQUEST_ID).cloned();
     given.unwrap_or_else(|| headers::value(&format!("{:016x}", rand::random::<u64>())))
 }
 
+/// Where a request comes from: a caller outside, or a call that the local backend server runs.
+struct Origin {
+    deadline: Option<Instant>,
+    depth: u32,
+    given_up: CancellationToken,
+    purse: Purse,
+}
+
+impl Origin {
+    fn of(node: &NodeState, parts: &Parts) -> Self {
+        let token = headers::text(&parts.headers, &headers::CALL);
+        match token.and_then(|token| node.calls.inherit(token)) {
+            Some(inherited) => Self {
+                deadline: Some(inherited.deadline),
+                depth: inherited.depth,
+                given_up: inherited.given_up,
+                purse: inherited.purse,
+            },
+            None => Self {
+                deadline: None,
+                depth: 0,
+                given_up: CancellationToken::new(),
+                purse: Purse::fresh(retry::RETRIES_PER_TREE),
+            },
+        }
+    }
+}
+
 async fn run(
     node: &Arc<NodeState>,
     applied: &Applied,
     parts: &Parts,
     incoming: Incoming,
+    mut origin: Origin,
 ) -> Result<Response<Body>, Failure> {
     let service = service_of(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
     if !applied.routes.has_service(&service) {
@@ -78,24 +119,39 @@
         .routes
         .find(&service, parts.method.as_str(), parts.uri.path())
         .ok_or(Failure::not_run(Reason::NoRoute))?;
+    if origin.depth > retry::DEPTH_MAX {
+        return Err(Failure::not_run(Reason::TooDeep));
+    }
     let target = &route.record.target.service;
-    let treatment = &route.treatment;
-    let deadline = Instant::now() + Duration::from_millis(u64::from(treatment.timeout_ms));
-    let mut sendable = Sendable::take(incoming).await?;
-    let mut attempts_made = 0;
-    loop {
-        let Some(body) = sendable.next() else {
-            return Err(Failure::may_have_run(Reason::Lost));
-        };
-        let outcome = attempt(node, target, treatment, parts, body, deadline).await;
-        attempts_made += 1;
-        let failure = match outcome {
-            Ok(response) => return Ok(response),
-            Err(failure) => failure,
-        };
-        let again = retry::may_retry(treatment, failure.verdict, attempts_made);
-        if !again || !sendable.has_next() || Instant::now() >= deadline {
-            return Err(failure);
+    let slots = applied.configuration.service(target);
+    let timeout = Duration::from_millis(u64::from(route.treatment.timeout_ms));
+    let own_deadline = Instant::now() + timeout;
+    let call = Call {
+        node,
+        parts,
+        route,
+        slots: slots.map_or(1, |service| service.slots_per_endpoint),
+        deadline: origin
+            .deadline
+            .map_or(own_deadline, |above| above.min(own_deadline)),
+        depth: origin.depth,
+    };
+    let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
+    let replay = Replay::new(incoming, stall_limit);
+    let mut attempts = Attempts::new(&route.treatment, origin.purse.retries);
+    let given_up = origin.given_up.clone();
+    // Dropping the attempts cancels the exchange under way, down to the backend server.
+    let ended = given_up.run_until_cancelled(call.run(&replay, &mut attempts));
+    match ended.await {
+        None => Err(Failure::may_have_run(Reason::GivenUp)),
+        Some(Err(failure)) => {
+            origin.purse.retries = attempts.after_failure();
+            Err(failure)
+        }
+        Some(Ok(response)) => {
+            let unspent = headers::number(response.headers(), &headers::RETRIES).unwrap_or(0);
+            origin.purse.retries = attempts.after_answer(u32::try_from(unspent).unwrap_or(0));
+            Ok(response)
         }
     }
 }
@@ -109,116 +165,173 @@
     Some(authority.host().to_owned())
 }
 
-/// A request body, and whether it can be sent again.
-enum Sendable {
-    Replayable(Bytes),
-    Once(Option<Incoming>),
+/// A routed request.
+struct Call<'a> {
+    node: &'a Arc<NodeState>,
+    parts: &'a Parts,
+    route: &'a Route,
+    slots: u32,
+    deadline: Instant,
+    depth: u32,
 }
 
-impl Sendable {
-    async fn take(incoming: Incoming) -> Result<Self, Failure> {
-        let upper = incoming.size_hint().upper();
-        if upper.is_some_and(|bytes| bytes <= REPLAY_MAX_BYTES) {
-            let collected = incoming.collect().await;
-            let collected = collected.map_err(|_| Failure::not_run(Reason::BadRequest))?;
-            return Ok(Self::Replayable(collected.to_bytes()));
-        }
-        Ok(Self::Once(Some(incoming)))
+impl Call<'_> {
+    fn service(&self) -> &ServiceName {
+        &self.route.record.target.service
     }
 
-    fn next(&mut self) -> Option<Body> {
-        match self {
-            Self::Replayable(bytes) => Some(body::full(bytes.clone())),
-            Self::Once(incoming) => incoming.take().map(body::boxed),
+    async fn run(
+        &self,
+        replay: &Replay,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Failure> {
+        self.node.retry_tokens().entry_for(self.service()).earn();
+        let mut tried: Vec<NodeId> = Vec::new();
+        let mut verdict = Verdict::NotRun;
+        let mut last = None;
+        loop {
+            let Some(endpoint) = self.choose(&tried) else {
+                let none = Failure::not_run(Reason::NoEndpoint);
+                return Err(last.unwrap_or(none).after(verdict));
+            };
+            let retries = attempts.passed_down();
+            let failure = match self.attempt(endpoint, replay.next(), retries).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            // One attempt that may have run taints all that follow: a later refusal proves
+            // nothing of the earlier attempt.
+            if failure.verdict != Verdict::NotRun {
+                verdict = Verdict::MayHaveRun;
+            }
+            let failed = failure.failed();
+            let again = {
+                let mut tokens = self.node.retry_tokens();
+                attempts.again(failed, tokens.entry_for(self.service()))
+            };
+            if !again || !replay.has_next() || Instant::now() >= self.deadline {
+                return Err(failure.after(verdict));
+            }
+            metrics::counter!("dragonflywall_retries_total").increment(1);
+            tried.push(endpoint.node);
+            last = Some(failure);
         }
     }
 
-    fn has_next(&self) -> bool {
-        match self {
-            Self::Replayable(_) => true,
-            Self::Once(incoming) => incoming.is_some(),
-        }
+    fn choose(&self, tried: &[NodeId]) -> Option<Endpoint> {
+        let view = self.node.view.load();
+        let ranked = view.endpoints.get(self.service())?;
+        let need = Need {
+            spill: self.route.treatment.spill,
+            slots: self.slots,
+            tried,
+        };
+        let now_us = clock::since_us(self.node.started);
+        let mut balancer = self.node.balancer();
+        let endpoint = balancer.choose(now_us, ranked, &need, &mut rand::rng())?;
+        balancer.begun(now_us, &endpoint);
+        Some(endpoint)
     }
-}
 
-async fn attempt(
-    node: &Arc<NodeState>,
-    service: &ServiceName,
-    treatment: &Treatment,
-    parts: &Parts,
-    body: Body,
-    deadline: Instant,
-) -> Result<Response<Body>, Failure> {
-    let endpoint = choose(node, service, treatment)?;
-    let remaining = deadline.saturating_duration_since(Instant::now());
-    let request = between_nodes(parts, service, remaining, body);
-    if endpoint.node == node.me {
-        return gate::run(node, request).await;
-    }
-    let exchange = node.peers.send(endpoint.address, request);
-    let response = tokio::time::timeout(remaining, exchange)
-        .await
-        .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-    if let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) {
-        let load = u32::try_from(load).unwrap_or(u32::MAX);
-        node.loads().insert(endpoint.node, load);
-    }
-    match headers::text(response.headers(), &headers::VERDICT) {
-        None => Ok(response.map(body::boxed)),
-        Some(word) => Err(refused(Verdict::from_word(word))),
+    async fn attempt(
+        &self,
+        endpoint: Endpoint,
+        body: Body,
+        retries: u32,
+    ) -> Result<Response<Body>, Failure> {
+        let outstanding = Outstanding {
+            node: Arc::clone(self.node),
+            endpoint: endpoint.node,
+        };
+        let hop = Hop {
+            service: self.service().clone(),
+            class: self.route.treatment.class,
+            deadline: self.deadline,
+            depth: self.depth,
+            retries,
+        };
+        let began = Instant::now();
+        let result = if endpoint.node == self.node.me {
+            let request = self.request(body);
+            let result = gate::run(self.node, &hop, request).await;
+            let load_percent = self.node.admission().load_percent();
+            let now_us = clock::since_us(self.node.started);
+            self.node
+                .balancer()
+                .reported(now_us, endpoint.node, load_percent);
+            result
+        } else {
+            self.send(&endpoint, &hop, body).await
+        };
+        self.observe(&endpoint, began, &result);
+        result.map(|response| response.map(|inner| body::boxed(Guarded::new(inner, outstanding))))
     }
-}
 
-fn refused(verdict: Verdict) -> Failure {
-    match verdict {
-        Verdict::NotRun => Failure::not_run(Reason::Full),
-        Verdict::MayHaveRun | Verdict::Answered => Failure::may_have_run(Reason::Lost),
+    async fn send(
+        &self,
+        endpoint: &Endpoint,
+        hop: &Hop,
+        body: Body,
+    ) -> Result<Response<Body>, Failure> {
+        let sender = self.node.peers.sender(endpoint.address);
+        let mut sender = tokio::time::timeout_at(self.deadline.into(), sender)
+            .await
+            .map_err(|_| Failure::not_run(Reason::TooLate))??;
+        let mut request = self.request(body);
+        hop.write(request.headers_mut());
+        let exchange = sender.send(request);
+        let response = tokio::time::timeout_at(self.deadline.into(), exchange)
+            .await
+            .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
+        if let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) {
+            let load = u32::try_from(load).unwrap_or(u32::MAX);
+            let now_us = clock::since_us(self.node.started);
+            self.node.balancer().reported(now_us, endpoint.node, load);
+        }
+        match Failure::from_headers(response.headers()) {
+            None => Ok(response.map(body::boxed)),
+            Some(failure) => Err(failure),
+        }
     }
-}
 
-fn choose(
-    node: &NodeState,
-    service: &ServiceName,
-    treatment: &Treatment,
-) -> Result<Endpoint, Failure> {
-    let view = node.view.load();
-    let endpoints = view.endpoints.get(service);
-    let endpoints = endpoints.ok_or(Failure::not_run(Reason::NoEndpoint))?;
-    let loads = node.loads();
-    let candidates: Vec<Candidate> = endpoints
-        .iter()
-        .map(|endpoint| Candidate {
-            node: endpoint.node,
-            place: endpoint.place.clone(),
-            load_percent: loads.get(&endpoint.node).copied().unwrap_or(0),
-        })
-        .collect();
-    drop(loads);
-    let place = &node.settings.place;
-    let chosen = placement::place(&candidates, place, treatment.spill, &mut rand::rng());
-    let chosen = chosen.ok_or(Failure::not_run(Reason::NoEndpoint))?;
-    let endpoint = endpoints.iter().find(|e| e.node == chosen.node);
-    Ok(endpoint.expect("chosen among them").clone())
-}
+    /// Tells the balancer what this attempt has shown of its endpoint.
+    fn observe(
+        &self,
+        endpoint: &Endpoint,
+        began: Instant,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let observed = match result {
+            Ok(response) => {
+                // Bulk work takes as long as its body is large, which says nothing of the endpoint.
+                let interactive = self.route.treatment.class == Class::Interactive;
+                Observed::Answered {
+                    latency_us: interactive.then(|| clock::since_us(began)),
+                    server_error: response.status().is_server_error(),
+                }
+            }
+            Err(failure) => match failure.reason {
+                Reason::Draining | Reason::NoEndpoint => Observed::Draining,
+                Reason::Unreachable => Observed::Unreachable,
+                Reason::Lost | Reason::Deadline => Observed::Lost,
+                _ => Observed::Refused,
+            },
+        };
+        let now_us = clock::since_us(self.node.started);
+        self.node
+            .balancer()
+            .observed(now_us, endpoint.node, observed);
+    }
 
-fn between_nodes(
-    parts: &Parts,
-    service: &ServiceName,
-    remaining: Duration,
-    body: Body,
-) -> Request<Body> {
-    let mut request = Request::new(body);
-    *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = absolute(parts, service);
-    *request.version_mut() = http::Version::HTTP_2;
-    *request.headers_mut() = parts.headers.clone();
-    let headers = request.headers_mut();
-    headers.remove(http::header::HOST);
-    headers.insert(headers::DATA, HeaderValue::from_static("1"));
-    headers.insert(headers::SERVICE, headers::value(service.as_str()));
-    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
-    request
+    fn request(&self, body: Body) -> Request<Body> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = absolute(self.parts, self.service());
+        *request.version_mut() = http::Version::HTTP_2;
+        *request.headers_mut() = self.parts.headers.clone();
+        request.headers_mut().remove(http::header::HOST);
+        request
+    }
 }
 
 fn absolute(parts: &Parts, service: &ServiceName) -> Uri {
@@ -231,3 +344,15 @@
         .build();
     uri.expect("a name is an authority and the path was parsed before")
 }
+
+/// Counts one request at its endpoint until its answer has been passed on or given up.
+struct Outstanding {
+    node: Arc<NodeState>,
+    endpoint: NodeId,
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.node.balancer().ended(self.endpoint);
+    }
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -7,14 +7,25 @@
 pub(crate) const MESH_PREFIX: &str = "x-dragonflywall-";
 /// On a request between nodes: marks data, apart from control calls on the same listener.
 pub(crate) const DATA: HeaderName = HeaderName::from_static("x-dragonflywall-data");
-/// On a request between nodes: milliseconds that remain until its deadline.
+/// On a request between nodes: milliseconds that remain until its deadline;
+/// also on one to a backend server.
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("x-dragonflywall-deadline-ms");
 /// On a request between nodes: the service that it is for.
 pub(crate) const SERVICE: HeaderName = HeaderName::from_static("x-dragonflywall-service");
+/// On a request between nodes: class of the work.
+pub(crate) const CLASS: HeaderName = HeaderName::from_static("x-dragonflywall-class");
+/// On a request between nodes: calls that led to it.
+pub(crate) const DEPTH: HeaderName = HeaderName::from_static("x-dragonflywall-depth");
+/// On a request between nodes: retries that may be spent further down. On an answer: those left.
+pub(crate) const RETRIES: HeaderName = HeaderName::from_static("x-dragonflywall-retries");
+/// On a request to a backend server, which copies it to the calls that it makes meanwhile.
+pub(crate) const CALL: HeaderName = HeaderName::from_static("x-dragonflywall-call");
 /// On an answer between nodes: load of the endpoint in percent of its slots.
 pub(crate) const LOAD_PERCENT: HeaderName = HeaderName::from_static("x-dragonflywall-load-percent");
 /// On a failed answer: what is known of whether the request ran.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
+/// On a failed answer: why, as one word.
+pub(crate) const REASON: HeaderName = HeaderName::from_static("x-dragonflywall-reason");
 /// On every answer to a caller: the configuration version it was served under.
 pub(crate) const VERSION: HeaderName = HeaderName::from_static("x-dragonflywall-version");
 /// On every request that reaches a backend server and every answer to a caller.
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -1,22 +1,29 @@
 //! The three listeners: accept connections and serve HTTP on each until told to stop.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::{self, HeaderValue};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tonic::codegen::Service;
 
 use super::body::{self, Body};
+use super::stall::StallGuard;
 use super::{entry, gate, headers};
 use crate::node::operator::Operator;
+use crate::node::settings::Settings;
 use crate::node::state::NodeState;
 use crate::peer::generated::control_server::ControlServer;
 use crate::peer::server::ControlService;
@@ -24,42 +31,107 @@
 /// Largest control message: a snapshot with its envelope.
 const CONTROL_MESSAGE_MAX_BYTES: usize = 9 << 20;
 
+/// Bytes of one request body that may be under way and unread. It is also what an entry has sent
+/// of an upload that still waits for its slot, and has to be able to send again elsewhere.
+const REQUEST_WINDOW_BYTES: u32 = 65_535;
+/// Requests at a time on one connection between nodes: above slots and queue of any endpoint, so
+/// that the gate refuses a request, and not the transport delays it.
+const PEER_STREAMS_MAX: u32 = 1_024;
+/// As much as all streams together, so that one stalled upload never holds up another.
+const PEER_WINDOW_BYTES: u32 = PEER_STREAMS_MAX * REQUEST_WINDOW_BYTES;
+/// Requests at a time on one HTTP/2 connection of a caller.
+const CALLER_STREAMS_MAX: u32 = 128;
+
+/// Buffer of one connection or stream towards a caller or node that reads slowly.
+const SEND_BUFFER_MAX_BYTES: usize = 128 << 10;
+/// A silent HTTP/2 connection is asked whether it is still there.
+const KEEP_ALIVE: Duration = Duration::from_secs(20);
+
+type Builder = auto::Builder<TokioExecutor>;
+
+/// Serves callers until `polite`, after which each connection ends with its last answer.
 pub(crate) async fn serve_callers(
     listener: TcpListener,
     node: Arc<NodeState>,
+    polite: CancellationToken,
     stop: CancellationToken,
 ) {
-    let draining = node.draining.clone();
-    let handle = move |request| {
+    let builder = caller_builder(&node.settings);
+    let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
+    let callers = Callers::new(node.settings.caller_connections_max);
+    let handle = move |request: Request<Incoming>| {
         let node = Arc::clone(&node);
         async move {
-            let tracker = node.in_flight.clone();
-            let token = tracker.token();
-            let response = entry::serve(node, request).await;
-            response.map(|inner| body::boxed(body::Guarded::new(inner, token)))
+            let leaving = node.leaving.clone();
+            let may_close = request.version() < Version::HTTP_2;
+            let mut response = entry::serve(node, request).await;
+            if may_close && leaving.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
     };
-    serve(listener, draining, stop, handle).await;
+    let connections = TaskTracker::new();
+    while let Some((stream, caller)) = accept(&listener, &polite, &stop).await {
+        let Some(counted) = callers.enter(caller) else {
+            log::debug!(caller:%; "refused a connection: too many of this caller");
+            continue;
+        };
+        let stream = StallGuard::new(stream, stall_limit);
+        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle.clone());
+        let stop = stop.clone();
+        connections.spawn(async move {
+            let _counted = counted;
+            stop.run_until_cancelled(serving).await;
+        });
+    }
+    // New callers are refused by the system from now on, and reach another node at once.
+    drop(listener);
+    connections.close();
+    connections.wait().await;
 }
 
+fn caller_builder(settings: &Settings) -> Builder {
+    let header_timeout = Duration::from_millis(settings.caller_header_timeout_ms);
+    let header_max_bytes = settings.caller_header_max_bytes;
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .max_buf_size(header_max_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(KEEP_ALIVE)
+        .max_concurrent_streams(CALLER_STREAMS_MAX)
+        .initial_stream_window_size(REQUEST_WINDOW_BYTES)
+        .initial_connection_window_size(CALLER_STREAMS_MAX * REQUEST_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_MAX_BYTES)
+        .max_header_list_size(u32::try_from(header_max_bytes).unwrap_or(u32::MAX));
+    builder
+}
+
+/// Serves other nodes until `polite`, after which each connection ends with its last answer. A
+/// draining node still gossips, so its peers' connections stay until the end.
 pub(crate) async fn serve_peers(
     listener: TcpListener,
     node: Arc<NodeState>,
     control: ControlService,
+    polite: CancellationToken,
     stop: CancellationToken,
 ) {
     let control = ControlServer::new(control)
         .max_decoding_message_size(CONTROL_MESSAGE_MAX_BYTES)
         .max_encoding_message_size(CONTROL_MESSAGE_MAX_BYTES);
-    // A draining node still gossips, so its peer connections stay until the end.
-    let polite = stop.clone();
     let handle = move |request: Request<Incoming>| {
         let node = Arc::clone(&node);
         let mut control = control.clone();
         async move {
             // Only nodes set this header: an entry drops it from what callers send.
             if request.headers().contains_key(headers::DATA) {
-                let token = node.in_flight.token();
+                let token = node.in_gate.token();
                 let response = gate::serve(node, request.map(body::boxed)).await;
                 return response.map(|inner| body::boxed(body::Guarded::new(inner, token)));
             }
@@ -69,7 +141,15 @@
             }
         }
     };
-    serve(listener, polite, stop, handle).await;
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(PEER_STREAMS_MAX)
+        .initial_stream_window_size(REQUEST_WINDOW_BYTES)
+        .initial_connection_window_size(PEER_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_MAX_BYTES);
+    serve(listener, builder, polite, stop, handle).await;
 }
 
 pub(crate) async fn serve_operators(
@@ -81,12 +161,17 @@
         let operator = Arc::clone(&operator);
         async move { operator.handle(request).await.map(body::boxed) }
     };
-    serve(listener, stop.clone(), stop, handle).await;
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
+    builder.http2().timer(TokioTimer::new());
+    serve(listener, builder, stop.clone(), stop, handle).await;
 }
 
-/// Accepts until `stop`. `polite` asks each connection to end after the request it is serving.
+/// Accepts until `polite` or `stop`. `polite` also asks each connection to end after the requests
+/// that it is serving; `stop` drops it.
 async fn serve<H, F>(
     listener: TcpListener,
+    builder: Builder,
     polite: CancellationToken,
     stop: CancellationToken,
     handle: H,
@@ -95,41 +180,55 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
+    while let Some((stream, _)) = accept(&listener, &polite, &stop).await {
+        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle.clone());
+        let stop = stop.clone();
+        connections.spawn(async move { stop.run_until_cancelled(serving).await });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+/// The next connection; none once a token is cancelled.
+async fn accept(
+    listener: &TcpListener,
+    polite: &CancellationToken,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, IpAddr)> {
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => break,
+            () = polite.cancelled() => return None,
+            () = stop.cancelled() => return None,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(stream, polite.clone(), handle.clone());
-                let stop = stop.clone();
-                connections.spawn(async move { stop.run_until_cancelled(connection).await });
+            Ok((stream, from)) => {
+                let _ = stream.set_nodelay(true);
+                return Some((stream, from.ip()));
             }
             Err(error) => {
                 // Out of descriptors: waiting lets some close; ending would lose every caller.
                 log::warn!(error:%; "accepting a connection failed");
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
-    connections.close();
-    connections.wait().await;
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, polite: CancellationToken, handle: H)
-where
+async fn serve_connection<H, F, S>(
+    builder: Builder,
+    stream: S,
+    polite: CancellationToken,
+    handle: H,
+) where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new());
-    builder.http2().timer(TokioTimer::new());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
@@ -143,3 +242,56 @@
         log::trace!(error:%; "connection ended");
     }
 }
+
+/// Connections by caller.
+///
+/// Load made for: one caller that opens connection after connection. Harm prevented: it takes the
+/// descriptors and memory that all others need. Reason for the limit: a setting, as a caller's
+/// address may stand for many behind one router.
+#[derive(Clone, Debug)]
+struct Callers {
+    most: u32,
+    open: Arc<Mutex<HashMap<IpAddr, u32>>>,
+}
+
+impl Callers {
+    fn new(most: u32) -> Self {
+        Self {
+            most,
+            open: Arc::default(),
+        }
+    }
+
+    fn enter(&self, caller: IpAddr) -> Option<Counted> {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = open.entry(caller).or_default();
+        if *count >= self.most {
+            return None;
+        }
+        *count += 1;
+        Some(Counted {
+            callers: self.clone(),
+            caller,
+        })
+    }
+}
+
+/// One connection of a caller.
+#[derive(Debug)]
+struct Counted {
+    callers: Callers,
+    caller: IpAddr,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let open = &self.callers.open;
+        let mut open = open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = open.get_mut(&self.caller) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.caller);
+            }
+        }
+    }
+}
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -20,16 +20,57 @@
 /// A frozen or cut-off peer is noticed within two of these while requests wait on it.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-type Sender = http2::SendRequest<Body>;
+/// Bytes of one answer that may be under way and unread. Load made for: slow readers. Harm
+/// prevented: an answer of any size piles up here. Reason for the limit: about what the link
+/// between regions carries for one stream in a round trip.
+const ANSWER_WINDOW_BYTES: u32 = 128 << 10;
+/// Window of the whole connection: as much as all of its streams together may have under way, so
+/// that slow readers of some answers never hold up the others on the connection.
+const CONNECTION_WINDOW_BYTES: u32 = 1_024 * ANSWER_WINDOW_BYTES;
+
+/// A connection to another node's gate.
+#[derive(Clone, Debug)]
+pub(crate) struct Sender(http2::SendRequest<Body>);
+
+impl Sender {
+    /// Sends a request.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let sent = self.0.try_send_request(request).await;
+        sent.map_err(|mut error| {
+            // The library hands the request back only if none of it was sent.
+            if error.take_message().is_some() || refused_stream(error.error()) {
+                Failure::not_run(Reason::Unreachable)
+            } else {
+                Failure::may_have_run(Reason::Lost)
+            }
+        })
+    }
+}
+
+/// Whether the other side says that it has not looked at the request (RFC 9113, section 8.7).
+fn refused_stream(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let reset = source.and_then(|source| source.downcast_ref::<h2::Error>());
+    reset.is_some_and(|reset| {
+        reset.is_remote() && reset.is_reset() && reset.reason() == Some(h2::Reason::REFUSED_STREAM)
+    })
+}
 
 #[derive(Debug)]
 pub(crate) struct PeerConnections {
     dial_from: Option<IpAddr>,
-    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+    slots: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Slot>>>>,
 }
 
-/// Held across the handshake, so that a burst opens one connection and not one per request.
-type Slot = tokio::sync::Mutex<Option<Sender>>;
+/// Locked across the handshake, so that a burst opens one connection and not one per request.
+#[derive(Debug, Default)]
+struct Slot {
+    sender: Option<Sender>,
+    failed_at: Option<Instant>,
+}
 
 impl PeerConnections {
     pub(crate) fn new(dial_from: Option<IpAddr>) -> Self {
@@ -39,38 +80,35 @@
         }
     }
 
-    /// Sends a request to the gate at `address`.
-    pub(crate) async fn send(
-        &self,
-        address: SocketAddr,
-        request: Request<Body>,
-    ) -> Result<Response<Incoming>, Failure> {
-        let mut sender = self.sender(address).await?;
-        sender.try_send_request(request).await.map_err(|mut error| {
-            // The library hands the request back only if none of it was sent.
-            if error.take_message().is_some() {
-                Failure::not_run(Reason::Unreachable)
-            } else {
-                Failure::may_have_run(Reason::Lost)
-            }
-        })
-    }
-
-    async fn sender(&self, address: SocketAddr) -> Result<Sender, Failure> {
+    /// A connection to the gate at `address`; nothing has been sent if there is none.
+    pub(crate) async fn sender(&self, address: SocketAddr) -> Result<Sender, Failure> {
+        let asked_at = Instant::now();
         let slot = self.slot(address);
         let mut slot = slot.lock().await;
-        if let Some(sender) = slot.as_ref().filter(|sender| !sender.is_closed()) {
+        let open = slot.sender.as_ref().filter(|sender| !sender.0.is_closed());
+        if let Some(sender) = open {
             return Ok(sender.clone());
         }
-        let sender = self.connect(address).await.map_err(|error| {
-            log::debug!(peer:% = address, error:%; "peer not reached");
-            Failure::not_run(Reason::Unreachable)
-        })?;
-        *slot = Some(sender.clone());
-        Ok(sender)
+        // Failure guarded against: a VM is gone without a word and requests queue for it. Each
+        // would dial for the whole timeout after the one before it; so those that waited while
+        // one dial failed take its result.
+        if slot.failed_at.is_some_and(|failed_at| failed_at > asked_at) {
+            return Err(Failure::not_run(Reason::Unreachable));
+        }
+        match self.connect(address).await {
+            Ok(sender) => {
+                slot.sender = Some(sender.clone());
+                Ok(sender)
+            }
+            Err(error) => {
+                log::debug!(peer:% = address, error:%; "peer not reached");
+                slot.failed_at = Some(Instant::now());
+                Err(Failure::not_run(Reason::Unreachable))
+            }
+        }
     }
 
-    fn slot(&self, address: SocketAddr) -> Arc<Slot> {
+    fn slot(&self, address: SocketAddr) -> Arc<tokio::sync::Mutex<Slot>> {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(slots.entry(address).or_default())
     }
@@ -81,9 +119,11 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(KEEP_ALIVE)
             .keep_alive_timeout(KEEP_ALIVE)
+            .initial_stream_window_size(ANSWER_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Sender(sender))
     }
 }
--- /dev/null
+++ b/src/proxy/slots.rs
@@ -0,0 +1,123 @@
+//! Slots of the local backend server: taken, waited for, given back.
+//!
+//! A waiting request parks on a channel whose other end the admission state holds. Whoever
+//! changes that state calls [`settle`], which wakes those whose turn has come.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::sync::oneshot;
+
+use super::answer::{Failure, Reason};
+use crate::core::configuration::Class;
+use crate::decide::admission::{Admitted, Cause, Refusal, Ticket, Turn};
+use crate::node::state::NodeState;
+use crate::util::clock;
+
+/// Wakes a waiting request.
+pub(crate) type Wake = oneshot::Sender<Turn>;
+
+/// A slot of the backend server, given back when the answer has been passed on or given up.
+pub(crate) struct Slot {
+    node: Arc<NodeState>,
+    class: Class,
+    since: Instant,
+}
+
+impl Slot {
+    fn new(node: &Arc<NodeState>, class: Class) -> Self {
+        Self {
+            node: Arc::clone(node),
+            class,
+            since: Instant::now(),
+        }
+    }
+
+    /// Takes a slot, waiting for it as long as the deadline allows.
+    pub(crate) async fn take(
+        node: &Arc<NodeState>,
+        class: Class,
+        deadline: Instant,
+    ) -> Result<Self, Failure> {
+        let mut receiver = None;
+        let wake = || {
+            let (sender, turn) = oneshot::channel();
+            receiver = Some(turn);
+            sender
+        };
+        let now_us = clock::since_us(node.started);
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let deadline_us = now_us + u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX / 2);
+        let admitted = node.admission().admit(now_us, class, deadline_us, wake);
+        let ticket = match admitted {
+            Admitted::Slot => return Ok(Self::new(node, class)),
+            Admitted::Refused(refusal) => return Err(refused(refusal)),
+            Admitted::Queued(ticket) => ticket,
+        };
+        // Another class may have been put out of the queue to make room.
+        settle(node);
+        let mut waiting = Waiting {
+            node,
+            class,
+            ticket,
+            turn: receiver.expect("a queued request has a channel"),
+        };
+        let turn = tokio::time::timeout_at(deadline.into(), &mut waiting.turn).await;
+        match turn {
+            Ok(Ok(Turn::Slot)) => Ok(Self::new(node, class)),
+            Ok(Ok(Turn::Refused(refusal))) => Err(refused(refusal)),
+            // The drop of `waiting` takes it out of the queue: it will not run.
+            Ok(Err(_)) | Err(_) => Err(Failure::not_run(Reason::TooLate)),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let held_us = clock::since_us(self.since);
+        self.node.admission().release(self.class, held_us);
+        settle(&self.node);
+    }
+}
+
+/// A request in the queue. Failure guarded against: its caller hangs up, this is dropped at an
+/// await, and a slot that was granted at the same moment would be lost for good. The turn is sent
+/// under the admission lock, so after `cancel` says that it was too late the turn is in the
+/// channel, and a slot found there is given back.
+struct Waiting<'a> {
+    node: &'a Arc<NodeState>,
+    class: Class,
+    ticket: Ticket,
+    turn: oneshot::Receiver<Turn>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.node.admission().cancel(self.ticket) {
+            return;
+        }
+        // Nothing is there if the turn was received; then the slot has its owner.
+        if let Ok(Turn::Slot) = self.turn.try_recv() {
+            drop(Slot::new(self.node, self.class));
+        }
+    }
+}
+
+/// Wakes the waiting requests whose turn has come.
+pub(crate) fn settle(node: &NodeState) {
+    let now_us = clock::since_us(node.started);
+    let mut admission = node.admission();
+    while let Some((wake, turn)) = admission.next(now_us) {
+        // The receiver outlives its place in the queue, see `Waiting`.
+        let _ = wake.send(turn);
+    }
+}
+
+fn refused(refusal: Refusal) -> Failure {
+    let reason = match refusal.cause {
+        Cause::Full => Reason::Full,
+        Cause::TooLate => Reason::TooLate,
+        Cause::Closed => Reason::Draining,
+    };
+    Failure::not_run(reason).retry_after_ms(refusal.retry_after_ms)
+}
--- /dev/null
+++ b/src/proxy/stall.rs
@@ -0,0 +1,92 @@
+//! A connection that breaks when the other side takes nothing for too long.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// Failure guarded against: a caller asks for a long answer and never reads it. It shows as a
+/// slot of the backend server that stays taken, and as buffers that stay full. A write that has
+/// been pending for the limit breaks the connection, which frees both.
+#[derive(Debug)]
+pub(crate) struct StallGuard {
+    stream: TcpStream,
+    limit: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallGuard {
+    pub(crate) fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self {
+            stream,
+            limit,
+            timer: None,
+        }
+    }
+
+    fn watch<T>(
+        &mut self,
+        written: Poll<io::Result<T>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.timer = None;
+            return written;
+        }
+        let limit = self.limit;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.watch(written, context)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.watch(written, context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -18,3 +18,8 @@
 pub(crate) fn since_ms(start: Instant) -> u64 {
     u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Steady microseconds since `start`.
+pub(crate) fn since_us(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
