--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -70,7 +70,7 @@
 
 impl NodeState {
     pub(crate) fn new(settings: Settings, me: NodeId) -> Arc<Self> {
-        let dial_from = settings.dial_from;
+        let dial_options = settings.dial_options();
         let backend = settings.backend_server.clone().map(Arc::new);
         Arc::new(Self {
             settings,
@@ -85,7 +85,7 @@
             drained: AtomicBool::new(false),
             pool: BackendPool::default(),
             calls: Calls::default(),
-            peers: PeerConnections::new(dial_from),
+            peers: PeerConnections::new(dial_options),
             leaving: CancellationToken::new(),
             in_gate: TaskTracker::new(),
         })
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -283,11 +283,15 @@
         let response = tokio::time::timeout_at(self.deadline.into(), exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-        if let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) {
-            let load = u32::try_from(load).unwrap_or(u32::MAX);
-            let now_us = clock::since_us(self.node.started);
-            self.node.balancer().reported(now_us, endpoint.node, load);
-        }
+        // Only a gate says its load. Without it the listener turned the request away before the
+        // gate saw it: this node and that one disagree on the mesh token.
+        let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) else {
+            log::warn!(peer:% = endpoint.node; "a peer does not accept this node's mesh token");
+            return Err(Failure::not_run(Reason::Unreachable));
+        };
+        let load = u32::try_from(load).unwrap_or(u32::MAX);
+        let now_us = clock::since_us(self.node.started);
+        self.node.balancer().reported(now_us, endpoint.node, load);
         match Failure::from_headers(response.headers()) {
             None => Ok(response.map(body::boxed)),
             Some(failure) => Err(failure),
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http::header::{self, HeaderValue};
-use http::{Request, Response, Version};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -58,6 +58,7 @@
 ) {
     let builder = caller_builder(&node.settings);
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
+    let opening_limit = Duration::from_millis(node.settings.caller_header_timeout_ms);
     let callers = Callers::new(node.settings.caller_connections_max);
     let handle = move |request: Request<Incoming>| {
         let node = Arc::clone(&node);
@@ -78,7 +79,7 @@
             log::debug!(caller:%; "refused a connection: too many of this caller");
             continue;
         };
-        let stream = StallGuard::new(stream, stall_limit);
+        let stream = StallGuard::new(stream, stall_limit, opening_limit);
         let serving = serve_connection(builder.clone(), stream, polite.clone(), handle.clone());
         let stop = stop.clone();
         connections.spawn(async move {
@@ -129,6 +130,9 @@
         let node = Arc::clone(&node);
         let mut control = control.clone();
         async move {
+            if !may_speak(&node, &request) {
+                return unauthorized();
+            }
             // Only nodes set this header: an entry drops it from what callers send.
             if request.headers().contains_key(headers::DATA) {
                 let token = node.in_gate.token();
@@ -157,9 +161,16 @@
     operator: Arc<Operator>,
     stop: CancellationToken,
 ) {
-    let handle = move |request| {
+    let handle = move |request: Request<Incoming>| {
         let operator = Arc::clone(&operator);
-        async move { operator.handle(request).await.map(body::boxed) }
+        async move {
+            // Whoever restarts VMs asks for readiness and holds no secret of the mesh.
+            let is_open = request.uri().path() == "/ready";
+            if !is_open && !may_speak(&operator.node, &request) {
+                return unauthorized();
+            }
+            operator.handle(request).await.map(body::boxed)
+        }
     };
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new());
@@ -167,6 +178,21 @@
     serve(listener, builder, stop.clone(), stop, handle).await;
 }
 
+/// Failure guarded against: a process that is no part of the mesh sends data past every entry, or
+/// commands a node. It shows as requests that no entry logged. Without the secret nothing of the
+/// request is looked at, so the guard holds.
+fn may_speak(node: &NodeState, request: &Request<Incoming>) -> bool {
+    let given = request.headers().get(headers::TOKEN);
+    let token = &node.settings.mesh_token;
+    token.accepts(given.map(|value| value.as_bytes()))
+}
+
+fn unauthorized() -> Response<Body> {
+    let mut response = Response::new(body::full("the mesh token is missing or wrong\n"));
+    *response.status_mut() = StatusCode::UNAUTHORIZED;
+    response
+}
+
 /// Accepts until `polite` or `stop`. `polite` also asks each connection to end after the requests
 /// that it is serving; `stop` drops it.
 async fn serve<H, F>(
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -1,10 +1,11 @@
 //! HTTP/2 connections to other nodes' gates, one per node, opened when first needed.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use http::header::HeaderValue;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
@@ -12,6 +13,8 @@
 
 use super::answer::{Failure, Reason};
 use super::body::Body;
+use super::headers;
+use crate::peer::client::DialOptions;
 use crate::util::dial::dial;
 
 /// Longest wait for a connection. Beyond it the endpoint is as good as gone, and another one is
@@ -30,15 +33,21 @@
 
 /// A connection to another node's gate.
 #[derive(Clone, Debug)]
-pub(crate) struct Sender(http2::SendRequest<Body>);
+pub(crate) struct Sender {
+    requests: http2::SendRequest<Body>,
+    token: Option<HeaderValue>,
+}
 
 impl Sender {
     /// Sends a request.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<Incoming>, Failure> {
-        let sent = self.0.try_send_request(request).await;
+        if let Some(token) = &self.token {
+            request.headers_mut().insert(headers::TOKEN, token.clone());
+        }
+        let sent = self.requests.try_send_request(request).await;
         sent.map_err(|mut error| {
             // The library hands the request back only if none of it was sent.
             if error.take_message().is_some() || refused_stream(error.error()) {
@@ -61,7 +70,7 @@
 
 #[derive(Debug)]
 pub(crate) struct PeerConnections {
-    dial_from: Option<IpAddr>,
+    options: DialOptions,
     slots: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Slot>>>>,
 }
 
@@ -73,9 +82,9 @@
 }
 
 impl PeerConnections {
-    pub(crate) fn new(dial_from: Option<IpAddr>) -> Self {
+    pub(crate) fn new(options: DialOptions) -> Self {
         Self {
-            dial_from,
+            options,
             slots: Mutex::default(),
         }
     }
@@ -85,7 +94,10 @@
         let asked_at = Instant::now();
         let slot = self.slot(address);
         let mut slot = slot.lock().await;
-        let open = slot.sender.as_ref().filter(|sender| !sender.0.is_closed());
+        let open = slot
+            .sender
+            .as_ref()
+            .filter(|sender| !sender.requests.is_closed());
         if let Some(sender) = open {
             return Ok(sender.clone());
         }
@@ -114,8 +126,8 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, super::body::BoxError> {
-        let stream = dial(address, self.dial_from, CONNECT_TIMEOUT).await?;
-        let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        let stream = dial(address, self.options.dial_from, CONNECT_TIMEOUT).await?;
+        let (requests, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .keep_alive_interval(KEEP_ALIVE)
             .keep_alive_timeout(KEEP_ALIVE)
@@ -124,6 +136,7 @@
             .handshake(TokioIo::new(stream))
             .await?;
         tokio::spawn(connection);
-        Ok(Sender(sender))
+        let token = self.options.token.to_send().map(headers::value);
+        Ok(Sender { requests, token })
     }
 }
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -147,7 +147,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self.sent {
-            0 => lock(&self.source).size.clone(),
+            0 => lock(&self.source).size,
             _ => SizeHint::default(),
         }
     }
--- a/src/proxy/stall.rs
+++ b/src/proxy/stall.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -18,14 +18,30 @@
     stream: TcpStream,
     limit: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    opening: Option<Opening>,
 }
 
+/// The first bytes of a connection.
+#[derive(Debug)]
+struct Opening {
+    missing_bytes: usize,
+    timer: Pin<Box<Sleep>>,
+}
+
+/// Length of the HTTP/2 preface.
+const OPENING_BYTES: usize = 24;
+
 impl StallGuard {
-    pub(crate) fn new(stream: TcpStream, limit: Duration) -> Self {
+    /// Writes may be pending for `limit`; the first bytes are to come within `opening_limit`.
+    pub(crate) fn new(stream: TcpStream, limit: Duration, opening_limit: Duration) -> Self {
         Self {
             stream,
             limit,
             timer: None,
+            opening: Some(Opening {
+                missing_bytes: OPENING_BYTES,
+                timer: Box::pin(tokio::time::sleep(opening_limit)),
+            }),
         }
     }
 
@@ -55,7 +71,21 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let Some(opening) = &mut self.opening else {
+            return read;
+        };
+        if read.is_pending() {
+            ready!(opening.timer.as_mut().poll(context));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let read_bytes = buffer.filled().len() - filled_before;
+        opening.missing_bytes = opening.missing_bytes.saturating_sub(read_bytes);
+        if opening.missing_bytes == 0 {
+            self.opening = None;
+        }
+        read
     }
 }
 
