Prove answers, chains, drains and limits on callers with whole processes

Change: tests with node processes and backend servers that record what they ran; the backend server stand-in can break an answer, freeze, and make calls of its own; a gauge of the gate's queue; the page of answers. The peer listener also takes HTTP/1.1 again: refusing it broke the token's test, which is right to ask with a plain client.

--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -1,22 +1,26 @@
 //! Stand-in for a backend server that keeps a record of every request that it ran.
 //!
 //! What a request asks for stands in its query: `work_ms` (time to run), `answer_bytes` (size of
-//! the answer; without it the body is echoed). The answer's `x-digest` is the BLAKE3 digest of the
-//! request's body, and `x-ran-by` the backend server's name.
+//! the answer; without it the body is echoed), `break_after` (the connection breaks after so many
+//! bytes of the answer), `status`, and `chain` (a list `service:path,service:path`: the first is
+//! called through the own node, with the rest as its chain, before the answer). The answer's
+//! `x-digest` is the BLAKE3 digest of the request's body, and `x-ran-by` the backend server's name.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use ::http::{HeaderValue, Request, Response, StatusCode};
+use ::http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http_body::Body as _;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use tokio::net::TcpListener;
+use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::{Body, answer, serve};
+use crate::http::{Body, Reply, answer, request, serve};
 
 /// How a backend server behaves.
 #[derive(Clone, Debug)]
@@ -29,6 +33,10 @@
     pub cold_start: Duration,
     /// Answers of `GET /health`: what it claims, which may be wrong.
     pub claims_healthy: bool,
+    /// Requests that arrive are not looked at until this is over.
+    pub frozen: bool,
+    /// Caller listener of the own node, for calls that a request asks for.
+    pub entry: Option<SocketAddr>,
 }
 
 impl Default for Behaviour {
@@ -38,6 +46,8 @@
             work: Duration::ZERO,
             cold_start: Duration::ZERO,
             claims_healthy: true,
+            frozen: false,
+            entry: None,
         }
     }
 }
@@ -55,6 +65,8 @@
     pub shed: u64,
     /// Most requests at a time.
     pub peak: u32,
+    /// Deadlines that came with requests, in milliseconds from their arrival.
+    pub deadlines_ms: Vec<u64>,
     /// When the last request began.
     pub last_begun: Option<Instant>,
 }
@@ -152,6 +164,9 @@
 
 impl Shared {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        while lock(&self.behaviour).frozen {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
         let behaviour = lock(&self.behaviour).clone();
         if request.uri().path() == "/health" {
             return health(behaviour.claims_healthy);
@@ -162,6 +177,8 @@
         let Some(mut run) = self.begin(&id, &behaviour) else {
             return answer(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
         };
+        let headers = request.headers().clone();
+        self.note_deadline(&headers);
         let Ok(body) = request.into_body().collect().await else {
             return answer(StatusCode::BAD_REQUEST, "the body broke off\n");
         };
@@ -173,11 +190,26 @@
         if !work.is_zero() {
             tokio::time::sleep(work).await;
         }
+        if let Some(chain) = text(&query, "chain") {
+            let called = call(behaviour.entry, chain, &id, &headers).await;
+            let Ok(reply) = called else {
+                return answer(StatusCode::BAD_GATEWAY, "the call was not answered\n");
+            };
+            if reply.status != StatusCode::OK {
+                run.finished = true;
+                return answer(reply.status, reply.body);
+            }
+        }
         let digest = blake3::hash(&body).to_hex();
         let answer_bytes = number(&query, "answer_bytes");
         let content = answer_bytes.map_or(body, |bytes| filler(&id, bytes));
         run.finished = true;
-        let mut response = answer(StatusCode::OK, content);
+        let status = number(&query, "status").and_then(|code| u16::try_from(code).ok());
+        let status = status.and_then(|code| StatusCode::from_u16(code).ok());
+        let mut response = answer(status.unwrap_or(StatusCode::OK), content);
+        if let Some(bytes) = number(&query, "break_after") {
+            response = response.map(|whole| broken(whole, bytes));
+        }
         let headers = response.headers_mut();
         headers.insert("x-digest", value(&digest));
         headers.insert("x-ran-by", value(&self.name));
@@ -185,6 +217,12 @@
         response
     }
 
+    fn note_deadline(&self, headers: &HeaderMap) {
+        let deadline = headers.get("x-dragonflywall-deadline-ms");
+        let deadline: Option<u64> = deadline.and_then(|value| value.to_str().ok()?.parse().ok());
+        lock(&self.record).deadlines_ms.extend(deadline);
+    }
+
     fn begin(&self, id: &str, behaviour: &Behaviour) -> Option<Run<'_>> {
         let mut record = lock(&self.record);
         let mut running = lock(&self.running);
@@ -215,9 +253,48 @@
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("?"))
 }
 
-fn number(query: &str, name: &str) -> Option<u64> {
+fn text<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    Some(pairs.find(|(key, _)| *key == name)?.1)
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    text(query, name)?.parse().ok()
+}
+
+/// Makes the first call of `chain` through the own node, as part of the request `id`.
+async fn call(
+    entry: Option<SocketAddr>,
+    chain: &str,
+    id: &str,
+    headers: &HeaderMap,
+) -> crate::http::Result<Reply> {
+    let entry = entry.ok_or("no entry is set")?;
+    let (first, rest) = chain.split_once(',').unwrap_or((chain, ""));
+    let (service, path) = first.split_once(':').ok_or("not a chain")?;
+    let path = match rest {
+        "" => path.to_owned(),
+        rest => format!("{path}?chain={rest}"),
+    };
+    let token = headers.get("x-dragonflywall-call");
+    let token = token.and_then(|token| token.to_str().ok()).unwrap_or("");
+    let headers = [("x-request-id", id), ("x-dragonflywall-call", token)];
+    request(entry, Method::GET, service, &path, &headers, "").await
+}
+
+/// The first `bytes` of a body, then an error, which breaks the connection once they are sent.
+fn broken(whole: Body, bytes: u64) -> Body {
+    let length = whole.size_hint().exact().unwrap_or(0);
+    let content = vec![0; usize::try_from(bytes.min(length)).unwrap_or(0)];
+    let (sender, frames) = tokio::sync::mpsc::channel(1);
+    tokio::spawn(async move {
+        // A reader that is gone needs neither.
+        let _ = sender.send(Ok(Frame::data(Bytes::from(content)))).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let broken = std::io::Error::other("broken on purpose");
+        let _ = sender.send(Err(broken)).await;
+    });
+    BodyExt::boxed_unsync(StreamBody::new(ReceiverStream::new(frames)))
 }
 
 /// Bytes that differ from one request to the next, so that a mixed-up answer shows.
--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -116,6 +116,8 @@
     pub network: Arc<Network>,
     /// The VMs, data centre by data centre.
     pub vms: Vec<Vm>,
+    /// Added to the arguments of every node started from now on.
+    pub extra_arguments: Vec<String>,
     program: PathBuf,
     leading: Vec<String>,
     platform_front: Front,
@@ -140,6 +142,7 @@
             platform,
             network,
             vms: Vec::new(),
+            extra_arguments: Vec::new(),
             program: program.to_owned(),
             leading: leading.iter().map(|text| (*text).to_owned()).collect(),
             platform_front,
@@ -215,6 +218,7 @@
         set("service", vm.service.to_owned());
         set("backend-server", vm.backend.address.to_string());
         set("log-level", "warn".to_owned());
+        arguments.extend(self.extra_arguments.iter().cloned());
         arguments
     }
 
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -40,13 +40,23 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") => self.ready(),
             (&Method::GET, "/status") => json(&self.status()),
-            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics()),
             (&Method::POST, "/backend-server") => self.announce(request).await,
             (&Method::POST, "/drain") => self.drain(),
             _ => text(StatusCode::NOT_FOUND, "no such operator request\n"),
         }
     }
 
+    fn metrics(&self) -> String {
+        let (in_use, waiting) = {
+            let admission = self.node.admission();
+            (admission.in_use(), admission.waiting())
+        };
+        metrics::gauge!("dragonflywall_gate_slots_in_use").set(in_use);
+        metrics::gauge!("dragonflywall_gate_waiting").set(waiting);
+        self.metrics.render()
+    }
+
     fn why_not_ready(&self) -> Option<&'static str> {
         if self.node.leaving.is_cancelled() {
             return Some("draining");
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -145,7 +145,8 @@
             }
         }
     };
-    let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
     builder
         .http2()
         .timer(TokioTimer::new())
--- /dev/null
+++ b/tests/testsuite/decide_admission.rs
@@ -0,0 +1,336 @@
+//! The gate's decisions: exact slots, two classes, deadlines, and an oracle for all of it.
+
+use std::collections::VecDeque;
+
+use dragonflywall::core::configuration::Class;
+use dragonflywall::decide::admission::{Admission, Admitted, Cause, Limits, Ticket, Turn};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const LATE: u64 = u64::MAX / 4;
+const SECOND: u64 = 1_000_000;
+
+fn admission(slots: u32, queue_len: u32) -> Admission<u32> {
+    let mut admission = Admission::default();
+    admission.set_limits(Limits { slots, queue_len });
+    admission
+}
+
+fn granted(admission: &mut Admission<u32>, now_us: u64) -> Vec<u32> {
+    let turns = std::iter::from_fn(|| admission.next(now_us));
+    let slots = turns.filter(|(_, turn)| *turn == Turn::Slot);
+    slots.map(|(id, _)| id).collect()
+}
+
+fn cause(admitted: Admitted) -> Option<Cause> {
+    match admitted {
+        Admitted::Refused(refusal) => Some(refusal.cause),
+        Admitted::Slot | Admitted::Queued(_) => None,
+    }
+}
+
+/// Dealers' short reads arrive while uploads hold every slot that bulk work may have. The reserve
+/// lets them in at once; without it they would wait for the end of an upload.
+#[test]
+fn short_reads_pass_long_uploads() {
+    let mut admission = admission(20, 40);
+    let read = admission.admit(0, Class::Interactive, LATE, || 0);
+    assert_eq!(read, Admitted::Slot);
+    admission.release(Class::Interactive, 1_000);
+    let uploads = (0..30).map(|id| admission.admit(1, Class::Bulk, LATE, || id));
+    let running = uploads.filter(|upload| *upload == Admitted::Slot).count();
+    assert_eq!(running, 15);
+    assert_eq!(
+        admission.admit(2, Class::Interactive, LATE, || 99),
+        Admitted::Slot
+    );
+}
+
+/// At night nobody reads prices, and the archive's look-ups are to have every slot.
+#[test]
+fn bulk_work_gets_all_slots_when_nobody_else_asks() {
+    let mut admission = admission(20, 40);
+    let uploads = (0..30).map(|id| admission.admit(60 * SECOND, Class::Bulk, LATE, || id));
+    let running = uploads.filter(|upload| *upload == Admitted::Slot).count();
+    assert_eq!(running, 20);
+}
+
+/// Short reads keep every slot busy for hours. The archive still gets every fourth turn.
+#[test]
+fn endless_short_reads_do_not_starve_bulk_work() {
+    let mut admission = admission(1, 20);
+    assert_eq!(
+        admission.admit(0, Class::Interactive, LATE, || 0),
+        Admitted::Slot
+    );
+    for id in 1..=8 {
+        admission.admit(0, Class::Interactive, LATE, || id);
+        admission.admit(0, Class::Bulk, LATE, || 100 + id);
+    }
+    let mut order = Vec::new();
+    let mut holder = Class::Interactive;
+    for now_us in 1..=9 {
+        admission.release(holder, 1);
+        let id = granted(&mut admission, now_us)[0];
+        holder = if id > 100 {
+            Class::Bulk
+        } else {
+            Class::Interactive
+        };
+        order.push(id);
+    }
+    assert_eq!(order, [1, 2, 101, 3, 4, 5, 102, 6, 7]);
+}
+
+/// A herd of uploads has filled the queue. A dealer's read is not refused for it: the newest
+/// upload gives its place back and is told at once.
+#[test]
+fn a_full_queue_still_has_room_for_the_other_class() {
+    let mut admission = admission(1, 4);
+    for id in 0..5 {
+        admission.admit(0, Class::Bulk, LATE, || id);
+    }
+    assert_eq!(
+        cause(admission.admit(0, Class::Bulk, LATE, || 5)),
+        Some(Cause::Full)
+    );
+    let read = admission.admit(0, Class::Interactive, LATE, || 6);
+    assert!(matches!(read, Admitted::Queued(_)), "{read:?}");
+    let (evicted, turn) = admission.next(0).expect("somebody made room");
+    assert_eq!(evicted, 4);
+    assert!(matches!(turn, Turn::Refused(refusal) if refusal.cause == Cause::Full));
+    assert_eq!(admission.waiting(), 4);
+}
+
+/// Requests take a second each and ten of them wait. One that has half a second left is refused
+/// at once, with the wait that it would have had, instead of timing out in the queue.
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut admission = admission(1, 20);
+    admission.admit(0, Class::Interactive, LATE, || 0);
+    admission.release(Class::Interactive, SECOND);
+    for id in 0..10 {
+        admission.admit(0, Class::Interactive, LATE, || id);
+    }
+    let hasty = admission.admit(0, Class::Interactive, SECOND / 2, || 10);
+    assert_eq!(cause(hasty), Some(Cause::TooLate));
+    let Admitted::Refused(refusal) = hasty else {
+        unreachable!("its cause was looked at")
+    };
+    assert_eq!(refusal.retry_after_ms, 10_000);
+}
+
+/// A backend server is about to stop. What waits is refused at once, so that the entries take it
+/// elsewhere, and a slot that becomes free stays free.
+#[test]
+fn closing_refuses_what_waits() {
+    let mut admission = admission(1, 4);
+    admission.admit(0, Class::Interactive, LATE, || 0);
+    admission.admit(0, Class::Interactive, LATE, || 1);
+    admission.admit(0, Class::Bulk, LATE, || 2);
+    admission.close();
+    let turns: Vec<_> = std::iter::from_fn(|| admission.next(0)).collect();
+    let closed = |turn: &Turn| matches!(turn, Turn::Refused(r) if r.cause == Cause::Closed);
+    assert!(turns.iter().all(|(_, turn)| closed(turn)), "{turns:?}");
+    assert_eq!(turns.len(), 2);
+    admission.release(Class::Interactive, 1);
+    assert!(granted(&mut admission, 1).is_empty());
+    assert_eq!(
+        cause(admission.admit(1, Class::Interactive, LATE, || 3)),
+        Some(Cause::Closed)
+    );
+}
+
+/// One step of the fuzzing.
+#[derive(Clone, Debug)]
+enum Step {
+    Admit {
+        bulk: bool,
+        patience_us: u64,
+    },
+    /// The nth holder gives its slot back.
+    Release(usize),
+    /// The nth waiting request's caller hangs up.
+    Cancel(usize),
+    Limits {
+        slots: u32,
+        queue_len: u32,
+    },
+    Close,
+    Open,
+    Pass {
+        us: u64,
+    },
+}
+
+/// The oracle: plain lists of who holds and who waits, and the rules that must hold.
+#[derive(Clone, Debug, Default)]
+struct Oracle {
+    now_us: u64,
+    closed: bool,
+    slots: u32,
+}
+
+struct Sut {
+    admission: Admission<u32>,
+    holding: Vec<(u32, Class)>,
+    waiting: VecDeque<(u32, Class, Ticket)>,
+    answered: Vec<u32>,
+    next_id: u32,
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self {
+            slots: 3,
+            ..Self::default()
+        })
+        .boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        prop_oneof![
+            8 => (any::<bool>(), 0_u64..200_000)
+                .prop_map(|(bulk, patience_us)| Step::Admit { bulk, patience_us }),
+            6 => (0_usize..8).prop_map(Step::Release),
+            2 => (0_usize..8).prop_map(Step::Cancel),
+            1 => (0_u32..6, 0_u32..8)
+                .prop_map(|(slots, queue_len)| Step::Limits { slots, queue_len }),
+            1 => Just(Step::Close),
+            1 => Just(Step::Open),
+            3 => (0_u64..20_000_000).prop_map(|us| Step::Pass { us }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        match step {
+            Step::Pass { us } => state.now_us += us,
+            Step::Close => state.closed = true,
+            Step::Open => state.closed = false,
+            Step::Limits { slots, .. } => state.slots = *slots,
+            Step::Admit { .. } | Step::Release(_) | Step::Cancel(_) => (),
+        }
+        state
+    }
+}
+
+impl Sut {
+    fn step(&mut self, oracle: &Oracle, step: Step) {
+        match step {
+            Step::Admit { bulk, patience_us } => self.admit(oracle, bulk, patience_us),
+            Step::Release(nth) if nth < self.holding.len() => {
+                let (id, class) = self.holding.swap_remove(nth);
+                self.admission.release(class, 10_000);
+                self.answered.push(id);
+            }
+            Step::Cancel(nth) if nth < self.waiting.len() => {
+                let (id, _, ticket) = self.waiting.remove(nth).expect("in range");
+                assert!(self.admission.cancel(ticket), "it had not had its turn");
+                assert!(!self.admission.cancel(ticket), "cancelled twice");
+                self.answered.push(id);
+            }
+            Step::Release(_) | Step::Cancel(_) | Step::Pass { .. } => (),
+            Step::Limits { slots, queue_len } => {
+                self.admission.set_limits(Limits { slots, queue_len });
+            }
+            Step::Close => self.admission.close(),
+            Step::Open => self.admission.open(),
+        }
+        let held_before = self.holding.len();
+        while let Some((id, turn)) = self.admission.next(oracle.now_us) {
+            let position = self.waiting.iter().position(|waiting| waiting.0 == id);
+            let (_, class, _) = position
+                .and_then(|position| self.waiting.remove(position))
+                .expect("only a waiting request has a turn, and only one");
+            match turn {
+                Turn::Slot => self.holding.push((id, class)),
+                Turn::Refused(_) => self.answered.push(id),
+            }
+        }
+        let granted = self.holding.len() > held_before;
+        assert!(!(granted && oracle.closed), "a closed gate let work in");
+        assert!(
+            !granted || self.holding.len() <= oracle.slots as usize,
+            "more work than slots was let in"
+        );
+    }
+
+    fn admit(&mut self, oracle: &Oracle, bulk: bool, patience_us: u64) {
+        let class = if bulk {
+            Class::Bulk
+        } else {
+            Class::Interactive
+        };
+        let id = self.next_id;
+        self.next_id += 1;
+        let deadline_us = oracle.now_us + patience_us;
+        match self
+            .admission
+            .admit(oracle.now_us, class, deadline_us, || id)
+        {
+            Admitted::Slot => self.holding.push((id, class)),
+            Admitted::Queued(ticket) => self.waiting.push_back((id, class, ticket)),
+            Admitted::Refused(_) => self.answered.push(id),
+        }
+    }
+}
+
+impl StateMachineTest for Sut {
+    type SystemUnderTest = Self;
+    type Reference = Oracle;
+
+    fn init_test(oracle: &Oracle) -> Self {
+        Self {
+            admission: admission(oracle.slots, 4),
+            holding: Vec::new(),
+            waiting: VecDeque::new(),
+            answered: Vec::new(),
+            next_id: 0,
+        }
+    }
+
+    fn apply(mut sut: Self, oracle: &Oracle, step: Step) -> Self {
+        sut.step(oracle, step);
+        sut
+    }
+
+    fn check_invariants(sut: &Self, oracle: &Oracle) {
+        assert_eq!(sut.admission.in_use() as usize, sut.holding.len());
+        assert_eq!(sut.admission.waiting() as usize, sut.waiting.len());
+        let known = sut.holding.len() + sut.waiting.len() + sut.answered.len();
+        assert_eq!(
+            known, sut.next_id as usize,
+            "a request got no answer, or two"
+        );
+        if oracle.closed || oracle.slots == 0 {
+            assert!(sut.waiting.is_empty(), "somebody waits at a closed gate");
+        }
+        // Work is kept waiting only by busy slots or by the reserve for the other class.
+        let idle = sut.holding.len() < oracle.slots as usize;
+        let interactive_waits = sut.waiting.iter().any(|w| w.1 == Class::Interactive);
+        assert!(
+            !(idle && interactive_waits),
+            "a slot is idle beside a queue"
+        );
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        ..Config::default()
+    })]
+
+    /// Requests come, end, hang up, and the limits change, in any order: slots are counted
+    /// exactly, everyone gets one answer, and nobody waits beside a free slot.
+    #[test]
+    fn admission_agrees_with_the_oracle(sequential 1..80 => Sut);
+}
--- /dev/null
+++ b/tests/testsuite/requests_answers.rs
@@ -0,0 +1,200 @@
+//! What a caller is told: whole answers, visible breaks, and verdicts that are true.
+
+use http::Method;
+use testkit::backend::Behaviour;
+use testkit::http::{request, wait_until};
+use testkit::mesh::Mesh;
+
+use crate::support::{
+    LIMIT, REASON, VERDICT, ask, runs, small, start_chatarras, vms_of, wait_running,
+};
+
+/// An entry that is not itself an endpoint of `service`.
+fn entry(mesh: &Mesh, service: &str) -> std::net::SocketAddr {
+    let vm = mesh.vms.iter().find(|vm| vm.service != service);
+    vm.expect("another service is deployed")
+        .node()
+        .addresses
+        .caller
+}
+
+/// A backend server sheds with its own 503. That is its answer, not the mesh's: it carries no
+/// verdict, and nobody tries again behind the caller's back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_servers_own_503_is_an_answer() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = entry(&mesh, "tablon");
+    let path = "/prices/copper?status=503";
+    let reply = ask(entry, Method::GET, "tablon", path, "shed-1").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.header(VERDICT), "");
+    assert_eq!(runs(&mesh, "tablon", "shed-1").len(), 1);
+}
+
+/// A backend server dies in the middle of an answer. The caller must see that the answer broke
+/// off: an answer that ends cleanly would be taken for the whole list of prices.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_is_broken_towards_the_caller() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let remote = entry(&mesh, "tablon");
+    let local = mesh.vms[vms_of(&mesh, "tablon")[0]].node().addresses.caller;
+    for entry in [remote, local] {
+        let path = "/prices/copper?answer_bytes=200000&break_after=100000";
+        let reply = ask(entry, Method::GET, "tablon", path, "broken-1").await;
+        assert!(
+            reply.is_err(),
+            "a broken answer looks whole: {:?}",
+            reply.map(|r| r.status)
+        );
+    }
+}
+
+/// A payment is under way when the backend server dies. The caller is told that it may have run,
+/// and no other backend server gets it: it would be taken twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_cut_off_is_not_tried_again() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = entry(&mesh, "cobros");
+    let path = "/payments/1?work_ms=8000";
+    let asked = tokio::spawn(ask(entry, Method::POST, "cobros", path, "pay-1"));
+    let position = wait_running(&mesh, "cobros", "pay-1").await;
+    mesh.vms[position].backend.kill();
+    let reply = asked.await.expect("no panic").expect("the node answers");
+    assert_eq!(reply.status, 502);
+    assert_eq!(reply.header(VERDICT), "may-have-run");
+    assert_eq!(reply.header(REASON), "lost");
+    assert_eq!(runs(&mesh, "cobros", "pay-1"), [(position, 1)]);
+}
+
+/// A read is cut off in the middle, is tried again as it is idempotent, and is refused there. The
+/// refusal is true of the second attempt only; were it passed on, the caller would be told "not
+/// run" of a request that ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_retry_does_not_hide_the_first_attempt() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = entry(&mesh, "cobros");
+    let path = "/payments/2?work_ms=900";
+    let asked = tokio::spawn(ask(entry, Method::GET, "cobros", path, "status-2"));
+    let ran_at = wait_running(&mesh, "cobros", "status-2").await;
+    // First the others, so that the retry finds none.
+    for position in vms_of(&mesh, "cobros") {
+        if position != ran_at {
+            let operator = mesh.vms[position].node().addresses.operator;
+            let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+            assert_eq!(drained.expect("the node answers").status, 200);
+        }
+    }
+    mesh.vms[ran_at].backend.kill();
+    let reply = asked.await.expect("no panic").expect("the node answers");
+    assert!(reply.status.is_server_error(), "{reply:?}");
+    assert_eq!(reply.header(VERDICT), "may-have-run", "{reply:?}");
+    assert_eq!(runs(&mesh, "cobros", "status-2"), [(ran_at, 1)]);
+}
+
+/// Every endpoint of a service is gone. The caller learns at once that its payment did not run,
+/// and when to come again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_that_reaches_nobody_is_proved_not_run() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    for position in vms_of(&mesh, "cobros") {
+        mesh.vms[position].backend.kill();
+    }
+    let entry = entry(&mesh, "cobros");
+    let reply = ask(entry, Method::POST, "cobros", "/payments/3", "pay-3").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.header(VERDICT), "not-run");
+    assert_eq!(reply.header(REASON), "unreachable");
+    assert_eq!(reply.header("retry-after"), "1");
+    assert!(runs(&mesh, "cobros", "pay-3").is_empty());
+}
+
+/// A caller hangs up while its request runs two nodes away. The backend server sees it, stops, and
+/// its slot is free again. Without it, work goes on for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_hangs_up_cancels_down_to_the_backend_server() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = entry(&mesh, "cobros");
+    let path = "/payments/4?work_ms=8000";
+    let asked = tokio::spawn(ask(entry, Method::POST, "cobros", path, "pay-4"));
+    let position = wait_running(&mesh, "cobros", "pay-4").await;
+    asked.abort();
+    let _ = asked.await;
+    let backend = &mesh.vms[position].backend;
+    wait_until("the backend server sees it", LIMIT, || async {
+        backend.record().cancelled == 1
+    })
+    .await;
+}
+
+/// Slots are taken and a payment waits in the queue when its caller hangs up. It leaves the queue:
+/// it never runs, although a slot becomes free later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_request_that_is_hung_up_never_runs() {
+    let mesh = start_chatarras(small(&["cobros"], 1)).await;
+    let only = vms_of(&mesh, "cobros")[0];
+    for position in vms_of(&mesh, "cobros") {
+        if position != only {
+            let operator = mesh.vms[position].node().addresses.operator;
+            let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+            drained.expect("the node answers");
+        }
+    }
+    let entry = mesh.vms[only].node().addresses.caller;
+    let mut holders = Vec::new();
+    for n in 0..20 {
+        let id = format!("holder-{n}");
+        holders.push(tokio::spawn(async move {
+            ask(entry, Method::POST, "cobros", "/payments?work_ms=1500", &id).await
+        }));
+    }
+    let backend = &mesh.vms[only].backend;
+    wait_until("all slots are taken", LIMIT, || async {
+        backend.record().peak == 20
+    })
+    .await;
+    let waiter = tokio::spawn(ask(entry, Method::POST, "cobros", "/payments", "gone-1"));
+    let stayer = tokio::spawn(ask(entry, Method::POST, "cobros", "/payments", "stays-1"));
+    let operator = mesh.vms[only].node().addresses.operator;
+    wait_until("both wait at the gate", LIMIT, || async {
+        let reply = request(operator, Method::GET, "node", "/metrics", &[], "").await;
+        let text = reply.map(|reply| reply.body).unwrap_or_default();
+        String::from_utf8_lossy(&text).contains("dragonflywall_gate_waiting 2")
+    })
+    .await;
+    waiter.abort();
+    let _ = waiter.await;
+    let reply = stayer.await.expect("no panic").expect("the node answers");
+    assert_eq!(reply.status, 200);
+    for holder in holders {
+        let reply = holder.await.expect("no panic").expect("the node answers");
+        assert_eq!(reply.status, 200);
+    }
+    assert!(runs(&mesh, "cobros", "gone-1").is_empty());
+    assert_eq!(
+        backend.record().peak,
+        20,
+        "more than the slots ran at a time"
+    );
+}
+
+/// The node of a backend server freezes after it has taken a payment, and its caller's deadline
+/// passes. Nothing proves that it did not run, and it is not tried elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passes_after_sending_proves_nothing() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    for position in vms_of(&mesh, "tablon") {
+        let frozen = Behaviour {
+            frozen: true,
+            ..Behaviour::default()
+        };
+        mesh.vms[position].backend.set_behaviour(frozen);
+    }
+    let entry = entry(&mesh, "tablon");
+    let reply = ask(entry, Method::GET, "tablon", "/prices/zinc", "late-1").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 504);
+    assert_eq!(reply.header(VERDICT), "may-have-run");
+    assert_eq!(reply.header(REASON), "deadline");
+}
--- /dev/null
+++ b/tests/testsuite/requests_chain.rs
@@ -0,0 +1,78 @@
+//! Calls that lead to calls: deadline, depth and retries travel down and cannot be forged.
+
+use http::Method;
+use testkit::backend::Behaviour;
+use testkit::http::request;
+use testkit::mesh::Mesh;
+
+use crate::support::{ask, small, start_chatarras};
+
+async fn start_with_entries() -> Mesh {
+    let mesh = start_chatarras(small(&["tablon", "hemeroteca"], 1)).await;
+    for vm in &mesh.vms {
+        vm.backend.set_behaviour(Behaviour {
+            entry: Some(vm.node().addresses.caller),
+            ..Behaviour::default()
+        });
+    }
+    mesh
+}
+
+/// `calls` calls below the first one, by turns to the archive and to the prices.
+fn chain(calls: usize) -> String {
+    let calls = (0..calls).map(|n| match n % 2 {
+        0 => "hemeroteca:/archive/1",
+        _ => "tablon:/prices/zinc",
+    });
+    calls.collect::<Vec<_>>().join(",")
+}
+
+/// A call leads to another, seven deep. The first has 800 ms; every later one gets what is left
+/// of them, though its own treatment would allow it minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadlines_shrink_along_a_chain_of_seven() {
+    let mesh = start_with_entries().await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let path = format!("/prices/zinc?chain={}", chain(7));
+    let reply = ask(entry, Method::GET, "tablon", &path, "chain-7").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let records = mesh.vms.iter().map(|vm| vm.backend.record());
+    let deadlines_ms: Vec<u64> = records.flat_map(|record| record.deadlines_ms).collect();
+    assert_eq!(deadlines_ms.len(), 8);
+    assert!(deadlines_ms.iter().all(|ms| *ms <= 800), "{deadlines_ms:?}");
+}
+
+/// Two services call each other without end. The eighth call below the first is refused, so the
+/// loop ends instead of filling every slot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_loop_of_calls_is_refused() {
+    let mesh = start_with_entries().await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let path = format!("/prices/zinc?chain={}", chain(8));
+    let reply = ask(entry, Method::GET, "tablon", &path, "chain-8").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 508, "{reply:?}");
+}
+
+/// A caller invents headers of the mesh to get a longer deadline, another class, or the identity
+/// of a call that runs. None of them reaches a backend server, and the treatment stays its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_cannot_forge_what_travels_with_a_call() {
+    let mesh = start_with_entries().await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let forged = [
+        ("x-dragonflywall-deadline-ms", "9999999"),
+        ("x-dragonflywall-call", "100000001-0"),
+        ("x-dragonflywall-depth", "7"),
+        ("x-dragonflywall-class", "bulk"),
+        ("x-dragonflywall-data", "1"),
+    ];
+    let reply = request(entry, Method::GET, "tablon", "/prices/zinc", &forged, "").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let records = mesh.vms.iter().map(|vm| vm.backend.record());
+    let deadlines_ms: Vec<u64> = records.flat_map(|record| record.deadlines_ms).collect();
+    assert_eq!(deadlines_ms.len(), 1);
+    assert!(deadlines_ms[0] <= 800, "{deadlines_ms:?}");
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,8 +1,12 @@
 //! What several tests need: the program, a mesh of it, its command line.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Output;
+use std::time::Duration;
 
+use http::Method;
+use testkit::http::{Reply, request, wait_until};
 use testkit::mesh::{Deployment, Mesh};
 
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_dragonflywall");
@@ -36,3 +40,73 @@
     arguments.extend(paths.iter().filter_map(|path| path.to_str()));
     command(&arguments).await
 }
+
+/// Two data centres of one region and one of another, with some services of Chatarras.
+pub(crate) fn small(services: &[&'static str], endpoints_per_data_centre: usize) -> Deployment {
+    let mut deployment = Deployment::chatarras();
+    deployment.data_centres.truncate(3);
+    deployment.services = services.to_vec();
+    deployment.endpoints_per_data_centre = endpoints_per_data_centre;
+    deployment
+}
+
+/// Team files of Chatarras.
+pub(crate) const CHATARRAS: &[&str] = &[
+    "examples/chatarras/boletines.toml",
+    "examples/chatarras/suscripciones.toml",
+    "examples/chatarras/bascula.toml",
+];
+
+/// Starts a deployment that enforces the team files of Chatarras and knows all of its members.
+pub(crate) async fn start_chatarras(deployment: Deployment) -> Mesh {
+    let mesh = start(deployment).await;
+    let published = publish(&mesh, CHATARRAS).await;
+    assert!(published.status.success(), "{published:?}");
+    mesh.wait_enforced(1).await;
+    mesh.wait_joined().await;
+    mesh
+}
+
+/// Bounds a hang; no test judges speed by it.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// Positions of the VMs of a service.
+pub(crate) fn vms_of(mesh: &Mesh, service: &str) -> Vec<usize> {
+    let of_service = |position: &usize| mesh.vms[*position].service == service;
+    (0..mesh.vms.len()).filter(of_service).collect()
+}
+
+/// How often the backend servers of a service ran a request, by position.
+pub(crate) fn runs(mesh: &Mesh, service: &str, id: &str) -> Vec<(usize, u32)> {
+    let run = |position: usize| {
+        let record = mesh.vms[position].backend.record();
+        record.runs.get(id).map(|times| (position, *times))
+    };
+    vms_of(mesh, service).into_iter().filter_map(run).collect()
+}
+
+/// Waits until some backend server of a service runs the request; returns its position.
+pub(crate) async fn wait_running(mesh: &Mesh, service: &str, id: &str) -> usize {
+    wait_until("the request runs", LIMIT, || async {
+        !runs(mesh, service, id).is_empty()
+    })
+    .await;
+    runs(mesh, service, id)[0].0
+}
+
+/// One request under an id of its own.
+pub(crate) async fn ask(
+    entry: SocketAddr,
+    method: Method,
+    service: &str,
+    path: &str,
+    id: &str,
+) -> testkit::http::Result<Reply> {
+    let headers = [("x-request-id", id)];
+    request(entry, method, service, path, &headers, "").await
+}
+
+/// Header with the verdict of a failed request.
+pub(crate) const VERDICT: &str = "x-dragonflywall-verdict";
+/// Header with the reason of a failed request.
+pub(crate) const REASON: &str = "x-dragonflywall-reason";
