--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -145,6 +145,11 @@
         head || !self.members.is_empty()
     }
 
+    /// Lets what is gathered go out with the next look.
+    pub fn hurry(&mut self) {
+        self.last_sent_ms = 0;
+    }
+
     /// Whether an exchange could be started now.
     pub fn is_free(&self, now_ms: u64) -> bool {
         !self.in_flight && now_ms >= self.not_before_ms
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -274,6 +274,8 @@
         self.me.liveness = Liveness::Left;
         self.me.backend = BackendState::Gone;
         self.restate();
+        // Nothing is gathered any more: there is no later message.
+        self.links.values_mut().for_each(Link::hurry);
     }
 
     /// The process was frozen until now: what was under way then proves nothing about others.
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -234,7 +234,7 @@
         self.node.control.retain(&wanted);
         metrics::gauge!("dragonflywall_neighbours").set(wanted.len() as f64);
         let members = self.membership.members_with_versions();
-        let mut view = View::new(members, &self.node.settings.place);
+        let mut view = View::new(members, self.node.me, &self.node.settings.place);
         view.data_centres = self.membership.summaries();
         metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
         self.node.view.store(Arc::new(view));
