Floors from peers that can know; tests of spread under failure

Cause: a restarted node took its floor from any peer, also from one of a data centre that had been cut off and was behind, and was told nothing before the node enforced. A node that came back without the platform learned nobody's address from the heartbeats it got (its test failed: never ready).

Change: witnesses and floors are of the own data centre while there is any other node; a node that knows nobody asks whoever heartbeats it.

--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -3,19 +3,21 @@
 //! A VM has no disk, so a restarted node does not know what it enforced before. The rule that keeps
 //! it from going back has two halves:
 //!
-//! 1. Before a node enforces a version, at least one peer has confirmed that it heard the node
-//!    announce it ([`crate::membership::Membership::witnessed`]). Only a node that believes no peer
-//!    to be alive does without.
+//! 1. Before a node enforces a version, at least one peer of its data centre has confirmed that it
+//!    heard the node announce it ([`crate::membership::Membership::witnessed`]). Only a node that
+//!    believes none there to be alive takes another peer's word, and one that believes nobody to be
+//!    alive does without.
 //! 2. A started node enforces nothing until its floor is settled: either it has read the head from
-//!    the platform, which is at or above anything that anybody has applied; or enough peers have
-//!    told what they remember of its address and what they enforce. The floor is the highest of all
-//!    that was heard.
+//!    the platform, which is at or above anything that anybody has applied; or enough peers of its
+//!    data centre have told what they remember of its address and what they enforce. The floor is
+//!    the highest of all that was heard. Peers elsewhere count only where nobody knows of any other
+//!    node in the data centre: they may be behind, and were not told before it was enforced.
 //!
 //! While neither comes, it waits and says so; there is no time after which it guesses.
 
 use std::collections::BTreeSet;
 
-use crate::core::member::NodeId;
+use crate::core::member::{Distance, NodeId};
 use crate::core::version::Version;
 
 /// Peers that must answer where so many are known. The witnesses of half 1 are ring neighbours,
@@ -35,6 +37,7 @@
     answered: BTreeSet<NodeId>,
     started_ms: u64,
     settled: bool,
+    last_in_data_centre: bool,
 }
 
 impl Floor {
@@ -54,15 +57,27 @@
         }
     }
 
+    /// Whether nobody knows of another node in the data centre, alive or dead.
+    pub fn set_last_in_data_centre(&mut self, last: bool) {
+        self.last_in_data_centre = last;
+    }
+
     /// A peer told the highest version that it knows this address to have reported, and the
     /// version that it enforces itself. One that enforces nothing has no memory yet, so it raises
     /// the floor but does not count.
-    pub fn answered(&mut self, peer: NodeId, reported: Version, enforced: Version) {
+    pub fn answered(
+        &mut self,
+        peer: NodeId,
+        distance: Distance,
+        reported: Version,
+        enforced: Version,
+    ) {
         if self.settled {
             return;
         }
         self.version = self.version.max(reported).max(enforced);
-        if enforced > Version::NONE {
+        let counts = distance == Distance::DataCentre || self.last_in_data_centre;
+        if counts && enforced > Version::NONE {
             self.answered.insert(peer);
         }
     }
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::gossip::{Exchange, Gossip};
-use super::link::Announcement;
+use super::link::{Announcement, Link};
 use super::neighbours::Kind;
 use super::reports::place_key;
 use super::view::Membership;
@@ -28,6 +28,9 @@
         let equal = gossip.view_hash == self.view_hash();
         let from = gossip.from;
         let mut answer = self.message(from);
+        // One that came back without memory and without the platform has nobody to greet: who
+        // heartbeats it tells it the rest.
+        answer.want_all = self.is_alone();
         let told = !answer.updates.is_empty();
         if gossip.want_all {
             answer.updates = self.members().cloned().collect();
@@ -56,7 +59,9 @@
         if restated {
             self.direct.insert(answer.from);
         }
-        self.witnessed = self.witnessed.max(sent.gossip.version);
+        if self.is_witness(answer.from) {
+            self.witnessed = self.witnessed.max(sent.gossip.version);
+        }
         let everyone: Vec<NodeId> = match answer.want_all {
             true => self.members().map(|member| member.node).collect(),
             false => Vec::new(),
@@ -152,6 +157,14 @@
             .collect()
     }
 
+    /// Whether a node that restarts here asks `node` about its floor.
+    fn is_witness(&self, node: NodeId) -> bool {
+        match self.links.get(&node) {
+            Some(link) if link.kind == Kind::Ring => true,
+            _ => !self.links.values().any(|link| link.kind == Kind::Ring),
+        }
+    }
+
     /// A version waits for a witness before it is enforced. The neighbours may all hold it already,
     /// so that there is nothing else to tell them; two are told all the same, those of the ring
     /// first, since a restarted node asks these.
@@ -160,9 +173,11 @@
         if self.witnessed >= held {
             return;
         }
-        let telling = self.links.values();
-        let telling = telling.filter(|link| link.in_flight && link.telling == held);
-        let asked = telling.count() + due.len();
+        let is_asked = |(node, link): &(&NodeId, &Link)| {
+            let telling = link.in_flight && link.telling == held;
+            self.is_witness(**node) && (telling || due.contains(node))
+        };
+        let asked = self.links.iter().filter(is_asked).count();
         let mut free: Vec<(Kind, NodeId)> = self
             .links
             .iter()
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -186,8 +186,15 @@
         !self.roster.members().any(|m| m.liveness < Liveness::Dead)
     }
 
-    /// Highest version of this node that a peer has confirmed to have heard: what it enforces up
-    /// to here is remembered by somebody else if it dies now.
+    /// Whether no other node of the data centre is known that might come back.
+    pub fn is_last_in_data_centre(&self) -> bool {
+        let place = &self.me.place;
+        let mut others = self.roster.members();
+        !others.any(|m| m.place == *place && m.liveness != Liveness::Left)
+    }
+
+    /// Highest version of this node that a peer has confirmed to have heard, one of the data
+    /// centre while there is any: what it enforces up to here is remembered if it dies now.
     pub fn witnessed(&self) -> Version {
         self.witnessed
     }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -53,6 +53,8 @@
     /// Highest own version that a peer has confirmed to have heard.
     pub(crate) witnessed: Version,
     pub(crate) alone: bool,
+    /// Nobody knows of another node in the data centre, alive or dead.
+    pub(crate) last_in_data_centre: bool,
 }
 
 #[derive(Debug)]
@@ -205,6 +207,8 @@
     fn set_role(&mut self, now_ms: u64, role: Role) {
         let was = (self.role.gateway_rank, self.role.watcher_rank);
         self.role = role;
+        self.floor
+            .set_last_in_data_centre(self.role.last_in_data_centre);
         if was != (self.role.gateway_rank, self.role.watcher_rank) {
             self.set_gateway_rank(now_ms);
             self.next_poll_ms = self.next_poll_ms.min(now_ms + self.poll_pause_ms());
@@ -269,7 +273,9 @@
     }
 
     fn floor_answered(&mut self, now_ms: u64, peer: Peer, reported: Version, enforced: Stamp) {
-        self.floor.answered(peer.node, reported, enforced.version);
+        let (node, distance) = (peer.node, peer.distance);
+        self.floor
+            .answered(node, distance, reported, enforced.version);
         if enforced.version > Version::NONE {
             self.announced(now_ms, enforced, Some(peer));
         }
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -199,6 +199,7 @@
             neighbours: neighbours.filter_map(|(node, _)| self.peer(node)).collect(),
             witnessed: self.membership.witnessed(),
             alone: self.membership.is_alone(),
+            last_in_data_centre: self.membership.is_last_in_data_centre(),
         };
         if role != self.role {
             self.role = role.clone();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,8 @@
 mod requests_chain;
 mod requests_drain;
 mod requests_untrusted;
+mod spread_decisions;
+mod spread_failures;
 mod spread_membership;
 mod spread_network;
 mod support;
--- /dev/null
+++ b/tests/testsuite/spread_decisions.rs
@@ -0,0 +1,200 @@
+//! Decisions about content without sockets: what to fetch, when to enforce, below what never.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use dragonflywall::core::configuration::{Configuration, Delta, TeamRecord};
+use dragonflywall::core::member::{Distance, NodeId};
+use dragonflywall::core::names::TeamName;
+use dragonflywall::core::version::{Digest, Stamp, Version};
+use dragonflywall::distribution::fetch::Peer;
+use dragonflywall::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
+
+use crate::spread_network::stamp;
+
+fn node(number: u16) -> NodeId {
+    NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, 0, 1), number)))
+}
+
+fn peer(number: u16, distance: Distance) -> Peer {
+    Peer {
+        node: node(number),
+        address: node(number).0,
+        distance,
+    }
+}
+
+/// Moment at which the fetcher first goes to the store, asked every 10 ms; `None` within 20 s.
+fn goes_to_store(fetcher: &mut Fetcher) -> Option<u64> {
+    (0..20_000)
+        .step_by(10)
+        .find(|now_ms| fetcher.next(*now_ms, Version::NONE).is_some())
+}
+
+/// 520 nodes are told of a version that no peer holds yet. Only the gateway may go to the store at
+/// once; the others must leave it alone for long enough that the content reaches them, and must
+/// not come all together if it does not.
+#[test]
+fn herd_that_hears_of_a_head_leaves_the_store_alone() {
+    let mut moments = Vec::new();
+    for number in 0..520 {
+        let mut fetcher = Fetcher::new(node(number + 1));
+        fetcher.set_gateway_rank((number == 0).then_some(0));
+        fetcher.heard(0, stamp(1));
+        moments.push(goes_to_store(&mut fetcher).expect("it goes in the end"));
+    }
+    let (gateway, others) = moments.split_first().expect("520 nodes");
+    assert!(*gateway <= 200, "{gateway}");
+    assert!(others.iter().all(|moment| *moment >= 2_000));
+    let mut by_second: BTreeMap<u64, u32> = BTreeMap::new();
+    for moment in others {
+        *by_second.entry(moment / 1_000).or_default() += 1;
+    }
+    // Each goes with a handful of reads; two thousand a second are allowed.
+    assert!(
+        by_second.values().all(|count| *count < 130),
+        "{by_second:?}"
+    );
+}
+
+/// A peer refuses at once, again and again, as one that restarts. The node must neither hammer it
+/// nor wait for it for ever.
+#[test]
+fn failed_fetches_are_tried_ever_more_slowly() {
+    let mut fetcher = Fetcher::new(node(1));
+    let mut tries = 0;
+    for now_ms in 0..60_000 {
+        // The peer goes on announcing, so there is always somebody to ask.
+        fetcher.held_by(now_ms, stamp(1), peer(2, Distance::DataCentre));
+        if let Some(fetch) = fetcher.next(now_ms, Version::NONE) {
+            tries += 1;
+            fetcher.done(now_ms, &fetch, false);
+        }
+    }
+    assert!((8..=30).contains(&tries), "{tries} tries in a minute");
+}
+
+/// The region's gateway hears of a version from the store's side and from across the link; the
+/// region's other nodes hear it too. Content crosses the link once, whoever holds it nearer.
+#[test]
+fn only_the_gateway_fetches_across_the_link() {
+    let across = peer(9, Distance::Mesh);
+    let mut gateway = Fetcher::new(node(1));
+    gateway.set_gateway_rank(Some(0));
+    gateway.held_by(0, stamp(1), across);
+    let fetch = gateway.next(0, Version::NONE).expect("at once");
+    assert!(matches!(
+        fetch.source,
+        Source::Peer {
+            distance: Distance::Mesh,
+            ..
+        }
+    ));
+
+    let mut other = Fetcher::new(node(2));
+    other.held_by(0, stamp(1), across);
+    assert_eq!(other.next(1_000, Version::NONE), None);
+    other.held_by(1_000, stamp(1), peer(1, Distance::DataCentre));
+    let fetch = other.next(1_000, Version::NONE);
+    let near =
+        |fetch: &Fetch| matches!(fetch.source, Source::Peer { node: from, .. } if from == node(1));
+    assert!(fetch.as_ref().is_some_and(near), "{fetch:?}");
+}
+
+fn team(name: &str) -> (TeamName, TeamRecord) {
+    let record = TeamRecord {
+        team: TeamName::new(name),
+        services: BTreeMap::new(),
+        calls: BTreeMap::new(),
+    };
+    (TeamName::new(name), record)
+}
+
+/// Names that do not compress, so that a whole is longer than a few differences.
+fn name(number: u64) -> String {
+    let digest = Digest::of(&number.to_be_bytes());
+    format!("team-{digest}")
+}
+
+/// Versions 1, 2, 3, ... each with one team more.
+fn history(count: u64) -> Vec<Configuration> {
+    let version = |number: u64| Configuration {
+        version: Version(number),
+        teams: (0..number).map(|n| team(&name(n))).collect(),
+    };
+    (1..=count).map(version).collect()
+}
+
+fn delta(parent: &Configuration, child: &Configuration) -> (Stamp, Content) {
+    let bytes = Delta::between(parent, child).to_bytes();
+    (child.stamp(), Content::Delta(bytes))
+}
+
+/// A peer that is three versions behind gets the three deltas, not the whole, and ends with the
+/// same content; a chain that lies about its end changes nothing.
+#[test]
+fn peer_that_is_behind_gets_a_chain_of_deltas() {
+    let versions = history(40);
+    let mut ahead = Holder::default();
+    let first = Content::Snapshot(versions[36].to_snapshot());
+    ahead
+        .apply(versions[36].stamp(), &first)
+        .expect("a snapshot");
+    let mut behind = Holder::default();
+    behind
+        .apply(versions[36].stamp(), &first)
+        .expect("a snapshot");
+    for pair in versions[36..].windows(2) {
+        let (stamp, content) = delta(&pair[0], &pair[1]);
+        ahead.apply(stamp, &content).expect("a delta");
+    }
+    let offered = ahead.content_for(behind.held().version);
+    let (stamp, content) = offered.expect("newer content");
+    assert!(matches!(&content, Content::Chain(steps) if steps.len() == 3));
+    assert!(behind.apply(versions[38].stamp(), &content).is_err());
+    assert_eq!(behind.held().version, Version(37));
+    behind.apply(stamp, &content).expect("the chain fits");
+    assert_eq!(behind.stamp(), versions[39].stamp());
+}
+
+/// A node holds version 2 for its peers but must not enforce it below its floor of 3.
+#[test]
+fn nothing_is_enforced_below_the_floor() {
+    let versions = history(3);
+    let mut holder = Holder::default();
+    holder.raise_floor(Version(3));
+    let snapshot = Content::Snapshot(versions[1].to_snapshot());
+    holder
+        .prepare(versions[1].stamp(), &snapshot)
+        .expect("held");
+    assert!(holder.enforce().is_none());
+    assert!(holder.content_for(Version::NONE).is_some());
+    let (stamp, content) = delta(&versions[1], &versions[2]);
+    holder.prepare(stamp, &content).expect("held");
+    assert!(holder.enforce().is_some());
+}
+
+/// A restarted node is cut off from the platform. Peers that restarted with it know nothing, and
+/// peers of other data centres were not told before it enforced: neither may settle its floor.
+#[test]
+fn floor_waits_for_peers_that_can_know() {
+    let mut floor = Floor::new(0);
+    floor.answered(node(2), Distance::DataCentre, Version::NONE, Version::NONE);
+    for number in 3..9 {
+        floor.answered(node(number), Distance::Mesh, Version::NONE, Version(4));
+    }
+    assert!(!floor.is_settled(600_000));
+    floor.answered(node(9), Distance::DataCentre, Version(7), Version(6));
+    assert!(floor.is_settled(600_000));
+    assert_eq!(floor.version(), Version(7));
+}
+
+/// The head is at or above whatever anybody has applied, so having read it is enough.
+#[test]
+fn head_settles_the_floor_at_once() {
+    let mut floor = Floor::new(0);
+    assert!(!floor.is_settled(0));
+    floor.head_read(Version(5));
+    assert!(floor.is_settled(0));
+    assert_eq!(floor.version(), Version(5));
+}
