Notice a freeze in the membership itself

Cause: the word of the freeze came by a message that calls which had timed out meanwhile overtook, so the woken node suspected its neighbours.

Change: the state machine notices the gap at its next call, whichever that is.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -22,6 +22,7 @@
 impl Membership {
     /// Takes in a message and answers it.
     pub fn receive(&mut self, now_ms: u64, gossip: &Gossip) -> Gossip {
+        self.note_time(now_ms);
         let generation = self.generation();
         let restated = self.merge(now_ms, gossip);
         let learned = self.generation() != generation;
@@ -52,6 +53,7 @@
 
     /// Takes in the answer to an exchange.
     pub fn exchange_done(&mut self, now_ms: u64, sent: &Exchange, answer: &Gossip) {
+        self.note_time(now_ms);
         let generation = self.generation();
         let restated = self.merge(now_ms, answer);
         let learned = self.generation() != generation;
@@ -79,6 +81,7 @@
 
     /// A peer gave no answer: suspect it.
     pub fn exchange_failed(&mut self, now_ms: u64, sent: &Exchange) {
+        self.note_time(now_ms);
         let Some(to) = sent.to else { return };
         if sent.started_ms < self.valid_from_ms {
             return;
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// The driver ticks four times a second; a gap of this length means that it could not.
+const FREEZE_MS: u64 = 3_000;
+
 /// Between two looks for suspicions and tombstones that have run out.
 const AGE_INTERVAL_MS: u64 = 250;
 
@@ -83,6 +86,7 @@
     pub(super) next_probe_ms: u64,
     /// Exchanges started before this are void: the process was frozen since.
     pub(super) valid_from_ms: u64,
+    last_call_ms: u64,
 }
 
 impl Membership {
@@ -110,6 +114,7 @@
             next_greeting_ms: 0,
             next_probe_ms: 0,
             valid_from_ms: 0,
+            last_call_ms: 0,
         };
         membership.add_seeds(seeds);
         membership
@@ -285,8 +290,17 @@
         self.links.values_mut().for_each(Link::hurry);
     }
 
-    /// The process was frozen until now: what was under way then proves nothing about others.
-    pub fn woke(&mut self, now_ms: u64) {
+    /// Notices a freeze of this process by the gap since the last call.
+    ///
+    /// Failure guarded against: the calls that were under way when the process was frozen all time
+    /// out when it goes on, and it would suspect every neighbour. What was under way then proves
+    /// nothing about others.
+    pub(super) fn note_time(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.last_call_ms);
+        self.last_call_ms = now_ms;
+        if gap_ms < FREEZE_MS {
+            return;
+        }
         self.valid_from_ms = now_ms;
         for link in self.links.values_mut() {
             link.in_flight = false;
@@ -295,6 +309,7 @@
 
     /// Starts the exchanges that are due, and ages suspicions and tombstones.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Exchange> {
+        self.note_time(now_ms);
         self.age(now_ms);
         self.refresh_links(now_ms);
         self.count(now_ms);
--- a/src/node/freeze.rs
+++ b/src/node/freeze.rs
@@ -15,7 +15,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::configuration::ConfigurationMsg;
-use super::membership::MembershipMsg;
 use super::state::NodeState;
 use crate::util::clock;
 
@@ -27,7 +26,6 @@
 
 pub(crate) async fn watch(
     node: Arc<NodeState>,
-    membership: ActorRef<MembershipMsg>,
     configuration: ActorRef<ConfigurationMsg>,
     stop: CancellationToken,
 ) {
@@ -47,7 +45,6 @@
             metrics::counter!("dragonflywall_freezes_total").increment(1);
             // Before the tick is noted, so that admission sees one or the other.
             node.refreshing.store(true, Ordering::Release);
-            let _ = membership.cast(MembershipMsg::Woke);
             let _ = configuration.cast(ConfigurationMsg::Refresh);
         }
         node.last_tick_ms.store(now_ms, Ordering::Release);
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -43,8 +43,6 @@
     SetHeld(Stamp),
     SetEnforced(Version),
     Remembered(NodeId, RpcReplyPort<Version>),
-    /// The process was frozen until now.
-    Woke,
     /// Say goodbye and answer once the neighbours have been told.
     Leave(RpcReplyPort<()>),
 }
@@ -121,7 +119,6 @@
             MembershipMsg::Remembered(node, reply) => {
                 let _ = reply.send(state.membership.remembered(node));
             }
-            MembershipMsg::Woke => state.membership.woke(now_ms),
             MembershipMsg::Leave(reply) => {
                 state.membership.leave();
                 state.say_goodbye(now_ms).await;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -164,7 +164,6 @@
     ));
     tasks.spawn(freeze::watch(
         Arc::clone(&node),
-        membership.clone(),
         configuration.clone(),
         stops.all.clone(),
     ));
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -103,8 +103,16 @@
             .into_iter()
             .all(|node| !alive(node).contains(&paused))
     });
+    let statements_of_others = |network: &TestNetwork| {
+        let members = network.running().flat_map(|n| n.members());
+        let others = members.filter(|m| m.node != paused);
+        others.map(|m| m.sequence).max()
+    };
+    let before = statements_of_others(&network);
     network.thaw(5);
     network.run_until("it is back", 60_000, TestNetwork::agree);
+    // Nobody else had to refute anything.
+    assert_eq!(statements_of_others(&network), before);
 }
 
 /// A VM is replaced by one with the same address whose clock is an hour behind, so everything it
@@ -202,3 +210,25 @@
     }
     network.run_until("all are back", 120_000, TestNetwork::agree);
 }
+
+/// A node is about to enforce a version and cannot reach anybody of its data centre, who would be
+/// asked for its floor if it died. Peers elsewhere hear of it, but that must not count.
+#[test]
+fn version_is_witnessed_by_the_own_data_centre() {
+    let mut network = joined(4);
+    let lonely = network.statements[0].clone();
+    network.set_passes(move |from, to, _| {
+        from.place != to.place || (from.node != lonely.node && to.node != lonely.node)
+    });
+    network.node(0).set_held(stamp(5));
+    network.run_for(3_000);
+    assert_eq!(network.node(0).witnessed(), Version::NONE);
+    network.set_passes(|_, _, _| true);
+    network.run_until("witnessed", 60_000, |network| {
+        let node = network.running().next().expect("it runs");
+        node.witnessed() == Version(5)
+    });
+    let lonely = network.statements[0].clone();
+    let mut near = network.running().filter(|n| n.me().place == lonely.place);
+    assert!(near.any(|n| n.me().node != lonely.node && n.remembered(lonely.node) == Version(5)));
+}
--- a/tests/testsuite/spread_network.rs
+++ b/tests/testsuite/spread_network.rs
@@ -96,11 +96,9 @@
         self.frozen.insert(position);
     }
 
-    /// The process goes on; it notices the gap before anything else.
+    /// The process goes on, with all the timeouts that ran out meanwhile.
     pub(crate) fn thaw(&mut self, position: usize) {
         self.frozen.remove(&position);
-        let now_ms = self.now_ms;
-        self.node(position).woke(now_ms);
     }
 
     pub(crate) fn set_passes(&mut self, passes: impl Fn(&Member, &Member, u64) -> bool + 'static) {
@@ -120,6 +118,12 @@
             }
             let event = entry.remove();
             self.now_ms = at_ms;
+            if let Event::Answer(position, ..) | Event::Failure(position, ..) = &event
+                && self.frozen.contains(position)
+            {
+                self.schedule(at_ms + 10, event);
+                continue;
+            }
             self.handle(event);
         }
         self.now_ms = end_ms;
