Make the tests of freezes and cuts fail without their guards

Two tests had passed without their guard (cut data centre, paused node) and were made stricter. The processes' test of two regions passes also without probes: messages that the stand-in network held back arrive after the cut; the test without sockets covers the guard.

--- a/tests/testsuite/spread_failures.rs
+++ b/tests/testsuite/spread_failures.rs
@@ -112,7 +112,7 @@
         let body = reply.map(|reply| reply.body).unwrap_or_default();
         let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
         let members = status["members"].as_array().cloned().unwrap_or_default();
-        members.iter().filter(|m| m["liveness"] == "alive").count() == 4
+        members.iter().filter(|m| m["liveness"] == "dead").count() == 8
     })
     .await;
     assert_eq!(mesh.version_at(alone).await, 1);
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -95,8 +95,13 @@
 #[test]
 fn paused_node_is_not_thrown_out_for_good() {
     let mut network = joined(6);
-    network.freeze(5);
     let paused = network.statements[5].node;
+    // It has just begun to tell all its neighbours something, and has no answer yet.
+    network.set_passes(move |from, _, _| from.node != paused);
+    network.node(5).set_held(stamp(1));
+    network.run_for(300);
+    network.set_passes(|_, _, _| true);
+    network.freeze(5);
     network.run_until("the paused node is given up", 60_000, |network| {
         let others = network.running().filter(|n| n.me().node != paused);
         others
@@ -162,6 +167,8 @@
             .running()
             .all(|node| alive(node).len() == expected(node))
     });
+    // Until suspicion has become death.
+    network.run_for(30_000);
     network.set_passes(|_, _, _| true);
     network.run_until("one mesh again", 120_000, TestNetwork::agree);
 }
--- a/tests/testsuite/spread_network.rs
+++ b/tests/testsuite/spread_network.rs
@@ -118,12 +118,16 @@
             }
             let event = entry.remove();
             self.now_ms = at_ms;
-            if let Event::Answer(position, ..) | Event::Failure(position, ..) = &event
-                && self.frozen.contains(position)
-            {
-                self.schedule(at_ms + 10, event);
-                continue;
-            }
+            let event = match event {
+                // It waits for the process to go on, which then finds that its time has run out.
+                Event::Answer(position, sent, _) | Event::Failure(position, sent)
+                    if self.frozen.contains(&position) =>
+                {
+                    self.schedule(at_ms + 10, Event::Failure(position, sent));
+                    continue;
+                }
+                event => event,
+            };
             self.handle(event);
         }
         self.now_ms = end_ms;
