--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,8 @@
 mod requests_chain;
 mod requests_drain;
 mod requests_untrusted;
+mod spread_membership;
+mod spread_network;
 mod support;
 mod token;
 mod whole_path;
