--- /dev/null
+++ b/tests/testsuite/ledger.rs
@@ -0,0 +1,250 @@
+//! Payments under faults, with the backend servers' own records as the oracle.
+//!
+//! Whatever fails: every payment ran at most once, one that its caller was told "not run" stands
+//! in no record, and every answer is that of the request that it answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::Method;
+use testkit::backend::{Behaviour, expected_answer_digest};
+use testkit::http::{request, wait_until};
+use testkit::mesh::Mesh;
+use testkit::process::Signal;
+use tokio::task::JoinSet;
+
+use crate::support::{
+    CHATARRAS, LIMIT, VERDICT, ask, publish, runs, small, start_chatarras, vms_of, wait_running,
+};
+
+const ANSWER_BYTES: u64 = 20_000;
+
+/// What a caller knows of its payment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Paid,
+    NotRun,
+    MayHaveRun,
+    /// The caller hung up, or its node was gone.
+    Nothing,
+}
+
+type Ledger = BTreeMap<String, Told>;
+
+async fn pay(entry: SocketAddr, id: &str, work_ms: u64) -> Told {
+    let path = format!("/payments?work_ms={work_ms}&answer_bytes={ANSWER_BYTES}");
+    let Ok(reply) = ask(entry, Method::POST, "cobros", &path, id).await else {
+        return Told::Nothing;
+    };
+    if reply.status == 200 {
+        let digest = blake3::hash(&reply.body).to_hex().to_string();
+        let expected = expected_answer_digest(id, ANSWER_BYTES);
+        assert_eq!(digest, expected, "{id} got another request's answer");
+        return Told::Paid;
+    }
+    match reply.header(VERDICT) {
+        "not-run" => Told::NotRun,
+        "may-have-run" => Told::MayHaveRun,
+        _ => panic!("{id}: no verdict in {reply:?}"),
+    }
+}
+
+/// Callers that pay without pause through every node that is not a `cobros` one. One payment in
+/// five is hung up on after some milliseconds.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    done: Arc<AtomicU64>,
+    tasks: JoinSet<Ledger>,
+}
+
+const CALLERS_PER_ENTRY: u64 = 3;
+
+impl Callers {
+    fn start(mesh: &Mesh) -> Self {
+        let mut callers = Self {
+            stop: Arc::default(),
+            done: Arc::default(),
+            tasks: JoinSet::new(),
+        };
+        let entries = mesh.vms.iter().filter(|vm| vm.service != "cobros");
+        for vm in entries {
+            for number in 0..CALLERS_PER_ENTRY {
+                let entry = vm.node().addresses.caller;
+                let name = format!("{entry}-{number}");
+                let (stop, done) = (Arc::clone(&callers.stop), Arc::clone(&callers.done));
+                callers.tasks.spawn(async move {
+                    let mut ledger = Ledger::new();
+                    let mut count = 0_u64;
+                    while !stop.load(Ordering::Acquire) {
+                        count += 1;
+                        let id = format!("{name}-{count}");
+                        let patience = match count % 5 {
+                            0 => Duration::from_millis(count % 13),
+                            _ => Duration::from_secs(60),
+                        };
+                        let paid = tokio::time::timeout(patience, pay(entry, &id, count % 11));
+                        let told = paid.await.unwrap_or(Told::Nothing);
+                        if told == Told::Nothing {
+                            // A node that is gone refuses at once; no need to ask it all the time.
+                            tokio::time::sleep(Duration::from_millis(2)).await;
+                        }
+                        ledger.insert(id, told);
+                        done.fetch_add(1, Ordering::AcqRel);
+                    }
+                    ledger
+                });
+            }
+        }
+        callers
+    }
+
+    /// Waits until so many further payments have ended.
+    async fn pass(&self, payments: u64) {
+        let goal = self.done.load(Ordering::Acquire) + payments;
+        wait_until("payments go on", LIMIT, || async {
+            self.done.load(Ordering::Acquire) >= goal
+        })
+        .await;
+    }
+
+    async fn end(self) -> Ledger {
+        self.stop.store(true, Ordering::Release);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+/// Holds what callers were told against what the backend servers did.
+fn check(mesh: &Mesh, ledger: &Ledger) {
+    let mut told_of = BTreeMap::new();
+    for (id, told) in ledger {
+        *told_of.entry(told).or_insert(0) += 1;
+        let runs: u32 = runs(mesh, "cobros", id).iter().map(|run| run.1).sum();
+        match told {
+            Told::Paid => assert_eq!(runs, 1, "{id} was paid and ran {runs} times"),
+            Told::NotRun => assert_eq!(runs, 0, "{id} was told not run and ran {runs} times"),
+            Told::MayHaveRun | Told::Nothing => assert!(runs <= 1, "{id} ran {runs} times"),
+        }
+    }
+    println!("ledger: {told_of:?}");
+    assert!(told_of.get(&Told::Paid) > Some(&100), "{told_of:?}");
+}
+
+/// Two data centres of one region with two endpoints each.
+async fn start() -> Mesh {
+    let mut deployment = small(&["tablon", "cobros"], 2);
+    deployment.data_centres.truncate(2);
+    start_chatarras(deployment).await
+}
+
+fn victim(mesh: &Mesh, service: &str) -> usize {
+    vms_of(mesh, service)[0]
+}
+
+/// Nodes and a backend server die in the middle of payments, one after the other: the calling
+/// node, the called node, the backend server. Callers of a dead node hear nothing; all others
+/// hear the truth, and payments go on at what is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_survive_kills() {
+    let mut mesh = start().await;
+    let callers = Callers::start(&mesh);
+    callers.pass(200).await;
+    for service in ["tablon", "cobros"] {
+        let position = victim(&mesh, service);
+        mesh.vms[position].node().signal(Signal::Kill);
+        callers.pass(300).await;
+        mesh.vms[position].node.take();
+        mesh.start_node(position).await.expect("it starts again");
+        callers.pass(100).await;
+    }
+    mesh.vms[vms_of(&mesh, "cobros")[1]].backend.kill();
+    callers.pass(300).await;
+    check(&mesh, &callers.end().await);
+}
+
+/// The same processes freeze, long enough to be given up on, and wake with old requests in hand.
+/// What wakes late must not be run as well as what was tried elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_survive_freezes() {
+    let mesh = start().await;
+    let callers = Callers::start(&mesh);
+    callers.pass(200).await;
+    for service in ["tablon", "cobros"] {
+        let node = mesh.vms[victim(&mesh, service)].node();
+        node.signal(Signal::Stop);
+        // Longer than it takes to notice a silent connection.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        node.signal(Signal::Continue);
+        callers.pass(200).await;
+    }
+    let backend = &mesh.vms[victim(&mesh, "cobros")].backend;
+    let frozen = Behaviour {
+        frozen: true,
+        ..Behaviour::default()
+    };
+    backend.set_behaviour(frozen);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    backend.set_behaviour(Behaviour::default());
+    callers.pass(200).await;
+    check(&mesh, &callers.end().await);
+}
+
+/// The link between the data centres is cut and heals, twice, with payments under way on it. Each
+/// side goes on with what it has.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_survive_cut_links() {
+    let mesh = start().await;
+    // Work for both data centres: the near one alone is not to suffice.
+    for position in vms_of(&mesh, "cobros") {
+        let behaviour = Behaviour {
+            work: Duration::from_millis(5),
+            ..Behaviour::default()
+        };
+        mesh.vms[position].backend.set_behaviour(behaviour);
+    }
+    let operators = vms_of(&mesh, "cobros")
+        .into_iter()
+        .filter(|n| mesh.vms[*n].site == 0);
+    for position in operators {
+        let operator = mesh.vms[position].node().addresses.operator;
+        let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+        drained.expect("the node answers");
+    }
+    let callers = Callers::start(&mesh);
+    callers.pass(300).await;
+    for _ in 0..2 {
+        mesh.network.set_cut(true, |from, to| from != to);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        mesh.network.set_cut(false, |_, _| true);
+        callers.pass(300).await;
+    }
+    check(&mesh, &callers.end().await);
+}
+
+/// A publication takes the payments' route away while payments are under way. Those that were
+/// admitted end under the version that they began with; later ones are told at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_that_is_removed_cuts_no_payment() {
+    let mesh = start().await;
+    let callers = Callers::start(&mesh);
+    let entry = mesh.vms[victim(&mesh, "tablon")].node().addresses.caller;
+    let long = tokio::spawn(async move { pay(entry, "long-1", 2_000).await });
+    wait_running(&mesh, "cobros", "long-1").await;
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("suscripciones.toml");
+    let whole = std::fs::read_to_string(crate::support::repository_file(CHATARRAS[1]));
+    let whole = whole.expect("the example is there");
+    let without = whole.replace("methods = [\"POST\"]", "methods = [\"PATCH\"]");
+    assert_ne!(whole, without);
+    std::fs::write(&path, without).expect("it is written");
+    callers.pass(200).await;
+    let published = publish(&mesh, &[path.to_str().expect("a plain path")]).await;
+    assert!(published.status.success(), "{published:?}");
+    mesh.wait_enforced(2).await;
+    callers.pass(100).await;
+    assert_eq!(long.await.expect("no panic"), Told::Paid);
+    assert_eq!(pay(entry, "after-1", 0).await, Told::NotRun);
+    check(&mesh, &callers.end().await);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod decide_placement;
 mod decide_retry;
 mod decide_simulation;
+mod ledger;
 mod requests_answers;
 mod requests_chain;
 mod requests_drain;
