Bound what slow readers make a node hold

Cause: 16 callers that read nothing of 8 MiB answers made the gate's node grow by 23 MiB: the HTTP library reads up to 400 KiB ahead of each. Change: 64 KiB per connection to the backend server; tests of slow readers, stalled senders and callers that hang up in the middle of answers.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -20,6 +20,9 @@
 /// The backend server is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes of one answer that are read ahead of a slow reader; also bounds the answer's head.
+const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
+
 type Sender = http1::SendRequest<Body>;
 
 /// Connections to the backend server.
@@ -144,7 +147,10 @@
 
 async fn connect(address: SocketAddr, open: Open) -> Result<Sender, BoxError> {
     let stream = dial(address, None, CONNECT_TIMEOUT).await?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     tokio::spawn(async move {
         let _open = open;
         // Its end, good or bad, is seen by the request on it.
--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -6,7 +6,7 @@
 use testkit::mesh::Mesh;
 
 use crate::support::{
-    LIMIT, REASON, VERDICT, ask, runs, small, start_chatarras, vms_of, wait_running,
+    LIMIT, REASON, VERDICT, ask, metrics, runs, small, start_chatarras, vms_of, wait_running,
 };
 
 /// An entry that is not itself an endpoint of `service`.
@@ -18,12 +18,6 @@
         .caller
 }
 
-async fn metrics(operator: std::net::SocketAddr) -> String {
-    let reply = request(operator, Method::GET, "node", "/metrics", &[], "").await;
-    let body = reply.map(|reply| reply.body).unwrap_or_default();
-    String::from_utf8_lossy(&body).into_owned()
-}
-
 /// A backend server sheds with its own 503. That is its answer, not the mesh's: it carries no
 /// verdict, and nobody tries again behind the caller's back.
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/tests/testsuite/requests_streams.rs
@@ -0,0 +1,163 @@
+//! Streams: callers that stop reading or sending hold bounded memory and no slot for ever.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use testkit::backend::expected_answer_digest;
+use testkit::http::{Reply, request, wait_until};
+use testkit::mesh::Mesh;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{LIMIT, ask, metrics, small, start_chatarras, vms_of};
+
+/// Answers of 8 MiB to this many callers at a time, which nodes may not hold in memory.
+const READERS: usize = 16;
+const ANSWER_BYTES: usize = 8 << 20;
+/// Far below what the unread answers amount to (128 MiB), above the windows of the streams.
+const GROWTH_MAX_BYTES: u64 = 16 << 20;
+
+fn resident_bytes(mesh: &Mesh, position: usize) -> u64 {
+    let id = mesh.vms[position].node().id().expect("it runs");
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let kib: u64 = kib.and_then(|kib| kib.parse().ok()).expect("a number");
+    kib << 10
+}
+
+async fn slots_in_use(mesh: &Mesh) -> usize {
+    let mut in_use = 0;
+    for position in vms_of(mesh, "hemeroteca") {
+        let text = metrics(mesh.vms[position].node().addresses.operator).await;
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("dragonflywall_gate_slots_in_use "));
+        let number = line.and_then(|line| line.rsplit(' ').next());
+        in_use += number.and_then(|number| number.parse().ok()).unwrap_or(0);
+    }
+    in_use
+}
+
+async fn start() -> Mesh {
+    let mut deployment = small(&["tablon", "hemeroteca"], 1);
+    deployment.data_centres.truncate(1);
+    let mut mesh = start_chatarras(deployment).await;
+    mesh.extra_arguments = vec!["--caller-idle-timeout-ms=1500".to_owned()];
+    let entry = vms_of(&mesh, "tablon")[0];
+    mesh.vms[entry].node.take();
+    mesh.start_node(entry).await.expect("it starts");
+    mesh.wait_enforced(1).await;
+    mesh.wait_joined().await;
+    mesh
+}
+
+/// Callers ask the archive for long answers and read nothing. The answers stay where they are made,
+/// other callers are served on the same connection between the nodes, and after the idle limit
+/// the slots are free again.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_readers_hold_bounded_memory() {
+    let mesh = start().await;
+    let entry = vms_of(&mesh, "tablon")[0];
+    let gate = vms_of(&mesh, "hemeroteca")[0];
+    let before = [entry, gate].map(|position| resident_bytes(&mesh, position));
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let mut readers = Vec::new();
+    for _ in 0..READERS {
+        let mut stream = TcpStream::connect(caller).await.expect("it listens");
+        let ask = format!(
+            "GET /archive/1?answer_bytes={ANSWER_BYTES} HTTP/1.1\r\nhost: hemeroteca\r\n\r\n"
+        );
+        stream.write_all(ask.as_bytes()).await.expect("it is taken");
+        let mut first = [0; 12];
+        stream.read_exact(&mut first).await.expect("it is answered");
+        assert_eq!(&first, b"HTTP/1.1 200");
+        readers.push(stream);
+    }
+    assert!(slots_in_use(&mesh).await >= READERS - 1);
+    let path = "/archive/2?answer_bytes=100000";
+    let reply = request(caller, Method::GET, "hemeroteca", path, &[], "").await;
+    assert_eq!(reply.expect("the node answers").body.len(), 100_000);
+    for (position, before) in [entry, gate].into_iter().zip(before) {
+        let grown = resident_bytes(&mesh, position).saturating_sub(before);
+        println!("slow readers: VM {position} grew by {} KiB", grown >> 10);
+        assert!(grown < GROWTH_MAX_BYTES, "grew by {grown} bytes");
+    }
+    wait_until("the slots are free again", LIMIT, || async {
+        slots_in_use(&mesh).await == 0
+    })
+    .await;
+    drop(readers);
+}
+
+/// A caller sends half of an upload and then nothing. The backend server sees a broken request,
+/// never a short one that looks whole, and its slot is free again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_upload_breaks_and_frees_its_slot() {
+    let mesh = start().await;
+    let entry = vms_of(&mesh, "tablon")[0];
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let mut stream = TcpStream::connect(caller).await.expect("it listens");
+    let head = "GET /archive/3 HTTP/1.1\r\nhost: hemeroteca\r\nx-request-id: stalled-3\r\n\
+                content-length: 1000000\r\n\r\n";
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("it is taken");
+    stream.write_all(&[7; 500_000]).await.expect("it is taken");
+    wait_until("it has its slot", LIMIT, || async {
+        slots_in_use(&mesh).await == 1
+    })
+    .await;
+    wait_until("the slot is free again", LIMIT, || async {
+        slots_in_use(&mesh).await == 0
+    })
+    .await;
+    let backend = &mesh.vms[vms_of(&mesh, "hemeroteca")[0]].backend;
+    assert_eq!(backend.record().finished, 0);
+}
+
+/// Callers hang up in the middle of answers, and while their requests run. The next answers on the
+/// same way are those of the next requests, never the rest of an old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers_reach_no_other_caller() {
+    let mesh = start().await;
+    let entry = vms_of(&mesh, "tablon")[0];
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let mut asking = tokio::task::JoinSet::new();
+    for asker in 0..4 {
+        asking.spawn(async move {
+            for n in 0..40 {
+                let mut stream = TcpStream::connect(caller).await.expect("it listens");
+                let ask = format!(
+                    "GET /archive/1?answer_bytes=200000&work_ms={} HTTP/1.1\r\n\
+                     host: hemeroteca\r\n\r\n",
+                    n % 4
+                );
+                stream.write_all(ask.as_bytes()).await.expect("it is taken");
+                if n % 2 == 0 {
+                    let mut first = [0; 1_000];
+                    stream.read_exact(&mut first).await.expect("it is answered");
+                }
+                drop(stream);
+                let id = format!("own-{asker}-{n}");
+                let path = "/archive/2?answer_bytes=50000";
+                let reply = ask_archive(caller, path, &id).await;
+                let digest = blake3::hash(&reply.body).to_hex().to_string();
+                assert_eq!(digest, expected_answer_digest(&id, 50_000), "{id}");
+            }
+        });
+    }
+    asking.join_all().await;
+    wait_until("every slot is free", LIMIT, || async {
+        slots_in_use(&mesh).await == 0
+    })
+    .await;
+}
+
+async fn ask_archive(caller: SocketAddr, path: &str, id: &str) -> Reply {
+    let reply = ask(caller, Method::GET, "hemeroteca", path, id).await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    reply
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -110,3 +110,10 @@
 pub(crate) const VERDICT: &str = "x-dragonflywall-verdict";
 /// Header with the reason of a failed request.
 pub(crate) const REASON: &str = "x-dragonflywall-reason";
+
+/// Metrics of a node as text; empty if it does not answer.
+pub(crate) async fn metrics(operator: SocketAddr) -> String {
+    let reply = request(operator, Method::GET, "node", "/metrics", &[], "").await;
+    let body = reply.map(|reply| reply.body).unwrap_or_default();
+    String::from_utf8_lossy(&body).into_owned()
+}
