Say which services a cut-off node lacks; move a waiting upload on whole

Cause: nothing told an operator which services a cut-off data centre cannot serve; an endpoint that had refused as draining was left out for 5 s even where it was the only one left. Change: `lacking` in /status; a draining endpoint is asked when there is no other. The drain test compared times of two processes; it counts requests instead, as strictly.

--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::member::{BackendState, Member, NodeId};
+use crate::core::names::ServiceName;
 use crate::core::version::Stamp;
 
 /// What `GET /status` answers.
@@ -16,6 +17,9 @@
     pub enforced: Stamp,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Services of the enforced configuration without an endpoint that this node can reach.
+    #[serde(default)]
+    pub lacking: Vec<ServiceName>,
     /// Everything it knows of the mesh, itself included.
     pub members: Vec<Member>,
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -250,6 +250,15 @@
     pub tried: &'a [NodeId],
 }
 
+/// Which endpoints are looked at.
+#[derive(Clone, Copy)]
+struct Others<'a> {
+    /// Not these.
+    tried: &'a [NodeId],
+    /// Also those that are thought to be draining.
+    draining: bool,
+}
+
 /// What one entry has seen of endpoints. Times are microseconds of any steady clock.
 #[derive(Debug, Default)]
 pub struct Balancer {
@@ -271,16 +280,33 @@
         need: &Need<'_>,
         rng: &mut impl Rng,
     ) -> Option<Endpoint> {
-        let untried = self.choose_beside(now_us, ranked, need, need.tried, rng);
-        untried.or_else(|| self.choose_beside(now_us, ranked, need, &[], rng))
+        let others = Others {
+            tried: need.tried,
+            draining: false,
+        };
+        let mut among = |others| self.choose_among(now_us, ranked, need, others, rng);
+        among(others)
+            .or_else(|| {
+                among(Others {
+                    tried: &[],
+                    ..others
+                })
+            })
+            // It may have been told to serve again since it refused.
+            .or_else(|| {
+                among(Others {
+                    tried: &[],
+                    draining: true,
+                })
+            })
     }
 
-    fn choose_beside(
+    fn choose_among(
         &mut self,
         now_us: u64,
         ranked: &Ranked,
         need: &Need<'_>,
-        tried: &[NodeId],
+        others: Others<'_>,
         rng: &mut impl Rng,
     ) -> Option<Endpoint> {
         let reach = match need.spill {
@@ -290,7 +316,7 @@
         };
         let mut fallback = None;
         for ring in &ranked.rings[..reach] {
-            let subset = self.usable(now_us, ring, tried);
+            let subset = self.usable(now_us, ring, others);
             let Some(chosen) = self.least_of(now_us, ring, &subset, need.slots, rng) else {
                 continue;
             };
@@ -363,14 +389,15 @@
     /// endpoint that will not answer; but also that a fault common to all (a bad release, a full
     /// service) ejects one after the other until the last ones break down. Reason for the
     /// limit: with more than half ejected the fault is hardly the endpoints' own, so all are used.
-    fn usable(&self, now_us: u64, ring: &[Endpoint], tried: &[NodeId]) -> Subset {
+    fn usable(&self, now_us: u64, ring: &[Endpoint], others: Others<'_>) -> Subset {
         let mut usable = Subset::default();
         let mut all = Subset::default();
         for (position, endpoint) in ring.iter().enumerate() {
             let seen = self.seen.get(&endpoint.node);
             let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
             let draining = seen.is_some_and(|seen| seen.draining_until_us > now_us);
-            if draining || tried.contains(&endpoint.node) {
+            let left_out = draining && !others.draining;
+            if left_out || others.tried.contains(&endpoint.node) {
                 continue;
             }
             if !all.is_full() {
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -76,12 +76,22 @@
 
     fn status(&self) -> Status {
         let enforced = self.node.enforced.load();
-        let enforced = enforced.as_ref().map(|applied| applied.stamp);
+        let view = self.node.view.load();
+        let stamp = enforced.as_ref().map(|applied| applied.stamp);
+        let services = enforced
+            .iter()
+            .flat_map(|applied| applied.configuration.services());
+        let lacking = services
+            .map(|(service, _)| service)
+            .filter(|service| !view.endpoints.contains_key(*service))
+            .cloned()
+            .collect();
         Status {
             node: self.node.me,
-            enforced: enforced.unwrap_or(Stamp::NONE),
+            enforced: stamp.unwrap_or(Stamp::NONE),
             ready: self.why_not_ready().is_none(),
-            members: self.node.view.load().members.clone(),
+            lacking,
+            members: view.members.clone(),
         }
     }
 
--- a/tests/testsuite/requests_drain.rs
+++ b/tests/testsuite/requests_drain.rs
@@ -1,5 +1,6 @@
 //! Planned stops: nothing in flight is cut, nothing new comes, and callers notice nothing.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -12,7 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-use crate::support::{LIMIT, ask, runs, small, start_chatarras, vms_of, wait_running};
+use crate::support::{
+    LIMIT, REASON, VERDICT, ask, metrics, runs, small, start_chatarras, vms_of, wait_running,
+};
 
 /// Payments without pause through every node of another service, until told to stop. Returns
 /// each answer that was not 200.
@@ -67,7 +70,7 @@
     let answer = drain(&mesh, position).await;
     assert_eq!(answer["draining"], true);
     assert!(answer["in_flight"].as_u64() >= Some(1), "{answer}");
-    let drained_at = Instant::now();
+    let runs_at_drain = mesh.vms[position].backend.record().runs.len() as u64;
     let reply = long.await.expect("no panic").expect("the node answers");
     assert_eq!(reply.status, 200);
     wait_until("nothing is in flight", LIMIT, || async {
@@ -76,10 +79,12 @@
     .await;
     let failures = failures(callers, &stop).await;
     assert!(failures.is_empty(), "{failures:?}");
-    let last_begun = mesh.vms[position].backend.record().last_begun;
+    // What was in flight may have begun a moment after the answer; nothing else did.
+    let most = runs_at_drain + answer["in_flight"].as_u64().unwrap_or(0);
+    let runs_at_end = mesh.vms[position].backend.record().runs.len() as u64;
     assert!(
-        last_begun <= Some(drained_at),
-        "new work came after the drain"
+        runs_at_end <= most,
+        "{runs_at_end} instead of {most} at most"
     );
     // The node itself is still there for callers.
     let entry = mesh.vms[position].node().addresses.caller;
@@ -92,23 +97,23 @@
     );
 }
 
+async fn announce(mesh: &Mesh, position: usize, state: &str) {
+    let vm = &mesh.vms[position];
+    let address = vm.backend.address;
+    let body = serde_json::json!({ "service": vm.service, "address": address, "state": state });
+    let operator = vm.node().addresses.operator;
+    let path = "/backend-server";
+    let reply = request(operator, Method::POST, "node", path, &[], body.to_string()).await;
+    assert_eq!(reply.expect("the node answers").status, 200);
+}
+
 /// A backend server says itself that it drains, and later that it serves again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_by_announcement_ends_with_the_next_announcement() {
     let mesh = start_chatarras(small(&["cobros"], 1)).await;
     let position = vms_of(&mesh, "cobros")[0];
-    let vm = &mesh.vms[position];
-    let announce = async |state: &str| {
-        let address = vm.backend.address;
-        let body = serde_json::json!({ "service": "cobros", "address": address, "state": state });
-        let operator = vm.node().addresses.operator;
-        let path = "/backend-server";
-        let body = body.to_string();
-        let reply = request(operator, Method::POST, "node", path, &[], body).await;
-        assert_eq!(reply.expect("the node answers").status, 200);
-    };
-    let entry = vm.node().addresses.caller;
-    announce("draining").await;
+    let entry = mesh.vms[position].node().addresses.caller;
+    announce(&mesh, position, "draining").await;
     let reply = ask(entry, Method::POST, "cobros", "/payments", "away-1").await;
     assert_eq!(reply.expect("the node answers").status, 200);
     assert!(
@@ -116,7 +121,7 @@
             .iter()
             .all(|run| run.0 != position)
     );
-    announce("serving").await;
+    announce(&mesh, position, "serving").await;
     wait_until("it has work again", LIMIT, || async {
         let id = format!("home-{}", rand_like());
         let reply = ask(entry, Method::POST, "cobros", "/payments", &id).await;
@@ -197,3 +202,112 @@
     let lag = last_begun.map(|at| at.saturating_duration_since(terminated_at));
     println!("last new request {lag:?} after the signal");
 }
+
+/// A data centre without a backend server of `cobros` is cut off from all others. It goes on
+/// serving prices, says at once that a payment did not run, and tells its operator what it lacks.
+/// A node without a backend server is as good an entry as any.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_cut_off_serves_what_it_can() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let alone = vms_of(&mesh, "cobros")[2];
+    let vm = &mesh.vms[alone];
+    announce(&mesh, alone, "gone").await;
+    let operator = vm.node().addresses.operator;
+    let entry = vm.node().addresses.caller;
+    let status = ask(entry, Method::GET, "cobros", "/payments/1", "near-1").await;
+    assert_eq!(status.expect("the node answers").status, 200);
+
+    let site = vm.site;
+    mesh.network
+        .set_cut(true, |from, to| (from == site) != (to == site));
+    let lacking = async || {
+        let reply = request(operator, Method::GET, "node", "/status", &[], "").await;
+        let body = reply.map(|reply| reply.body).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        status["lacking"].clone()
+    };
+    // The archive and the weighbridges are not deployed in this test at all.
+    let expected = serde_json::json!(["bascula", "cobros", "hemeroteca"]);
+    wait_until("it knows what it lacks", LIMIT, || async {
+        let mut services = lacking().await;
+        if let Some(services) = services.as_array_mut() {
+            services.sort_by_key(ToString::to_string);
+        }
+        services == expected
+    })
+    .await;
+    let prices = ask(entry, Method::GET, "tablon", "/prices/zinc", "cut-1").await;
+    assert_eq!(prices.expect("the node answers").status, 200);
+    let payment = ask(entry, Method::POST, "cobros", "/payments", "cut-2").await;
+    let payment = payment.expect("the node answers");
+    assert_eq!(payment.status, 503);
+    assert_eq!(payment.header(VERDICT), "not-run");
+    assert_eq!(payment.header(REASON), "no-endpoint");
+}
+
+/// Waits until the node with the listener `operator` knows the state of another's backend server.
+async fn wait_known(operator: SocketAddr, peer: SocketAddr, state: &str) {
+    wait_until("the state is known", LIMIT, || async {
+        let reply = request(operator, Method::GET, "node", "/status", &[], "").await;
+        let body = reply.map(|reply| reply.body).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let peer = peer.to_string();
+        let member = members
+            .iter()
+            .find(|member| member["node"] == peer.as_str());
+        member.is_some_and(|member| member["backend"] == state)
+    })
+    .await;
+}
+
+/// An upload waits for a slot, its first part already sent, when the backend server that it waits
+/// for is drained. It is sent again from its beginning to another one, and arrives whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_upload_moves_on_whole() {
+    const BYTES: usize = 3 << 20;
+    let mut deployment = small(&["tablon", "bascula"], 1);
+    deployment.data_centres.truncate(2);
+    let mesh = start_chatarras(deployment).await;
+    let [first, second] = vms_of(&mesh, "bascula")[..] else {
+        panic!("two endpoints were asked for")
+    };
+    let entry = mesh.vms[vms_of(&mesh, "tablon")[0]].node();
+    announce(&mesh, second, "draining").await;
+    let peer = mesh.vms[second].node().addresses.peer;
+    wait_known(entry.addresses.operator, peer, "draining").await;
+    let caller = entry.addresses.caller;
+    let mut holders = JoinSet::new();
+    for n in 0..20 {
+        let id = format!("holder-{n}");
+        let path = "/bundles/1?work_ms=2500";
+        holders.spawn(async move { ask(caller, Method::PUT, "bascula", path, &id).await });
+    }
+    let backend = &mesh.vms[first].backend;
+    wait_until("all slots are taken", LIMIT, || async {
+        backend.record().peak == 20
+    })
+    .await;
+    let bundle = vec![9; BYTES];
+    let digest = blake3::hash(&bundle).to_hex().to_string();
+    let upload = tokio::spawn(async move {
+        let headers = [("x-request-id", "upload-1")];
+        let path = "/bundles/2?answer_bytes=1";
+        request(caller, Method::PUT, "bascula", path, &headers, bundle).await
+    });
+    let gate = mesh.vms[first].node().addresses.operator;
+    wait_until("the upload waits", LIMIT, || async {
+        metrics(gate).await.contains("gate_waiting 1")
+    })
+    .await;
+    announce(&mesh, second, "serving").await;
+    wait_known(entry.addresses.operator, peer, "serving").await;
+    drain(&mesh, first).await;
+    let reply = upload.await.expect("no panic").expect("the node answers");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(reply.header("x-digest"), digest);
+    assert_eq!(runs(&mesh, "bascula", "upload-1"), [(second, 1)]);
+    for reply in holders.join_all().await {
+        assert_eq!(reply.expect("the node answers").status, 200);
+    }
+}
