Check whole sets and contradictory treatment; test check and the operators' commands

A usage error points at the command's own help. watch does not call a version "in force everywhere" while a whole data centre is out of sight.

Excluded: more than one unknown key at a time; the TOML reader stops at the first, and its line is right.

Conclusion: each answer names file, line and remedy.

--- a/src/bin/dragonflywall/cli.rs
+++ b/src/bin/dragonflywall/cli.rs
@@ -1,7 +1,7 @@
 //! Picks the command, and turns its failure into text and an exit code.
 
 use std::error::Error;
-use std::ffi::OsString;
+use std::ffi::{OsStr, OsString};
 use std::fmt::Write as _;
 use std::future::Future;
 use std::process::ExitCode;
@@ -42,7 +42,8 @@
         }
     }
 
-    fn print(&self) {
+    /// Prints the failure; `command` names the one whose help may be of use.
+    fn print(&self, command: Option<&str>) {
         match self {
             Self::Refused { text, hint: "" } => eprintln!("error: {text}"),
             Self::Refused { text, hint } => eprintln!("error: {text}\nhint: {hint}"),
@@ -50,7 +51,12 @@
                 "error: {}\nhint: nothing was changed; correct the files and check again",
                 check::describe(bad)
             ),
-            Self::Usage(text) => eprintln!("error: {text}\nhint: see `dragonflywall help`"),
+            Self::Usage(text) => match command {
+                Some(command) => {
+                    eprintln!("error: {text}\nhint: see `dragonflywall {command} --help`");
+                }
+                None => eprintln!("error: {text}\nhint: see `dragonflywall help`"),
+            },
             Self::Unknown { text, hint } => eprintln!("unknown: {text}\nhint: {hint}"),
         }
     }
@@ -84,10 +90,11 @@
 
 /// Runs the command that `arguments` name.
 pub(crate) fn run(arguments: Vec<OsString>) -> ExitCode {
-    match dispatch(arguments) {
+    let command = arguments.first().and_then(|name| find(name));
+    match dispatch(command, arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            failure.print();
+            failure.print(command.map(|command| command.name));
             failure.exit_code()
         }
     }
@@ -102,7 +109,12 @@
         .block_on(future)
 }
 
-fn dispatch(mut arguments: Vec<OsString>) -> Result {
+fn find(name: &OsStr) -> Option<&'static Command> {
+    let mut all = commands::ALL.iter();
+    all.find(|command| name.to_str() == Some(command.name))
+}
+
+fn dispatch(command: Option<&Command>, mut arguments: Vec<OsString>) -> Result {
     if arguments.is_empty() {
         return Err(Failure::Usage("no command was given".to_owned()));
     }
@@ -118,9 +130,6 @@
         }
         _ => (),
     }
-    let command = commands::ALL
-        .iter()
-        .find(|command| name.to_str() == Some(command.name));
     let Some(command) = command else {
         let name = name.to_string_lossy();
         return Err(Failure::Usage(format!("`{name}` is not a command")));
--- a/src/bin/dragonflywall/commands/check.rs
+++ b/src/bin/dragonflywall/commands/check.rs
@@ -115,11 +115,14 @@
 
 /// All findings, each with its place and remedy.
 pub(crate) fn describe(bad: &[FileFindings]) -> String {
-    let mut text = format!("{} team files are refused", bad.len());
+    let mut text = format!("team files refused: {}", bad.len());
     for file in bad {
         for finding in &file.findings {
             let path = file.path.display();
-            let _ = write!(text, "\n{path}:{}: {}", finding.line, finding.problem);
+            let _ = match finding.line {
+                0 => write!(text, "\n{path}: {}", finding.problem),
+                line => write!(text, "\n{path}:{line}: {}", finding.problem),
+            };
             let _ = write!(text, "\n  remedy: {}", finding.remedy);
         }
     }
--- a/src/core/team_file.rs
+++ b/src/core/team_file.rs
@@ -40,7 +40,7 @@
 /// One thing wrong with a team file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Finding {
-    /// Line, from 1.
+    /// Line, from 1; 0 if the file could not be read.
     pub line: usize,
     /// What is wrong.
     pub problem: String,
@@ -155,7 +155,10 @@
     let offset = error.span().map_or(0, |span| span.start);
     Finding {
         line: line_of(text, offset),
-        problem: error.message().replace('\n', " "),
+        problem: error
+            .message()
+            .replace('\n', " ")
+            .replace("expected u32", "expected a whole number"),
         remedy: syntax_remedy(error.message()).to_owned(),
     }
 }
--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -3,14 +3,14 @@
 //! [`of_status`] is the one place that reads this out of a node's [`Status`]; `watch` and
 //! `publish --wait` know nothing of how nodes learn of each other.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::Serialize;
 
-use crate::core::member::Place;
+use crate::core::member::{Liveness, Place};
 use crate::core::status::Status;
 use crate::core::version::Version;
-use crate::ops::query::status::by_data_centre;
 
 /// How many nodes of one data centre enforce a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -21,6 +21,30 @@
     pub nodes: usize,
     /// Those that enforce the version or a later one.
     pub enforcing: usize,
+    /// Nodes that the asked one has lost: dead, or cut off from it.
+    pub unreachable: usize,
+}
+
+impl DataCentreProgress {
+    fn none_of(place: &Place) -> Self {
+        Self {
+            place: place.clone(),
+            nodes: 0,
+            enforcing: 0,
+            unreachable: 0,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.nodes == 0 && self.unreachable == 0
+    }
+
+    /// A single lost node is most likely a replaced VM and holds nothing up. A data centre that is
+    /// lost as a whole is most likely cut off and goes on serving an older version: calling that
+    /// "in force everywhere" would be a guess.
+    fn is_complete(&self) -> bool {
+        self.nodes > 0 && self.enforcing == self.nodes
+    }
 }
 
 /// How many nodes enforce a version.
@@ -33,10 +57,10 @@
 }
 
 impl Progress {
-    /// Whether every node that is known to live enforces it.
+    /// Whether every node that is known to live enforces it, and no data centre is out of sight.
     pub fn is_complete(&self) -> bool {
         let any = !self.data_centres.is_empty();
-        any && self.data_centres.iter().all(|dc| dc.enforcing == dc.nodes)
+        any && self.data_centres.iter().all(|dc| dc.is_complete())
     }
 }
 
@@ -54,6 +78,9 @@
                 "{separator}{region}/{data_centre} {} of {}",
                 dc.enforcing, dc.nodes
             )?;
+            if dc.unreachable > 0 {
+                write!(f, " ({} unreachable)", dc.unreachable)?;
+            }
         }
         Ok(())
     }
@@ -61,14 +88,23 @@
 
 /// Sums up who enforces `version` or a later one.
 pub fn of_status(status: &Status, version: Version) -> Progress {
-    let rows = by_data_centre(status).into_iter();
-    let data_centres = rows.map(|row| DataCentreProgress {
-        enforcing: row.versions.range(version..).map(|(_, nodes)| nodes).sum(),
-        nodes: row.nodes,
-        place: row.place,
-    });
+    let mut rows: BTreeMap<(&str, &str), DataCentreProgress> = BTreeMap::new();
+    for member in &status.members {
+        let place = &member.place;
+        let row = rows
+            .entry((place.region.as_str(), place.data_centre.as_str()))
+            .or_insert_with(|| DataCentreProgress::none_of(place));
+        match member.liveness {
+            Liveness::Alive | Liveness::Suspect => {
+                row.nodes += 1;
+                row.enforcing += usize::from(member.enforced.version >= version);
+            }
+            Liveness::Dead => row.unreachable += 1,
+            Liveness::Left => (),
+        }
+    }
     Progress {
         version,
-        data_centres: data_centres.collect(),
+        data_centres: rows.into_values().filter(|row| !row.is_empty()).collect(),
     }
 }
--- /dev/null
+++ b/tests/testsuite/check.rs
@@ -0,0 +1,183 @@
+//! `check` on bad team files: each answer names file, line, what is wrong and what to do.
+
+use std::process::Output;
+
+use insta::assert_snapshot;
+use tempfile::TempDir;
+
+use crate::support::{command, repository_file};
+
+/// A right file, which the cases below spoil.
+const GOOD: &str = r#"team = "armazem"
+
+[treatment.quick]
+class = "interactive"
+timeout_ms = 1500
+
+[service.armazem]
+slots_per_endpoint = 6
+connections_per_endpoint = 120
+queue_len = 12
+
+[service.armazem.resource.stock]
+extends = "quick"
+idempotent = true
+
+[[service.armazem.route]]
+methods = ["GET"]
+path = "/stock"
+resource = "stock"
+"#;
+
+/// Runs `check` on files in a directory of their own; the answer has no other path in it.
+async fn check(files: &[(&str, &str)], options: &[&str]) -> String {
+    let directory = TempDir::new().expect("there is room for files");
+    let mut arguments = vec!["check".to_owned()];
+    arguments.extend(options.iter().map(|option| (*option).to_owned()));
+    for (name, text) in files {
+        let path = directory.path().join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        arguments.push(path.display().to_string());
+    }
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let output = command(&arguments).await;
+    answer(&output).replace(&format!("{}/", directory.path().display()), "")
+}
+
+fn answer(output: &Output) -> String {
+    let code = output.status.code().expect("the command ended by itself");
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    format!("{stdout}{stderr}exit code {code}")
+}
+
+/// Spoils the right file at one place.
+fn spoiled(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from), "`{from}` is not in the right file");
+    GOOD.replacen(from, to, 1)
+}
+
+macro_rules! refused {
+    ($($(#[$doc:meta])* $name:ident: $from:expr => $to:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test]
+            async fn $name() {
+                let text = spoiled($from, $to);
+                assert_snapshot!(check(&[("armazem.toml", &text)], &[]).await);
+            }
+        )*
+    };
+}
+
+refused! {
+    not_toml: "[service.armazem]\n" => "[service.armazem\n";
+    unknown_key: "queue_len" => "queue_length";
+    missing_key: "slots_per_endpoint = 6\n" => "";
+    wrong_type: "timeout_ms = 1500" => "timeout_ms = \"1500\"";
+    unknown_class: "\"interactive\"" => "\"urgent\"";
+    bad_team_name: "\"armazem\"" => "\"Armazem 1\"";
+    bad_service_name: "[service.armazem]\n" => "[service.Armazem]\nslots_per_endpoint = 1\nconnections_per_endpoint = 1\n\n[service.armazem]\n";
+    out_of_range: "timeout_ms = 1500" => "timeout_ms = 3600001";
+    several_out_of_range: "queue_len = 12" => "queue_len = 10001\n[service.armazem.resource.movement]\nidempotent = false\nattempts = 6";
+    dangling_resource: "resource = \"stock\"\n" => "resource = \"stok\"\n";
+    cycle_of_extends: "[treatment.quick]" => "[treatment.slow]\nextends = \"quick\"\n[treatment.quick]\nextends = \"slow\"";
+    missing_base: "extends = \"quick\"" => "extends = \"quik\"";
+    missing_idempotent: "idempotent = true\n" => "";
+    connections_below_slots: "connections_per_endpoint = 120" => "connections_per_endpoint = 5";
+    same_routes: "[[service.armazem.route]]" => "[[service.armazem.route]]\npath = \"/stock\"\nresource = \"stock\"\n\n[[service.armazem.route]]";
+    path_without_root: "\"/stock\"" => "\"stock\"";
+    path_with_query: "\"/stock\"" => "\"/stock?pan=7\"";
+    bad_method: "\"GET\"" => "\"get\"";
+    interactive_for_minutes: "1500" => "600000";
+    bulk_in_a_moment: "\"interactive\"\ntimeout_ms = 1500" => "\"bulk\"\ntimeout_ms = 300";
+    bulk_without_queue: "\"interactive\"\ntimeout_ms = 1500" => "\"bulk\"\ntimeout_ms = 2000\n[service.armazem2]\nslots_per_endpoint = 1\nconnections_per_endpoint = 1\nqueue_len = 0\n[service.armazem2.resource.all]\nclass = \"bulk\"\nidempotent = true\n[treatment.rest]";
+    spill_across_the_link_in_no_time: "1500" => "20\nspill = \"mesh\"";
+}
+
+#[tokio::test]
+async fn empty_file() {
+    assert_snapshot!(check(&[("armazem.toml", "")], &[]).await);
+}
+
+#[tokio::test]
+async fn team_that_does_nothing() {
+    assert_snapshot!(check(&[("armazem.toml", "team = \"armazem\"\n")], &[]).await);
+}
+
+#[tokio::test]
+async fn missing_file() {
+    let output = command(&["check", "no/such/file.toml"]).await;
+    assert_snapshot!(answer(&output));
+}
+
+#[tokio::test]
+async fn two_files_of_one_team() {
+    let files = [("a.toml", GOOD), ("b.toml", GOOD)];
+    assert_snapshot!(check(&files, &[]).await);
+}
+
+#[tokio::test]
+async fn two_teams_offer_one_service() {
+    let other = spoiled("team = \"armazem\"", "team = \"balanco\"");
+    let files = [("armazem.toml", GOOD), ("balanco.toml", &other)];
+    assert_snapshot!(check(&files, &["--whole"]).await);
+}
+
+#[tokio::test]
+async fn calls_to_what_is_not_there() {
+    let caller = "team = \"balanco\"\n\n[calls]\narmazem = [\"stock\", \"movement\"]\n\
+                  expedicao = [\"booking\"]\n";
+    let files = [("armazem.toml", GOOD), ("balanco.toml", caller)];
+    assert_snapshot!(check(&files, &["--whole"]).await);
+}
+
+#[tokio::test]
+async fn route_to_what_is_not_there() {
+    let route = "path = \"/stock\"\nservice = \"hemeroteca\"";
+    let text = spoiled("path = \"/stock\"", route);
+    assert_snapshot!(check(&[("armazem.toml", &text)], &["--whole"]).await);
+}
+
+#[tokio::test]
+async fn findings_as_json() {
+    let text = spoiled("\"/stock\"", "\"stock\"");
+    assert_snapshot!(check(&[("armazem.toml", &text)], &["--json"]).await);
+}
+
+/// A file for itself cannot tell what others offer, so a call is right until the set is known.
+#[tokio::test]
+async fn right_files_are_accepted() {
+    let answer = check(&[("armazem.toml", GOOD)], &["--whole"]).await;
+    assert_eq!(answer, "Checked 1 team files: nothing wrong\nexit code 0");
+}
+
+/// Both deployments of the examples are right as whole sets.
+#[tokio::test]
+async fn examples_are_right() {
+    for deployment in ["chatarras", "marinhas"] {
+        let directory = repository_file("examples").join(deployment);
+        let entries = std::fs::read_dir(directory).expect("the examples exist");
+        let paths = entries.map(|entry| entry.expect("a file").path());
+        let paths: Vec<String> = paths.map(|path| path.display().to_string()).collect();
+        let mut arguments = vec!["check", "--whole"];
+        arguments.extend(paths.iter().map(String::as_str));
+        let output = command(&arguments).await;
+        assert_eq!(output.status.code(), Some(0), "{}", answer(&output));
+    }
+}
+
+/// A node is started with three wrong settings: one from a flag, one from the environment, one
+/// missing. It names all three at once, each with its flag and its variable, and exits with 2.
+#[tokio::test]
+async fn node_names_all_bad_settings() {
+    let output = tokio::process::Command::new(crate::support::PROGRAM)
+        .args(["node", "--caller-listen", "nowhere", "--region", "norte"])
+        .args(["--data-centre", "aveiro-a"])
+        .env_clear()
+        .env("DRAGONFLYWALL_DRAIN_TIMEOUT_MS", "soon")
+        .output()
+        .await
+        .expect("the program runs");
+    assert_snapshot!(answer(&output));
+}
--- /dev/null
+++ b/tests/testsuite/operator_commands.rs
@@ -0,0 +1,179 @@
+//! The operators' commands against running nodes, or a stand-in of one.
+
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dragonflywall::core::status::Status;
+use dragonflywall::core::version::Version;
+use dragonflywall::ops::query::progress::of_status;
+use http::{Method, StatusCode};
+use serde_json::Value;
+use testkit::http::{answer, serve};
+use testkit::mesh::Deployment;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::support::{command, repository_file, start};
+
+fn text(output: &Output) -> String {
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    format!("{stdout}{stderr}")
+}
+
+/// An operator publishes and waits: the command ends when every node of all four data centres
+/// enforces the version. Watching it afterwards, and looking at the state, show the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_waits_until_every_node_enforces() {
+    let mesh = start(Deployment::marinhas()).await;
+    mesh.wait_joined().await;
+    let url = mesh.platform.url();
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let file = repository_file("examples/marinhas/armazem.toml");
+    let file = file.to_str().expect("UTF-8");
+    let at = ["--platform", &url, "--node", &node];
+    let output = command(&[&["publish", "--wait"], &at[..], &[file]].concat()).await;
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    for position in 0..mesh.vms.len() {
+        assert_eq!(mesh.version_at(position).await, 1);
+    }
+    let all =
+        "norte/aveiro-a 4 of 4, norte/aveiro-b 4 of 4, sul/olhao-a 4 of 4, sul/olhao-b 4 of 4";
+    assert!(text(&output).contains(all), "{}", text(&output));
+    let output = command(&[&["watch"], &at[..]].concat()).await;
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    let output = command(&["status", "--node", &node, "--json"]).await;
+    let status: Value = serde_json::from_slice(&output.stdout).expect("status prints JSON");
+    assert_eq!(status["enforced"]["version"], 1);
+}
+
+/// An operator watches for a version that does not come. The command ends after its limit, says
+/// what lags and how to look on, and exits with "unknown", not with "done".
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_ends_at_its_limit() {
+    let mut deployment = Deployment::marinhas();
+    deployment.data_centres.truncate(1);
+    let mesh = start(deployment).await;
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let limits = ["--version", "7", "--wait-limit-ms", "300"];
+    let output = command(&[&["watch", "--node", &node], &limits[..]].concat()).await;
+    assert_eq!(output.status.code(), Some(3), "{}", text(&output));
+    assert!(
+        text(&output).contains("version 7 stands"),
+        "{}",
+        text(&output)
+    );
+}
+
+/// A stand-in of a node's operator listener, with requests in flight that end one by one.
+async fn draining_node(in_flight: u64) -> (String, CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let left = Arc::new(AtomicU64::new(in_flight));
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, stop.clone(), move |request| {
+        let left = Arc::clone(&left);
+        async move {
+            if request.method() != Method::POST || request.uri().path() != "/drain" {
+                return Some(answer(StatusCode::NOT_FOUND, ""));
+            }
+            let one_less = |left: u64| Some(left.saturating_sub(1));
+            let now = left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less);
+            let now = now.unwrap_or_default();
+            let body = format!("{{\"draining\":true,\"in_flight\":{now}}}");
+            Some(answer(StatusCode::OK, body))
+        }
+    }));
+    (address, stop)
+}
+
+/// An operator drains a node before its backend server is stopped, and waits: the command ends
+/// with 0 only when nothing is in flight.
+#[tokio::test]
+async fn drain_waits_until_nothing_is_in_flight() {
+    let (node, _stop) = draining_node(2).await;
+    let output = command(&["drain", "--node", &node, "--wait"]).await;
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    for line in ["2 requests", "1 requests", "0 requests"] {
+        assert!(text(&output).contains(line), "{}", text(&output));
+    }
+}
+
+/// Requests are still in flight when the operator's limit is over. Exit code 3 keeps a script from
+/// stopping the backend server under them.
+#[tokio::test]
+async fn drain_that_is_not_done_is_no_success() {
+    let (node, _stop) = draining_node(1_000).await;
+    let limit = ["--wait", "--wait-limit-ms", "300"];
+    let output = command(&[&["drain", "--node", &node], &limit[..]].concat()).await;
+    assert_eq!(output.status.code(), Some(3), "{}", text(&output));
+    let hint = "leave the backend server running";
+    assert!(text(&output).contains(hint), "{}", text(&output));
+}
+
+/// The node is not there: refused, and nothing is said to be drained.
+#[tokio::test]
+async fn drain_of_a_node_that_is_not_there_is_refused() {
+    let output = command(&["drain", "--node", "127.0.0.1:9", "--wait"]).await;
+    assert_eq!(output.status.code(), Some(1), "{}", text(&output));
+}
+
+/// Every command explains itself, and one that does not exist is a usage error.
+#[tokio::test]
+async fn every_command_has_help() {
+    let overview = command(&["help"]).await;
+    let overview = text(&overview);
+    let names = [
+        "check", "diff", "publish", "watch", "status", "history", "audit", "drain", "node",
+    ];
+    for name in names {
+        assert!(overview.contains(&format!("  {name} ")), "{overview}");
+        let output = command(&[name, "--help"]).await;
+        assert_eq!(output.status.code(), Some(0));
+        let usage = format!("Usage: dragonflywall {name}");
+        assert!(text(&output).contains(&usage), "{}", text(&output));
+    }
+    let output = command(&["reverse"]).await;
+    assert_eq!(output.status.code(), Some(2), "{}", text(&output));
+    let output = command(&["drain", "--nod", "x"]).await;
+    assert_eq!(output.status.code(), Some(2), "{}", text(&output));
+    assert!(text(&output).contains("dragonflywall drain --help"));
+    let output = command(&["--version"]).await;
+    assert!(text(&output).starts_with("dragonflywall "));
+}
+
+/// A node knows of two data centres; the link to the second has failed, so its nodes count as dead
+/// there. `watch` must not call the version "in force everywhere" on the word of the first alone.
+#[test]
+fn lost_data_centre_is_not_called_done() {
+    let member = |data_centre: &str, port: u16, liveness: &str, version: u64| {
+        let digest = "0".repeat(64);
+        serde_json::json!({
+            "node": format!("127.0.0.1:{port}"), "external": format!("127.0.0.1:{port}"),
+            "place": { "region": "norte", "data_centre": data_centre },
+            "incarnation_us": 1, "sequence": 1, "liveness": liveness,
+            "service": null, "backend": "gone",
+            "enforced": { "version": version, "digest": digest },
+        })
+    };
+    let progress = |members: &[Value]| {
+        let digest = "0".repeat(64);
+        let status: Status = serde_json::from_value(serde_json::json!({
+            "node": "127.0.0.1:1", "enforced": { "version": 2, "digest": digest },
+            "ready": true, "members": members,
+        }))
+        .expect("a status");
+        of_status(&status, Version(2))
+    };
+    let near = member("aveiro-a", 1, "alive", 2);
+    let replaced = member("aveiro-a", 2, "dead", 1);
+    let far = member("aveiro-b", 3, "dead", 1);
+    let late = member("aveiro-a", 4, "suspect", 1);
+    assert!(progress(&[near.clone(), replaced]).is_complete());
+    assert!(!progress(&[near.clone(), late]).is_complete());
+    let cut_off = progress(&[near, far]);
+    assert!(!cut_off.is_complete());
+    let text = "version 2: norte/aveiro-a 1 of 1, norte/aveiro-b 0 of 0 (1 unreachable)";
+    assert_eq!(cut_off.to_string(), text);
+}
