--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -151,7 +151,7 @@
         let given = self.resume.as_ref().or(self.id.as_ref()).cloned();
         let options = PublishOptions::builder()
             .publish_id(given.unwrap_or_else(random_id))
-            .operator(self.common.operator())
+            .operator(self.common.operator()?)
             .time_ms(now_ms())
             .records(check::records(&self.paths)?)
             .removals(self.removals.clone())
@@ -194,7 +194,7 @@
 
 fn settle(id: &str, common: &Common) -> Result {
     let platform = common.platform()?;
-    let settled = block_on(abandon(&platform, id, common.operator(), now_ms()));
+    let settled = block_on(abandon(&platform, id, common.operator()?, now_ms()));
     match settled.map_err(failure)? {
         Some(version) if common.json => {
             print_json_line(&serde_json::json!({ "publication": id, "version": version }));
--- a/src/bin/dragonflywall/options.rs
+++ b/src/bin/dragonflywall/options.rs
@@ -16,8 +16,8 @@
 /// Help lines of the options below.
 pub(crate) const PLATFORM_HELP: &str =
     "\x20 --platform URL       the platform [DRAGONFLYWALL_PLATFORM]\n";
-pub(crate) const NODE_HELP: &str =
-    "\x20 --node ADDR          operator address of any node [DRAGONFLYWALL_NODE]\n";
+pub(crate) const NODE_HELP: &str = "\x20 --node ADDR          operator address of any node [DRAGONFLYWALL_NODE]; the mesh's secret\n\
+     \x20                      comes from DRAGONFLYWALL_MESH_TOKEN alone\n";
 pub(crate) const JSON_HELP: &str = "\x20 --json               for scripts\n";
 pub(crate) const OPERATOR_HELP: &str =
     "\x20 --operator NAME      who does it, for the audit trail [DRAGONFLYWALL_OPERATOR, USER]\n";
@@ -83,8 +83,9 @@
         })
     }
 
-    pub(crate) fn operator(&self) -> &str {
-        self.operator.as_deref().unwrap_or("unknown")
+    /// Required: an audit trail that does not say who is none.
+    pub(crate) fn operator(&self) -> Result<&str> {
+        required("operator", self.operator.as_deref())
     }
 
     pub(crate) fn wait_limit(&self) -> Result<Duration> {
--- /dev/null
+++ b/tests/testsuite/documentation.rs
@@ -0,0 +1,63 @@
+//! The reference pages say what the program says.
+
+use dragonflywall::node::settings::SPECS;
+
+use crate::support::{command, repository_file};
+
+fn page(path: &str) -> String {
+    let text = std::fs::read_to_string(repository_file(path));
+    text.expect("the page exists")
+}
+
+/// An operator reads the page of commands, and the program must not know better: each command's
+/// help stands in it word for word.
+#[tokio::test]
+async fn commands_page_holds_every_help() {
+    let page = page("docs/reference/commands.md");
+    let overview = command(&["help"]).await;
+    let overview = String::from_utf8(overview.stdout).expect("help is UTF-8");
+    let listed = overview.lines().skip_while(|line| *line != "Commands:");
+    let names = listed.skip(1).take_while(|line| !line.is_empty());
+    let names: Vec<&str> = names
+        .filter_map(|line| line.split_whitespace().next())
+        .collect();
+    assert!(names.contains(&"publish"), "{names:?}");
+    for name in names {
+        if name == "node" {
+            continue; // The page of settings has them.
+        }
+        let help = command(&[name, "--help"]).await;
+        let help = String::from_utf8(help.stdout).expect("help is UTF-8");
+        assert!(page.contains(help.trim()), "not in the page:\n{help}");
+    }
+}
+
+/// The same for each setting of a node: flag, variable and default stand in one row.
+#[test]
+fn settings_page_holds_every_setting() {
+    let page = page("docs/reference/settings.md");
+    for spec in SPECS {
+        let start = format!("| `--{}` |", spec.flag);
+        let row = page.lines().find(|line| line.starts_with(&start));
+        let row = row.unwrap_or_else(|| panic!("no row starts with {start}"));
+        assert!(row.contains(&format!("`{}`", spec.variable())), "{row}");
+        let default = match spec.default {
+            "" => "none".to_owned(),
+            default => format!("`{default}`"),
+        };
+        assert!(row.contains(&default), "{row} lacks the default {default}");
+    }
+}
+
+/// A team copies the page's example, so the example must be right.
+#[tokio::test]
+async fn team_file_example_is_right() {
+    let page = page("docs/reference/team-file.md");
+    let example = page.split("```toml\n").nth(1).expect("the page has one");
+    let example = example.split("```").next().expect("it ends");
+    let directory = tempfile::TempDir::new().expect("there is room for files");
+    let path = directory.path().join("armazem.toml");
+    std::fs::write(&path, example).expect("the file is written");
+    let output = command(&["check", path.to_str().expect("UTF-8")]).await;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration tests: whole processes, and the library's decisions from outside.
 
 mod check;
+mod documentation;
 mod operator_commands;
 mod publish;
 mod publish_in_flight;
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -33,7 +33,15 @@
     let file = repository_file("examples/marinhas/armazem.toml");
     let file = file.to_str().expect("UTF-8");
     let at = ["--platform", &url, "--node", &node];
-    let output = command(&[&["publish", "--wait"], &at[..], &[file]].concat()).await;
+    let output = command(
+        &[
+            &["publish", "--wait", "--operator", "ana"],
+            &at[..],
+            &[file],
+        ]
+        .concat(),
+    )
+    .await;
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     for position in 0..mesh.vms.len() {
         assert_eq!(mesh.version_at(position).await, 1);
--- a/tests/testsuite/publish.rs
+++ b/tests/testsuite/publish.rs
@@ -66,12 +66,15 @@
     async fn run(&self, arguments: &[&str]) -> Run {
         let url = self.platform.url();
         let mut all = vec![arguments[0], "--platform", &url];
+        if arguments[0] == "publish" {
+            all.extend(["--operator", "ana"]);
+        }
         all.extend(&arguments[1..]);
         command(&all).await.into()
     }
 
     async fn publish(&self, file: &Path, more: &[&str]) -> Run {
-        let mut arguments = vec!["publish", "--operator", "ana"];
+        let mut arguments = vec!["publish"];
         arguments.extend(more);
         arguments.push(file.to_str().expect("temporary paths are UTF-8"));
         self.run(&arguments).await
@@ -167,7 +170,8 @@
 async fn unreachable_platform_changes_nothing() {
     let bench = Bench::start().await;
     let file = bench.team("armazem", 12, "");
-    let arguments = ["publish", "--platform", "http://127.0.0.1:9"];
+    let common = ["publish", "--operator", "ana"];
+    let arguments = [&common[..], &["--platform", "http://127.0.0.1:9"]].concat();
     let file = file.to_str().expect("temporary paths are UTF-8");
     let run: Run = command(&[&arguments[..], &[file]].concat()).await.into();
     run.expect(1, "nothing was changed");
@@ -325,7 +329,8 @@
         let (url, file) = (url.clone(), file.to_str().expect("UTF-8").to_owned());
         let expected = bench.head().to_string();
         running.push(tokio::spawn(async move {
-            let arguments = ["publish", "--platform", &url, "--expect", &expected, &file];
+            let common = ["publish", "--operator", "ana", "--platform", &url];
+            let arguments = [&common[..], &["--expect", &expected, &file]].concat();
             Run::from(command(&arguments).await)
         }));
     }
@@ -410,3 +415,20 @@
     run.expect(1, "version 1 already holds these records");
     assert_eq!(bench.head(), 1);
 }
+
+/// An operator whose name is not known to the command publishes: a usage error, since the audit
+/// trail must say who changed what.
+#[tokio::test]
+async fn publication_without_a_name_is_refused() {
+    let bench = Bench::start().await;
+    let file = bench.team("armazem", 12, "");
+    let output = tokio::process::Command::new(crate::support::PROGRAM)
+        .args(["publish", "--platform", &bench.platform.url()])
+        .arg(&file)
+        .env_clear()
+        .output()
+        .await;
+    let run: Run = output.expect("the program runs").into();
+    run.expect(2, "--operator is required");
+    assert_eq!(bench.head(), 0);
+}
