--- a/src/bin/dragonflywall/commands/audit.rs
+++ b/src/bin/dragonflywall/commands/audit.rs
@@ -19,6 +19,7 @@
 /// An audit reads two configurations for each version, so it stops somewhere by itself.
 const DEFAULT_LAST: u64 = 20;
 
+pub(crate) const NOTHING: &str = "Found nothing among these versions; --all looks at all of them";
 pub(crate) const READ_HINT: &str = "try again when the platform is back";
 
 /// Options of `audit` and `history`.
@@ -85,7 +86,7 @@
         print(entry);
     }
     if entries.is_empty() {
-        println!("Nothing was published");
+        println!("{}", NOTHING);
     }
     Ok(())
 }
--- a/src/bin/dragonflywall/commands/history.rs
+++ b/src/bin/dragonflywall/commands/history.rs
@@ -37,7 +37,7 @@
         println!("{}", line(row));
     }
     if rows.is_empty() {
-        println!("Nothing was published");
+        println!("{}", audit::NOTHING);
     }
     Ok(())
 }
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use dragonflywall::core::difference::{self, TeamDifference};
 use dragonflywall::core::names::TeamName;
 use dragonflywall::core::version::{Stamp, Version};
 use dragonflywall::ops::command::hint;
@@ -220,6 +221,7 @@
     operator: &'a str,
     rebases: u32,
     already: bool,
+    changes: &'a [TeamDifference],
 }
 
 fn print(options: &PublishOptions, published: &Published, json: bool) {
@@ -230,6 +232,7 @@
             operator: &options.operator,
             rebases: published.rebases,
             already: published.already,
+            changes: &published.changes,
         });
         return;
     }
@@ -242,6 +245,7 @@
         "{done}: version {} by {} (publication {})",
         published.stamp, options.operator, options.publish_id
     );
+    print!("{}", difference::to_text(&published.changes));
     if published.rebases > 0 {
         println!(
             "Rebased {} times on other teams' publications",
--- /dev/null
+++ b/src/core/team_file/raw.rs
@@ -0,0 +1,82 @@
+//! The team file as it stands in TOML, and what its reader says of a text that is none.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use super::{Finding, line_of};
+use crate::core::configuration::{Class, Spill};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawTeam {
+    pub(super) team: Spanned<String>,
+    #[serde(default)]
+    pub(super) treatment: BTreeMap<String, Spanned<RawTreatment>>,
+    #[serde(default)]
+    pub(super) service: BTreeMap<String, Spanned<RawService>>,
+    #[serde(default)]
+    pub(super) calls: BTreeMap<String, Spanned<Vec<String>>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawService {
+    pub(super) slots_per_endpoint: Spanned<u32>,
+    pub(super) connections_per_endpoint: Spanned<u32>,
+    pub(super) queue_len: Option<Spanned<u32>>,
+    #[serde(default)]
+    pub(super) resource: BTreeMap<String, Spanned<RawTreatment>>,
+    #[serde(default)]
+    pub(super) route: Vec<Spanned<RawRoute>>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawTreatment {
+    pub(super) extends: Option<Spanned<String>>,
+    pub(super) class: Option<Class>,
+    pub(super) idempotent: Option<bool>,
+    pub(super) timeout_ms: Option<Spanned<u32>>,
+    pub(super) attempts: Option<Spanned<u32>>,
+    pub(super) spill: Option<Spill>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawRoute {
+    #[serde(default)]
+    pub(super) methods: Vec<String>,
+    pub(super) path: Spanned<String>,
+    pub(super) service: Option<String>,
+    pub(super) resource: String,
+}
+
+/// The reader's refusal, with its line.
+pub(super) fn syntax_finding(text: &str, error: &toml::de::Error) -> Finding {
+    let offset = error.span().map_or(0, |span| span.start);
+    Finding {
+        line: line_of(text, offset),
+        problem: error
+            .message()
+            .replace('\n', " ")
+            .replace("expected u32", "expected a whole number"),
+        remedy: syntax_remedy(error.message()).to_owned(),
+    }
+}
+
+/// The reader's messages are its library's; only their beginnings are told apart.
+fn syntax_remedy(message: &str) -> &'static str {
+    if message.starts_with("unknown field") {
+        "correct or remove the key; docs/reference/team-file.md lists all keys"
+    } else if message.starts_with("missing field") {
+        "add the key; docs/reference/team-file.md says what it means"
+    } else if message.starts_with("unknown variant") {
+        "use one of the listed words"
+    } else if message.starts_with("invalid type") || message.starts_with("invalid value") {
+        "write a value of the expected kind; docs/reference/team-file.md names it for each key"
+    } else {
+        "correct the TOML syntax at this place"
+    }
+}
--- a/tests/testsuite/publish.rs
+++ b/tests/testsuite/publish.rs
@@ -269,6 +269,7 @@
     let of_ana = bench.team("armazem", 24, "");
     let run = bench.publish(&of_ana, &["--expect", "1"]).await;
     run.expect(0, "version 2");
+    run.expect(0, "~ service.armazem.queue_len: 12 -> 24");
     let of_bea = bench.team("armazem", 36, "");
     let run = bench.publish(&of_bea, &["--expect", "1"]).await;
     run.expect(1, "~ service.armazem.queue_len: 12 -> 24");
