--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,15 @@
 //! The integration tests: whole processes, and the library's decisions from outside.
 
 mod check;
+mod decide_admission;
 mod documentation;
 mod operator_commands;
 mod publish;
 mod publish_in_flight;
+mod requests_answers;
+mod requests_chain;
+mod requests_drain;
+mod requests_untrusted;
 mod support;
 mod token;
 mod whole_path;
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{command, repository_file, start};
+use crate::support::{ask, command, repository_file, small, start, start_chatarras, wait_running};
 
 fn text(output: &Output) -> String {
     let stdout = String::from_utf8_lossy(&output.stdout);
@@ -185,3 +185,30 @@
     let text = "version 2: norte/aveiro-a 1 of 1, norte/aveiro-b 0 of 0 (1 unreachable)";
     assert_eq!(cut_off.to_string(), text);
 }
+
+/// An operator drains a VM that runs a payment of half a second, and waits. When the command ends
+/// with 0, the payment has been answered whole, so stopping the backend server cuts nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_of_a_node_ends_after_its_last_request() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = mesh.vms.iter().find(|vm| vm.service == "tablon");
+    let entry = entry.expect("tablon is deployed").node().addresses.caller;
+    let path = "/payments?work_ms=500";
+    let payment = tokio::spawn(ask(entry, Method::POST, "cobros", path, "payment-1"));
+    let position = wait_running(&mesh, "cobros", "payment-1").await;
+    let node = mesh.vms[position].node().addresses.operator.to_string();
+    let output = command(&["drain", "--node", &node, "--wait"]).await;
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    assert!(
+        text(&output).contains("1 requests in flight"),
+        "{}",
+        text(&output)
+    );
+    assert!(
+        text(&output).contains("0 requests in flight"),
+        "{}",
+        text(&output)
+    );
+    let reply = payment.await.expect("no panic").expect("the node answers");
+    assert_eq!(reply.status, 200);
+}
