--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -212,3 +212,40 @@
     let reply = payment.await.expect("no panic").expect("the node answers");
     assert_eq!(reply.status, 200);
 }
+
+/// A data centre is cut off from the others and from the platform, and an operator publishes. The
+/// version is accepted, but she is not told that it is in force everywhere (exit code 3). When the
+/// link is back the data centre takes the version without help, and `watch` ends with 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn publication_past_a_cut_off_data_centre_is_not_called_done() {
+    let mesh = start_chatarras(small(&["tablon"], 1)).await;
+    mesh.network
+        .set_cut(true, |from, to| (from == 2) != (to == 2));
+    let url = mesh.platform.url();
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let directory = tempfile::TempDir::new().expect("there is room for files");
+    let path = directory.path().join("boletines.toml");
+    let example = repository_file("examples/chatarras/boletines.toml");
+    let example = std::fs::read_to_string(example).expect("the example exists");
+    let changed = example.replace("queue_len = 40", "queue_len = 41");
+    std::fs::write(&path, changed).expect("the file is written");
+    let at = ["--platform", &url, "--node", &node];
+    let publish = ["publish", "--operator", "ana", "--expect", "1", "--wait"];
+    let limit = ["--wait-limit-ms", "1500", path.to_str().expect("UTF-8")];
+    let output = command(&[&publish[..], &at, &limit].concat()).await;
+    assert_eq!(output.status.code(), Some(3), "{}", text(&output));
+    assert!(
+        text(&output).contains("Published: version 2"),
+        "{}",
+        text(&output)
+    );
+    assert!(
+        text(&output).contains("version 2 stands"),
+        "{}",
+        text(&output)
+    );
+    mesh.network.set_cut(false, |_, _| true);
+    let output = command(&[&["watch"], &at[..]].concat()).await;
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    assert_eq!(mesh.version_at(2).await, 2);
+}
