--- a/tests/testsuite/publish.rs
+++ b/tests/testsuite/publish.rs
@@ -433,3 +433,19 @@
     run.expect(2, "--operator is required");
     assert_eq!(bench.head(), 0);
 }
+
+/// A script deletes a team, is killed before it sees the answer, and runs again with the same id.
+/// The team is gone by then; the script must be told that its publication is done, and not that
+/// there is no such team.
+#[tokio::test]
+async fn deletion_run_again_is_found_done() {
+    let bench = Bench::start().await;
+    for team in ["armazem", "balanco"] {
+        let file = bench.team(team, 12, "");
+        bench.publish(&file, &[]).await.expect(0, "Published");
+    }
+    let delete = ["publish", "--id", "gone", "--remove", "balanco"];
+    bench.run(&delete).await.expect(0, "Published: version 3");
+    let run = bench.run(&delete).await;
+    run.expect(0, "Found already published: version 3");
+}
