--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use dragonflywall::core::difference::{self, TeamDifference};
 use dragonflywall::core::names::TeamName;
 use dragonflywall::core::version::{Stamp, Version};
 use dragonflywall::ops::command::hint;
@@ -151,7 +152,7 @@
         let given = self.resume.as_ref().or(self.id.as_ref()).cloned();
         let options = PublishOptions::builder()
             .publish_id(given.unwrap_or_else(random_id))
-            .operator(self.common.operator())
+            .operator(self.common.operator()?)
             .time_ms(now_ms())
             .records(check::records(&self.paths)?)
             .removals(self.removals.clone())
@@ -194,7 +195,7 @@
 
 fn settle(id: &str, common: &Common) -> Result {
     let platform = common.platform()?;
-    let settled = block_on(abandon(&platform, id, common.operator(), now_ms()));
+    let settled = block_on(abandon(&platform, id, common.operator()?, now_ms()));
     match settled.map_err(failure)? {
         Some(version) if common.json => {
             print_json_line(&serde_json::json!({ "publication": id, "version": version }));
@@ -220,6 +221,7 @@
     operator: &'a str,
     rebases: u32,
     already: bool,
+    changes: &'a [TeamDifference],
 }
 
 fn print(options: &PublishOptions, published: &Published, json: bool) {
@@ -230,6 +232,7 @@
             operator: &options.operator,
             rebases: published.rebases,
             already: published.already,
+            changes: &published.changes,
         });
         return;
     }
@@ -242,6 +245,7 @@
         "{done}: version {} by {} (publication {})",
         published.stamp, options.operator, options.publish_id
     );
+    print!("{}", difference::to_text(&published.changes));
     if published.rebases > 0 {
         println!(
             "Rebased {} times on other teams' publications",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,13 @@
 //! The integration tests: whole processes, and the library's decisions from outside.
 
+mod check;
 mod decide_admission;
 mod decide_placement;
 mod decide_retry;
 mod decide_simulation;
+mod documentation;
 mod ledger;
+mod operator_commands;
 mod publish;
 mod publish_in_flight;
 mod requests_answers;
