Measure convergence and control bytes beside a polling baseline

`experiment convergence` starts 8 to 128 node processes through counted, delayed and throttled fronts, and reads the time of enforcing from the nodes' own log lines, so that watching costs them nothing. Idle traffic, changes, endpoint churn and a restart of all nodes are counted apart. Processor time comes from each process's clock, since /proc/PID/stat has steps of 10 ms.

A first trial printed a polling p50 of 2 ms: the histogram clamped what was above its first range. It has fixed bounds now.

--- /dev/null
+++ b/crates/experiment/src/baseline.rs
@@ -0,0 +1,154 @@
+//! The plain way to compare with: every proxy polls the store for the whole configuration.
+//!
+//! The pollers are tasks of this program; each dials from its own data centre through the same
+//! counted network as the nodes do, and checks what it reads as a node would.
+
+use std::time::{Duration, Instant};
+
+use dragonflywall::core::configuration::Configuration;
+use dragonflywall::core::version::{Digest, Stamp, Version};
+use dragonflywall::platform::ObjectStore;
+use dragonflywall::platform::http::HttpPlatform;
+use testkit::network::{Front, Network, Site, site_ip};
+use testkit::platform::Platform;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::error::{Error, Result};
+use crate::fleet::{SERVICES, records};
+
+/// "Every few seconds".
+pub(crate) const POLL: Duration = Duration::from_secs(5);
+const REGIONS: [u8; 4] = [0, 0, 1, 1];
+const LINK_MBIT_PER_S: f64 = 30.0;
+
+/// What polling cost and how soon it brought a change.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Polled {
+    /// From the write's answer to each poller's having the change, all changes together.
+    pub(crate) enforced_after: Vec<Duration>,
+    /// Between all pollers and the store, both ways, per second.
+    pub(crate) bytes_per_s: f64,
+    /// Over the regional link, both ways, per second.
+    pub(crate) link_bytes_per_s: f64,
+    /// Reads of the store per second.
+    pub(crate) reads_per_s: f64,
+}
+
+/// Runs `nodes` pollers through `changes` changes.
+pub(crate) async fn run(nodes: usize, changes: usize) -> Result<Polled> {
+    let network = Network::new(REGIONS.into(), LINK_MBIT_PER_S);
+    network.set_delays(Duration::from_millis(1), Duration::from_millis(20));
+    let address = std::net::SocketAddr::new(site_ip(0), 0);
+    let platform = Platform::start(address).await.map_err(start_error)?;
+    let front = Front::open(&network, 0).await.map_err(start_error)?;
+    front.set_target(platform.address);
+    let publisher = HttpPlatform::new(&platform.url(), None);
+    put(&publisher, 1).await?;
+
+    let (sender, mut seen) = mpsc::unbounded_channel();
+    let mut pollers = JoinSet::new();
+    for number in 0..nodes {
+        let site = Site::try_from(number % REGIONS.len()).unwrap_or(0);
+        let url = format!("http://{}", front.address);
+        let store = HttpPlatform::new(&url, Some(site_ip(site)));
+        // Spread evenly over the interval, as pollers that started at random would be.
+        let phase = POLL.mul_f64(number as f64 / nodes as f64);
+        pollers.spawn(poll(store, phase, sender.clone()));
+    }
+    wait_all(&mut seen, nodes, 1).await?;
+
+    let begin = Instant::now();
+    let bytes = front.bytes();
+    let link_bytes = network.bytes_between_regions();
+    let reads = platform.counts().reads;
+    let mut polled = Polled::default();
+    for change in 0..changes {
+        let version = change as u64 + 2;
+        put(&publisher, version).await?;
+        let at = Instant::now();
+        for seen_at in wait_all(&mut seen, nodes, version).await? {
+            polled.enforced_after.push(seen_at.duration_since(at));
+        }
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    polled.bytes_per_s = (front.bytes() - bytes) as f64 / seconds;
+    polled.link_bytes_per_s = (network.bytes_between_regions() - link_bytes) as f64 / seconds;
+    polled.reads_per_s = (platform.counts().reads - reads) as f64 / seconds;
+    Ok(polled)
+}
+
+fn start_error(error: impl std::fmt::Display) -> Error {
+    Error::Start {
+        text: error.to_string(),
+    }
+}
+
+/// The one object that holds the whole configuration, whatever its content.
+fn key() -> Digest {
+    Digest::of(b"the whole configuration")
+}
+
+/// The object is a line with the stamp, then the compressed configuration.
+async fn put(store: &HttpPlatform, version: u64) -> Result {
+    let mut configuration = Configuration {
+        version: Version(version),
+        ..Configuration::default()
+    };
+    for record in records(SERVICES.len(), 2_000)? {
+        configuration.teams.insert(record.team.clone(), record);
+    }
+    let mut object = serde_json::to_vec(&configuration.stamp()).map_err(start_error)?;
+    object.push(b'\n');
+    object.extend(configuration.to_snapshot());
+    store.put_object(&key(), &object).await.map_err(start_error)
+}
+
+async fn poll(store: HttpPlatform, phase: Duration, seen: mpsc::UnboundedSender<(u64, Instant)>) {
+    tokio::time::sleep(phase).await;
+    let mut ticks = tokio::time::interval(POLL);
+    let mut held = 0;
+    loop {
+        ticks.tick().await;
+        let Ok(Some(bytes)) = store.object(&key()).await else {
+            continue;
+        };
+        let Some(version) = verified_version(&bytes) else {
+            continue;
+        };
+        if version > held {
+            held = version;
+            let _ = seen.send((version, Instant::now()));
+        }
+    }
+}
+
+/// The version, once the content has been checked against its stamp.
+fn verified_version(object: &[u8]) -> Option<u64> {
+    let end = object.iter().position(|byte| *byte == b'\n')?;
+    let (stamp, snapshot) = object.split_at(end);
+    let stamp: Stamp = serde_json::from_slice(stamp).ok()?;
+    let configuration = Configuration::from_snapshot(&snapshot[1..], stamp).ok()?;
+    Some(configuration.version.0)
+}
+
+async fn wait_all(
+    seen: &mut mpsc::UnboundedReceiver<(u64, Instant)>,
+    nodes: usize,
+    version: u64,
+) -> Result<Vec<Instant>> {
+    let limit = POLL * 4;
+    let mut times = Vec::with_capacity(nodes);
+    while times.len() < nodes {
+        match tokio::time::timeout(limit, seen.recv()).await {
+            Ok(Some((found, at))) if found == version => times.push(at),
+            Ok(Some(_)) => (),
+            Ok(None) | Err(_) => {
+                return Err(Error::Unexpected {
+                    text: format!("{} of {nodes} pollers have version {version}", times.len()),
+                });
+            }
+        }
+    }
+    Ok(times)
+}
--- a/crates/experiment/src/cli.rs
+++ b/crates/experiment/src/cli.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use crate::error::{Error, Result};
-use crate::{demo, node};
+use crate::{convergence, demo, node};
 
 const HELP: &str = "\
 Runs meshes of dragonflywall nodes on this machine and measures them.
@@ -15,6 +15,12 @@
 
 Commands:
   demo [chatarras|marinhas]  a whole small mesh: publish, call, publish again
+  convergence                time from acceptance to enforcing, control bytes, memory
+
+Options of the measuring commands:
+  --quick                    small sizes, to see that it runs (the default)
+  --full                     every size
+  --docs DIR                 where `measurements` are written (default: this repository's docs)
 ";
 
 /// Runs the command line.
@@ -46,6 +52,7 @@
     let rest: Vec<OsString> = arguments.collect();
     match command {
         Some("demo") => block_on(demo::run(rest)),
+        Some("convergence") => block_on(convergence::run(rest)),
         Some("node") => node::run(rest),
         Some("help" | "--help" | "-h") => {
             print!("{HELP}");
--- /dev/null
+++ b/crates/experiment/src/convergence.rs
@@ -0,0 +1,473 @@
+//! `convergence`: from acceptance to every node enforcing, and what the control traffic costs.
+//!
+//! For each size a mesh of node processes goes through idling, publications, endpoint churn and a
+//! restart of all nodes at once; the baseline of polling pollers goes through the same changes.
+
+use std::ffi::OsString;
+use std::time::{Duration, Instant};
+
+use dragonflywall::core::version::Version;
+use dragonflywall::ops::query::accepted;
+use hdrhistogram::Histogram;
+use http::Method;
+use testkit::http::request;
+use testkit::platform::Peaks;
+
+use crate::baseline::{self, POLL, Polled};
+use crate::error::{Error, Result};
+use crate::fleet::{Fleet, Interval, SERVICES, team_file};
+use crate::options::{Options, Scale};
+use crate::publication;
+use crate::report::{Axes, Report, Series, Table, figure};
+
+/// Times are counted up to this; each run is bounded far below it.
+const TIME_MAX_MS: u64 = 600_000;
+
+/// How much is run at each size.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) sizes: Vec<usize>,
+    pub(crate) publications: usize,
+    pub(crate) baseline_changes: usize,
+    /// After a start or restart, until the traffic of joining has ended.
+    pub(crate) settle: Duration,
+    pub(crate) idle: Duration,
+    /// Endpoint announcements in all, and the time over which they come.
+    pub(crate) churn_events: usize,
+    pub(crate) churn: Duration,
+}
+
+impl Plan {
+    pub(crate) fn of(scale: Scale) -> Self {
+        match scale {
+            Scale::Quick => Self {
+                sizes: vec![8, 16],
+                publications: 3,
+                baseline_changes: 1,
+                settle: Duration::from_secs(2),
+                idle: Duration::from_secs(3),
+                churn_events: 8,
+                churn: Duration::from_secs(2),
+            },
+            Scale::Full => Self {
+                sizes: vec![8, 16, 32, 64, 128],
+                publications: 10,
+                baseline_changes: 2,
+                settle: Duration::from_secs(4),
+                idle: Duration::from_secs(8),
+                churn_events: 40,
+                churn: Duration::from_secs(4),
+            },
+        }
+    }
+}
+
+/// What was measured at one size.
+#[derive(Debug)]
+pub(crate) struct Measured {
+    pub(crate) nodes: usize,
+    pub(crate) idle: Interval,
+    /// One for each node and publication, in milliseconds.
+    pub(crate) spread_ms: Histogram<u64>,
+    pub(crate) changes: Interval,
+    pub(crate) publications: usize,
+    /// Mean size of the compressed deltas published.
+    pub(crate) delta_bytes: f64,
+    pub(crate) churn: Interval,
+    pub(crate) churn_events: usize,
+    pub(crate) herd_ms: Histogram<u64>,
+    pub(crate) herd: Interval,
+    pub(crate) herd_peaks: Peaks,
+    /// Largest anonymous and resident memory of a node, in megabytes.
+    pub(crate) anonymous_mb: f64,
+    pub(crate) resident_mb: f64,
+    pub(crate) baseline: Polled,
+}
+
+impl Measured {
+    /// Bytes over the link for one change, beyond what idling costs.
+    pub(crate) fn link_bytes_per_change(&self) -> f64 {
+        let idle = self.idle.link_bytes / self.idle.seconds * self.changes.seconds;
+        (self.changes.link_bytes - idle).max(0.0) / self.publications as f64
+    }
+
+    /// Bytes between nodes for one change, beyond what idling costs.
+    pub(crate) fn bytes_per_change(&self) -> f64 {
+        let idle = self.idle.between_nodes_bytes / self.idle.seconds * self.changes.seconds;
+        (self.changes.between_nodes_bytes - idle).max(0.0) / self.publications as f64
+    }
+
+    /// Bytes between nodes for one endpoint announcement, beyond what idling costs.
+    pub(crate) fn bytes_per_event(&self) -> f64 {
+        let idle = self.idle.between_nodes_bytes / self.idle.seconds * self.churn.seconds;
+        (self.churn.between_nodes_bytes - idle).max(0.0) / self.churn_events as f64
+    }
+
+    /// Processor time of all nodes for one change, beyond idling, in milliseconds.
+    pub(crate) fn processor_ms_per_change(&self) -> f64 {
+        let idle = self.idle.processor_s / self.idle.seconds * self.changes.seconds;
+        (self.changes.processor_s - idle).max(0.0) * 1e3 / self.publications as f64
+    }
+}
+
+/// Runs the command.
+pub(crate) async fn run(arguments: Vec<OsString>) -> Result {
+    let options = Options::parse(arguments)?;
+    let report = Report::new(&options.docs)?;
+    let measured = measure(&Plan::of(options.scale)).await?;
+    write(&report, &measured, options.scale)
+}
+
+/// Measures every size, and the baseline at all sizes side by side.
+pub(crate) async fn measure(plan: &Plan) -> Result<Vec<Measured>> {
+    let mut all = Vec::new();
+    for &nodes in &plan.sizes {
+        let begin = Instant::now();
+        let measured = measure_size(plan, nodes).await?;
+        println!(
+            "Measured {nodes} nodes in {:.1} s: enforced everywhere p50 {} ms, p99 {} ms, max {} ms",
+            begin.elapsed().as_secs_f64(),
+            measured.spread_ms.value_at_quantile(0.5),
+            measured.spread_ms.value_at_quantile(0.99),
+            measured.spread_ms.max()
+        );
+        all.push(measured);
+    }
+    // Pollers are few tasks that mostly sleep, so their sizes can run at the same time.
+    let baselines = all
+        .iter()
+        .map(|measured| tokio::spawn(baseline::run(measured.nodes, plan.baseline_changes)));
+    let baselines: Vec<_> = baselines.collect();
+    for (measured, baseline) in all.iter_mut().zip(baselines) {
+        measured.baseline = baseline.await.map_err(|error| Error::Unexpected {
+            text: error.to_string(),
+        })??;
+    }
+    println!("Measured the polling baseline at {} sizes", all.len());
+    Ok(all)
+}
+
+async fn measure_size(plan: &Plan, nodes: usize) -> Result<Measured> {
+    let mut fleet = Fleet::start(nodes).await?;
+    tokio::time::sleep(plan.settle).await;
+    let idle = fleet.idle(plan.idle).await;
+    let (spread_ms, changes) = publish_all(&mut fleet, plan.publications).await?;
+    let delta_bytes = mean_delta_bytes(&fleet).await?;
+    let churn = churn(&fleet, plan).await?;
+    // The busiest minute is over; what is resident now is what a node needs.
+    let memory = fleet.memory();
+    let largest =
+        |kb: &dyn Fn(usize) -> u64| (0..memory.len()).map(kb).max().unwrap_or(0) as f64 / 1024.0;
+    let anonymous_mb = largest(&|node| memory[node].anonymous_kb);
+    let resident_mb = largest(&|node| memory[node].resident_kb);
+
+    fleet.mesh.platform.take_peaks();
+    let before = fleet.sample();
+    let herd = fleet.restart_all().await?;
+    tokio::time::sleep(plan.settle).await;
+    let herd_interval = before.until(&fleet.sample());
+    let herd_peaks = fleet.mesh.platform.take_peaks();
+    Ok(Measured {
+        nodes,
+        idle,
+        spread_ms,
+        changes,
+        publications: plan.publications,
+        delta_bytes,
+        churn,
+        churn_events: plan.churn_events,
+        herd_ms: histogram(&herd),
+        herd: herd_interval,
+        herd_peaks,
+        anonymous_mb,
+        resident_mb,
+        baseline: Polled::default(),
+    })
+}
+
+/// Publishes a change of one team's treatment again and again.
+async fn publish_all(fleet: &mut Fleet, publications: usize) -> Result<(Histogram<u64>, Interval)> {
+    let mut spread_ms = empty_histogram();
+    let before = fleet.sample();
+    for number in 0..publications {
+        let timeout_ms = 1_000 + u32::try_from(number).unwrap_or(0);
+        let file = team_file(number % SERVICES.len(), timeout_ms);
+        let times = fleet.publish(publication::records(&[file])?).await?;
+        record(&mut spread_ms, &times);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    Ok((spread_ms, before.until(&fleet.sample())))
+}
+
+/// Mean size of the deltas of all versions but the first.
+async fn mean_delta_bytes(fleet: &Fleet) -> Result<f64> {
+    let read_error = |error: accepted::Error| Error::Unexpected {
+        text: error.to_string(),
+    };
+    let mut bytes = 0;
+    for version in 2..=fleet.version {
+        let row = accepted::version_row(&fleet.platform, Version(version)).await;
+        let row = row.map_err(read_error)?;
+        let delta = accepted::object(&fleet.platform, &row.delta_object).await;
+        bytes += delta.map_err(read_error)?.len();
+    }
+    Ok(bytes as f64 / fleet.version.saturating_sub(1).max(1) as f64)
+}
+
+/// Backend servers announce in turn that they drain and that they serve again.
+async fn churn(fleet: &Fleet, plan: &Plan) -> Result<Interval> {
+    let before = fleet.sample();
+    let pause = plan.churn / u32::try_from(plan.churn_events).unwrap_or(1);
+    let mut ticks = tokio::time::interval(pause);
+    for event in 0..plan.churn_events {
+        ticks.tick().await;
+        // Each drains at an even event and serves again at the odd one after it.
+        let vm = &fleet.mesh.vms[event / 2 % fleet.mesh.vms.len()];
+        let state = if event % 2 == 0 {
+            "draining"
+        } else {
+            "serving"
+        };
+        announce(vm, state).await?;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    Ok(before.until(&fleet.sample()))
+}
+
+/// The backend server of a VM announces its state to its node.
+pub(crate) async fn announce(vm: &testkit::mesh::Vm, state: &str) -> Result {
+    let announcement = serde_json::json!({
+        "service": vm.service,
+        "address": vm.backend.address,
+        "state": state,
+    });
+    let operator = vm.node().addresses.operator;
+    let body = announcement.to_string();
+    let reply = request(operator, Method::POST, "node", "/backend-server", &[], body).await;
+    match reply {
+        Ok(reply) if reply.status == 200 => Ok(()),
+        other => Err(Error::Unexpected {
+            text: format!("the announcement was not taken: {other:?}"),
+        }),
+    }
+}
+
+fn empty_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, TIME_MAX_MS, 3).expect("three digits are in range")
+}
+
+fn record(histogram: &mut Histogram<u64>, times: &[Duration]) {
+    for time in times {
+        histogram.saturating_record(u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+    }
+}
+
+pub(crate) fn histogram(times: &[Duration]) -> Histogram<u64> {
+    let mut histogram = empty_histogram();
+    record(&mut histogram, times);
+    histogram
+}
+
+/// Writes page, rows and plots.
+pub(crate) fn write(report: &Report, measured: &[Measured], scale: Scale) -> Result {
+    let command = format!(
+        "cargo run --release -p experiment -- convergence {}",
+        scale.flag()
+    );
+    let tables = [
+        spread_table(measured, &command),
+        cost_table(measured, &command),
+        herd_table(measured, &command),
+    ];
+    report.page("convergence", &introduction(), &tables)?;
+    plot_spread(report, measured)?;
+    plot_bytes(report, measured)
+}
+
+fn introduction() -> String {
+    format!(
+        "# Convergence and control traffic\n\n\
+         Node processes in 2 regions with 2 data centres each, 1 ms apart inside a region and 20 ms\n\
+         between them, joined by 30 Mbit/s each way. The configuration has {} services; each\n\
+         publication changes one team's record. Times run from the return of the commit to the\n\
+         node's own time stamp of enforcing. Bytes are those of TCP payload, both ways, counted on\n\
+         every connection between nodes and to the platform. The baseline's proxies each read the\n\
+         whole compressed configuration from the store every {} s.\n\n\
+         ![time to enforce](convergence-time.svg)\n\n\
+         ![control bytes](convergence-bytes.svg)\n",
+        SERVICES.len(),
+        POLL.as_secs()
+    )
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> [String; 3] {
+    [
+        histogram.value_at_quantile(0.5).to_string(),
+        histogram.value_at_quantile(0.99).to_string(),
+        histogram.max().to_string(),
+    ]
+}
+
+fn spread_table(measured: &[Measured], command: &str) -> Table {
+    let row = |m: &Measured| {
+        let [p50, p99, max] = quantiles(&m.spread_ms);
+        let [base_p50, base_p99, base_max] = quantiles(&histogram(&m.baseline.enforced_after));
+        let link = m.link_bytes_per_change();
+        vec![
+            m.nodes.to_string(),
+            m.publications.to_string(),
+            p50,
+            p99,
+            max,
+            base_p50,
+            base_p99,
+            base_max,
+            figure(m.delta_bytes),
+            figure(link),
+            figure(link / m.delta_bytes),
+            figure(m.bytes_per_change() / m.nodes as f64),
+        ]
+    };
+    Table {
+        title: "From acceptance to enforcing, and bytes per change",
+        command: command.to_owned(),
+        columns: vec![
+            "nodes",
+            "changes",
+            "p50 ms",
+            "p99 ms",
+            "max ms",
+            "polling p50 ms",
+            "polling p99 ms",
+            "polling max ms",
+            "delta bytes",
+            "link bytes per change",
+            "link bytes in deltas",
+            "bytes per node and change",
+        ],
+        rows: measured.iter().map(row).collect(),
+    }
+}
+
+fn cost_table(measured: &[Measured], command: &str) -> Table {
+    let row = |m: &Measured| {
+        vec![
+            m.nodes.to_string(),
+            figure(m.idle.node_bytes_per_s(m.nodes)),
+            figure(m.baseline.bytes_per_s / m.nodes as f64),
+            figure(m.idle.link_bytes / m.idle.seconds),
+            figure(m.baseline.link_bytes_per_s),
+            figure(m.idle.platform_reads / m.idle.seconds),
+            figure(m.baseline.reads_per_s),
+            figure(m.idle.node_core_percent(m.nodes)),
+            figure(m.processor_ms_per_change() / m.nodes as f64),
+            figure(m.bytes_per_event() / m.nodes as f64),
+            figure(m.anonymous_mb),
+            figure(m.resident_mb),
+        ]
+    };
+    Table {
+        title: "Idle cost, endpoint churn and memory",
+        command: command.to_owned(),
+        columns: vec![
+            "nodes",
+            "idle bytes/s per node",
+            "polling bytes/s per node",
+            "idle link bytes/s",
+            "polling link bytes/s",
+            "idle platform reads/s",
+            "polling platform reads/s",
+            "idle % of a core per node",
+            "processor ms per node and change",
+            "bytes per node and announcement",
+            "largest anonymous MB",
+            "largest resident MB",
+        ],
+        rows: measured.iter().map(row).collect(),
+    }
+}
+
+fn herd_table(measured: &[Measured], command: &str) -> Table {
+    let row = |m: &Measured| {
+        let [p50, p99, max] = quantiles(&m.herd_ms);
+        vec![
+            m.nodes.to_string(),
+            p50,
+            p99,
+            max,
+            figure(m.herd.between_nodes_bytes / m.nodes as f64),
+            figure(m.herd.link_bytes),
+            figure(m.herd.platform_reads),
+            figure(m.herd.platform_writes),
+            m.herd_peaks.reads_per_s.to_string(),
+            m.herd_peaks.writes_per_s.to_string(),
+            figure(m.herd.platform_refused),
+        ]
+    };
+    Table {
+        title: "All nodes killed at once and started again",
+        command: command.to_owned(),
+        columns: vec![
+            "nodes",
+            "p50 ms",
+            "p99 ms",
+            "max ms",
+            "bytes per node",
+            "link bytes",
+            "platform reads",
+            "platform writes",
+            "most reads in 1 s",
+            "most writes in 1 s",
+            "refused by the platform",
+        ],
+        rows: measured.iter().map(row).collect(),
+    }
+}
+
+fn line(name: &str, measured: &[Measured], y: impl Fn(&Measured) -> f64) -> Series {
+    Series {
+        name: name.to_owned(),
+        points: measured.iter().map(|m| (m.nodes as f64, y(m))).collect(),
+    }
+}
+
+fn plot_spread(report: &Report, measured: &[Measured]) -> Result {
+    let axes = Axes {
+        title: "From acceptance to enforcing",
+        x: "nodes",
+        y: "ms",
+    };
+    let lines = [
+        line("p50", measured, |m| {
+            m.spread_ms.value_at_quantile(0.5) as f64
+        }),
+        line("p99", measured, |m| {
+            m.spread_ms.value_at_quantile(0.99) as f64
+        }),
+        line("polling p50", measured, |m| {
+            histogram(&m.baseline.enforced_after).value_at_quantile(0.5) as f64
+        }),
+        line("polling p99", measured, |m| {
+            histogram(&m.baseline.enforced_after).value_at_quantile(0.99) as f64
+        }),
+    ];
+    report.plot("convergence-time.svg", axes, &lines)
+}
+
+fn plot_bytes(report: &Report, measured: &[Measured]) -> Result {
+    let axes = Axes {
+        title: "Idle control traffic",
+        x: "nodes",
+        y: "bytes/s per node",
+    };
+    let lines = [
+        line("dragonflywall", measured, |m| {
+            m.idle.node_bytes_per_s(m.nodes)
+        }),
+        line("polling", measured, |m| {
+            m.baseline.bytes_per_s / m.nodes as f64
+        }),
+        line("users' limit", measured, |_| 2_000.0),
+    ];
+    report.plot("convergence-bytes.svg", axes, &lines)
+}
--- a/crates/experiment/src/error.rs
+++ b/crates/experiment/src/error.rs
@@ -28,6 +28,12 @@
     /// The mesh did something else than it should.
     #[snafu(display("{text}"))]
     Unexpected { text: String },
+    /// A file could not be written.
+    #[snafu(display("writing {path}"))]
+    Write {
+        path: String,
+        source: std::io::Error,
+    },
 }
 
 impl From<lexopt::Error> for Error {
--- /dev/null
+++ b/crates/experiment/src/fleet.rs
@@ -0,0 +1,369 @@
+//! A mesh of a given size, watched from outside: when each node enforces, what it sends and uses.
+//!
+//! Nodes log "enforced a configuration" with their own time stamp; the lines are read here, so
+//! watching costs the nodes nothing. Traffic is counted by the fronts that every connection of
+//! the mesh passes, inside data centres too.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use dragonflywall::core::configuration::TeamRecord;
+use dragonflywall::platform::http::HttpPlatform;
+use testkit::backend::Behaviour;
+use testkit::mesh::{DataCentre, Deployment, Mesh};
+use testkit::platform::Counts;
+use testkit::process::{LogLine, Signal};
+use tokio::sync::mpsc;
+
+use crate::error::{Error, Result};
+use crate::publication;
+use crate::usage::{self, Memory};
+
+/// Services of the design size.
+pub(crate) const SERVICES: [&str; 14] = [
+    "service-a",
+    "service-b",
+    "service-c",
+    "service-d",
+    "service-e",
+    "service-f",
+    "service-g",
+    "service-h",
+    "service-i",
+    "service-j",
+    "service-k",
+    "service-l",
+    "service-m",
+    "service-n",
+];
+const DATA_CENTRES: [(&str, &str, u8); 4] = [
+    ("north-a", "north", 0),
+    ("north-b", "north", 0),
+    ("south-a", "south", 1),
+    ("south-b", "south", 1),
+];
+/// A publication that is not in force everywhere by then has failed.
+const SPREAD_LIMIT: Duration = Duration::from_secs(30);
+const DAY_US: u64 = 86_400_000_000;
+const ENFORCED_MESSAGE: &str = "enforced a configuration";
+
+/// The team file of one service: three resources, four routes, a call to the next service.
+pub(crate) fn team_file(number: usize, timeout_ms: u32) -> String {
+    let service = SERVICES[number % SERVICES.len()];
+    let next = SERVICES[(number + 1) % SERVICES.len()];
+    format!(
+        r#"team = "team-{service}"
+
+[service.{service}]
+slots_per_endpoint = 20
+connections_per_endpoint = 110
+queue_len = 40
+
+[service.{service}.resource.read]
+class = "interactive"
+idempotent = true
+timeout_ms = {timeout_ms}
+attempts = 3
+spill = "mesh"
+
+[service.{service}.resource.write]
+class = "interactive"
+idempotent = false
+timeout_ms = 8000
+attempts = 2
+spill = "region"
+
+[service.{service}.resource.report]
+class = "bulk"
+idempotent = true
+timeout_ms = 60000
+attempts = 2
+spill = "region"
+
+[[service.{service}.route]]
+methods = ["GET", "HEAD"]
+path = "/items"
+resource = "read"
+
+[[service.{service}.route]]
+methods = ["POST", "PUT"]
+path = "/items"
+resource = "write"
+
+[[service.{service}.route]]
+methods = ["DELETE"]
+path = "/items"
+resource = "write"
+
+[[service.{service}.route]]
+methods = ["GET"]
+path = "/reports"
+resource = "report"
+
+[calls]
+{next} = ["read", "write"]
+"#
+    )
+}
+
+/// Records of all services, with the given timeouts.
+pub(crate) fn records(services: usize, timeout_ms: u32) -> Result<Vec<TeamRecord>> {
+    let mut files: Vec<String> = (0..services.min(SERVICES.len()))
+        .map(|number| team_file(number, timeout_ms))
+        .collect();
+    if services < SERVICES.len()
+        && let Some(last) = files.last_mut()
+    {
+        // The chain of calls must close inside a smaller set.
+        let next = format!("{} =", SERVICES[services]);
+        *last = last.replace(&next, &format!("{} =", SERVICES[0]));
+    }
+    publication::records(&files)
+}
+
+/// The deployment of `nodes` nodes in 2 regions with 2 data centres each.
+fn deployment(nodes: usize, log_lines: mpsc::UnboundedSender<LogLine>) -> Deployment {
+    let per_data_centre = (nodes / DATA_CENTRES.len()).max(1);
+    let services = per_data_centre.min(4);
+    let data_centre = |(name, region, region_number)| DataCentre {
+        name,
+        region,
+        region_number,
+    };
+    Deployment {
+        data_centres: DATA_CENTRES.map(data_centre).into(),
+        services: SERVICES[..services].to_vec(),
+        endpoints_per_data_centre: per_data_centre / services,
+        behaviour: Behaviour::default(),
+        counts_inside: true,
+        log_lines: Some(log_lines),
+    }
+}
+
+/// What was counted up to a moment.
+#[derive(Clone, Debug)]
+pub(crate) struct Sample {
+    at: Instant,
+    between_nodes: u64,
+    between_regions: u64,
+    with_platform: u64,
+    platform: Counts,
+    processor: HashMap<u32, Duration>,
+}
+
+/// What happened between two samples.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Interval {
+    pub(crate) seconds: f64,
+    /// Bytes between nodes, both ways.
+    pub(crate) between_nodes_bytes: f64,
+    /// Bytes over the regional link, both ways, those to and from the platform included.
+    pub(crate) link_bytes: f64,
+    /// Bytes between nodes and the platform, both ways.
+    pub(crate) platform_bytes: f64,
+    pub(crate) platform_reads: f64,
+    pub(crate) platform_writes: f64,
+    pub(crate) platform_refused: f64,
+    /// Processor time of all nodes that lived through the interval.
+    pub(crate) processor_s: f64,
+}
+
+impl Sample {
+    /// What happened from `self` to `later`.
+    pub(crate) fn until(&self, later: &Self) -> Interval {
+        let processor_s = later.processor.iter().filter_map(|(id, time)| {
+            let before = self.processor.get(id)?;
+            Some(time.saturating_sub(*before).as_secs_f64())
+        });
+        let grown = |before: u64, after: u64| after.saturating_sub(before) as f64;
+        Interval {
+            seconds: later.at.duration_since(self.at).as_secs_f64(),
+            between_nodes_bytes: grown(self.between_nodes, later.between_nodes),
+            link_bytes: grown(self.between_regions, later.between_regions),
+            platform_bytes: grown(self.with_platform, later.with_platform),
+            platform_reads: grown(self.platform.reads, later.platform.reads),
+            platform_writes: grown(self.platform.writes, later.platform.writes),
+            platform_refused: grown(self.platform.refused, later.platform.refused),
+            processor_s: processor_s.sum(),
+        }
+    }
+}
+
+impl Interval {
+    /// Control bytes that one node sends and receives in a second. Traffic between nodes is seen
+    /// by two of them.
+    pub(crate) fn node_bytes_per_s(&self, nodes: usize) -> f64 {
+        let bytes = 2.0 * self.between_nodes_bytes + self.platform_bytes;
+        bytes / self.seconds / nodes as f64
+    }
+
+    /// Share of a core that one node uses, in percent.
+    pub(crate) fn node_core_percent(&self, nodes: usize) -> f64 {
+        100.0 * self.processor_s / self.seconds / nodes as f64
+    }
+}
+
+/// A running mesh of node processes.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) mesh: Mesh,
+    pub(crate) platform: HttpPlatform,
+    pub(crate) version: u64,
+    lines: mpsc::UnboundedReceiver<LogLine>,
+}
+
+impl Fleet {
+    /// Starts `nodes` nodes, publishes the whole configuration, waits until all enforce it.
+    pub(crate) async fn start(nodes: usize) -> Result<Self> {
+        let (sender, lines) = mpsc::unbounded_channel();
+        let program = std::env::current_exe().map_err(|error| Error::Start {
+            text: error.to_string(),
+        })?;
+        let mesh = Mesh::start(&program, &["node"], deployment(nodes, sender)).await;
+        let mesh = mesh.map_err(|text| Error::Start { text })?;
+        let platform = HttpPlatform::new(&mesh.platform.url(), None);
+        let mut fleet = Self {
+            mesh,
+            platform,
+            version: 0,
+            lines,
+        };
+        fleet.publish(records(SERVICES.len(), 2_000)?).await?;
+        fleet.mesh.wait_joined().await;
+        Ok(fleet)
+    }
+
+    /// Publishes `records`; how long after acceptance each node enforced them.
+    pub(crate) async fn publish(&mut self, records: Vec<TeamRecord>) -> Result<Vec<Duration>> {
+        let version = self.version + 1;
+        let platform = self.platform.clone();
+        let publishing = publication::accept(&platform, "experiment", records, version);
+        let accepted = publishing.await?;
+        self.version = version;
+        self.enforced_after(accepted.wall_us).await
+    }
+
+    /// Kills every node, starts all again, and waits until each enforces what it did before.
+    /// Gives the time from the kill until each enforced.
+    pub(crate) async fn restart_all(&mut self) -> Result<Vec<Duration>> {
+        while self.lines.try_recv().is_ok() {}
+        let begin_us = wall_us();
+        for vm in &mut self.mesh.vms {
+            if let Some(mut node) = vm.node.take() {
+                node.signal(Signal::Kill);
+                let _ = node.ended().await;
+            }
+        }
+        let all = (0..self.mesh.vms.len()).collect();
+        let started = self.mesh.start_nodes(all).await;
+        started.map_err(|text| Error::Start { text })?;
+        self.enforced_after(begin_us).await
+    }
+
+    /// Reads log lines until every node has enforced the published version.
+    async fn enforced_after(&mut self, begin_us: u64) -> Result<Vec<Duration>> {
+        let nodes = self.mesh.vms.len();
+        let deadline = tokio::time::Instant::now() + SPREAD_LIMIT;
+        let mut times: HashMap<usize, Duration> = HashMap::new();
+        while times.len() < nodes {
+            let line = tokio::time::timeout_at(deadline, self.lines.recv()).await;
+            let Ok(Some(line)) = line else {
+                return Err(Error::Unexpected {
+                    text: format!(
+                        "{} of {nodes} nodes enforce version {} after {} s",
+                        times.len(),
+                        self.version,
+                        SPREAD_LIMIT.as_secs()
+                    ),
+                });
+            };
+            let Some((version, at_us)) = enforced_at(&line.text) else {
+                continue;
+            };
+            if version >= self.version {
+                let after = Duration::from_micros(since_us(begin_us, at_us));
+                times.entry(line.position).or_insert(after);
+            }
+        }
+        Ok(times.into_values().collect())
+    }
+
+    /// Counts up to now.
+    pub(crate) fn sample(&self) -> Sample {
+        let ids = self.node_ids();
+        Sample {
+            at: Instant::now(),
+            between_nodes: self.mesh.bytes_between_nodes(),
+            between_regions: self.mesh.network.bytes_between_regions(),
+            with_platform: self.mesh.bytes_with_platform(),
+            platform: self.mesh.platform.counts(),
+            processor: ids
+                .filter_map(|id| Some((id, usage::processor_time(id)?)))
+                .collect(),
+        }
+    }
+
+    /// What happens while nothing is done, for `time`.
+    pub(crate) async fn idle(&self, time: Duration) -> Interval {
+        let before = self.sample();
+        tokio::time::sleep(time).await;
+        before.until(&self.sample())
+    }
+
+    /// Memory of every node.
+    pub(crate) fn memory(&self) -> Vec<Memory> {
+        self.node_ids().filter_map(usage::memory).collect()
+    }
+
+    fn node_ids(&self) -> impl Iterator<Item = u32> + '_ {
+        let nodes = self.mesh.vms.iter().filter_map(|vm| vm.node.as_ref());
+        nodes.filter_map(|node| node.id())
+    }
+}
+
+/// Microseconds since the epoch.
+pub(crate) fn wall_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_micros()).unwrap_or(u64::MAX)
+}
+
+/// From one moment to a time of day, which may be a little before it: then 0.
+fn since_us(begin_us: u64, time_of_day_us: u64) -> u64 {
+    let after = (time_of_day_us + DAY_US - begin_us % DAY_US) % DAY_US;
+    if after > DAY_US / 2 { 0 } else { after }
+}
+
+/// Version and time of day (UTC, microseconds) of a log line that says "enforced".
+fn enforced_at(line: &str) -> Option<(u64, u64)> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    if line["message"] != ENFORCED_MESSAGE {
+        return None;
+    }
+    let version = line["kvs"]["version"].as_u64()?;
+    Some((version, time_of_day_us(line["timestamp"].as_str()?)?))
+}
+
+/// Reads `2026-01-31T22:44:57.172051+02:00`.
+fn time_of_day_us(timestamp: &str) -> Option<u64> {
+    let (_, time) = timestamp.split_once('T')?;
+    let zone = time.find(['+', '-', 'Z', '['])?;
+    let (clock, zone) = time.split_at(zone);
+    let local_us = seconds(clock)? * 1e6;
+    let offset_us = match zone.get(1..6).and_then(|zone| zone.split_once(':')) {
+        Some((hours, minutes)) => {
+            let size = hours.parse::<f64>().ok()? * 3600.0 + minutes.parse::<f64>().ok()? * 60.0;
+            if zone.starts_with('-') { -size } else { size }
+        }
+        None => 0.0,
+    };
+    let utc_us = local_us - offset_us * 1e6;
+    Some(utc_us.rem_euclid(DAY_US as f64).round() as u64)
+}
+
+fn seconds(clock: &str) -> Option<f64> {
+    let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
+    Some(parts.next()?? * 3600.0 + parts.next()?? * 60.0 + parts.next()??)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -5,12 +5,19 @@
 //! with the hidden command `node`, so that nothing else needs to be built first. Each run ends by
 //! itself, listens on loopback addresses only, and leaves nothing behind but its files.
 
+mod baseline;
 mod cli;
+mod convergence;
 mod demo;
 mod error;
 mod examples;
+mod fit;
+mod fleet;
 mod node;
+mod options;
 mod publication;
+mod report;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/crates/experiment/src/publication.rs
+++ b/crates/experiment/src/publication.rs
@@ -1,6 +1,6 @@
 //! Publications as an operator makes them, through the product's own operations.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use dragonflywall::core::configuration::TeamRecord;
 use dragonflywall::core::team_file;
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 
 use crate::error::{Error, PublishSnafu, Result};
+use crate::fleet::wall_us;
 
 /// A publication that took effect.
 #[derive(Debug)]
@@ -18,6 +19,8 @@
     pub(crate) published: Published,
     /// When the commit had returned.
     pub(crate) at: Instant,
+    /// The same, in microseconds since the epoch, to compare with nodes' time stamps.
+    pub(crate) wall_us: u64,
     /// Nodes that took a hint.
     pub(crate) hinted: usize,
 }
@@ -39,18 +42,17 @@
     records: Vec<TeamRecord>,
     expected_version: u64,
 ) -> Result<Accepted> {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let time_ms = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
     let options = PublishOptions::builder()
         .publish_id(format!("{:016x}", rand::random::<u64>()))
         .operator(operator)
-        .time_ms(time_ms)
+        .time_ms(wall_us() / 1_000)
         .records(records)
         .build();
     let published = publish(platform, &options).await.context(PublishSnafu {
         version: expected_version,
     })?;
     let at = Instant::now();
+    let wall_us = wall_us();
     let hinted = hint::send_hints(platform, published.stamp).await;
     if published.stamp.version.0 != expected_version {
         return Err(Error::Unexpected {
@@ -63,6 +65,7 @@
     Ok(Accepted {
         published,
         at,
+        wall_us,
         hinted,
     })
 }
--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,167 @@
+//! Where results go: tables as Markdown, the same rows as CSV, plots as SVG.
+
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+use plotters::prelude::*;
+use snafu::ResultExt;
+
+use crate::error::{Error, Result, WriteSnafu};
+
+const PLOT_SIZE: (u32, u32) = (720, 420);
+
+/// A table with the command that gives it again.
+#[derive(Clone, Debug)]
+pub(crate) struct Table {
+    pub(crate) title: &'static str,
+    pub(crate) command: String,
+    pub(crate) columns: Vec<&'static str>,
+    pub(crate) rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Rows and heading, without title.
+    pub(crate) fn markdown(&self) -> String {
+        let mut text = format!("| {} |\n", self.columns.join(" | "));
+        text.push_str(&format!("|{}\n", "---|".repeat(self.columns.len())));
+        for row in &self.rows {
+            let _ = writeln!(text, "| {} |", row.join(" | "));
+        }
+        text
+    }
+
+    fn csv(&self) -> String {
+        let quoted = |cells: Vec<String>| {
+            let cells: Vec<String> = cells
+                .iter()
+                .map(|cell| format!("\"{}\"", cell.replace('"', "\"\"")))
+                .collect();
+            cells.join(",") + "\n"
+        };
+        let mut text = quoted(self.columns.iter().map(|&name| name.to_owned()).collect());
+        for row in &self.rows {
+            text.push_str(&quoted(row.clone()));
+        }
+        text
+    }
+}
+
+/// A line of a plot.
+#[derive(Clone, Debug)]
+pub(crate) struct Series {
+    pub(crate) name: String,
+    pub(crate) points: Vec<(f64, f64)>,
+}
+
+/// What a plot shows besides its lines.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Axes {
+    pub(crate) title: &'static str,
+    pub(crate) x: &'static str,
+    pub(crate) y: &'static str,
+}
+
+/// A page of results under `docs/measurements`.
+#[derive(Debug)]
+pub(crate) struct Report {
+    directory: PathBuf,
+}
+
+impl Report {
+    /// Results go to `docs`, by default that of the repository.
+    pub(crate) fn new(docs: &Path) -> Result<Self> {
+        let directory = docs.join("measurements");
+        std::fs::create_dir_all(&directory).context(WriteSnafu {
+            path: directory.display().to_string(),
+        })?;
+        Ok(Self { directory })
+    }
+
+    /// Writes page `name`: an introduction, then each table with its command; each table's rows
+    /// also as `name-N.csv`.
+    pub(crate) fn page(&self, name: &str, introduction: &str, tables: &[Table]) -> Result {
+        let mut text = introduction.to_owned();
+        for (number, table) in tables.iter().enumerate() {
+            let csv = format!("{name}-{}.csv", number + 1);
+            let _ = write!(
+                text,
+                "\n## {}\n\n    {}\n\n{}\n([rows as CSV]({csv}))\n",
+                table.title,
+                table.command,
+                table.markdown()
+            );
+            self.write(&csv, &table.csv())?;
+        }
+        self.write(&format!("{name}.md"), &text)
+    }
+
+    fn write(&self, file: &str, text: &str) -> Result {
+        write_file(&self.directory.join(file), text)
+    }
+
+    /// Draws lines over a common horizontal axis.
+    pub(crate) fn plot(&self, file: &str, axes: Axes, lines: &[Series]) -> Result {
+        let path = self.directory.join(file);
+        draw(&path, axes, lines).map_err(|error| Error::Unexpected {
+            text: format!("drawing {file}: {error}"),
+        })?;
+        println!("Wrote {file}");
+        Ok(())
+    }
+}
+
+/// Writes a file whole.
+pub(crate) fn write_file(path: &Path, text: &str) -> Result {
+    std::fs::write(path, text).context(WriteSnafu {
+        path: path.display().to_string(),
+    })?;
+    let name = path.file_name().unwrap_or_default();
+    println!("Wrote {}", name.to_string_lossy());
+    Ok(())
+}
+
+fn draw(path: &Path, axes: Axes, lines: &[Series]) -> Result<(), Box<dyn std::error::Error>> {
+    let all = || lines.iter().flat_map(|line| &line.points);
+    let x_max = all().map(|(x, _)| *x).fold(1.0, f64::max);
+    let y_max = all().map(|(_, y)| *y).fold(f64::MIN_POSITIVE, f64::max);
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(axes.title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..x_max * 1.05, 0.0..y_max * 1.1)?;
+    chart
+        .configure_mesh()
+        .x_desc(axes.x)
+        .y_desc(axes.y)
+        .draw()?;
+    for (number, line) in lines.iter().enumerate() {
+        let colour = Palette99::pick(number).to_rgba();
+        chart
+            .draw_series(LineSeries::new(line.points.iter().copied(), &colour))?
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+        let dots = line.points.iter();
+        chart.draw_series(dots.map(|point| Circle::new(*point, 3, colour.filled())))?;
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .position(SeriesLabelPosition::UpperLeft)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+/// A number with about three digits that matter.
+pub(crate) fn figure(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 10.0 => format!("{value:.1}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        _ => format!("{value:.3}"),
+    }
+}
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -50,6 +50,41 @@
     pub bytes_out: u64,
 }
 
+/// Most requests in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Peaks {
+    /// Reads of rows and objects.
+    pub reads_per_s: u64,
+    /// Transactions and stored objects.
+    pub writes_per_s: u64,
+}
+
+/// Counts by whole seconds since the start.
+#[derive(Debug, Default)]
+struct Seconds {
+    second: u64,
+    reads: u64,
+    writes: u64,
+    peaks: Peaks,
+}
+
+impl Seconds {
+    fn count(&mut self, second: u64, is_read: bool) {
+        if second != self.second {
+            self.second = second;
+            self.reads = 0;
+            self.writes = 0;
+        }
+        if is_read {
+            self.reads += 1;
+        } else {
+            self.writes += 1;
+        }
+        self.peaks.reads_per_s = self.peaks.reads_per_s.max(self.reads);
+        self.peaks.writes_per_s = self.peaks.writes_per_s.max(self.writes);
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Row {
     revision: u64,
@@ -104,6 +139,8 @@
     objects: BTreeMap<String, Bytes>,
     faults: Faults,
     counts: Counts,
+    started: Instant,
+    seconds: Seconds,
     reads: Bucket,
     writes: Bucket,
 }
@@ -133,6 +170,8 @@
             objects: BTreeMap::new(),
             faults: Faults::default(),
             counts: Counts::default(),
+            started: Instant::now(),
+            seconds: Seconds::default(),
             reads: Bucket::new(READS_PER_S),
             writes: Bucket::new(WRITES_PER_S),
         }));
@@ -163,6 +202,11 @@
         lock(&self.store).counts
     }
 
+    /// The busiest second since the last call.
+    pub fn take_peaks(&self) -> Peaks {
+        std::mem::take(&mut lock(&self.store).seconds.peaks)
+    }
+
     /// All rows, for tests that look at what was written.
     pub fn rows(&self) -> BTreeMap<String, String> {
         let store = lock(&self.store);
@@ -218,6 +262,8 @@
         body: Bytes,
     ) -> Option<Response<Body>> {
         let is_read = method == Method::GET;
+        self.seconds
+            .count(self.started.elapsed().as_secs(), is_read);
         let allowed = if is_read {
             self.counts.reads += 1;
             self.reads.take()
