--- a/crates/experiment/src/cli.rs
+++ b/crates/experiment/src/cli.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use crate::error::{Error, Result};
-use crate::{convergence, demo, node};
+use crate::{convergence, demo, node, requests};
 
 const HELP: &str = "\
 Runs meshes of dragonflywall nodes on this machine and measures them.
@@ -16,6 +16,7 @@
 Commands:
   demo [chatarras|marinhas]  a whole small mesh: publish, call, publish again
   convergence                time from acceptance to enforcing, control bytes, memory
+  requests                   latency added, processor time of a call, overload, drain
 
 Options of the measuring commands:
   --quick                    small sizes, to see that it runs (the default)
@@ -53,6 +54,7 @@
     match command {
         Some("demo") => block_on(demo::run(rest)),
         Some("convergence") => block_on(convergence::run(rest)),
+        Some("requests") => block_on(requests::run(rest)),
         Some("node") => node::run(rest),
         Some("help" | "--help" | "-h") => {
             print!("{HELP}");
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -13,10 +13,12 @@
 mod examples;
 mod fit;
 mod fleet;
+mod load;
 mod node;
 mod options;
 mod publication;
 mod report;
+mod requests;
 mod usage;
 
 use std::process::ExitCode;
