--- a/crates/experiment/src/publication.rs
+++ b/crates/experiment/src/publication.rs
@@ -6,6 +6,7 @@
 use dragonflywall::core::team_file;
 use dragonflywall::ops::command::hint;
 use dragonflywall::ops::command::publish::{PublishOptions, Published, publish};
+use dragonflywall::peer::client::DialOptions;
 use dragonflywall::platform::http::HttpPlatform;
 use snafu::ResultExt;
 
@@ -53,7 +54,7 @@
     })?;
     let at = Instant::now();
     let wall_us = wall_us();
-    let hinted = hint::send_hints(platform, published.stamp).await;
+    let hinted = hint::send_hints(platform, published.stamp, &DialOptions::default()).await;
     if published.stamp.version.0 != expected_version {
         return Err(Error::Unexpected {
             text: format!(
