Work out the capacity page from measured slopes

`experiment all` runs every measurement and fills the tables of docs/CAPACITY.md: a least-squares line for each cost over the number of nodes, its value and error at 520 nodes, the share of the users' limit, each role, each kind of event.

--- /dev/null
+++ b/crates/experiment/src/capacity/tests.rs
@@ -0,0 +1,25 @@
+use super::replace;
+
+#[test]
+fn text_between_markers_is_replaced_and_the_rest_kept() {
+    let page = "prose\n<!-- begin: a -->\nold\n<!-- end: a -->\nmore\n";
+    let replaced = replace(page, "a", "new\n").expect("the markers are there");
+    assert_eq!(
+        replaced,
+        "prose\n<!-- begin: a -->\nnew\n<!-- end: a -->\nmore\n"
+    );
+    assert_eq!(replace(&replaced, "a", "new\n").expect("again"), replaced);
+}
+
+#[test]
+fn missing_marker_is_an_error() {
+    assert!(replace("prose", "a", "new").is_err());
+}
+
+#[test]
+fn page_has_every_marker() {
+    let page = include_str!("../../../../docs/CAPACITY.md");
+    for name in ["sizes", "slopes", "roles", "events"] {
+        replace(page, name, "").expect("the page has the marker");
+    }
+}
--- a/crates/experiment/src/cli.rs
+++ b/crates/experiment/src/cli.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use crate::error::{Error, Result};
-use crate::{convergence, demo, node, requests};
+use crate::{all, convergence, demo, node, requests, slopes};
 
 const HELP: &str = "\
 Runs meshes of dragonflywall nodes on this machine and measures them.
@@ -17,6 +17,8 @@
   demo [chatarras|marinhas]  a whole small mesh: publish, call, publish again
   convergence                time from acceptance to enforcing, control bytes, memory
   requests                   latency added, processor time of a call, overload, drain
+  slopes                     cost of the state machines at the design size
+  all                        all of these, and the numbers of docs/CAPACITY.md
 
 Options of the measuring commands:
   --quick                    small sizes, to see that it runs (the default)
@@ -53,8 +55,10 @@
     let rest: Vec<OsString> = arguments.collect();
     match command {
         Some("demo") => block_on(demo::run(rest)),
+        Some("all") => block_on(all::run(rest)),
         Some("convergence") => block_on(convergence::run(rest)),
         Some("requests") => block_on(requests::run(rest)),
+        Some("slopes") => block_on(slopes::run(rest)),
         Some("node") => node::run(rest),
         Some("help" | "--help" | "-h") => {
             print!("{HELP}");
--- a/crates/experiment/src/error.rs
+++ b/crates/experiment/src/error.rs
@@ -28,6 +28,12 @@
     /// The mesh did something else than it should.
     #[snafu(display("{text}"))]
     Unexpected { text: String },
+    /// A file could not be read.
+    #[snafu(display("reading {path}"))]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
     /// A file could not be written.
     #[snafu(display("writing {path}"))]
     Write {
--- a/crates/experiment/src/fit.rs
+++ b/crates/experiment/src/fit.rs
@@ -7,7 +7,8 @@
     pub(crate) base: f64,
     /// Rise for each unit.
     pub(crate) slope: f64,
-    /// Standard deviation of the points around the line.
+    /// Standard deviation of the points around the line; not a number for two points, which any
+    /// line fits.
     pub(crate) spread: f64,
     points: usize,
     mean_x: f64,
@@ -39,11 +40,14 @@
         let base = mean_y - slope * mean_x;
         let residual = |(x, y): &(f64, f64)| (y - base - slope * x).powi(2);
         let squares: f64 = points.iter().map(residual).sum();
-        let freedom = points.len().saturating_sub(2).max(1) as f64;
+        let spread = match points.len() - 2 {
+            0 => f64::NAN,
+            freedom => (squares / freedom as f64).sqrt(),
+        };
         Some(Self {
             base,
             slope,
-            spread: (squares / freedom).sqrt(),
+            spread,
             points: points.len(),
             mean_x,
             sum_squares_x,
--- a/crates/experiment/src/fit/tests.rs
+++ b/crates/experiment/src/fit/tests.rs
@@ -21,3 +21,11 @@
     assert_eq!(Fit::of(&[(8.0, 1.0), (8.0, 2.0)]), None);
     assert_eq!(Fit::of(&[]), None);
 }
+
+/// Two points always lie on a line: an error of 0 there would be a claim that nothing supports.
+#[test]
+fn two_points_give_no_spread() {
+    let fit = Fit::of(&[(8.0, 1.0), (16.0, 2.0)]).expect("two sizes");
+    assert!(fit.spread.is_nan(), "{fit:?}");
+    assert!(fit.at(520.0).error.is_nan());
+}
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -47,9 +47,12 @@
 const DAY_US: u64 = 86_400_000_000;
 const ENFORCED_MESSAGE: &str = "enforced a configuration";
 
-/// The team file of one service: three resources, four routes, a call to the next service.
+/// The team file of one service: three resources, four routes, a call to the next service. Paths
+/// hold digits of a hash, so that one file does not compress to a copy of another.
 pub(crate) fn team_file(number: usize, timeout_ms: u32) -> String {
     let service = SERVICES[number % SERVICES.len()];
+    let digits = blake3::hash(service.as_bytes()).to_hex();
+    let (items, reports) = (&digits[..12], &digits[12..24]);
     let next = SERVICES[(number + 1) % SERVICES.len()];
     format!(
         r#"team = "team-{service}"
@@ -82,22 +85,22 @@
 
 [[service.{service}.route]]
 methods = ["GET", "HEAD"]
-path = "/items"
+path = "/items-{items}"
 resource = "read"
 
 [[service.{service}.route]]
 methods = ["POST", "PUT"]
-path = "/items"
+path = "/items-{items}"
 resource = "write"
 
 [[service.{service}.route]]
 methods = ["DELETE"]
-path = "/items"
+path = "/items-{items}"
 resource = "write"
 
 [[service.{service}.route]]
 methods = ["GET"]
-path = "/reports"
+path = "/reports-{reports}"
 resource = "report"
 
 [calls]
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -5,10 +5,13 @@
 //! with the hidden command `node`, so that nothing else needs to be built first. Each run ends by
 //! itself, listens on loopback addresses only, and leaves nothing behind but its files.
 
+mod all;
 mod baseline;
+mod capacity;
 mod cli;
 mod convergence;
 mod demo;
+mod design;
 mod error;
 mod examples;
 mod fit;
@@ -19,6 +22,7 @@
 mod publication;
 mod report;
 mod requests;
+mod slopes;
 mod usage;
 
 use std::process::ExitCode;
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -159,6 +159,7 @@
 /// A number with about three digits that matter.
 pub(crate) fn figure(value: f64) -> String {
     match value.abs() {
+        size if size.is_nan() => "unknown".to_owned(),
         size if size >= 100.0 => format!("{value:.0}"),
         size if size >= 10.0 => format!("{value:.1}"),
         size if size >= 1.0 => format!("{value:.2}"),
--- a/crates/experiment/src/requests.rs
+++ b/crates/experiment/src/requests.rs
@@ -4,6 +4,7 @@
 //! them is a client that takes the backend servers in turn and sends whatever comes; its backend
 //! servers keep the same slots behind an unbounded queue.
 
+mod connections;
 mod drain;
 mod goodput;
 mod latency;
@@ -19,6 +20,7 @@
 
 use crate::error::{Error, Result};
 use crate::examples::{Example, chatarras, marinhas};
+use crate::fit::Fit;
 use crate::options::{Options, Scale};
 use crate::publication;
 use crate::report::{Report, Table, figure};
@@ -87,6 +89,8 @@
     pub(crate) slots: usize,
     pub(crate) added: Vec<Added>,
     pub(crate) cost: CallCost,
+    /// Kilobytes of an entry against its callers' kept connections.
+    pub(crate) connection_kb: Fit,
     pub(crate) goodput: Vec<Goodput>,
     pub(crate) drain: drain::Drained,
 }
@@ -124,6 +128,7 @@
     let mut all = Vec::new();
     for (example, subject) in deployments {
         let running = Running::start(&example, subject).await?;
+        let connection_kb = connections::memory(&running).await?;
         let added = latency::added(&running, scale).await;
         let cost = latency::call_cost(&running, scale).await?;
         let goodput = goodput::compare(&running, scale).await?;
@@ -134,6 +139,7 @@
             slots: subject.slots,
             added,
             cost,
+            connection_kb,
             goodput,
             drain,
         });
--- /dev/null
+++ b/crates/experiment/src/slopes.rs
@@ -0,0 +1,162 @@
+//! `slopes`: what the state machines cost by themselves, measured in this process.
+//!
+//! The mesh of processes shows the cost of whole nodes at sizes that fit on one machine; here the
+//! same code runs at the design size itself, without sockets.
+
+use std::ffi::OsString;
+use std::hint::black_box;
+use std::time::Instant;
+
+use dragonflywall::core::configuration::{Configuration, Delta};
+use dragonflywall::core::version::Version;
+use dragonflywall::distribution::{Content, Holder};
+
+use crate::error::{Error, Result};
+use crate::fleet::records;
+use crate::options::{Options, Scale};
+use crate::report::{Report, Table, figure};
+use crate::usage;
+
+/// Copies that are held at once: their memory together is far above a page.
+const COPIES: usize = 64;
+const REPEATS: u32 = 200;
+
+/// What a node's configuration costs with so many services.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HolderCost {
+    pub(crate) services: usize,
+    pub(crate) canonical_bytes: usize,
+    pub(crate) snapshot_bytes: usize,
+    pub(crate) delta_bytes: usize,
+    /// Verify, check for closure, compile, swap.
+    pub(crate) apply_snapshot_us: f64,
+    pub(crate) apply_delta_us: f64,
+    pub(crate) held_kb: f64,
+}
+
+/// Runs the command.
+pub(crate) async fn run(arguments: Vec<OsString>) -> Result {
+    let options = Options::parse(arguments)?;
+    let report = Report::new(&options.docs)?;
+    let holder = measure(options.scale)?;
+    write(&report, &holder, options.scale)
+}
+
+/// Measures the configuration holder with 2 to 14 services.
+pub(crate) fn measure(scale: Scale) -> Result<Vec<HolderCost>> {
+    let sizes: &[usize] = match scale {
+        Scale::Quick => &[2, 14],
+        Scale::Full => &[2, 4, 7, 10, 14],
+    };
+    let measured: Result<Vec<_>> = sizes.iter().map(|services| holder(*services)).collect();
+    println!("Measured the configuration holder at {} sizes", sizes.len());
+    measured
+}
+
+fn configuration(services: usize, version: u64) -> Result<Configuration> {
+    let mut configuration = Configuration {
+        version: Version(version),
+        ..Configuration::default()
+    };
+    for record in records(services, 2_000)? {
+        configuration.teams.insert(record.team.clone(), record);
+    }
+    Ok(configuration)
+}
+
+fn holder(services: usize) -> Result<HolderCost> {
+    let first = configuration(services, 1)?;
+    let mut second = configuration(services, 2)?;
+    let changed = records(services, 1_234)?;
+    second
+        .teams
+        .insert(changed[0].team.clone(), changed[0].clone());
+    let delta = Delta::between(&first, &second).to_bytes();
+    let snapshot = first.to_snapshot();
+    let (delta_bytes, snapshot_bytes) = (delta.len(), snapshot.len());
+    let snapshot = Content::Snapshot(snapshot);
+    let delta = Content::Delta(delta);
+
+    let apply = |holder: &mut Holder, configuration: &Configuration, content: &Content| {
+        let applied = holder.apply(configuration.stamp(), content);
+        applied.map_err(|error| Error::Unexpected {
+            text: error.to_string(),
+        })
+    };
+    let mut snapshot_s = 0.0;
+    let mut delta_s = 0.0;
+    let stamps = [first.stamp(), second.stamp()];
+    for _ in 0..REPEATS {
+        let mut holder = Holder::default();
+        let begin = Instant::now();
+        black_box(holder.apply(stamps[0], &snapshot).is_ok());
+        snapshot_s += begin.elapsed().as_secs_f64();
+        let begin = Instant::now();
+        black_box(holder.apply(stamps[1], &delta).is_ok());
+        delta_s += begin.elapsed().as_secs_f64();
+    }
+    let before_kb = anonymous_kb();
+    let mut holders = Vec::with_capacity(COPIES);
+    for _ in 0..COPIES {
+        let mut holder = Holder::default();
+        apply(&mut holder, &first, &snapshot)?;
+        apply(&mut holder, &second, &delta)?;
+        holders.push(holder);
+    }
+    let held_kb = (anonymous_kb() - before_kb).max(0.0) / COPIES as f64;
+    // Kept beyond the next size, or its growth would come out of what this one gives back.
+    std::mem::forget(holders);
+    Ok(HolderCost {
+        services,
+        canonical_bytes: first.to_canonical().len(),
+        snapshot_bytes,
+        delta_bytes,
+        apply_snapshot_us: 1e6 * snapshot_s / f64::from(REPEATS),
+        apply_delta_us: 1e6 * delta_s / f64::from(REPEATS),
+        held_kb,
+    })
+}
+
+pub(crate) fn anonymous_kb() -> f64 {
+    usage::memory(std::process::id()).map_or(0.0, |memory| memory.anonymous_kb as f64)
+}
+
+const INTRODUCTION: &str = "# State machines by themselves\n\n\
+    Measured inside one process, without sockets, at the sizes of the design.\n";
+
+/// Writes the page.
+pub(crate) fn write(report: &Report, holder: &[HolderCost], scale: Scale) -> Result {
+    let command = format!(
+        "cargo run --release -p experiment -- slopes {}",
+        scale.flag()
+    );
+    report.page("slopes", INTRODUCTION, &[holder_table(holder, &command)])
+}
+
+fn holder_table(holder: &[HolderCost], command: &str) -> Table {
+    let row = |cost: &HolderCost| {
+        vec![
+            cost.services.to_string(),
+            cost.canonical_bytes.to_string(),
+            cost.snapshot_bytes.to_string(),
+            cost.delta_bytes.to_string(),
+            figure(cost.apply_snapshot_us),
+            figure(cost.apply_delta_us),
+            figure(cost.held_kb),
+        ]
+    };
+    Table {
+        title: "Configuration held by a node",
+        command: command.to_owned(),
+        columns: vec![
+            "services",
+            "bytes uncompressed",
+            "snapshot bytes",
+            "delta bytes (one team)",
+            "apply snapshot µs",
+            "apply delta µs",
+            "held KB (two versions' records and routes)",
+        ],
+        rows: holder.iter().map(row).collect(),
+    }
+}
