Model spread, apply and restart; settle the floor

Cause: nothing said what keeps a restarted node, which has no disk, from going back, and no check covered the order of faults that breaks it.

Change: crates/model, an explicit-state checker on pathfinding, and a specification of spread, apply and restart that applies real content through the product's Holder. Each mutation of the protocol has a test that expects its counterexample.

Conclusion: two witnesses before enforcing, the head first at a start, the peers' highest memory only without it.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,1 +1,9 @@
-//! x
+//! Model checking of dragonflywall's core protocols, exhaustive at small bounds.
+//!
+//! [`checker`] searches any [`checker::Specification`]. [`spread`] specifies how a node comes by a
+//! version and never goes back. They run the product's own code where it can be run: [`contents`]
+//! applies real configurations through the product's holder.
+
+pub mod checker;
+pub mod contents;
+pub mod spread;
--- /dev/null
+++ b/crates/model/src/main.rs
@@ -0,0 +1,109 @@
+//! `cargo run --release -p model -- distribution|publish|request [options]`
+
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use model::checker::{Report, Specification, check};
+use model::spread::{Bounds, FloorRule, Spread};
+
+const HELP: &str = "\
+Usage: model distribution [OPTIONS]
+
+Checks a specification exhaustively; prints states explored, and the shortest counterexample if a
+property fails. Exit code 1 if one does.
+
+Options of distribution:
+  --nodes N     nodes, 1 to 3 (2)
+  --versions N  versions, 1 to 3 (2)
+  --crashes N   processes that die (2)
+  --cuts N      nodes cut off from their peers (1)
+  --outages N   times the platform is away (1)
+  --open-version N
+                a version accepted by mistake with a reference that does not close (none)
+  --rule RULE   peers-only, head-only, one-witness, one-witness-in-reach, two-witnesses
+                (all of them, one after the other)
+";
+
+type Result<T> = std::result::Result<T, lexopt::Error>;
+
+const RULES: [(&str, FloorRule); 5] = [
+    ("peers-only", FloorRule::PEERS_ONLY),
+    ("head-only", FloorRule::HEAD_ONLY),
+    ("one-witness", FloorRule::ONE_WITNESS),
+    ("one-witness-in-reach", FloorRule::ONE_WITNESS_IN_REACH),
+    ("two-witnesses", FloorRule::TWO_WITNESSES),
+];
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("error: {error}\n\n{HELP}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<bool> {
+    let mut parser = lexopt::Parser::from_env();
+    match parser.next()? {
+        Some(Value(name)) if name == "distribution" => distribution(&mut parser),
+        _ => {
+            print!("{HELP}");
+            Ok(true)
+        }
+    }
+}
+
+fn distribution(parser: &mut lexopt::Parser) -> Result<bool> {
+    let mut bounds = Bounds {
+        nodes: 2,
+        versions: 2,
+        crashes: 2,
+        cuts: 1,
+        outages: 1,
+        open_version: None,
+    };
+    let mut only = None;
+    while let Some(option) = parser.next()? {
+        match option {
+            Long("nodes") => bounds.nodes = parser.value()?.parse()?,
+            Long("versions") => bounds.versions = parser.value()?.parse()?,
+            Long("crashes") => bounds.crashes = parser.value()?.parse()?,
+            Long("cuts") => bounds.cuts = parser.value()?.parse()?,
+            Long("outages") => bounds.outages = parser.value()?.parse()?,
+            Long("open-version") => bounds.open_version = Some(parser.value()?.parse()?),
+            Long("rule") => only = Some(parser.value()?.string()?),
+            _ => return Err(option.unexpected()),
+        }
+    }
+    let chosen = |name: &str| only.as_ref().is_none_or(|only| only == name);
+    let mut all_hold = true;
+    for (name, rule) in RULES.iter().filter(|(name, _)| chosen(name)) {
+        println!("Checking spread, apply and restart, floor rule {name}, {bounds:?}");
+        all_hold &= report(&Spread::new(bounds, *rule, None));
+    }
+    Ok(all_hold)
+}
+
+/// Checks and prints; whether all properties hold.
+fn report<T: Specification>(specification: &T) -> bool {
+    let report: Report<T::State> = check(specification);
+    println!(
+        "Checked {} states, and {} without faults, in {:.2} s",
+        report.states,
+        report.states_without_faults,
+        report.elapsed.as_secs_f64()
+    );
+    let Some(counterexample) = &report.counterexample else {
+        println!("All properties hold.\n");
+        return true;
+    };
+    println!("Violated: {}", counterexample.property);
+    for (number, step) in counterexample.steps.iter().enumerate() {
+        println!("{:4}. {step}", number + 1);
+    }
+    println!("      {:?}\n", counterexample.last);
+    false
+}
