--- a/src/core.rs
+++ b/src/core.rs
@@ -5,10 +5,12 @@
 //! [`routing::RouteTable`]. Nothing in here does I/O.
 
 pub mod configuration;
+pub mod difference;
 pub mod member;
 pub mod names;
 pub mod routing;
 pub mod status;
 pub mod team_file;
+pub mod token;
 pub mod verdict;
 pub mod version;
