Model publication on the product's code; mend two false refusals

Cause, found by the model: (1) a resumed publication whose platform call failed ended as 'refused and nothing changed' (exit 1) although the earlier run's commit was in force or could still arrive; shortest way 9 steps: the answer is lost after the effect, the command is resumed, one read finds the platform away.

Change: PublishOptions carries 'resumed'; such a run ends as refused only on what proves the earlier commit dead, else as unknown (exit 3). 'abandon' tells a used id that it could not read as unknown. The model runs publish itself, call by call, memoized on the answers it has had.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,9 +1,12 @@
 //! Model checking of dragonflywall's core protocols, exhaustive at small bounds.
 //!
 //! [`checker`] searches any [`checker::Specification`]. [`spread`] specifies how a node comes by a
-//! version and never goes back. They run the product's own code where it can be run: [`contents`]
-//! applies real configurations through the product's holder.
+//! version and never goes back; [`publish`] specifies how operators make versions. They run the product's own code where it can be run: [`contents`]
+//! applies real configurations through the product's holder, [`operator`] runs the product's
+//! `publish`.
 
 pub mod checker;
 pub mod contents;
+pub mod operator;
+pub mod publish;
 pub mod spread;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -4,10 +4,12 @@
 
 use lexopt::prelude::*;
 use model::checker::{Report, Specification, check};
+use model::publish::{self, Publish, Scenario};
 use model::spread::{Bounds, FloorRule, Spread};
 
 const HELP: &str = "\
 Usage: model distribution [OPTIONS]
+       model publish [OPTIONS]
 
 Checks a specification exhaustively; prints states explored, and the shortest counterexample if a
 property fails. Exit code 1 if one does.
@@ -22,6 +24,11 @@
                 a version accepted by mistake with a reference that does not close (none)
   --rule RULE   peers-only, head-only, one-witness, one-witness-in-reach, two-witnesses
                 (all of them, one after the other)
+
+Options of publish:
+  --outages N   calls that find the platform away (1)
+  --losses N    answers lost, before or after the effect (2)
+  --runs N      runs of one publication, the resumed ones included (3)
 ";
 
 type Result<T> = std::result::Result<T, lexopt::Error>;
@@ -49,6 +56,7 @@
     let mut parser = lexopt::Parser::from_env();
     match parser.next()? {
         Some(Value(name)) if name == "distribution" => distribution(&mut parser),
+        Some(Value(name)) if name == "publish" => publication(&mut parser),
         _ => {
             print!("{HELP}");
             Ok(true)
@@ -87,6 +95,34 @@
     Ok(all_hold)
 }
 
+fn publication(parser: &mut lexopt::Parser) -> Result<bool> {
+    let (mut outages, mut losses, mut runs) = (1, 2, 3);
+    while let Some(option) = parser.next()? {
+        match option {
+            Long("outages") => outages = parser.value()?.parse()?,
+            Long("losses") => losses = parser.value()?.parse()?,
+            Long("runs") => runs = parser.value()?.parse()?,
+            _ => return Err(option.unexpected()),
+        }
+    }
+    let mut all_hold = true;
+    for scenario in [
+        Scenario::SameTeam,
+        Scenario::DifferentTeams,
+        Scenario::CrossReference,
+    ] {
+        let bounds = publish::Bounds {
+            scenario,
+            outages,
+            losses,
+            runs,
+        };
+        println!("Checking publication by two operators, {bounds:?}");
+        all_hold &= report(&Publish::new(bounds, None));
+    }
+    Ok(all_hold)
+}
+
 /// Checks and prints; whether all properties hold.
 fn report<T: Specification>(specification: &T) -> bool {
     let report: Report<T::State> = check(specification);
--- /dev/null
+++ b/crates/model/src/operator.rs
@@ -0,0 +1,277 @@
+//! Runs the product's own `publish` one platform call at a time.
+//!
+//! An operator's command is a function of the answers that it has had. [`Operator::next`] runs it
+//! anew on those answers up to its next call and says which that is, so a model can choose every
+//! answer, let other operators run in between, and keep the answers as the command's whole state.
+//! Runs are remembered by their answers, so each is made once.
+//!
+//! Objects are addressed by their content and versions' rows never change, so reading or writing
+//! them at another moment makes no difference; those calls are answered at once.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::pin::pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
+
+use dragonflywall::core::configuration::{Configuration, TeamRecord};
+use dragonflywall::core::version::{Digest, Stamp, Version};
+use dragonflywall::ops::command::publish::{self, Error, PublishOptions};
+use dragonflywall::platform::rows::{VERSION_PREFIX, VersionRow};
+use dragonflywall::platform::{self, ObjectStore, Outcome, Row, Table, Transaction};
+
+/// A call of the platform's table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Read a row.
+    Row(String),
+    /// Run a transaction.
+    Transact(Transaction),
+}
+
+/// What a call brought.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Answer {
+    /// A row's revision and value.
+    Row(Option<(u64, String)>),
+    /// The transaction took effect.
+    Committed,
+    /// A condition did not hold.
+    ConditionFailed,
+    /// The platform is away; nothing was written.
+    Unavailable,
+    /// The answer was lost.
+    Lost,
+}
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum End {
+    /// Done, as this version.
+    Published(u64),
+    /// Refused: the operator is told that nothing was changed.
+    Refused,
+    /// Not known; the version that the operator is told to resume with.
+    Unknown(Option<u64>),
+}
+
+/// What a command does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It calls the platform.
+    Call(Call),
+    /// It has ended.
+    End(End),
+}
+
+/// Which command is run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Command {
+    /// `publish`, or `publish --resume ID --expect N FILE...`.
+    Publish {
+        /// The version that the operator has seen.
+        expected: Option<u64>,
+        /// Whether it goes on with an earlier run.
+        resumed: bool,
+        /// Another id than the first run's, by a mutation.
+        new_id: bool,
+    },
+    /// `publish --resume ID` alone.
+    Settle,
+}
+
+/// One operator: who, under which id, which change.
+#[derive(Debug)]
+pub struct Operator {
+    id: String,
+    records: Vec<TeamRecord>,
+    objects: Arc<Objects>,
+    known: RefCell<HashMap<(Command, Vec<Answer>), Next>>,
+}
+
+/// The object store of a model: everything that anybody has stored.
+#[derive(Debug, Default)]
+pub struct Objects(Mutex<BTreeMap<Digest, Vec<u8>>>);
+
+impl Objects {
+    /// The configuration that a version's row names.
+    pub fn configuration(&self, row: &VersionRow) -> Configuration {
+        let objects = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let bytes = objects.get(&row.snapshot_object).expect("stored before");
+        Configuration::from_snapshot(bytes, row.stamp).expect("stored whole")
+    }
+}
+
+impl Operator {
+    /// An operator who publishes `records` under `id`.
+    pub fn new(id: &str, records: Vec<TeamRecord>, objects: &Arc<Objects>) -> Self {
+        Self {
+            id: id.to_owned(),
+            records,
+            objects: Arc::clone(objects),
+            known: RefCell::default(),
+        }
+    }
+
+    /// The publication's id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// The records that it publishes.
+    pub fn records(&self) -> &[TeamRecord] {
+        &self.records
+    }
+
+    /// What `command` does after `answers`.
+    pub fn next(&self, command: Command, answers: &[Answer]) -> Next {
+        let key = (command, answers.to_vec());
+        if let Some(next) = self.known.borrow().get(&key) {
+            return next.clone();
+        }
+        let next = self.run(command, answers);
+        self.known.borrow_mut().insert(key, next.clone());
+        next
+    }
+
+    fn run(&self, command: Command, answers: &[Answer]) -> Next {
+        let replay = Replay {
+            answers: Mutex::new(answers.iter().cloned().collect()),
+            call: Mutex::default(),
+            objects: Arc::clone(&self.objects),
+        };
+        let mut context = Context::from_waker(Waker::noop());
+        let ended = match command {
+            Command::Publish {
+                expected,
+                resumed,
+                new_id,
+            } => {
+                let options = self.options(expected, resumed, new_id);
+                let run = pin!(publish::publish(&replay, &options));
+                run.poll(&mut context).map(|result| match result {
+                    Ok(published) => End::Published(published.stamp.version.0),
+                    Err(error) => ended_by(&error),
+                })
+            }
+            Command::Settle => {
+                let run = pin!(publish::abandon(&replay, &self.id, "operator", 0));
+                run.poll(&mut context).map(|result| match result {
+                    Ok(Some(version)) => End::Published(version.0),
+                    Ok(None) => End::Refused,
+                    Err(error) => ended_by(&error),
+                })
+            }
+        };
+        match ended {
+            Poll::Ready(end) => Next::End(end),
+            Poll::Pending => {
+                let call = replay.call.into_inner();
+                let call = call.unwrap_or_else(PoisonError::into_inner);
+                Next::Call(call.expect("it waits for nothing but the platform"))
+            }
+        }
+    }
+
+    fn options(&self, expected: Option<u64>, resumed: bool, new_id: bool) -> PublishOptions {
+        let suffix = if new_id { "-again" } else { "" };
+        PublishOptions::builder()
+            .publish_id(format!("{}{suffix}", self.id))
+            .operator("operator")
+            .time_ms(0)
+            .records(self.records.clone())
+            .maybe_expected(expected.map(Version))
+            .resumed(resumed)
+            // Looking into a lost answer within the same run waits for time to pass; the model
+            // does it by running the command again.
+            .settle_limit_ms(0)
+            .build()
+    }
+}
+
+fn ended_by(error: &Error) -> End {
+    match error {
+        Error::OutcomeUnknown { seen, .. } => End::Unknown(seen.map(|version| version.0)),
+        _ => End::Refused,
+    }
+}
+
+/// The platform of one run: gives the answers in turn, and then none.
+struct Replay {
+    answers: Mutex<VecDeque<Answer>>,
+    call: Mutex<Option<Call>>,
+    objects: Arc<Objects>,
+}
+
+impl Replay {
+    async fn answer(&self, call: Call) -> Answer {
+        let answer = self
+            .answers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .pop_front();
+        let Some(answer) = answer else {
+            *self.call.lock().unwrap_or_else(PoisonError::into_inner) = Some(call);
+            return std::future::pending().await;
+        };
+        answer
+    }
+}
+
+fn unavailable() -> platform::Error {
+    platform::Error::Unavailable {
+        reason: "away".to_owned(),
+    }
+}
+
+impl Table for Replay {
+    async fn transact(&self, transaction: &Transaction) -> platform::Result<Outcome> {
+        match self.answer(Call::Transact(transaction.clone())).await {
+            Answer::Committed => Ok(Outcome::Committed),
+            Answer::ConditionFailed => Ok(Outcome::ConditionFailed),
+            Answer::Lost => Err(platform::Error::OutcomeUnknown {
+                reason: "lost".to_owned(),
+            }),
+            Answer::Unavailable | Answer::Row(_) => Err(unavailable()),
+        }
+    }
+
+    async fn row(&self, key: &str) -> platform::Result<Option<Row>> {
+        match self.answer(Call::Row(key.to_owned())).await {
+            Answer::Row(row) => Ok(row.map(|(revision, value)| Row { revision, value })),
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn rows(&self, _: &str, _: &str, _: u32) -> platform::Result<BTreeMap<String, Row>> {
+        Err(unavailable())
+    }
+}
+
+impl ObjectStore for Replay {
+    async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> platform::Result<()> {
+        let mut objects = self
+            .objects
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        objects.insert(*digest, bytes.to_vec());
+        Ok(())
+    }
+
+    async fn object(&self, digest: &Digest) -> platform::Result<Option<Vec<u8>>> {
+        let objects = self.objects.0.lock();
+        let objects = objects.unwrap_or_else(PoisonError::into_inner);
+        Ok(objects.get(digest).cloned())
+    }
+}
+
+/// Whether a row never changes once it is there.
+pub fn is_final_row(key: &str) -> bool {
+    key.starts_with(VERSION_PREFIX)
+}
+
+/// Number of a version, for messages and comparisons.
+pub fn number(stamp: Stamp) -> u64 {
+    stamp.version.0
+}
--- /dev/null
+++ b/crates/model/tests/publish.rs
@@ -0,0 +1,100 @@
+//! Publication by two operators: the product's `publish` holds, and each mutation is caught.
+
+use model::checker::check;
+use model::publish::{Bounds, Mutation, Publish, Scenario};
+
+const AT_MOST_ONCE: &str = "a publication is committed at most once";
+const NEVER_LOST: &str = "accepted is never lost or reverted";
+const TOLD: &str = "the operator is told what became of the publication";
+const UNSEEN: &str = "what others published to the same team is not overwritten unseen";
+
+/// One answer lost, one call that finds the platform away, one resumed run.
+fn small(scenario: Scenario) -> Bounds {
+    Bounds {
+        scenario,
+        outages: 1,
+        losses: 1,
+        runs: 2,
+    }
+}
+
+fn holds(scenario: Scenario) {
+    let report = check(&Publish::new(small(scenario), None));
+    assert!(report.counterexample.is_none(), "{report:?}");
+    assert!(report.states > 4_000, "{} states", report.states);
+}
+
+#[track_caller]
+fn caught(scenario: Scenario, mutation: Mutation, property: &str) {
+    let report = check(&Publish::new(small(scenario), Some(mutation)));
+    let found = report.counterexample.expect("a counterexample");
+    assert_eq!(found.property, property, "{:?}", found.steps);
+}
+
+#[test]
+fn two_operators_on_one_team() {
+    holds(Scenario::SameTeam);
+}
+
+#[test]
+fn two_operators_on_different_teams() {
+    holds(Scenario::DifferentTeams);
+}
+
+#[test]
+fn two_operators_whose_changes_are_valid_only_apart() {
+    holds(Scenario::CrossReference);
+}
+
+/// Two operators publish at once; the later commit replaces the earlier one's head and row, and the
+/// earlier operator's accepted change is gone.
+#[test]
+fn commit_without_the_head_condition_is_caught() {
+    let mutation = Mutation::WithoutHeadCondition;
+    caught(Scenario::DifferentTeams, mutation, NEVER_LOST);
+}
+
+/// An operator's commit is delayed on its way; she settles it as "not published", publishes nothing,
+/// and then the delayed commit arrives.
+#[test]
+fn commit_without_the_id_condition_is_caught() {
+    caught(Scenario::SameTeam, Mutation::WithoutIdCondition, TOLD);
+}
+
+/// The platform stops between two writes: the head names a version that has no row.
+#[test]
+fn commit_in_parts_is_caught() {
+    caught(Scenario::SameTeam, Mutation::CommitInParts, NEVER_LOST);
+}
+
+/// The answer is lost, the operator publishes again under a new id, and the delayed commit arrives
+/// in between.
+#[test]
+fn new_id_for_a_lost_publication_is_caught() {
+    let report = check(&Publish::new(
+        small(Scenario::SameTeam),
+        Some(Mutation::NewIdOnResume),
+    ));
+    let found = report.counterexample.expect("a counterexample");
+    assert!([AT_MOST_ONCE, TOLD].contains(&found.property), "{found:?}");
+}
+
+/// The commit is lost, another operator publishes the same team, and the resumed publication
+/// overwrites her records without either of them being told.
+#[test]
+fn resume_on_a_head_that_was_not_seen_is_caught() {
+    caught(Scenario::SameTeam, Mutation::ResumeOnNewHead, UNSEEN);
+}
+
+/// The answer is lost after the commit, the operator resumes, and the platform is away for one
+/// call: the command said "refused, nothing was changed" (exit code 1) of a version in force. The
+/// product did so until the model found it.
+#[test]
+fn resume_that_forgets_the_earlier_run_is_caught() {
+    caught(Scenario::SameTeam, Mutation::ResumeAsFirstRun, TOLD);
+}
+
+#[test]
+fn taking_a_lost_answer_for_a_refusal_is_caught() {
+    caught(Scenario::SameTeam, Mutation::LostMeansRefused, TOLD);
+}
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -158,6 +158,7 @@
             .kind(kind)
             .rollback_teams(self.rollback_teams.clone())
             .maybe_expected(self.expected)
+            .resumed(self.resume.is_some())
             .build();
         Ok(options)
     }
--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -170,6 +170,10 @@
     pub rollback_teams: Vec<TeamName>,
     /// The version that the operator saw; by default the accepted one when the command starts.
     pub expected: Option<Version>,
+    /// Whether an earlier run under this id ended with an unknown outcome: its commit may have taken
+    /// effect, or may still do so.
+    #[builder(default)]
+    pub resumed: bool,
     /// How long to look into a lost answer before its outcome is called unknown, in milliseconds.
     #[builder(default = 3_000)]
     pub settle_limit_ms: u64,
@@ -219,6 +223,47 @@
 pub async fn publish<P: Table + ObjectStore>(
     platform: &P,
     options: &PublishOptions,
+) -> Result<Published> {
+    let result = publish_or_find(platform, options).await;
+    result.map_err(
+        |error| match options.resumed && !settles_earlier_run(&error) {
+            true => still_unknown(options, &error),
+            false => error,
+        },
+    )
+}
+
+/// Whether the error may be told although an earlier run's commit was unsettled: it says itself that
+/// the outcome is unknown, or it proves that the earlier commit never takes effect.
+///
+/// Whatever is decided from the records and the head alone is such a proof: at this head the earlier
+/// run would have decided the same and sent nothing, so it sent its commit at an earlier head, which
+/// has moved since; and the id, read after this head, was unused. It holds for the same files only.
+fn settles_earlier_run(error: &Error) -> bool {
+    match error {
+        Error::OutcomeUnknown { .. } | Error::Abandoned { .. } | Error::IdReused { .. } => true,
+        Error::Raced { .. } | Error::Invalid { .. } | Error::Unchanged { .. } => true,
+        Error::Contended => true,
+        Error::Read { .. } | Error::Store { .. } | Error::CommitRefused { .. } => false,
+        Error::NoSuchVersion { .. } | Error::NoSuchTeam { .. } => false,
+    }
+}
+
+/// Guards against a false "nothing was changed": the earlier run's answer is lost, this run finds
+/// the platform away for a moment and would end as refused; the operator then publishes again what
+/// is in force already, or comes to be with the late commit.
+fn still_unknown(options: &PublishOptions, error: &Error) -> Error {
+    let reason = format!("the earlier run is not settled, and this one failed: {error}");
+    Error::OutcomeUnknown {
+        publish_id: options.publish_id.clone(),
+        seen: options.expected,
+        source: platform::Error::OutcomeUnknown { reason },
+    }
+}
+
+async fn publish_or_find<P: Table + ObjectStore>(
+    platform: &P,
+    options: &PublishOptions,
 ) -> Result<Published> {
     if let Some(stamp) = find_published(platform, options).await? {
         return Ok(done(stamp, 0, true));
@@ -296,10 +341,18 @@
         (Ok(Some(PublishRow::Committed { version, .. })), _) => Ok(Some(version)),
         (Ok(Some(PublishRow::Abandoned { .. })), _) => Ok(None),
         (_, Err(source)) => Err(unknown(source)),
+        (Err(_), Ok(Outcome::Committed)) => Ok(None),
+        // The id was in use already, by a commit or by an earlier settlement.
+        (Err(error), Ok(Outcome::ConditionFailed)) => Err(unknown(lost(&error))),
         (Ok(None), Ok(outcome)) => Err(unknown(platform::Error::Protocol {
             reason: format!("{outcome:?}, yet no row under the id"),
         })),
-        (Err(error), Ok(_)) => Err(error),
+    }
+}
+
+fn lost(error: &Error) -> platform::Error {
+    platform::Error::OutcomeUnknown {
+        reason: format!("the id can't be looked up: {error}"),
     }
 }
 
@@ -428,11 +481,9 @@
                 self.lost = None;
                 Ok(Round::Overtaken)
             }
-            Err(Error::Read { source }) => Ok(Round::AnswerLost {
+            Err(error @ Error::Read { .. }) => Ok(Round::AnswerLost {
                 sent_at_revision: head.revision,
-                source: platform::Error::OutcomeUnknown {
-                    reason: format!("the id can't be looked up: {source}"),
-                },
+                source: lost(&error),
             }),
             Err(error) => Err(error),
         }
