--- a/crates/model/src/spread.rs
+++ b/crates/model/src/spread.rs
@@ -6,175 +6,12 @@
 //! once sent and may arrive at any time, again, in any order, or never; content in flight may even
 //! reach the next process at its address. Nodes lose all memory when they crash.
 
+mod state;
+
 use crate::checker::Specification;
 use crate::contents::{ApplyMutation, Contents, Form};
-
-/// Most nodes.
-pub const NODES_MAX: usize = 3;
-
-/// How far the search goes.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// Nodes, at most [`NODES_MAX`].
-    pub nodes: usize,
-    /// Versions, at most [`crate::contents::VERSIONS_MAX`]; the first is in force everywhere at
-    /// the start.
-    pub versions: u8,
-    /// Processes that die.
-    pub crashes: u8,
-    /// Times that a node is cut off from its peers.
-    pub cuts: u8,
-    /// Times that the platform is away.
-    pub outages: u8,
-    /// A version that was accepted by mistake although a reference in it does not close.
-    pub open_version: Option<u8>,
-}
-
-/// How a node makes sure that its address never goes back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FloorRule {
-    /// Peers that must have noted a version before the node enforces it.
-    pub witnesses: u32,
-    /// With too few peers in reach: wait for them, rather than enforce unwitnessed.
-    pub waits_for_witnesses: bool,
-    /// What a started node that could not read the head must have heard before it enforces.
-    pub start: Start,
-}
-
-/// What a started node that could not read the head must have heard before it enforces anything.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Start {
-    /// Nothing: it starts without a floor.
-    Nothing,
-    /// Every peer in reach, at least one.
-    PeersInReach,
-    /// All peers but so many.
-    AllPeersBut(u32),
-    /// It waits until it can read the head.
-    HeadOnly,
-}
-
-impl FloorRule {
-    /// Floor from the peers' memory, with enforced versions reported afterwards, by gossip.
-    pub const PEERS_ONLY: Self = Self {
-        witnesses: 0,
-        waits_for_witnesses: false,
-        start: Start::PeersInReach,
-    };
-    /// No start without the head.
-    pub const HEAD_ONLY: Self = Self {
-        witnesses: 0,
-        waits_for_witnesses: false,
-        start: Start::HeadOnly,
-    };
-    /// One peer notes a version before it is enforced; a start hears every peer in reach.
-    pub const ONE_WITNESS: Self = Self {
-        witnesses: 1,
-        waits_for_witnesses: true,
-        start: Start::PeersInReach,
-    };
-    /// As [`Self::ONE_WITNESS`], but a node without peers in reach enforces unwitnessed.
-    pub const ONE_WITNESS_IN_REACH: Self = Self {
-        waits_for_witnesses: false,
-        ..Self::ONE_WITNESS
-    };
-    /// Two peers note a version before it is enforced; a start hears every peer in reach.
-    pub const TWO_WITNESSES: Self = Self {
-        witnesses: 2,
-        waits_for_witnesses: true,
-        start: Start::PeersInReach,
-    };
-}
-
-/// One line of the protocol changed, to see that the checker notices.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mutation {
-    /// Apply without comparing versions.
-    ApplyWithoutComparing,
-    /// Apply a delta or snapshot without verifying the digest.
-    ApplyWithoutDigest,
-    /// Apply without checking that references close.
-    ApplyWithoutClosureCheck,
-    /// Enforce team by team rather than all at once.
-    ApplyInParts,
-    /// Peers remember what an address last said, not the highest.
-    RememberLatest,
-    /// A failed fetch is never repeated.
-    NeverFetchAgain,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Phase {
-    Down,
-    Starting,
-    Running,
-}
-
-/// One address and the process at it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Node {
-    phase: Phase,
-    /// Number of the content enforced.
-    enforced: u8,
-    floor: u8,
-    /// Version whose content is held, verified, but not yet enforced (0: none), and the peers that
-    /// have noted it.
-    staged: u8,
-    noted_by: u8,
-    /// Peers heard since the start.
-    heard: u8,
-    head_read: bool,
-    fetch_failed: bool,
-    /// Highest version that each address has reported.
-    memory: [u8; NODES_MAX],
-    cut_off: bool,
-    /// Highest version ever enforced at this address. Only the property looks at it.
-    highest: u8,
-}
-
-/// The state of all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct State {
-    head: u8,
-    platform_away: bool,
-    nodes: [Node; NODES_MAX],
-    crashes: u8,
-    cuts: u8,
-    outages: u8,
-}
-
-/// A step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(missing_docs, reason = "each is named for what happens")]
-pub enum Action {
-    Commit,
-    ReadHead(usize),
-    FetchLost(usize),
-    Deliver(usize, Form, u8),
-    Note {
-        node: usize,
-        peer: usize,
-        answer_lost: bool,
-    },
-    Enforce(usize),
-    Gossip {
-        from: usize,
-        to: usize,
-        version: u8,
-    },
-    ShareView {
-        from: usize,
-        to: usize,
-    },
-    Crash(usize),
-    Restart(usize),
-    HearPeer(usize, usize),
-    Begin(usize),
-    CutOff(usize),
-    Heal(usize),
-    PlatformGoes,
-    PlatformReturns,
-}
+pub use state::{Action, Bounds, FloorRule, Mutation, NODES_MAX, Node, Start, State};
+use state::{ORDERS, Phase, bit, renumbered, without_memory};
 
 /// The protocol at given bounds.
 #[derive(Debug)]
@@ -185,10 +22,6 @@
     contents: Contents,
 }
 
-const fn bit(index: usize) -> u8 {
-    1 << index
-}
-
 impl Spread {
     /// A protocol to check.
     pub fn new(bounds: Bounds, rule: FloorRule, mutation: Option<Mutation>) -> Self {
@@ -510,53 +343,6 @@
     }
 }
 
-/// The orders in which three nodes can be numbered; the first two serve two nodes.
-const ORDERS: [[usize; NODES_MAX]; 6] = [
-    [0, 1, 2],
-    [1, 0, 2],
-    [0, 2, 1],
-    [2, 1, 0],
-    [1, 2, 0],
-    [2, 0, 1],
-];
-
-fn renumbered(state: &State, order: [usize; NODES_MAX]) -> State {
-    let mask = |mask: u8| {
-        let moved = (0..NODES_MAX).filter(|to| mask & bit(order[*to]) != 0);
-        moved.fold(0, |sum, to| sum | bit(to))
-    };
-    let node = |to: usize| {
-        let node = &state.nodes[order[to]];
-        Node {
-            noted_by: mask(node.noted_by),
-            heard: mask(node.heard),
-            memory: std::array::from_fn(|of| node.memory[order[of]]),
-            ..*node
-        }
-    };
-    State {
-        nodes: std::array::from_fn(node),
-        ..*state
-    }
-}
-
-/// What is left of a node when its process dies: what others have sent it, and what the property
-/// has noted.
-fn without_memory(node: &Node) -> Node {
-    Node {
-        phase: Phase::Down,
-        enforced: 0,
-        floor: 0,
-        staged: 0,
-        noted_by: 0,
-        heard: 0,
-        head_read: false,
-        fetch_failed: false,
-        memory: [0; NODES_MAX],
-        ..*node
-    }
-}
-
 impl Specification for Spread {
     type State = State;
     type Action = Action;
