Ask again for a lost answer to a read; check against the accepted version proved

Cause: one connection that the platform closes while idle made a publication fail that had not begun.

Change: reads, and puts under the content's digest, are asked for once more; transactions are not, the publication settles them.

--- a/src/platform/patient.rs
+++ b/src/platform/patient.rs
@@ -1,4 +1,4 @@
-//! A platform whose rate ceiling is waited out.
+//! A platform whose rate ceiling is waited out, and whose lost answers are asked for again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,52 +12,75 @@
 const TRIES: u32 = 6;
 const FIRST_WAIT_MS: u64 = 100;
 
-/// Repeats what the platform refused because of its rate ceiling, after a growing, jittered wait.
+/// Lost answers of what may be repeated: one. A connection that the platform closed while it was
+/// idle, or a failover, costs one answer; after two the platform is down, and each further try may
+/// wait its whole timeout.
+const LOST_ANSWERS: u32 = 1;
+
+/// Repeats what may be repeated.
 ///
-/// It guards against an operator's command that fails by chance while a herd of nodes restarts:
-/// the ceiling is shared, and one refused read would fail the whole publication. "Busy" is said
-/// before anything is written, so repeating is safe for writes too. Nothing else is repeated.
+/// - The rate ceiling is waited out, with growing, jittered waits. It guards against a command that
+///   fails by chance while a herd of nodes restarts: the ceiling is shared, and one refused read
+///   would fail the whole publication. "Busy" is said before anything is written, so repeating is
+///   safe for writes too.
+/// - A lost answer to a read, or to a put under the content's own digest, is asked for once more.
+///   Without that a single closed connection fails a publication that has not begun. A transaction
+///   is not repeated here: [`crate::ops::command::publish`] settles it.
 #[derive(Clone, Debug)]
 pub struct Patient<P>(pub P);
 
-async fn patiently<T, F>(mut call: impl FnMut() -> F) -> Result<T>
+/// Whether asking twice is the same as asking once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Repeatable {
+    Yes,
+    No,
+}
+
+async fn patiently<T, F>(repeatable: Repeatable, mut call: impl FnMut() -> F) -> Result<T>
 where
     F: Future<Output = Result<T>>,
 {
     let mut wait_ms = FIRST_WAIT_MS;
+    let mut lost = 0;
     for _ in 1..TRIES {
         match call().await {
-            Err(Error::Busy) => (),
+            Err(Error::Busy) => {
+                // Half to whole: those refused together do not come back together.
+                let jittered_ms = rand::random_range(wait_ms / 2..=wait_ms);
+                tokio::time::sleep(Duration::from_millis(jittered_ms)).await;
+                wait_ms *= 2;
+            }
+            Err(Error::OutcomeUnknown { .. })
+                if repeatable == Repeatable::Yes && lost < LOST_ANSWERS =>
+            {
+                lost += 1;
+            }
             answer => return answer,
         }
-        // Half to whole: those refused together do not come back together.
-        let jittered_ms = rand::random_range(wait_ms / 2..=wait_ms);
-        tokio::time::sleep(Duration::from_millis(jittered_ms)).await;
-        wait_ms *= 2;
     }
     call().await
 }
 
 impl<P: Table> Table for Patient<P> {
     async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
-        patiently(|| self.0.transact(transaction)).await
+        patiently(Repeatable::No, || self.0.transact(transaction)).await
     }
 
     async fn row(&self, key: &str) -> Result<Option<Row>> {
-        patiently(|| self.0.row(key)).await
+        patiently(Repeatable::Yes, || self.0.row(key)).await
     }
 
     async fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<BTreeMap<String, Row>> {
-        patiently(|| self.0.rows(prefix, after, limit)).await
+        patiently(Repeatable::Yes, || self.0.rows(prefix, after, limit)).await
     }
 }
 
 impl<P: ObjectStore> ObjectStore for Patient<P> {
     async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> Result<()> {
-        patiently(|| self.0.put_object(digest, bytes)).await
+        patiently(Repeatable::Yes, || self.0.put_object(digest, bytes)).await
     }
 
     async fn object(&self, digest: &Digest) -> Result<Option<Vec<u8>>> {
-        patiently(|| self.0.object(digest)).await
+        patiently(Repeatable::Yes, || self.0.object(digest)).await
     }
 }
--- a/tests/testsuite/publish.rs
+++ b/tests/testsuite/publish.rs
@@ -450,3 +450,20 @@
     let run = bench.run(&delete).await;
     run.expect(0, "Found already published: version 3");
 }
+
+/// A team takes a resource out of its file that another team's accepted record calls. `check` by
+/// itself can't know; against the accepted version it names the team that would be broken.
+#[tokio::test]
+async fn check_against_the_accepted_version_finds_broken_callers() {
+    let bench = Bench::start().await;
+    let called = bench.team("armazem", 12, "");
+    bench.publish(&called, &[]).await.expect(0, "version 1");
+    let caller = bench.team("balanco", 60, "[calls]\narmazem = [\"stock\"]\n");
+    bench.publish(&caller, &[]).await.expect(0, "version 2");
+    let text = std::fs::read_to_string(&called).expect("the file was written");
+    std::fs::write(&called, text.replace("stock", "ledger")).expect("the file is written");
+    let path = called.to_str().expect("temporary paths are UTF-8");
+    bench.run(&["check", path]).await.expect(0, "nothing wrong");
+    let run = bench.run(&["check", "--accepted", path]).await;
+    run.expect(1, "team `balanco` refers to resource `stock`");
+}
--- a/tests/testsuite/publish_in_flight.rs
+++ b/tests/testsuite/publish_in_flight.rs
@@ -20,6 +20,8 @@
     held: Mutex<Option<Transaction>>,
     hold: AtomicU32,
     busy: AtomicU32,
+    /// So many reads and stored objects are answered with nothing.
+    lose: AtomicU32,
     /// So many times the held transaction arrives just before the head is read.
     deliver_at_head: AtomicU32,
     /// Somebody else's publication that is accepted while a transaction is held.
@@ -33,6 +35,7 @@
             held: Mutex::new(None),
             hold: AtomicU32::new(0),
             busy: AtomicU32::new(0),
+            lose: AtomicU32::new(0),
             deliver_at_head: AtomicU32::new(0),
             overtaking: None,
         }
@@ -45,6 +48,15 @@
         delivered.expect("the platform works")
     }
 
+    fn lose(&self) -> Result<()> {
+        match take(&self.lose) {
+            true => Err(platform::Error::OutcomeUnknown {
+                reason: "the connection was closed".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
     fn busy(&self) -> Result<()> {
         match take(&self.busy) {
             true => Err(platform::Error::Busy),
@@ -80,6 +92,7 @@
 
     async fn row(&self, key: &str) -> Result<Option<Row>> {
         self.busy()?;
+        self.lose()?;
         if key == HEAD_KEY && take(&self.deliver_at_head) {
             self.deliver().await;
         }
@@ -93,6 +106,7 @@
 
 impl ObjectStore for Slow {
     async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> Result<()> {
+        self.lose()?;
         self.inner.put_object(digest, bytes).await
     }
 
@@ -213,3 +227,14 @@
     let published = published.expect("the ceiling is waited out");
     assert_eq!(published.stamp.version, Version(1));
 }
+
+/// The platform closes a connection that was idle just when the command reads the head over it. The
+/// read is asked again; without that the operator is refused because of one closed connection.
+#[tokio::test]
+async fn lost_answer_to_a_read_is_asked_for_again() {
+    let (_stand_in, slow) = start().await;
+    slow.lose.store(1, Ordering::SeqCst);
+    let published = publish(&Patient(slow), &options("read", 60_000)).await;
+    let published = published.expect("the read is repeated");
+    assert_eq!(published.stamp.version, Version(1));
+}
