Settle a resumed publication before it is refused

Cause: a resumed publication that was refused, or that met an outage before its id was looked up, was told "nothing was changed" although the first run's commit might have taken effect or still arrive.

Change: an outage leaves the outcome unknown (exit code 3); a refusal first abandons the id, and finds the version if there is one.

--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -159,6 +159,7 @@
             .kind(kind)
             .rollback_teams(self.rollback_teams.clone())
             .maybe_expected(self.expected)
+            .resumed(self.resume.is_some())
             .build();
         Ok(options)
     }
@@ -258,6 +259,9 @@
     let hint = match &error {
         Error::OutcomeUnknown {
             publish_id, seen, ..
+        }
+        | Error::Unsettled {
+            publish_id, seen, ..
         } => {
             return Failure::Unknown {
                 text: with_causes(&error),
--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -67,6 +67,9 @@
     pub rollback_teams: Vec<TeamName>,
     /// The version that the operator saw; by default the accepted one when the command starts.
     pub expected: Option<Version>,
+    /// Whether an earlier run with this id may have committed it, or may still do so.
+    #[builder(default)]
+    pub resumed: bool,
     /// How long to look into a lost answer before its outcome is called unknown, in milliseconds.
     #[builder(default = 3_000)]
     pub settle_limit_ms: u64,
@@ -97,6 +100,56 @@
 pub async fn publish<P: Table + ObjectStore>(
     platform: &P,
     options: &PublishOptions,
+) -> Result<Published> {
+    match publish_once(platform, options).await {
+        Err(refusal) if options.resumed => settle_refusal(platform, options, refusal).await,
+        outcome => outcome,
+    }
+}
+
+/// A resumed publication is refused, but an earlier run's commit may still be on its way, or have
+/// taken effect. It guards against an operator who is told "nothing was changed" and finds the
+/// version in force a moment later: the refusal is given only after the id has been settled.
+async fn settle_refusal<P: Table + ObjectStore>(
+    platform: &P,
+    options: &PublishOptions,
+    refusal: Error,
+) -> Result<Published> {
+    let unsettled = |source: Error| Error::Unsettled {
+        publish_id: options.publish_id.clone(),
+        seen: options.expected,
+        source: Box::new(source),
+    };
+    match &refusal {
+        Error::OutcomeUnknown { .. } | Error::Abandoned { .. } | Error::IdReused { .. } => {
+            return Err(refusal);
+        }
+        // The platform fails: settling would fail as well, and going on later may still succeed.
+        Error::Read { .. } | Error::Store { .. } | Error::CommitRefused { .. } => {
+            return Err(unsettled(refusal));
+        }
+        _ => (),
+    }
+    let PublishOptions {
+        publish_id,
+        operator,
+        time_ms,
+        ..
+    } = options;
+    match abandon(platform, publish_id, operator, *time_ms).await {
+        Ok(None) => Err(refusal),
+        Ok(Some(_)) => match find_published(platform, options).await {
+            Ok(Some(stamp)) => Ok(found(stamp, 0, true)),
+            Ok(None) => Err(unsettled(refusal)),
+            Err(error) => Err(unsettled(error)),
+        },
+        Err(error) => Err(unsettled(error)),
+    }
+}
+
+async fn publish_once<P: Table + ObjectStore>(
+    platform: &P,
+    options: &PublishOptions,
 ) -> Result<Published> {
     if let Some(stamp) = find_published(platform, options).await? {
         return Ok(found(stamp, 0, true));
@@ -177,7 +230,11 @@
         (Ok(None), Ok(outcome)) => Err(unknown(platform::Error::Protocol {
             reason: format!("{outcome:?}, yet no row under the id"),
         })),
-        (Err(error), Ok(_)) => Err(error),
+        (Err(error), Ok(_)) => Err(Error::Unsettled {
+            publish_id: publish_id.to_owned(),
+            seen: None,
+            source: Box::new(error),
+        }),
     }
 }
 
--- a/src/ops/command/publish/error.rs
+++ b/src/ops/command/publish/error.rs
@@ -107,4 +107,15 @@
         /// What failed.
         source: platform::Error,
     },
+    /// An earlier run's commit could not be looked up yet.
+    #[snafu(display("whether publication `{publish_id}` took effect is still unknown"))]
+    Unsettled {
+        /// Id to settle it by.
+        publish_id: String,
+        /// The version that the publication is based on; not known when only settling.
+        seen: Option<Version>,
+        /// What failed.
+        #[snafu(source(from(Error, Box::new)))]
+        source: Box<Error>,
+    },
 }
--- a/tests/testsuite/publish.rs
+++ b/tests/testsuite/publish.rs
@@ -193,10 +193,12 @@
     run.expect(3, "--resume night --expect 0");
     let run = bench.run(&["publish", "--resume", "night"]).await;
     run.expect(3, "--resume night");
+    let again = ["--resume", "night", "--expect", "0"];
+    let run = bench.publish(&file, &again).await;
+    run.expect(3, "--resume night --expect 0");
     bench.set_faults(Faults::default());
     let run = bench.run(&["publish", "--resume", "night"]).await;
     run.expect(0, "publication night made version 1");
-    let again = ["--resume", "night", "--expect", "0"];
     let run = bench.publish(&file, &again).await;
     run.expect(0, "Found already published: version 1");
     assert_eq!(bench.versions().len(), 1);
--- a/tests/testsuite/publish_in_flight.rs
+++ b/tests/testsuite/publish_in_flight.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use dragonflywall::core::names::{ResourceName, ServiceName};
 use dragonflywall::core::team_file;
 use dragonflywall::core::version::{Digest, Version};
 use dragonflywall::ops::command::publish::{Error, PublishOptions, abandon, publish};
@@ -217,6 +218,37 @@
     assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
 }
 
+/// The commit hangs on the way, and the operator resumes it, by mistake with a file that is refused.
+/// She is told that nothing was changed. The commit arrives only then, and must not prove that
+/// wrong: a refused resume settles the id before it says so.
+#[tokio::test]
+async fn commit_that_arrives_after_a_refused_resume_fails() {
+    let (_stand_in, slow) = start().await;
+    slow.hold.store(u32::MAX, Ordering::SeqCst);
+    let published = publish(&slow, &options("night", 0)).await;
+    assert!(
+        matches!(published, Err(Error::OutcomeUnknown { .. })),
+        "{published:?}"
+    );
+    slow.hold.store(0, Ordering::SeqCst);
+    let mut resumed = PublishOptions {
+        expected: Some(Version::NONE),
+        resumed: true,
+        ..options("night", 0)
+    };
+    let nobody = ServiceName::new("nobody");
+    resumed.records[0]
+        .calls
+        .insert(nobody, [ResourceName::new("nothing")].into());
+    let published = publish(&slow, &resumed).await;
+    assert!(
+        matches!(published, Err(Error::Invalid { .. })),
+        "{published:?}"
+    );
+    assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
+    assert_eq!(head(&slow).await, Version::NONE);
+}
+
 /// A herd of restarting nodes holds the platform at its rate ceiling just when an operator
 /// publishes. A refusal by the ceiling is waited out; without that, the command fails by chance.
 #[tokio::test]
