--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::member::{BackendState, Member, NodeId, Place};
+use crate::core::names::ServiceName;
 use crate::core::version::{Stamp, Version};
 
 /// What `GET /status` answers.
@@ -17,6 +18,9 @@
     pub enforced: Stamp,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Services of the enforced configuration without an endpoint that this node can reach.
+    #[serde(default)]
+    pub lacking: Vec<ServiceName>,
     /// Everything it knows of the mesh, itself included.
     pub members: Vec<Member>,
     /// What the nodes of each data centre enforce.
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -23,9 +23,9 @@
 /// Load from which an endpoint counts as full, in percent of its slots.
 const FULL_PERCENT: u32 = 100;
 
-/// How long a reported load counts. An older report may keep an idle endpoint out of work, or
-/// call a full one free.
-const LOAD_FRESH_US: u64 = 1_000_000;
+/// How long a reported load counts: some ten service times of short work. An older report keeps
+/// an endpoint out of work that has long become free.
+const LOAD_FRESH_US: u64 = 200_000;
 
 /// An endpoint gets its full share so long after it was first seen.
 const SLOW_START_US: u64 = 10_000_000;
@@ -39,8 +39,9 @@
 const EJECTED_FIRST_US: u64 = 1_000_000;
 const EJECTED_MOST_US: u64 = 30_000_000;
 
-/// Answers of an endpoint after which its latency is judged.
-const JUDGED_SAMPLES: u32 = 32;
+/// Answers of an endpoint after which its latency is judged: enough that one long request among
+/// short ones is not taken for a slow endpoint.
+const JUDGED_SAMPLES: u32 = 16;
 /// An endpoint is slow if its mean latency is so many times the median of the others.
 const SLOW_FACTOR: u64 = 3;
 /// Differences below this are noise of a busy VM.
@@ -203,7 +204,8 @@
         self.ejections += 1;
         self.ejected_until_us = now_us + time_us.min(EJECTED_MOST_US);
         self.first_seen_us = self.ejected_until_us;
-        self.strikes = 0;
+        // When it comes back one more failure is enough, until it has given an answer.
+        self.strikes = STRIKES_MAX - 1;
         self.samples = 0;
     }
 
@@ -248,6 +250,15 @@
     pub tried: &'a [NodeId],
 }
 
+/// Which endpoints are looked at.
+#[derive(Clone, Copy)]
+struct Others<'a> {
+    /// Not these.
+    tried: &'a [NodeId],
+    /// Also those that are thought to be draining.
+    draining: bool,
+}
+
 /// What one entry has seen of endpoints. Times are microseconds of any steady clock.
 #[derive(Debug, Default)]
 pub struct Balancer {
@@ -269,16 +280,33 @@
         need: &Need<'_>,
         rng: &mut impl Rng,
     ) -> Option<Endpoint> {
-        let untried = self.choose_beside(now_us, ranked, need, need.tried, rng);
-        untried.or_else(|| self.choose_beside(now_us, ranked, need, &[], rng))
+        let others = Others {
+            tried: need.tried,
+            draining: false,
+        };
+        let mut among = |others| self.choose_among(now_us, ranked, need, others, rng);
+        among(others)
+            .or_else(|| {
+                among(Others {
+                    tried: &[],
+                    ..others
+                })
+            })
+            // It may have been told to serve again since it refused.
+            .or_else(|| {
+                among(Others {
+                    tried: &[],
+                    draining: true,
+                })
+            })
     }
 
-    fn choose_beside(
+    fn choose_among(
         &mut self,
         now_us: u64,
         ranked: &Ranked,
         need: &Need<'_>,
-        tried: &[NodeId],
+        others: Others<'_>,
         rng: &mut impl Rng,
     ) -> Option<Endpoint> {
         let reach = match need.spill {
@@ -288,7 +316,7 @@
         };
         let mut fallback = None;
         for ring in &ranked.rings[..reach] {
-            let subset = self.usable(now_us, ring, tried);
+            let subset = self.usable(now_us, ring, others);
             let Some(chosen) = self.least_of(now_us, ring, &subset, need.slots, rng) else {
                 continue;
             };
@@ -361,14 +389,15 @@
     /// endpoint that will not answer; but also that a fault common to all (a bad release, a full
     /// service) ejects one after the other until the last ones break down. Reason for the
     /// limit: with more than half ejected the fault is hardly the endpoints' own, so all are used.
-    fn usable(&self, now_us: u64, ring: &[Endpoint], tried: &[NodeId]) -> Subset {
+    fn usable(&self, now_us: u64, ring: &[Endpoint], others: Others<'_>) -> Subset {
         let mut usable = Subset::default();
         let mut all = Subset::default();
         for (position, endpoint) in ring.iter().enumerate() {
             let seen = self.seen.get(&endpoint.node);
             let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
             let draining = seen.is_some_and(|seen| seen.draining_until_us > now_us);
-            if draining || tried.contains(&endpoint.node) {
+            let left_out = draining && !others.draining;
+            if left_out || others.tried.contains(&endpoint.node) {
                 continue;
             }
             if !all.is_full() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,17 +1,26 @@
 //! The integration tests: whole processes, and the library's decisions from outside.
 
+mod check;
 mod decide_admission;
+mod decide_placement;
+mod decide_retry;
+mod decide_simulation;
+mod documentation;
 mod fuzz;
 mod fuzz_holder;
 mod fuzz_membership;
 mod fuzz_publish;
 mod fuzz_table;
+mod ledger;
+mod operator_commands;
 mod publish;
 mod publish_in_flight;
 mod requests_answers;
 mod requests_chain;
 mod requests_drain;
+mod requests_streams;
 mod requests_untrusted;
+mod simulation;
 mod spread_membership;
 mod spread_network;
 mod support;
