Model starts that do with fewer answers

Cause: the product settles a floor on three answers of up to eight neighbours, one of which has confirmed; the model had only 'all in reach'.

Change: two more rules and a test.

--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -24,7 +24,8 @@
   --outages N   times the platform is away (1)
   --open-version N
                 a version accepted by mistake with a reference that does not close (none)
-  --rule RULE   peers-only, head-only, one-witness, one-witness-in-reach, two-witnesses
+  --rule RULE   peers-only, head-only, one-witness, one-witness-in-reach,
+                one-witness-fewer-answers, two-witnesses, two-witnesses-fewer-answers
                 (all of them, one after the other)
 
 Options of publish:
@@ -40,12 +41,20 @@
 
 type Result<T> = std::result::Result<T, lexopt::Error>;
 
-const RULES: [(&str, FloorRule); 5] = [
+const RULES: [(&str, FloorRule); 7] = [
     ("peers-only", FloorRule::PEERS_ONLY),
     ("head-only", FloorRule::HEAD_ONLY),
     ("one-witness", FloorRule::ONE_WITNESS),
     ("one-witness-in-reach", FloorRule::ONE_WITNESS_IN_REACH),
+    (
+        "one-witness-fewer-answers",
+        FloorRule::ONE_WITNESS_FEWER_ANSWERS,
+    ),
     ("two-witnesses", FloorRule::TWO_WITNESSES),
+    (
+        "two-witnesses-fewer-answers",
+        FloorRule::TWO_WITNESSES_FEWER_ANSWERS,
+    ),
 ];
 
 fn main() -> ExitCode {
--- a/crates/model/src/spread/state.rs
+++ b/crates/model/src/spread/state.rs
@@ -71,6 +71,16 @@
         waits_for_witnesses: false,
         ..Self::ONE_WITNESS
     };
+    /// As [`Self::ONE_WITNESS`], but a start does with the answers of all peers but one.
+    pub const ONE_WITNESS_FEWER_ANSWERS: Self = Self {
+        start: Start::AllPeersBut(1),
+        ..Self::ONE_WITNESS
+    };
+    /// As [`Self::TWO_WITNESSES`], but a start does with the answers of all peers but one.
+    pub const TWO_WITNESSES_FEWER_ANSWERS: Self = Self {
+        start: Start::AllPeersBut(1),
+        ..Self::TWO_WITNESSES
+    };
     /// Two peers note a version before it is enforced; a start hears every peer in reach.
     pub const TWO_WITNESSES: Self = Self {
         witnesses: 2,
--- a/crates/model/tests/distribution.rs
+++ b/crates/model/tests/distribution.rs
@@ -86,6 +86,23 @@
     assert!(found.steps.iter().any(|step| step.starts_with("CutOff")));
 }
 
+/// As above, though a peer knew and nobody was cut off: the successor began on the answers of the
+/// others. As many peers may be left out as there are witnesses but one.
+#[test]
+fn answers_without_the_witness_are_not_enough() {
+    let bounds = Bounds {
+        nodes: 3,
+        cuts: 0,
+        ..SMALL
+    };
+    let rule = FloorRule::ONE_WITNESS_FEWER_ANSWERS;
+    let found = counterexample(bounds, rule, None).expect("a counterexample");
+    assert_eq!(found.property, NEVER_BACK);
+    let rule = FloorRule::TWO_WITNESSES_FEWER_ANSWERS;
+    let found = counterexample(bounds, rule, None);
+    assert!(found.is_none(), "{found:?}");
+}
+
 /// As above, though the node asked for a witness: nobody was in reach, and it enforced anyway.
 #[test]
 fn enforcing_unwitnessed_goes_back() {
