--- a/src/ops/command/publish/rounds.rs
+++ b/src/ops/command/publish/rounds.rs
@@ -142,11 +142,9 @@
                 self.lost = None;
                 Ok(Round::Overtaken)
             }
-            Err(Error::Read { source }) => Ok(Round::AnswerLost {
+            Err(error @ Error::Read { .. }) => Ok(Round::AnswerLost {
                 sent_at_revision: head.revision,
-                source: platform::Error::OutcomeUnknown {
-                    reason: format!("the id can't be looked up: {source}"),
-                },
+                source: super::lost(&error),
             }),
             Err(error) => Err(error),
         }
