Give each test network addresses of its own, and wait for killed nodes

Cause: slow_readers_hold_bounded_memory failed once in a run of 130 tests: a node that was started again at its address found the port taken ("Address already in use"). The killed process was not waited for, and networks of tests that ran side by side shared 127.0.N.1, so that another listener or outgoing connection could take the port. Excluded: retrying the start, which would hide a node that cannot come back; a fixed port range. Change: a network has its own second octet, a dropped node process is reaped, and outgoing sockets set SO_REUSEADDR, so that they do not hold a listener's port against it.

--- a/crates/experiment/src/baseline.rs
+++ b/crates/experiment/src/baseline.rs
@@ -9,7 +9,7 @@
 use dragonflywall::core::version::{Digest, Stamp, Version};
 use dragonflywall::platform::ObjectStore;
 use dragonflywall::platform::http::HttpPlatform;
-use testkit::network::{Front, Network, Site, site_ip};
+use testkit::network::{Front, Network, Site};
 use testkit::platform::Platform;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -39,7 +39,7 @@
 pub(crate) async fn run(nodes: usize, changes: usize) -> Result<Polled> {
     let network = Network::new(REGIONS.into(), LINK_MBIT_PER_S);
     network.set_delays(Duration::from_millis(1), Duration::from_millis(20));
-    let address = std::net::SocketAddr::new(site_ip(0), 0);
+    let address = std::net::SocketAddr::new(network.site_ip(0), 0);
     let platform = Platform::start(address).await.map_err(start_error)?;
     let front = Front::open(&network, 0).await.map_err(start_error)?;
     front.set_target(platform.address);
@@ -51,7 +51,7 @@
     for number in 0..nodes {
         let site = Site::try_from(number % REGIONS.len()).unwrap_or(0);
         let url = format!("http://{}", front.address);
-        let store = HttpPlatform::new(&url, Some(site_ip(site)));
+        let store = HttpPlatform::new(&url, Some(network.site_ip(site)));
         // Spread evenly over the interval, as pollers that started at random would be.
         let phase = POLL.mul_f64(number as f64 / nodes as f64);
         pollers.spawn(poll(store, phase, sender.clone()));
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`platform`] is the transactional table and object store, [`backend`] a backend server that
 //! records what it ran, [`network`] the links between data centres, which can be cut, delayed,
 //! throttled and counted. [`process`] starts nodes as processes and [`mesh`] a whole deployment.
-//! All listen on loopback addresses; data centre number N has the addresses 127.0.N+1.x.
+//! All listen on loopback addresses; data centre number N has the addresses 127.x.N+1.1, where x is the network's own.
 
 pub mod backend;
 pub mod http;
--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -10,7 +10,7 @@
 
 use crate::backend::{Backend, Behaviour};
 use crate::http::{request, wait_until};
-use crate::network::{Front, Network, Site, site_ip};
+use crate::network::{Front, Network, Site};
 use crate::platform::Platform;
 use crate::process::{LogLine, NodeProcess};
 
@@ -145,7 +145,7 @@
         let region_of = deployment.data_centres.iter().map(|dc| dc.region_number);
         let network = Network::new(region_of.collect(), 30.0);
         network.set_delays(Duration::from_millis(1), Duration::from_millis(20));
-        let platform = Platform::start(SocketAddr::new(site_ip(0), 0)).await;
+        let platform = Platform::start(SocketAddr::new(network.site_ip(0), 0)).await;
         let platform = platform.map_err(text)?;
         let platform_front = Front::open(&network, 0).await.map_err(text)?;
         platform_front.set_target(platform.address);
@@ -184,7 +184,7 @@
 
     async fn add_backend(&mut self, site: Site, service: &'static str) -> Result<usize, String> {
         let position = self.vms.len();
-        let address = SocketAddr::new(site_ip(site), 0);
+        let address = SocketAddr::new(self.network.site_ip(site), 0);
         let behaviour = self.deployment.behaviour.clone();
         let name = format!("{service}-{position}");
         let backend = Backend::start(address, &name, behaviour).await;
@@ -246,7 +246,7 @@
     fn arguments(&self, position: usize) -> Vec<String> {
         let vm = &self.vms[position];
         let data_centre = &self.deployment.data_centres[usize::from(vm.site)];
-        let ip = site_ip(vm.site);
+        let ip = self.network.site_ip(vm.site);
         let any_port = SocketAddr::new(ip, 0);
         let mut arguments = self.leading.clone();
         let mut set = |flag: &str, value: String| {
--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -1,13 +1,13 @@
 //! The network between data centres: fronts that forward TCP with delay, throttle, cuts, counts.
 //!
 //! A [`Front`] stands before one listener. Who connects is told by the source address: data
-//! centre number N (a [`Site`]) dials from 127.0.N+1.x. The [`Network`] holds one policy for each
+//! centre number N (a [`Site`]) dials from 127.x.N+1.1, where x is the network's own. The [`Network`] holds one policy for each
 //! ordered pair of sites; all connections of one pair of regions share one throttle, as they
 //! would share the link.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -40,6 +40,7 @@
 /// The policies and counters between sites.
 #[derive(Debug)]
 pub struct Network {
+    number: u8,
     region_of: Vec<u8>,
     policies: Mutex<BTreeMap<(Site, Site), Policy>>,
     changed: watch::Sender<u64>,
@@ -67,11 +68,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Loopback address of a site.
-pub fn site_ip(site: Site) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, site + 1, 1))
-}
-
 /// The site that an address belongs to.
 pub fn site_of(ip: IpAddr) -> Option<Site> {
     match ip {
@@ -80,7 +76,23 @@
     }
 }
 
+/// Networks of one process that can have addresses of their own.
+const NETWORKS: u32 = 250;
+
+/// Guards against a node that can't come back to its address, since a listener or an outgoing
+/// connection of another network took the port meanwhile: no two networks share an address.
+fn next_number() -> u8 {
+    static STARTED: AtomicU32 = AtomicU32::new(0);
+    let number = STARTED.fetch_add(1, Ordering::Relaxed) + std::process::id();
+    u8::try_from(number % NETWORKS).unwrap_or(0) + 1
+}
+
 impl Network {
+    /// Loopback address of a site.
+    pub fn site_ip(&self, site: Site) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.number, site + 1, 1))
+    }
+
     /// A network of sites, given the region of each; links between regions carry
     /// `link_mbit_per_s` each way.
     pub fn new(region_of: Vec<u8>, link_mbit_per_s: f64) -> Arc<Self> {
@@ -95,6 +107,7 @@
             }
         }
         Arc::new(Self {
+            number: next_number(),
             region_of,
             policies: Mutex::default(),
             changed: watch::Sender::new(0),
@@ -201,7 +214,7 @@
 impl Front {
     /// Opens a front for a listener in `site` whose address is not known yet.
     pub async fn open(network: &Arc<Network>, site: Site) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::new(site_ip(site), 0)).await?;
+        let listener = TcpListener::bind(SocketAddr::new(network.site_ip(site), 0)).await?;
         let address = listener.local_addr()?;
         let (target, targets) = watch::channel(None);
         let stop = CancellationToken::new();
@@ -279,7 +292,7 @@
         } = self;
         network.until_open(from, to).await;
         tokio::time::sleep(network.policy(from, to).delay * 2).await;
-        let Ok(far) = connect(target, site_ip(from)).await else {
+        let Ok(far) = connect(target, network.site_ip(from)).await else {
             return;
         };
         let _ = near.set_nodelay(true);
@@ -306,6 +319,8 @@
 
 async fn connect(target: SocketAddr, from: IpAddr) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
+    // So that a listener may come back to this port after its process died.
+    socket.set_reuseaddr(true)?;
     socket.bind(SocketAddr::new(from, 0))?;
     socket.connect(target).await
 }
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -119,6 +119,25 @@
     }
 }
 
+/// Longest wait for a killed process to be gone.
+const REAP_TRIES: u32 = 2_000;
+
+impl Drop for NodeProcess {
+    /// Guards against a node that is started again at its address while the killed process still
+    /// holds the listener: the kill is waited for, which takes the system about a millisecond.
+    fn drop(&mut self) {
+        if self.child.start_kill().is_err() {
+            return;
+        }
+        for _ in 0..REAP_TRIES {
+            if !matches!(self.child.try_wait(), Ok(None)) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 /// Passes log lines on until the process closes its standard error.
 async fn pass_on(
     position: usize,
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -48,6 +48,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_local_address(dial_from);
+        connector.set_reuse_address(true);
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
--- a/src/util/dial.rs
+++ b/src/util/dial.rs
@@ -18,6 +18,8 @@
         TcpSocket::new_v6()?
     };
     if let Some(from) = from {
+        // A listener may come back to this port: with the option on both, the system lets it.
+        socket.set_reuseaddr(true)?;
         socket.bind(SocketAddr::new(from, 0))?;
     }
     let stream = tokio::time::timeout(timeout, socket.connect(to))
