--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -43,7 +43,7 @@
     /// lost as a whole is most likely cut off and goes on serving an older version: calling that
     /// "in force everywhere" would be a guess.
     fn is_complete(&self) -> bool {
-        self.nodes > 0 && self.enforcing >= self.nodes
+        self.nodes > 0 && self.enforcing == self.nodes
     }
 }
 
@@ -104,7 +104,9 @@
     for summary in &status.data_centres {
         let place = &summary.place;
         if let Some(row) = rows.get_mut(&(place.region.as_str(), place.data_centre.as_str())) {
-            row.enforcing = summary.versions.range(version..).map(|(_, n)| n).sum();
+            let enforcing: usize = summary.versions.range(version..).map(|(_, n)| n).sum();
+            // A count from before the data centre was lost must not read as more than live.
+            row.enforcing = enforcing.min(row.nodes);
         }
     }
     Progress {
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -156,20 +156,25 @@
 #[test]
 fn lost_data_centre_is_not_called_done() {
     let member = |data_centre: &str, port: u16, liveness: &str, version: u64| {
-        let digest = "0".repeat(64);
         serde_json::json!({
             "node": format!("127.0.0.1:{port}"), "external": format!("127.0.0.1:{port}"),
             "place": { "region": "norte", "data_centre": data_centre },
             "incarnation_us": 1, "sequence": 1, "liveness": liveness,
             "service": null, "backend": "gone",
-            "enforced": { "version": version, "digest": digest },
+            "enforced": version,
         })
     };
+    let summary = |data_centre: &str, versions: Value| {
+        let place = serde_json::json!({ "region": "norte", "data_centre": data_centre });
+        serde_json::json!({ "place": place, "nodes": 0, "versions": versions })
+    };
+    let near_both = summary("aveiro-a", serde_json::json!({ "2": 1, "1": 1 }));
+    let far_before_the_cut = summary("aveiro-b", serde_json::json!({ "2": 1 }));
     let progress = |members: &[Value]| {
         let digest = "0".repeat(64);
         let status: Status = serde_json::from_value(serde_json::json!({
             "node": "127.0.0.1:1", "enforced": { "version": 2, "digest": digest },
-            "ready": true, "members": members,
+            "ready": true, "members": members, "data_centres": [near_both, far_before_the_cut],
         }))
         .expect("a status");
         of_status(&status, Version(2))
