--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::core::member::{Liveness, Place};
-use crate::core::status::Status;
+use crate::core::status::{DataCentreSummary, Status};
 use crate::core::version::Version;
 
 /// How many nodes of one data centre enforce a version.
@@ -87,24 +87,42 @@
 }
 
 /// Sums up who enforces `version` or a later one.
+///
+/// How many nodes live is what the asked node sees; how many enforce which version is each data
+/// centre's own count, up to a few seconds old. A data centre that lives and has no count yet, or
+/// of which every node is lost, has none that enforces.
 pub fn of_status(status: &Status, version: Version) -> Progress {
     let mut rows: BTreeMap<(&str, &str), DataCentreProgress> = BTreeMap::new();
     for member in &status.members {
         let place = &member.place;
         let row = rows
-            .entry((place.region.as_str(), place.data_centre.as_str()))
+            .entry(key(place))
             .or_insert_with(|| DataCentreProgress::none_of(place));
         match member.liveness {
-            Liveness::Alive | Liveness::Suspect => {
-                row.nodes += 1;
-                row.enforcing += usize::from(member.enforced.version >= version);
-            }
+            Liveness::Alive | Liveness::Suspect => row.nodes += 1,
             Liveness::Dead => row.unreachable += 1,
             Liveness::Left => (),
         }
     }
+    for count in &status.data_centres {
+        if let Some(row) = rows.get_mut(&key(&count.place)) {
+            row.enforcing = enforcing(count, version, row.nodes);
+        }
+    }
     Progress {
         version,
         data_centres: rows.into_values().filter(|row| !row.is_empty()).collect(),
     }
 }
+
+/// How many of `nodes` enforce `version`, by a count that may be older than `nodes`: it can hold
+/// nodes that have gone since, which must not stand in for one that is behind.
+fn enforcing(count: &DataCentreSummary, version: Version, nodes: usize) -> usize {
+    let at_least: usize = count.versions.range(version..).map(|(_, n)| n).sum();
+    let behind: usize = count.versions.range(..version).map(|(_, n)| n).sum();
+    at_least.min(nodes.saturating_sub(behind))
+}
+
+fn key(place: &Place) -> (&str, &str) {
+    (place.region.as_str(), place.data_centre.as_str())
+}
