Wait for a killed node's end before its address is used again

Cause: two tests dropped a node and started it again at the same address; the killed process still held the port ("Address already in use", the node ended before it listened; 2 runs of 2 in requests_streams).

Change: Mesh::kill_node kills and waits. No check is changed.

--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -12,7 +12,7 @@
 use crate::http::{request, wait_until};
 use crate::network::{Front, Network, Site, site_ip};
 use crate::platform::Platform;
-use crate::process::{LogLine, NodeProcess};
+use crate::process::{LogLine, NodeProcess, Signal};
 
 /// Bounds a hang; no test judges speed by it.
 const LIMIT: Duration = Duration::from_secs(60);
@@ -200,6 +200,16 @@
         Ok(position)
     }
 
+    /// Kills the node of a VM and waits for its end: until then its address is in use, and a node
+    /// that is started again there at once would not start.
+    pub async fn kill_node(&mut self, position: usize) -> Result<(), String> {
+        if let Some(mut node) = self.vms[position].node.take() {
+            node.signal(Signal::Kill);
+            node.ended().await.map_err(text)?;
+        }
+        Ok(())
+    }
+
     /// Starts the node of a VM, at the address that it had before, if it had one.
     pub async fn start_node(&mut self, position: usize) -> Result<(), String> {
         self.start_nodes(vec![position]).await
--- a/tests/testsuite/requests_streams.rs
+++ b/tests/testsuite/requests_streams.rs
@@ -45,7 +45,7 @@
     let mut mesh = start_chatarras(deployment).await;
     mesh.extra_arguments = vec!["--caller-idle-timeout-ms=1500".to_owned()];
     let entry = vms_of(&mesh, "tablon")[0];
-    mesh.vms[entry].node.take();
+    mesh.kill_node(entry).await.expect("it ends");
     mesh.start_node(entry).await.expect("it starts");
     mesh.wait_enforced(1).await;
     mesh.wait_joined().await;
--- a/tests/testsuite/requests_untrusted.rs
+++ b/tests/testsuite/requests_untrusted.rs
@@ -67,7 +67,7 @@
     let mut deployment = small(&["tablon"], 1);
     deployment.data_centres.truncate(1);
     let mut mesh = start_chatarras(deployment).await;
-    mesh.vms[0].node.take();
+    mesh.kill_node(0).await.expect("it ends");
     mesh.extra_arguments = [
         "--caller-header-timeout-ms=500",
         "--caller-connections-max=4",
