--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -23,7 +23,7 @@
 use crate::core::version::{Digest, Stamp, Version};
 use crate::ops::query::accepted;
 use crate::platform::rows::{PublicationKind, PublishRow, publish_key};
-use crate::platform::{self, ObjectStore, Outcome, Table};
+use crate::platform::{self, ObjectStore, Table};
 use error::{AbandonedSnafu, IdReusedSnafu, NoSuchTeamSnafu, NoSuchVersionSnafu, ReadSnafu};
 use plan::ChangeSet;
 use rounds::{Publication, found};
