--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,8 @@
 mod requests_streams;
 mod requests_untrusted;
 mod simulation;
+mod spread_decisions;
+mod spread_failures;
 mod spread_membership;
 mod spread_network;
 mod support;
