--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -3,26 +3,28 @@
 //! A VM has no disk, so a restarted node does not know what it enforced before. The rule that keeps
 //! it from going back has two halves:
 //!
-//! 1. Before a node enforces a version, at least one peer has confirmed that it heard the node
-//!    announce it ([`crate::membership::Membership::witnessed`]). Only a node that believes no peer
-//!    to be alive does without.
+//! 1. Before a node enforces a version, at least one peer of its data centre has confirmed that it
+//!    heard the node announce it ([`crate::membership::Membership::witnessed`]). Only a node that
+//!    believes none there to be alive takes another peer's word, and one that believes nobody to be
+//!    alive does without.
 //! 2. A started node enforces nothing until its floor is settled: either it has read the head from
-//!    the platform, which is at or above anything that anybody has applied; or enough peers have
-//!    told what they remember of its address and what they enforce. The floor is the highest of all
-//!    that was heard.
+//!    the platform, which is at or above anything that anybody has applied; or enough peers of its
+//!    data centre have told what they remember of its address and what they enforce. The floor is
+//!    the highest of all that was heard. Peers elsewhere count only where nobody knows of any other
+//!    node in the data centre: they may be behind, and were not told before it was enforced.
 //!
 //! While neither comes, it waits and says so; there is no time after which it guesses.
 
 use std::collections::BTreeSet;
 
-use crate::core::member::NodeId;
+use crate::core::member::{Distance, NodeId};
 use crate::core::version::Version;
 
-/// Peers that must answer where so many are known. The witnesses of half 1 are ring neighbours,
-/// and the same ones are asked after a restart; three of them cover the loss of any two.
+/// Peers that must answer where so many are known, besides all that are asked: a node that has just
+/// started knows only some of its neighbours yet.
 pub const PEERS_ASKED: usize = 3;
 
-/// How long fewer answers than [`PEERS_ASKED`] are not enough although some came. A node that is
+/// How long fewer answers are not enough although some came. A node that is
 /// cut off with a few peers serves with them after this; five heartbeats, so that whoever can
 /// answer has.
 pub const FEW_PEERS_MS: u64 = 5_000;
@@ -32,9 +34,11 @@
 pub struct Floor {
     version: Version,
     head_read: bool,
+    asked: BTreeSet<NodeId>,
     answered: BTreeSet<NodeId>,
     started_ms: u64,
     settled: bool,
+    last_in_data_centre: bool,
 }
 
 impl Floor {
@@ -54,15 +58,33 @@
         }
     }
 
+    /// Whether nobody knows of another node in the data centre, alive or dead.
+    pub fn set_last_in_data_centre(&mut self, last: bool) {
+        self.last_in_data_centre = last;
+    }
+
+    /// A peer of the data centre is asked: until [`FEW_PEERS_MS`] have passed its answer is waited
+    /// for.
+    pub fn asked(&mut self, peer: NodeId) {
+        self.asked.insert(peer);
+    }
+
     /// A peer told the highest version that it knows this address to have reported, and the
     /// version that it enforces itself. One that enforces nothing has no memory yet, so it raises
     /// the floor but does not count.
-    pub fn answered(&mut self, peer: NodeId, reported: Version, enforced: Version) {
+    pub fn answered(
+        &mut self,
+        peer: NodeId,
+        distance: Distance,
+        reported: Version,
+        enforced: Version,
+    ) {
         if self.settled {
             return;
         }
         self.version = self.version.max(reported).max(enforced);
-        if enforced > Version::NONE {
+        let counts = distance == Distance::DataCentre || self.last_in_data_centre;
+        if counts && enforced > Version::NONE {
             self.answered.insert(peer);
         }
     }
@@ -71,7 +93,10 @@
     /// greater versions are applied anyway.
     pub fn is_settled(&mut self, now_ms: u64) -> bool {
         let waited = now_ms.saturating_sub(self.started_ms) >= FEW_PEERS_MS;
-        let enough = self.answered.len() >= PEERS_ASKED || (waited && !self.answered.is_empty());
+        // Any one of those asked may be the only witness of what this address enforced last. Were
+        // the first answers enough, the node would start below it when the witness answers late.
+        let all = self.answered.len() >= PEERS_ASKED && self.asked.is_subset(&self.answered);
+        let enough = all || (waited && !self.answered.is_empty());
         self.settled |= self.head_read || enough;
         self.settled
     }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -6,7 +6,7 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
-use crate::core::member::NodeId;
+use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
 use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
@@ -53,6 +53,8 @@
     /// Highest own version that a peer has confirmed to have heard.
     pub(crate) witnessed: Version,
     pub(crate) alone: bool,
+    /// Nobody knows of another node in the data centre, alive or dead.
+    pub(crate) last_in_data_centre: bool,
 }
 
 #[derive(Debug)]
@@ -205,6 +207,8 @@
     fn set_role(&mut self, now_ms: u64, role: Role) {
         let was = (self.role.gateway_rank, self.role.watcher_rank);
         self.role = role;
+        self.floor
+            .set_last_in_data_centre(self.role.last_in_data_centre);
         if was != (self.role.gateway_rank, self.role.watcher_rank) {
             self.set_gateway_rank(now_ms);
             self.next_poll_ms = self.next_poll_ms.min(now_ms + self.poll_pause_ms());
@@ -249,8 +253,11 @@
         self.tell(MembershipMsg::Head(head));
     }
 
-    fn ask_floor(&self, myself: &ActorRef<ConfigurationMsg>) {
+    fn ask_floor(&mut self, myself: &ActorRef<ConfigurationMsg>) {
         for peer in self.role.neighbours.clone() {
+            if peer.distance == Distance::DataCentre {
+                self.floor.asked(peer.node);
+            }
             let Some(mut client) = self.node.control.client(peer.address) else {
                 continue;
             };
@@ -269,7 +276,9 @@
     }
 
     fn floor_answered(&mut self, now_ms: u64, peer: Peer, reported: Version, enforced: Stamp) {
-        self.floor.answered(peer.node, reported, enforced.version);
+        let (node, distance) = (peer.node, peer.distance);
+        self.floor
+            .answered(node, distance, reported, enforced.version);
         if enforced.version > Version::NONE {
             self.announced(now_ms, enforced, Some(peer));
         }
@@ -388,7 +397,6 @@
 }
 
 fn source_name(source: &Source) -> &'static str {
-    use crate::core::member::Distance;
     match source {
         Source::Store => "store",
         Source::Peer { distance, .. } => match distance {
--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -23,7 +23,7 @@
 use crate::core::version::{Digest, Stamp, Version};
 use crate::ops::query::accepted;
 use crate::platform::rows::{PublicationKind, PublishRow, publish_key};
-use crate::platform::{self, ObjectStore, Outcome, Table};
+use crate::platform::{self, ObjectStore, Table};
 use error::{AbandonedSnafu, IdReusedSnafu, NoSuchTeamSnafu, NoSuchVersionSnafu, ReadSnafu};
 use plan::ChangeSet;
 use rounds::{Publication, found};
@@ -67,8 +67,7 @@
     pub rollback_teams: Vec<TeamName>,
     /// The version that the operator saw; by default the accepted one when the command starts.
     pub expected: Option<Version>,
-    /// Whether an earlier run under this id ended with an unknown outcome: its commit may have taken
-    /// effect, or may still do so.
+    /// Whether an earlier run with this id may have committed it, or may still do so.
     #[builder(default)]
     pub resumed: bool,
     /// How long to look into a lost answer before its outcome is called unknown, in milliseconds.
@@ -102,44 +101,53 @@
     platform: &P,
     options: &PublishOptions,
 ) -> Result<Published> {
-    let result = publish_or_find(platform, options).await;
-    result.map_err(
-        |error| match options.resumed && !settles_earlier_run(&error) {
-            true => still_unknown(options, &error),
-            false => error,
-        },
-    )
-}
-
-/// Whether the error may be told although an earlier run's commit was unsettled: it says itself that
-/// the outcome is unknown, or it proves that the earlier commit never takes effect.
-///
-/// Whatever is decided from the records and the head alone is such a proof: at this head the earlier
-/// run would have decided the same and sent nothing, so it sent its commit at an earlier head, which
-/// has moved since; and the id, read after this head, was unused. It holds for the same files only.
-fn settles_earlier_run(error: &Error) -> bool {
-    match error {
-        Error::OutcomeUnknown { .. } | Error::Abandoned { .. } | Error::IdReused { .. } => true,
-        Error::Raced { .. } | Error::Invalid { .. } | Error::Unchanged { .. } => true,
-        Error::Contended => true,
-        Error::Read { .. } | Error::Store { .. } | Error::CommitRefused { .. } => false,
-        Error::NoSuchVersion { .. } | Error::NoSuchTeam { .. } => false,
+    match publish_once(platform, options).await {
+        Err(refusal) if options.resumed => settle_refusal(platform, options, refusal).await,
+        outcome => outcome,
     }
 }
 
-/// Guards against a false "nothing was changed": the earlier run's answer is lost, this run finds
-/// the platform away for a moment and would end as refused; the operator then publishes again what
-/// is in force already, or comes to be with the late commit.
-fn still_unknown(options: &PublishOptions, error: &Error) -> Error {
-    let reason = format!("the earlier run is not settled, and this one failed: {error}");
-    Error::OutcomeUnknown {
+/// A resumed publication is refused, but an earlier run's commit may still be on its way, or have
+/// taken effect. It guards against an operator who is told "nothing was changed" and finds the
+/// version in force a moment later: the refusal is given only after the id has been settled.
+async fn settle_refusal<P: Table + ObjectStore>(
+    platform: &P,
+    options: &PublishOptions,
+    refusal: Error,
+) -> Result<Published> {
+    let unsettled = |source: Error| Error::Unsettled {
         publish_id: options.publish_id.clone(),
         seen: options.expected,
-        source: platform::Error::OutcomeUnknown { reason },
+        source: Box::new(source),
+    };
+    match &refusal {
+        Error::OutcomeUnknown { .. } | Error::Abandoned { .. } | Error::IdReused { .. } => {
+            return Err(refusal);
+        }
+        // The platform fails: settling would fail as well, and going on later may still succeed.
+        Error::Read { .. } | Error::Store { .. } | Error::CommitRefused { .. } => {
+            return Err(unsettled(refusal));
+        }
+        _ => (),
+    }
+    let PublishOptions {
+        publish_id,
+        operator,
+        time_ms,
+        ..
+    } = options;
+    match abandon(platform, publish_id, operator, *time_ms).await {
+        Ok(None) => Err(refusal),
+        Ok(Some(_)) => match find_published(platform, options).await {
+            Ok(Some(stamp)) => Ok(found(stamp, 0, true)),
+            Ok(None) => Err(unsettled(refusal)),
+            Err(error) => Err(unsettled(error)),
+        },
+        Err(error) => Err(unsettled(error)),
     }
 }
 
-async fn publish_or_find<P: Table + ObjectStore>(
+async fn publish_once<P: Table + ObjectStore>(
     platform: &P,
     options: &PublishOptions,
 ) -> Result<Published> {
@@ -219,18 +227,14 @@
         (Ok(Some(PublishRow::Committed { version, .. })), _) => Ok(Some(version)),
         (Ok(Some(PublishRow::Abandoned { .. })), _) => Ok(None),
         (_, Err(source)) => Err(unknown(source)),
-        (Err(_), Ok(Outcome::Committed)) => Ok(None),
-        // The id was in use already, by a commit or by an earlier settlement.
-        (Err(error), Ok(Outcome::ConditionFailed)) => Err(unknown(lost(&error))),
         (Ok(None), Ok(outcome)) => Err(unknown(platform::Error::Protocol {
             reason: format!("{outcome:?}, yet no row under the id"),
         })),
-    }
-}
-
-fn lost(error: &Error) -> platform::Error {
-    platform::Error::OutcomeUnknown {
-        reason: format!("the id can't be looked up: {error}"),
+        (Err(error), Ok(_)) => Err(Error::Unsettled {
+            publish_id: publish_id.to_owned(),
+            seen: None,
+            source: Box::new(error),
+        }),
     }
 }
 
