Name services out of reach in status

Change: status prints them, whether the node is ready, and "not counted yet" for a data centre without a count.

--- a/src/bin/dragonflywall/commands/status.rs
+++ b/src/bin/dragonflywall/commands/status.rs
@@ -47,14 +47,25 @@
 }
 
 fn print(status: &Status) {
-    println!("node {} enforces {}", status.node, status.enforced);
+    let ready = if status.ready { "ready" } else { "not ready" };
+    println!(
+        "node {} enforces {} and is {ready}",
+        status.node, status.enforced
+    );
+    if !status.lacking.is_empty() {
+        let mut names: Vec<_> = status.lacking.iter().map(|name| name.as_str()).collect();
+        names.sort_unstable();
+        println!("it reaches no endpoint of: {}", names.join(", "));
+    }
     for row in by_data_centre(status) {
+        let versions = if row.versions.is_empty() {
+            "not counted yet".to_owned()
+        } else {
+            format!("versions {}", row.versions_text())
+        };
         println!(
-            "{}/{}: {} nodes, versions {}",
-            row.place.region,
-            row.place.data_centre,
-            row.nodes,
-            row.versions_text()
+            "{}/{}: {} nodes, {versions}",
+            row.place.region, row.place.data_centre, row.nodes
         );
     }
 }
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -51,6 +51,10 @@
     assert!(text(&output).contains(all), "{}", text(&output));
     let output = command(&[&["watch"], &at[..]].concat()).await;
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    let output = command(&["status", "--node", &node]).await;
+    let others = "it reaches no endpoint of: ";
+    assert!(text(&output).contains("and is ready"), "{}", text(&output));
+    assert!(!text(&output).contains(others), "{}", text(&output));
     let output = command(&["status", "--node", &node, "--json"]).await;
     let status: Value = serde_json::from_slice(&output.stdout).expect("status prints JSON");
     assert_eq!(status["enforced"]["version"], 1);
@@ -273,3 +277,14 @@
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     assert_eq!(mesh.version_at(2).await, 2);
 }
+
+/// A team's file is published before any backend server of its services runs. An operator who asks
+/// a node is told which services cannot be reached, instead of hearing it from callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_names_services_out_of_reach() {
+    let mesh = start_chatarras(small(&["tablon"], 1)).await;
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let output = command(&["status", "--node", &node]).await;
+    let lacking = "it reaches no endpoint of: bascula, cobros, hemeroteca";
+    assert!(text(&output).contains(lacking), "{}", text(&output));
+}
