--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -259,9 +259,6 @@
     let hint = match &error {
         Error::OutcomeUnknown {
             publish_id, seen, ..
-        }
-        | Error::Unsettled {
-            publish_id, seen, ..
         } => {
             return Failure::Unknown {
                 text: with_causes(&error),
