Pass by a full queue for one with room; keep the whole deadline for running

Cause: with every slot taken a request went to the nearest endpoint even if its queue was full and another had room (found by 200 requests at a time on one HTTP/2 connection to three endpoints: one refused "full" at 128 under way, of 180 that slots and queues hold). The margin for the proof of "not run" also shortened the time that a backend server had. Addresses of gone VMs stayed known. The HTTP/2 test now has 100 requests at a time: 200 are more than an entry that sees only its own load can place without a refusal, and a refusal is a true answer there; the new placement rule has a test of its own.

--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -10,10 +10,12 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::client::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 /// Body of every answer of a stand-in.
@@ -128,6 +130,62 @@
     })
 }
 
+/// An HTTP/2 connection of a caller, for several requests at a time.
+#[derive(Debug)]
+pub struct Http2 {
+    sender: http2::SendRequest<Full<Bytes>>,
+    connection: JoinHandle<()>,
+}
+
+impl Http2 {
+    /// Connects.
+    pub async fn connect(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await.map_err(text)?;
+        let _ = stream.set_nodelay(true);
+        let builder = http2::Builder::new(TokioExecutor::new());
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(text)?;
+        let connection = tokio::spawn(async move {
+            // How it ended shows in the requests that were on it.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, connection })
+    }
+
+    /// One request of the connection.
+    pub fn request(
+        &self,
+        method: Method,
+        host: &str,
+        path: &str,
+        id: &str,
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{host}{path}"))
+            .header("x-request-id", id)
+            .body(Full::new(Bytes::new()));
+        let mut sender = self.sender.clone();
+        async move {
+            let request = request.map_err(text)?;
+            let response = sender.send_request(request).await.map_err(text)?;
+            let (parts, incoming) = response.into_parts();
+            let body = incoming.collect().await.map_err(text)?.to_bytes();
+            Ok(Reply {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        }
+    }
+
+    /// Waits until the other side has closed the connection.
+    pub async fn closed(self) {
+        // A connection is not kept open by a sender that sends nothing.
+        let _ = self.connection.await;
+    }
+}
+
 fn text(error: impl std::fmt::Display) -> String {
     error.to_string()
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -10,9 +10,14 @@
 
 use rand::{Rng, RngExt};
 
+use self::observation::{EJECTED_MOST_US, JUDGED_SAMPLES, Seen};
 use crate::core::configuration::Spill;
 use crate::core::member::{Member, NodeId, Place};
 
+mod observation;
+
+pub use self::observation::Observed;
+
 /// Endpoints of one service and distance that an entry uses at a time.
 ///
 /// Load made for: 520 nodes that call 14 services. Harm prevented: a full mesh of connections,
@@ -23,33 +28,6 @@
 /// Load from which an endpoint counts as full, in percent of its slots.
 const FULL_PERCENT: u32 = 100;
 
-/// How long a reported load counts: some ten service times of short work. An older report keeps
-/// an endpoint out of work that has long become free.
-const LOAD_FRESH_US: u64 = 200_000;
-
-/// An endpoint gets its full share so long after it was first seen.
-const SLOW_START_US: u64 = 10_000_000;
-/// Share of a new endpoint in percent: enough to warm its caches.
-const SLOW_START_PERCENT: u64 = 10;
-
-/// Strikes that eject an endpoint. A lost connection is two, an answer of 5xx one; an answer
-/// that is none clears them.
-const STRIKES_MAX: u32 = 5;
-const STRIKES_LOST: u32 = 2;
-const EJECTED_FIRST_US: u64 = 1_000_000;
-const EJECTED_MOST_US: u64 = 30_000_000;
-
-/// Answers of an endpoint after which its latency is judged: enough that one long request among
-/// short ones is not taken for a slow endpoint.
-const JUDGED_SAMPLES: u32 = 16;
-/// An endpoint is slow if its mean latency is so many times the median of the others.
-const SLOW_FACTOR: u64 = 3;
-/// Differences below this are noise of a busy VM.
-const SLOW_LEAST_US: u64 = 5_000;
-
-/// A draining endpoint is left alone for so long; by then gossip says the same.
-const DRAINING_US: u64 = 5_000_000;
-
 /// Endpoints remembered before the ones not used lately are forgotten.
 const REMEMBERED_MAX: usize = 2_048;
 
@@ -120,103 +98,6 @@
     hasher.finish()
 }
 
-/// How an attempt ended, as far as it tells of its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Observed {
-    /// An answer; latency to its header, if the request was an interactive one.
-    Answered {
-        /// From sending to the answer's header.
-        latency_us: Option<u64>,
-        /// Whether the backend server answered 5xx.
-        server_error: bool,
-    },
-    /// Refused for load.
-    Refused,
-    /// Refused because it is draining.
-    Draining,
-    /// Not reached.
-    Unreachable,
-    /// Connection lost, or no answer in time.
-    Lost,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    incarnation_us: u64,
-    first_seen_us: u64,
-    used_us: u64,
-    outstanding: u32,
-    load_percent: u32,
-    load_at_us: Option<u64>,
-    latency_us: u64,
-    samples: u32,
-    strikes: u32,
-    ejections: u32,
-    ejected_until_us: u64,
-    draining_until_us: u64,
-}
-
-impl Seen {
-    fn new(now_us: u64, endpoint: &Endpoint) -> Self {
-        Self {
-            incarnation_us: endpoint.incarnation_us,
-            first_seen_us: now_us,
-            used_us: now_us,
-            outstanding: 0,
-            load_percent: 0,
-            load_at_us: None,
-            latency_us: 0,
-            samples: 0,
-            strikes: 0,
-            ejections: 0,
-            ejected_until_us: 0,
-            draining_until_us: 0,
-        }
-    }
-
-    /// Load in percent of the slots: the endpoint's own word while it is fresh, and never less
-    /// than what this entry alone has outstanding there.
-    fn load(&self, now_us: u64, slots: u32) -> u32 {
-        let fresh = |at_us| now_us.saturating_sub(at_us) < LOAD_FRESH_US;
-        let reported = match self.load_at_us.is_some_and(fresh) {
-            true => self.load_percent,
-            false => 0,
-        };
-        let own = self.outstanding.saturating_mul(100) / slots.max(1);
-        reported.max(own)
-    }
-
-    /// What two endpoints are compared by; lower is better.
-    ///
-    /// Load made for: a cold endpoint among warm ones. Harm prevented: it looks idle, so every
-    /// entry sends it everything. Reason for the limit: the share rises over the time that a
-    /// cold start lasts.
-    fn score(&self, now_us: u64, slots: u32) -> u64 {
-        let own = u64::from(self.outstanding) * 100 / u64::from(slots.max(1));
-        let load = u64::from(self.load(now_us, slots)) + own + 1;
-        let age_us = now_us.saturating_sub(self.first_seen_us).min(SLOW_START_US);
-        let risen = (100 - SLOW_START_PERCENT) * age_us / SLOW_START_US;
-        load * 100 / (SLOW_START_PERCENT + risen)
-    }
-
-    fn eject(&mut self, now_us: u64) {
-        let time_us = EJECTED_FIRST_US << self.ejections.min(5);
-        self.ejections += 1;
-        self.ejected_until_us = now_us + time_us.min(EJECTED_MOST_US);
-        self.first_seen_us = self.ejected_until_us;
-        // When it comes back one more failure is enough, until it has given an answer.
-        self.strikes = STRIKES_MAX - 1;
-        self.samples = 0;
-    }
-
-    fn strike(&mut self, now_us: u64, strikes: u32) {
-        self.strikes += strikes;
-        if self.strikes >= STRIKES_MAX {
-            self.eject(now_us);
-        }
-    }
-}
-
 /// Up to [`SUBSET`] positions in a ring.
 #[derive(Clone, Copy, Default)]
 struct Subset {
@@ -246,6 +127,8 @@
     pub spill: Spill,
     /// Slots of one endpoint of the service.
     pub slots: u32,
+    /// Requests that may wait at one endpoint.
+    pub queue_len: u32,
     /// Endpoints that have failed it before.
     pub tried: &'a [NodeId],
 }
@@ -314,18 +197,25 @@
             Spill::Region => 2,
             Spill::Mesh => 3,
         };
+        // Where no slot is free the nearest queue with room is next, and a refusal the last.
+        let queue_full_percent = (need.slots + need.queue_len) * 100 / need.slots.max(1);
+        let mut queue = None;
         let mut fallback = None;
         for ring in &ranked.rings[..reach] {
             let subset = self.usable(now_us, ring, others);
             let Some(chosen) = self.least_of(now_us, ring, &subset, need.slots, rng) else {
                 continue;
             };
-            if self.load(now_us, &chosen, need.slots) < FULL_PERCENT {
+            let load = self.load(now_us, &chosen, need.slots);
+            if load < FULL_PERCENT {
                 return Some(chosen);
             }
+            if load < queue_full_percent {
+                queue.get_or_insert(chosen);
+            }
             fallback.get_or_insert(chosen);
         }
-        fallback
+        queue.or(fallback)
     }
 
     /// The request goes to `endpoint`.
@@ -350,37 +240,21 @@
     /// The endpoint reported its load.
     pub fn reported(&mut self, now_us: u64, node: NodeId, load_percent: u32) {
         if let Some(seen) = self.seen.get_mut(&node) {
-            seen.load_percent = load_percent;
-            seen.load_at_us = Some(now_us);
+            seen.report(now_us, load_percent);
         }
     }
 
     /// An attempt ended.
     pub fn observed(&mut self, now_us: u64, node: NodeId, observed: Observed) {
-        let Some(seen) = self.seen.get_mut(&node) else {
-            return;
-        };
-        match observed {
-            Observed::Answered {
-                server_error: true, ..
-            } => seen.strike(now_us, 1),
-            Observed::Answered { latency_us, .. } => {
-                seen.strikes = 0;
-                if let Some(latency_us) = latency_us {
-                    learn_latency(seen, latency_us);
-                }
-            }
-            Observed::Refused => (),
-            Observed::Draining => seen.draining_until_us = now_us + DRAINING_US,
-            Observed::Unreachable => seen.eject(now_us),
-            Observed::Lost => seen.strike(now_us, STRIKES_LOST),
+        if let Some(seen) = self.seen.get_mut(&node) {
+            seen.observe(now_us, observed);
         }
     }
 
     /// Whether an endpoint is left out for now.
     pub fn is_ejected(&self, now_us: u64, node: NodeId) -> bool {
         let seen = self.seen.get(&node);
-        seen.is_some_and(|seen| seen.ejected_until_us > now_us)
+        seen.is_some_and(|seen| seen.is_ejected(now_us))
     }
 
     /// The part of a ring that may be used, in the entry's order.
@@ -395,7 +269,7 @@
         for (position, endpoint) in ring.iter().enumerate() {
             let seen = self.seen.get(&endpoint.node);
             let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
-            let draining = seen.is_some_and(|seen| seen.draining_until_us > now_us);
+            let draining = seen.is_some_and(|seen| seen.is_draining(now_us));
             let left_out = draining && !others.draining;
             if left_out || others.tried.contains(&endpoint.node) {
                 continue;
@@ -403,7 +277,7 @@
             if !all.is_full() {
                 all.push(position);
             }
-            if seen.is_none_or(|seen| seen.ejected_until_us <= now_us) {
+            if seen.is_none_or(|seen| !seen.is_ejected(now_us)) {
                 usable.push(position);
             }
             if usable.is_full() {
@@ -483,11 +357,7 @@
         let others = &mut others[..len];
         others.sort_unstable();
         let median_us = others[len / 2];
-        if seen.latency_us > median_us * SLOW_FACTOR + SLOW_LEAST_US {
-            seen.eject(now_us);
-        } else {
-            seen.ejections = 0;
-        }
+        seen.judge(now_us, median_us);
     }
 
     fn load(&mut self, now_us: u64, endpoint: &Endpoint, slots: u32) -> u32 {
@@ -506,14 +376,3 @@
         seen
     }
 }
-
-/// Gain of the running mean: one in so many.
-const LATENCY_DIVISOR: u64 = 8;
-
-fn learn_latency(seen: &mut Seen, latency_us: u64) {
-    seen.latency_us = match seen.samples {
-        0 => latency_us,
-        _ => (seen.latency_us * (LATENCY_DIVISOR - 1) + latency_us) / LATENCY_DIVISOR,
-    };
-    seen.samples += 1;
-}
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -123,14 +123,15 @@
         return Err(Failure::not_run(Reason::TooDeep));
     }
     let target = &route.record.target.service;
-    let slots = applied.configuration.service(target);
+    let limits = applied.configuration.service(target);
     let timeout = Duration::from_millis(u64::from(route.treatment.timeout_ms));
     let own_deadline = Instant::now() + timeout;
     let call = Call {
         node,
         parts,
         route,
-        slots: slots.map_or(1, |service| service.slots_per_endpoint),
+        slots: limits.map_or(1, |service| service.slots_per_endpoint),
+        queue_len: limits.map_or(0, |service| service.queue_len),
         deadline: origin
             .deadline
             .map_or(own_deadline, |above| above.min(own_deadline)),
@@ -171,6 +172,7 @@
     parts: &'a Parts,
     route: &'a Route,
     slots: u32,
+    queue_len: u32,
     deadline: Instant,
     depth: u32,
 }
@@ -224,6 +226,7 @@
         let need = Need {
             spill: self.route.treatment.spill,
             slots: self.slots,
+            queue_len: self.queue_len,
             tried,
         };
         let now_us = clock::since_us(self.node.started);
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -37,7 +37,7 @@
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
     let backend = backend.ok_or(Failure::not_run(Reason::NoEndpoint))?;
-    let slot = Slot::take(node, hop.class, hop.deadline).await?;
+    let slot = Slot::take(node, hop.class, hop.queue_deadline()).await?;
     let mut running = node.calls.begin(hop);
     prepare(&mut request, hop, &running);
     let exchange = node.pool.send(backend.address, request);
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -8,9 +8,9 @@
 use crate::core::configuration::Class;
 use crate::core::names::{ServiceName, is_name};
 
-/// Part of the remaining time that a gate on another node does not use, at most
-/// [`MARGIN_MAX`]: its proof that a queued request did not run has to arrive before the entry's
-/// own deadline passes, which proves nothing.
+/// Part of the remaining time, at most [`MARGIN_MAX`], that a request does not spend in the queue:
+/// the gate's proof that it did not run has to reach the entry before the entry's own deadline
+/// passes, which proves nothing.
 const MARGIN_DIVISOR: u32 = 8;
 const MARGIN_MAX: Duration = Duration::from_millis(100);
 
@@ -32,12 +32,10 @@
 impl Hop {
     /// Writes it for a gate on another node.
     pub(crate) fn write(&self, to: &mut HeaderMap) {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        let margin = (remaining / MARGIN_DIVISOR).min(MARGIN_MAX);
         to.insert(headers::DATA, HeaderValue::from_static("1"));
         to.insert(headers::SERVICE, headers::value(self.service.as_str()));
         to.insert(headers::CLASS, HeaderValue::from_static(word(self.class)));
-        to.insert(headers::DEADLINE_MS, millis(remaining - margin));
+        to.insert(headers::DEADLINE_MS, self.remaining_ms());
         to.insert(headers::DEPTH, HeaderValue::from(self.depth));
         to.insert(headers::RETRIES, HeaderValue::from(self.retries));
     }
@@ -60,6 +58,13 @@
         })
     }
 
+    /// Until when it may wait for a slot.
+    pub(crate) fn queue_deadline(&self) -> Instant {
+        let now = Instant::now();
+        let remaining = self.deadline.saturating_duration_since(now);
+        now + remaining - (remaining / MARGIN_DIVISOR).min(MARGIN_MAX)
+    }
+
     /// Milliseconds that remain, as a header value.
     pub(crate) fn remaining_ms(&self) -> HeaderValue {
         millis(self.deadline.saturating_duration_since(Instant::now()))
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -31,6 +31,10 @@
 /// that slow readers of some answers never hold up the others on the connection.
 const CONNECTION_WINDOW_BYTES: u32 = 1_024 * ANSWER_WINDOW_BYTES;
 
+/// Addresses known before those without a connection are forgotten: above the subsets of all
+/// services that a node calls.
+const KNOWN_MAX: usize = 512;
+
 /// A connection to another node's gate.
 #[derive(Clone, Debug)]
 pub(crate) struct Sender {
@@ -81,6 +85,14 @@
     failed_at: Option<Instant>,
 }
 
+fn is_open(slot: &tokio::sync::Mutex<Slot>) -> bool {
+    let slot = slot.try_lock();
+    slot.is_ok_and(|slot| {
+        let sender = slot.sender.as_ref();
+        sender.is_some_and(|sender| !sender.requests.is_closed())
+    })
+}
+
 impl PeerConnections {
     pub(crate) fn new(options: DialOptions) -> Self {
         Self {
@@ -122,6 +134,10 @@
 
     fn slot(&self, address: SocketAddr) -> Arc<tokio::sync::Mutex<Slot>> {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        if slots.len() >= KNOWN_MAX {
+            // VMs come and go all year, and each address would stay.
+            slots.retain(|_, slot| Arc::strong_count(slot) > 1 || is_open(slot));
+        }
         Arc::clone(slots.entry(address).or_default())
     }
 
--- a/tests/testsuite/decide_placement.rs
+++ b/tests/testsuite/decide_placement.rs
@@ -49,6 +49,7 @@
     Need {
         spill,
         slots: 20,
+        queue_len: 20,
         tried: &[],
     }
 }
@@ -85,6 +86,27 @@
     assert_eq!(chosen.expect("there are endpoints").node, node(1));
 }
 
+/// All slots are taken and the near queue is full, but further away there is room in a queue. The
+/// request waits there instead of being refused here.
+#[test]
+fn a_full_queue_is_passed_by() {
+    let members = three_places();
+    let ranked = ranked(9, &members);
+    let mut balancer = Balancer::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    // Each has to be known before its word counts.
+    for endpoint in ranked.iter() {
+        balancer.begun(0, endpoint);
+    }
+    for (number, load_percent) in [(1, 200), (2, 150), (3, 100)] {
+        balancer.reported(0, node(number), load_percent);
+    }
+    let chosen = balancer.choose(0, &ranked, &need(Spill::Mesh), &mut rng);
+    assert_eq!(chosen.expect("there are endpoints").node, node(2));
+    let chosen = balancer.choose(0, &ranked, &need(Spill::DataCentre), &mut rng);
+    assert_eq!(chosen.expect("there are endpoints").node, node(1));
+}
+
 /// A request failed at an endpoint. Its retry goes to another one, and back to the same only if
 /// there is no other.
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod requests_answers;
 mod requests_chain;
 mod requests_drain;
+mod requests_http2;
 mod requests_streams;
 mod requests_untrusted;
 mod simulation;
--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -201,3 +201,16 @@
     assert_eq!(reply.header(VERDICT), "may-have-run");
     assert_eq!(reply.header(REASON), "deadline");
 }
+
+/// A caller asks for the head of an answer only. It passes two nodes with its length and no body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_request_gets_a_head() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = entry(&mesh, "tablon");
+    let path = "/prices/zinc?answer_bytes=5000";
+    let reply = ask(entry, Method::HEAD, "tablon", path, "head-1").await;
+    let reply = reply.expect("the node answers");
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("content-length"), "5000");
+    assert!(reply.body.is_empty());
+}
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -319,6 +319,7 @@
                 let need = Need {
                     spill: Spill::Region,
                     slots: self.scenario.slots,
+                    queue_len: self.scenario.queue_len,
                     tried: &call.tried,
                 };
                 let chosen = entry
