--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -5,12 +5,25 @@
 //! with the hidden command `node`, so that nothing else needs to be built first. Each run ends by
 //! itself, listens on loopback addresses only, and leaves nothing behind but its files.
 
+mod all;
+mod baseline;
+mod capacity;
 mod cli;
+mod convergence;
 mod demo;
+mod design;
 mod error;
 mod examples;
+mod fit;
+mod fleet;
+mod load;
 mod node;
+mod options;
 mod publication;
+mod report;
+mod requests;
+mod slopes;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -61,6 +61,12 @@
         if self.node.leaving.is_cancelled() {
             return Some("draining");
         }
+        if let Some(why) = **self.node.waiting.load() {
+            return Some(why);
+        }
+        if !self.node.is_fresh() {
+            return Some("the process was frozen and catches up");
+        }
         if self.node.enforced.load().is_none() {
             return Some("no configuration is enforced yet");
         }
@@ -92,6 +98,7 @@
             ready: self.why_not_ready().is_none(),
             lacking,
             members: view.members.clone(),
+            data_centres: view.data_centres.clone(),
         }
     }
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,7 +1,7 @@
 //! What the actors write and requests read.
 
 use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -11,21 +11,26 @@
 
 use crate::core::member::{Liveness, Member, NodeId, Place};
 use crate::core::names::ServiceName;
+use crate::core::status::DataCentreSummary;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::placement::{Balancer, Ranked};
 use crate::decide::retry::ServiceTokens;
 use crate::distribution::Applied;
+use crate::node::freeze;
 use crate::node::settings::{BackendServer, Settings};
+use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::calls::Calls;
 use crate::proxy::peers::PeerConnections;
 use crate::proxy::slots::{self, Wake};
+use crate::util::clock;
 
 /// The members as requests and operators see them.
 #[derive(Debug, Default)]
 pub(crate) struct View {
     pub(crate) members: Vec<Member>,
     pub(crate) endpoints: HashMap<ServiceName, Ranked>,
+    pub(crate) data_centres: Vec<DataCentreSummary>,
 }
 
 impl View {
@@ -35,7 +40,11 @@
             let service = member.service.clone().expect("takes_work checks it");
             endpoints.entry(service).or_default().add(me, from, member);
         }
-        Self { members, endpoints }
+        Self {
+            members,
+            endpoints,
+            data_centres: Vec::new(),
+        }
     }
 
     pub(crate) fn alive(&self) -> usize {
@@ -62,6 +71,14 @@
     pub(crate) pool: BackendPool,
     pub(crate) calls: Calls,
     pub(crate) peers: PeerConnections,
+    /// Connections for control traffic.
+    pub(crate) control: PeerPool,
+    /// Why nothing is enforced, or not enough.
+    pub(crate) waiting: ArcSwap<Option<&'static str>>,
+    /// The process was frozen and has not caught up yet; see [`crate::node::freeze`].
+    pub(crate) refreshing: AtomicBool,
+    /// When the process last ticked, by the clock of `started`.
+    pub(crate) last_tick_ms: AtomicU64,
     /// Cancelled when the node itself is about to leave.
     pub(crate) leaving: CancellationToken,
     /// Requests of other nodes in flight at this node's gate.
@@ -85,12 +102,23 @@
             drained: AtomicBool::new(false),
             pool: BackendPool::default(),
             calls: Calls::default(),
-            peers: PeerConnections::new(dial_options),
+            peers: PeerConnections::new(dial_options.clone()),
+            control: PeerPool::new(dial_options),
+            waiting: ArcSwap::default(),
+            refreshing: AtomicBool::new(false),
+            last_tick_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             in_gate: TaskTracker::new(),
         })
     }
 
+    /// Whether the process has gone on without a freeze since it last caught up.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let now_ms = clock::since_ms(self.started);
+        let since_tick_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Acquire));
+        since_tick_ms < freeze::GAP_MS && !self.refreshing.load(Ordering::Acquire)
+    }
+
     pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
         lock(&self.balancer)
     }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -18,6 +18,8 @@
 pub(crate) enum Reason {
     /// This node enforces no configuration yet.
     NoConfiguration,
+    /// This node was frozen and has not caught up yet.
+    Refreshing,
     /// No such service in the configuration.
     NoService,
     /// No route of the service matches.
@@ -45,8 +47,9 @@
 }
 
 impl Reason {
-    const ALL: [Self; 13] = [
+    const ALL: [Self; 14] = [
         Self::NoConfiguration,
+        Self::Refreshing,
         Self::NoService,
         Self::NoRoute,
         Self::NoEndpoint,
@@ -65,6 +68,7 @@
     pub(crate) fn word(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no-configuration",
+            Self::Refreshing => "refreshing",
             Self::NoService => "no-service",
             Self::NoRoute => "no-route",
             Self::NoEndpoint => "no-endpoint",
@@ -87,6 +91,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no configuration is enforced here yet",
+            Self::Refreshing => "this node was frozen and catches up",
             Self::NoService => "no such service",
             Self::NoRoute => "no route of the service matches",
             Self::NoEndpoint => "no endpoint of the service takes work",
@@ -110,6 +115,7 @@
             Self::Lost | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::NoConfiguration
+            | Self::Refreshing
             | Self::NoEndpoint
             | Self::Full
             | Self::TooLate
--- a/tests/testsuite/decide_placement.rs
+++ b/tests/testsuite/decide_placement.rs
@@ -5,7 +5,7 @@
 use dragonflywall::core::configuration::Spill;
 use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
 use dragonflywall::core::names::{DataCentreName, RegionName, ServiceName};
-use dragonflywall::core::version::Stamp;
+use dragonflywall::core::version::Version;
 use dragonflywall::decide::placement::{Balancer, Need, Observed, Ranked};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -33,7 +33,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new("tablon")),
         backend: BackendState::Serving,
-        enforced: Stamp::NONE,
+        enforced: Version::NONE,
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,13 @@
 //! The integration tests: whole processes, and the library's decisions from outside.
 
+mod check;
 mod decide_admission;
 mod decide_placement;
 mod decide_retry;
 mod decide_simulation;
+mod documentation;
 mod ledger;
+mod operator_commands;
 mod publish;
 mod publish_in_flight;
 mod requests_answers;
@@ -14,6 +17,8 @@
 mod requests_streams;
 mod requests_untrusted;
 mod simulation;
+mod spread_membership;
+mod spread_network;
 mod support;
 mod token;
 mod whole_path;
