--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -86,7 +86,8 @@
     }
 }
 
-/// Sums up who enforces `version` or a later one.
+/// Sums up who enforces `version` or a later one. Who lives comes from the members, what they
+/// enforce from each data centre's own count, which lags by its bounded rate and so never runs ahead.
 pub fn of_status(status: &Status, version: Version) -> Progress {
     let mut rows: BTreeMap<(&str, &str), DataCentreProgress> = BTreeMap::new();
     for member in &status.members {
@@ -95,14 +96,19 @@
             .entry((place.region.as_str(), place.data_centre.as_str()))
             .or_insert_with(|| DataCentreProgress::none_of(place));
         match member.liveness {
-            Liveness::Alive | Liveness::Suspect => {
-                row.nodes += 1;
-                row.enforcing += usize::from(member.enforced.version >= version);
-            }
+            Liveness::Alive | Liveness::Suspect => row.nodes += 1,
             Liveness::Dead => row.unreachable += 1,
             Liveness::Left => (),
         }
     }
+    for summary in &status.data_centres {
+        let place = &summary.place;
+        if let Some(row) = rows.get_mut(&(place.region.as_str(), place.data_centre.as_str())) {
+            let enforcing: usize = summary.versions.range(version..).map(|(_, n)| n).sum();
+            // A count from before the data centre was lost must not read as more than live.
+            row.enforcing = enforcing.min(row.nodes);
+        }
+    }
     Progress {
         version,
         data_centres: rows.into_values().filter(|row| !row.is_empty()).collect(),
