Judge an endpoint early by its quickest answers

Cause: an endpoint ten times as slow was found only after 16 of its answers at each entry. Excluded: the mean of fewer answers, which one long request among short ones would push up. Change: after 4 and 8 answers the quickest of them is compared. What is left is the time until the first slow answers come back.

--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -10,7 +10,7 @@
 
 use rand::{Rng, RngExt};
 
-use self::observation::{EJECTED_MOST_US, JUDGED_SAMPLES, Seen};
+use self::observation::{EJECTED_MOST_US, JUDGED_EARLY_SAMPLES, JUDGED_SAMPLES, Seen};
 use crate::core::configuration::Spill;
 use crate::core::member::{Member, NodeId, Place};
 
@@ -336,7 +336,8 @@
     /// Ejects `endpoint` if it has become much slower than the others of its ring.
     fn judge(&mut self, now_us: u64, ring: &[Endpoint], positions: &[usize], endpoint: &Endpoint) {
         let seen = *self.seen_mut(now_us, endpoint);
-        if seen.samples < JUDGED_SAMPLES {
+        let early = seen.samples.is_power_of_two() && seen.samples >= JUDGED_EARLY_SAMPLES;
+        if !early && seen.samples < JUDGED_SAMPLES {
             return;
         }
         let mut others = [0; SUBSET];
@@ -350,8 +351,8 @@
             }
         }
         let seen = self.seen_mut(now_us, endpoint);
-        seen.samples = 1;
         if len == 0 {
+            seen.judged();
             return;
         }
         let others = &mut others[..len];
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -21,6 +21,9 @@
 /// Answers of an endpoint after which its latency is judged: enough that one long request among
 /// short ones is not taken for a slow endpoint.
 pub(super) const JUDGED_SAMPLES: u32 = 16;
+/// Answers after which it is judged early, by the quickest of them: one that is slow throughout is
+/// found before it has had many requests, and long requests among short ones prove nothing.
+pub(super) const JUDGED_EARLY_SAMPLES: u32 = 4;
 /// An endpoint is slow if its mean latency is so many times the median of the others.
 const SLOW_FACTOR: u64 = 3;
 /// Differences below this are noise of a busy VM.
@@ -62,6 +65,8 @@
     load_percent: u32,
     load_at_us: Option<u64>,
     pub(super) latency_us: u64,
+    /// The quickest answer of the samples.
+    least_latency_us: u64,
     pub(super) samples: u32,
     strikes: u32,
     ejections: u32,
@@ -79,6 +84,7 @@
             load_percent: 0,
             load_at_us: None,
             latency_us: 0,
+            least_latency_us: u64::MAX,
             samples: 0,
             strikes: 0,
             ejections: 0,
@@ -120,6 +126,7 @@
         // When it comes back one more failure is enough, until it has given an answer.
         self.strikes = STRIKES_MAX - 1;
         self.samples = 0;
+        self.least_latency_us = u64::MAX;
     }
 
     fn strike(&mut self, now_us: u64, strikes: u32) {
@@ -164,18 +171,31 @@
 
     /// Ejects it if it has become much slower than the others, whose median is given.
     pub(super) fn judge(&mut self, now_us: u64, median_us: u64) {
-        if self.latency_us > median_us * SLOW_FACTOR + SLOW_LEAST_US {
+        let slow_us = median_us * SLOW_FACTOR + SLOW_LEAST_US;
+        let judged_us = match self.samples < JUDGED_SAMPLES {
+            true => self.least_latency_us,
+            false => self.latency_us,
+        };
+        if judged_us > slow_us {
             self.eject(now_us);
-        } else {
+        } else if self.samples >= JUDGED_SAMPLES {
             self.ejections = 0;
+            self.judged();
         }
     }
 
+    /// Begins a new round of samples; the mean goes on.
+    pub(super) fn judged(&mut self) {
+        self.samples = 1;
+        self.least_latency_us = u64::MAX;
+    }
+
     fn learn_latency(&mut self, latency_us: u64) {
         self.latency_us = match self.samples {
             0 => latency_us,
             _ => (self.latency_us * (LATENCY_DIVISOR - 1) + latency_us) / LATENCY_DIVISOR,
         };
+        self.least_latency_us = self.least_latency_us.min(latency_us);
         self.samples += 1;
     }
 }
