Take an answer of no gate as proof of nothing

Cause: the entry took every answer without a load header for a refusal of the mesh token and called it 'not run'. A program that took over a node's address ran a payment, and the entry sent the same payment to a second endpoint. Excluded: telling by the status 401 alone, which any program may answer after it ran the request. Change: the peer listener's refusal says 'not-run' in the mesh's own header; an answer without the mesh's words is 'may-have-run', and a non-idempotent request is not tried again. Before: answer_of_no_gate_proves_nothing failed: the caller got 200 from a second endpoint for a payment that the imposter had run. After: it passes; token tests hold. Conclusion: nothing is told 'not run' on a guess on this path any more.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::header::HeaderValue;
+use http::header::{HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::uri::Authority;
 use http::{Request, Response, Uri};
@@ -287,11 +287,9 @@
         let response = tokio::time::timeout_at(self.deadline.into(), exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-        // Only a gate says its load. Without it the listener turned the request away before the
-        // gate saw it: this node and that one disagree on the mesh token.
         let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) else {
-            log::warn!(peer:% = endpoint.node; "a peer does not accept this node's mesh token");
-            return Err(Failure::not_run(Reason::Unreachable));
+            log::warn!(peer:% = endpoint.node; "an answer came from no gate: look at the mesh token");
+            return Err(without_gate(response.headers()));
         };
         let load = u32::try_from(load).unwrap_or(u32::MAX);
         let now_us = clock::since_us(self.node.started);
@@ -342,6 +340,21 @@
     }
 }
 
+/// Only a gate says its load. An answer without it is a peer listener's refusal of the mesh token,
+/// which says itself that nothing ran, or comes from a program that is no node.
+///
+/// Failure guarded against: a VM's address passes to another program while the mesh still routes to
+/// it; that program runs a payment and the entry sends it to a second endpoint. Only the mesh's own
+/// words prove "not run", and such a program does not send them.
+fn without_gate(headers: &HeaderMap) -> Failure {
+    match Failure::from_headers(headers) {
+        Some(failure) if failure.verdict == Verdict::NotRun => {
+            Failure::not_run(Reason::Unreachable)
+        }
+        _ => Failure::may_have_run(Reason::Lost),
+    }
+}
+
 fn absolute(parts: &Parts, service: &ServiceName) -> Uri {
     let path = parts.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -22,6 +22,7 @@
 use super::body::{self, Body};
 use super::stall::StallGuard;
 use super::{entry, gate, headers};
+use crate::core::verdict::Verdict;
 use crate::node::operator::Operator;
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
@@ -191,6 +192,8 @@
 fn unauthorized() -> Response<Body> {
     let mut response = Response::new(body::full("the mesh token is missing or wrong\n"));
     *response.status_mut() = StatusCode::UNAUTHORIZED;
+    let not_run = HeaderValue::from_static(Verdict::NotRun.as_str());
+    response.headers_mut().insert(headers::VERDICT, not_run);
     response
 }
 
--- /dev/null
+++ b/tests/testsuite/requests_imposter.rs
@@ -0,0 +1,49 @@
+//! A request that lands at a program which is no node.
+
+use http::Method;
+use testkit::backend::{Backend, Behaviour};
+use testkit::http::wait_until;
+use testkit::process::Signal;
+
+use crate::support::{LIMIT, VERDICT, ask, small, start_chatarras, vms_of};
+
+/// A VM is replaced and its address passes to a program of another kind that speaks HTTP/2, before
+/// the mesh has noticed that the node is gone. A payment lands there and is answered. The caller
+/// must not be told "not run", nor the payment be sent to a second endpoint: what that program did
+/// is not known.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_no_gate_proves_nothing() {
+    let mut mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let taken_over = vms_of(&mesh, "cobros")[0];
+    let mut node = mesh.vms[taken_over].node.take().expect("it runs");
+    let address = node.addresses.peer;
+    node.signal(Signal::Kill);
+    node.ended().await.expect("it ends");
+    let imposter = Backend::start(address, "imposter", Behaviour::default()).await;
+    let imposter = imposter.expect("the address is free");
+
+    let entry = vms_of(&mesh, "tablon")[0];
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let mut landed = 0;
+    wait_until("a payment lands at the imposter", LIMIT, || {
+        landed += 1;
+        let id = format!("payment-{landed}");
+        let imposter = &imposter;
+        async move {
+            let reply = ask(caller, Method::POST, "cobros", "/payments", &id).await;
+            let reply = reply.expect("the node answers");
+            let here = imposter.record().runs.contains_key(&id);
+            if here {
+                assert_eq!(reply.header(VERDICT), "may-have-run", "{reply:?}");
+            }
+            here
+        }
+    })
+    .await;
+    for id in imposter.record().runs.keys() {
+        for position in vms_of(&mesh, "cobros") {
+            let record = mesh.vms[position].backend.record();
+            assert!(!record.runs.contains_key(id), "{id} ran a second time");
+        }
+    }
+}
--- a/tests/testsuite/token.rs
+++ b/tests/testsuite/token.rs
@@ -9,7 +9,7 @@
 use testkit::platform::Platform;
 use testkit::process::NodeProcess;
 
-use crate::support::{PROGRAM, command};
+use crate::support::{PROGRAM, VERDICT, command};
 
 const SECRET: &str = "correct-horse-battery";
 const OLD_SECRET: &str = "previous-horse-battery";
@@ -51,7 +51,9 @@
     ];
     let peer = node.addresses.peer;
     let reply = request(peer, Method::POST, "cobros", "/payments", &forged, "").await;
-    assert_eq!(reply.expect("an answer").status, 401);
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 401);
+    assert_eq!(reply.header(VERDICT), "not-run");
     assert!(backend.record().runs.is_empty());
 
     for path in ["/status", "/metrics", "/backend-server"] {
