--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -17,7 +17,7 @@
 use super::{Command, check, watch};
 use crate::cli::{Failure, Result, block_on, mesh_token, with_causes};
 use crate::options::{
-    self, Common, JSON_HELP, LIMIT_HELP, NODE_HELP, OPERATOR_HELP, PLATFORM_HELP, now_ms,
+    self, Common, JSON_HELP, LIMIT_HELP, NODES_HELP, OPERATOR_HELP, PLATFORM_HELP, now_ms,
     print_json_line,
 };
 
@@ -45,7 +45,7 @@
          \x20                      and --expect: go on with it. Alone: find what it did, or make\n\
          \x20                      sure that it never takes effect\n\
          \x20 --wait               until every node enforces it; needs --node\n\
-         {NODE_HELP}{LIMIT_HELP}{JSON_HELP}\n\
+         {NODES_HELP}{LIMIT_HELP}{JSON_HELP}\n\
          Exit code 0 published, 1 refused and nothing changed, 2 usage, 3 outcome unknown (or, with\n\
          --wait: published, but not seen in force everywhere)."
     )
@@ -134,7 +134,7 @@
             return usage("--resume with files needs --expect, as the first try's message says");
         }
         if self.wait {
-            self.common.node()?;
+            self.common.nodes()?;
         }
         Ok(())
     }
@@ -188,9 +188,9 @@
         if !arguments.wait {
             return Ok(());
         }
-        let node = arguments.common.node()?;
+        let nodes = arguments.common.nodes()?;
         let limit = arguments.common.wait_limit()?;
-        watch::follow(&node, published.stamp.version, limit, json).await
+        watch::follow(&nodes, published.stamp.version, limit, json).await
     })
 }
 
--- a/src/bin/dragonflywall/commands/watch.rs
+++ b/src/bin/dragonflywall/commands/watch.rs
@@ -11,7 +11,7 @@
 use super::{Command, audit};
 use crate::cli::{Failure, Result, block_on};
 use crate::options::{
-    self, Common, JSON_HELP, LIMIT_HELP, NODE_HELP, PLATFORM_HELP, print_json_line,
+    self, Common, JSON_HELP, LIMIT_HELP, NODES_HELP, PLATFORM_HELP, print_json_line,
 };
 
 pub(crate) const COMMAND: Command = Command {
@@ -24,9 +24,9 @@
 fn help() -> String {
     format!(
         "Prints how many nodes of each data centre enforce a version, at each change, until all\n\
-         do. Asks one node, which knows of the others.\n\n\
+         do. What a node knows of other data centres may be some seconds old.\n\n\
          Usage: dragonflywall watch --node ADDR [OPTIONS]\n\nOptions:\n\
-         {NODE_HELP}\
+         {NODES_HELP}\
          \x20 --version N          the version (default: the accepted one, which needs --platform)\n\
          {PLATFORM_HELP}{LIMIT_HELP}{JSON_HELP}\n\
          Exit code 0 when all enforce it, 3 when that was not seen within the limit."
@@ -49,13 +49,13 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let node = common.node()?;
+    let nodes = common.nodes()?;
     let limit = common.wait_limit()?;
     let version = match version {
         Some(version) => version,
         None => accepted_version(&common)?,
     };
-    block_on(follow(&node, version, limit, common.json))
+    block_on(follow(&nodes, version, limit, common.json))
 }
 
 fn accepted_version(common: &Common) -> Result<Version> {
@@ -67,7 +67,7 @@
 
 /// Follows `version` until every node enforces it; also the end of `publish --wait`.
 pub(crate) async fn follow(
-    node: &NodeAccess,
+    nodes: &[NodeAccess],
     version: Version,
     limit: Duration,
     json: bool,
@@ -85,7 +85,7 @@
              and run `dragonflywall watch --version {version}` again"
         )
     };
-    match watch(node, version, limit, report).await {
+    match watch(nodes, version, limit, report).await {
         Ok(progress) if progress.is_complete() => Ok(()),
         Ok(progress) => Err(Failure::Unknown {
             text: format!(
--- a/src/bin/dragonflywall/options.rs
+++ b/src/bin/dragonflywall/options.rs
@@ -18,6 +18,9 @@
     "\x20 --platform URL       the platform [DRAGONFLYWALL_PLATFORM]\n";
 pub(crate) const NODE_HELP: &str = "\x20 --node ADDR          operator address of any node [DRAGONFLYWALL_NODE]; the mesh's secret\n\
      \x20                      comes from DRAGONFLYWALL_MESH_TOKEN alone\n";
+pub(crate) const NODES_HELP: &str = "\x20 --node ADDR,...      operator addresses of nodes [DRAGONFLYWALL_NODE]. One is enough; one in\n\
+     \x20                      each data centre gives its figures some seconds earlier. The mesh's\n\
+     \x20                      secret comes from DRAGONFLYWALL_MESH_TOKEN alone\n";
 pub(crate) const JSON_HELP: &str = "\x20 --json               for scripts\n";
 pub(crate) const OPERATOR_HELP: &str =
     "\x20 --operator NAME      who does it, for the audit trail [DRAGONFLYWALL_OPERATOR, USER]\n";
@@ -83,6 +86,19 @@
         })
     }
 
+    /// One node or several, with commas between them.
+    pub(crate) fn nodes(&self) -> Result<Vec<NodeAccess>> {
+        let token = mesh_token()?;
+        let addresses = required("node", self.node.as_deref())?.split(',');
+        let access = addresses.map(|address| {
+            Ok(NodeAccess {
+                address: parsed("node", address.trim())?,
+                token: token.clone(),
+            })
+        });
+        access.collect()
+    }
+
     /// Required: an audit trail that does not say who is none.
     pub(crate) fn operator(&self) -> Result<&str> {
         required("operator", self.operator.as_deref())
--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -1,6 +1,7 @@
 //! How far a version has spread, by data centre.
 //!
-//! [`of_status`] is the one place that reads this out of a node's [`Status`]; `watch` and
+//! [`of_status`] is the one place that reads this out of a node's [`Status`], and [`of_statuses`] puts
+//! several together; `watch` and
 //! `publish --wait` know nothing of how nodes learn of each other.
 
 use std::collections::BTreeMap;
@@ -86,6 +87,32 @@
     }
 }
 
+/// Sums up what several nodes know. A data centre's figures come from a node that stands in it, if
+/// one was asked: that node counts at once, while its count reaches the others seconds later.
+pub fn of_statuses(statuses: &[Status], version: Version) -> Progress {
+    let mut rows: BTreeMap<(String, String), DataCentreProgress> = BTreeMap::new();
+    for status in statuses {
+        let own_place = place_of(status);
+        for row in of_status(status, version).data_centres {
+            let (region, data_centre) = key(&row.place);
+            let key = (region.to_owned(), data_centre.to_owned());
+            if own_place == Some(&row.place) || !rows.contains_key(&key) {
+                rows.insert(key, row);
+            }
+        }
+    }
+    Progress {
+        version,
+        data_centres: rows.into_values().collect(),
+    }
+}
+
+fn place_of(status: &Status) -> Option<&Place> {
+    let mut members = status.members.iter();
+    let own = members.find(|member| member.node == status.node);
+    own.map(|member| &member.place)
+}
+
 /// Sums up who enforces `version` or a later one.
 ///
 /// Who lives is what the asked node sees; how many enforce which version is each data centre's own
--- a/src/ops/query/watch.rs
+++ b/src/ops/query/watch.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::core::status::Status;
 use crate::core::version::Version;
 use crate::ops::operator::NodeAccess;
 use crate::ops::query::progress::{self, Progress};
@@ -13,11 +15,11 @@
 /// millisecond.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Asks `node` until it knows of no living node that enforces less than `version`,
-/// or until `limit` is over; calls `report` at each change. A node that does not answer is asked
-/// again: it may be restarting. Its last failure is the result if it never answers.
+/// Asks `nodes` until they know of no living node that enforces less than `version`, or until
+/// `limit` is over; calls `report` at each change. A node that does not answer is asked again: it
+/// may be restarting. The last failure is the result if none ever answers.
 pub async fn watch(
-    node: &NodeAccess,
+    nodes: &[NodeAccess],
     version: Version,
     limit: Duration,
     mut report: impl FnMut(&Progress),
@@ -25,9 +27,9 @@
     let deadline = Instant::now() + limit;
     let mut last: Option<Progress> = None;
     loop {
-        match fetch(node).await {
-            Ok(status) => {
-                let now = progress::of_status(&status, version);
+        match fetch_all(nodes).await {
+            Ok(statuses) => {
+                let now = progress::of_statuses(&statuses, version);
                 if last.as_ref() != Some(&now) {
                     report(&now);
                 }
@@ -47,3 +49,24 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// The answers of all nodes that answer; the last failure if none does.
+async fn fetch_all(nodes: &[NodeAccess]) -> Result<Vec<Status>> {
+    let mut asked = JoinSet::new();
+    for node in nodes {
+        let node = node.clone();
+        asked.spawn(async move { fetch(&node).await });
+    }
+    let mut statuses = Vec::with_capacity(nodes.len());
+    let mut failure = None;
+    for answer in asked.join_all().await {
+        match answer {
+            Ok(status) => statuses.push(status),
+            Err(error) => failure = Some(error),
+        }
+    }
+    match failure {
+        Some(error) if statuses.is_empty() => Err(error),
+        _ => Ok(statuses),
+    }
+}
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -6,7 +6,7 @@
 
 use dragonflywall::core::status::Status;
 use dragonflywall::core::version::Version;
-use dragonflywall::ops::query::progress::of_status;
+use dragonflywall::ops::query::progress::{of_status, of_statuses};
 use http::{Method, StatusCode};
 use serde_json::Value;
 use testkit::http::{answer, serve};
@@ -32,7 +32,10 @@
     let node = mesh.vms[0].node().addresses.operator.to_string();
     let file = repository_file("examples/marinhas/armazem.toml");
     let file = file.to_str().expect("UTF-8");
-    let at = ["--platform", &url, "--node", &node];
+    let in_each = mesh.vms.iter().step_by(4);
+    let in_each = in_each.map(|vm| vm.node().addresses.operator.to_string());
+    let in_each = in_each.collect::<Vec<_>>().join(",");
+    let at = ["--platform", &url, "--node", &in_each];
     let output = command(
         &[
             &["publish", "--wait", "--operator", "ana"],
@@ -195,6 +198,26 @@
     assert_eq!(cut_off.to_string(), text);
 }
 
+/// An operator asks a node in each data centre. What the first knows of the second is old; the
+/// second's own word counts.
+#[test]
+fn own_count_of_a_data_centre_goes_first() {
+    let members = [
+        member("aveiro-a", 1, "alive"),
+        member("aveiro-b", 2, "alive"),
+    ];
+    let counts = |far_version: &str| {
+        let far = count("aveiro-b", &serde_json::json!({ far_version: 1 }));
+        [count("aveiro-a", &serde_json::json!({ "2": 1 })), far]
+    };
+    let near = status(&members, &counts("1"));
+    let mut far = status(&members, &counts("2"));
+    far.node = far.members[1].node;
+    assert!(!of_status(&near, Version(2)).is_complete());
+    assert!(of_statuses(&[near.clone(), far.clone()], Version(2)).is_complete());
+    assert!(of_statuses(&[far, near], Version(2)).is_complete());
+}
+
 /// A data centre's count is some seconds old: one of its nodes is behind, another has died since.
 /// The dead one, which enforced the version, must not make up for the one that is behind.
 #[test]
