--- a/crates/model/src/operator.rs
+++ b/crates/model/src/operator.rs
@@ -191,7 +191,9 @@
 
 fn ended_by(error: &Error) -> End {
     match error {
-        Error::OutcomeUnknown { seen, .. } => End::Unknown(seen.map(|version| version.0)),
+        Error::OutcomeUnknown { seen, .. } | Error::Unsettled { seen, .. } => {
+            End::Unknown(seen.map(|version| version.0))
+        }
         _ => End::Refused,
     }
 }
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::gossip::{Exchange, Gossip};
-use super::link::Announcement;
+use super::link::{Announcement, Link};
 use super::neighbours::Kind;
 use super::reports::place_key;
 use super::view::Membership;
@@ -22,12 +22,16 @@
 impl Membership {
     /// Takes in a message and answers it.
     pub fn receive(&mut self, now_ms: u64, gossip: &Gossip) -> Gossip {
+        self.note_time(now_ms);
         let generation = self.generation();
         let restated = self.merge(now_ms, gossip);
         let learned = self.generation() != generation;
         let equal = gossip.view_hash == self.view_hash();
         let from = gossip.from;
         let mut answer = self.message(from);
+        // One that came back without memory and without the platform has nobody to greet: who
+        // heartbeats it tells it the rest.
+        answer.want_all = self.is_alone();
         let told = !answer.updates.is_empty();
         if gossip.want_all {
             answer.updates = self.members().cloned().collect();
@@ -49,6 +53,7 @@
 
     /// Takes in the answer to an exchange.
     pub fn exchange_done(&mut self, now_ms: u64, sent: &Exchange, answer: &Gossip) {
+        self.note_time(now_ms);
         let generation = self.generation();
         let restated = self.merge(now_ms, answer);
         let learned = self.generation() != generation;
@@ -56,7 +61,9 @@
         if restated {
             self.direct.insert(answer.from);
         }
-        self.witnessed = self.witnessed.max(sent.gossip.version);
+        if self.is_witness(answer.from) {
+            self.witnessed = self.witnessed.max(sent.gossip.version);
+        }
         let everyone: Vec<NodeId> = match answer.want_all {
             true => self.members().map(|member| member.node).collect(),
             false => Vec::new(),
@@ -74,6 +81,7 @@
 
     /// A peer gave no answer: suspect it.
     pub fn exchange_failed(&mut self, now_ms: u64, sent: &Exchange) {
+        self.note_time(now_ms);
         let Some(to) = sent.to else { return };
         if sent.started_ms < self.valid_from_ms {
             return;
@@ -152,6 +160,14 @@
             .collect()
     }
 
+    /// Whether a node that restarts here asks `node` about its floor.
+    fn is_witness(&self, node: NodeId) -> bool {
+        match self.links.get(&node) {
+            Some(link) if link.kind == Kind::Ring => true,
+            _ => !self.links.values().any(|link| link.kind == Kind::Ring),
+        }
+    }
+
     /// A version waits for a witness before it is enforced. The neighbours may all hold it already,
     /// so that there is nothing else to tell them; two are told all the same, those of the ring
     /// first, since a restarted node asks these.
@@ -160,9 +176,11 @@
         if self.witnessed >= held {
             return;
         }
-        let telling = self.links.values();
-        let telling = telling.filter(|link| link.in_flight && link.telling == held);
-        let asked = telling.count() + due.len();
+        let is_asked = |(node, link): &(&NodeId, &Link)| {
+            let telling = link.in_flight && link.telling == held;
+            self.is_witness(**node) && (telling || due.contains(node))
+        };
+        let asked = self.links.iter().filter(is_asked).count();
         let mut free: Vec<(Kind, NodeId)> = self
             .links
             .iter()
--- a/src/ops/command/publish/rounds.rs
+++ b/src/ops/command/publish/rounds.rs
@@ -142,9 +142,11 @@
                 self.lost = None;
                 Ok(Round::Overtaken)
             }
-            Err(error @ Error::Read { .. }) => Ok(Round::AnswerLost {
+            Err(Error::Read { source }) => Ok(Round::AnswerLost {
                 sent_at_revision: head.revision,
-                source: super::lost(&error),
+                source: platform::Error::OutcomeUnknown {
+                    reason: format!("the id can't be looked up: {source}"),
+                },
             }),
             Err(error) => Err(error),
         }
--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -115,9 +115,9 @@
 
 /// Sums up who enforces `version` or a later one.
 ///
-/// Who lives is what the asked node sees; how many enforce which version is each data centre's own
-/// count, up to a few seconds old. A data centre that lives and has no count yet, or of which every
-/// node is lost, has none that enforces.
+/// How many nodes live is what the asked node sees; how many enforce which version is each data
+/// centre's own count, up to a few seconds old. A data centre that lives and has no count yet, or
+/// of which every node is lost, has none that enforces.
 pub fn of_status(status: &Status, version: Version) -> Progress {
     let mut rows: BTreeMap<(&str, &str), DataCentreProgress> = BTreeMap::new();
     for member in &status.members {
