--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -279,8 +279,11 @@
         self.tell(MembershipMsg::Head(head));
     }
 
-    fn ask_floor(&self, myself: &ActorRef<ConfigurationMsg>) {
+    fn ask_floor(&mut self, myself: &ActorRef<ConfigurationMsg>) {
         for peer in self.role.neighbours.clone() {
+            if peer.distance == Distance::DataCentre {
+                self.floor.asked(peer.node);
+            }
             let Some(mut client) = self.node.control.client(peer.address) else {
                 continue;
             };
--- a/src/ops/query/progress.rs
+++ b/src/ops/query/progress.rs
@@ -1,6 +1,7 @@
 //! How far a version has spread, by data centre.
 //!
-//! [`of_status`] is the one place that reads this out of a node's [`Status`]; `watch` and
+//! [`of_status`] is the one place that reads this out of a node's [`Status`], and [`of_statuses`] puts
+//! several together; `watch` and
 //! `publish --wait` know nothing of how nodes learn of each other.
 
 use std::collections::BTreeMap;
@@ -9,7 +10,7 @@
 use serde::Serialize;
 
 use crate::core::member::{Liveness, Place};
-use crate::core::status::Status;
+use crate::core::status::{DataCentreSummary, Status};
 use crate::core::version::Version;
 
 /// How many nodes of one data centre enforce a version.
@@ -86,13 +87,43 @@
     }
 }
 
+/// Sums up what several nodes know. A data centre's figures come from a node that stands in it, if
+/// one was asked: that node counts at once, while its count reaches the others seconds later.
+pub fn of_statuses(statuses: &[Status], version: Version) -> Progress {
+    let mut rows: BTreeMap<(String, String), DataCentreProgress> = BTreeMap::new();
+    for status in statuses {
+        let own_place = place_of(status);
+        for row in of_status(status, version).data_centres {
+            let (region, data_centre) = key(&row.place);
+            let key = (region.to_owned(), data_centre.to_owned());
+            if own_place == Some(&row.place) || !rows.contains_key(&key) {
+                rows.insert(key, row);
+            }
+        }
+    }
+    Progress {
+        version,
+        data_centres: rows.into_values().collect(),
+    }
+}
+
+fn place_of(status: &Status) -> Option<&Place> {
+    let mut members = status.members.iter();
+    let own = members.find(|member| member.node == status.node);
+    own.map(|member| &member.place)
+}
+
 /// Sums up who enforces `version` or a later one.
+///
+/// How many nodes live is what the asked node sees; how many enforce which version is each data
+/// centre's own count, up to a few seconds old. A data centre that lives and has no count yet, or
+/// of which every node is lost, has none that enforces.
 pub fn of_status(status: &Status, version: Version) -> Progress {
     let mut rows: BTreeMap<(&str, &str), DataCentreProgress> = BTreeMap::new();
     for member in &status.members {
         let place = &member.place;
         let row = rows
-            .entry((place.region.as_str(), place.data_centre.as_str()))
+            .entry(key(place))
             .or_insert_with(|| DataCentreProgress::none_of(place));
         match member.liveness {
             Liveness::Alive | Liveness::Suspect => row.nodes += 1,
@@ -100,13 +131,9 @@
             Liveness::Left => (),
         }
     }
-    // Who enforces what is known by name only inside the asked node's data centre.
-    for summary in &status.data_centres {
-        let place = &summary.place;
-        let key = (place.region.as_str(), place.data_centre.as_str());
-        if let Some(row) = rows.get_mut(&key) {
-            let enforcing: usize = summary.versions.range(version..).map(|(_, n)| n).sum();
-            row.enforcing = enforcing.min(row.nodes);
+    for count in &status.data_centres {
+        if let Some(row) = rows.get_mut(&key(&count.place)) {
+            row.enforcing = enforcing(count, version, row.nodes);
         }
     }
     Progress {
@@ -114,3 +141,15 @@
         data_centres: rows.into_values().filter(|row| !row.is_empty()).collect(),
     }
 }
+
+/// How many of `nodes` enforce `version`, by a count that may be older than `nodes`: it can hold
+/// nodes that have gone since, which must not stand in for one that is behind.
+fn enforcing(count: &DataCentreSummary, version: Version, nodes: usize) -> usize {
+    let at_least: usize = count.versions.range(version..).map(|(_, n)| n).sum();
+    let behind: usize = count.versions.range(..version).map(|(_, n)| n).sum();
+    at_least.min(nodes.saturating_sub(behind))
+}
+
+fn key(place: &Place) -> (&str, &str) {
+    (place.region.as_str(), place.data_centre.as_str())
+}
