--- a/src/membership.rs
+++ b/src/membership.rs
@@ -9,11 +9,13 @@
 //!
 //! [`roster`] keeps the statements, [`neighbours`] chooses the peers, [`link`] remembers what each
 //! of them still has to be told, [`reports`] counts who enforces what, [`exchange`] and
-//! [`discovery`] do the talking, and [`view`] ties them together. See `docs/design/spread.md`.
+//! [`discovery`] do the talking, [`learning`] takes in what others say, and [`view`] ties them
+//! together. See `docs/design/spread.md`.
 
 pub(crate) mod discovery;
 pub(crate) mod exchange;
 pub mod gossip;
+pub(crate) mod learning;
 pub mod link;
 pub mod neighbours;
 pub mod reports;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 //! through the actors: they read [`state::NodeState`], which the actors write.
 
 pub(crate) mod configuration;
+pub(crate) mod content;
 pub(crate) mod freeze;
 pub mod logging;
 pub(crate) mod membership;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -9,11 +9,10 @@
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
+use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
-use crate::node::store;
-use crate::peer::client::CONTENT_TIMEOUT;
+use crate::node::{content, store};
 use crate::platform::http::HttpPlatform;
 use crate::util::clock;
 
@@ -40,10 +39,6 @@
 /// Between two rounds of questions about the floor.
 const ASK_FLOOR_MS: u64 = 1_000;
 
-/// Longest wait for content from a peer of the region. One that takes longer is frozen, and
-/// somebody else has it.
-const NEAR_FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// A node that knows no peer takes itself for alone only after so long: its greetings take a
 /// moment, and alone it would enforce without a witness.
 const ALONE_MS: u64 = 3_000;
@@ -347,7 +342,7 @@
             let platform = self.platform.clone();
             let myself = myself.clone();
             tokio::spawn(async move {
-                let found = run_fetch(&node, &platform, held, &fetch).await;
+                let found = content::fetch(&node, &platform, held, &fetch).await;
                 let _ = myself.cast(ConfigurationMsg::Fetched { fetch, found });
             });
             return;
@@ -363,7 +358,7 @@
     }
 
     fn fetched(&mut self, now_ms: u64, fetch: &Fetch, found: Option<(Stamp, Content)>) {
-        let source = source_name(&fetch.source);
+        let source = content::source_name(&fetch.source);
         let prepared = found.is_some_and(|(stamp, content)| self.prepare(stamp, &content, source));
         let result = if prepared { "used" } else { "failed" };
         metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
@@ -421,37 +416,3 @@
         }
     }
 }
-
-fn source_name(source: &Source) -> &'static str {
-    match source {
-        Source::Store => "store",
-        Source::Peer { distance, .. } => match distance {
-            Distance::DataCentre => "data-centre",
-            Distance::Region => "region",
-            Distance::Mesh => "mesh",
-        },
-    }
-}
-
-async fn run_fetch(
-    node: &NodeState,
-    platform: &HttpPlatform,
-    held: Stamp,
-    fetch: &Fetch,
-) -> Option<(Stamp, Content)> {
-    match fetch.source {
-        Source::Store => store::content(platform, held, fetch.want).await,
-        Source::Peer {
-            address, distance, ..
-        } => {
-            let mut client = node.control.client(address)?;
-            let found = client.fetch(held.version, fetch.want.version);
-            let limit = match distance {
-                Distance::DataCentre | Distance::Region => NEAR_FETCH_TIMEOUT,
-                Distance::Mesh => CONTENT_TIMEOUT,
-            };
-            let found = tokio::time::timeout(limit, found).await;
-            found.ok()?.ok().flatten()
-        }
-    }
-}
--- /dev/null
+++ b/src/node/content.rs
@@ -0,0 +1,51 @@
+//! Fetches content from a peer or the store, as the fetcher has decided.
+
+use std::time::Duration;
+
+use crate::core::member::Distance;
+use crate::core::version::Stamp;
+use crate::distribution::{Content, Fetch, Source};
+use crate::node::state::NodeState;
+use crate::node::store;
+use crate::peer::client::CONTENT_TIMEOUT;
+use crate::platform::http::HttpPlatform;
+
+/// Longest wait for content from a peer of the region. One that takes longer is frozen, and
+/// somebody else has it.
+const NEAR_FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Word for a source in metrics.
+pub(crate) fn source_name(source: &Source) -> &'static str {
+    match source {
+        Source::Store => "store",
+        Source::Peer { distance, .. } => match distance {
+            Distance::DataCentre => "data-centre",
+            Distance::Region => "region",
+            Distance::Mesh => "mesh",
+        },
+    }
+}
+
+/// Makes a fetch; what was found, if anything.
+pub(crate) async fn fetch(
+    node: &NodeState,
+    platform: &HttpPlatform,
+    held: Stamp,
+    fetch: &Fetch,
+) -> Option<(Stamp, Content)> {
+    match fetch.source {
+        Source::Store => store::content(platform, held, fetch.want).await,
+        Source::Peer {
+            address, distance, ..
+        } => {
+            let mut client = node.control.client(address)?;
+            let found = client.fetch(held.version, fetch.want.version);
+            let limit = match distance {
+                Distance::DataCentre | Distance::Region => NEAR_FETCH_TIMEOUT,
+                Distance::Mesh => CONTENT_TIMEOUT,
+            };
+            let found = tokio::time::timeout(limit, found).await;
+            found.ok()?.ok().flatten()
+        }
+    }
+}
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -101,6 +101,28 @@
     assert!(fetch.as_ref().is_some_and(near), "{fetch:?}");
 }
 
+/// The store is down while a version is announced, so the gateway's tries are seconds apart. When a
+/// neighbour turns out to hold the version, the gateway fetches it there at once.
+#[test]
+fn content_that_turns_up_near_is_not_waited_for() {
+    let mut fetcher = Fetcher::new(node(1));
+    fetcher.set_gateway_rank(Some(0));
+    fetcher.heard(0, stamp(1));
+    let mut now_ms = 0;
+    for _ in 0..12 {
+        let at_ms = (now_ms..).find(|at_ms| fetcher.next(*at_ms, Version::NONE).is_some());
+        now_ms = at_ms.expect("it tries again");
+        let fetch = Fetch {
+            want: stamp(1),
+            source: Source::Store,
+        };
+        fetcher.done(now_ms, &fetch, false);
+    }
+    assert_eq!(fetcher.next(now_ms + 1_000, Version::NONE), None);
+    fetcher.held_by(now_ms + 1_000, stamp(1), peer(2, Distance::Region));
+    assert!(fetcher.next(now_ms + 1_000, Version::NONE).is_some());
+}
+
 fn team(name: &str) -> (TeamName, TeamRecord) {
     let record = TeamRecord {
         team: TeamName::new(name),
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -1,7 +1,8 @@
 //! Membership without sockets: convergence, partition, heal, loss, herds.
 
-use dragonflywall::core::member::{Liveness, Member};
+use dragonflywall::core::member::{BackendState, Liveness, Member};
 use dragonflywall::core::version::Version;
+use dragonflywall::membership::Membership;
 
 use crate::spread_network::{TestNetwork, alive, stamp};
 
@@ -81,7 +82,7 @@
         let complete = |row: &dragonflywall::core::status::DataCentreSummary| {
             row.nodes == 8 && row.versions == [(Version(4), 8)].into()
         };
-        let knows = |node: &dragonflywall::membership::Membership| {
+        let knows = |node: &Membership| {
             let rows = node.summaries();
             rows.len() == 6 && rows.iter().all(complete)
         };
@@ -159,7 +160,7 @@
     let cut = |member: &Member| member.place.data_centre.as_str() == "dc-1";
     network.set_passes(move |from, to, _| cut(from) == cut(to));
     network.run_until("both sides know", 120_000, |network| {
-        let expected = |node: &dragonflywall::membership::Membership| match cut(node.me()) {
+        let expected = |node: &Membership| match cut(node.me()) {
             true => 8,
             false => 40,
         };
@@ -239,3 +240,29 @@
     let mut near = network.running().filter(|n| n.me().place == lonely.place);
     assert!(near.any(|n| n.me().node != lonely.node && n.remembered(lonely.node) == Version(5)));
 }
+
+/// A node has just told its neighbours something when it says goodbye and ends. Gathering news must
+/// not hold back the goodbye, since there is no later message: callers would go on being sent there.
+#[test]
+fn goodbye_is_not_held_back() {
+    let mut network = joined(8);
+    network.run_for(20_000);
+    let leaver = network.node(20);
+    leaver.set_backend(None, BackendState::Draining);
+    let node = leaver.me().node;
+    // All neighbours have been told by now, and the next news would be gathered.
+    network.run_until("the draining is known", 1_000, |network| {
+        let draining = |n: &Membership| {
+            let mut members = n.members();
+            members.any(|m| m.node == node && m.backend == BackendState::Draining)
+        };
+        network.running().all(draining)
+    });
+    network.node(20).set_backend(None, BackendState::Serving);
+    network.tick(20);
+    network.run_for(3);
+    network.leave(20);
+    network.run_until("the goodbye is known", 1_000, |network| {
+        network.running().all(|n| !alive(n).contains(&node))
+    });
+}
--- a/tests/testsuite/spread_network.rs
+++ b/tests/testsuite/spread_network.rs
@@ -92,6 +92,13 @@
         self.nodes[position] = None;
     }
 
+    /// The process says goodbye, sends what that starts, and ends.
+    pub(crate) fn leave(&mut self, position: usize) {
+        self.node(position).leave();
+        self.tick(position);
+        self.stop(position);
+    }
+
     pub(crate) fn freeze(&mut self, position: usize) {
         self.frozen.insert(position);
     }
@@ -200,7 +207,8 @@
         self.nodes[position].is_some() && !self.frozen.contains(&position)
     }
 
-    fn tick(&mut self, position: usize) {
+    /// Lets a node start what is due, as its driver does after each message.
+    pub(crate) fn tick(&mut self, position: usize) {
         if !self.is_up(position) {
             return;
         }
