--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -128,6 +128,8 @@
     pub network: Arc<Network>,
     /// The VMs, data centre by data centre.
     pub vms: Vec<Vm>,
+    /// Added to the arguments of every node started from now on.
+    pub extra_arguments: Vec<String>,
     program: PathBuf,
     leading: Vec<String>,
     platform_front: Front,
@@ -152,6 +154,7 @@
             platform,
             network,
             vms: Vec::new(),
+            extra_arguments: Vec::new(),
             program: program.to_owned(),
             leading: leading.iter().map(|text| (*text).to_owned()).collect(),
             platform_front,
@@ -272,6 +275,7 @@
         } else {
             set("log-level", "warn".to_owned());
         }
+        arguments.extend(self.extra_arguments.iter().cloned());
         arguments
     }
 
