--- a/crates/experiment/src/requests/connections.rs
+++ b/crates/experiment/src/requests/connections.rs
@@ -12,7 +12,7 @@
 use crate::usage;
 
 /// Connections held open in each step.
-const STEPS: [usize; 4] = [0, 30, 60, 90];
+const STEPS: [usize; 4] = [10, 40, 70, 100];
 const SETTLE: Duration = Duration::from_millis(200);
 
 /// Kilobytes of the entry node against the number of kept connections, each used once.
