Keep measuring after a failed size, and leave no nodes behind

A size that fails, also by a panic of the test kit, is named on the page and ends the run with an error; the other sizes are measured. Nodes of an experiment end when their parent has ended: with that guard off, the new test's demo left 16 node processes that had to be killed by hand. `--nodes N` measures one size.

--- a/crates/experiment/src/all.rs
+++ b/crates/experiment/src/all.rs
@@ -5,7 +5,7 @@
 
 use crate::capacity::{self, Results};
 use crate::error::Result;
-use crate::options::Options;
+use crate::options::{Options, Scale};
 use crate::report::Report;
 use crate::{convergence, requests, slopes};
 
@@ -17,16 +17,27 @@
     let report = Report::new(&options.docs)?;
     let holder = slopes::measure(scale)?;
     slopes::write(&report, &holder, scale)?;
-    let requests = requests::measure(scale).await?;
-    requests::write(&report, &requests, scale)?;
-    let convergence = convergence::measure(&convergence::Plan::of(scale)).await?;
-    convergence::write(&report, &convergence, scale)?;
+    // A failure is told at the end, so that it does not take the other measurements with it.
+    let requests = measure_requests(&report, scale).await;
+    let sizes = convergence::measure(&convergence::Plan::of(scale)).await?;
+    convergence::write(&report, &sizes, scale)?;
+    let failed_sizes = sizes.checked();
+    let (requests, failed_requests) = match requests {
+        Ok(requests) => (requests, Ok(())),
+        Err(error) => (Vec::new(), Err(error)),
+    };
     let results = Results {
-        convergence,
+        convergence: sizes.measured,
         requests,
         holder,
     };
     capacity::write(&options.docs, &results, scale)?;
     println!("Finished in {:.0} s", begin.elapsed().as_secs_f64());
-    Ok(())
+    failed_requests.and(failed_sizes)
+}
+
+async fn measure_requests(report: &Report, scale: Scale) -> Result<Vec<requests::Measured>> {
+    let measured = requests::measure(scale).await?;
+    requests::write(report, &measured, scale)?;
+    Ok(measured)
 }
--- a/crates/experiment/src/cli.rs
+++ b/crates/experiment/src/cli.rs
@@ -24,6 +24,7 @@
   --quick                    small sizes, to see that it runs (the default)
   --full                     every size
   --docs DIR                 where `measurements` are written (default: this repository's docs)
+  --nodes N                  only this size (convergence)
 ";
 
 /// Runs the command line.
--- a/crates/experiment/src/convergence.rs
+++ b/crates/experiment/src/convergence.rs
@@ -3,6 +3,8 @@
 //! For each size a mesh of node processes goes through idling, publications, endpoint churn and a
 //! restart of all nodes at once; the baseline of polling pollers goes through the same changes.
 
+mod pages;
+
 use std::ffi::OsString;
 use std::time::{Duration, Instant};
 
@@ -13,12 +15,14 @@
 use testkit::http::request;
 use testkit::platform::Peaks;
 
-use crate::baseline::{self, POLL, Polled};
+use crate::baseline::{self, Polled};
 use crate::error::{Error, Result};
 use crate::fleet::{Fleet, Interval, SERVICES, team_file};
 use crate::options::{Options, Scale};
 use crate::publication;
-use crate::report::{Axes, Report, Series, Table, figure};
+use crate::report::Report;
+
+pub(crate) use pages::write;
 
 /// Times are counted up to this; each run is bounded far below it.
 const TIME_MAX_MS: u64 = 600_000;
@@ -126,37 +130,91 @@
 pub(crate) async fn run(arguments: Vec<OsString>) -> Result {
     let options = Options::parse(arguments)?;
     let report = Report::new(&options.docs)?;
-    let measured = measure(&Plan::of(options.scale)).await?;
-    write(&report, &measured, options.scale)
+    let mut plan = Plan::of(options.scale);
+    if let Some(nodes) = options.nodes {
+        plan.sizes = vec![nodes];
+    }
+    let sizes = measure(&plan).await?;
+    write(&report, &sizes, options.scale)?;
+    sizes.checked()
 }
 
-/// Measures every size, and the baseline at all sizes side by side.
-pub(crate) async fn measure(plan: &Plan) -> Result<Vec<Measured>> {
-    let mut all = Vec::new();
+/// The sizes that were measured, and those that could not be.
+#[derive(Debug, Default)]
+pub(crate) struct Sizes {
+    pub(crate) measured: Vec<Measured>,
+    failed: Vec<(usize, String)>,
+}
+
+impl Sizes {
+    /// An error if any size failed; its page says so as well.
+    pub(crate) fn checked(&self) -> Result {
+        if self.failed.is_empty() {
+            return Ok(());
+        }
+        Err(Error::Unexpected {
+            text: self.failures(),
+        })
+    }
+
+    fn failures(&self) -> String {
+        let failures = self.failed.iter();
+        let lines =
+            failures.map(|(nodes, why)| format!("{nodes} nodes could not be measured: {why}"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// Measures every size, and the baseline at all sizes side by side. A size that fails is noted
+/// and the others go on.
+pub(crate) async fn measure(plan: &Plan) -> Result<Sizes> {
+    let mut sizes = Sizes::default();
     for &nodes in &plan.sizes {
         let begin = Instant::now();
-        let measured = measure_size(plan, nodes).await?;
-        println!(
-            "Measured {nodes} nodes in {:.1} s: enforced everywhere p50 {} ms, p99 {} ms, max {} ms",
-            begin.elapsed().as_secs_f64(),
-            measured.spread_ms.value_at_quantile(0.5),
-            measured.spread_ms.value_at_quantile(0.99),
-            measured.spread_ms.max()
-        );
-        all.push(measured);
+        let plan = plan.clone();
+        // A task of its own, so that a panic inside the test kit ends this size alone.
+        let measured = tokio::spawn(async move { measure_size(&plan, nodes).await }).await;
+        let measured = measured.unwrap_or_else(|error| {
+            Err(Error::Unexpected {
+                text: error.to_string(),
+            })
+        });
+        match measured {
+            Ok(measured) => {
+                print_size(&measured, begin);
+                sizes.measured.push(measured);
+            }
+            Err(error) => {
+                println!("Failed at {nodes} nodes: {error}");
+                sizes.failed.push((nodes, error.to_string()));
+            }
+        }
     }
     // Pollers are few tasks that mostly sleep, so their sizes can run at the same time.
-    let baselines = all
+    let baselines: Vec<_> = sizes
+        .measured
         .iter()
-        .map(|measured| tokio::spawn(baseline::run(measured.nodes, plan.baseline_changes)));
-    let baselines: Vec<_> = baselines.collect();
-    for (measured, baseline) in all.iter_mut().zip(baselines) {
+        .map(|measured| tokio::spawn(baseline::run(measured.nodes, plan.baseline_changes)))
+        .collect();
+    for (measured, baseline) in sizes.measured.iter_mut().zip(baselines) {
         measured.baseline = baseline.await.map_err(|error| Error::Unexpected {
             text: error.to_string(),
         })??;
     }
-    println!("Measured the polling baseline at {} sizes", all.len());
-    Ok(all)
+    println!("Measured the polling baseline");
+    Ok(sizes)
+}
+
+fn print_size(measured: &Measured, begin: Instant) {
+    let spread = &measured.spread_ms;
+    println!(
+        "Measured {} nodes in {:.1} s: enforced after p50 {} ms, p99 {} ms, max {} ms",
+        measured.nodes,
+        begin.elapsed().as_secs_f64(),
+        spread.value_at_quantile(0.5),
+        spread.value_at_quantile(0.99),
+        spread.max()
+    );
 }
 
 async fn measure_size(plan: &Plan, nodes: usize) -> Result<Measured> {
@@ -279,207 +337,3 @@
     record(&mut histogram, times);
     histogram
 }
-
-/// Writes page, rows and plots.
-pub(crate) fn write(report: &Report, measured: &[Measured], scale: Scale) -> Result {
-    let command = format!(
-        "cargo run --release -p experiment -- convergence {}",
-        scale.flag()
-    );
-    let tables = [
-        spread_table(measured, &command),
-        cost_table(measured, &command),
-        herd_table(measured, &command),
-    ];
-    report.page("convergence", &introduction(), &tables)?;
-    plot_spread(report, measured)?;
-    plot_bytes(report, measured)
-}
-
-fn introduction() -> String {
-    format!(
-        "# Convergence and control traffic\n\n\
-         Node processes in 2 regions with 2 data centres each, 1 ms apart inside a region and 20 ms\n\
-         between them, joined by 30 Mbit/s each way. The configuration has {} services; each\n\
-         publication changes one team's record. Times run from the return of the commit to the\n\
-         node's own time stamp of enforcing. Bytes are those of TCP payload, both ways, counted on\n\
-         every connection between nodes and to the platform. The baseline's proxies each read the\n\
-         whole compressed configuration from the store every {} s.\n\n\
-         ![time to enforce](convergence-time.svg)\n\n\
-         ![control bytes](convergence-bytes.svg)\n",
-        SERVICES.len(),
-        POLL.as_secs()
-    )
-}
-
-fn quantiles(histogram: &Histogram<u64>) -> [String; 3] {
-    [
-        histogram.value_at_quantile(0.5).to_string(),
-        histogram.value_at_quantile(0.99).to_string(),
-        histogram.max().to_string(),
-    ]
-}
-
-fn spread_table(measured: &[Measured], command: &str) -> Table {
-    let row = |m: &Measured| {
-        let [p50, p99, max] = quantiles(&m.spread_ms);
-        let [base_p50, base_p99, base_max] = quantiles(&histogram(&m.baseline.enforced_after));
-        let link = m.link_bytes_per_change();
-        vec![
-            m.nodes.to_string(),
-            m.publications.to_string(),
-            p50,
-            p99,
-            max,
-            base_p50,
-            base_p99,
-            base_max,
-            figure(m.delta_bytes),
-            figure(link),
-            figure(link / m.delta_bytes),
-            figure(m.bytes_per_change() / m.nodes as f64),
-        ]
-    };
-    Table {
-        title: "From acceptance to enforcing, and bytes per change",
-        command: command.to_owned(),
-        columns: vec![
-            "nodes",
-            "changes",
-            "p50 ms",
-            "p99 ms",
-            "max ms",
-            "polling p50 ms",
-            "polling p99 ms",
-            "polling max ms",
-            "delta bytes",
-            "link bytes per change",
-            "link bytes in deltas",
-            "bytes per node and change",
-        ],
-        rows: measured.iter().map(row).collect(),
-    }
-}
-
-fn cost_table(measured: &[Measured], command: &str) -> Table {
-    let row = |m: &Measured| {
-        vec![
-            m.nodes.to_string(),
-            figure(m.idle.node_bytes_per_s(m.nodes)),
-            figure(m.baseline.bytes_per_s / m.nodes as f64),
-            figure(m.idle.link_bytes / m.idle.seconds),
-            figure(m.baseline.link_bytes_per_s),
-            figure(m.idle.platform_reads / m.idle.seconds),
-            figure(m.baseline.reads_per_s),
-            figure(m.idle.node_core_percent(m.nodes)),
-            figure(m.processor_ms_per_change() / m.nodes as f64),
-            figure(m.bytes_per_event() / m.nodes as f64),
-            figure(m.anonymous_mb),
-            figure(m.resident_mb),
-        ]
-    };
-    Table {
-        title: "Idle cost, endpoint churn and memory",
-        command: command.to_owned(),
-        columns: vec![
-            "nodes",
-            "idle bytes/s per node",
-            "polling bytes/s per node",
-            "idle link bytes/s",
-            "polling link bytes/s",
-            "idle platform reads/s",
-            "polling platform reads/s",
-            "idle % of a core per node",
-            "processor ms per node and change",
-            "bytes per node and announcement",
-            "largest anonymous MB",
-            "largest resident MB",
-        ],
-        rows: measured.iter().map(row).collect(),
-    }
-}
-
-fn herd_table(measured: &[Measured], command: &str) -> Table {
-    let row = |m: &Measured| {
-        let [p50, p99, max] = quantiles(&m.herd_ms);
-        vec![
-            m.nodes.to_string(),
-            p50,
-            p99,
-            max,
-            figure(m.herd.between_nodes_bytes / m.nodes as f64),
-            figure(m.herd.link_bytes),
-            figure(m.herd.platform_reads),
-            figure(m.herd.platform_writes),
-            m.herd_peaks.reads_per_s.to_string(),
-            m.herd_peaks.writes_per_s.to_string(),
-            figure(m.herd.platform_refused),
-        ]
-    };
-    Table {
-        title: "All nodes killed at once and started again",
-        command: command.to_owned(),
-        columns: vec![
-            "nodes",
-            "p50 ms",
-            "p99 ms",
-            "max ms",
-            "bytes per node",
-            "link bytes",
-            "platform reads",
-            "platform writes",
-            "most reads in 1 s",
-            "most writes in 1 s",
-            "refused by the platform",
-        ],
-        rows: measured.iter().map(row).collect(),
-    }
-}
-
-fn line(name: &str, measured: &[Measured], y: impl Fn(&Measured) -> f64) -> Series {
-    Series {
-        name: name.to_owned(),
-        points: measured.iter().map(|m| (m.nodes as f64, y(m))).collect(),
-    }
-}
-
-fn plot_spread(report: &Report, measured: &[Measured]) -> Result {
-    let axes = Axes {
-        title: "From acceptance to enforcing",
-        x: "nodes",
-        y: "ms",
-    };
-    let lines = [
-        line("p50", measured, |m| {
-            m.spread_ms.value_at_quantile(0.5) as f64
-        }),
-        line("p99", measured, |m| {
-            m.spread_ms.value_at_quantile(0.99) as f64
-        }),
-        line("polling p50", measured, |m| {
-            histogram(&m.baseline.enforced_after).value_at_quantile(0.5) as f64
-        }),
-        line("polling p99", measured, |m| {
-            histogram(&m.baseline.enforced_after).value_at_quantile(0.99) as f64
-        }),
-    ];
-    report.plot("convergence-time.svg", axes, &lines)
-}
-
-fn plot_bytes(report: &Report, measured: &[Measured]) -> Result {
-    let axes = Axes {
-        title: "Idle control traffic",
-        x: "nodes",
-        y: "bytes/s per node",
-    };
-    let lines = [
-        line("dragonflywall", measured, |m| {
-            m.idle.node_bytes_per_s(m.nodes)
-        }),
-        line("polling", measured, |m| {
-            m.baseline.bytes_per_s / m.nodes as f64
-        }),
-        line("users' limit", measured, |_| 2_000.0),
-    ];
-    report.plot("convergence-bytes.svg", axes, &lines)
-}
--- a/crates/experiment/src/node.rs
+++ b/crates/experiment/src/node.rs
@@ -1,12 +1,15 @@
 //! The hidden command `node`: one node process, run as the product's own program runs it.
 
 use std::ffi::OsString;
+use std::os::unix::process::parent_id;
+use std::time::Duration;
 
 use dragonflywall::node::{self, Settings, logging, settings};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::{Error, Result};
 
+const PARENT_CHECK: Duration = Duration::from_secs(1);
 /// As many as the product's program gives a node.
 const WORKER_THREADS: usize = 2;
 
@@ -36,7 +39,17 @@
     tokio::select! {
         _ = terminate.recv() => (),
         _ = interrupt.recv() => (),
+        () = orphaned() => std::process::exit(1),
     }
     handle.drain().await;
     Ok(())
 }
+
+/// Ends when the process that started this one has ended. An experiment that is killed cannot
+/// stop its nodes any more, and hundreds of them would go on for ever.
+async fn orphaned() {
+    let parent = parent_id();
+    while parent_id() == parent {
+        tokio::time::sleep(PARENT_CHECK).await;
+    }
+}
--- a/crates/experiment/src/options.rs
+++ b/crates/experiment/src/options.rs
@@ -32,14 +32,17 @@
     pub(crate) scale: Scale,
     /// The directory of the documentation that results are written into.
     pub(crate) docs: PathBuf,
+    /// Only this size, where sizes are measured.
+    pub(crate) nodes: Option<usize>,
 }
 
 impl Options {
-    /// Parses `--quick`, `--full`, `--docs DIR`.
+    /// Parses `--quick`, `--full`, `--docs DIR`, `--nodes N`.
     pub(crate) fn parse(arguments: Vec<OsString>) -> Result<Self> {
         let mut options = Self {
             scale: Scale::Quick,
             docs: Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs"),
+            nodes: None,
         };
         let mut parser = lexopt::Parser::from_args(arguments);
         while let Some(argument) = parser.next()? {
@@ -47,6 +50,7 @@
                 lexopt::Arg::Long("quick") => options.scale = Scale::Quick,
                 lexopt::Arg::Long("full") => options.scale = Scale::Full,
                 lexopt::Arg::Long("docs") => options.docs = parser.value()?.string()?.into(),
+                lexopt::Arg::Long("nodes") => options.nodes = Some(parser.value()?.parse()?),
                 other => return Err(other.unexpected().into()),
             }
         }
--- a/crates/experiment/tests/demo.rs
+++ b/crates/experiment/tests/demo.rs
@@ -1,6 +1,8 @@
 //! The README's first command.
 
-use std::process::Command;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// A newcomer runs the README's first command: it ends by itself, succeeds, and shows both
 /// versions at all four data centres and the callers' answers.
@@ -32,3 +34,44 @@
     let text = String::from_utf8_lossy(&output.stderr);
     assert!(text.contains("`dmeo` is not a command"), "{text}");
 }
+
+/// Whoever started an experiment kills it with a signal that it cannot handle: its nodes lose the
+/// one that would stop them, and without a guard go on for ever. They notice that their parent is
+/// another one and end.
+#[test]
+fn killed_experiment_leaves_no_nodes() {
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_experiment"))
+        .arg("demo")
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    let stdout = demo.stdout.take().expect("stdout is piped");
+    let started = BufReader::new(stdout).lines().next();
+    let started = started.expect("a line").expect("text");
+    assert!(started.starts_with("Started chatarras"), "{started}");
+    let nodes = children(demo.id());
+    assert_eq!(nodes.len(), 16, "{nodes:?}");
+    demo.kill().expect("it still runs");
+    demo.wait().expect("it ended");
+    let deadline = Instant::now() + Duration::from_secs(60);
+    while nodes.iter().any(|node| is_node(*node)) {
+        assert!(Instant::now() < deadline, "a node outlived its experiment");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn children(parent: u32) -> Vec<u32> {
+    let threads = std::fs::read_dir(format!("/proc/{parent}/task")).expect("it still runs");
+    let lists = threads.filter_map(|thread| {
+        let list = thread.ok()?.path().join("children");
+        std::fs::read_to_string(list).ok()
+    });
+    let lists: Vec<String> = lists.collect();
+    let numbers = lists.iter().flat_map(|list| list.split_whitespace());
+    numbers.filter_map(|number| number.parse().ok()).collect()
+}
+
+fn is_node(process: u32) -> bool {
+    let arguments = std::fs::read_to_string(format!("/proc/{process}/cmdline"));
+    arguments.is_ok_and(|arguments| arguments.split('\0').nth(1) == Some("node"))
+}
