--- a/crates/experiment/src/all.rs
+++ b/crates/experiment/src/all.rs
@@ -15,8 +15,8 @@
     let scale = options.scale;
     let begin = Instant::now();
     let report = Report::new(&options.docs)?;
-    let holder = slopes::measure(scale)?;
-    slopes::write(&report, &holder, scale)?;
+    let slopes = slopes::measure(scale)?;
+    slopes::write(&report, &slopes, scale)?;
     // A failure is told at the end, so that it does not take the other measurements with it.
     let requests = measure_requests(&report, scale).await;
     let sizes = convergence::measure(&convergence::Plan::of(scale)).await?;
@@ -29,7 +29,7 @@
     let results = Results {
         convergence: sizes.measured,
         requests,
-        holder,
+        holder: slopes.holder,
     };
     capacity::write(&options.docs, &results, scale)?;
     println!("Finished in {:.0} s", begin.elapsed().as_secs_f64());
--- a/crates/experiment/src/slopes.rs
+++ b/crates/experiment/src/slopes.rs
@@ -3,6 +3,8 @@
 //! The mesh of processes shows the cost of whole nodes at sizes that fit on one machine; here the
 //! same code runs at the design size itself, without sockets.
 
+mod membership;
+
 use std::ffi::OsString;
 use std::hint::black_box;
 use std::time::Instant;
@@ -11,6 +13,8 @@
 use dragonflywall::core::version::Version;
 use dragonflywall::distribution::{Content, Holder};
 
+use membership::MembershipCost;
+
 use crate::error::{Error, Result};
 use crate::fleet::records;
 use crate::options::{Options, Scale};
@@ -38,19 +42,32 @@
 pub(crate) async fn run(arguments: Vec<OsString>) -> Result {
     let options = Options::parse(arguments)?;
     let report = Report::new(&options.docs)?;
-    let holder = measure(options.scale)?;
-    write(&report, &holder, options.scale)
+    let measured = measure(options.scale)?;
+    write(&report, &measured, options.scale)
+}
+
+/// Everything that this command measures.
+#[derive(Debug)]
+pub(crate) struct Measured {
+    pub(crate) holder: Vec<HolderCost>,
+    membership: Vec<MembershipCost>,
 }
 
-/// Measures the configuration holder with 2 to 14 services.
-pub(crate) fn measure(scale: Scale) -> Result<Vec<HolderCost>> {
-    let sizes: &[usize] = match scale {
+/// Measures the configuration holder with 2 to 14 services and the view of 65 to 520 members.
+pub(crate) fn measure(scale: Scale) -> Result<Measured> {
+    let services: &[usize] = match scale {
         Scale::Quick => &[2, 14],
         Scale::Full => &[2, 4, 7, 10, 14],
     };
-    let measured: Result<Vec<_>> = sizes.iter().map(|services| holder(*services)).collect();
-    println!("Measured the configuration holder at {} sizes", sizes.len());
-    measured
+    let holder: Result<Vec<_>> = services.iter().map(|services| holder(*services)).collect();
+    println!(
+        "Measured the configuration holder at {} sizes",
+        services.len()
+    );
+    Ok(Measured {
+        holder: holder?,
+        membership: membership::measure(scale),
+    })
 }
 
 fn configuration(services: usize, version: u64) -> Result<Configuration> {
@@ -125,12 +142,16 @@
     Measured inside one process, without sockets, at the sizes of the design.\n";
 
 /// Writes the page.
-pub(crate) fn write(report: &Report, holder: &[HolderCost], scale: Scale) -> Result {
+pub(crate) fn write(report: &Report, measured: &Measured, scale: Scale) -> Result {
     let command = format!(
         "cargo run --release -p experiment -- slopes {}",
         scale.flag()
     );
-    report.page("slopes", INTRODUCTION, &[holder_table(holder, &command)])
+    let tables = [
+        holder_table(&measured.holder, &command),
+        membership::table(&measured.membership, &command),
+    ];
+    report.page("slopes", INTRODUCTION, &tables)
 }
 
 fn holder_table(holder: &[HolderCost], command: &str) -> Table {
--- /dev/null
+++ b/crates/experiment/src/slopes/membership.rs
@@ -0,0 +1,157 @@
+//! Cost of one node's view of all members, up to the design size itself.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
+use dragonflywall::core::names::{DataCentreName, RegionName, ServiceName};
+use dragonflywall::core::version::Version;
+use dragonflywall::membership::{Gossip, Membership, Timing};
+
+use super::anonymous_kb;
+use crate::design;
+use crate::fleet::SERVICES;
+use crate::options::Scale;
+use crate::report::{Table, figure};
+
+/// Views that are held at once: their memory together is far above a page.
+const COPIES: usize = 16;
+const REPEATS: u32 = 500;
+/// Time between ticks of the driver.
+const TICK_MS: u64 = 250;
+
+/// What a view of so many members costs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MembershipCost {
+    members: usize,
+    held_kb: f64,
+    /// To take in one statement that is news, and answer.
+    receive_us: f64,
+    /// To take in a message without news, and answer.
+    heartbeat_us: f64,
+    tick_us: f64,
+    neighbours: usize,
+}
+
+pub(super) fn measure(scale: Scale) -> Vec<MembershipCost> {
+    let sizes: &[usize] = match scale {
+        Scale::Quick => &[65, 520],
+        Scale::Full => &[65, 130, 260, 390, 520],
+    };
+    let measured: Vec<_> = sizes.iter().map(|members| cost(*members)).collect();
+    println!("Measured the membership view at {} sizes", sizes.len());
+    measured
+}
+
+/// A member in one of 6 data centres of 2 regions.
+fn member(number: usize) -> Member {
+    let data_centres = design::DATA_CENTRES as usize;
+    let data_centre = number % data_centres;
+    let port = u16::try_from(10_000 + number).unwrap_or(0);
+    let address = SocketAddr::from(([10, 0, 0, 1], port));
+    Member {
+        node: NodeId(address),
+        external: address,
+        place: Place {
+            region: RegionName::new(format!("region-{}", data_centre * 2 / data_centres)),
+            data_centre: DataCentreName::new(format!("data-centre-{data_centre}")),
+        },
+        incarnation_us: 1,
+        sequence: 1,
+        liveness: Liveness::Alive,
+        service: Some(ServiceName::new(SERVICES[number % SERVICES.len()])),
+        backend: BackendState::Serving,
+        enforced: Version::NONE,
+    }
+}
+
+fn message(from: &Member, updates: Vec<Member>) -> Gossip {
+    Gossip {
+        from: from.node,
+        view_hash: 0,
+        version: Version::NONE,
+        announce: None,
+        updates,
+        reports: Vec::new(),
+        summaries: Vec::new(),
+        want_all: false,
+    }
+}
+
+fn view(others: &[Member]) -> Membership {
+    let mut view = Membership::new(member(0), Vec::new(), Timing::default());
+    view.receive(1, &message(&others[0], others.to_vec()));
+    view.tick(2);
+    view
+}
+
+fn cost(members: usize) -> MembershipCost {
+    let others: Vec<Member> = (1..members).map(member).collect();
+    let before_kb = anonymous_kb();
+    let mut views: Vec<Membership> = (0..COPIES).map(|_| view(&others)).collect();
+    let held_kb = (anonymous_kb() - before_kb).max(0.0) / COPIES as f64;
+    let view = &mut views[0];
+
+    let mut receive_s = 0.0;
+    let mut heartbeat_s = 0.0;
+    let mut tick_s = 0.0;
+    let mut now_ms = 10;
+    for round in 0..REPEATS {
+        let number = round as usize % others.len();
+        let mut changed = others[number].clone();
+        changed.sequence = u64::from(round) + 2;
+        let news = message(&others[0], vec![changed]);
+        let begin = Instant::now();
+        black_box(view.receive(now_ms, &news));
+        receive_s += begin.elapsed().as_secs_f64();
+
+        let begin = Instant::now();
+        black_box(view.tick(now_ms));
+        tick_s += begin.elapsed().as_secs_f64();
+
+        let heartbeat = message(&others[0], Vec::new());
+        let begin = Instant::now();
+        black_box(view.receive(now_ms, &heartbeat));
+        heartbeat_s += begin.elapsed().as_secs_f64();
+        now_ms += TICK_MS;
+    }
+    let neighbours = view.neighbours().count();
+    // Kept beyond the next size, or its growth would come out of what this one gives back.
+    std::mem::forget(views);
+    let repeats = f64::from(REPEATS);
+    MembershipCost {
+        members,
+        held_kb,
+        receive_us: 1e6 * receive_s / repeats,
+        heartbeat_us: 1e6 * heartbeat_s / repeats,
+        tick_us: 1e6 * tick_s / repeats,
+        neighbours,
+    }
+}
+
+pub(super) fn table(measured: &[MembershipCost], command: &str) -> Table {
+    let row = |cost: &MembershipCost| {
+        vec![
+            cost.members.to_string(),
+            figure(cost.held_kb),
+            figure(cost.receive_us),
+            figure(cost.heartbeat_us),
+            figure(cost.tick_us),
+            cost.neighbours.to_string(),
+        ]
+    };
+    Table {
+        title: "View of all members held by a node",
+        command: command.to_owned(),
+        columns: vec![
+            "members",
+            "held KB",
+            "receive one statement µs",
+            "receive a heartbeat µs",
+            "tick µs",
+            "neighbours",
+        ],
+        rows: measured.iter().map(row).collect(),
+    }
+}
