Enforce after two confirmations

Cause: the model's rule one-witness goes back when the node and its only witness die, or the witness is cut off, with the platform away; two-witnesses holds under either.

Change: two neighbours of the data centre must confirm a version before it is enforced, or all where fewer are alive; a suspected one is not waited for, as it would hold up a small data centre for about six seconds.

The new test failed with one witness.

--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -3,8 +3,8 @@
 //! A VM has no disk, so a restarted node does not know what it enforced before. The rule that keeps
 //! it from going back has two halves:
 //!
-//! 1. Before a node enforces a version, at least one peer of its data centre has confirmed that it
-//!    heard the node announce it ([`crate::membership::Membership::witnessed`]). Only a node that
+//! 1. Before a node enforces a version, two peers of its data centre (or all, where fewer are alive)
+//!    have confirmed that they heard the node announce it ([`crate::membership::Membership::witnessed`]). Only a node that
 //!    believes none there to be alive takes another peer's word, and one that believes nobody to be
 //!    alive does without.
 //! 2. A started node enforces nothing until its floor is settled: either it has read the head from
@@ -93,7 +93,7 @@
     /// greater versions are applied anyway.
     pub fn is_settled(&mut self, now_ms: u64) -> bool {
         let waited = now_ms.saturating_sub(self.started_ms) >= FEW_PEERS_MS;
-        // Any one of those asked may be the only witness of what this address enforced last. Were
+        // Any two of those asked may be the only witnesses of what this address enforced last. Were
         // the first answers enough, the node would start below it when the witness answers late.
         let all = self.answered.len() >= PEERS_ASKED && self.asked.is_subset(&self.answered);
         let enough = all || (waited && !self.answered.is_empty());
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -15,8 +15,8 @@
 /// the data centre. Suspecting one at a time would keep 87 dead endpoints for minutes.
 const SILENT_MAX: usize = 3;
 
-/// Peers that are told of a version before it is enforced; one must confirm. Two, so that a slow or
-/// dead one does not delay it.
+/// Peers that must confirm a version before it is enforced. Two, so that the loss of the node
+/// together with one of them does not lose what the node had enforced; see docs/design/floor.md.
 const WITNESSES: usize = 2;
 
 impl Membership {
@@ -61,9 +61,6 @@
         if restated {
             self.direct.insert(answer.from);
         }
-        if self.is_witness(answer.from) {
-            self.witnessed = self.witnessed.max(sent.gossip.version);
-        }
         let everyone: Vec<NodeId> = match answer.want_all {
             true => self.members().map(|member| member.node).collect(),
             false => Vec::new(),
@@ -77,6 +74,7 @@
             let told = !sent.gossip.updates.is_empty();
             link.compared(now_ms, equal, learned || told);
         }
+        self.update_witnessed();
     }
 
     /// A peer gave no answer: suspect it.
@@ -168,27 +166,48 @@
         }
     }
 
-    /// A version waits for a witness before it is enforced. The neighbours may all hold it already,
-    /// so that there is nothing else to tell them; two are told all the same, those of the ring
-    /// first, since a restarted node asks these.
+    /// The highest version that enough witnesses have confirmed: [`WITNESSES`], or all where fewer
+    /// are alive. A suspected one is not waited for, or a frozen neighbour would hold up a version
+    /// in a small data centre until it counts as dead.
+    pub(super) fn update_witnessed(&mut self) {
+        let is_alive = |node: NodeId| {
+            let member = self.roster.get(node);
+            member.is_some_and(|member| member.liveness == Liveness::Alive)
+        };
+        let mut confirmed: Vec<Version> = self
+            .links
+            .iter()
+            .filter(|(node, _)| self.is_witness(**node) && is_alive(**node))
+            .map(|(_, link)| link.told)
+            .collect();
+        confirmed.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = WITNESSES.min(confirmed.len());
+        let lowest = needed.checked_sub(1).map(|position| confirmed[position]);
+        self.witnessed = self.witnessed.max(lowest.unwrap_or(Version::NONE));
+    }
+
+    /// A version waits for witnesses before it is enforced. The neighbours may all hold it already,
+    /// so that there is nothing else to tell them; as many as are missing are told all the same,
+    /// those of the ring first, since a restarted node asks these.
     fn add_witnesses(&self, now_ms: u64, due: &mut BTreeSet<NodeId>) {
         let held = self.held.version;
         if self.witnessed >= held {
             return;
         }
-        let is_asked = |(node, link): &(&NodeId, &Link)| {
+        let is_told = |(node, link): &(&NodeId, &Link)| {
             let telling = link.in_flight && link.telling == held;
-            self.is_witness(**node) && (telling || due.contains(node))
+            self.is_witness(**node) && (link.told >= held || telling || due.contains(node))
         };
-        let asked = self.links.iter().filter(is_asked).count();
+        let told = self.links.iter().filter(is_told).count();
         let mut free: Vec<(Kind, NodeId)> = self
             .links
             .iter()
             .filter(|(node, link)| link.is_free(now_ms) && !due.contains(node))
+            .filter(|(_, link)| link.told < held)
             .map(|(node, link)| (link.kind, *node))
             .collect();
         free.sort_unstable();
-        let missing = WITNESSES.saturating_sub(asked);
+        let missing = WITNESSES.saturating_sub(told);
         due.extend(free.into_iter().take(missing).map(|(_, node)| node));
     }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -202,8 +202,9 @@
         !others.any(|m| m.place == *place && m.liveness != Liveness::Left)
     }
 
-    /// Highest version of this node that a peer has confirmed to have heard, one of the data
-    /// centre while there is any: what it enforces up to here is remembered if it dies now.
+    /// Highest version of this node that two peers have confirmed to have heard, peers of the
+    /// data centre while there are any, or all of them where there are fewer: what it enforces up to
+    /// here is remembered if it dies now.
     pub fn witnessed(&self) -> Version {
         self.witnessed
     }
@@ -312,6 +313,7 @@
         self.note_time(now_ms);
         self.age(now_ms);
         self.refresh_links(now_ms);
+        self.update_witnessed();
         self.count(now_ms);
         let mut exchanges = self.due(now_ms);
         exchanges.extend(self.direct_exchanges(now_ms));
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -2,9 +2,9 @@
 
 use dragonflywall::core::member::{BackendState, Liveness, Member};
 use dragonflywall::core::version::Version;
-use dragonflywall::membership::Membership;
+use dragonflywall::membership::{Kind, Membership};
 
-use crate::spread_network::{TestNetwork, alive, stamp};
+use crate::spread_network::{TICK_MS, TestNetwork, alive, stamp};
 
 fn joined(per_data_centre: u8) -> TestNetwork {
     let mut network = TestNetwork::new(per_data_centre);
@@ -266,3 +266,32 @@
         network.running().all(|n| !alive(n).contains(&node))
     });
 }
+
+/// A node is about to enforce a version and one of its two neighbours in the data centre is slow. If
+/// the node enforced on the word of the other alone and both died, nobody would know; so it waits
+/// for the second, or until that one is suspected.
+#[test]
+fn version_needs_two_witnesses() {
+    let mut network = joined(4);
+    network.run_for(20_000);
+    let node = network.node(0);
+    let me = node.me().node;
+    let ring: Vec<_> = node
+        .neighbours()
+        .filter(|(_, k)| *k == Kind::Ring)
+        .collect();
+    let (slow, _) = ring[0];
+    assert_eq!(ring.len(), 2);
+    network.set_passes(move |from, to, _| from.node != me || to.node != slow);
+    network.node(0).set_held(stamp(5));
+    network.run_for(TICK_MS + 50);
+    let knows = |n: &Membership| n.remembered(me) == Version(5);
+    assert!(network.running().any(knows));
+    assert_eq!(network.node(0).witnessed(), Version::NONE);
+    network.set_passes(|_, _, _| true);
+    network.run_until("witnessed", 10_000, |network| {
+        let node = network.running().next().expect("it runs");
+        node.witnessed() == Version(5)
+    });
+    assert!(network.running().filter(|n| knows(n)).count() >= 2);
+}
--- a/tests/testsuite/spread_network.rs
+++ b/tests/testsuite/spread_network.rs
@@ -9,7 +9,8 @@
 use dragonflywall::membership::link::NEWS_PAUSE_MS;
 use dragonflywall::membership::{Exchange, Gossip, Membership, Timing};
 
-const TICK_MS: u64 = 250;
+/// Between two ticks of a node.
+pub(crate) const TICK_MS: u64 = 250;
 const TIMEOUT_MS: u64 = 1_000;
 
 enum Event {
