--- a/tests/testsuite/publish_in_flight.rs
+++ b/tests/testsuite/publish_in_flight.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use dragonflywall::core::names::{ResourceName, ServiceName};
 use dragonflywall::core::team_file;
 use dragonflywall::core::version::{Digest, Version};
 use dragonflywall::ops::command::publish::{Error, PublishOptions, abandon, publish};
@@ -20,6 +21,8 @@
     held: Mutex<Option<Transaction>>,
     hold: AtomicU32,
     busy: AtomicU32,
+    /// So many reads and stored objects are answered with nothing.
+    lose: AtomicU32,
     /// So many times the held transaction arrives just before the head is read.
     deliver_at_head: AtomicU32,
     /// Somebody else's publication that is accepted while a transaction is held.
@@ -33,6 +36,7 @@
             held: Mutex::new(None),
             hold: AtomicU32::new(0),
             busy: AtomicU32::new(0),
+            lose: AtomicU32::new(0),
             deliver_at_head: AtomicU32::new(0),
             overtaking: None,
         }
@@ -45,6 +49,15 @@
         delivered.expect("the platform works")
     }
 
+    fn lose(&self) -> Result<()> {
+        match take(&self.lose) {
+            true => Err(platform::Error::OutcomeUnknown {
+                reason: "the connection was closed".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
     fn busy(&self) -> Result<()> {
         match take(&self.busy) {
             true => Err(platform::Error::Busy),
@@ -80,6 +93,7 @@
 
     async fn row(&self, key: &str) -> Result<Option<Row>> {
         self.busy()?;
+        self.lose()?;
         if key == HEAD_KEY && take(&self.deliver_at_head) {
             self.deliver().await;
         }
@@ -93,6 +107,7 @@
 
 impl ObjectStore for Slow {
     async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> Result<()> {
+        self.lose()?;
         self.inner.put_object(digest, bytes).await
     }
 
@@ -203,6 +218,37 @@
     assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
 }
 
+/// The commit hangs on the way, and the operator resumes it, by mistake with a file that is refused.
+/// She is told that nothing was changed. The commit arrives only then, and must not prove that
+/// wrong: a refused resume settles the id before it says so.
+#[tokio::test]
+async fn commit_that_arrives_after_a_refused_resume_fails() {
+    let (_stand_in, slow) = start().await;
+    slow.hold.store(u32::MAX, Ordering::SeqCst);
+    let published = publish(&slow, &options("night", 0)).await;
+    assert!(
+        matches!(published, Err(Error::OutcomeUnknown { .. })),
+        "{published:?}"
+    );
+    slow.hold.store(0, Ordering::SeqCst);
+    let mut resumed = PublishOptions {
+        expected: Some(Version::NONE),
+        resumed: true,
+        ..options("night", 0)
+    };
+    let nobody = ServiceName::new("nobody");
+    resumed.records[0]
+        .calls
+        .insert(nobody, [ResourceName::new("nothing")].into());
+    let published = publish(&slow, &resumed).await;
+    assert!(
+        matches!(published, Err(Error::Invalid { .. })),
+        "{published:?}"
+    );
+    assert_eq!(slow.deliver().await, Outcome::ConditionFailed);
+    assert_eq!(head(&slow).await, Version::NONE);
+}
+
 /// A herd of restarting nodes holds the platform at its rate ceiling just when an operator
 /// publishes. A refusal by the ceiling is waited out; without that, the command fails by chance.
 #[tokio::test]
@@ -213,3 +259,14 @@
     let published = published.expect("the ceiling is waited out");
     assert_eq!(published.stamp.version, Version(1));
 }
+
+/// The platform closes a connection that was idle just when the command reads the head over it. The
+/// read is asked again; without that the operator is refused because of one closed connection.
+#[tokio::test]
+async fn lost_answer_to_a_read_is_asked_for_again() {
+    let (_stand_in, slow) = start().await;
+    slow.lose.store(1, Ordering::SeqCst);
+    let published = publish(&Patient(slow), &options("read", 60_000)).await;
+    let published = published.expect("the read is repeated");
+    assert_eq!(published.stamp.version, Version(1));
+}
