Make the test of a terminated node fail without its guard

Cause: with the wait for the gate's requests taken out, all six tests of drains passed: the long payment took 2 s, less than the pauses of a drain together (0.5 s lame duck, 2 s flush).

Change: the payment takes 5 s.

Excluded: nothing was wrong in the product.

--- a/tests/testsuite/requests_drain.rs
+++ b/tests/testsuite/requests_drain.rs
@@ -155,7 +155,8 @@
         let id = format!("long-{n}");
         let asked_id = id.clone();
         let asked = tokio::spawn(async move {
-            let path = "/payments?work_ms=2000";
+            // Longer than all the pauses of a drain together, so that only waiting for it saves it.
+            let path = "/payments?work_ms=5000";
             ask(long_entry, Method::POST, "cobros", path, &asked_id).await
         });
         if wait_running(&mesh, "cobros", &id).await == victim {
