--- a/crates/model/src/publish.rs
+++ b/crates/model/src/publish.rs
@@ -6,136 +6,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dragonflywall::core::configuration::Configuration;
-use dragonflywall::core::routing::RouteTable;
-use dragonflywall::platform::rows::{HEAD_KEY, HeadRow, VersionRow, publish_key, version_key};
-use dragonflywall::platform::{Condition, Transaction};
+use dragonflywall::platform::rows::HEAD_KEY;
+
+mod properties;
+mod state;
 
 use crate::checker::Specification;
 use crate::contents::record;
-use crate::operator::{Answer, Call, Command, End, Next, Objects, Operator, is_final_row, number};
-
-/// What the operators publish at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scenario {
-    /// Both change the same team.
-    SameTeam,
-    /// Each changes a team of its own.
-    DifferentTeams,
-    /// One takes away the resource that the other begins to call: each alone is valid.
-    CrossReference,
-}
-
-/// How far the search goes.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// What is published.
-    pub scenario: Scenario,
-    /// Times that the platform is away for one call.
-    pub outages: u8,
-    /// Answers lost, before or after the transaction took effect.
-    pub losses: u8,
-    /// Commands that may be run again after an unknown outcome, each operator.
-    pub runs: u8,
-}
-
-/// One line of the protocol changed, to see that the checker notices.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mutation {
-    /// Commit without the condition on the head.
-    WithoutHeadCondition,
-    /// Commit without the condition on the publication's id.
-    WithoutIdCondition,
-    /// Put the rows whatever is there.
-    Unconditionally,
-    /// Write the head, the version's row and the id one after the other.
-    CommitInParts,
-    /// Run a lost publication again under a new id.
-    NewIdOnResume,
-    /// Resume on the head of the moment, not on the version that the operator has seen.
-    ResumeOnNewHead,
-    /// Resume as if no earlier run were unsettled: any failure is a refusal.
-    ResumeAsFirstRun,
-    /// Take a lost answer for a refusal.
-    LostMeansRefused,
-}
-
-/// One operator's command.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Running {
-    command: Command,
-    answers: Vec<Answer>,
-    runs: u8,
-    /// The version that the operator saw when the first run read the head. Only a property looks
-    /// at it.
-    saw: Option<u64>,
-    ended: Option<End>,
-}
-
-/// The state of table, network and operators.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct State {
-    rows: BTreeMap<String, (u64, String)>,
-    /// Writes on their way, as (conditions, puts).
-    in_flight: BTreeSet<Write>,
-    operators: Vec<Running>,
-    /// Versions' rows in the order in which they were accepted. Only properties look at it.
-    accepted: Vec<String>,
-    outages: u8,
-    losses: u8,
-}
-
-/// A transaction in a form that can be ordered and hashed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct Write {
-    conditions: Vec<(String, u64)>,
-    puts: Vec<(String, String)>,
-}
-
-impl Write {
-    fn new(transaction: &Transaction) -> Self {
-        let condition = |condition: &Condition| match condition {
-            Condition::Absent { key } => (key.clone(), 0),
-            Condition::Revision { key, revision } => (key.clone(), *revision),
-        };
-        Self {
-            conditions: transaction.conditions.iter().map(condition).collect(),
-            puts: transaction.puts.clone().into_iter().collect(),
-        }
-    }
-}
-
-/// A step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[allow(missing_docs, reason = "each is named for what happens")]
-pub enum Action {
-    Reads {
-        operator: usize,
-        key: String,
-    },
-    PlatformAway {
-        operator: usize,
-    },
-    Commits {
-        operator: usize,
-    },
-    ConditionFails {
-        operator: usize,
-    },
-    AnswerLost {
-        operator: usize,
-        on_its_way_back: bool,
-    },
-    LostWriteArrives,
-    Ends {
-        operator: usize,
-        end: End,
-    },
-    RunsAgain {
-        operator: usize,
-        command: Command,
-    },
-}
+use crate::operator::{Answer, Call, Command, End, Next, Objects, Operator, is_final_row};
+use properties::head;
+use state::Write;
+pub use state::{Action, Bounds, Mutation, Running, Scenario, State};
 
 /// The protocol at given bounds.
 #[derive(Debug)]
@@ -357,54 +238,6 @@
             steps.push((action, next));
         }
     }
-
-    fn rows(&self, state: &State) -> Vec<VersionRow> {
-        let parse = |text: &String| serde_json::from_str(text).expect("the product's own row");
-        state.accepted.iter().map(parse).collect()
-    }
-
-    fn content_violation(&self, rows: &[VersionRow], state: &State) -> Option<&'static str> {
-        let contents: Vec<Configuration> = rows
-            .iter()
-            .map(|row| self.objects.configuration(row))
-            .collect();
-        for (row, pair) in rows[1..].iter().zip(contents.windows(2)) {
-            let (parent, child) = (&pair[0], &pair[1]);
-            if RouteTable::compile(child).is_err() {
-                return Some("references close");
-            }
-            let at = self.operators.iter().position(|operator| {
-                row.publish_id
-                    .strip_suffix("-again")
-                    .unwrap_or(&row.publish_id)
-                    == operator.id()
-            });
-            let at = at.expect("published by one of the operators");
-            let own = &self.operators[at].records()[0].team;
-            let others = |content: &Configuration| {
-                let mut teams = content.teams.clone();
-                teams.remove(own);
-                teams
-            };
-            if others(parent) != others(child) {
-                return Some("accepted is never lost or reverted");
-            }
-            let saw = state.operators[at].saw.expect("it has read the head");
-            let saw = usize::try_from(saw).expect("few versions");
-            if contents[saw - 1].teams.get(own) != parent.teams.get(own) {
-                return Some("what others published to the same team is not overwritten unseen");
-            }
-        }
-        None
-    }
-}
-
-fn head(state: &State) -> u64 {
-    let row = state.rows.get(HEAD_KEY);
-    row.map_or(0, |(_, value)| {
-        let head: HeadRow = serde_json::from_str(value).expect("the product's own row");
-        number(head.stamp)
-    })
 }
 
 fn teams_of(scenario: Scenario) -> Vec<String> {
@@ -449,45 +282,7 @@
     }
 
     fn violated(&self, state: &State) -> Option<&'static str> {
-        let rows = self.rows(state);
-        for operator in &self.operators {
-            let ours = |row: &&VersionRow| row.publish_id.starts_with(operator.id());
-            if rows.iter().filter(ours).count() > 1 {
-                return Some("a publication is committed at most once");
-            }
-        }
-        let in_order = rows.iter().enumerate().all(|(at, row)| {
-            let stored = state.rows.get(&version_key(row.stamp.version));
-            number(row.stamp) == at as u64 + 1
-                && stored.is_some_and(|(_, value)| *value == state.accepted[at])
-        });
-        if !in_order || head(state) != rows.len() as u64 {
-            return Some("accepted is never lost or reverted");
-        }
-        for (at, operator) in self.operators.iter().enumerate() {
-            let ours = |row: &&VersionRow| row.publish_id.starts_with(operator.id());
-            let first = rows.iter().find(ours).map(|row| number(row.stamp));
-            let told_right = match state.operators[at].ended {
-                Some(End::Published(version)) => first == Some(version),
-                Some(End::Refused) => first.is_none(),
-                Some(End::Unknown(_)) | None => true,
-            };
-            if !told_right {
-                return Some("the operator is told what became of the publication");
-            }
-            if state.rows.contains_key(&publish_key(operator.id())) && first.is_none() {
-                // Settling occupies the id, and so does a resumed run before it refuses.
-                let first_run = Command::Publish {
-                    expected: None,
-                    resumed: false,
-                    new_id: false,
-                };
-                if state.operators[at].command == first_run {
-                    return Some("a first run occupies the id by its commit only");
-                }
-            }
-        }
-        self.content_violation(&rows, state)
+        self.first_violation(state)
     }
 
     /// Every command may then be run again once more, which has to settle it.
--- a/tests/testsuite/proofs.rs
+++ b/tests/testsuite/proofs.rs
@@ -41,7 +41,7 @@
 #[test]
 fn every_mutation_named_exists() {
     let page = read("docs/PROOFS.md");
-    let model = ["spread/state.rs", "publish.rs", "request.rs"].map(|file| {
+    let model = ["spread/state.rs", "publish/state.rs", "request.rs"].map(|file| {
         let path = format!("crates/model/src/{file}");
         read(&path)
     });
