--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -6,7 +6,7 @@
 
 use dragonflywall::core::status::Status;
 use dragonflywall::core::version::Version;
-use dragonflywall::ops::query::progress::of_status;
+use dragonflywall::ops::query::progress::{of_status, of_statuses};
 use http::{Method, StatusCode};
 use serde_json::Value;
 use testkit::http::{answer, serve};
@@ -32,7 +32,10 @@
     let node = mesh.vms[0].node().addresses.operator.to_string();
     let file = repository_file("examples/marinhas/armazem.toml");
     let file = file.to_str().expect("UTF-8");
-    let at = ["--platform", &url, "--node", &node];
+    let in_each = mesh.vms.iter().step_by(4);
+    let in_each = in_each.map(|vm| vm.node().addresses.operator.to_string());
+    let in_each = in_each.collect::<Vec<_>>().join(",");
+    let at = ["--platform", &url, "--node", &in_each];
     let output = command(
         &[
             &["publish", "--wait", "--operator", "ana"],
@@ -51,6 +54,10 @@
     assert!(text(&output).contains(all), "{}", text(&output));
     let output = command(&[&["watch"], &at[..]].concat()).await;
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    let output = command(&["status", "--node", &node]).await;
+    let others = "it reaches no endpoint of: ";
+    assert!(text(&output).contains("and is ready"), "{}", text(&output));
+    assert!(!text(&output).contains(others), "{}", text(&output));
     let output = command(&["status", "--node", &node, "--json"]).await;
     let status: Value = serde_json::from_slice(&output.stdout).expect("status prints JSON");
     assert_eq!(status["enforced"]["version"], 1);
@@ -191,6 +198,26 @@
     assert_eq!(cut_off.to_string(), text);
 }
 
+/// An operator asks a node in each data centre. What the first knows of the second is old; the
+/// second's own word counts.
+#[test]
+fn own_count_of_a_data_centre_goes_first() {
+    let members = [
+        member("aveiro-a", 1, "alive"),
+        member("aveiro-b", 2, "alive"),
+    ];
+    let counts = |far_version: &str| {
+        let far = count("aveiro-b", &serde_json::json!({ far_version: 1 }));
+        [count("aveiro-a", &serde_json::json!({ "2": 1 })), far]
+    };
+    let near = status(&members, &counts("1"));
+    let mut far = status(&members, &counts("2"));
+    far.node = far.members[1].node;
+    assert!(!of_status(&near, Version(2)).is_complete());
+    assert!(of_statuses(&[near.clone(), far.clone()], Version(2)).is_complete());
+    assert!(of_statuses(&[far, near], Version(2)).is_complete());
+}
+
 /// A data centre's count is some seconds old: one of its nodes is behind, another has died since.
 /// The dead one, which enforced the version, must not make up for the one that is behind.
 #[test]
@@ -273,3 +300,14 @@
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     assert_eq!(mesh.version_at(2).await, 2);
 }
+
+/// A team's file is published before any backend server of its services runs. An operator who asks
+/// a node is told which services cannot be reached, instead of hearing it from callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_names_services_out_of_reach() {
+    let mesh = start_chatarras(small(&["tablon"], 1)).await;
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let output = command(&["status", "--node", &node]).await;
+    let lacking = "it reaches no endpoint of: bascula, cobros, hemeroteca";
+    assert!(text(&output).contains(lacking), "{}", text(&output));
+}
