Count idle traffic after the second registration

A node registers again within 15 s of its start; idle and change windows now begin after that, and small sizes run side by side to pay for the wait.

--- a/crates/experiment/src/convergence.rs
+++ b/crates/experiment/src/convergence.rs
@@ -30,11 +30,15 @@
 /// How much is run at each size.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
-    pub(crate) sizes: Vec<usize>,
+    /// Sizes in groups; those of a group run side by side, so only small ones share a group.
+    pub(crate) sizes: Vec<Vec<usize>>,
     pub(crate) publications: usize,
     pub(crate) baseline_changes: usize,
-    /// After a start or restart, until the traffic of joining has ended.
+    /// From the start to the first count, until the traffic of joining has ended. A node registers
+    /// again within 15 s of its start.
     pub(crate) settle: Duration,
+    /// After a restart of all, still counted.
+    pub(crate) settle_herd: Duration,
     pub(crate) idle: Duration,
     /// Endpoint announcements in all, and the time over which they come.
     pub(crate) churn_events: usize,
@@ -45,19 +49,21 @@
     pub(crate) fn of(scale: Scale) -> Self {
         match scale {
             Scale::Quick => Self {
-                sizes: vec![8, 16],
+                sizes: vec![vec![8, 16]],
                 publications: 3,
                 baseline_changes: 1,
-                settle: Duration::from_secs(2),
+                settle: Duration::from_secs(4),
+                settle_herd: Duration::from_secs(2),
                 idle: Duration::from_secs(3),
                 churn_events: 8,
                 churn: Duration::from_secs(2),
             },
             Scale::Full => Self {
-                sizes: vec![8, 16, 32, 64, 128, 256],
+                sizes: vec![vec![8, 16, 32], vec![64], vec![128], vec![256]],
                 publications: 8,
                 baseline_changes: 2,
-                settle: Duration::from_secs(4),
+                settle: Duration::from_secs(17),
+                settle_herd: Duration::from_secs(4),
                 idle: Duration::from_secs(10),
                 churn_events: 40,
                 churn: Duration::from_secs(4),
@@ -132,7 +138,7 @@
     let report = Report::new(&options.docs)?;
     let mut plan = Plan::of(options.scale);
     if let Some(nodes) = options.nodes {
-        plan.sizes = vec![nodes];
+        plan.sizes = vec![vec![nodes]];
     }
     let sizes = measure(&plan).await?;
     write(&report, &sizes, options.scale)?;
@@ -169,24 +175,32 @@
 /// and the others go on.
 pub(crate) async fn measure(plan: &Plan) -> Result<Sizes> {
     let mut sizes = Sizes::default();
-    for &nodes in &plan.sizes {
+    for group in &plan.sizes {
         let begin = Instant::now();
-        let plan = plan.clone();
-        // A task of its own, so that a panic inside the test kit ends this size alone.
-        let measured = tokio::spawn(async move { measure_size(&plan, nodes).await }).await;
-        let measured = measured.unwrap_or_else(|error| {
-            Err(Error::Unexpected {
-                text: error.to_string(),
+        // Tasks of their own, so that a panic inside the test kit ends one size alone.
+        let runs: Vec<_> = group
+            .iter()
+            .map(|&nodes| {
+                let plan = plan.clone();
+                let run = tokio::spawn(async move { measure_size(&plan, nodes).await });
+                (nodes, run)
             })
-        });
-        match measured {
-            Ok(measured) => {
-                print_size(&measured, begin);
-                sizes.measured.push(measured);
-            }
-            Err(error) => {
-                println!("Failed at {nodes} nodes: {error}");
-                sizes.failed.push((nodes, error.to_string()));
+            .collect();
+        for (nodes, run) in runs {
+            let measured = run.await.unwrap_or_else(|error| {
+                Err(Error::Unexpected {
+                    text: error.to_string(),
+                })
+            });
+            match measured {
+                Ok(measured) => {
+                    print_size(&measured, begin);
+                    sizes.measured.push(measured);
+                }
+                Err(error) => {
+                    println!("Failed at {nodes} nodes: {error}");
+                    sizes.failed.push((nodes, error.to_string()));
+                }
             }
         }
     }
@@ -218,8 +232,9 @@
 }
 
 async fn measure_size(plan: &Plan, nodes: usize) -> Result<Measured> {
+    let begin = Instant::now();
     let mut fleet = Fleet::start(nodes).await?;
-    tokio::time::sleep(plan.settle).await;
+    tokio::time::sleep(plan.settle.saturating_sub(begin.elapsed())).await;
     let idle = fleet.idle(plan.idle).await;
     let (spread_ms, changes) = publish_all(&mut fleet, plan.publications).await?;
     let delta_bytes = mean_delta_bytes(&fleet).await?;
@@ -234,7 +249,7 @@
     fleet.mesh.platform.take_peaks();
     let before = fleet.sample();
     let herd = fleet.restart_all().await?;
-    tokio::time::sleep(plan.settle).await;
+    tokio::time::sleep(plan.settle_herd).await;
     let herd_interval = before.until(&fleet.sample());
     let herd_peaks = fleet.mesh.platform.take_peaks();
     Ok(Measured {
