Tell only witnesses for the sake of a witness

Cause: in a data centre of two nodes the one neighbour is not two, so a bridge or gateway was told as well, over the billed link, though its word does not count. Found by reading.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -203,7 +203,7 @@
             .links
             .iter()
             .filter(|(node, link)| link.is_free(now_ms) && !due.contains(node))
-            .filter(|(_, link)| link.told < held)
+            .filter(|(node, link)| self.is_witness(**node) && link.told < held)
             .map(|(node, link)| (link.kind, *node))
             .collect();
         free.sort_unstable();
