--- a/src/proxy/calls.rs
+++ b/src/proxy/calls.rs
@@ -42,25 +42,25 @@
     pub(crate) depth: u32,
     /// Cancelled when nobody waits for the call above any more.
     pub(crate) given_up: CancellationToken,
-    pub(crate) purse: Purse,
+    pub(crate) budget: RetryBudget,
 }
 
 /// Retries taken from a running call; what is left goes back when it is dropped. Calls made at
 /// the same time do not share one retry: the first takes all, so none is spent twice.
 #[derive(Debug, Default)]
-pub(crate) struct Purse {
+pub(crate) struct RetryBudget {
     of: Option<(Calls, CallKey)>,
     pub(crate) retries: u32,
 }
 
-impl Purse {
+impl RetryBudget {
     /// For a call that none led to.
     pub(crate) fn fresh(retries: u32) -> Self {
         Self { of: None, retries }
     }
 }
 
-impl Drop for Purse {
+impl Drop for RetryBudget {
     fn drop(&mut self) {
         let Some((calls, key)) = self.of.take() else {
             return;
@@ -107,7 +107,7 @@
             deadline: call.deadline,
             depth: call.depth + 1,
             given_up: call.given_up.clone(),
-            purse: Purse {
+            budget: RetryBudget {
                 of: Some((self.clone(), key)),
                 retries: std::mem::take(&mut call.retries),
             },
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{Failure, Reason};
 use super::body::{self, Body, Guarded};
-use super::calls::Purse;
+use super::calls::RetryBudget;
 use super::hop::Hop;
 use super::replay::Replay;
 use super::{gate, headers};
@@ -82,7 +82,7 @@
     deadline: Option<Instant>,
     depth: u32,
     given_up: CancellationToken,
-    purse: Purse,
+    budget: RetryBudget,
 }
 
 impl Origin {
@@ -93,13 +93,13 @@
                 deadline: Some(inherited.deadline),
                 depth: inherited.depth,
                 given_up: inherited.given_up,
-                purse: inherited.purse,
+                budget: inherited.budget,
             },
             None => Self {
                 deadline: None,
                 depth: 0,
                 given_up: CancellationToken::new(),
-                purse: Purse::fresh(retry::RETRIES_PER_TREE),
+                budget: RetryBudget::fresh(retry::RETRIES_PER_TREE),
             },
         }
     }
@@ -140,19 +140,19 @@
     };
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let replay = Replay::new(incoming, stall_limit);
-    let mut attempts = Attempts::new(&route.treatment, origin.purse.retries);
+    let mut attempts = Attempts::new(&route.treatment, origin.budget.retries);
     let given_up = origin.given_up.clone();
     // Dropping the attempts cancels the exchange under way, down to the backend server.
     let ended = given_up.run_until_cancelled(call.run(&replay, &mut attempts));
     match ended.await {
         None => Err(Failure::may_have_run(Reason::GivenUp)),
         Some(Err(failure)) => {
-            origin.purse.retries = attempts.after_failure();
+            origin.budget.retries = attempts.after_failure();
             Err(failure)
         }
         Some(Ok(response)) => {
             let unspent = headers::number(response.headers(), &headers::RETRIES).unwrap_or(0);
-            origin.purse.retries = attempts.after_answer(u32::try_from(unspent).unwrap_or(0));
+            origin.budget.retries = attempts.after_answer(u32::try_from(unspent).unwrap_or(0));
             Ok(response)
         }
     }
