--- a/crates/experiment/src/demo.rs
+++ b/crates/experiment/src/demo.rs
@@ -111,7 +111,7 @@
 ) -> Result<Accepted> {
     let records = publication::records(files)?;
     let teams: Vec<String> = records.iter().map(|r| r.team.to_string()).collect();
-    let accepted = publication::accept(platform, "demo", records, version).await?;
+    let accepted = publication::accept(platform, "demo", None, records, version).await?;
     println!(
         "Published: version {} with {}; hinted {} nodes",
         accepted.published.stamp,
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -240,7 +240,10 @@
     pub(crate) async fn publish(&mut self, records: Vec<TeamRecord>) -> Result<Vec<Duration>> {
         let version = self.version + 1;
         let platform = self.platform.clone();
-        let publishing = publication::accept(&platform, "experiment", records, version);
+        // The operator is where the platform is: in the first data centre's region.
+        let region = self.mesh.deployment.data_centres[0].region;
+        let publishing =
+            publication::accept(&platform, "experiment", Some(region), records, version);
         let accepted = publishing.await?;
         self.version = version;
         self.enforced_after(accepted.wall_us).await
--- a/crates/experiment/src/publication.rs
+++ b/crates/experiment/src/publication.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use dragonflywall::core::configuration::TeamRecord;
+use dragonflywall::core::names::RegionName;
 use dragonflywall::core::team_file;
-use dragonflywall::ops::command::hint;
+use dragonflywall::ops::command::hint::{self, HintOptions};
 use dragonflywall::ops::command::publish::{PublishOptions, Published, publish};
 use dragonflywall::peer::client::DialOptions;
 use dragonflywall::platform::http::HttpPlatform;
@@ -40,6 +41,7 @@
 pub(crate) async fn accept(
     platform: &HttpPlatform,
     operator: &str,
+    region: Option<&str>,
     records: Vec<TeamRecord>,
     expected_version: u64,
 ) -> Result<Accepted> {
@@ -54,7 +56,12 @@
     })?;
     let at = Instant::now();
     let wall_us = wall_us();
-    let hinted = hint::send_hints(platform, published.stamp, &DialOptions::default()).await;
+    let hints = HintOptions {
+        head: published.stamp,
+        dial: DialOptions::default(),
+        region: region.map(RegionName::new),
+    };
+    let hinted = hint::send_hints(platform, &hints).await;
     if published.stamp.version.0 != expected_version {
         return Err(Error::Unexpected {
             text: format!(
--- a/crates/experiment/src/requests.rs
+++ b/crates/experiment/src/requests.rs
@@ -52,7 +52,7 @@
         let mesh = mesh.map_err(|text| Error::Start { text })?;
         let platform = HttpPlatform::new(&mesh.platform.url(), None);
         let records = publication::records(&example.files)?;
-        publication::accept(&platform, "experiment", records, 1).await?;
+        publication::accept(&platform, "experiment", None, records, 1).await?;
         mesh.wait_enforced(1).await;
         mesh.wait_joined().await;
         Ok(Self {
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -4,9 +4,9 @@
 use std::path::PathBuf;
 
 use dragonflywall::core::difference::{self, TeamDifference};
-use dragonflywall::core::names::TeamName;
+use dragonflywall::core::names::{RegionName, TeamName, is_name};
 use dragonflywall::core::version::{Stamp, Version};
-use dragonflywall::ops::command::hint;
+use dragonflywall::ops::command::hint::{self, HintOptions};
 use dragonflywall::ops::command::publish::{
     Error, PublishOptions, Published, abandon, is_publish_id, publish,
 };
@@ -44,6 +44,8 @@
          \x20 --resume ID          settle a publication whose outcome was unknown. With its files\n\
          \x20                      and --expect: go on with it. Alone: find what it did, or make\n\
          \x20                      sure that it never takes effect\n\
+         \x20 --region NAME        the region that you are in [DRAGONFLYWALL_REGION]: nodes there are\n\
+         \x20                      told first (default: the region that answers first)\n\
          \x20 --wait               until every node enforces it; needs --node\n\
          {NODES_HELP}{LIMIT_HELP}{JSON_HELP}\n\
          Exit code 0 published, 1 refused and nothing changed, 2 usage, 3 outcome unknown (or, with\n\
@@ -54,6 +56,7 @@
 #[derive(Debug)]
 struct Arguments {
     common: Common,
+    region: Option<String>,
     id: Option<String>,
     resume: Option<String>,
     expected: Option<Version>,
@@ -67,6 +70,7 @@
 fn parse(arguments: Vec<OsString>) -> Result<Arguments> {
     let mut parsed = Arguments {
         common: Common::from_environment(),
+        region: std::env::var("DRAGONFLYWALL_REGION").ok(),
         id: None,
         resume: None,
         expected: None,
@@ -94,6 +98,7 @@
             "rollback-to" => parsed.rollback_to = Some(options::version("rollback-to", parser)?),
             "team" => parsed.rollback_teams.push(options::team("team", parser)?),
             "remove" => parsed.removals.push(options::team("remove", parser)?),
+            "region" => parsed.region = Some(options::value("region", parser)?),
             "wait" => parsed.wait = true,
             _ => parsed.common.take_or_refuse(&name, parser)?,
         }
@@ -173,15 +178,21 @@
     let platform = arguments.common.platform()?;
     let options = arguments.options()?;
     let json = arguments.common.json;
-    let dial_options = DialOptions {
+    let dial = DialOptions {
         dial_from: None,
         token: mesh_token()?,
     };
+    let region = arguments.region.as_deref().map(region_name).transpose()?;
     block_on(async {
         let published = publish(&platform, &options).await.map_err(failure)?;
         print(&options, &published, json);
         // The commit stands whether or not a node hears of it now.
-        let told = hint::send_hints(&platform, published.stamp, &dial_options).await;
+        let hints = HintOptions {
+            head: published.stamp,
+            dial,
+            region,
+        };
+        let told = hint::send_hints(&platform, &hints).await;
         if !json {
             println!("Hinted {told} nodes");
         }
@@ -194,6 +205,13 @@
     })
 }
 
+fn region_name(text: &str) -> Result<RegionName> {
+    if is_name(text) {
+        return Ok(RegionName::new(text));
+    }
+    Err(Failure::Usage(format!("--region `{text}` is not a name")))
+}
+
 fn settle(id: &str, common: &Common) -> Result {
     let platform = common.platform()?;
     let settled = block_on(abandon(&platform, id, common.operator()?, now_ms()));
--- a/src/ops/command/hint.rs
+++ b/src/ops/command/hint.rs
@@ -1,11 +1,14 @@
-//! Tells a few nodes of each data centre that a version has been accepted.
+//! Tells a few nodes of one region that a version has been accepted.
 //!
-//! A hint saves the wait for the next look at the head; nothing depends on it.
+//! A hint saves the wait for the next look at the head; nothing depends on it. The region that
+//! hears it tells the other one by gossip, which costs the link less than hints across it.
 
 use std::collections::BTreeMap;
 
 use rand::seq::IndexedRandom;
+use tokio::task::JoinSet;
 
+use crate::core::names::RegionName;
 use crate::core::version::Stamp;
 use crate::peer::client::{DialOptions, PeerClient};
 use crate::platform::rows::{NODE_PREFIX, NodeRow};
@@ -15,32 +18,94 @@
 const HINTS_PER_DATA_CENTRE: usize = 2;
 const PAGE_ROWS: u32 = 1_000;
 
+type ByRegion = BTreeMap<RegionName, Vec<NodeRow>>;
+
+/// What to tell, and how.
+#[derive(Clone, Debug)]
+pub struct HintOptions {
+    /// The accepted version.
+    pub head: Stamp,
+    /// How nodes are dialled.
+    pub dial: DialOptions,
+    /// The region that the operator is in. Without it one node of each region is asked, and the
+    /// region that answers first counts as the near one.
+    pub region: Option<RegionName>,
+}
+
 /// Sends hints; returns how many nodes took one. Failures are left to the backstop.
-pub async fn send_hints(table: &impl Table, head: Stamp, options: &DialOptions) -> usize {
+pub async fn send_hints(table: &impl Table, options: &HintOptions) -> usize {
     let rows = table.rows(NODE_PREFIX, "", PAGE_ROWS).await;
-    let nodes = rows.map(|rows| registered(&rows)).unwrap_or_default();
-    let mut by_place: BTreeMap<String, Vec<NodeRow>> = BTreeMap::new();
+    let mut regions = rows.map(|rows| by_region(&rows)).unwrap_or_default();
+    let near = match &options.region {
+        Some(region) if regions.contains_key(region) => Some(region.clone()),
+        _ => first_to_answer(&regions, options).await,
+    };
+    let near = near.and_then(|region| regions.remove(&region));
+    let told = hint_all(chosen(near.unwrap_or_default()), options).await;
+    if told > 0 {
+        return told;
+    }
+    // Nobody of the near region took one: it may be cut off from here, or all of it replaced.
+    let others = regions.into_values().flatten().collect();
+    hint_all(chosen(others), options).await
+}
+
+fn by_region(rows: &BTreeMap<String, Row>) -> ByRegion {
+    let nodes = rows
+        .values()
+        .filter_map(|row| serde_json::from_str::<NodeRow>(&row.value).ok());
+    let mut regions = ByRegion::new();
     for node in nodes {
-        let place = format!("{}/{}", node.place.region, node.place.data_centre);
-        by_place.entry(place).or_default().push(node);
+        let region = node.place.region.clone();
+        regions.entry(region).or_default().push(node);
+    }
+    regions
+}
+
+/// The region of which one node answers first; the hints to the others are given up.
+async fn first_to_answer(regions: &ByRegion, options: &HintOptions) -> Option<RegionName> {
+    let mut asked = JoinSet::new();
+    for (region, nodes) in regions {
+        let Some(node) = nodes.choose(&mut rand::rng()) else {
+            continue;
+        };
+        let (region, node, options) = (region.clone(), node.clone(), options.clone());
+        asked.spawn(async move { hint(&node, &options).await.then_some(region) });
     }
-    let mut hints = tokio::task::JoinSet::new();
-    for nodes in by_place.values() {
-        for node in nodes.sample(&mut rand::rng(), HINTS_PER_DATA_CENTRE) {
-            let address = node.external;
-            let options = options.clone();
-            hints.spawn(async move {
-                let mut client = PeerClient::new(address, &options).ok()?;
-                client.hint(head).await.ok()
-            });
+    while let Some(answer) = asked.join_next().await {
+        if let Ok(Some(region)) = answer {
+            return Some(region);
         }
     }
+    None
+}
+
+fn chosen(nodes: Vec<NodeRow>) -> Vec<NodeRow> {
+    let mut data_centres: BTreeMap<String, Vec<NodeRow>> = BTreeMap::new();
+    for node in nodes {
+        let name = node.place.data_centre.to_string();
+        data_centres.entry(name).or_default().push(node);
+    }
+    let sampled = |nodes: Vec<NodeRow>| -> Vec<NodeRow> {
+        let sample = nodes.sample(&mut rand::rng(), HINTS_PER_DATA_CENTRE);
+        sample.cloned().collect()
+    };
+    data_centres.into_values().flat_map(sampled).collect()
+}
+
+async fn hint_all(nodes: Vec<NodeRow>, options: &HintOptions) -> usize {
+    let mut hints = JoinSet::new();
+    for node in nodes {
+        let options = options.clone();
+        hints.spawn(async move { hint(&node, &options).await });
+    }
     let answers = hints.join_all().await;
-    answers.into_iter().flatten().count()
+    answers.into_iter().filter(|took| *took).count()
 }
 
-fn registered(rows: &BTreeMap<String, Row>) -> Vec<NodeRow> {
-    rows.values()
-        .filter_map(|row| serde_json::from_str(&row.value).ok())
-        .collect()
+async fn hint(node: &NodeRow, options: &HintOptions) -> bool {
+    let Ok(mut client) = PeerClient::new(node.external, &options.dial) else {
+        return false;
+    };
+    client.hint(options.head).await.is_ok()
 }
