Log outages of the platform, deaths and returns of members

Cause: a reader of the log after a failure found only enforcement and freezes; members' fates were in metrics alone, and a failed read of the head only at level debug. Change: one line at the beginning and the end of an outage, one for each member that dies, leaves or comes back; suspicions and first sights at level debug, or a start of 520 nodes writes 519 lines. The test failed before ('never came: all lines').

--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 //! registration) and serves until its token is cancelled, then drains. Requests do not pass
 //! through the actors: they read [`state::NodeState`], which the actors write.
 
+pub(crate) mod changes;
 pub(crate) mod configuration;
 pub(crate) mod content;
 pub(crate) mod freeze;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -121,6 +121,7 @@
     refresh: Option<Refresh>,
     next_poll_ms: u64,
     reading_head: bool,
+    store_answers: bool,
     woken_for_ms: Option<u64>,
     told_held: Version,
     floor_asked_ms: u64,
@@ -149,6 +150,7 @@
             refresh: None,
             next_poll_ms: now_ms + rand::random_range(0..FIRST_POLL_SPREAD_MS),
             reading_head: false,
+            store_answers: true,
             woken_for_ms: None,
             told_held: Version::NONE,
             floor_asked_ms: 0,
@@ -264,6 +266,7 @@
 
     fn head_read(&mut self, now_ms: u64, head: Option<Stamp>, took_ms: u64) {
         self.reading_head = false;
+        self.note_store(head.is_some());
         let Some(head) = head else { return };
         self.fetcher.store_answered(took_ms);
         self.floor.head_read(head.version);
@@ -274,6 +277,16 @@
         self.tell(MembershipMsg::Head(head));
     }
 
+    /// Logs the beginning and the end of an outage, not each failed read.
+    fn note_store(&mut self, answers: bool) {
+        match (self.store_answers, answers) {
+            (true, false) => log::warn!("the platform does not answer; what is enforced stays"),
+            (false, true) => log::info!("the platform answers again"),
+            _ => (),
+        }
+        self.store_answers = answers;
+    }
+
     fn ask_floor(&mut self, myself: &ActorRef<ConfigurationMsg>) {
         for peer in self.role.neighbours.clone() {
             if peer.distance == Distance::DataCentre {
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -13,6 +13,7 @@
 use crate::distribution::fetch::Peer;
 use crate::membership::link::NEWS_PAUSE_MS;
 use crate::membership::{Exchange, Gossip, Membership, Timing};
+use crate::node::changes;
 use crate::node::configuration::{ConfigurationMsg, Role};
 use crate::node::state::{NodeState, View};
 use crate::util::clock;
@@ -235,6 +236,7 @@
         let mut view = View::new(members, self.node.me, &self.node.settings.place);
         view.data_centres = self.membership.summaries();
         metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
+        changes::log_liveness(&self.node.view.load(), &view);
         self.node.view.store(Arc::new(view));
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod fuzz_publish;
 mod fuzz_table;
 mod ledger;
+mod logs;
 mod operator_commands;
 mod proofs;
 mod publish;
