--- a/crates/experiment/src/convergence.rs
+++ b/crates/experiment/src/convergence.rs
@@ -98,37 +98,37 @@
     /// Bytes over the link for one change, beyond what idling costs.
     pub(crate) fn link_bytes_per_change(&self) -> f64 {
         let idle = self.idle.link_bytes / self.idle.seconds * self.changes.seconds;
-        (self.changes.link_bytes - idle).max(0.0) / self.publications as f64
+        (self.changes.link_bytes - idle) / self.publications as f64
     }
 
     /// Bytes between nodes for one change, beyond what idling costs.
     pub(crate) fn bytes_per_change(&self) -> f64 {
         let idle = self.idle.between_nodes_bytes / self.idle.seconds * self.changes.seconds;
-        (self.changes.between_nodes_bytes - idle).max(0.0) / self.publications as f64
+        (self.changes.between_nodes_bytes - idle) / self.publications as f64
     }
 
     /// Bytes between nodes for one endpoint announcement, beyond what idling costs.
     pub(crate) fn bytes_per_event(&self) -> f64 {
         let idle = self.idle.between_nodes_bytes / self.idle.seconds * self.churn.seconds;
-        (self.churn.between_nodes_bytes - idle).max(0.0) / self.churn_events as f64
+        (self.churn.between_nodes_bytes - idle) / self.churn_events as f64
     }
 
     /// Platform reads for one change, beyond idling.
     pub(crate) fn reads_per_change(&self) -> f64 {
         let idle = self.idle.platform_reads / self.idle.seconds * self.changes.seconds;
-        (self.changes.platform_reads - idle).max(0.0) / self.publications as f64
+        (self.changes.platform_reads - idle) / self.publications as f64
     }
 
     /// Platform writes for one change, beyond idling.
     pub(crate) fn writes_per_change(&self) -> f64 {
         let idle = self.idle.platform_writes / self.idle.seconds * self.changes.seconds;
-        (self.changes.platform_writes - idle).max(0.0) / self.publications as f64
+        (self.changes.platform_writes - idle) / self.publications as f64
     }
 
     /// Processor time of all nodes for one change, beyond idling, in milliseconds.
     pub(crate) fn processor_ms_per_change(&self) -> f64 {
         let idle = self.idle.processor_s / self.idle.seconds * self.changes.seconds;
-        (self.changes.processor_s - idle).max(0.0) * 1e3 / self.publications as f64
+        (self.changes.processor_s - idle) * 1e3 / self.publications as f64
     }
 }
 
