Let a restarted node of a measurement take another port

In a full run the restart of 256 nodes failed: one node ended before it listened, its former port being the local port of another node's connection. With counted fronts the front is the identity, so the port behind it is free to change.

--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -265,7 +265,11 @@
         };
         set("caller-listen", any_port.to_string());
         set("operator-listen", any_port.to_string());
-        set("peer-listen", vm.peer.unwrap_or(any_port).to_string());
+        // Where the front is the node's identity, its own port is free to change. That of before a
+        // restart may be the local port of another node's connection by now, and in a herd of
+        // hundreds some are: the node would end with "address in use".
+        let known = vm.peer.filter(|_| !self.deployment.counts_inside);
+        set("peer-listen", known.unwrap_or(any_port).to_string());
         set("peer-external", vm.front.address.to_string());
         set("region", data_centre.region.to_owned());
         set("data-centre", data_centre.name.to_owned());
