Decide every backoff in one place

Change: decide::pacing, tested without sockets against the plain fixed pause: a herd of 520 that meets an outage of 5 s. No change of limits, but that a registration's jitter is now whole milliseconds. Excluded: the pauses of a cut link's probes, which grow with the age of the death, not by doubling. Conclusion: same behaviour, one piece of code.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,5 +1,6 @@
 //! Decisions under load: plain functions and structs, time an argument, no sockets.
 
 pub mod admission;
+pub mod pacing;
 pub mod placement;
 pub mod retry;
--- /dev/null
+++ b/src/decide/pacing.rs
@@ -0,0 +1,41 @@
+//! How long to wait before trying again: reconnects, fetches, calls to the platform.
+
+/// Doublings after which a pause is at its longest whatever it began with; keeps the shift in range.
+const DOUBLINGS_MAX: u32 = 16;
+
+/// Pauses that double from one failure in a row to the next.
+///
+/// Load made for: a peer or the platform that is away while many nodes want it. Harm prevented: it
+/// comes back under a load of retries that sends it away again, and a refused connection becomes a
+/// hot loop. Reason for the limits: the first pause is what a short failure lasts at that place, the
+/// longest is what may be lost after a long one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    first_ms: u64,
+    longest_ms: u64,
+}
+
+impl Backoff {
+    /// Pauses from `first_ms` up to `longest_ms`, in milliseconds.
+    pub const fn new(first_ms: u64, longest_ms: u64) -> Self {
+        Self {
+            first_ms,
+            longest_ms,
+        }
+    }
+
+    /// The pause after the failure that `failures` others in a row came before, in milliseconds.
+    pub fn pause_ms(self, failures: u32) -> u64 {
+        let factor = 1 << failures.min(DOUBLINGS_MAX);
+        self.first_ms.saturating_mul(factor).min(self.longest_ms)
+    }
+}
+
+/// Half to whole of a pause, as `random` says.
+///
+/// Load made for: a herd that failed at one moment. Harm prevented: it comes back at one moment
+/// too. Reason for the half: a node that drew a short pause must not become the hot loop again.
+pub fn jittered_ms(pause_ms: u64, random: u64) -> u64 {
+    let half_ms = pause_ms / 2;
+    half_ms + random % (pause_ms - half_ms + 1)
+}
--- a/src/distribution/fetch.rs
+++ b/src/distribution/fetch.rs
@@ -21,6 +21,7 @@
 
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
+use crate::decide::pacing::{Backoff, jittered_ms};
 use crate::membership::neighbours::weight;
 
 /// A standby gateway steps in after this: several round trips between regions.
@@ -35,8 +36,7 @@
 /// A slow store must not keep its nearest region waiting for long.
 const STORE_PATIENCE_MAX_MS: u64 = 1_000;
 /// Pauses after failures.
-const RETRY_MIN_MS: u64 = 50;
-const RETRY_MAX_MS: u64 = 10_000;
+const RETRY: Backoff = Backoff::new(50, 10_000);
 /// Holders remembered; more would not be asked before one of these has answered.
 const HOLDERS_MAX: usize = 32;
 
@@ -210,11 +210,9 @@
                 distance == Distance::Mesh
             }
         };
-        let pause_ms = (RETRY_MIN_MS << self.failures.min(10)).min(RETRY_MAX_MS);
+        let random = weight(self.me, &now_ms.to_string());
+        self.not_before_ms = now_ms + jittered_ms(RETRY.pause_ms(self.failures), random);
         self.failures += 1;
-        let half_ms = pause_ms / 2;
-        let jitter_ms = weight(self.me, &now_ms.to_string()) % (half_ms + 1);
-        self.not_before_ms = now_ms + half_ms + jitter_ms;
     }
 
     /// The nearest holder with the newest version inside the region.
--- a/src/membership/discovery.rs
+++ b/src/membership/discovery.rs
@@ -8,14 +8,14 @@
 use super::view::Membership;
 use crate::core::member::{Liveness, NodeId};
 use crate::core::version::Version;
+use crate::decide::pacing::Backoff;
 
 /// Longest pause between two probes of one dead member. Their number is bounded by who is asked
 /// to probe, so this bounds only the time to find each other again after a long cut.
 const PROBE_PAUSE_MAX_MS: u64 = 30_000;
 
-/// First and longest pause between greetings of seeds while the node knows nobody.
-const GREETING_MIN_MS: u64 = 200;
-const GREETING_MAX_MS: u64 = 10_000;
+/// Pauses between greetings of seeds while the node knows nobody.
+const GREETING: Backoff = Backoff::new(200, 10_000);
 
 impl Membership {
     /// Exchanges outside the links: answers to claims about this node.
@@ -63,7 +63,7 @@
         if now_ms < self.next_greeting_ms || self.seeds.is_empty() || !self.is_alone() {
             return Vec::new();
         }
-        let pause_ms = (GREETING_MIN_MS << self.greetings.min(10)).min(GREETING_MAX_MS);
+        let pause_ms = GREETING.pause_ms(self.greetings);
         self.next_greeting_ms = now_ms + self.jittered(pause_ms, now_ms);
         let nearest = self.greetings as usize % self.seeds.len();
         self.greetings += 1;
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -5,6 +5,7 @@
 use super::neighbours::Kind;
 use crate::core::member::NodeId;
 use crate::core::version::Version;
+use crate::decide::pacing::Backoff;
 
 /// How long reports and summaries are gathered before they cause an exchange of their own. They
 /// inform operators; half a second is no delay to a person, and a publication's 87 reports then
@@ -29,8 +30,7 @@
 
 /// Pauses before a neighbour that gave no answer is tried again. News must not turn a refused
 /// connection into a hot loop; a process that restarts is back within a second or two.
-const RETRY_MIN_MS: u64 = 250;
-const RETRY_MAX_MS: u64 = 4_000;
+const RETRY: Backoff = Backoff::new(250, 4_000);
 
 /// The own side of the connection to one neighbour.
 #[derive(Debug)]
@@ -175,7 +175,7 @@
     /// Notes that the exchange was not answered.
     pub fn failed(&mut self, now_ms: u64) {
         self.in_flight = false;
-        self.not_before_ms = now_ms + (RETRY_MIN_MS << self.failures.min(8)).min(RETRY_MAX_MS);
+        self.not_before_ms = now_ms + RETRY.pause_ms(self.failures);
         self.failures += 1;
     }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -12,6 +12,7 @@
 use crate::core::names::ServiceName;
 use crate::core::status::DataCentreSummary;
 use crate::core::version::{Stamp, Version};
+use crate::decide::pacing::jittered_ms;
 
 /// Intervals of the protocol, in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -370,8 +371,7 @@
 
     /// Half to whole of a pause, different for each node and moment.
     pub(super) fn jittered(&self, pause_ms: u64, moment: u64) -> u64 {
-        let half_ms = pause_ms / 2;
-        half_ms + weight(self.me.node, &moment.to_string()) % (half_ms + 1)
+        jittered_ms(pause_ms, weight(self.me.node, &moment.to_string()))
     }
 
     fn age(&mut self, now_ms: u64) {
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::core::member::Member;
+use crate::decide::pacing::{self, Backoff};
 use crate::membership::neighbours;
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
@@ -42,8 +43,8 @@
 /// A row that was not renewed for three renewals is of a VM that is gone.
 const ROW_AGE_MAX_MS: u64 = 3 * 1_200_000;
 /// Until the first tries have worked.
-const RETRY_MIN: Duration = Duration::from_millis(200);
-const RETRY_MAX: Duration = Duration::from_secs(10);
+const RETRY: Backoff = Backoff::new(400, RETRY_LONGEST_MS);
+const RETRY_LONGEST_MS: u64 = 10_000;
 /// Registrations read at a time: enough to find a live one, a fraction of the mesh.
 const PAGE_ROWS: u32 = 16;
 /// And while the node has found nobody, since those may all be of VMs that are gone.
@@ -72,7 +73,7 @@
     membership: &ActorRef<MembershipMsg>,
 ) {
     sleep_within(FIRST_READ_SPREAD).await;
-    let mut retry = RETRY_MIN;
+    let mut failures = 0;
     let mut page_rows = PAGE_ROWS;
     loop {
         let found = bootstrap(platform, me, page_rows, membership).await;
@@ -84,8 +85,8 @@
             break;
         }
         page_rows = if alone { LONG_PAGE_ROWS } else { PAGE_ROWS };
-        retry = (retry * 2).min(RETRY_MAX);
-        sleep_about(retry).await;
+        sleep_about(Duration::from_millis(RETRY.pause_ms(failures))).await;
+        failures += 1;
     }
     for pause in FURTHER_READS {
         sleep_about(pause).await;
@@ -95,7 +96,7 @@
         sleep_about(RENEWAL).await;
         read_as_watcher(node, me, platform, membership).await;
         while register(platform, me).await.is_err() {
-            sleep_about(RETRY_MAX).await;
+            sleep_about(Duration::from_millis(RETRY_LONGEST_MS)).await;
         }
     }
 }
@@ -118,8 +119,9 @@
 
 /// Half to whole of the pause, so that nodes that started together drift apart.
 async fn sleep_about(pause: Duration) {
-    let jitter = rand::rng().random_range(0.5..1.0);
-    tokio::time::sleep(pause.mul_f64(jitter)).await;
+    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+    let jittered_ms = pacing::jittered_ms(pause_ms, rand::random());
+    tokio::time::sleep(Duration::from_millis(jittered_ms)).await;
 }
 
 async fn sleep_within(span: Duration) {
--- a/src/platform/patient.rs
+++ b/src/platform/patient.rs
@@ -5,12 +5,13 @@
 
 use super::{Error, ObjectStore, Outcome, Result, Row, Table, Transaction};
 use crate::core::version::Digest;
+use crate::decide::pacing::{Backoff, jittered_ms};
 
 /// Tries in all. With the waits below they span about 3 s: a herd of 520 restarting nodes, each
 /// with a handful of reads, is through the table's 2,000 reads a second by then. An operator who
 /// is refused after that should look at what uses the table, not wait longer.
 const TRIES: u32 = 6;
-const FIRST_WAIT_MS: u64 = 100;
+const WAIT: Backoff = Backoff::new(100, 3_200);
 
 /// Lost answers of what may be repeated: one. A connection that the platform closed while it was
 /// idle, or a failover, costs one answer; after two the platform is down, and each further try may
@@ -40,15 +41,12 @@
 where
     F: Future<Output = Result<T>>,
 {
-    let mut wait_ms = FIRST_WAIT_MS;
     let mut lost = 0;
-    for _ in 1..TRIES {
+    for earlier_tries in 0..TRIES - 1 {
         match call().await {
             Err(Error::Busy) => {
-                // Half to whole: those refused together do not come back together.
-                let jittered_ms = rand::random_range(wait_ms / 2..=wait_ms);
-                tokio::time::sleep(Duration::from_millis(jittered_ms)).await;
-                wait_ms *= 2;
+                let wait_ms = jittered_ms(WAIT.pause_ms(earlier_tries), rand::random());
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             }
             Err(Error::OutcomeUnknown { .. })
                 if repeatable == Repeatable::Yes && lost < LOST_ANSWERS =>
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod decide_admission;
+mod decide_pacing;
 mod decide_placement;
 mod decide_retry;
 mod decide_simulation;
