--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -17,6 +17,9 @@
 use super::body::{self, Body, BoxError, Guarded};
 use crate::util::dial::dial;
 
+#[cfg(test)]
+mod tests;
+
 /// The backend server is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
