--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -214,7 +214,16 @@
 impl Front {
     /// Opens a front for a listener in `site` whose address is not known yet.
     pub async fn open(network: &Arc<Network>, site: Site) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::new(network.site_ip(site), 0)).await?;
+        Self::open_at(network, site, SocketAddr::new(network.site_ip(site), 0)).await
+    }
+
+    /// The same, at an address of the caller's choice.
+    pub async fn open_at(
+        network: &Arc<Network>,
+        site: Site,
+        address: SocketAddr,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (target, targets) = watch::channel(None);
         let stop = CancellationToken::new();
