--- a/src/node.rs
+++ b/src/node.rs
@@ -1,8 +1,8 @@
 //! The long-running process: listeners, actors, and the state that they share.
 //!
-//! [`run()`] binds the listeners, starts the control actors (membership, configuration,
-//! registration) and serves until its token is cancelled, then drains. Requests do not pass
-//! through the actors: they read [`state::NodeState`], which the actors write.
+//! [`start`] binds the listeners and starts the control actors (membership, configuration,
+//! registration); [`NodeHandle::drain`] ends them in order. Requests do not pass through the actors:
+//! they read [`state::NodeState`], which the actors write.
 
 pub(crate) mod changes;
 pub(crate) mod configuration;
@@ -17,5 +17,5 @@
 pub(crate) mod state;
 pub(crate) mod store;
 
-pub use run::{Error, NodeHandle, run, runtime, start};
+pub use run::{Error, NodeHandle, runtime, start};
 pub use settings::{Settings, SettingsError};
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -103,14 +103,6 @@
         .expect("a runtime needs only a file descriptor")
 }
 
-/// Runs a node until `stop` is cancelled, then drains it.
-pub async fn run(settings: Settings, stop: CancellationToken) -> Result<()> {
-    let handle = start(settings).await?;
-    stop.cancelled().await;
-    handle.drain().await;
-    Ok(())
-}
-
 /// Binds the listeners and starts the actors.
 pub async fn start(settings: Settings) -> Result<NodeHandle> {
     let caller = listen("callers", settings.caller_listen).await?;
