--- a/tests/testsuite/requests_drain.rs
+++ b/tests/testsuite/requests_drain.rs
@@ -123,7 +123,7 @@
     );
     announce(&mesh, position, "serving").await;
     wait_until("it has work again", LIMIT, || async {
-        let id = format!("home-{}", rand_like());
+        let id = format!("home-{}", next_number());
         let reply = ask(entry, Method::POST, "cobros", "/payments", &id).await;
         assert_eq!(reply.expect("the node answers").status, 200);
         runs(&mesh, "cobros", &id)
@@ -134,13 +134,13 @@
 }
 
 /// Numbers that differ from call to call.
-fn rand_like() -> u64 {
+fn next_number() -> u64 {
     static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-/// A VM is told to stop (SIGTERM) under load, with a long payment on its backend server, an
-/// upload half sent to it, and a caller of its own. All three end whole, nobody else notices,
+/// A VM is told to stop (SIGTERM) under load, with a payment of 5 s on its backend server, an
+/// upload half sent to it that then runs 10 s, and callers of its own. All end whole, nobody notices,
 /// and the process leaves with 0.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_node_cuts_nothing() {
@@ -166,7 +166,7 @@
     }
     let long = long.expect("the victim gets some of the work");
     let mut upload = TcpStream::connect(victim_entry).await.expect("it listens");
-    let head = "PUT /bundles/9 HTTP/1.1\r\nhost: bascula\r\nx-request-id: up-9\r\n\
+    let head = "PUT /bundles/9?work_ms=10000 HTTP/1.1\r\nhost: bascula\r\nx-request-id: up-9\r\n\
                 content-length: 300000\r\n\r\n";
     upload
         .write_all(head.as_bytes())
