--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,4 +1,8 @@
 //! Settings of a node, from flags and environment variables, checked all at once.
+//!
+//! [`specs`] says which settings there are; this module reads and checks their values.
+
+pub mod specs;
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
@@ -9,6 +13,7 @@
 use lexopt::ValueExt;
 use snafu::Snafu;
 
+pub use self::specs::{SPECS, Spec};
 use crate::core::member::Place;
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
@@ -25,154 +30,9 @@
     pub problems: Vec<String>,
 }
 
-/// One setting: its flag, its environment variable, and what it is for.
-#[derive(Clone, Copy, Debug)]
-pub struct Spec {
-    /// Flag without dashes.
-    pub flag: &'static str,
-    /// Value placeholder for the help text.
-    pub value: &'static str,
-    /// Used when neither flag nor variable is given; empty for none.
-    pub default: &'static str,
-    /// What it is for.
-    pub help: &'static str,
-}
-
-impl Spec {
-    /// The environment variable: the flag in capitals behind a prefix.
-    pub fn variable(&self) -> String {
-        let upper = self.flag.to_uppercase().replace('-', "_");
-        format!("DRAGONFLYWALL_{upper}")
-    }
-}
-
 /// The HTTP library's smallest read buffer, which the head has to fit in.
 const CALLER_HEADER_LEAST_BYTES: usize = 8_192;
 
-/// Every setting of a node.
-pub const SPECS: &[Spec] = &[
-    Spec {
-        flag: "caller-listen",
-        value: "ADDR",
-        default: "127.0.0.1:0",
-        help: "address for callers (HTTP/1.1 and HTTP/2)",
-    },
-    Spec {
-        flag: "peer-listen",
-        value: "ADDR",
-        default: "127.0.0.1:0",
-        help: "address for other nodes (control and data)",
-    },
-    Spec {
-        flag: "operator-listen",
-        value: "ADDR",
-        default: "127.0.0.1:0",
-        help: "address for /ready, /status, /metrics and commands",
-    },
-    Spec {
-        flag: "peer-advertise",
-        value: "ADDR",
-        default: "",
-        help: "peer address inside the data centre; also the node's identity (default: as bound)",
-    },
-    Spec {
-        flag: "peer-external",
-        value: "ADDR",
-        default: "",
-        help: "peer address from other data centres (default: as advertised)",
-    },
-    Spec {
-        flag: "region",
-        value: "NAME",
-        default: "",
-        help: "region that the VM stands in",
-    },
-    Spec {
-        flag: "data-centre",
-        value: "NAME",
-        default: "",
-        help: "data centre that the VM stands in",
-    },
-    Spec {
-        flag: "platform",
-        value: "URL",
-        default: "",
-        help: "the platform's table service and object store",
-    },
-    Spec {
-        flag: "peer-seeds",
-        value: "ADDR,...",
-        default: "",
-        help: "peer addresses to try besides those registered with the platform",
-    },
-    Spec {
-        flag: "dial-from",
-        value: "IP",
-        default: "",
-        help: "local address of outgoing connections (default: the system's choice)",
-    },
-    Spec {
-        flag: "mesh-token",
-        value: "SECRET",
-        default: "",
-        help: "secret of the mesh; SECRET,OLD while one replaces the other; better as a variable",
-    },
-    Spec {
-        flag: "service",
-        value: "NAME",
-        default: "",
-        help: "service of the VM's backend server (default: wait for its announcement)",
-    },
-    Spec {
-        flag: "backend-server",
-        value: "ADDR",
-        default: "",
-        help: "address of the VM's backend server (default: wait for its announcement)",
-    },
-    Spec {
-        flag: "caller-header-max-bytes",
-        value: "BYTES",
-        default: "65536",
-        help: "longest head of a caller's request (at least 8192)",
-    },
-    Spec {
-        flag: "caller-header-timeout-ms",
-        value: "MS",
-        default: "30000",
-        help: "longest wait for the head of a caller's next request",
-    },
-    Spec {
-        flag: "caller-idle-timeout-ms",
-        value: "MS",
-        default: "60000",
-        help: "longest time that a caller may neither send nor take a byte of a body",
-    },
-    Spec {
-        flag: "caller-connections-max",
-        value: "N",
-        default: "1024",
-        help: "most connections of one caller's address",
-    },
-    Spec {
-        flag: "drain-timeout-ms",
-        value: "MS",
-        default: "600000",
-        help: "longest wait for requests in flight when stopping",
-    },
-    Spec {
-        flag: "log-format",
-        value: "FORMAT",
-        default: "text",
-        help: "text or json",
-    },
-    Spec {
-        flag: "log-level",
-        value: "LEVEL",
-        default: "info",
-        help: "error, warn, info, debug or trace",
-    },
-];
-
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
