Call the table and object store by what it is

src/platform becomes src/store, HttpPlatform HttpStore: the name is needed for the adapter to the users' platform, which is more than a store.

--- a/crates/experiment/src/baseline.rs
+++ b/crates/experiment/src/baseline.rs
@@ -7,8 +7,8 @@
 
 use dragonflywall::core::configuration::Configuration;
 use dragonflywall::core::version::{Digest, Stamp, Version};
-use dragonflywall::platform::ObjectStore;
-use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::store::ObjectStore;
+use dragonflywall::store::http::HttpStore;
 use testkit::network::{Front, Network, Site};
 use testkit::platform::Platform;
 use tokio::sync::mpsc;
@@ -43,7 +43,7 @@
     let platform = Platform::start(address).await.map_err(start_error)?;
     let front = Front::open(&network, 0).await.map_err(start_error)?;
     front.set_target(platform.address);
-    let publisher = HttpPlatform::new(&platform.url(), None);
+    let publisher = HttpStore::new(&platform.url(), None);
     put(&publisher, 1).await?;
 
     let (sender, mut seen) = mpsc::unbounded_channel();
@@ -51,7 +51,7 @@
     for number in 0..nodes {
         let site = Site::try_from(number % REGIONS.len()).unwrap_or(0);
         let url = format!("http://{}", front.address);
-        let store = HttpPlatform::new(&url, Some(network.site_ip(site)));
+        let store = HttpStore::new(&url, Some(network.site_ip(site)));
         // Spread evenly over the interval, as pollers that started at random would be.
         let phase = POLL.mul_f64(number as f64 / nodes as f64);
         pollers.spawn(poll(store, phase, sender.clone()));
@@ -90,7 +90,7 @@
 }
 
 /// The object is a line with the stamp, then the compressed configuration.
-async fn put(store: &HttpPlatform, version: u64) -> Result {
+async fn put(store: &HttpStore, version: u64) -> Result {
     let mut configuration = Configuration {
         version: Version(version),
         ..Configuration::default()
@@ -104,7 +104,7 @@
     store.put_object(&key(), &object).await.map_err(start_error)
 }
 
-async fn poll(store: HttpPlatform, phase: Duration, seen: mpsc::UnboundedSender<(u64, Instant)>) {
+async fn poll(store: HttpStore, phase: Duration, seen: mpsc::UnboundedSender<(u64, Instant)>) {
     tokio::time::sleep(phase).await;
     let mut ticks = tokio::time::interval(POLL);
     let mut held = 0;
--- a/crates/experiment/src/demo.rs
+++ b/crates/experiment/src/demo.rs
@@ -9,7 +9,7 @@
 use std::ffi::OsString;
 use std::time::{Duration, Instant};
 
-use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::store::http::HttpStore;
 use http::Method;
 use testkit::backend::expected_answer_digest;
 use testkit::http::{Reply, request};
@@ -44,7 +44,7 @@
 async fn whole(example: &Example) -> Result {
     let started = Instant::now();
     let mesh = start(example).await?;
-    let platform = HttpPlatform::new(&mesh.platform.url(), None);
+    let platform = HttpStore::new(&mesh.platform.url(), None);
 
     publish(&mesh, &platform, &example.files, 1).await?;
     mesh.wait_joined().await;
@@ -105,7 +105,7 @@
 
 async fn publish(
     mesh: &Mesh,
-    platform: &HttpPlatform,
+    platform: &HttpStore,
     files: &[String],
     version: u64,
 ) -> Result<Accepted> {
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dragonflywall::core::configuration::TeamRecord;
-use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::store::http::HttpStore;
 use testkit::backend::Behaviour;
 use testkit::mesh::{DataCentre, Deployment, Mesh};
 use testkit::platform::Counts;
@@ -210,7 +210,7 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     pub(crate) mesh: Mesh,
-    pub(crate) platform: HttpPlatform,
+    pub(crate) platform: HttpStore,
     pub(crate) version: u64,
     lines: mpsc::UnboundedReceiver<LogLine>,
 }
@@ -224,7 +224,7 @@
         })?;
         let mesh = Mesh::start(&program, &["node"], deployment(nodes, sender)).await;
         let mesh = mesh.map_err(|text| Error::Start { text })?;
-        let platform = HttpPlatform::new(&mesh.platform.url(), None);
+        let platform = HttpStore::new(&mesh.platform.url(), None);
         let mut fleet = Self {
             mesh,
             platform,
--- a/crates/experiment/src/publication.rs
+++ b/crates/experiment/src/publication.rs
@@ -8,7 +8,7 @@
 use dragonflywall::ops::command::hint::{self, HintOptions};
 use dragonflywall::ops::command::publish::{PublishOptions, Published, publish};
 use dragonflywall::peer::client::DialOptions;
-use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::store::http::HttpStore;
 use snafu::ResultExt;
 
 use crate::error::{Error, PublishSnafu, Result};
@@ -39,7 +39,7 @@
 
 /// Publishes `records` and hints nodes, as `dragonflywall publish` does.
 pub(crate) async fn accept(
-    platform: &HttpPlatform,
+    platform: &HttpStore,
     operator: &str,
     region: Option<&str>,
     records: Vec<TeamRecord>,
--- a/crates/experiment/src/requests.rs
+++ b/crates/experiment/src/requests.rs
@@ -12,7 +12,7 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 
-use dragonflywall::platform::http::HttpPlatform;
+use dragonflywall::store::http::HttpStore;
 use testkit::mesh::{Mesh, Vm};
 
 pub(crate) use goodput::Goodput;
@@ -50,7 +50,7 @@
         })?;
         let mesh = Mesh::start(&program, &["node"], example.deployment.clone()).await;
         let mesh = mesh.map_err(|text| Error::Start { text })?;
-        let platform = HttpPlatform::new(&mesh.platform.url(), None);
+        let platform = HttpStore::new(&mesh.platform.url(), None);
         let records = publication::records(&example.files)?;
         publication::accept(&platform, "experiment", None, records, 1).await?;
         mesh.wait_enforced(1).await;
--- a/crates/model/src/operator.rs
+++ b/crates/model/src/operator.rs
@@ -17,8 +17,8 @@
 use dragonflywall::core::configuration::{Configuration, TeamRecord};
 use dragonflywall::core::version::{Digest, Stamp, Version};
 use dragonflywall::ops::command::publish::{self, Error, PublishOptions};
-use dragonflywall::platform::rows::{VERSION_PREFIX, VersionRow};
-use dragonflywall::platform::{self, ObjectStore, Outcome, Row, Table, Transaction};
+use dragonflywall::store::rows::{VERSION_PREFIX, VersionRow};
+use dragonflywall::store::{self, ObjectStore, Outcome, Row, Table, Transaction};
 
 /// A call of the platform's table.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -220,38 +220,38 @@
     }
 }
 
-fn unavailable() -> platform::Error {
-    platform::Error::Unavailable {
+fn unavailable() -> store::Error {
+    store::Error::Unavailable {
         reason: "away".to_owned(),
     }
 }
 
 impl Table for Replay {
-    async fn transact(&self, transaction: &Transaction) -> platform::Result<Outcome> {
+    async fn transact(&self, transaction: &Transaction) -> store::Result<Outcome> {
         match self.answer(Call::Transact(transaction.clone())).await {
             Answer::Committed => Ok(Outcome::Committed),
             Answer::ConditionFailed => Ok(Outcome::ConditionFailed),
-            Answer::Lost => Err(platform::Error::OutcomeUnknown {
+            Answer::Lost => Err(store::Error::OutcomeUnknown {
                 reason: "lost".to_owned(),
             }),
             Answer::Unavailable | Answer::Row(_) => Err(unavailable()),
         }
     }
 
-    async fn row(&self, key: &str) -> platform::Result<Option<Row>> {
+    async fn row(&self, key: &str) -> store::Result<Option<Row>> {
         match self.answer(Call::Row(key.to_owned())).await {
             Answer::Row(row) => Ok(row.map(|(revision, value)| Row { revision, value })),
             _ => Err(unavailable()),
         }
     }
 
-    async fn rows(&self, _: &str, _: &str, _: u32) -> platform::Result<BTreeMap<String, Row>> {
+    async fn rows(&self, _: &str, _: &str, _: u32) -> store::Result<BTreeMap<String, Row>> {
         Err(unavailable())
     }
 }
 
 impl ObjectStore for Replay {
-    async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> platform::Result<()> {
+    async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> store::Result<()> {
         let mut objects = self
             .objects
             .0
@@ -261,7 +261,7 @@
         Ok(())
     }
 
-    async fn object(&self, digest: &Digest) -> platform::Result<Option<Vec<u8>>> {
+    async fn object(&self, digest: &Digest) -> store::Result<Option<Vec<u8>>> {
         let objects = self.objects.0.lock();
         let objects = objects.unwrap_or_else(PoisonError::into_inner);
         Ok(objects.get(digest).cloned())
--- a/crates/model/src/publish.rs
+++ b/crates/model/src/publish.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dragonflywall::platform::rows::HEAD_KEY;
+use dragonflywall::store::rows::HEAD_KEY;
 
 mod properties;
 mod state;
--- a/crates/model/src/publish/properties.rs
+++ b/crates/model/src/publish/properties.rs
@@ -2,7 +2,7 @@
 
 use dragonflywall::core::configuration::Configuration;
 use dragonflywall::core::routing::RouteTable;
-use dragonflywall::platform::rows::{HEAD_KEY, HeadRow, VersionRow, publish_key, version_key};
+use dragonflywall::store::rows::{HEAD_KEY, HeadRow, VersionRow, publish_key, version_key};
 
 use super::{Publish, State};
 use crate::operator::{Command, End, number};
--- a/crates/model/src/publish/state.rs
+++ b/crates/model/src/publish/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dragonflywall::platform::{Condition, Transaction};
+use dragonflywall::store::{Condition, Transaction};
 
 use crate::operator::{Answer, Command, End};
 
--- a/src/bin/dragonflywall/commands/history.rs
+++ b/src/bin/dragonflywall/commands/history.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 
 use dragonflywall::ops::query::audit::history;
-use dragonflywall::platform::rows::{PublicationKind, VersionRow};
+use dragonflywall::store::rows::{PublicationKind, VersionRow};
 
 use super::{Command, audit};
 use crate::cli::{Failure, Result, block_on};
--- a/src/bin/dragonflywall/commands/publish.rs
+++ b/src/bin/dragonflywall/commands/publish.rs
@@ -11,7 +11,7 @@
     Error, PublishOptions, Published, abandon, is_publish_id, publish,
 };
 use dragonflywall::peer::client::DialOptions;
-use dragonflywall::platform::rows::PublicationKind;
+use dragonflywall::store::rows::PublicationKind;
 use serde::Serialize;
 
 use super::{Command, check, watch};
--- a/src/bin/dragonflywall/options.rs
+++ b/src/bin/dragonflywall/options.rs
@@ -6,8 +6,8 @@
 use dragonflywall::core::names::{TeamName, is_name};
 use dragonflywall::core::version::Version;
 use dragonflywall::ops::operator::NodeAccess;
-use dragonflywall::platform::http::HttpPlatform;
-use dragonflywall::platform::patient::Patient;
+use dragonflywall::store::http::HttpStore;
+use dragonflywall::store::patient::Patient;
 use lexopt::{Parser, ValueExt};
 use serde::Serialize;
 
@@ -70,13 +70,13 @@
         Ok(())
     }
 
-    pub(crate) fn platform(&self) -> Result<Patient<HttpPlatform>> {
+    pub(crate) fn platform(&self) -> Result<Patient<HttpStore>> {
         let url = required("platform", self.platform.as_deref())?;
         if !url.starts_with("http://") {
             let text = format!("--platform `{url}` does not start with http://");
             return Err(Failure::Usage(text));
         }
-        Ok(Patient(HttpPlatform::new(url, None)))
+        Ok(Patient(HttpStore::new(url, None)))
     }
 
     pub(crate) fn node(&self) -> Result<NodeAccess> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! Data flows through the modules as follows:
 //!
 //! - [`core`]: plain data that all others share.
-//! - [`ops`]: what an operator does, commands apart from queries; talks to [`platform`].
+//! - [`ops`]: what an operator does, commands apart from queries; talks to [`store`].
 //! - [`distribution`], [`membership`], [`decide`]: decisions as state machines without sockets or
 //!   a clock of their own.
 //! - [`node`]: the actors that give these state machines their sockets and their time.
@@ -21,7 +21,7 @@
 pub mod node;
 pub mod ops;
 pub mod peer;
-pub mod platform;
+pub mod store;
 
 pub(crate) mod proxy;
 pub(crate) mod util;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -13,7 +13,7 @@
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
 use crate::node::{content, store};
-use crate::platform::http::HttpPlatform;
+use crate::store::http::HttpStore;
 use crate::util::clock;
 
 /// How often floors, refreshes and head reads are looked after. Content does not wait for it.
@@ -113,7 +113,7 @@
 
 pub(crate) struct State {
     node: Arc<NodeState>,
-    platform: HttpPlatform,
+    platform: HttpStore,
     holder: Holder,
     fetcher: Fetcher,
     floor: Floor,
@@ -131,7 +131,7 @@
 impl Actor for ConfigurationActor {
     type Msg = ConfigurationMsg;
     type State = State;
-    type Arguments = (Arc<NodeState>, HttpPlatform);
+    type Arguments = (Arc<NodeState>, HttpStore);
 
     async fn pre_start(
         &self,
--- a/src/node/content.rs
+++ b/src/node/content.rs
@@ -8,7 +8,7 @@
 use crate::node::state::NodeState;
 use crate::node::store;
 use crate::peer::client::CONTENT_TIMEOUT;
-use crate::platform::http::HttpPlatform;
+use crate::store::http::HttpStore;
 
 /// Longest wait for content from a peer of the region. One that takes longer is frozen, and
 /// somebody else has it.
@@ -29,7 +29,7 @@
 /// Makes a fetch; what was found, if anything.
 pub(crate) async fn fetch(
     node: &NodeState,
-    platform: &HttpPlatform,
+    platform: &HttpStore,
     held: Stamp,
     fetch: &Fetch,
 ) -> Option<(Stamp, Content)> {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -23,7 +23,7 @@
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
 use crate::peer::server::ControlService;
-use crate::platform::http::HttpPlatform;
+use crate::store::http::HttpStore;
 use crate::proxy::listener;
 use crate::util::clock;
 
@@ -112,7 +112,7 @@
     let peer_address = bound(&peer, settings.peer_listen);
     let operator_address = bound(&operator, settings.operator_listen);
     let me = own_statement(&settings, peer_address);
-    let platform = HttpPlatform::new(&settings.platform_url, settings.dial_from);
+    let platform = HttpStore::new(&settings.platform_url, settings.dial_from);
     let node = NodeState::new(settings, me.node);
 
     let arguments = (Arc::clone(&node), platform.clone());
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -5,15 +5,15 @@
 use crate::core::version::{Stamp, Version};
 use crate::distribution::{Content, Step};
 use crate::ops::query::accepted;
-use crate::platform::http::HttpPlatform;
-use crate::platform::rows::VersionRow;
+use crate::store::http::HttpStore;
+use crate::store::rows::VersionRow;
 use crate::util::clock;
 
 /// Longest chain of deltas read from the store instead of the snapshot: publications in a burst.
 const CHAIN_MAX: usize = 4;
 
 /// The accepted stamp, if the platform told it, and how long that took in milliseconds.
-pub(crate) async fn head(platform: &HttpPlatform) -> (Option<Stamp>, u64) {
+pub(crate) async fn head(platform: &HttpStore) -> (Option<Stamp>, u64) {
     let begin = Instant::now();
     let head = accepted::head(platform).await;
     if let Err(error) = &head {
@@ -26,7 +26,7 @@
 
 /// The content of `want`: the deltas from `held` where they are few, else the snapshot.
 pub(crate) async fn content(
-    platform: &HttpPlatform,
+    platform: &HttpStore,
     held: Stamp,
     want: Stamp,
 ) -> Option<(Stamp, Content)> {
@@ -47,7 +47,7 @@
 
 /// The rows from the one after `held` to `newest`, oldest first, if they are few.
 async fn rows_since(
-    platform: &HttpPlatform,
+    platform: &HttpStore,
     held: Stamp,
     newest: VersionRow,
 ) -> Option<Vec<VersionRow>> {
@@ -69,7 +69,7 @@
     Some(rows)
 }
 
-async fn deltas(platform: &HttpPlatform, rows: &[VersionRow]) -> Option<Vec<Step>> {
+async fn deltas(platform: &HttpStore, rows: &[VersionRow]) -> Option<Vec<Step>> {
     let mut steps = Vec::with_capacity(rows.len());
     for row in rows {
         let delta = accepted::object(platform, &row.delta_object).await.ok()?;
--- a/src/ops/command/hint.rs
+++ b/src/ops/command/hint.rs
@@ -11,8 +11,8 @@
 use crate::core::names::RegionName;
 use crate::core::version::Stamp;
 use crate::peer::client::{DialOptions, PeerClient};
-use crate::platform::rows::{NODE_PREFIX, NodeRow};
-use crate::platform::{Row, Table};
+use crate::store::rows::{NODE_PREFIX, NodeRow};
+use crate::store::{Row, Table};
 
 /// Hints per data centre. Two, since one of them may have gone since it registered.
 const HINTS_PER_DATA_CENTRE: usize = 2;
--- a/src/ops/command/publish.rs
+++ b/src/ops/command/publish.rs
@@ -22,8 +22,8 @@
 use crate::core::names::TeamName;
 use crate::core::version::{Digest, Stamp, Version};
 use crate::ops::query::accepted;
-use crate::platform::rows::{PublicationKind, PublishRow, publish_key};
-use crate::platform::{self, ObjectStore, Table};
+use crate::store::rows::{PublicationKind, PublishRow, publish_key};
+use crate::store::{self, ObjectStore, Table};
 use error::{AbandonedSnafu, IdReusedSnafu, NoSuchTeamSnafu, NoSuchVersionSnafu, ReadSnafu};
 use plan::ChangeSet;
 use rounds::{Publication, found};
@@ -227,7 +227,7 @@
         (Ok(Some(PublishRow::Committed { version, .. })), _) => Ok(Some(version)),
         (Ok(Some(PublishRow::Abandoned { .. })), _) => Ok(None),
         (_, Err(source)) => Err(unknown(source)),
-        (Ok(None), Ok(outcome)) => Err(unknown(platform::Error::Protocol {
+        (Ok(None), Ok(outcome)) => Err(unknown(store::Error::Protocol {
             reason: format!("{outcome:?}, yet no row under the id"),
         })),
         (Err(error), Ok(_)) => Err(Error::Unsettled {
--- a/src/ops/command/publish/error.rs
+++ b/src/ops/command/publish/error.rs
@@ -8,7 +8,7 @@
 use crate::core::routing;
 use crate::core::version::Version;
 use crate::ops::query::accepted;
-use crate::platform;
+use crate::store;
 
 /// Why nothing was published, or why that is not known.
 #[derive(Debug, Snafu)]
@@ -68,7 +68,7 @@
         /// The version that was to be.
         version: Version,
         /// What failed.
-        source: platform::Error,
+        source: store::Error,
     },
     /// The platform did not take the commit; nothing was changed.
     #[snafu(display("the platform refused the commit of version {version}"))]
@@ -76,7 +76,7 @@
         /// The version that was to be.
         version: Version,
         /// How it refused.
-        source: platform::Error,
+        source: store::Error,
     },
     /// Others kept publishing; nothing was changed.
     #[snafu(display("others published {ROUNDS_MAX} times in a row meanwhile"))]
@@ -105,7 +105,7 @@
         /// The version that the publication is based on; not known when only settling.
         seen: Option<Version>,
         /// What failed.
-        source: platform::Error,
+        source: store::Error,
     },
     /// An earlier run's commit could not be looked up yet.
     #[snafu(display("whether publication `{publish_id}` took effect is still unknown"))]
--- a/src/ops/command/publish/plan.rs
+++ b/src/ops/command/publish/plan.rs
@@ -11,10 +11,10 @@
 use crate::core::names::TeamName;
 use crate::core::version::Digest;
 use crate::ops::query::accepted::Head;
-use crate::platform::rows::{
+use crate::store::rows::{
     HEAD_KEY, HeadRow, PublicationKind, PublishRow, VersionRow, publish_key, version_key,
 };
-use crate::platform::{Condition, Transaction};
+use crate::store::{Condition, Transaction};
 
 /// The records that a publication replaces.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/src/ops/command/publish/rounds.rs
+++ b/src/ops/command/publish/rounds.rs
@@ -17,8 +17,8 @@
 use crate::core::routing::RouteTable;
 use crate::core::version::{Digest, Stamp};
 use crate::ops::query::accepted::{self, Head};
-use crate::platform::rows::VersionRow;
-use crate::platform::{self, ObjectStore, Outcome, Table};
+use crate::store::rows::VersionRow;
+use crate::store::{self, ObjectStore, Outcome, Table};
 
 /// Rounds before giving up. In each round of a race one publication is accepted, so the last of the
 /// 14 teams that publish after a common release needs 14 at most. Far more than that means that
@@ -32,7 +32,7 @@
 pub(super) struct Lost {
     sent_at_revision: u64,
     deadline: Instant,
-    source: platform::Error,
+    source: store::Error,
 }
 
 /// How one round ended.
@@ -49,7 +49,7 @@
     /// The commit's answer was lost.
     AnswerLost {
         sent_at_revision: u64,
-        source: platform::Error,
+        source: store::Error,
     },
 }
 
@@ -123,7 +123,7 @@
                 changes,
             }),
             Ok(Outcome::ConditionFailed) => self.overtaken(head).await,
-            Err(source @ platform::Error::OutcomeUnknown { .. }) => Ok(Round::AnswerLost {
+            Err(source @ store::Error::OutcomeUnknown { .. }) => Ok(Round::AnswerLost {
                 sent_at_revision: head.revision,
                 source,
             }),
@@ -144,7 +144,7 @@
             }
             Err(Error::Read { source }) => Ok(Round::AnswerLost {
                 sent_at_revision: head.revision,
-                source: platform::Error::OutcomeUnknown {
+                source: store::Error::OutcomeUnknown {
                     reason: format!("the id can't be looked up: {source}"),
                 },
             }),
@@ -215,7 +215,7 @@
         })
     }
 
-    fn note_lost(&mut self, sent_at_revision: u64, source: platform::Error) {
+    fn note_lost(&mut self, sent_at_revision: u64, source: store::Error) {
         let limit = Duration::from_millis(self.options.settle_limit_ms);
         let known = self.lost.take();
         // The limit counts from the first loss.
--- a/src/ops/query/accepted.rs
+++ b/src/ops/query/accepted.rs
@@ -4,8 +4,8 @@
 
 use crate::core::configuration::{self, Configuration};
 use crate::core::version::{Digest, Stamp, Version};
-use crate::platform::rows::{HEAD_KEY, HeadRow, VERSION_PREFIX, VersionRow, version_key};
-use crate::platform::{self, ObjectStore, Table};
+use crate::store::rows::{HEAD_KEY, HeadRow, VERSION_PREFIX, VersionRow, version_key};
+use crate::store::{self, ObjectStore, Table};
 
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -22,7 +22,7 @@
         /// What was read.
         what: String,
         /// As the platform put it.
-        source: platform::Error,
+        source: store::Error,
     },
     /// A row is not in the expected form.
     #[snafu(display("row `{key}` is not in the expected form"))]
--- a/src/ops/query/audit.rs
+++ b/src/ops/query/audit.rs
@@ -7,8 +7,8 @@
 use crate::core::version::{Stamp, Version};
 use crate::ops::query::accepted::{self, Result};
 use crate::ops::query::diff;
-use crate::platform::rows::VersionRow;
-use crate::platform::{ObjectStore, Table};
+use crate::store::rows::VersionRow;
+use crate::store::{ObjectStore, Table};
 
 /// Which lines of the audit trail to read.
 #[derive(Clone, Debug, Default)]
--- a/src/ops/query/diff.rs
+++ b/src/ops/query/diff.rs
@@ -9,7 +9,7 @@
 use crate::core::version::Version;
 use crate::ops::command::publish::plan::ChangeSet;
 use crate::ops::query::accepted;
-use crate::platform::{ObjectStore, Table};
+use crate::store::{ObjectStore, Table};
 
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
--- a/src/platform.rs
+++ b/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's transactional table and object store, behind traits.
 //!
-//! The traits are the edge of a process: [`http::HttpPlatform`] speaks to the platform over
+//! The traits are the edge of a process: [`http::HttpStore`] speaks to the platform over
 //! HTTP/JSON, tests put a fake in its place. A write whose answer was lost is an error of its own,
 //! [`Error::OutcomeUnknown`], since it must be looked up and never simply repeated.
 
--- a/src/platform/http.rs
+++ b/src/store/http.rs
@@ -1,4 +1,4 @@
-//! HTTP/JSON client of the platform.
+//! HTTP/JSON client of the table and object store, in the product's own protocol.
 //!
 //! | request | meaning |
 //! |---|---|
@@ -36,12 +36,12 @@
 
 /// The platform over HTTP.
 #[derive(Clone, Debug)]
-pub struct HttpPlatform {
+pub struct HttpStore {
     base: String,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-impl HttpPlatform {
+impl HttpStore {
     /// A client for the platform at `base`, such as `http://10.0.0.9:7000`. `dial_from` is the
     /// local address to connect from, if it matters.
     pub fn new(base: &str, dial_from: Option<IpAddr>) -> Self {
@@ -135,7 +135,7 @@
     .fail()
 }
 
-impl Table for HttpPlatform {
+impl Table for HttpStore {
     async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
         let body = serde_json::to_vec(transaction).expect("a transaction always encodes");
         match self.call(Method::POST, "/table/transact", body).await? {
@@ -160,7 +160,7 @@
     }
 }
 
-impl ObjectStore for HttpPlatform {
+impl ObjectStore for HttpStore {
     async fn put_object(&self, digest: &Digest, bytes: &[u8]) -> Result<()> {
         let path = format!("/objects/{digest}");
         match self.call(Method::PUT, &path, bytes.to_vec()).await? {
--- a/tests/testsuite/fuzz_publish.rs
+++ b/tests/testsuite/fuzz_publish.rs
@@ -13,7 +13,7 @@
 use dragonflywall::core::version::{Digest, Version};
 use dragonflywall::ops::command::publish::{self, PublishOptions};
 use dragonflywall::ops::query::accepted;
-use dragonflywall::platform::{
+use dragonflywall::store::{
     Condition, Error, ObjectStore, Outcome, Result, Row, Table, Transaction,
 };
 use proptest::prelude::*;
--- a/tests/testsuite/fuzz_table.rs
+++ b/tests/testsuite/fuzz_table.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use dragonflywall::platform::http::HttpPlatform;
-use dragonflywall::platform::{Condition, Error, Outcome, Row, Table, Transaction};
+use dragonflywall::store::http::HttpStore;
+use dragonflywall::store::{Condition, Error, Outcome, Row, Table, Transaction};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use testkit::platform::{Faults, Platform};
@@ -108,7 +108,7 @@
 struct Bench {
     runtime: Runtime,
     platform: Platform,
-    client: HttpPlatform,
+    client: HttpStore,
     /// The oracle before the step under way.
     before: Rows,
 }
@@ -122,7 +122,7 @@
         let runtime = builder.enable_all().build().expect("a runtime starts");
         let platform = runtime.block_on(Platform::start(([127, 0, 0, 1], 0).into()));
         let platform = platform.expect("a port is free");
-        let client = HttpPlatform::new(&platform.url(), None);
+        let client = HttpStore::new(&platform.url(), None);
         Self {
             runtime,
             platform,
--- a/tests/testsuite/publish_in_flight.rs
+++ b/tests/testsuite/publish_in_flight.rs
@@ -9,15 +9,15 @@
 use dragonflywall::core::version::{Digest, Version};
 use dragonflywall::ops::command::publish::{Error, PublishOptions, abandon, publish};
 use dragonflywall::ops::query::accepted;
-use dragonflywall::platform::http::HttpPlatform;
-use dragonflywall::platform::patient::Patient;
-use dragonflywall::platform::rows::HEAD_KEY;
-use dragonflywall::platform::{self, ObjectStore, Outcome, Result, Row, Table, Transaction};
+use dragonflywall::store::http::HttpStore;
+use dragonflywall::store::patient::Patient;
+use dragonflywall::store::rows::HEAD_KEY;
+use dragonflywall::store::{self, ObjectStore, Outcome, Result, Row, Table, Transaction};
 
 /// A platform whose first transaction is held on the way until it is delivered, and whose reads
 /// and further transactions are refused so many times because of the rate ceiling.
 struct Slow {
-    inner: HttpPlatform,
+    inner: HttpStore,
     held: Mutex<Option<Transaction>>,
     hold: AtomicU32,
     busy: AtomicU32,
@@ -32,7 +32,7 @@
 impl Slow {
     fn new(platform: &testkit::platform::Platform) -> Self {
         Self {
-            inner: HttpPlatform::new(&platform.url(), None),
+            inner: HttpStore::new(&platform.url(), None),
             held: Mutex::new(None),
             hold: AtomicU32::new(0),
             busy: AtomicU32::new(0),
@@ -51,7 +51,7 @@
 
     fn lose(&self) -> Result<()> {
         match take(&self.lose) {
-            true => Err(platform::Error::OutcomeUnknown {
+            true => Err(store::Error::OutcomeUnknown {
                 reason: "the connection was closed".to_owned(),
             }),
             false => Ok(()),
@@ -60,7 +60,7 @@
 
     fn busy(&self) -> Result<()> {
         match take(&self.busy) {
-            true => Err(platform::Error::Busy),
+            true => Err(store::Error::Busy),
             false => Ok(()),
         }
     }
@@ -84,7 +84,7 @@
                 let published = publish(&self.inner, other).await;
                 published.expect("nobody else publishes");
             }
-            return Err(platform::Error::OutcomeUnknown {
+            return Err(store::Error::OutcomeUnknown {
                 reason: "held on the way".to_owned(),
             });
         }
