--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -23,8 +23,8 @@
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
 use crate::peer::server::ControlService;
-use crate::store::http::HttpStore;
 use crate::proxy::listener;
+use crate::store::http::HttpStore;
 use crate::util::clock;
 
 /// Result of this module.
