--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -9,7 +9,7 @@
 //! Abstracted: time (any timeout may strike at any moment at which one is running), load (the gate
 //! may refuse at any moment), bodies, and placement (the gates are tried in any order).
 
-use dragonflywall::core::configuration::{Class, Spill, Treatment};
+use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::verdict::Verdict;
 use dragonflywall::decide::retry::{Attempts, Failed, RETRIES_PER_TREE, RetryTokens};
 
@@ -159,6 +159,8 @@
             timeout_ms: 1,
             attempts: self.bounds.attempts,
             spill: Spill::Mesh,
+            priority: PRIORITY_DEFAULT,
+            target_latency_ms: None,
         };
         let mut attempts = Attempts::new(&treatment, RETRIES_PER_TREE);
         let mut tokens = RetryTokens::default();
--- a/src/core.rs
+++ b/src/core.rs
@@ -5,6 +5,7 @@
 //! [`routing::RouteTable`]. Nothing in here does I/O.
 
 pub mod configuration;
+pub mod dialect;
 pub mod difference;
 pub mod member;
 pub mod names;
--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::core::names::{ResourceName, ServiceName, TeamName};
+use crate::core::names::{HostName, ResourceName, ServiceName, TeamName};
 use crate::core::version::{Digest, Stamp, Version};
 
 /// Result of this module.
@@ -66,6 +66,27 @@
     pub attempts: u32,
     /// How far from the caller's data centre it may be served.
     pub spill: Spill,
+    /// Rank among requests that compete for a backend server, 0 first.
+    #[serde(
+        default = "priority_default",
+        skip_serializing_if = "is_priority_default"
+    )]
+    pub priority: u8,
+    /// Time within which an answer is of full use to its caller, in milliseconds; if left out, the
+    /// timeout.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u32>,
+}
+
+/// Rank of a resource whose team names none: others may go before it, or after it.
+pub const PRIORITY_DEFAULT: u8 = 1;
+
+fn priority_default() -> u8 {
+    PRIORITY_DEFAULT
+}
+
+fn is_priority_default(priority: &u8) -> bool {
+    *priority == PRIORITY_DEFAULT
 }
 
 /// Class of work; each has its own queue.
@@ -99,26 +120,58 @@
     pub resource: ResourceName,
 }
 
+/// One part of the requests of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Where this part goes.
+    pub target: Target,
+    /// Its size, relative to the weights of the other parts.
+    pub weight: u32,
+}
+
 /// One route of a service: which requests go to which target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRecord {
+    /// Host name by which callers reach it; if left out, the service's own name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<HostName>,
     /// Methods that match; empty matches all.
     pub methods: BTreeSet<String>,
     /// Path prefix that matches, on a segment boundary.
     pub path: String,
-    /// Where matching requests go.
+    /// Where matching requests go, unless they are split.
     pub target: Target,
+    /// Where parts of the matching requests go instead; empty if all go to `target`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+}
+
+/// What callers of the mesh may send, and how long they may take for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub header_max_bytes: u32,
+    /// Longest body of a request, in bytes.
+    pub body_max_bytes: u64,
+    /// Longest time from the first byte of a request to the end of its head, in milliseconds.
+    pub header_timeout_ms: u32,
+    /// Longest time that a connection may be idle between two requests, in milliseconds.
+    pub idle_timeout_ms: u32,
 }
 
 /// One service as offered by its team.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
-    /// Requests that one endpoint runs at a time.
+    /// Requests that one endpoint runs at a time, unless its backend server announces a number of
+    /// its own.
     pub slots_per_endpoint: u32,
     /// Connections that one endpoint accepts.
     pub connections_per_endpoint: u32,
     /// Requests that may wait at one endpoint, all classes together.
     pub queue_len: u32,
+    /// Path at which a backend server says whether it takes work, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
     /// Resources by name.
     pub resources: BTreeMap<ResourceName, Treatment>,
     /// Routes in the order of the file.
@@ -134,6 +187,9 @@
     pub services: BTreeMap<ServiceName, ServiceRecord>,
     /// Resources of other services that it calls.
     pub calls: BTreeMap<ServiceName, BTreeSet<ResourceName>>,
+    /// Limits on all callers of the mesh; at most one team sets them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
 }
 
 /// One accepted version: every team's record.
@@ -181,6 +237,11 @@
         self.teams.values().find_map(|team| team.services.get(name))
     }
 
+    /// Limits on callers, if a team sets them.
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.teams.values().find_map(|team| team.caller_limits)
+    }
+
     fn verified(self, expected: Stamp) -> Result<Self> {
         let found = self.stamp();
         ensure!(found == expected, WrongStampSnafu { expected, found });
--- a/src/core/difference.rs
+++ b/src/core/difference.rs
@@ -11,7 +11,8 @@
 use serde::Serialize;
 
 use crate::core::configuration::{
-    Class, Configuration, RouteRecord, ServiceRecord, Spill, Target, TeamRecord, Treatment,
+    Class, Configuration, PRIORITY_DEFAULT, RouteRecord, ServiceRecord, Spill, Target, TeamRecord,
+    Treatment,
 };
 use crate::core::names::TeamName;
 
@@ -132,6 +133,14 @@
     for (name, service) in &record.services {
         flatten_service(&mut fields, &format!("service.{name}"), service);
     }
+    if let Some(limits) = &record.caller_limits {
+        let mut set =
+            |key: &str, value: String| fields.insert(format!("caller_limits.{key}"), value);
+        set("header_max_bytes", limits.header_max_bytes.to_string());
+        set("body_max_bytes", limits.body_max_bytes.to_string());
+        set("header_timeout_ms", limits.header_timeout_ms.to_string());
+        set("idle_timeout_ms", limits.idle_timeout_ms.to_string());
+    }
     for (service, resources) in &record.calls {
         let names: Vec<_> = resources.iter().map(|name| name.as_str()).collect();
         fields.insert(format!("calls.{service}"), names.join(", "));
@@ -144,13 +153,15 @@
     set("slots_per_endpoint", service.slots_per_endpoint);
     set("connections_per_endpoint", service.connections_per_endpoint);
     set("queue_len", service.queue_len);
+    if let Some(path) = &service.health_path {
+        fields.insert(format!("{at}.health_path"), path.clone());
+    }
     for (name, treatment) in &service.resources {
         flatten_treatment(fields, &format!("{at}.resource.{name}"), treatment);
     }
     for route in &service.routes {
-        let Target { service, resource } = &route.target;
         let key = format!("{at}.route {}", route_key(route));
-        fields.insert(key, format!("{service}/{resource}"));
+        fields.insert(key, targets_text(route));
     }
 }
 
@@ -170,12 +181,31 @@
     set("timeout_ms", treatment.timeout_ms.to_string());
     set("attempts", treatment.attempts.to_string());
     set("spill", spill.to_owned());
+    if treatment.priority != PRIORITY_DEFAULT {
+        set("priority", treatment.priority.to_string());
+    }
+    if let Some(target_ms) = treatment.target_latency_ms {
+        set("target_latency_ms", target_ms.to_string());
+    }
+}
+
+fn targets_text(route: &RouteRecord) -> String {
+    let text = |target: &Target| format!("{}/{}", target.service, target.resource);
+    if route.split.is_empty() {
+        return text(&route.target);
+    }
+    let shares = route.split.iter();
+    let shares: Vec<_> = shares
+        .map(|share| format!("{} of {}", share.weight, text(&share.target)))
+        .collect();
+    shares.join(", ")
 }
 
 fn route_key(route: &RouteRecord) -> String {
+    let host = route.host.as_ref().map_or("", |host| host.as_str());
     if route.methods.is_empty() {
-        return format!("any {}", route.path);
+        return format!("any {host}{}", route.path);
     }
     let methods: Vec<_> = route.methods.iter().map(String::as_str).collect();
-    format!("{} {}", methods.join(","), route.path)
+    format!("{} {host}{}", methods.join(","), route.path)
 }
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -61,6 +61,14 @@
     /// A resource of a service: what one treatment applies to.
     ResourceName
 }
+name_type! {
+    /// A host name by which callers reach routes, apart from the names of services.
+    HostName
+}
+name_type! {
+    /// What a backend server calls itself; a start of it mostly gets a new one.
+    InstanceName
+}
 name_type! {
     /// A data centre; VMs inside it reach each other in about 1 ms.
     DataCentreName
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -4,7 +4,8 @@
 //! or a call points at something that the configuration does not hold. A table therefore never
 //! has a dangling route, and a node that holds a table can serve every route in it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use snafu::{OptionExt, Snafu, ensure};
 
@@ -47,55 +48,101 @@
         /// The other.
         second: TeamName,
     },
+    /// Two routes match the same requests.
+    #[snafu(display(
+        "team `{team}` has a route for {host}{path}, which another route matches too"
+    ))]
+    SameRoute {
+        /// Team of the second route.
+        team: TeamName,
+        /// What callers name.
+        host: String,
+        /// Path of both.
+        path: String,
+    },
+    /// Two teams set limits on callers.
+    #[snafu(display("limits on callers are set by both `{first}` and `{second}`"))]
+    LimitsTwice {
+        /// One team.
+        first: TeamName,
+        /// The other.
+        second: TeamName,
+    },
 }
 
 /// One compiled route.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Route {
     /// As published.
     pub record: RouteRecord,
+    /// Where its requests go, each with its part of them; never empty.
+    pub branches: Vec<Branch>,
+    /// Requests so far, from a random number on so that nodes are not in step.
+    turns: AtomicU32,
+}
+
+impl Route {
+    /// The number of one more request, for [`crate::decide::split`].
+    pub fn next_turn(&self) -> u32 {
+        self.turns.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// Where a part of a route's requests goes.
+#[derive(Clone, Debug)]
+pub struct Branch {
+    /// The service that runs it.
+    pub service: ServiceName,
+    /// Size of the part, relative to those of the other branches.
+    pub weight: u32,
     /// Treatment of the target, found at compile time.
     pub treatment: Treatment,
 }
 
-/// All routes of a configuration, by the service that a request names.
-#[derive(Clone, Debug, Default)]
+/// All routes of a configuration, by what a request names as its host.
+#[derive(Debug, Default)]
 pub struct RouteTable {
-    by_service: HashMap<ServiceName, Vec<Route>>,
+    by_host: HashMap<String, Vec<Route>>,
 }
 
 impl RouteTable {
     /// Compiles `configuration`, or says which reference does not close.
     pub fn compile(configuration: &Configuration) -> Result<Self> {
         check_single_owner(configuration)?;
+        check_single_limits(configuration)?;
         check_calls(configuration)?;
-        let mut by_service = HashMap::new();
+        check_same_routes(configuration)?;
+        let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
         for (team, record) in &configuration.teams {
             for (service, offered) in &record.services {
-                let mut routes = Vec::with_capacity(offered.routes.len());
+                // A service without routes is known all the same: "no route" is not "no service".
+                by_host.entry(service.as_str().to_owned()).or_default();
                 for route in &offered.routes {
-                    let treatment = resolve(configuration, team, &route.target)?.clone();
-                    routes.push(Route {
+                    let compiled = Route {
                         record: route.clone(),
-                        treatment,
-                    });
+                        branches: branches(configuration, team, route)?,
+                        turns: AtomicU32::new(rand::random()),
+                    };
+                    let host = host_of(service, route);
+                    by_host.entry(host.to_owned()).or_default().push(compiled);
                 }
-                // Longest path first, so the first match is the most specific.
-                routes.sort_by_key(|route| std::cmp::Reverse(route.record.path.len()));
-                by_service.insert(service.clone(), routes);
             }
         }
-        Ok(Self { by_service })
+        for routes in by_host.values_mut() {
+            // Longest path first, so the first match is the most specific.
+            routes.sort_by_key(|route| std::cmp::Reverse(route.record.path.len()));
+        }
+        Ok(Self { by_host })
     }
 
-    /// Whether the table knows the service.
-    pub fn has_service(&self, service: &str) -> bool {
-        self.by_service.contains_key(service)
+    /// Whether the table knows the host, a service's name or another.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.by_host.contains_key(host)
     }
 
     /// The most specific route for a request, if any.
-    pub fn find(&self, service: &str, method: &str, path: &str) -> Option<&Route> {
-        let routes = self.by_service.get(service)?;
+    pub fn find(&self, host: &str, method: &str, path: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?;
         routes
             .iter()
             .find(|route| matches(&route.record, method, path))
@@ -103,7 +150,7 @@
 
     /// Number of routes.
     pub fn len(&self) -> usize {
-        self.by_service.values().map(Vec::len).sum()
+        self.by_host.values().map(Vec::len).sum()
     }
 
     /// Whether there is no route.
@@ -112,6 +159,34 @@
     }
 }
 
+fn host_of<'a>(service: &'a ServiceName, route: &'a RouteRecord) -> &'a str {
+    match &route.host {
+        Some(host) => host.as_str(),
+        None => service.as_str(),
+    }
+}
+
+fn branches(
+    configuration: &Configuration,
+    team: &TeamName,
+    route: &RouteRecord,
+) -> Result<Vec<Branch>> {
+    let branch = |target: &Target, weight| {
+        Ok(Branch {
+            service: target.service.clone(),
+            weight,
+            treatment: resolve(configuration, team, target)?.clone(),
+        })
+    };
+    if route.split.is_empty() {
+        return Ok(vec![branch(&route.target, 1)?]);
+    }
+    let shares = route.split.iter();
+    shares
+        .map(|share| branch(&share.target, share.weight))
+        .collect()
+}
+
 fn matches(record: &RouteRecord, method: &str, path: &str) -> bool {
     let method_matches = record.methods.is_empty() || record.methods.contains(method);
     method_matches && path_matches(&record.path, path)
@@ -141,6 +216,44 @@
     Ok(())
 }
 
+fn check_single_limits(configuration: &Configuration) -> Result<()> {
+    let teams = configuration.teams.iter();
+    let mut setting = teams.filter(|(_, record)| record.caller_limits.is_some());
+    let (Some((first, _)), Some((second, _))) = (setting.next(), setting.next()) else {
+        return Ok(());
+    };
+    LimitsTwiceSnafu {
+        first: first.clone(),
+        second: second.clone(),
+    }
+    .fail()
+}
+
+/// Two routes that match the same request: which one wins would depend on the order of teams, and
+/// the treatment of a payment must not. Routes that differ in their methods are compared inside
+/// one file, where the order of methods is known.
+fn check_same_routes(configuration: &Configuration) -> Result<()> {
+    let mut known: HashSet<(&str, &str)> = HashSet::new();
+    for (team, record) in &configuration.teams {
+        for (service, offered) in &record.services {
+            let hosted = offered.routes.iter().filter(|route| route.host.is_some());
+            for route in hosted.filter(|route| route.methods.is_empty()) {
+                let host = host_of(service, route);
+                let is_new = known.insert((host, &route.path));
+                ensure!(
+                    is_new,
+                    SameRouteSnafu {
+                        team: team.clone(),
+                        host,
+                        path: &route.path,
+                    }
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
 fn check_calls(configuration: &Configuration) -> Result<()> {
     for (team, record) in &configuration.teams {
         for (service, resources) in &record.calls {
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::member::{BackendState, Member, NodeId, Place};
-use crate::core::names::ServiceName;
+use crate::core::names::{InstanceName, ServiceName};
 use crate::core::version::{Stamp, Version};
 
 /// What `GET /status` answers.
@@ -51,14 +51,30 @@
     }
 }
 
-/// What a backend server says of itself with `POST /backend-server`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// What a backend server says of itself, such as with `POST /backend-server`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// The service that it serves.
-    pub service: String,
+    pub service: ServiceName,
     /// Where it listens.
     pub address: SocketAddr,
     /// Whether it takes new work.
     pub state: BackendState,
+    /// What it calls itself. One that names itself is told apart from those that had its address
+    /// before, and a request can be sent to it alone.
+    #[serde(default)]
+    pub instance: Option<InstanceName>,
+    /// When it started, in milliseconds since the epoch: orders those with one name or address.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
+    /// Rises with each announcement of one start, so that a late one is known as such.
+    #[serde(default)]
+    pub sequence: Option<u64>,
+    /// Requests that it runs at a time; if left out, as its service's record says.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// How much longer it is slow after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
--- a/src/core/team_file.rs
+++ b/src/core/team_file.rs
@@ -26,6 +26,15 @@
 /// Most slots of one endpoint.
 pub const SLOTS_MAX: u32 = 10_000;
 
+/// Lowest rank among requests that compete. Ten ranks are more than a service has kinds of work.
+pub const PRIORITY_MAX: u32 = 9;
+/// Largest weight of one part of a split: a tenth of a percent can be named.
+pub const WEIGHT_MAX: u32 = 1_000;
+/// Shortest head that callers may be limited to, in bytes: the HTTP library's smallest buffer.
+pub const HEADER_LEAST_BYTES: u32 = 8_192;
+/// Longest head that callers may be allowed, in bytes. Each connection may hold as much.
+pub const HEADER_MOST_BYTES: u32 = 1 << 20;
+
 /// Longest timeout of interactive work. Nobody waits at the yard gate for more than a minute; a
 /// longer one is bulk work that would take the places of people who do wait.
 pub const INTERACTIVE_TIMEOUT_MAX_MS: u32 = 60_000;
--- a/src/core/team_file/checker.rs
+++ b/src/core/team_file/checker.rs
@@ -1,27 +1,17 @@
 //! The checks of one team file.
 
+mod routes;
+mod treatments;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use toml::Spanned;
 
-use super::raw::{RawRoute, RawService, RawTeam, RawTreatment};
-use super::{
-    ATTEMPTS_MAX, BULK_TIMEOUT_MIN_MS, Finding, INTERACTIVE_TIMEOUT_MAX_MS, MESH_TIMEOUT_MIN_MS,
-    SLOTS_MAX, TIMEOUT_MAX_MS, line_of,
-};
-use crate::core::configuration::{
-    Class, RouteRecord, ServiceRecord, Spill, Target, TeamRecord, Treatment,
-};
+use super::raw::{RawCallerLimits, RawService, RawTeam, RawTreatment};
+use super::{Finding, HEADER_LEAST_BYTES, HEADER_MOST_BYTES, SLOTS_MAX, TIMEOUT_MAX_MS, line_of};
+use crate::core::configuration::{CallerLimits, ServiceRecord, TeamRecord};
 use crate::core::names::{ResourceName, ServiceName, TeamName, is_name};
 
-const DEFAULT_TIMEOUT_MS: u32 = 2_000;
-const DEFAULT_ATTEMPTS: u32 = 2;
-
-/// An empty list matches all methods.
-fn methods_overlap(a: &[String], b: &[String]) -> bool {
-    a.is_empty() || b.is_empty() || a.iter().any(|method| b.contains(method))
-}
-
 /// Turns what was read into a record, and notes everything wrong with it.
 pub(super) struct Checker<'a> {
     pub(super) text: &'a str,
@@ -89,6 +79,38 @@
             team: TeamName::new(raw.team.get_ref()),
             services,
             calls,
+            caller_limits: raw
+                .caller_limits
+                .as_ref()
+                .map(|raw| self.caller_limits(raw)),
+        }
+    }
+
+    fn caller_limits(&mut self, raw: &RawCallerLimits) -> CallerLimits {
+        let body_max_bytes = *raw.body_max_bytes.get_ref();
+        if body_max_bytes == 0 {
+            self.add(
+                raw.body_max_bytes.span().start,
+                "body_max_bytes = 0 allows no request with a body",
+                "use a whole number of bytes from 1",
+            );
+        }
+        let header = &raw.header_max_bytes;
+        CallerLimits {
+            header_max_bytes: self.range(
+                "header_max_bytes",
+                header,
+                HEADER_LEAST_BYTES,
+                HEADER_MOST_BYTES,
+            ),
+            body_max_bytes,
+            header_timeout_ms: self.range(
+                "header_timeout_ms",
+                &raw.header_timeout_ms,
+                1,
+                TIMEOUT_MAX_MS,
+            ),
+            idle_timeout_ms: self.range("idle_timeout_ms", &raw.idle_timeout_ms, 1, TIMEOUT_MAX_MS),
         }
     }
 
@@ -127,194 +149,17 @@
             .map(|route| self.route(name, raw, route))
             .collect();
         self.same_routes(&raw.route);
+        let health_path = raw.health_path.as_ref().map(|path| {
+            self.path(path);
+            path.get_ref().clone()
+        });
         ServiceRecord {
             slots_per_endpoint: slots,
             connections_per_endpoint: connections,
             queue_len,
+            health_path,
             resources,
             routes,
         }
     }
-
-    fn route(&mut self, service: &str, raw: &RawService, route: &Spanned<RawRoute>) -> RouteRecord {
-        let at = route.span().start;
-        let route = route.get_ref();
-        let path = route.path.get_ref();
-        if !path.starts_with('/') {
-            self.add(
-                route.path.span().start,
-                format!("path `{path}` does not start with `/`"),
-                "write the path from the root, such as \"/prices\"",
-            );
-        }
-        if path.contains(|c: char| c == '?' || c == '#' || c.is_whitespace() || c.is_control()) {
-            self.add(
-                route.path.span().start,
-                format!("path `{path}` holds a character that no request path has"),
-                "leave out query, fragment and blanks; a route matches the path alone",
-            );
-        }
-        for method in &route.methods {
-            if method.is_empty() || !method.chars().all(|c| c.is_ascii_uppercase()) {
-                self.add(
-                    at,
-                    format!("`{method}` is not a method"),
-                    "write methods in capitals, such as \"GET\"",
-                );
-            }
-        }
-        let own = route.service.as_deref().unwrap_or(service) == service;
-        if own && !raw.resource.contains_key(&route.resource) {
-            self.add(
-                at,
-                format!(
-                    "route points at resource `{}`, which service `{service}` does not have",
-                    route.resource
-                ),
-                format!("add [service.{service}.resource.{}]", route.resource),
-            );
-        }
-        RouteRecord {
-            methods: route.methods.iter().cloned().collect(),
-            path: route.path.get_ref().clone(),
-            target: Target {
-                service: ServiceName::new(route.service.as_deref().unwrap_or(service)),
-                resource: ResourceName::new(&route.resource),
-            },
-        }
-    }
-
-    /// Two routes that match the same request: which one wins would depend on their order, and the
-    /// treatment of a payment must not.
-    fn same_routes(&mut self, routes: &[Spanned<RawRoute>]) {
-        for (position, route) in routes.iter().enumerate() {
-            let at = route.span().start;
-            let route = route.get_ref();
-            let same = |other: &&Spanned<RawRoute>| {
-                let other = other.get_ref();
-                other.path.get_ref() == route.path.get_ref()
-                    && methods_overlap(&other.methods, &route.methods)
-            };
-            let Some(first) = routes[..position].iter().find(same) else {
-                continue;
-            };
-            let line = line_of(self.text, first.span().start);
-            self.add(
-                at,
-                format!(
-                    "route `{}` matches the same requests as the one in line {line}",
-                    route.path.get_ref()
-                ),
-                "remove one of the two, or give them different methods",
-            );
-        }
-    }
-
-    /// Treatment whose parts can't all be had.
-    fn contradictions(&mut self, name: &str, at: usize, treatment: &Treatment, queue_len: u32) {
-        let timeout_ms = treatment.timeout_ms;
-        if treatment.class == Class::Interactive && timeout_ms > INTERACTIVE_TIMEOUT_MAX_MS {
-            self.add(
-                at,
-                format!("resource `{name}` is interactive, yet may take {timeout_ms} ms"),
-                format!(
-                    "set class = \"bulk\", or timeout_ms to {INTERACTIVE_TIMEOUT_MAX_MS} or less"
-                ),
-            );
-        }
-        if treatment.class == Class::Bulk && timeout_ms < BULK_TIMEOUT_MIN_MS {
-            self.add(
-                at,
-                format!("resource `{name}` is bulk, yet may take only {timeout_ms} ms"),
-                format!(
-                    "set class = \"interactive\", or timeout_ms to {BULK_TIMEOUT_MIN_MS} or more"
-                ),
-            );
-        }
-        if treatment.class == Class::Bulk && queue_len == 0 {
-            self.add(
-                at,
-                format!("resource `{name}` is bulk, yet its service has no queue to wait in"),
-                "set queue_len of the service to 1 or more",
-            );
-        }
-        if treatment.spill == Spill::Mesh && timeout_ms < MESH_TIMEOUT_MIN_MS {
-            self.add(
-                at,
-                format!(
-                    "resource `{name}` may be served in the other region, yet in {timeout_ms} ms"
-                ),
-                format!("set spill = \"region\", or timeout_ms to {MESH_TIMEOUT_MIN_MS} or more"),
-            );
-        }
-    }
-
-    fn treatment(&mut self, name: &str, raw: &Spanned<RawTreatment>) -> Treatment {
-        let at = raw.span().start;
-        let merged = self.inherit(raw.get_ref().clone());
-        let class = merged.class.unwrap_or(Class::Interactive);
-        let timeout_ms = match &merged.timeout_ms {
-            Some(value) => self.range("timeout_ms", value, 1, TIMEOUT_MAX_MS),
-            None => DEFAULT_TIMEOUT_MS,
-        };
-        let attempts = match &merged.attempts {
-            Some(value) => self.range("attempts", value, 1, ATTEMPTS_MAX),
-            None => DEFAULT_ATTEMPTS,
-        };
-        // No default: guessing it wrong runs a payment twice, or never retries a look-up.
-        let Some(idempotent) = merged.idempotent else {
-            self.add(
-                at,
-                format!("resource `{name}` does not say whether it is idempotent"),
-                "add idempotent = false if running a request twice does harm, else true",
-            );
-            return Treatment {
-                class,
-                idempotent: false,
-                timeout_ms,
-                attempts,
-                spill: Spill::Region,
-            };
-        };
-        Treatment {
-            class,
-            idempotent,
-            timeout_ms,
-            attempts,
-            spill: merged.spill.unwrap_or(Spill::Region),
-        }
-    }
-
-    /// Fills what `raw` leaves open from the treatments that it extends.
-    fn inherit(&mut self, mut raw: RawTreatment) -> RawTreatment {
-        let mut seen = BTreeSet::new();
-        let mut next = raw.extends.clone();
-        while let Some(base) = next {
-            let base_name = base.get_ref();
-            if !seen.insert(base_name.clone()) {
-                self.add(
-                    base.span().start,
-                    format!("treatment `{base_name}` extends itself in a cycle"),
-                    "remove one extends of the cycle",
-                );
-                break;
-            }
-            let Some(treatment) = self.shared.get(base_name) else {
-                self.add(
-                    base.span().start,
-                    format!("there is no treatment `{base_name}` to extend"),
-                    format!("add [treatment.{base_name}], or correct the name"),
-                );
-                break;
-            };
-            let treatment = treatment.get_ref();
-            raw.class = raw.class.or(treatment.class);
-            raw.idempotent = raw.idempotent.or(treatment.idempotent);
-            raw.timeout_ms = raw.timeout_ms.or(treatment.timeout_ms.clone());
-            raw.attempts = raw.attempts.or(treatment.attempts.clone());
-            raw.spill = raw.spill.or(treatment.spill);
-            next = treatment.extends.clone();
-        }
-        raw
-    }
 }
--- a/src/core/team_file/raw.rs
+++ b/src/core/team_file/raw.rs
@@ -18,6 +18,16 @@
     pub(super) service: BTreeMap<String, Spanned<RawService>>,
     #[serde(default)]
     pub(super) calls: BTreeMap<String, Spanned<Vec<String>>>,
+    pub(super) caller_limits: Option<RawCallerLimits>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawCallerLimits {
+    pub(super) header_max_bytes: Spanned<u32>,
+    pub(super) body_max_bytes: Spanned<u64>,
+    pub(super) header_timeout_ms: Spanned<u32>,
+    pub(super) idle_timeout_ms: Spanned<u32>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -26,6 +36,7 @@
     pub(super) slots_per_endpoint: Spanned<u32>,
     pub(super) connections_per_endpoint: Spanned<u32>,
     pub(super) queue_len: Option<Spanned<u32>>,
+    pub(super) health_path: Option<Spanned<String>>,
     #[serde(default)]
     pub(super) resource: BTreeMap<String, Spanned<RawTreatment>>,
     #[serde(default)]
@@ -41,16 +52,29 @@
     pub(super) timeout_ms: Option<Spanned<u32>>,
     pub(super) attempts: Option<Spanned<u32>>,
     pub(super) spill: Option<Spill>,
+    pub(super) priority: Option<Spanned<u32>>,
+    pub(super) target_latency_ms: Option<Spanned<u32>>,
 }
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RawRoute {
+    pub(super) host: Option<Spanned<String>>,
     #[serde(default)]
     pub(super) methods: Vec<String>,
     pub(super) path: Spanned<String>,
     pub(super) service: Option<String>,
     pub(super) resource: String,
+    #[serde(default)]
+    pub(super) split: Vec<Spanned<RawShare>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawShare {
+    pub(super) service: Option<String>,
+    pub(super) resource: Option<String>,
+    pub(super) weight: Spanned<u32>,
 }
 
 /// The reader's refusal, with its line.
@@ -61,7 +85,8 @@
         problem: error
             .message()
             .replace('\n', " ")
-            .replace("expected u32", "expected a whole number"),
+            .replace("expected u32", "expected a whole number")
+            .replace("expected u64", "expected a whole number"),
         remedy: syntax_remedy(error.message()).to_owned(),
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,6 +1,8 @@
 //! Decisions under load: plain functions and structs, time an argument, no sockets.
 
 pub mod admission;
+pub mod announcements;
 pub mod pacing;
 pub mod placement;
 pub mod retry;
+pub mod split;
--- a/src/distribution/holder.rs
+++ b/src/distribution/holder.rs
@@ -179,18 +179,22 @@
         let lowest = self.held().version;
         ensure!(stamp.version > lowest, NotNewerSnafu { stamp, lowest });
         let configuration = self.read(stamp, content)?;
-        let routes = RouteTable::compile(&configuration).context(OpenSnafu { stamp })?;
-        let applied = Arc::new(Applied {
-            stamp,
-            configuration,
-            routes,
-            snapshot: OnceLock::new(),
-        });
+        let applied = compile(stamp, configuration)?;
         self.keep_deltas(lowest, stamp, content);
         self.held = Some(Arc::clone(&applied));
         Ok(applied)
     }
 
+    /// The same for a configuration that was read as a whole, and not as content of a known stamp.
+    pub fn prepare_whole(&mut self, configuration: Configuration) -> Result<Arc<Applied>> {
+        let stamp = configuration.stamp();
+        let lowest = self.held().version;
+        ensure!(stamp.version > lowest, NotNewerSnafu { stamp, lowest });
+        let applied = compile(stamp, configuration)?;
+        self.held = Some(Arc::clone(&applied));
+        Ok(applied)
+    }
+
     /// Enforces what is held, whole, if [`Self::enforceable`] allows it.
     pub fn enforce(&mut self) -> Option<Arc<Applied>> {
         self.enforceable()?;
@@ -290,6 +294,16 @@
     }
 }
 
+fn compile(stamp: Stamp, configuration: Configuration) -> Result<Arc<Applied>> {
+    let routes = RouteTable::compile(&configuration).context(OpenSnafu { stamp })?;
+    Ok(Arc::new(Applied {
+        stamp,
+        configuration,
+        routes,
+        snapshot: OnceLock::new(),
+    }))
+}
+
 fn stamp_of(applied: Option<&Arc<Applied>>) -> Stamp {
     applied.map_or(Stamp::NONE, |applied| applied.stamp)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod ops;
 pub mod peer;
+pub mod platform;
 pub mod store;
 
 pub(crate) mod proxy;
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,7 +7,10 @@
 pub(crate) mod changes;
 pub(crate) mod configuration;
 pub(crate) mod content;
+pub(crate) mod follower;
 pub(crate) mod freeze;
+pub(crate) mod listeners;
+pub(crate) mod local;
 pub mod logging;
 pub(crate) mod membership;
 pub(crate) mod operator;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use tokio::sync::Notify;
 
+use crate::core::configuration::Configuration;
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder};
+use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, holder};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
 use crate::node::{content, store};
@@ -86,6 +88,10 @@
         head: Option<Stamp>,
         took_ms: u64,
     },
+    /// The store was read: a configuration that was written into it as a whole, if there is news.
+    Written(Option<Box<Configuration>>),
+    /// The store could not be read.
+    NotRead,
     /// A peer told what it remembers of this node, and what it enforces.
     FloorAnswered {
         peer: Peer,
@@ -101,6 +107,16 @@
     Membership(ActorRef<MembershipMsg>),
 }
 
+/// Where accepted configurations come from.
+#[derive(Clone, Debug)]
+pub(crate) enum Origin {
+    /// Published by the product's own command; the head is read here and heard of from peers.
+    Published(HttpStore),
+    /// Written by operators as a whole, and followed by [`crate::node::follower`], which reads the
+    /// newest one at once when it is notified.
+    Written(Arc<Notify>),
+}
+
 /// A refresh under way.
 #[derive(Debug)]
 struct Refresh {
@@ -113,7 +129,7 @@
 
 pub(crate) struct State {
     node: Arc<NodeState>,
-    platform: HttpStore,
+    origin: Origin,
     holder: Holder,
     fetcher: Fetcher,
     floor: Floor,
@@ -124,6 +140,8 @@
     store_answers: bool,
     woken_for_ms: Option<u64>,
     told_held: Version,
+    /// Newest version that the store itself handed to this process.
+    told_by_store: Version,
     floor_asked_ms: u64,
     membership: Option<ActorRef<MembershipMsg>>,
 }
@@ -131,19 +149,19 @@
 impl Actor for ConfigurationActor {
     type Msg = ConfigurationMsg;
     type State = State;
-    type Arguments = (Arc<NodeState>, HttpStore);
+    type Arguments = (Arc<NodeState>, Origin);
 
     async fn pre_start(
         &self,
         myself: ActorRef<Self::Msg>,
-        (node, platform): Self::Arguments,
+        (node, origin): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
         myself.send_interval(TICK, || ConfigurationMsg::Tick);
         let now_ms = clock::since_ms(node.started);
         Ok(State {
             fetcher: Fetcher::new(node.me),
             node,
-            platform,
+            origin,
             holder: Holder::default(),
             floor: Floor::new(now_ms),
             role: Role::default(),
@@ -153,6 +171,7 @@
             store_answers: true,
             woken_for_ms: None,
             told_held: Version::NONE,
+            told_by_store: Version::NONE,
             floor_asked_ms: 0,
             membership: None,
         })
@@ -173,6 +192,8 @@
             }
             ConfigurationMsg::Fetched { fetch, found } => state.fetched(now_ms, &fetch, found),
             ConfigurationMsg::HeadRead { head, took_ms } => state.head_read(now_ms, head, took_ms),
+            ConfigurationMsg::Written(configuration) => state.written(now_ms, configuration),
+            ConfigurationMsg::NotRead => state.note_store(false),
             ConfigurationMsg::FloorAnswered {
                 peer,
                 reported,
@@ -253,10 +274,13 @@
     }
 
     fn read_head(&mut self, myself: &ActorRef<ConfigurationMsg>) {
+        let Origin::Published(store) = &self.origin else {
+            return;
+        };
         if std::mem::replace(&mut self.reading_head, true) {
             return;
         }
-        let platform = self.platform.clone();
+        let platform = store.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
             let (head, took_ms) = store::head(&platform).await;
@@ -277,6 +301,36 @@
         self.tell(MembershipMsg::Head(head));
     }
 
+    /// Failure guarded against: a store that answers with an older configuration than the one in
+    /// force. It shows as a version that is not newer, which the holder refuses.
+    fn written(&mut self, now_ms: u64, configuration: Option<Box<Configuration>>) {
+        self.note_store(true);
+        if let Some(refresh) = &mut self.refresh {
+            refresh.head_read = true;
+        }
+        let Some(configuration) = configuration else {
+            return;
+        };
+        let version = configuration.version;
+        self.floor.head_read(version);
+        self.told_by_store = self.told_by_store.max(version);
+        if version <= self.holder.held().version {
+            return;
+        }
+        match self.holder.prepare_whole(*configuration) {
+            Ok(applied) => {
+                self.announced(now_ms, applied.stamp, None);
+                self.tell(MembershipMsg::Head(applied.stamp));
+            }
+            Err(error) => self.refused(version, &error),
+        }
+    }
+
+    fn refused(&self, version: Version, error: &holder::Error) {
+        log::warn!(version = version.0, error:? = error; "refused a configuration");
+        metrics::counter!("dragonflywall_refused_content_total").increment(1);
+    }
+
     /// Logs the beginning and the end of an outage, not each failed read.
     fn note_store(&mut self, answers: bool) {
         match (self.store_answers, answers) {
@@ -331,7 +385,10 @@
         });
         self.fetcher.woke(now_ms);
         self.reading_head = false;
-        self.read_head(myself);
+        match &self.origin {
+            Origin::Published(_) => self.read_head(myself),
+            Origin::Written(again) => again.notify_one(),
+        }
         self.ask_floor(myself);
     }
 
@@ -352,10 +409,10 @@
         let held = self.holder.held();
         if let Some(fetch) = self.fetcher.next(now_ms, held.version) {
             let node = Arc::clone(&self.node);
-            let platform = self.platform.clone();
+            let origin = self.origin.clone();
             let myself = myself.clone();
             tokio::spawn(async move {
-                let found = content::fetch(&node, &platform, held, &fetch).await;
+                let found = content::fetch(&node, &origin, held, &fetch).await;
                 let _ = myself.cast(ConfigurationMsg::Fetched { fetch, found });
             });
             return;
@@ -382,10 +439,13 @@
     fn prepare(&mut self, stamp: Stamp, content: &Content, source: &'static str) -> bool {
         let bytes = content.len_bytes() as u64;
         metrics::counter!("dragonflywall_fetched_bytes_total", "source" => source).increment(bytes);
+        if stamp.version <= self.holder.held().version {
+            // It came another way meanwhile.
+            return true;
+        }
         let prepared = self.holder.prepare(stamp, content);
         if let Err(error) = &prepared {
-            log::warn!(version = stamp.version.0, error:?; "refused a configuration");
-            metrics::counter!("dragonflywall_refused_content_total").increment(1);
+            self.refused(stamp.version, error);
         }
         prepared.is_ok()
     }
@@ -409,8 +469,10 @@
             self.told_held = stamp.version;
             self.tell(MembershipMsg::SetHeld(stamp));
         }
+        // What the store itself has told needs no witness: it tells it again after a restart.
+        let told_by_store = self.told_by_store >= stamp.version;
         let alone = self.role.alone && now_ms >= ALONE_MS;
-        if self.role.witnessed < stamp.version && !alone {
+        if self.role.witnessed < stamp.version && !alone && !told_by_store {
             return;
         }
         if let Some(applied) = self.holder.enforce() {
--- a/src/node/content.rs
+++ b/src/node/content.rs
@@ -5,10 +5,10 @@
 use crate::core::member::Distance;
 use crate::core::version::Stamp;
 use crate::distribution::{Content, Fetch, Source};
+use crate::node::configuration::Origin;
 use crate::node::state::NodeState;
 use crate::node::store;
 use crate::peer::client::CONTENT_TIMEOUT;
-use crate::store::http::HttpStore;
 
 /// Longest wait for content from a peer of the region. One that takes longer is frozen, and
 /// somebody else has it.
@@ -29,12 +29,19 @@
 /// Makes a fetch; what was found, if anything.
 pub(crate) async fn fetch(
     node: &NodeState,
-    platform: &HttpStore,
+    origin: &Origin,
     held: Stamp,
     fetch: &Fetch,
 ) -> Option<(Stamp, Content)> {
     match fetch.source {
-        Source::Store => store::content(platform, held, fetch.want).await,
+        Source::Store => match origin {
+            Origin::Published(store) => store::content(store, held, fetch.want).await,
+            Origin::Written(again) => {
+                // What it reads comes as a message of its own.
+                again.notify_one();
+                None
+            }
+        },
         Source::Peer {
             address, distance, ..
         } => {
--- /dev/null
+++ b/src/node/listeners.rs
@@ -0,0 +1,123 @@
+//! The listeners of a node: bound before anything else starts, served once the actors are there.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::task::TaskTracker;
+
+use crate::node::operator::Operator;
+use crate::node::run::{ListenSnafu, Result, Stops};
+use crate::node::settings::Settings;
+use crate::node::state::NodeState;
+use crate::peer::server::ControlService;
+use crate::proxy::listener;
+
+/// Addresses on which connections are accepted already.
+pub(crate) struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+    /// For what the platform asks at addresses of its own.
+    platform: Vec<TcpListener>,
+}
+
+/// Where a node listens: as asked, and with the port that the system picked for port 0.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
+    pub(crate) caller: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) operator: SocketAddr,
+}
+
+impl Listeners {
+    /// Binds every listener of `settings`.
+    pub(crate) async fn bind(settings: &Settings) -> Result<Self> {
+        let mut platform = Vec::new();
+        if let Some(address) = settings.ready_listen {
+            platform.push(listen("readiness", address).await?);
+        }
+        if let Some(address) = settings.announce_listen {
+            platform.push(listen("announcements", address).await?);
+        }
+        Ok(Self {
+            caller: listen("callers", settings.caller_listen).await?,
+            peer: listen("peers", settings.peer_listen).await?,
+            operator: listen("operators", settings.operator_listen).await?,
+            platform,
+        })
+    }
+
+    /// Where they listen.
+    pub(crate) fn addresses(&self, settings: &Settings) -> Addresses {
+        Addresses {
+            caller: bound(&self.caller, settings.caller_listen),
+            peer: bound(&self.peer, settings.peer_listen),
+            operator: bound(&self.operator, settings.operator_listen),
+        }
+    }
+
+    /// Serves all of them as part of `tasks`; what serves callers and peers is waited for apart.
+    pub(crate) fn serve(
+        self,
+        node: &Arc<NodeState>,
+        control: ControlService,
+        stops: &Stops,
+        tasks: &TaskTracker,
+    ) -> (JoinHandle<()>, JoinHandle<()>) {
+        let operator = Arc::new(Operator {
+            node: Arc::clone(node),
+            metrics: recorder(),
+        });
+        let callers = tasks.spawn(listener::serve_callers(
+            self.caller,
+            Arc::clone(node),
+            stops.callers.clone(),
+            stops.all.clone(),
+        ));
+        let peers = tasks.spawn(listener::serve_peers(
+            self.peer,
+            Arc::clone(node),
+            control,
+            stops.peers.clone(),
+            stops.all.clone(),
+        ));
+        for listener in self.platform {
+            let operator = Arc::clone(&operator);
+            let all = stops.all.clone();
+            tasks.spawn(listener::serve_platform(listener, operator, all));
+        }
+        tasks.spawn(listener::serve_operators(
+            self.operator,
+            operator,
+            stops.all.clone(),
+        ));
+        (callers, peers)
+    }
+}
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { what, address })
+}
+
+fn bound(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+/// The process's metrics recorder, installed when first asked for.
+fn recorder() -> PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Fails only if the host program has installed its own, which then gets the figures.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    };
+    RECORDER.get_or_init(install).clone()
+}
--- /dev/null
+++ b/src/node/local.rs
@@ -0,0 +1,116 @@
+//! The backend server of the node's own VM, as its announcements describe it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::core::member::BackendState;
+use crate::core::names::{InstanceName, ServiceName};
+use crate::core::status::Announcement;
+use crate::decide::announcements::Heard;
+use crate::node::membership::MembershipMsg;
+use crate::node::settings::BackendServer;
+use crate::node::state::NodeState;
+
+/// A backend server that may be sent requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LocalBackend {
+    /// Its service.
+    pub(crate) service: ServiceName,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// What it calls itself.
+    pub(crate) instance: Option<InstanceName>,
+    /// Requests that it runs at a time, by its own word.
+    pub(crate) slots: Option<u32>,
+}
+
+impl From<&BackendServer> for LocalBackend {
+    fn from(known: &BackendServer) -> Self {
+        Self {
+            service: known.service.clone(),
+            address: known.address,
+            instance: None,
+            slots: None,
+        }
+    }
+}
+
+impl From<&Announcement> for LocalBackend {
+    fn from(announcement: &Announcement) -> Self {
+        Self {
+            service: announcement.service.clone(),
+            address: announcement.address,
+            instance: announcement.instance.clone(),
+            slots: announcement.slots,
+        }
+    }
+}
+
+/// What a node answers to an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Noted {
+    /// It was taken in, or is known already.
+    Yes,
+    /// The node is draining its backend server and takes no "serving".
+    Draining,
+}
+
+impl NodeState {
+    /// Takes in an announcement: the gate follows it at once, the mesh hears of it.
+    pub(crate) fn hear(self: &Arc<Self>, announcement: &Announcement) -> Noted {
+        let serving = announcement.state == BackendState::Serving;
+        if serving && self.is_stopping() {
+            return Noted::Draining;
+        }
+        let heard = self.announcements().hear(announcement);
+        match heard {
+            Heard::Outdated => {
+                log::info!(
+                    instance:? = announcement.instance, state:? = announcement.state;
+                    "an announcement came too late"
+                );
+                return Noted::Yes;
+            }
+            Heard::Repeated if !serving || self.backend.load().is_some() => return Noted::Yes,
+            Heard::Repeated | Heard::Taken => (),
+        }
+        self.take_backend(announcement);
+        Noted::Yes
+    }
+
+    fn take_backend(&self, announcement: &Announcement) {
+        let state = announcement.state;
+        let backend = LocalBackend::from(announcement);
+        let service = backend.service.clone();
+        self.backend
+            .store((state != BackendState::Gone).then(|| Arc::new(backend)));
+        self.refresh_slots();
+        match state {
+            BackendState::Serving => self.open_gate(),
+            BackendState::Draining | BackendState::Gone => self.close_gate(),
+        }
+        log::info!(
+            service:%, state:?, instance:? = announcement.instance,
+            sequence:? = announcement.sequence, started_ms:? = announcement.started_ms;
+            "backend server announced itself"
+        );
+        self.tell_membership(MembershipMsg::SetBackend(Some(service), state));
+    }
+
+    /// Another instance has answered in `backend`'s place: it gets nothing until something
+    /// announces itself.
+    ///
+    /// Failure guarded against: a backend server crashes and its address goes to one of another
+    /// service, which would be sent this service's requests. It turns each of them away by the
+    /// instance that they name; the gate is closed so that none is sent in vain.
+    pub(crate) fn mistaken(&self, backend: &LocalBackend) {
+        let current = self.backend.load_full();
+        if current.as_deref() != Some(backend) {
+            return;
+        }
+        log::warn!(instance:? = backend.instance; "another instance answers at the backend server's address");
+        self.backend.store(None);
+        let service = Some(backend.service.clone());
+        self.tell_membership(MembershipMsg::SetBackend(service, BackendState::Gone));
+    }
+}
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -16,22 +16,21 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
-use ractor::ActorRef;
 use serde::Serialize;
 
 use crate::core::member::BackendState;
-use crate::core::names::{ServiceName, is_name};
+use crate::core::names::is_name;
 use crate::core::status::{Announcement, Status};
 use crate::core::version::Stamp;
+use crate::node::local::Noted;
 use crate::node::membership::MembershipMsg;
-use crate::node::settings::BackendServer;
 use crate::node::state::NodeState;
+use crate::platform::listeners;
 
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
 
 pub(crate) struct Operator {
     pub(crate) node: Arc<NodeState>,
-    pub(crate) membership: ActorRef<MembershipMsg>,
     pub(crate) metrics: PrometheusHandle,
 }
 
@@ -57,7 +56,8 @@
         self.metrics.render()
     }
 
-    fn why_not_ready(&self) -> Option<&'static str> {
+    /// Why the node takes no requests, if it takes none.
+    pub(crate) fn why_not_ready(&self) -> Option<&'static str> {
         if self.node.leaving.is_cancelled() {
             return Some("draining");
         }
@@ -110,14 +110,45 @@
             let backend = self.node.backend.load();
             let service = backend.as_ref().map(|backend| backend.service.clone());
             self.node.close_gate();
-            let _ = self
-                .membership
-                .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
+            self.node
+                .tell_membership(MembershipMsg::SetBackend(service, BackendState::Draining));
         }
         let in_flight = self.node.admission().in_use();
         json(&serde_json::json!({ "draining": true, "in_flight": in_flight }))
     }
 
+    /// The same in the words of the users' platform.
+    pub(crate) async fn handle_platform(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        if listeners::asks_readiness(request.method(), request.uri().path()) {
+            return self.ready();
+        }
+        let Some(local) = &self.node.settings.backend_server else {
+            return text(StatusCode::NOT_FOUND, "this VM has no backend server\n");
+        };
+        let (parts, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, ANNOUNCEMENT_MAX_BYTES).collect().await else {
+            return text(StatusCode::BAD_REQUEST, "the announcement is too long\n");
+        };
+        let path = parts.uri.path();
+        match listeners::announcement(&parts.method, path, &body.to_bytes(), local) {
+            Ok(announcement) => self.note(&announcement),
+            Err(error) => {
+                log::warn!(path, error:%; "an announcement names no backend server to use");
+                text(StatusCode::BAD_REQUEST, format!("{error}\n"))
+            }
+        }
+    }
+
+    fn note(&self, announcement: &Announcement) -> Response<Full<Bytes>> {
+        match self.node.hear(announcement) {
+            Noted::Yes => text(StatusCode::OK, "noted\n"),
+            Noted::Draining => text(StatusCode::CONFLICT, "the node is draining\n"),
+        }
+    }
+
     async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let body = Limited::new(request.into_body(), ANNOUNCEMENT_MAX_BYTES);
         let Ok(body) = body.collect().await else {
@@ -127,32 +158,10 @@
             Ok(announcement) => announcement,
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
-        if !is_name(&announcement.service) {
+        if !is_name(announcement.service.as_str()) {
             return text(StatusCode::BAD_REQUEST, "the service is not a name\n");
         }
-        let state = announcement.state;
-        let stopping =
-            self.node.drained.load(Ordering::Acquire) || self.node.leaving.is_cancelled();
-        if stopping && state == BackendState::Serving {
-            return text(StatusCode::CONFLICT, "the node is draining\n");
-        }
-        let service = ServiceName::new(announcement.service);
-        let backend = BackendServer {
-            service: service.clone(),
-            address: announcement.address,
-        };
-        let backend = (state != BackendState::Gone).then(|| Arc::new(backend));
-        self.node.backend.store(backend);
-        self.node.refresh_slots();
-        match state {
-            BackendState::Serving => self.node.open_gate(),
-            BackendState::Draining | BackendState::Gone => self.node.close_gate(),
-        }
-        log::info!(service:%, state:?; "backend server announced itself");
-        let _ = self
-            .membership
-            .cast(MembershipMsg::SetBackend(Some(service), state));
-        text(StatusCode::OK, "noted\n")
+        self.note(&announcement)
     }
 }
 
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -27,7 +27,7 @@
 use crate::membership::neighbours;
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
-use crate::store::http::HttpStore;
+use crate::store::NodeStore;
 use crate::store::rows::{NODE_PREFIX, NodeRow, node_key};
 use crate::store::{Result, Row, Table, Transaction};
 use crate::util::clock;
@@ -58,7 +58,7 @@
 pub(crate) async fn run(
     node: Arc<NodeState>,
     me: Member,
-    platform: HttpStore,
+    platform: NodeStore,
     membership: ActorRef<MembershipMsg>,
     stop: CancellationToken,
 ) {
@@ -69,7 +69,7 @@
 async fn keep(
     node: &NodeState,
     me: &Member,
-    platform: &HttpStore,
+    platform: &NodeStore,
     membership: &ActorRef<MembershipMsg>,
 ) {
     sleep_within(FIRST_READ_SPREAD).await;
@@ -104,7 +104,7 @@
 async fn read_as_watcher(
     node: &NodeState,
     me: &Member,
-    platform: &HttpStore,
+    platform: &NodeStore,
     membership: &ActorRef<MembershipMsg>,
 ) {
     let view = node.view.load_full();
@@ -129,7 +129,7 @@
     tokio::time::sleep(span.mul_f64(share)).await;
 }
 
-async fn register(platform: &HttpStore, me: &Member) -> Result<()> {
+async fn register(platform: &NodeStore, me: &Member) -> Result<()> {
     let row = NodeRow {
         node: me.node,
         external: me.external,
@@ -147,7 +147,7 @@
 /// Reads a page of registrations behind the own one, or the first page at the end of the list.
 /// Returns how many rows there were.
 async fn bootstrap(
-    platform: &HttpStore,
+    platform: &NodeStore,
     me: &Member,
     page_rows: u32,
     membership: &ActorRef<MembershipMsg>,
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,28 +2,28 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::core::dialect::Dialect;
 use crate::core::member::{BackendState, Liveness, Member, NodeId};
 use crate::core::version::Version;
-use crate::node::configuration::{ConfigurationActor, ConfigurationMsg};
-use crate::node::freeze;
+use crate::node::configuration::{ConfigurationActor, ConfigurationMsg, Origin};
+use crate::node::listeners::Listeners;
 use crate::node::membership::{self, MembershipActor, MembershipMsg};
-use crate::node::operator::Operator;
 use crate::node::registration;
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
+use crate::node::{follower, freeze};
 use crate::peer::server::ControlService;
-use crate::proxy::listener;
+use crate::platform::store::Client;
+use crate::store::NodeStore;
 use crate::store::http::HttpStore;
 use crate::util::clock;
 
@@ -33,16 +33,12 @@
 /// Longest wait for neighbours to hear the goodbye.
 const GOODBYE_TIMEOUT_MS: u64 = 2_000;
 
-/// Callers' connections that have been idle so long are closed; until then an answer says that it
-/// is the last on its connection. A caller that sends while its idle connection is being closed
-/// cannot know whether its request was read, so few are to be closed that way.
-const LAME_DUCK: Duration = Duration::from_millis(500);
-
 /// Longest wait for other nodes to take the last bytes of answers.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {address} for {what}"))]
@@ -84,10 +80,10 @@
 
 /// What ends the parts of a node, in the order in which they end.
 #[derive(Clone, Debug, Default)]
-struct Stops {
-    callers: CancellationToken,
-    peers: CancellationToken,
-    all: CancellationToken,
+pub(crate) struct Stops {
+    pub(crate) callers: CancellationToken,
+    pub(crate) peers: CancellationToken,
+    pub(crate) all: CancellationToken,
 }
 
 /// The runtime that a node runs on: one thread.
@@ -105,65 +101,30 @@
 
 /// Binds the listeners and starts the actors.
 pub async fn start(settings: Settings) -> Result<NodeHandle> {
-    let caller = listen("callers", settings.caller_listen).await?;
-    let peer = listen("peers", settings.peer_listen).await?;
-    let operator = listen("operators", settings.operator_listen).await?;
-    let caller_address = bound(&caller, settings.caller_listen);
-    let peer_address = bound(&peer, settings.peer_listen);
-    let operator_address = bound(&operator, settings.operator_listen);
-    let me = own_statement(&settings, peer_address);
-    let platform = HttpStore::new(&settings.platform_url, settings.dial_from);
+    let listeners = Listeners::bind(&settings).await?;
+    let addresses = listeners.addresses(&settings);
+    let me = own_statement(&settings, addresses.peer);
     let node = NodeState::new(settings, me.node);
-
-    let arguments = (Arc::clone(&node), platform.clone());
-    let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments)
-        .await
-        .context(SpawnSnafu {
-            what: "configuration",
-        })?;
-    let arguments = membership::Arguments {
-        node: Arc::clone(&node),
-        me: me.clone(),
-        configuration: configuration.clone(),
-    };
-    let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
-        .await
-        .context(SpawnSnafu { what: "membership" })?;
-    let _ = configuration.cast(ConfigurationMsg::Membership(membership.clone()));
+    let origin = origin(&node.settings);
+    let (configuration, membership) = actors(&node, &me, origin.clone()).await?;
+    node.set_membership(membership.clone());
 
     let stops = Stops::default();
     let tasks = TaskTracker::new();
+    if let Origin::Written(again) = origin {
+        let feed = Client::new(&node.settings.platform_url, node.settings.dial_from);
+        let all = stops.all.clone();
+        tasks.spawn(follower::run(feed, configuration.clone(), again, all));
+    }
     let control = ControlService {
         membership: membership.clone(),
         configuration: configuration.clone(),
     };
-    let operator_service = Arc::new(Operator {
-        node: Arc::clone(&node),
-        membership: membership.clone(),
-        metrics: recorder(),
-    });
-    let callers = tasks.spawn(listener::serve_callers(
-        caller,
-        Arc::clone(&node),
-        stops.callers.clone(),
-        stops.all.clone(),
-    ));
-    let peers = tasks.spawn(listener::serve_peers(
-        peer,
-        Arc::clone(&node),
-        control,
-        stops.peers.clone(),
-        stops.all.clone(),
-    ));
-    tasks.spawn(listener::serve_operators(
-        operator,
-        operator_service,
-        stops.all.clone(),
-    ));
+    let (callers, peers) = listeners.serve(&node, control, &stops, &tasks);
     tasks.spawn(registration::run(
         Arc::clone(&node),
         me.clone(),
-        platform,
+        store_of(&node.settings),
         membership.clone(),
         stops.all.clone(),
     ));
@@ -174,14 +135,14 @@
     ));
     log::info!(
         node:% = me.node,
-        caller:% = caller_address,
-        operator:% = operator_address;
+        caller:% = addresses.caller,
+        operator:% = addresses.operator;
         "listening"
     );
     Ok(NodeHandle {
-        caller: caller_address,
-        peer: peer_address,
-        operator: operator_address,
+        caller: addresses.caller,
+        peer: addresses.peer,
+        operator: addresses.operator,
         node,
         membership,
         configuration,
@@ -192,6 +153,47 @@
     })
 }
 
+fn store_of(settings: &Settings) -> NodeStore {
+    let url = &settings.platform_url;
+    match settings.dialect {
+        Dialect::Own => NodeStore::Own(HttpStore::new(url, settings.dial_from)),
+        Dialect::Platform => NodeStore::Platform(Client::new(url, settings.dial_from)),
+    }
+}
+
+fn origin(settings: &Settings) -> Origin {
+    match settings.dialect {
+        Dialect::Own => {
+            let store = HttpStore::new(&settings.platform_url, settings.dial_from);
+            Origin::Published(store)
+        }
+        Dialect::Platform => Origin::Written(Arc::default()),
+    }
+}
+
+async fn actors(
+    node: &Arc<NodeState>,
+    me: &Member,
+    origin: Origin,
+) -> Result<(ActorRef<ConfigurationMsg>, ActorRef<MembershipMsg>)> {
+    let arguments = (Arc::clone(node), origin);
+    let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments)
+        .await
+        .context(SpawnSnafu {
+            what: "configuration",
+        })?;
+    let arguments = membership::Arguments {
+        node: Arc::clone(node),
+        me: me.clone(),
+        configuration: configuration.clone(),
+    };
+    let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
+        .await
+        .context(SpawnSnafu { what: "membership" })?;
+    let _ = configuration.cast(ConfigurationMsg::Membership(membership.clone()));
+    Ok((configuration, membership))
+}
+
 impl NodeHandle {
     /// The node's addresses as one line of JSON, for whoever started it with port 0.
     pub fn addresses_json(&self) -> String {
@@ -234,25 +236,19 @@
     }
 
     async fn finish(&mut self) {
+        // Callers' connections that have been idle so long are closed; until then an answer says that
+        // it is the last on its connection. A caller that sends while its idle connection is being
+        // closed cannot know whether its request was read, so few are to be closed that way.
+        let least = Duration::from_millis(self.node.settings.stop_least_ms);
         // Whatever the gate is asked from now on it refuses at once, so a request that comes
         // after the last one has ended cannot be lost by not being waited for.
         self.node.in_gate.close();
-        tokio::join!(self.node.in_gate.wait(), tokio::time::sleep(LAME_DUCK));
+        tokio::join!(self.node.in_gate.wait(), tokio::time::sleep(least));
         self.stops.callers.cancel();
         let _ = (&mut self.callers).await;
     }
 }
 
-async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { what, address })
-}
-
-fn bound(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
-    listener.local_addr().unwrap_or(asked)
-}
-
 fn own_statement(settings: &Settings, peer_address: SocketAddr) -> Member {
     let node = settings.peer_advertise.unwrap_or(peer_address);
     let service = settings.backend_server.as_ref().map(|b| b.service.clone());
@@ -273,16 +269,3 @@
         enforced: Version::NONE,
     }
 }
-
-/// The process's metrics recorder, installed when first asked for.
-fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Fails only if the host program has installed its own, which then gets the figures.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    };
-    RECORDER.get_or_init(install).clone()
-}
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a node, from flags and environment variables, checked all at once.
 //!
-//! [`specs`] says which settings there are; this module reads and checks their values.
+//! [`specs`] says which settings there are; this module reads and checks their values. On the users'
+//! platform most of them come from its settings file instead, see [`crate::platform`].
 
 pub mod specs;
 
@@ -8,16 +9,19 @@
 use std::ffi::OsString;
 use std::fmt::Write as _;
 use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
 use lexopt::ValueExt;
 use snafu::Snafu;
 
 pub use self::specs::{SPECS, Spec};
+use crate::core::dialect::Dialect;
 use crate::core::member::Place;
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
 use crate::peer::client::DialOptions;
+use crate::platform;
 
 /// Result of this module.
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
@@ -57,12 +61,19 @@
 /// Checked settings of a node.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct Settings {
+    /// Words spoken with everything that is no node.
+    #[builder(default)]
+    pub dialect: Dialect,
     /// Where callers connect.
     pub caller_listen: SocketAddr,
     /// Where other nodes connect.
     pub peer_listen: SocketAddr,
     /// Where operators and the local backend server connect.
     pub operator_listen: SocketAddr,
+    /// Where readiness is asked for, if not only at the operator listener.
+    pub ready_listen: Option<SocketAddr>,
+    /// Where the local backend server announces itself, if not at the operator listener.
+    pub announce_listen: Option<SocketAddr>,
     /// Peer address inside the data centre.
     pub peer_advertise: Option<SocketAddr>,
     /// Peer address from other data centres.
@@ -82,6 +93,9 @@
     pub mesh_token: MeshToken,
     /// The backend server known from the start.
     pub backend_server: Option<BackendServer>,
+    /// That backend server is sent nothing before it has announced itself.
+    #[builder(default)]
+    pub backend_server_announces: bool,
     /// Longest head of a caller's request.
     #[builder(default = 65_536)]
     pub caller_header_max_bytes: usize,
@@ -97,12 +111,23 @@
     /// Longest wait for requests in flight when stopping, in milliseconds.
     #[builder(default = 600_000)]
     pub drain_timeout_ms: u64,
+    /// Shortest time for which callers are still served when stopping, in milliseconds.
+    #[builder(default = 500)]
+    pub stop_least_ms: u64,
+    /// Retries of a service's requests, in percent of the first attempts of an entry.
+    #[builder(default = 10)]
+    pub retry_percent: u32,
+    /// Retries of a service's requests beyond that share, all entries of the mesh together; if left
+    /// out, ten for each entry.
+    pub retry_reserve: Option<u32>,
     /// How log lines are written.
     #[builder(default = LogFormat::Text)]
     pub log_format: LogFormat,
     /// Least severe level that is logged.
     #[builder(default = log::LevelFilter::Info)]
     pub log_level: log::LevelFilter,
+    /// The file that they were read from, if any.
+    pub config_file: Option<PathBuf>,
 }
 
 /// A backend server: what it serves and where.
@@ -153,6 +178,20 @@
     reader.settings()
 }
 
+/// Flags that add to a settings file.
+const BESIDE_FILE: [&str; 3] = ["config", "log-format", "log-level"];
+
+/// Reads the platform's settings file, or says everything that is wrong with it.
+pub(crate) fn read_file(path: &Path) -> Result<Settings, Vec<String>> {
+    let named = |problem: String| format!("{}: {problem}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
+    let decoded = platform::settings::decode(&text);
+    let mut settings =
+        decoded.map_err(|problems| problems.into_iter().map(named).collect::<Vec<_>>())?;
+    settings.config_file = Some(path.to_owned());
+    Ok(settings)
+}
+
 struct Reader {
     values: BTreeMap<&'static str, String>,
     problems: Vec<String>,
@@ -198,6 +237,9 @@
     }
 
     fn settings(mut self) -> Result<Settings> {
+        if let Some(path) = self.text("config") {
+            return self.settings_of_file(&PathBuf::from(path));
+        }
         let caller_listen = self.required("caller-listen");
         let peer_listen = self.required("peer-listen");
         let operator_listen = self.required("operator-listen");
@@ -216,6 +258,8 @@
         let caller_idle_timeout_ms = self.required("caller-idle-timeout-ms");
         let caller_connections_max = self.required("caller-connections-max");
         let drain_timeout_ms = self.required("drain-timeout-ms");
+        let stop_least_ms = self.required("stop-least-ms");
+        let retry_percent = self.required("retry-percent");
         let log_format = self.required("log-format");
         let log_level = self.required("log-level");
         if !self.problems.is_empty() {
@@ -225,6 +269,13 @@
         }
         let checked = "no problems were found";
         Ok(Settings {
+            dialect: Dialect::Own,
+            ready_listen: None,
+            announce_listen: None,
+            backend_server_announces: false,
+            retry_reserve: None,
+            stop_least_ms: stop_least_ms.expect(checked),
+            retry_percent: retry_percent.expect(checked),
             caller_listen: caller_listen.expect(checked),
             peer_listen: peer_listen.expect(checked),
             operator_listen: operator_listen.expect(checked),
@@ -246,9 +297,37 @@
             drain_timeout_ms: drain_timeout_ms.expect(checked),
             log_format: log_format.expect(checked),
             log_level: log_level.expect(checked),
+            config_file: None,
         })
     }
 
+    /// Settings of the platform's file; flags and variables add only how to log.
+    fn settings_of_file(mut self, path: &Path) -> Result<Settings> {
+        let others: Vec<&str> = self.values.keys().copied().collect();
+        for flag in others {
+            if !BESIDE_FILE.contains(&flag) {
+                self.problem(flag, "cannot be given together with --config");
+            }
+        }
+        let is_given = |flag| self.values.contains_key(flag);
+        let (format_given, level_given) = (is_given("log-format"), is_given("log-level"));
+        let log_format = self.required("log-format").filter(|_| format_given);
+        let log_level = self.required("log-level").filter(|_| level_given);
+        let mut settings = read_file(path)
+            .map_err(|problems| self.problems.extend(problems))
+            .ok();
+        if let Some(settings) = &mut settings {
+            settings.log_format = log_format.unwrap_or(settings.log_format);
+            settings.log_level = log_level.unwrap_or(settings.log_level);
+        }
+        match settings.filter(|_| self.problems.is_empty()) {
+            Some(settings) => Ok(settings),
+            None => Err(SettingsError {
+                problems: self.problems,
+            }),
+        }
+    }
+
     /// Failure guarded against: a listener that anybody on the network may speak to, through
     /// which a stranger drains nodes or feeds them gossip. Without a token only processes of the
     /// same machine can reach the listeners, so the guard holds.
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -23,6 +23,12 @@
 
 /// Every setting of a node.
 pub const SPECS: &[Spec] = &[
+    Spec {
+        flag: "config",
+        value: "FILE",
+        default: "",
+        help: "settings file of the users' platform, in place of all others but --log-*",
+    },
     Spec {
         flag: "caller-listen",
         value: "ADDR",
@@ -131,6 +137,18 @@
         default: "600000",
         help: "longest wait for requests in flight when stopping",
     },
+    Spec {
+        flag: "stop-least-ms",
+        value: "MS",
+        default: "500",
+        help: "shortest time for which callers are still served when stopping",
+    },
+    Spec {
+        flag: "retry-percent",
+        value: "PERCENT",
+        default: "10",
+        help: "retries of a service's requests, in percent of the first attempts",
+    },
     Spec {
         flag: "log-format",
         value: "FORMAT",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use ractor::ActorRef;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -13,16 +14,20 @@
 use crate::core::names::ServiceName;
 use crate::core::status::DataCentreSummary;
 use crate::decide::admission::{Admission, Limits};
+use crate::decide::announcements::Announcements;
 use crate::decide::placement::{Balancer, Ranked};
 use crate::decide::retry::ServiceTokens;
 use crate::distribution::Applied;
 use crate::node::freeze;
-use crate::node::settings::{BackendServer, Settings};
+use crate::node::local::LocalBackend;
+use crate::node::membership::MembershipMsg;
+use crate::node::settings::Settings;
 use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::calls::Calls;
 use crate::proxy::peers::PeerConnections;
 use crate::proxy::slots::{self, Wake};
+use crate::proxy::vocabulary::Vocabulary;
 use crate::util::clock;
 
 /// The members as requests and operators see them.
@@ -57,6 +62,7 @@
 #[derive(Debug)]
 pub(crate) struct NodeState {
     pub(crate) settings: Settings,
+    pub(crate) vocabulary: &'static Vocabulary,
     pub(crate) me: NodeId,
     pub(crate) started: Instant,
     pub(crate) enforced: ArcSwapOption<Applied>,
@@ -65,7 +71,10 @@
     balancer: Mutex<Balancer>,
     retry_tokens: Mutex<ServiceTokens>,
     admission: Mutex<Admission<Wake>>,
-    pub(crate) backend: ArcSwapOption<BackendServer>,
+    /// The backend server that may be sent requests, if one is known.
+    pub(crate) backend: ArcSwapOption<LocalBackend>,
+    announcements: Mutex<Announcements>,
+    membership: OnceLock<ActorRef<MembershipMsg>>,
     /// The operator has drained the backend server; an announcement does not undo that.
     pub(crate) drained: AtomicBool,
     pub(crate) pool: BackendPool,
@@ -88,8 +97,12 @@
 impl NodeState {
     pub(crate) fn new(settings: Settings, me: NodeId) -> Arc<Self> {
         let dial_options = settings.dial_options();
-        let backend = settings.backend_server.clone().map(Arc::new);
+        // One that announces itself has nothing to do before it has.
+        let known = settings.backend_server.as_ref();
+        let known = known.filter(|_| !settings.backend_server_announces);
+        let backend = known.map(|known| Arc::new(LocalBackend::from(known)));
         Arc::new(Self {
+            vocabulary: Vocabulary::of(settings.dialect),
             settings,
             me,
             started: Instant::now(),
@@ -99,6 +112,8 @@
             retry_tokens: Mutex::default(),
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
+            announcements: Mutex::default(),
+            membership: OnceLock::new(),
             drained: AtomicBool::new(false),
             pool: BackendPool::default(),
             calls: Calls::default(),
@@ -119,6 +134,28 @@
         since_tick_ms < freeze::GAP_MS && !self.refreshing.load(Ordering::Acquire)
     }
 
+    /// Lets [`Self::tell_membership`] reach the actor.
+    pub(crate) fn set_membership(&self, membership: ActorRef<MembershipMsg>) {
+        // Set once, when the node starts.
+        let _ = self.membership.set(membership);
+    }
+
+    /// Sends the membership actor a message; without it the process is starting or ending.
+    pub(crate) fn tell_membership(&self, message: MembershipMsg) {
+        if let Some(membership) = self.membership.get() {
+            let _ = membership.cast(message);
+        }
+    }
+
+    /// Whether the backend server gets no new work by an operator's or the system's will.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.drained.load(Ordering::Acquire) || self.leaving.is_cancelled()
+    }
+
+    pub(crate) fn announcements(&self) -> MutexGuard<'_, Announcements> {
+        lock(&self.announcements)
+    }
+
     pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
         lock(&self.balancer)
     }
@@ -147,26 +184,31 @@
     pub(crate) fn refresh_slots(&self) {
         let backend = self.backend.load_full();
         let applied = self.enforced.load_full();
-        let service = backend.zip(applied).and_then(|(backend, applied)| {
-            let service = applied.configuration.service(&backend.service)?;
-            Some(service.clone())
-        });
-        let limits = service
-            .as_ref()
-            .map_or(Limits::default(), |service| Limits {
-                // Each request has a connection of its own to the backend server.
-                slots: service
-                    .slots_per_endpoint
-                    .min(service.connections_per_endpoint),
-                queue_len: service.queue_len,
-            });
-        let connections = service.map_or(0, |service| service.connections_per_endpoint);
+        let (limits, connections) = match backend.as_ref().zip(applied.as_ref()) {
+            Some((backend, applied)) => limits_of(backend, applied),
+            None => (Limits::default(), 0),
+        };
         self.pool.set_connections_max(connections);
         self.admission().set_limits(limits);
         slots::settle(self);
     }
 }
 
+/// How much a backend server takes, and how many connections.
+fn limits_of(backend: &LocalBackend, applied: &Applied) -> (Limits, u32) {
+    let Some(service) = applied.configuration.service(&backend.service) else {
+        return (Limits::default(), 0);
+    };
+    let connections = service.connections_per_endpoint;
+    let slots = backend.slots.unwrap_or(service.slots_per_endpoint);
+    let limits = Limits {
+        // Each request has a connection of its own to the backend server.
+        slots: slots.min(connections),
+        queue_len: service.queue_len,
+    };
+    (limits, connections)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,289 @@
+//! The configuration as the platform's operators write it, and the product's in its place.
+//!
+//! Routes and services come as tables: `columns` names the fields, `rows` holds lists of values in
+//! that order, null for one that is left out. Each service becomes a team's record of its own, so
+//! that the difference between two versions names the services that changed. A route goes to the
+//! record of its service, or of the first of those that it is split among, as a resource and a
+//! route that callers reach by host.
+
+use std::collections::{BTreeMap, HashSet};
+
+use serde::Deserialize;
+use serde_json::Value;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+use super::duration::parse_ms;
+use crate::core::configuration::{
+    CallerLimits, Class, Configuration, RouteRecord, ServiceRecord, Share, Spill, Target,
+    TeamRecord, Treatment,
+};
+use crate::core::names::{HostName, ResourceName, ServiceName, TeamName};
+use crate::core::version::Version;
+
+/// Result of this module.
+pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a configuration cannot be used; nothing of it is.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("the configuration cannot be read"))]
+    Json { source: serde_json::Error },
+    #[snafu(display("{what} has no usable `{field}`"))]
+    Field { what: String, field: &'static str },
+    #[snafu(display("{what} names service `{service}`, which is not there"))]
+    Service { what: String, service: String },
+}
+
+/// Requests that may wait at one endpoint, as a multiple of the connections that it takes. The
+/// platform names none; who waits too long is refused by its deadline long before.
+const QUEUE_PER_CONNECTION: u32 = 4;
+
+#[derive(Debug, Deserialize)]
+struct Whole {
+    version: u64,
+    routes: Columns,
+    services: Columns,
+    limits: Option<Limits>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Columns {
+    columns: Vec<String>,
+    rows: Vec<Vec<Value>>,
+}
+
+/// What callers may send.
+#[derive(Debug, Deserialize)]
+struct Limits {
+    #[serde(rename = "maxHeaderBytes")]
+    max_header_bytes: u32,
+    #[serde(rename = "maxBodyBytes")]
+    max_body_bytes: u64,
+    /// For the head of one request.
+    #[serde(rename = "headerTimeout")]
+    header_timeout: String,
+    /// Between two requests of a connection.
+    #[serde(rename = "idleTimeout")]
+    idle_timeout: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct WeightedService {
+    service: String,
+    weight: u32,
+}
+
+/// One row of a table, by the names of its columns.
+struct Fields<'a> {
+    what: String,
+    values: BTreeMap<&'a str, &'a Value>,
+}
+
+impl<'a> Fields<'a> {
+    fn new(kind: &str, columns: &'a [String], row: &'a [Value]) -> Self {
+        let named = columns.iter().map(String::as_str).zip(row);
+        let values: BTreeMap<&str, &Value> = named.filter(|(_, value)| !value.is_null()).collect();
+        let name = values.get("name").and_then(|name| name.as_str());
+        Self {
+            what: format!("{kind} `{}`", name.unwrap_or("?")),
+            values,
+        }
+    }
+
+    fn optional<T>(
+        &self,
+        read: impl Fn(&'a Value) -> Option<T>,
+        field: &'static str,
+    ) -> Result<Option<T>> {
+        let Some(value) = self.values.get(field) else {
+            return Ok(None);
+        };
+        let read = read(value);
+        let what = &self.what;
+        read.context(FieldSnafu { what, field }).map(Some)
+    }
+
+    fn required<T>(&self, read: impl Fn(&'a Value) -> Option<T>, field: &'static str) -> Result<T> {
+        let what = &self.what;
+        self.optional(read, field)?
+            .context(FieldSnafu { what, field })
+    }
+}
+
+fn number(value: &Value) -> Option<u32> {
+    u32::try_from(value.as_u64()?).ok()
+}
+
+fn time_ms(value: &Value) -> Option<u32> {
+    u32::try_from(parse_ms(value.as_str()?)?).ok()
+}
+
+/// Reads the bytes of a configuration.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Configuration> {
+    let whole: Whole = serde_json::from_slice(bytes).context(JsonSnafu)?;
+    let mut teams = BTreeMap::new();
+    for row in &whole.services.rows {
+        let fields = Fields::new("service", &whole.services.columns, row);
+        let (name, record) = service(&fields)?;
+        let team = TeamRecord {
+            team: TeamName::new(name.as_str()),
+            services: BTreeMap::from([(name, record)]),
+            calls: BTreeMap::new(),
+            caller_limits: None,
+        };
+        teams.insert(team.team.clone(), team);
+    }
+    let mut known = HashSet::new();
+    for row in &whole.routes.rows {
+        let fields = Fields::new("route", &whole.routes.columns, row);
+        let route = route(&fields)?;
+        // Two that match the same requests would be refused as a whole; the first one holds.
+        if !known.insert((route.record.host.clone(), route.record.path.clone())) {
+            log::warn!(route = fields.what; "a route matches the same requests as another one");
+            continue;
+        }
+        place(&mut teams, &fields.what, route)?;
+    }
+    let limits = whole.limits.as_ref().map(caller_limits).transpose()?;
+    if let Some(team) = teams.values_mut().next() {
+        team.caller_limits = limits;
+    }
+    Ok(Configuration {
+        version: Version(whole.version),
+        teams,
+    })
+}
+
+fn service(fields: &Fields<'_>) -> Result<(ServiceName, ServiceRecord)> {
+    let name = fields.required(Value::as_str, "name")?;
+    // Connections that an endpoint takes from all its callers together.
+    let connections = fields.required(number, "maxConnections")?;
+    let record = ServiceRecord {
+        // Backend servers announce their own number; there is nothing else to go by.
+        slots_per_endpoint: connections,
+        connections_per_endpoint: connections,
+        queue_len: connections.saturating_mul(QUEUE_PER_CONNECTION),
+        health_path: fields
+            .optional(Value::as_str, "healthPath")?
+            .map(str::to_owned),
+        resources: BTreeMap::new(),
+        routes: Vec::new(),
+    };
+    Ok((ServiceName::new(name), record))
+}
+
+/// A route and what applies to its requests, wherever they go.
+struct DecodedRoute {
+    treatment: Treatment,
+    record: RouteRecord,
+}
+
+fn route(fields: &Fields<'_>) -> Result<DecodedRoute> {
+    let what = &fields.what;
+    let name = ResourceName::new(fields.required(Value::as_str, "name")?);
+    let weighted = |value: &Value| serde_json::from_value(value.clone()).ok();
+    let weighted: Option<Vec<WeightedService>> = fields.optional(weighted, "weightedClusters")?;
+    let target = |service: &str| Target {
+        service: ServiceName::new(service),
+        resource: name.clone(),
+    };
+    let split: Vec<Share> = weighted
+        .into_iter()
+        .flatten()
+        .map(|part| Share {
+            target: target(&part.service),
+            weight: part.weight,
+        })
+        .collect();
+    let single = fields.optional(Value::as_str, "service")?.map(target);
+    let first = split.first().map(|share| share.target.clone());
+    let record = RouteRecord {
+        host: Some(HostName::new(fields.required(Value::as_str, "host")?)),
+        methods: Default::default(),
+        path: fields.required(Value::as_str, "prefix")?.to_owned(),
+        target: single.or(first).context(FieldSnafu {
+            what,
+            field: "service",
+        })?,
+        split,
+    };
+    Ok(DecodedRoute {
+        treatment: treatment(fields)?,
+        record,
+    })
+}
+
+fn treatment(fields: &Fields<'_>) -> Result<Treatment> {
+    let kind = fields.required(Value::as_str, "kind")?;
+    let priority = fields.optional(number, "priority")?.unwrap_or(0);
+    Ok(Treatment {
+        class: Class::Interactive,
+        // Uploads and every kind that may come to be known are run once at most.
+        idempotent: kind == "idempotent",
+        // The longest that a caller is to be kept waiting.
+        timeout_ms: fields.required(time_ms, "timeout")?,
+        // Endpoints that one request may be sent to.
+        attempts: fields.optional(number, "attempts")?.unwrap_or(1),
+        spill: Spill::Mesh,
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        // An answer within this time earns its full worth.
+        target_latency_ms: fields.optional(time_ms, "targetLatency")?,
+    })
+}
+
+/// Puts a route into the record of its service, and what applies to its requests into that of each
+/// service that runs them.
+fn place(
+    teams: &mut BTreeMap<TeamName, TeamRecord>,
+    what: &str,
+    route: DecodedRoute,
+) -> Result<()> {
+    let DecodedRoute { treatment, record } = route;
+    let shares = record.split.iter().map(|share| &share.target);
+    let targets: Vec<Target> = shares.chain([&record.target]).cloned().collect();
+    for target in &targets {
+        let service = service_mut(teams, what, &target.service)?;
+        service
+            .resources
+            .insert(target.resource.clone(), treatment.clone());
+    }
+    let home = record.target.service.clone();
+    service_mut(teams, what, &home)?.routes.push(record);
+    Ok(())
+}
+
+fn service_mut<'a>(
+    teams: &'a mut BTreeMap<TeamName, TeamRecord>,
+    what: &str,
+    name: &ServiceName,
+) -> Result<&'a mut ServiceRecord> {
+    let team = teams.get_mut(name.as_str());
+    let service = team.and_then(|team| team.services.get_mut(name));
+    service.context(ServiceSnafu {
+        what,
+        service: name.as_str(),
+    })
+}
+
+fn caller_limits(limits: &Limits) -> Result<CallerLimits> {
+    let time = |text: &str, field| {
+        let ms = parse_ms(text).and_then(|ms| u32::try_from(ms).ok());
+        let what = "limits";
+        ms.context(FieldSnafu { what, field })
+    };
+    let header_timeout_ms = time(&limits.header_timeout, "headerTimeout")?;
+    let idle_timeout_ms = time(&limits.idle_timeout, "idleTimeout")?;
+    ensure!(
+        limits.max_header_bytes > 0,
+        FieldSnafu {
+            what: "limits",
+            field: "maxHeaderBytes"
+        }
+    );
+    Ok(CallerLimits {
+        header_max_bytes: limits.max_header_bytes,
+        body_max_bytes: limits.max_body_bytes,
+        header_timeout_ms,
+        idle_timeout_ms,
+    })
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,23 @@
+//! The platform's header names.
+
+use http::HeaderName;
+
+use crate::proxy::vocabulary::Vocabulary;
+
+/// With callers and backend servers.
+pub(crate) static VOCABULARY: Vocabulary = Vocabulary {
+    // An attempt of a caller: what a node sends once more keeps its id.
+    request_id: HeaderName::from_static("x-dfw-attempt-id"),
+    deadline_ms: HeaderName::from_static("x-dfw-deadline-ms"),
+    callers_say_deadline: true,
+    // Calls of a backend server are requests like any other, with nothing of the one that led to
+    // them.
+    call: None,
+    // The service of the VM where the request began, not of the caller.
+    caller_service: Some(HeaderName::from_static("x-dfw-caller")),
+    expected_instance: Some(HeaderName::from_static("x-dfw-expected-instance")),
+    not_run: Some(HeaderName::from_static("x-dfw-not-executed")),
+    answers_repeat_id: true,
+    seal: Some(HeaderName::from_static("x-dfw-response-seal")),
+    retry_after_has_fractions: true,
+};
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,199 @@
+//! The settings file that the platform gives a process, and what its keys mean.
+//!
+//! | key | meaning |
+//! |---|---|
+//! | `ip`, `zone`, `region` | the VM's address, data centre and region |
+//! | `service`, `appAddr` | service and address of the VM's backend server |
+//! | `listen.outbound` | where callers on the VM, its backend server too, send their requests |
+//! | `listen.inbound` | free for us: other nodes connect here |
+//! | `listen.ready` | where readiness is asked for |
+//! | `listen.control` | where the VM's backend server announces itself |
+//! | `seeds` | `listen.control` addresses of other VMs; stale ones may be among them |
+//! | `platform.address` | the store |
+//! | `bounds` | figures of the users' rules, as `name=value` |
+//!
+//! Keys that are not used are ignored: new ones may come.
+
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+
+use toml::{Table, Value};
+
+use super::duration::parse_ms;
+use crate::core::dialect::Dialect;
+use crate::core::member::Place;
+use crate::core::names::{DataCentreName, RegionName, ServiceName};
+use crate::node::settings::{BackendServer, LogFormat, Settings};
+
+/// Port of the operator listener. The platform gives none; it is the one that the deploy file names
+/// for metrics.
+const OPERATOR_PORT: u16 = 9464;
+
+/// Part of the time between the request to stop and the kill that is kept for the way out.
+const STOP_MARGIN_MS: u64 = 500;
+
+/// The platform asks for readiness once a second and needs two refusals, so callers come for up to
+/// two seconds more.
+const STOP_LEAST_MS: u64 = 2_200;
+
+/// Result of this module; otherwise every fault of the file, a line each.
+pub(crate) type Result<T, E = Vec<String>> = std::result::Result<T, E>;
+
+/// Reads the text of a settings file.
+pub(crate) fn decode(text: &str) -> Result<Settings> {
+    let table = text
+        .parse::<Table>()
+        .map_err(|error| vec![format!("not TOML: {}", error.message())])?;
+    let mut reader = Reader {
+        table: &table,
+        problems: Vec::new(),
+    };
+    let settings = reader.settings();
+    match settings.filter(|_| reader.problems.is_empty()) {
+        Some(settings) => Ok(settings),
+        None => Err(reader.problems),
+    }
+}
+
+struct Reader<'a> {
+    table: &'a Table,
+    problems: Vec<String>,
+}
+
+impl Reader<'_> {
+    fn settings(&mut self) -> Option<Settings> {
+        let ip: Option<IpAddr> = self.parsed(&["ip"]);
+        let caller_listen: Option<SocketAddr> = self.parsed(&["listen", "outbound"]);
+        let peer_listen: Option<SocketAddr> = self.parsed(&["listen", "inbound"]);
+        let ready_listen = self.parsed(&["listen", "ready"]);
+        let announce_listen = self.parsed(&["listen", "control"]);
+        let region = self.text(&["region"]);
+        let data_centre = self.text(&["zone"]);
+        let store: Option<SocketAddr> = self.parsed(&["platform", "address"]);
+        let service = self.text(&["service"]);
+        let backend_server = self.parsed(&["appAddr"]);
+        let seeds = self.seeds(peer_listen);
+        let bounds = self.bounds();
+        let stop_ms = bounds.ms("grace").unwrap_or(DEFAULT_STOP_MS);
+        let settings = Settings::builder()
+            .dialect(Dialect::Platform)
+            .caller_listen(caller_listen?)
+            .peer_listen(peer_listen?)
+            .operator_listen(SocketAddr::new(ip?, OPERATOR_PORT))
+            .ready_listen(ready_listen?)
+            .announce_listen(announce_listen?)
+            .place(Place {
+                region: RegionName::new(region?),
+                data_centre: DataCentreName::new(data_centre?),
+            })
+            .platform_url(format!("http://{}", store?))
+            .peer_seeds(seeds)
+            .backend_server(BackendServer {
+                service: ServiceName::new(service?),
+                address: backend_server?,
+            })
+            .backend_server_announces(true)
+            .drain_timeout_ms(stop_ms.saturating_sub(STOP_MARGIN_MS))
+            .stop_least_ms(STOP_LEAST_MS.min(stop_ms / 2))
+            .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
+            .maybe_retry_reserve(bounds.number("budgetExtra"))
+            .log_format(LogFormat::Json)
+            .build();
+        Some(settings)
+    }
+
+    fn value(&self, path: &[&str]) -> Option<&Value> {
+        let (last, tables) = path.split_last()?;
+        let mut table = self.table;
+        for name in tables {
+            table = table.get(*name)?.as_table()?;
+        }
+        table.get(*last)
+    }
+
+    fn text(&mut self, path: &[&str]) -> Option<String> {
+        let value = self.value(path);
+        let text = value.and_then(Value::as_str).map(str::to_owned);
+        let problem = match value {
+            None => "is missing",
+            Some(_) => "is not a text",
+        };
+        if text.is_none() {
+            self.problems
+                .push(format!("`{}` {problem}", path.join(".")));
+        }
+        text
+    }
+
+    fn parsed<T: FromStr>(&mut self, path: &[&str]) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let text = self.text(path)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let name = path.join(".");
+                self.problems.push(format!("`{name}` = `{text}`: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Peers of the named VMs: ports are the same on all of them.
+    fn seeds(&mut self, peer_listen: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let port = peer_listen.map_or(0, |address| address.port());
+        let mut seeds = Vec::new();
+        let listed = self.value(&["seeds"]).and_then(Value::as_array);
+        for seed in listed.into_iter().flatten() {
+            match seed
+                .as_str()
+                .and_then(|text| text.parse::<SocketAddr>().ok())
+            {
+                Some(address) => seeds.push(SocketAddr::new(address.ip(), port)),
+                // Only a hint: without it peers are found through the store.
+                None => log::warn!(seed:? = seed.to_string(); "a seed is not an address"),
+            }
+        }
+        seeds
+    }
+
+    fn bounds(&self) -> Bounds {
+        let listed = self.value(&["bounds"]).and_then(Value::as_array);
+        let texts = listed.into_iter().flatten().filter_map(Value::as_str);
+        let pairs = texts.filter_map(|text| text.split_once('='));
+        Bounds(
+            pairs
+                .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
+                .collect(),
+        )
+    }
+}
+
+/// Time from the request to stop to the kill where the file does not tell it.
+const DEFAULT_STOP_MS: u64 = 6_000;
+
+/// The users' figures; one that is missing or unreadable leaves the product's own.
+struct Bounds(Vec<(String, String)>);
+
+impl Bounds {
+    fn get(&self, name: &str) -> Option<&str> {
+        let found = self.0.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    fn ms(&self, name: &str) -> Option<u64> {
+        parse_ms(self.get(name)?)
+    }
+
+    fn number(&self, name: &str) -> Option<u32> {
+        self.get(name)?.parse().ok()
+    }
+
+    fn percent(&self, name: &str) -> Option<u32> {
+        let share: f64 = self.get(name)?.parse().ok()?;
+        (0.0..=10.0)
+            .contains(&share)
+            .then(|| (share * 100.0).round() as u32)
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,236 @@
+//! The calls of the platform's store.
+//!
+//! | call | meaning |
+//! |---|---|
+//! | `POST /-/rows-tx` | a conditional transaction; 200, or 412 if a condition does not hold |
+//! | `GET /-/rows-get` | rows of one table and part, by a range of keys |
+//! | `GET /-/rows-feed` | rows that have changed since a version; 410 if that is too long ago |
+//!
+//! The product's rows lie in one table of its own, [`OWN_TABLE`], under their own keys. A row's
+//! `ver` counts the transactions of the whole store; the product takes it as the row's revision, as
+//! it only asks whether a row is still the one that it read.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::configuration;
+use crate::core::configuration::Configuration;
+use crate::store::transport::Transport;
+use crate::store::{
+    self, Condition, Error, Feed, Outcome, Position, Result, Row, Table, Told, Transaction, decode,
+    unexpected,
+};
+
+/// The table that holds the product's own rows.
+const OWN_TABLE: &str = "dragonflywall";
+/// The table that operators write; the configuration is its row [`CONFIGURATION_KEY`].
+const OPERATORS_TABLE: &str = "op";
+const CONFIGURATION_KEY: &str = "config";
+
+/// Longest wait for an answer that the store gives at once. It takes 4 ms, and up to 60 times as
+/// long when it is slow; a connection that went silent is given up soon enough to ask again while
+/// a configuration is still new.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A client of the platform's store.
+#[derive(Clone, Debug)]
+pub struct Client {
+    transport: Transport,
+}
+
+/// A row as it travels.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRow {
+    #[serde(rename = "tableName")]
+    table: String,
+    #[serde(default)]
+    part: String,
+    key: String,
+    /// In base64.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+    /// The transaction that wrote it last. In a condition: the one that must have, 0 for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ver: Option<u64>,
+    /// In a feed: the row was removed.
+    #[serde(default, skip_serializing)]
+    deleted: bool,
+}
+
+impl WireRow {
+    fn own(key: &str) -> Self {
+        Self {
+            table: OWN_TABLE.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value: None,
+            ver: None,
+            deleted: false,
+        }
+    }
+
+    fn bytes(&self) -> Result<Vec<u8>> {
+        let value = self.value.as_deref().unwrap_or("");
+        BASE64.decode(value).map_err(|error| Error::Protocol {
+            reason: format!("row `{}`: {error}", self.key),
+        })
+    }
+
+    fn into_row(self) -> Result<(String, Row)> {
+        let value = String::from_utf8(self.bytes()?).map_err(|error| Error::Protocol {
+            reason: format!("row `{}`: {error}", self.key),
+        })?;
+        let revision = self.ver.unwrap_or(0);
+        Ok((self.key, Row { revision, value }))
+    }
+}
+
+#[derive(Debug, Default, Serialize)]
+struct WireTransaction {
+    /// What must hold: the rows as they are to be now, not a revision to write at.
+    #[serde(rename = "expectedRev")]
+    conditions: Vec<WireRow>,
+    writes: Vec<WireRow>,
+    remove: Vec<WireRow>,
+}
+
+/// Rows of one moment, or what has changed up to it.
+#[derive(Debug, Deserialize)]
+struct WireRows {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+    /// The newest transaction that the answer takes in.
+    ver: u64,
+}
+
+impl Client {
+    /// A client for the store at `base`, such as `http://10.0.0.9:7000`.
+    pub fn new(base: &str, dial_from: Option<IpAddr>) -> Self {
+        Self {
+            transport: Transport::new(base, dial_from),
+        }
+    }
+
+    async fn get(&self, path: &str, timeout: Duration) -> Result<WireRows> {
+        let call = self.transport.call(Method::GET, path, Vec::new(), timeout);
+        match call.await? {
+            (StatusCode::OK, body) => decode(&body),
+            (StatusCode::GONE, _) => Err(Error::HistoryGone),
+            (status, _) => unexpected(status),
+        }
+    }
+
+    async fn own_rows(&self, from: &str, to: &str, limit: u32) -> Result<Vec<WireRow>> {
+        let path =
+            format!("/-/rows-get?tableName={OWN_TABLE}&part=&from={from}&to={to}&limit={limit}");
+        Ok(self.get(&path, ANSWER_TIMEOUT).await?.rows)
+    }
+}
+
+/// The first key behind all that begin with `prefix`, which is plain ASCII.
+fn behind(prefix: &str) -> String {
+    let mut bytes = prefix.as_bytes().to_vec();
+    if let Some(last) = bytes.last_mut() {
+        *last += 1;
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+impl Table for Client {
+    async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
+        let condition = |condition: &Condition| {
+            let (key, ver) = match condition {
+                Condition::Absent { key } => (key, 0),
+                Condition::Revision { key, revision } => (key, *revision),
+            };
+            WireRow {
+                ver: Some(ver),
+                ..WireRow::own(key)
+            }
+        };
+        let write = |(key, value): (&String, &String)| WireRow {
+            value: Some(BASE64.encode(value)),
+            ..WireRow::own(key)
+        };
+        let wire = WireTransaction {
+            conditions: transaction.conditions.iter().map(condition).collect(),
+            writes: transaction.puts.iter().map(write).collect(),
+            remove: Vec::new(),
+        };
+        let body = serde_json::to_vec(&wire).expect("a transaction always encodes");
+        let call = self
+            .transport
+            .call(Method::POST, "/-/rows-tx", body, ANSWER_TIMEOUT);
+        match call.await? {
+            (StatusCode::OK, _) => Ok(Outcome::Committed),
+            (StatusCode::PRECONDITION_FAILED, _) => Ok(Outcome::ConditionFailed),
+            (status, _) if status.is_server_error() => Err(Error::OutcomeUnknown {
+                reason: format!("status {status}"),
+            }),
+            (status, _) => unexpected(status),
+        }
+    }
+
+    async fn row(&self, key: &str) -> Result<Option<Row>> {
+        let rows = self.own_rows(key, &behind(key), 1).await?;
+        let found = rows.into_iter().find(|row| row.key == key);
+        found.map(|row| Ok(row.into_row()?.1)).transpose()
+    }
+
+    async fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<BTreeMap<String, Row>> {
+        let from = after.max(prefix);
+        let rows = self.own_rows(from, &behind(prefix), limit).await?;
+        let behind_after = rows.into_iter().filter(|row| row.key.as_str() > after);
+        behind_after.map(WireRow::into_row).collect()
+    }
+}
+
+impl Feed for Client {
+    async fn newest(&self) -> Result<Told> {
+        let path = format!(
+            "/-/rows-get?tableName={OPERATORS_TABLE}&part=&from={CONFIGURATION_KEY}&limit=1"
+        );
+        told(self.get(&path, ANSWER_TIMEOUT).await?)
+    }
+
+    async fn after(&self, position: Position, wait: Duration) -> Result<Told> {
+        let path = format!(
+            "/-/rows-feed?tableName={OPERATORS_TABLE}&after={}&waitMs={}",
+            position.0,
+            wait.as_millis()
+        );
+        told(self.get(&path, wait + ANSWER_TIMEOUT).await?)
+    }
+}
+
+fn told(answer: WireRows) -> store::Result<Told> {
+    let is_configuration =
+        |row: &&WireRow| row.key == CONFIGURATION_KEY && row.part.is_empty() && !row.deleted;
+    let newest = answer.rows.iter().rfind(is_configuration);
+    Ok(Told {
+        position: Position(answer.ver),
+        configuration: newest.and_then(readable),
+    })
+}
+
+/// The configuration in a row, unless it cannot be used: what is in force then stays in force.
+fn readable(row: &WireRow) -> Option<Configuration> {
+    let decoded = row.bytes().map_err(|error| error.to_string());
+    let decoded =
+        decoded.and_then(|bytes| configuration::decode(&bytes).map_err(|error| error.to_string()));
+    match decoded {
+        Ok(configuration) => Some(configuration),
+        Err(reason) => {
+            log::warn!(ver = row.ver.unwrap_or(0), reason; "the configuration in the store cannot be used");
+            metrics::counter!("dragonflywall_unreadable_total", "what" => "configuration")
+                .increment(1);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/tests.rs
@@ -0,0 +1,172 @@
+//! The platform's texts and bytes, and what the adapter makes of them.
+
+use std::collections::BTreeMap;
+
+use http::Method;
+
+use super::{configuration, duration, listeners, settings};
+use crate::core::configuration::{Configuration, Spill};
+use crate::core::dialect::Dialect;
+use crate::core::member::BackendState;
+use crate::core::names::{InstanceName, ServiceName};
+use crate::core::routing::RouteTable;
+use crate::core::version::Version;
+use crate::node::settings::BackendServer;
+
+const SETTINGS: &str = r#"
+nodeId = "sidecar-gijon-1"
+role = "node"
+ip = "10.1.0.8"
+zone = "gijon"
+region = "cantabrico"
+internalPortRange = [7620,7635]
+seeds = ["10.1.0.9:8306"]
+heartbeat = "1500ms"
+bounds = ["grace=6s","retryBudgetRatio=0.2","budgetExtra=56"]
+appAddr = "10.1.0.8:8301"
+service = "huvo11a"
+[listen]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[platform]
+address = "10.200.1.7:8309"
+form = "table"
+"#;
+
+#[test]
+fn times_are_read_with_their_unit() {
+    assert_eq!(duration::parse_ms("1500ms"), Some(1_500));
+    assert_eq!(duration::parse_ms("2.5s"), Some(2_500));
+    assert_eq!(duration::parse_ms("0ms"), Some(0));
+    for wrong in ["", "5", "s", "ms", "-1s", "NaNs", "1 s", "infs"] {
+        assert_eq!(duration::parse_ms(wrong), None, "`{wrong}`");
+    }
+}
+
+#[test]
+fn settings_are_told_apart_by_what_they_hold() {
+    let settings = settings::decode(SETTINGS).expect("the file is right");
+    assert_eq!(settings.dialect, Dialect::Platform);
+    assert_eq!(settings.caller_listen.to_string(), "10.1.0.8:8304");
+    assert_eq!(settings.peer_listen.to_string(), "10.1.0.8:8300");
+    assert_eq!(settings.ready_listen.expect("given").port(), 8302);
+    assert_eq!(settings.announce_listen.expect("given").port(), 8306);
+    assert_eq!(settings.platform_url, "http://10.200.1.7:8309");
+    // A seed names where backend servers announce themselves; peers connect elsewhere.
+    assert_eq!(settings.peer_seeds[0].to_string(), "10.1.0.9:8300");
+    assert_eq!(settings.drain_timeout_ms, 5_500);
+    assert_eq!(settings.retry_percent, 20);
+    assert_eq!(settings.retry_reserve, Some(56));
+}
+
+/// A file that was half written, or written by a newer platform: every fault is named at once.
+#[test]
+fn every_fault_of_a_settings_file_is_named() {
+    let broken = SETTINGS
+        .replace("ip = \"10.1.0.8\"", "ip = \"10.1.0\"")
+        .replace("service = \"huvo11a\"\n", "")
+        .replace("zone = \"gijon\"", "zone = 5");
+    let problems = settings::decode(&broken).expect_err("three faults");
+    assert_eq!(
+        problems,
+        [
+            "`ip` = `10.1.0`: invalid IP address syntax",
+            "`zone` is not a text",
+            "`service` is missing",
+        ]
+    );
+    let cut = &SETTINGS[..SETTINGS.len() / 2];
+    assert!(settings::decode(cut).is_err());
+}
+
+const CONFIGURATION: &str = r#"{"version":7,
+"routes":{"columns":["name","host","prefix","kind","timeout","targetLatency","priority","service","attempts","weightedClusters"],
+"rows":[["r-1","jepu9.example","/puka111/","non_idempotent","800ms","300ms",1,"wuno96b",2,null],
+["r-2","hulo84.example","/leny950/","idempotent","1.2s","300ms",2,null,3,[{"service":"huvo11a","weight":90},{"service":"lovo22d","weight":10}]]]},
+"services":{"columns":["name","healthPath","maxConnections","protocol","tls"],
+"rows":[["huvo11a","/healthz",110,"h1",false],["lovo22d","/healthz",110,"h1",false],["wuno96b","/healthz",110,"h1",false]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}"#;
+
+fn decoded(text: &str) -> Configuration {
+    configuration::decode(text.as_bytes()).expect("the configuration is right")
+}
+
+#[test]
+fn a_configuration_becomes_routes_by_host() {
+    let configuration = decoded(CONFIGURATION);
+    assert_eq!(configuration.version, Version(7));
+    let limits = configuration.caller_limits().expect("given");
+    assert_eq!(limits.idle_timeout_ms, 15_000);
+    let table = RouteTable::compile(&configuration).expect("it closes");
+    let payment = table.find("jepu9.example", "POST", "/puka111/2f");
+    let payment = &payment.expect("a route").branches;
+    assert_eq!(payment.len(), 1);
+    assert_eq!(payment[0].service.as_str(), "wuno96b");
+    assert!(!payment[0].treatment.idempotent);
+    assert_eq!(payment[0].treatment.spill, Spill::Mesh);
+    let read = table.find("hulo84.example", "GET", "/leny950/2f");
+    let read = &read.expect("a route").branches;
+    let parts: BTreeMap<_, _> = read
+        .iter()
+        .map(|b| (b.service.as_str(), b.weight))
+        .collect();
+    assert_eq!(parts, BTreeMap::from([("huvo11a", 90), ("lovo22d", 10)]));
+    assert_eq!(read[0].treatment.timeout_ms, 1_200);
+    assert_eq!(read[0].treatment.target_latency_ms, Some(300));
+    assert_eq!(read[0].treatment.attempts, 3);
+    // Hosts do not share their routes, and a service's own name is no host here.
+    assert!(table.find("hulo84.example", "GET", "/puka111/2f").is_none());
+    assert!(table.find("wuno96b", "POST", "/puka111/2f").is_none());
+}
+
+/// A row of the store that nobody should have written: nothing of it is used.
+#[test]
+fn an_unusable_configuration_is_refused_whole() {
+    let wrong = [
+        CONFIGURATION[..200].to_owned(),
+        CONFIGURATION.replace("\"wuno96b\",2,null", "\"nobody\",2,null"),
+        CONFIGURATION.replace("\"800ms\"", "\"-800ms\""),
+        CONFIGURATION.replace("\"maxConnections\"", "\"connections\""),
+    ];
+    for text in wrong {
+        assert!(configuration::decode(text.as_bytes()).is_err(), "{text}");
+    }
+}
+
+fn local() -> BackendServer {
+    BackendServer {
+        service: ServiceName::new("huvo11a"),
+        address: ([10, 0, 0, 9], 80).into(),
+    }
+}
+
+#[test]
+fn announcements_are_read_and_forged_ones_refused() {
+    let body = r#"{"service":"huvo11a","address":"10.0.0.9:80","zone":"gijon","version":"v1",
+        "slots":18,"state":"draining","coldRemaining":"1.5s","seq":4,"born":1792213106200}"#;
+    let read = |body: &str| {
+        listeners::announcement(&Method::PUT, "/-/instances/i-7f", body.as_bytes(), &local())
+    };
+    let announcement = read(body).expect("it is right");
+    assert_eq!(announcement.instance, Some(InstanceName::new("i-7f")));
+    assert_eq!(announcement.state, BackendState::Draining);
+    assert_eq!(announcement.slots, Some(18));
+    assert_eq!(announcement.cold_ms, 1_500);
+    assert_eq!(announcement.started_ms, Some(1_792_213_106_200));
+    let forged = [
+        body.replace("draining", "asleep"),
+        body.replace("\"seq\":4", "\"seq\":\"4\""),
+        body.replace("\"slots\":18,", ""),
+        body.replace("10.0.0.9:80", "nowhere"),
+        "\u{1}\u{2}".to_owned(),
+    ];
+    for body in forged {
+        assert!(read(&body).is_err(), "{body}");
+    }
+    let leave = listeners::announcement(&Method::DELETE, "/-/instances/i-7f", b"", &local());
+    assert_eq!(leave.expect("it is right").state, BackendState::Gone);
+    assert!(listeners::announcement(&Method::GET, "/-/instances/i-7f", b"", &local()).is_err());
+    assert!(listeners::announcement(&Method::PUT, "/-/instances/", b"{}", &local()).is_err());
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -19,3 +19,4 @@
 pub(crate) mod replay;
 pub(crate) mod slots;
 pub(crate) mod stall;
+pub(crate) mod vocabulary;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -5,13 +5,15 @@
 
 use super::body::{self, Body};
 use super::headers;
+use super::vocabulary::{self, Vocabulary};
 use crate::core::verdict::Verdict;
 use crate::decide::retry::Failed;
 
-/// Bounds of `Retry-After`. A second is the header's unit, and longer than a burst at the slots'
-/// usual turnover; beyond half a minute an estimate says nothing.
-const RETRY_AFTER_LEAST_S: u64 = 1;
-const RETRY_AFTER_MOST_S: u64 = 30;
+/// Wait before asking again where nothing estimates it: several times what an endpoint's gate takes
+/// to learn of a change.
+const RETRY_AFTER_DEFAULT_MS: u64 = 100;
+/// Longest wait that is told: beyond half a minute an estimate says nothing.
+const RETRY_AFTER_MOST_MS: u64 = 30_000;
 
 /// Why a request got no answer from a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,10 +46,14 @@
     TooDeep,
     /// The caller's request body broke off or was malformed.
     BadRequest,
+    /// The caller's request body is longer than the configuration allows.
+    BodyTooLong,
+    /// The backend server says that it has not run the request.
+    Rejected,
 }
 
 impl Reason {
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 16] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -62,6 +68,8 @@
         Self::GivenUp,
         Self::TooDeep,
         Self::BadRequest,
+        Self::BodyTooLong,
+        Self::Rejected,
     ];
 
     /// The word used in [`headers::REASON`].
@@ -81,6 +89,8 @@
             Self::GivenUp => "given-up",
             Self::TooDeep => "too-deep",
             Self::BadRequest => "bad-request",
+            Self::BodyTooLong => "body-too-long",
+            Self::Rejected => "rejected",
         }
     }
 
@@ -104,6 +114,8 @@
             Self::GivenUp => "the call that led to this one was given up",
             Self::TooDeep => "too many calls led to this one",
             Self::BadRequest => "the request is malformed or broke off",
+            Self::BodyTooLong => "the request body is longer than allowed",
+            Self::Rejected => "the endpoint's backend server did not run it",
         }
     }
 
@@ -111,6 +123,7 @@
         match self {
             Self::NoService | Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
@@ -120,7 +133,8 @@
             | Self::Full
             | Self::TooLate
             | Self::Draining
-            | Self::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Unreachable
+            | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -130,7 +144,7 @@
 pub(crate) struct Failure {
     pub(crate) verdict: Verdict,
     pub(crate) reason: Reason,
-    retry_after_s: u64,
+    retry_after_ms: u64,
 }
 
 impl Failure {
@@ -138,7 +152,7 @@
         Self {
             verdict,
             reason,
-            retry_after_s: RETRY_AFTER_LEAST_S,
+            retry_after_ms: RETRY_AFTER_DEFAULT_MS,
         }
     }
 
@@ -152,8 +166,7 @@
 
     /// Sets when asking again may help.
     pub(crate) fn retry_after_ms(mut self, ms: u64) -> Self {
-        let s = ms.div_ceil(1_000);
-        self.retry_after_s = s.clamp(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S);
+        self.retry_after_ms = ms.clamp(RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_MOST_MS);
         self
     }
 
@@ -182,12 +195,21 @@
             Verdict::NotRun => Self::not_run(reason.unwrap_or(Reason::Full)),
             _ => Self::may_have_run(reason.unwrap_or(Reason::Lost)),
         };
-        let retry_after_s = headers::number(headers, &RETRY_AFTER).unwrap_or(0);
-        Some(failure.retry_after_ms(retry_after_s.saturating_mul(1_000)))
+        let retry_after_ms = headers::number(headers, &headers::RETRY_AFTER_MS).unwrap_or(0);
+        Some(failure.retry_after_ms(retry_after_ms))
     }
 
-    /// The answer, given at once.
-    pub(crate) fn into_response(self) -> Response<Body> {
+    /// The answer of a gate to an entry.
+    pub(crate) fn into_hop_response(self) -> Response<Body> {
+        let retry_after_ms = HeaderValue::from(self.retry_after_ms);
+        let mut response = self.into_response(&vocabulary::OWN);
+        let headers = response.headers_mut();
+        headers.insert(headers::RETRY_AFTER_MS, retry_after_ms);
+        response
+    }
+
+    /// The answer to a caller, given at once.
+    pub(crate) fn into_response(self, vocabulary: &Vocabulary) -> Response<Body> {
         let mut response = Response::new(body::full(format!("{}\n", self.reason.as_str())));
         let status = self.reason.status();
         *response.status_mut() = status;
@@ -197,7 +219,7 @@
         let reason = HeaderValue::from_static(self.reason.word());
         headers.insert(headers::REASON, reason);
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            headers.insert(RETRY_AFTER, HeaderValue::from(self.retry_after_s));
+            headers.insert(RETRY_AFTER, vocabulary.retry_after(self.retry_after_ms));
         }
         response
     }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,29 +3,27 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::header::{HeaderMap, HeaderValue};
+use http::header::HeaderValue;
 use http::request::Parts;
 use http::uri::Authority;
-use http::{Request, Response, Uri};
-use hyper::body::Incoming;
+use http::{Request, Response};
+use hyper::body::{Body as _, Incoming};
 use tokio_util::sync::CancellationToken;
 
+use self::call::Call;
 use super::answer::{Failure, Reason};
-use super::body::{self, Body, Guarded};
+use super::body::Body;
 use super::calls::RetryBudget;
-use super::hop::Hop;
+use super::headers;
 use super::replay::Replay;
-use super::{gate, headers};
-use crate::core::configuration::Class;
-use crate::core::member::NodeId;
-use crate::core::names::ServiceName;
-use crate::core::routing::Route;
+use crate::core::routing::{Branch, Route};
 use crate::core::verdict::Verdict;
-use crate::decide::placement::{Endpoint, Need, Observed};
 use crate::decide::retry::{self, Attempts};
+use crate::decide::split;
 use crate::distribution::Applied;
 use crate::node::state::NodeState;
-use crate::util::clock;
+
+mod call;
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(node: Arc<NodeState>, request: Request<Incoming>) -> Response<Body> {
@@ -36,10 +34,10 @@
         .map_or(0, |applied| applied.stamp.version.0);
     let (mut parts, incoming) = request.into_parts();
     let origin = Origin::of(&node, &parts);
-    let id = request_id(&parts);
+    let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh(&mut parts.headers);
-    parts.headers.insert(headers::REQUEST_ID, id.clone());
+    mark(&node, &mut parts, id.clone());
     let result = match applied {
         _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
         None => Err(Failure::not_run(Reason::NoConfiguration)),
@@ -59,21 +57,33 @@
                 "request failed: {}", failure.reason.as_str()
             );
             count(failure.verdict);
-            failure.into_response()
+            failure.into_response(node.vocabulary)
         }
     };
     let headers = response.headers_mut();
     headers.insert(headers::VERSION, HeaderValue::from(version));
-    headers.insert(headers::REQUEST_ID, id);
+    headers.insert(&node.vocabulary.request_id, id);
     response
 }
 
+/// Puts in what the mesh tells the backend server of a caller's request.
+fn mark(node: &NodeState, parts: &mut Parts, id: HeaderValue) {
+    let vocabulary = node.vocabulary;
+    vocabulary.strip_from_caller(&mut parts.headers);
+    parts.headers.insert(&vocabulary.request_id, id);
+    let own = node.settings.backend_server.as_ref();
+    if let (Some(name), Some(own)) = (&vocabulary.caller_service, own) {
+        let service = headers::value(own.service.as_str());
+        parts.headers.insert(name, service);
+    }
+}
+
 fn count(verdict: Verdict) {
     metrics::counter!("dragonflywall_requests_total", "verdict" => verdict.as_str()).increment(1);
 }
 
-fn request_id(parts: &Parts) -> HeaderValue {
-    let given = parts.headers.get(&headers::REQUEST_ID).cloned();
+fn request_id(node: &NodeState, parts: &Parts) -> HeaderValue {
+    let given = parts.headers.get(&node.vocabulary.request_id).cloned();
     given.unwrap_or_else(|| headers::value(&format!("{:016x}", rand::random::<u64>())))
 }
 
@@ -87,7 +97,9 @@
 
 impl Origin {
     fn of(node: &NodeState, parts: &Parts) -> Self {
-        let token = headers::text(&parts.headers, &headers::CALL);
+        let vocabulary = node.vocabulary;
+        let name = vocabulary.call.as_ref();
+        let token = name.and_then(|name| headers::text(&parts.headers, name));
         match token.and_then(|token| node.calls.inherit(token)) {
             Some(inherited) => Self {
                 deadline: Some(inherited.deadline),
@@ -96,7 +108,7 @@
                 budget: inherited.budget,
             },
             None => Self {
-                deadline: None,
+                deadline: vocabulary.deadline(&parts.headers),
                 depth: 0,
                 given_up: CancellationToken::new(),
                 budget: RetryBudget::fresh(retry::RETRIES_PER_TREE),
@@ -112,25 +124,21 @@
     incoming: Incoming,
     mut origin: Origin,
 ) -> Result<Response<Body>, Failure> {
-    let service = service_of(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
-    if !applied.routes.has_service(&service) {
-        return Err(Failure::not_run(Reason::NoService));
-    }
-    let route = applied
-        .routes
-        .find(&service, parts.method.as_str(), parts.uri.path())
-        .ok_or(Failure::not_run(Reason::NoRoute))?;
+    let host = host_of(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
+    let route = route_of(applied, parts, host.host())?;
     if origin.depth > retry::DEPTH_MAX {
         return Err(Failure::not_run(Reason::TooDeep));
     }
-    let target = &route.record.target.service;
-    let limits = applied.configuration.service(target);
-    let timeout = Duration::from_millis(u64::from(route.treatment.timeout_ms));
+    check_length(applied, &incoming)?;
+    let branch = branch_of(route);
+    let limits = applied.configuration.service(&branch.service);
+    let timeout = Duration::from_millis(u64::from(branch.treatment.timeout_ms));
     let own_deadline = Instant::now() + timeout;
     let call = Call {
         node,
         parts,
-        route,
+        host: &host,
+        branch,
         slots: limits.map_or(1, |service| service.slots_per_endpoint),
         queue_len: limits.map_or(0, |service| service.queue_len),
         deadline: origin
@@ -140,7 +148,7 @@
     };
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let replay = Replay::new(incoming, stall_limit);
-    let mut attempts = Attempts::new(&route.treatment, origin.budget.retries);
+    let mut attempts = Attempts::new(&branch.treatment, origin.budget.retries);
     let given_up = origin.given_up.clone();
     // Dropping the attempts cancels the exchange under way, down to the backend server.
     let ended = given_up.run_until_cancelled(call.run(&replay, &mut attempts));
@@ -158,222 +166,38 @@
     }
 }
 
-fn service_of(parts: &Parts) -> Option<String> {
-    let host = match parts.uri.authority() {
-        Some(authority) => authority.as_str(),
-        None => headers::text(&parts.headers, &http::header::HOST)?,
+fn route_of<'a>(applied: &'a Applied, parts: &Parts, host: &str) -> Result<&'a Route, Failure> {
+    let (method, path) = (parts.method.as_str(), parts.uri.path());
+    if let Some(route) = applied.routes.find(host, method, path) {
+        return Ok(route);
+    }
+    let reason = match applied.routes.has_host(host) {
+        true => Reason::NoRoute,
+        false => Reason::NoService,
     };
-    let authority: Authority = host.parse().ok()?;
-    Some(authority.host().to_owned())
+    Err(Failure::not_run(reason))
 }
 
-/// A routed request.
-struct Call<'a> {
-    node: &'a Arc<NodeState>,
-    parts: &'a Parts,
-    route: &'a Route,
-    slots: u32,
-    queue_len: u32,
-    deadline: Instant,
-    depth: u32,
-}
-
-impl Call<'_> {
-    fn service(&self) -> &ServiceName {
-        &self.route.record.target.service
-    }
-
-    async fn run(
-        &self,
-        replay: &Replay,
-        attempts: &mut Attempts,
-    ) -> Result<Response<Body>, Failure> {
-        self.node.retry_tokens().entry_for(self.service()).earn();
-        let mut tried: Vec<NodeId> = Vec::new();
-        let mut verdict = Verdict::NotRun;
-        let mut last = None;
-        loop {
-            let Some(endpoint) = self.choose(&tried) else {
-                let none = Failure::not_run(Reason::NoEndpoint);
-                return Err(last.unwrap_or(none).after(verdict));
-            };
-            let retries = attempts.passed_down();
-            let failure = match self.attempt(endpoint, replay.next(), retries).await {
-                Ok(response) => return Ok(response),
-                Err(failure) => failure,
-            };
-            // One attempt that may have run taints all that follow: a later refusal proves
-            // nothing of the earlier attempt.
-            if failure.verdict != Verdict::NotRun {
-                verdict = Verdict::MayHaveRun;
-            }
-            let failed = failure.failed();
-            let again = {
-                let mut tokens = self.node.retry_tokens();
-                attempts.again(failed, tokens.entry_for(self.service()))
-            };
-            if !again || !replay.has_next() || Instant::now() >= self.deadline {
-                return Err(failure.after(verdict));
-            }
-            metrics::counter!("dragonflywall_retries_total").increment(1);
-            tried.push(endpoint.node);
-            last = Some(failure);
-        }
-    }
-
-    fn choose(&self, tried: &[NodeId]) -> Option<Endpoint> {
-        let view = self.node.view.load();
-        let ranked = view.endpoints.get(self.service())?;
-        let need = Need {
-            spill: self.route.treatment.spill,
-            slots: self.slots,
-            queue_len: self.queue_len,
-            tried,
-        };
-        let now_us = clock::since_us(self.node.started);
-        let mut balancer = self.node.balancer();
-        let endpoint = balancer.choose(now_us, ranked, &need, &mut rand::rng())?;
-        balancer.begun(now_us, &endpoint);
-        Some(endpoint)
-    }
-
-    async fn attempt(
-        &self,
-        endpoint: Endpoint,
-        body: Body,
-        retries: u32,
-    ) -> Result<Response<Body>, Failure> {
-        let outstanding = Outstanding {
-            node: Arc::clone(self.node),
-            endpoint: endpoint.node,
-        };
-        let hop = Hop {
-            service: self.service().clone(),
-            class: self.route.treatment.class,
-            deadline: self.deadline,
-            depth: self.depth,
-            retries,
-        };
-        let began = Instant::now();
-        let result = if endpoint.node == self.node.me {
-            let request = self.request(body);
-            let result = gate::run(self.node, &hop, request).await;
-            let load_percent = self.node.admission().load_percent();
-            let now_us = clock::since_us(self.node.started);
-            self.node
-                .balancer()
-                .reported(now_us, endpoint.node, load_percent);
-            result
-        } else {
-            self.send(&endpoint, &hop, body).await
-        };
-        self.observe(&endpoint, began, &result);
-        result.map(|response| response.map(|inner| body::boxed(Guarded::new(inner, outstanding))))
-    }
-
-    async fn send(
-        &self,
-        endpoint: &Endpoint,
-        hop: &Hop,
-        body: Body,
-    ) -> Result<Response<Body>, Failure> {
-        let sender = self.node.peers.sender(endpoint.address);
-        let mut sender = tokio::time::timeout_at(self.deadline.into(), sender)
-            .await
-            .map_err(|_| Failure::not_run(Reason::TooLate))??;
-        let mut request = self.request(body);
-        hop.write(request.headers_mut());
-        let exchange = sender.send(request);
-        let response = tokio::time::timeout_at(self.deadline.into(), exchange)
-            .await
-            .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-        let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) else {
-            log::warn!(peer:% = endpoint.node; "an answer came from no gate: look at the mesh token");
-            return Err(without_gate(response.headers()));
-        };
-        let load = u32::try_from(load).unwrap_or(u32::MAX);
-        let now_us = clock::since_us(self.node.started);
-        self.node.balancer().reported(now_us, endpoint.node, load);
-        match Failure::from_headers(response.headers()) {
-            None => Ok(response.map(body::boxed)),
-            Some(failure) => Err(failure),
-        }
-    }
-
-    /// Tells the balancer what this attempt has shown of its endpoint.
-    fn observe(
-        &self,
-        endpoint: &Endpoint,
-        began: Instant,
-        result: &Result<Response<Body>, Failure>,
-    ) {
-        let observed = match result {
-            Ok(response) => {
-                // Bulk work takes as long as its body is large, which says nothing of the endpoint.
-                let interactive = self.route.treatment.class == Class::Interactive;
-                Observed::Answered {
-                    latency_us: interactive.then(|| clock::since_us(began)),
-                    server_error: response.status().is_server_error(),
-                }
-            }
-            Err(failure) => match failure.reason {
-                Reason::Draining | Reason::NoEndpoint => Observed::Draining,
-                Reason::Unreachable => Observed::Unreachable,
-                Reason::Lost | Reason::Deadline => Observed::Lost,
-                _ => Observed::Refused,
-            },
-        };
-        let now_us = clock::since_us(self.node.started);
-        self.node
-            .balancer()
-            .observed(now_us, endpoint.node, observed);
-    }
-
-    fn request(&self, body: Body) -> Request<Body> {
-        let mut request = Request::new(body);
-        *request.method_mut() = self.parts.method.clone();
-        *request.uri_mut() = absolute(self.parts, self.service());
-        *request.version_mut() = http::Version::HTTP_2;
-        *request.headers_mut() = self.parts.headers.clone();
-        request.headers_mut().remove(http::header::HOST);
-        request
-    }
+fn branch_of(route: &Route) -> &Branch {
+    let weights = route.branches.iter().map(|branch| branch.weight);
+    &route.branches[split::branch(weights, route.next_turn())]
 }
 
-/// Only a gate says its load. An answer without it is a peer listener's refusal of the mesh token,
-/// which says itself that nothing ran, or comes from a program that is no node.
-///
-/// Failure guarded against: a VM's address passes to another program while the mesh still routes to
-/// it; that program runs a payment and the entry sends it to a second endpoint. Only the mesh's own
-/// words prove "not run", and such a program does not send them.
-fn without_gate(headers: &HeaderMap) -> Failure {
-    match Failure::from_headers(headers) {
-        Some(failure) if failure.verdict == Verdict::NotRun => {
-            Failure::not_run(Reason::Unreachable)
-        }
-        _ => Failure::may_have_run(Reason::Lost),
+/// Refuses a body that says from the start that it is too long; see [`Replay`] for the others.
+fn check_length(applied: &Applied, incoming: &Incoming) -> Result<(), Failure> {
+    let limits = applied.configuration.caller_limits();
+    let most = limits.map_or(u64::MAX, |limits| limits.body_max_bytes);
+    match incoming.size_hint().lower() > most {
+        true => Err(Failure::not_run(Reason::BodyTooLong)),
+        false => Ok(()),
     }
 }
 
-fn absolute(parts: &Parts, service: &ServiceName) -> Uri {
-    let path = parts.uri.path_and_query();
-    let path = path.map_or("/", |path| path.as_str());
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority(service.as_str())
-        .path_and_query(path)
-        .build();
-    uri.expect("a name is an authority and the path was parsed before")
-}
-
-/// Counts one request at its endpoint until its answer has been passed on or given up.
-struct Outstanding {
-    node: Arc<NodeState>,
-    endpoint: NodeId,
-}
-
-impl Drop for Outstanding {
-    fn drop(&mut self) {
-        self.node.balancer().ended(self.endpoint);
+fn host_of(parts: &Parts) -> Option<Authority> {
+    match parts.uri.authority() {
+        Some(authority) => Some(authority.clone()),
+        None => headers::text(&parts.headers, &http::header::HOST)?
+            .parse()
+            .ok(),
     }
 }
--- /dev/null
+++ b/src/proxy/entry/call.rs
@@ -0,0 +1,237 @@
+//! The attempts of one routed request.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::header::HeaderMap;
+use http::request::Parts;
+use http::uri::Authority;
+use http::{Request, Response, Uri};
+
+use crate::core::configuration::Class;
+use crate::core::member::NodeId;
+use crate::core::names::ServiceName;
+use crate::core::routing::Branch;
+use crate::core::verdict::Verdict;
+use crate::decide::placement::{Endpoint, Need, Observed};
+use crate::decide::retry::Attempts;
+use crate::node::state::NodeState;
+use crate::proxy::answer::{Failure, Reason};
+use crate::proxy::body::{self, Body, Guarded};
+use crate::proxy::hop::Hop;
+use crate::proxy::replay::Replay;
+use crate::proxy::{gate, headers};
+use crate::util::clock;
+
+/// A routed request.
+pub(super) struct Call<'a> {
+    pub(super) node: &'a Arc<NodeState>,
+    pub(super) parts: &'a Parts,
+    /// What the caller named as the host.
+    pub(super) host: &'a Authority,
+    pub(super) branch: &'a Branch,
+    pub(super) slots: u32,
+    pub(super) queue_len: u32,
+    pub(super) deadline: Instant,
+    pub(super) depth: u32,
+}
+
+impl Call<'_> {
+    fn service(&self) -> &ServiceName {
+        &self.branch.service
+    }
+
+    pub(super) async fn run(
+        &self,
+        replay: &Replay,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Failure> {
+        self.node.retry_tokens().entry_for(self.service()).earn();
+        let mut tried: Vec<NodeId> = Vec::new();
+        let mut verdict = Verdict::NotRun;
+        let mut last = None;
+        loop {
+            let Some(endpoint) = self.choose(&tried) else {
+                let none = Failure::not_run(Reason::NoEndpoint);
+                return Err(last.unwrap_or(none).after(verdict));
+            };
+            let retries = attempts.passed_down();
+            let failure = match self.attempt(endpoint, replay.next(), retries).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            // One attempt that may have run taints all that follow: a later refusal proves
+            // nothing of the earlier attempt.
+            if failure.verdict != Verdict::NotRun {
+                verdict = Verdict::MayHaveRun;
+            }
+            let failed = failure.failed();
+            let again = {
+                let mut tokens = self.node.retry_tokens();
+                attempts.again(failed, tokens.entry_for(self.service()))
+            };
+            if !again || !replay.has_next() || Instant::now() >= self.deadline {
+                return Err(failure.after(verdict));
+            }
+            metrics::counter!("dragonflywall_retries_total").increment(1);
+            tried.push(endpoint.node);
+            last = Some(failure);
+        }
+    }
+
+    fn choose(&self, tried: &[NodeId]) -> Option<Endpoint> {
+        let view = self.node.view.load();
+        let ranked = view.endpoints.get(self.service())?;
+        let need = Need {
+            spill: self.branch.treatment.spill,
+            slots: self.slots,
+            queue_len: self.queue_len,
+            tried,
+        };
+        let now_us = clock::since_us(self.node.started);
+        let mut balancer = self.node.balancer();
+        let endpoint = balancer.choose(now_us, ranked, &need, &mut rand::rng())?;
+        balancer.begun(now_us, &endpoint);
+        Some(endpoint)
+    }
+
+    async fn attempt(
+        &self,
+        endpoint: Endpoint,
+        body: Body,
+        retries: u32,
+    ) -> Result<Response<Body>, Failure> {
+        let outstanding = Outstanding {
+            node: Arc::clone(self.node),
+            endpoint: endpoint.node,
+        };
+        let hop = Hop {
+            service: self.service().clone(),
+            class: self.branch.treatment.class,
+            deadline: self.deadline,
+            depth: self.depth,
+            retries,
+        };
+        let began = Instant::now();
+        let result = if endpoint.node == self.node.me {
+            let request = self.request(body);
+            let result = gate::run(self.node, &hop, request).await;
+            let load_percent = self.node.admission().load_percent();
+            let now_us = clock::since_us(self.node.started);
+            self.node
+                .balancer()
+                .reported(now_us, endpoint.node, load_percent);
+            result
+        } else {
+            self.send(&endpoint, &hop, body).await
+        };
+        self.observe(&endpoint, began, &result);
+        result.map(|response| response.map(|inner| body::boxed(Guarded::new(inner, outstanding))))
+    }
+
+    async fn send(
+        &self,
+        endpoint: &Endpoint,
+        hop: &Hop,
+        body: Body,
+    ) -> Result<Response<Body>, Failure> {
+        let sender = self.node.peers.sender(endpoint.address);
+        let mut sender = tokio::time::timeout_at(self.deadline.into(), sender)
+            .await
+            .map_err(|_| Failure::not_run(Reason::TooLate))??;
+        let mut request = self.request(body);
+        hop.write(request.headers_mut());
+        let exchange = sender.send(request);
+        let response = tokio::time::timeout_at(self.deadline.into(), exchange)
+            .await
+            .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
+        let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) else {
+            log::warn!(peer:% = endpoint.node; "an answer came from no gate: look at the mesh token");
+            return Err(without_gate(response.headers()));
+        };
+        let load = u32::try_from(load).unwrap_or(u32::MAX);
+        let now_us = clock::since_us(self.node.started);
+        self.node.balancer().reported(now_us, endpoint.node, load);
+        match Failure::from_headers(response.headers()) {
+            None => Ok(response.map(body::boxed)),
+            Some(failure) => Err(failure),
+        }
+    }
+
+    /// Tells the balancer what this attempt has shown of its endpoint.
+    fn observe(
+        &self,
+        endpoint: &Endpoint,
+        began: Instant,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let observed = match result {
+            Ok(response) => {
+                // Bulk work takes as long as its body is large, which says nothing of the endpoint.
+                let interactive = self.branch.treatment.class == Class::Interactive;
+                Observed::Answered {
+                    latency_us: interactive.then(|| clock::since_us(began)),
+                    server_error: response.status().is_server_error(),
+                }
+            }
+            Err(failure) => match failure.reason {
+                Reason::Draining | Reason::NoEndpoint => Observed::Draining,
+                Reason::Unreachable => Observed::Unreachable,
+                Reason::Lost | Reason::Deadline => Observed::Lost,
+                _ => Observed::Refused,
+            },
+        };
+        let now_us = clock::since_us(self.node.started);
+        self.node
+            .balancer()
+            .observed(now_us, endpoint.node, observed);
+    }
+
+    fn request(&self, body: Body) -> Request<Body> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = absolute(self.parts, self.host);
+        *request.version_mut() = http::Version::HTTP_2;
+        *request.headers_mut() = self.parts.headers.clone();
+        request.headers_mut().remove(http::header::HOST);
+        request
+    }
+}
+
+/// Only a gate says its load. An answer without it is a peer listener's refusal of the mesh token,
+/// which says itself that nothing ran, or comes from a program that is no node.
+///
+/// Failure guarded against: a VM's address passes to another program while the mesh still routes to
+/// it; that program runs a payment and the entry sends it to a second endpoint. Only the mesh's own
+/// words prove "not run", and such a program does not send them.
+fn without_gate(headers: &HeaderMap) -> Failure {
+    match Failure::from_headers(headers) {
+        Some(failure) if failure.verdict == Verdict::NotRun => {
+            Failure::not_run(Reason::Unreachable)
+        }
+        _ => Failure::may_have_run(Reason::Lost),
+    }
+}
+
+fn absolute(parts: &Parts, host: &Authority) -> Uri {
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(host.clone())
+        .path_and_query(path)
+        .build();
+    uri.expect("authority and path were parsed before")
+}
+
+/// Counts one request at its endpoint until its answer has been passed on or given up.
+struct Outstanding {
+    node: Arc<NodeState>,
+    endpoint: NodeId,
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.node.balancer().ended(self.endpoint);
+    }
+}
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use http::header::{self, HeaderValue};
-use http::{Request, Response};
+use http::header::{self, HeaderMap, HeaderValue};
+use http::uri::Authority;
+use http::{Request, Response, StatusCode};
 
 use super::answer::{Failure, Reason};
 use super::body::{self, Body, Guarded};
@@ -11,6 +12,7 @@
 use super::headers;
 use super::hop::Hop;
 use super::slots::Slot;
+use crate::node::local::LocalBackend;
 use crate::node::state::NodeState;
 
 /// Serves a request from another node: all outcomes become answers with the mesh's headers.
@@ -19,7 +21,7 @@
         Some(hop) => run(&node, &hop, request).await,
         None => Err(Failure::not_run(Reason::BadRequest)),
     };
-    let mut response = result.unwrap_or_else(Failure::into_response);
+    let mut response = result.unwrap_or_else(Failure::into_hop_response);
     let load = HeaderValue::from(node.admission().load_percent());
     response.headers_mut().insert(headers::LOAD_PERCENT, load);
     response
@@ -34,34 +36,86 @@
     hop: &Hop,
     mut request: Request<Body>,
 ) -> Result<Response<Body>, Failure> {
-    let backend = node.backend.load_full();
-    let backend = backend.filter(|backend| backend.service == hop.service);
-    let backend = backend.ok_or(Failure::not_run(Reason::NoEndpoint))?;
+    serving(node, hop)?;
     let slot = Slot::take(node, hop.class, hop.queue_deadline()).await?;
+    // Another backend server may have taken the address while the request waited.
+    let backend = serving(node, hop)?;
     let mut running = node.calls.begin(hop);
-    prepare(&mut request, hop, &running);
+    prepare(node, &mut request, hop, &backend, &running);
+    let id = request.headers().get(&node.vocabulary.request_id).cloned();
     let exchange = node.pool.send(backend.address, request);
     let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
         .await
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
+    let response = judge(node, &backend, id.as_ref(), response)?;
     let unspent = running.answered();
     Ok(finish(response, unspent, (slot, running)))
 }
 
-fn prepare(request: &mut Request<Body>, hop: &Hop, running: &Running) {
+fn serving(node: &NodeState, hop: &Hop) -> Result<Arc<LocalBackend>, Failure> {
+    let backend = node.backend.load_full();
+    let backend = backend.filter(|backend| backend.service == hop.service);
+    backend.ok_or(Failure::not_run(Reason::NoEndpoint))
+}
+
+fn prepare(
+    node: &NodeState,
+    request: &mut Request<Body>,
+    hop: &Hop,
+    backend: &LocalBackend,
+    running: &Running,
+) {
+    let vocabulary = node.vocabulary;
+    // Callers may name a host of a route instead of the service.
+    let host = request.uri().authority().map(Authority::as_str);
+    let host = headers::value(host.unwrap_or(hop.service.as_str()));
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = path.map_or_else(http::Uri::default, Into::into);
     *request.version_mut() = http::Version::HTTP_11;
     let headers = request.headers_mut();
     headers::strip_mesh(headers);
-    headers.insert(header::HOST, headers::value(hop.service.as_str()));
-    headers.insert(headers::DEADLINE_MS, hop.remaining_ms());
-    headers.insert(headers::CALL, headers::value(&running.token()));
+    headers.insert(header::HOST, host);
+    headers.insert(&vocabulary.deadline_ms, hop.remaining_ms());
+    if let Some(name) = &vocabulary.call {
+        headers.insert(name, headers::value(&running.token()));
+    }
+    if let (Some(name), Some(instance)) = (&vocabulary.expected_instance, &backend.instance) {
+        headers.insert(name, headers::value(instance.as_str()));
+    }
+}
+
+/// Whether the backend server's answer is one to this request.
+fn judge(
+    node: &Arc<NodeState>,
+    backend: &LocalBackend,
+    id: Option<&HeaderValue>,
+    response: Response<Body>,
+) -> Result<Response<Body>, Failure> {
+    let vocabulary = node.vocabulary;
+    let (parts, body) = response.into_parts();
+    if !vocabulary.answers(id, &parts) {
+        log::warn!(status = parts.status.as_u16(); "an answer of the backend server belongs to no request");
+        // The connection goes with the body, which is not read.
+        return Err(Failure::may_have_run(Reason::Lost));
+    }
+    if expects_another(vocabulary.expected_instance.is_some(), &parts.status) {
+        node.mistaken(backend);
+        return Err(Failure::not_run(Reason::NoEndpoint));
+    }
+    if vocabulary.says_not_run(&parts.headers) {
+        return Err(Failure::not_run(Reason::Rejected));
+    }
+    Ok(Response::from_parts(parts, body))
+}
+
+/// A request that names an instance is turned away by any other.
+fn expects_another(named: bool, status: &StatusCode) -> bool {
+    named && *status == StatusCode::MISDIRECTED_REQUEST
 }
 
 fn finish(response: Response<Body>, unspent: u32, held: (Slot, Running)) -> Response<Body> {
     let mut response = response.map(|inner| body::boxed(Guarded::new(inner, held)));
-    let headers = response.headers_mut();
+    let headers: &mut HeaderMap = response.headers_mut();
     headers::strip_hop_by_hop(headers);
     headers::strip_mesh(headers);
     headers.insert(headers::RETRIES, HeaderValue::from(unspent));
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -28,6 +28,9 @@
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
 /// On a failed answer: why, as one word.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("x-dragonflywall-reason");
+/// On a failed answer between nodes: when asking again may help, in milliseconds.
+pub(crate) const RETRY_AFTER_MS: HeaderName =
+    HeaderName::from_static("x-dragonflywall-retry-after-ms");
 /// On every request between nodes and to an operator listener: the mesh token.
 pub(crate) const TOKEN: HeaderName = HeaderName::from_static(TOKEN_HEADER);
 /// On every answer to a caller: the configuration version it was served under.
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -180,6 +180,22 @@
     serve(listener, builder, stop.clone(), stop, handle).await;
 }
 
+/// Answers the platform's questions for readiness and takes what the VM's backend server says, each
+/// at an address of its own. Whoever reaches these addresses may ask.
+pub(crate) async fn serve_platform(
+    listener: TcpListener,
+    operator: Arc<Operator>,
+    stop: CancellationToken,
+) {
+    let handle = move |request: Request<Incoming>| {
+        let operator = Arc::clone(&operator);
+        async move { operator.handle_platform(request).await.map(body::boxed) }
+    };
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
+    builder.http1().timer(TokioTimer::new());
+    serve(listener, builder, stop.clone(), stop, handle).await;
+}
+
 /// Failure guarded against: a process that is no part of the mesh sends data past every entry, or
 /// commands a node. It shows as requests that no entry logged. Without the secret nothing of the
 /// request is looked at, so the guard holds.
--- /dev/null
+++ b/src/proxy/vocabulary.rs
@@ -0,0 +1,112 @@
+//! Names of the headers that a node exchanges with callers and backend servers.
+//!
+//! The product has names of its own ([`OWN`]); [`crate::platform`] has those of the users' platform.
+//! Headers between nodes are the same under both, see [`super::headers`].
+
+use std::time::{Duration, Instant};
+
+use http::HeaderName;
+use http::header::{HeaderMap, HeaderValue};
+
+use super::headers;
+use crate::core::dialect::Dialect;
+
+/// One set of names, and what goes with them.
+#[derive(Debug)]
+pub(crate) struct Vocabulary {
+    /// Names a request. A caller that tries again gives each try a name of its own.
+    pub(crate) request_id: HeaderName,
+    /// Milliseconds until nobody waits for the answer any more.
+    pub(crate) deadline_ms: HeaderName,
+    /// Callers say themselves until when they wait; else only their route's timeout counts.
+    pub(crate) callers_say_deadline: bool,
+    /// To a backend server: names the running call, to be copied to the calls that it makes.
+    pub(crate) call: Option<HeaderName>,
+    /// To a backend server: the service on whose VM the request began.
+    pub(crate) caller_service: Option<HeaderName>,
+    /// To a backend server: the only instance that may run the request.
+    pub(crate) expected_instance: Option<HeaderName>,
+    /// From a backend server: the request of this answer has not run.
+    pub(crate) not_run: Option<HeaderName>,
+    /// Backend servers repeat `request_id` in their answers, so an answer to another request is
+    /// known as such.
+    pub(crate) answers_repeat_id: bool,
+    /// From a backend server: on each success, the mark that it is whole and its own.
+    pub(crate) seal: Option<HeaderName>,
+    /// `Retry-After` may have fractions of a second.
+    pub(crate) retry_after_has_fractions: bool,
+}
+
+/// The product's own names.
+pub(crate) static OWN: Vocabulary = Vocabulary {
+    request_id: headers::REQUEST_ID,
+    deadline_ms: headers::DEADLINE_MS,
+    callers_say_deadline: false,
+    call: Some(headers::CALL),
+    caller_service: None,
+    expected_instance: None,
+    not_run: None,
+    answers_repeat_id: false,
+    seal: None,
+    retry_after_has_fractions: false,
+};
+
+impl Vocabulary {
+    /// The names of a dialect.
+    pub(crate) fn of(dialect: Dialect) -> &'static Self {
+        match dialect {
+            Dialect::Own => &OWN,
+            Dialect::Platform => &crate::platform::headers::VOCABULARY,
+        }
+    }
+
+    /// Until when a caller waits, if it says so.
+    pub(crate) fn deadline(&self, from: &HeaderMap) -> Option<Instant> {
+        if !self.callers_say_deadline {
+            return None;
+        }
+        let remaining_ms = headers::number(from, &self.deadline_ms)?;
+        Instant::now().checked_add(Duration::from_millis(remaining_ms))
+    }
+
+    /// The value of `Retry-After`: whole seconds, rounded up, unless fractions are understood.
+    pub(crate) fn retry_after(&self, ms: u64) -> HeaderValue {
+        if !self.retry_after_has_fractions {
+            return HeaderValue::from(ms.div_ceil(1_000));
+        }
+        headers::value(&format!("{}.{:03}", ms / 1_000, ms % 1_000))
+    }
+
+    /// Drops from a caller's request what only the mesh may say to a backend server.
+    pub(crate) fn strip_from_caller(&self, from: &mut HeaderMap) {
+        let reserved = [&self.call, &self.caller_service, &self.expected_instance];
+        for name in reserved.into_iter().flatten() {
+            from.remove(name);
+        }
+    }
+
+    /// Whether a backend server says that it has not run the request of this answer.
+    pub(crate) fn says_not_run(&self, answer: &HeaderMap) -> bool {
+        let name = self.not_run.as_ref();
+        name.is_some_and(|name| answer.contains_key(name))
+    }
+
+    /// Whether an answer is a backend server's to the request with this id, as far as answers say.
+    ///
+    /// Failure guarded against: a backend server answers twice, and the second answer comes where
+    /// the next request's is expected; or bytes that happen to look like an answer do. It shows as
+    /// one caller's answer at another. The guard holds as only the right answer has the id, and
+    /// nothing counts as a success without it.
+    pub(crate) fn answers(&self, id: Option<&HeaderValue>, answer: &http::response::Parts) -> bool {
+        if !self.answers_repeat_id {
+            return true;
+        }
+        let success = answer.status.is_success();
+        let sealed = self.seal.as_ref();
+        let sealed = sealed.is_none_or(|name| answer.headers.contains_key(name));
+        match answer.headers.get(&self.request_id) {
+            Some(of) => Some(of) == id && (sealed || !success),
+            None => !success,
+        }
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,20 +1,27 @@
 //! The platform's transactional table and object store, behind traits.
 //!
-//! The traits are the edge of a process: [`http::HttpStore`] speaks to the platform over
-//! HTTP/JSON, tests put a fake in its place. A write whose answer was lost is an error of its own,
-//! [`Error::OutcomeUnknown`], since it must be looked up and never simply repeated.
+//! The traits are the edge of a process: [`http::HttpStore`] speaks the product's own protocol,
+//! [`crate::platform::store::Client`] that of the users' platform, and tests put a fake in their
+//! place. A write whose answer was lost is an error of its own, [`Error::OutcomeUnknown`], since it
+//! must be looked up and never simply repeated.
 
 pub mod http;
 pub mod patient;
 pub mod rows;
+pub(crate) mod transport;
 
 use std::collections::BTreeMap;
 use std::future::Future;
 
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use self::http::HttpStore;
+use crate::core::configuration::Configuration;
 use crate::core::version::Digest;
+use crate::platform::store::Client;
 
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -43,6 +50,24 @@
         /// As reported.
         reason: String,
     },
+    /// It no longer knows what has changed since the position that was asked for.
+    #[snafu(display("the platform has dropped the history that was asked for"))]
+    HistoryGone,
+}
+
+/// The body of an answer.
+pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| Error::Protocol {
+        reason: error.to_string(),
+    })
+}
+
+/// An answer whose status the protocol does not have here.
+pub(crate) fn unexpected<T>(status: StatusCode) -> Result<T> {
+    ProtocolSnafu {
+        reason: format!("status {status}"),
+    }
+    .fail()
 }
 
 /// A row as stored.
@@ -114,3 +139,59 @@
     /// Reads an object.
     fn object(&self, digest: &Digest) -> impl Future<Output = Result<Option<Vec<u8>>>> + Send;
 }
+
+/// A place in the history of a configuration feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position(pub u64);
+
+/// What a feed told.
+#[derive(Debug)]
+pub struct Told {
+    /// Where to go on from.
+    pub position: Position,
+    /// The newest configuration, if there is one that was not told before.
+    pub configuration: Option<Configuration>,
+}
+
+/// A configuration that operators write into the store as a whole, instead of publishing it.
+pub trait Feed: Send + Sync + 'static {
+    /// The newest configuration.
+    fn newest(&self) -> impl Future<Output = Result<Told>> + Send;
+    /// The newest configuration written after `position`, or nothing after about `wait`. A configuration that
+    /// cannot be used is left out.
+    fn after(
+        &self,
+        position: Position,
+        wait: std::time::Duration,
+    ) -> impl Future<Output = Result<Told>> + Send;
+}
+
+/// The store that a node was set up with.
+#[derive(Clone, Debug)]
+pub(crate) enum NodeStore {
+    Own(HttpStore),
+    Platform(Client),
+}
+
+impl Table for NodeStore {
+    async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
+        match self {
+            Self::Own(store) => store.transact(transaction).await,
+            Self::Platform(store) => store.transact(transaction).await,
+        }
+    }
+
+    async fn row(&self, key: &str) -> Result<Option<Row>> {
+        match self {
+            Self::Own(store) => store.row(key).await,
+            Self::Platform(store) => store.row(key).await,
+        }
+    }
+
+    async fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<BTreeMap<String, Row>> {
+        match self {
+            Self::Own(store) => store.rows(prefix, after, limit).await,
+            Self::Platform(store) => store.rows(prefix, after, limit).await,
+        }
+    }
+}
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -14,92 +14,36 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 
-use super::{
-    Error, ObjectStore, Outcome, ProtocolSnafu, Result, Row, Table, Transaction, UnavailableSnafu,
-};
+use super::transport::Transport;
+use super::{Error, ObjectStore, Outcome, Result, Row, Table, Transaction, decode, unexpected};
 use crate::core::version::Digest;
 
 /// Longest wait for one answer. The platform may be slow for long; a caller that waits on it does
 /// nothing else, so it tries again later instead.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Idle connections are closed: 520 nodes that ask every few seconds must not hold the platform's
-/// connections open.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The platform over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
-    base: String,
-    client: Client<HttpConnector, Full<Bytes>>,
+    transport: Transport,
 }
 
 impl HttpStore {
     /// A client for the platform at `base`, such as `http://10.0.0.9:7000`. `dial_from` is the
     /// local address to connect from, if it matters.
     pub fn new(base: &str, dial_from: Option<IpAddr>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_local_address(dial_from);
-        connector.set_reuse_address(true);
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
-            .build(connector);
         Self {
-            base: base.trim_end_matches('/').to_owned(),
-            client,
+            transport: Transport::new(base, dial_from),
         }
     }
 
     async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<(StatusCode, Bytes)> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("{}{path}", self.base))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| Error::Protocol {
-                reason: error.to_string(),
-            })?;
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| {
-                let reason = with_causes(&error);
-                // Only a failed connect proves that the platform saw nothing of a write.
-                if error.is_connect() {
-                    Error::Unavailable { reason }
-                } else {
-                    Error::OutcomeUnknown { reason }
-                }
-            })?;
-            let status = response.status();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|error| Error::OutcomeUnknown {
-                reason: error.to_string(),
-            })?;
-            Ok((status, body.to_bytes()))
-        };
-        let (status, body) = tokio::time::timeout(ANSWER_TIMEOUT, exchange)
+        self.transport
+            .call(method, path, body, ANSWER_TIMEOUT)
             .await
-            .map_err(|_| Error::OutcomeUnknown {
-                reason: format!("no answer in {} ms", ANSWER_TIMEOUT.as_millis()),
-            })??;
-        match status {
-            StatusCode::TOO_MANY_REQUESTS => Err(Error::Busy),
-            StatusCode::SERVICE_UNAVAILABLE => UnavailableSnafu {
-                reason: "it reports an outage",
-            }
-            .fail(),
-            _ => Ok((status, body)),
-        }
     }
 
     async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>> {
@@ -111,30 +55,6 @@
     }
 }
 
-fn with_causes(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| Error::Protocol {
-        reason: error.to_string(),
-    })
-}
-
-fn unexpected<T>(status: StatusCode) -> Result<T> {
-    ProtocolSnafu {
-        reason: format!("status {status}"),
-    }
-    .fail()
-}
-
 impl Table for HttpStore {
     async fn transact(&self, transaction: &Transaction) -> Result<Outcome> {
         let body = serde_json::to_vec(transaction).expect("a transaction always encodes");
--- /dev/null
+++ b/src/store/transport.rs
@@ -0,0 +1,114 @@
+//! One call to the store over HTTP, and what its outcome proves.
+//!
+//! 429 is a rate ceiling and 503 an outage; both are answered before anything is done. A connection
+//! that could not be made proves the same. Whatever else goes wrong proves nothing of a write.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use super::{Error, Result, UnavailableSnafu};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle connections are closed: 520 nodes that ask every few seconds must not hold the store's
+/// connections open.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client of one store, whatever it speaks over HTTP.
+#[derive(Clone, Debug)]
+pub(crate) struct Transport {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    base: String,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Transport {
+    /// A client for the store at `base`, such as `http://10.0.0.9:7000`. `dial_from` is the local
+    /// address to connect from, if it matters.
+    pub(crate) fn new(base: &str, dial_from: Option<IpAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_local_address(dial_from);
+        connector.set_reuse_address(true);
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        let base = base.trim_end_matches('/').to_owned();
+        Self {
+            shared: Arc::new(Shared { base, client }),
+        }
+    }
+
+    /// Makes a call and waits for its whole answer, `timeout` at most.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.shared.base))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| Error::Protocol {
+                reason: error.to_string(),
+            })?;
+        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
+        let (status, body) = answer.map_err(|_| Error::OutcomeUnknown {
+            reason: format!("no answer in {} ms", timeout.as_millis()),
+        })??;
+        match status {
+            StatusCode::TOO_MANY_REQUESTS => Err(Error::Busy),
+            StatusCode::SERVICE_UNAVAILABLE => UnavailableSnafu {
+                reason: "it reports an outage",
+            }
+            .fail(),
+            _ => Ok((status, body)),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
+        let response = self.shared.client.request(request).await.map_err(|error| {
+            let reason = with_causes(&error);
+            // Only a failed connect proves that the store saw nothing of a write.
+            if error.is_connect() {
+                Error::Unavailable { reason }
+            } else {
+                Error::OutcomeUnknown { reason }
+            }
+        })?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| Error::OutcomeUnknown {
+            reason: error.to_string(),
+        })?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
+fn with_causes(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/tests/testsuite/decide_retry.rs
+++ b/tests/testsuite/decide_retry.rs
@@ -1,6 +1,6 @@
 //! Retries: what may be tried again, and how much a whole tree of calls may spend.
 
-use dragonflywall::core::configuration::{Class, Spill, Treatment};
+use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::names::ServiceName;
 use dragonflywall::decide::retry::{Attempts, DEPTH_MAX, Failed, RETRIES_PER_TREE, ServiceTokens};
 
@@ -11,6 +11,8 @@
         timeout_ms: 1_000,
         attempts: 3,
         spill: Spill::Mesh,
+        priority: PRIORITY_DEFAULT,
+        target_latency_ms: None,
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,12 @@
 
 mod check;
 mod decide_admission;
+mod decide_announcements;
 mod decide_pacing;
 mod decide_placement;
 mod decide_retry;
 mod decide_simulation;
+mod decide_split;
 mod documentation;
 mod fuzz;
 mod fuzz_holder;
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -5,7 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
-use dragonflywall::core::configuration::{Class, Spill, Treatment};
+use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::member::{Member, NodeId};
 use dragonflywall::core::names::ServiceName;
 use dragonflywall::decide::admission::{Admission, Admitted, Limits, Ticket, Turn};
@@ -284,6 +284,8 @@
             timeout_ms: 0,
             attempts: 3,
             spill: Spill::Region,
+            priority: PRIORITY_DEFAULT,
+            target_latency_ms: None,
         };
         let call = self.calls.len();
         self.calls.push(Call {
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -128,6 +128,7 @@
         team: TeamName::new(name),
         services: BTreeMap::new(),
         calls: BTreeMap::new(),
+        caller_limits: None,
     };
     (TeamName::new(name), record)
 }
