Reload the settings file under a running node; share the retry reserve

Change: the file is read again on SIGHUP or when it has changed; what may change does, the rest is named as waiting for a restart, an unusable file changes nothing. A node that stops acknowledges a 'ready' without taking it (was 409). Retries per entry follow the users' ratio and their reserve for the whole mesh.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -114,24 +114,84 @@
 /// far above the failures of an ordinary day; the reserve lets a quiet entry retry at all.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryTokens {
-    tenths: u32,
+    hundredths: u32,
+    policy: RetryPolicy,
 }
 
-const TOKEN_TENTHS: u32 = 10;
-const RESERVE_TENTHS: u32 = 10 * TOKEN_TENTHS;
+/// How many retries an entry may make for one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryPolicy {
+    /// Retries in percent of the first attempts.
+    pub percent: u32,
+    /// Retries that may be saved up for a bad moment.
+    pub reserve: u32,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self {
+            percent: 10,
+            reserve: RESERVE,
+        }
+    }
+}
+
+/// Retries that an entry may save up where its settings do not say it.
+const RESERVE: u32 = 10;
+
+/// Part of a bound on all retries of the mesh that its entries use together. The rest is for what no
+/// entry counts: calls that a repeated request makes again, and entries that have restarted with a
+/// full reserve.
+const USED_NUMERATOR: u32 = 3;
+const USED_DENOMINATOR: u32 = 4;
+
+impl RetryPolicy {
+    /// The share of one entry in what the settings allow: `percent` of first attempts, and a
+    /// reserve that all `entries` of the mesh have together, if one is set.
+    ///
+    /// Load made for: a failure that all entries see at once. Harm prevented: each spends the whole
+    /// reserve, which is meant for the mesh. Reason for the limits: entries do not talk before a
+    /// retry, so each takes only its part.
+    pub fn of_entry(percent: u32, reserve: Option<u32>, entries: usize) -> Self {
+        let Some(reserve) = reserve else {
+            return Self {
+                percent,
+                reserve: RESERVE,
+            };
+        };
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
+        let used = |all: u32| all * USED_NUMERATOR / USED_DENOMINATOR;
+        Self {
+            percent: used(percent),
+            reserve: (used(reserve) / entries).max(1),
+        }
+    }
+}
+
+const TOKEN_HUNDREDTHS: u32 = 100;
 
 /// The tokens of every service that an entry calls.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTokens {
+    policy: RetryPolicy,
     of: HashMap<ServiceName, RetryTokens>,
 }
 
 impl ServiceTokens {
+    /// Changes how many retries there are.
+    pub fn set_policy(&mut self, policy: RetryPolicy) {
+        self.policy = policy;
+        for tokens in self.of.values_mut() {
+            tokens.policy = policy;
+        }
+    }
+
     /// Tokens of one service.
     pub fn entry_for(&mut self, service: &ServiceName) -> &mut RetryTokens {
         // The name is cloned for a service's first request only.
         if !self.of.contains_key(service) {
-            self.of.insert(service.clone(), RetryTokens::default());
+            let tokens = RetryTokens::new(self.policy);
+            self.of.insert(service.clone(), tokens);
         }
         self.of.get_mut(service).expect("inserted above")
     }
@@ -139,22 +199,29 @@
 
 impl Default for RetryTokens {
     fn default() -> Self {
-        Self {
-            tenths: RESERVE_TENTHS,
-        }
+        Self::new(RetryPolicy::default())
     }
 }
 
 impl RetryTokens {
+    /// A full reserve.
+    pub fn new(policy: RetryPolicy) -> Self {
+        Self {
+            hundredths: policy.reserve * TOKEN_HUNDREDTHS,
+            policy,
+        }
+    }
+
     /// A first attempt was made.
     pub fn earn(&mut self) {
-        self.tenths = RESERVE_TENTHS.min(self.tenths + 1);
+        let most = self.policy.reserve * TOKEN_HUNDREDTHS;
+        self.hundredths = most.min(self.hundredths + self.policy.percent);
     }
 
     fn take(&mut self) -> bool {
-        let enough = self.tenths >= TOKEN_TENTHS;
+        let enough = self.hundredths >= TOKEN_HUNDREDTHS;
         if enough {
-            self.tenths -= TOKEN_TENTHS;
+            self.hundredths -= TOKEN_HUNDREDTHS;
         }
         enough
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,6 +15,7 @@
 pub(crate) mod membership;
 pub(crate) mod operator;
 pub(crate) mod registration;
+pub(crate) mod reload;
 pub mod run;
 pub mod settings;
 pub(crate) mod state;
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -238,6 +238,7 @@
         metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
         changes::log_liveness(&self.node.view.load(), &view);
         self.node.view.store(Arc::new(view));
+        self.node.refresh_retries();
     }
 }
 
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -134,7 +134,11 @@
         };
         let path = parts.uri.path();
         match listeners::announcement(&parts.method, path, &body.to_bytes(), local) {
-            Ok(announcement) => self.note(&announcement),
+            Ok(announcement) => {
+                // Whether or not its "ready" is taken, it has been heard.
+                self.node.hear(&announcement);
+                text(StatusCode::OK, "noted\n")
+            }
             Err(error) => {
                 log::warn!(path, error:%; "an announcement names no backend server to use");
                 text(StatusCode::BAD_REQUEST, format!("{error}\n"))
@@ -142,13 +146,6 @@
         }
     }
 
-    fn note(&self, announcement: &Announcement) -> Response<Full<Bytes>> {
-        match self.node.hear(announcement) {
-            Noted::Yes => text(StatusCode::OK, "noted\n"),
-            Noted::Draining => text(StatusCode::CONFLICT, "the node is draining\n"),
-        }
-    }
-
     async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let body = Limited::new(request.into_body(), ANNOUNCEMENT_MAX_BYTES);
         let Ok(body) = body.collect().await else {
@@ -161,7 +158,10 @@
         if !is_name(announcement.service.as_str()) {
             return text(StatusCode::BAD_REQUEST, "the service is not a name\n");
         }
-        self.note(&announcement)
+        match self.node.hear(&announcement) {
+            Noted::Yes => text(StatusCode::OK, "noted\n"),
+            Noted::Draining => text(StatusCode::CONFLICT, "the node is draining\n"),
+        }
     }
 }
 
--- /dev/null
+++ b/src/node/reload.rs
@@ -0,0 +1,120 @@
+//! Takes in a settings file that changes under a running node, told by SIGHUP or found changed.
+//!
+//! What can change without a restart does; the rest is named in the log and waits for one. A file
+//! that cannot be read, or only in part, changes nothing.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use super::settings::{self, Settings};
+use super::state::NodeState;
+
+/// How often the file is looked at. A change without a signal is in force about as soon as a
+/// configuration is.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Looks after the file that `node`'s settings came from; without one a signal changes nothing.
+pub(crate) async fn run(node: Arc<NodeState>, stop: CancellationToken) {
+    let hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            log::error!(error:%; "SIGHUP cannot be handled; a changed file is still noticed");
+            return;
+        }
+    };
+    let path = node.settings.config_file.clone();
+    let watch = Watch {
+        seen: path.as_deref().and_then(Seen::of),
+        path,
+        node,
+    };
+    stop.run_until_cancelled(watch.watch(hangups)).await;
+}
+
+/// What tells one writing of a file from the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen {
+    modified: SystemTime,
+    len_bytes: u64,
+}
+
+impl Seen {
+    fn of(path: &Path) -> Option<Self> {
+        let metadata = std::fs::metadata(path).ok()?;
+        Some(Self {
+            modified: metadata.modified().ok()?,
+            len_bytes: metadata.len(),
+        })
+    }
+}
+
+struct Watch {
+    node: Arc<NodeState>,
+    path: Option<PathBuf>,
+    seen: Option<Seen>,
+}
+
+impl Watch {
+    async fn watch(mut self, mut hangups: Signal) {
+        loop {
+            let told = tokio::select! {
+                _ = hangups.recv() => true,
+                () = tokio::time::sleep(LOOK) => false,
+            };
+            let Some(path) = &self.path else {
+                if told {
+                    log::info!("SIGHUP: the settings are flags and variables, nothing to reload");
+                }
+                continue;
+            };
+            let seen = Seen::of(path);
+            if told || (seen.is_some() && seen != self.seen) {
+                self.seen = seen;
+                reload(&self.node, path);
+            }
+        }
+    }
+}
+
+fn reload(node: &NodeState, path: &Path) {
+    let read = match settings::read_file(path) {
+        Ok(read) => read,
+        Err(problems) => {
+            let problems = problems.join("; ");
+            log::error!(problems; "the settings file cannot be used; the old settings stay");
+            return;
+        }
+    };
+    let before = node.tunable.load();
+    let now = read.tunable();
+    let changed = **before != now;
+    let waiting = needs_restart(&node.settings, &read).join(", ");
+    node.tunable.store(Arc::new(now));
+    node.refresh_retries();
+    log::info!(changed, needs_restart = waiting; "read the settings file again");
+}
+
+/// Settings that differ and are only looked at when a node starts.
+fn needs_restart(running: &Settings, read: &Settings) -> Vec<&'static str> {
+    let fixed = [
+        ("caller-listen", running.caller_listen != read.caller_listen),
+        ("peer-listen", running.peer_listen != read.peer_listen),
+        ("ready-listen", running.ready_listen != read.ready_listen),
+        (
+            "announce-listen",
+            running.announce_listen != read.announce_listen,
+        ),
+        ("region and data-centre", running.place != read.place),
+        ("platform", running.platform_url != read.platform_url),
+        (
+            "backend-server",
+            running.backend_server != read.backend_server,
+        ),
+    ];
+    let differing = fixed.into_iter().filter(|(_, differs)| *differs);
+    differing.map(|(name, _)| name).collect()
+}
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -20,7 +20,7 @@
 use crate::node::registration;
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
-use crate::node::{follower, freeze};
+use crate::node::{follower, freeze, reload};
 use crate::peer::server::ControlService;
 use crate::platform::store::Client;
 use crate::store::NodeStore;
@@ -128,6 +128,7 @@
         membership.clone(),
         stops.all.clone(),
     ));
+    tasks.spawn(reload::run(Arc::clone(&node), stops.all.clone()));
     tasks.spawn(freeze::watch(
         Arc::clone(&node),
         configuration.clone(),
@@ -219,9 +220,10 @@
         let _ = self
             .membership
             .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
-        let limit = Duration::from_millis(self.node.settings.drain_timeout_ms);
+        let drain_timeout_ms = self.node.tunable.load().drain_timeout_ms;
+        let limit = Duration::from_millis(drain_timeout_ms);
         if tokio::time::timeout(limit, self.finish()).await.is_err() {
-            log::warn!(drain_timeout_ms = self.node.settings.drain_timeout_ms; "requests in flight were cut");
+            log::warn!(drain_timeout_ms; "requests in flight were cut");
         }
         let _ = ractor::call_t!(self.membership, MembershipMsg::Leave, GOODBYE_TIMEOUT_MS);
         self.stops.peers.cancel();
@@ -239,7 +241,7 @@
         // Callers' connections that have been idle so long are closed; until then an answer says that
         // it is the last on its connection. A caller that sends while its idle connection is being
         // closed cannot know whether its request was read, so few are to be closed that way.
-        let least = Duration::from_millis(self.node.settings.stop_least_ms);
+        let least = Duration::from_millis(self.node.tunable.load().stop_least_ms);
         // Whatever the gate is asked from now on it refuses at once, so a request that comes
         // after the last one has ended cannot be lost by not being waited for.
         self.node.in_gate.close();
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -139,7 +139,26 @@
     pub address: SocketAddr,
 }
 
+/// Settings that may change under a running node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Tunable {
+    pub(crate) drain_timeout_ms: u64,
+    pub(crate) stop_least_ms: u64,
+    pub(crate) retry_percent: u32,
+    pub(crate) retry_reserve: Option<u32>,
+}
+
 impl Settings {
+    /// What of it may change under a running node.
+    pub(crate) fn tunable(&self) -> Tunable {
+        Tunable {
+            drain_timeout_ms: self.drain_timeout_ms,
+            stop_least_ms: self.stop_least_ms,
+            retry_percent: self.retry_percent,
+            retry_reserve: self.retry_reserve,
+        }
+    }
+
     /// How this node dials others.
     pub fn dial_options(&self) -> DialOptions {
         DialOptions {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -16,12 +16,12 @@
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::announcements::Announcements;
 use crate::decide::placement::{Balancer, Ranked};
-use crate::decide::retry::ServiceTokens;
+use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::distribution::Applied;
 use crate::node::freeze;
 use crate::node::local::LocalBackend;
 use crate::node::membership::MembershipMsg;
-use crate::node::settings::Settings;
+use crate::node::settings::{Settings, Tunable};
 use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::calls::Calls;
@@ -62,6 +62,8 @@
 #[derive(Debug)]
 pub(crate) struct NodeState {
     pub(crate) settings: Settings,
+    /// What of the settings may change meanwhile, as it stands now.
+    pub(crate) tunable: ArcSwap<Tunable>,
     pub(crate) vocabulary: &'static Vocabulary,
     pub(crate) me: NodeId,
     pub(crate) started: Instant,
@@ -103,6 +105,7 @@
         let backend = known.map(|known| Arc::new(LocalBackend::from(known)));
         Arc::new(Self {
             vocabulary: Vocabulary::of(settings.dialect),
+            tunable: ArcSwap::from_pointee(settings.tunable()),
             settings,
             me,
             started: Instant::now(),
@@ -160,6 +163,14 @@
         lock(&self.balancer)
     }
 
+    /// Brings the retries of this entry in line with the settings and the size of the mesh.
+    pub(crate) fn refresh_retries(&self) {
+        let tunable = self.tunable.load();
+        let (percent, reserve) = (tunable.retry_percent, tunable.retry_reserve);
+        let policy = RetryPolicy::of_entry(percent, reserve, self.view.load().alive());
+        self.retry_tokens().set_policy(policy);
+    }
+
     pub(crate) fn retry_tokens(&self) -> MutexGuard<'_, ServiceTokens> {
         lock(&self.retry_tokens)
     }
--- a/tests/testsuite/decide_retry.rs
+++ b/tests/testsuite/decide_retry.rs
@@ -2,7 +2,9 @@
 
 use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::names::ServiceName;
-use dragonflywall::decide::retry::{Attempts, DEPTH_MAX, Failed, RETRIES_PER_TREE, ServiceTokens};
+use dragonflywall::decide::retry::{
+    Attempts, DEPTH_MAX, Failed, RETRIES_PER_TREE, RetryPolicy, ServiceTokens,
+};
 
 fn treatment(idempotent: bool) -> Treatment {
     Treatment {
@@ -88,3 +90,23 @@
     assert!(made <= 1 + RETRIES_PER_TREE, "{made} attempts");
     assert!(made > 1, "nothing was tried again");
 }
+
+/// A reserve of 56 is the whole mesh's. Were it each entry's own, 16 entries that see one failure
+/// would make 896 retries at once.
+#[test]
+fn entries_share_the_reserve_of_the_mesh() {
+    let policy = RetryPolicy::of_entry(20, Some(56), 16);
+    let mut made = 0;
+    for _ in 0..16 {
+        let mut tokens = ServiceTokens::default();
+        tokens.set_policy(policy);
+        let tokens = tokens.entry_for(&ServiceName::new("tablon"));
+        while Attempts::new(&treatment(true), RETRIES_PER_TREE).again(Failed::NotRun, tokens) {
+            made += 1;
+        }
+    }
+    assert!((16..=56).contains(&made), "{made} retries");
+    assert!(policy.percent < 20, "{policy:?}");
+    // A single retry is left to each of very many entries.
+    assert_eq!(RetryPolicy::of_entry(20, Some(56), 520).reserve, 1);
+}
