Start pipelined reads before the ones ahead of them are answered

Excluded: slow endpoints alone, as the wait was before the first endpoint. Change: heads are looked at as they pass to the library; further reads without a body start at once, and the library is handed the answer under way. Answers keep their order; a caller that leaves with requests unread is noticed.

--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -16,6 +16,7 @@
 pub(crate) mod hop;
 pub(crate) mod listener;
 pub(crate) mod peers;
+pub(crate) mod pipeline;
 pub(crate) mod replay;
 pub(crate) mod slots;
 pub(crate) mod stall;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::Response;
 use http::header::HeaderValue;
 use http::request::Parts;
 use http::uri::Authority;
-use http::{Request, Response};
-use hyper::body::{Body as _, Incoming};
 use tokio_util::sync::CancellationToken;
 
 use self::call::Call;
@@ -25,14 +24,31 @@
 
 mod call;
 
+/// Whether a request may be started before those that its caller sent ahead of it are answered:
+/// were the connection to end with one of them, the caller would send it again.
+pub(crate) fn may_start_early(node: &NodeState, parts: &Parts) -> bool {
+    let applied = node.enforced.load();
+    let Some(applied) = applied.as_ref().filter(|_| !node.leaving.is_cancelled()) else {
+        return false;
+    };
+    let route = host_of(parts).and_then(|host| route_of(applied, parts, host.host()).ok());
+    route.is_some_and(|route| {
+        let mut branches = route.branches.iter();
+        branches.all(|branch| branch.treatment.idempotent)
+    })
+}
+
 /// Serves one request of a caller.
-pub(crate) async fn serve(node: Arc<NodeState>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(
+    node: Arc<NodeState>,
+    mut parts: Parts,
+    replay: Replay,
+) -> Response<Body> {
     // The request keeps the snapshot that it was admitted under, whatever is enforced meanwhile.
     let applied = node.enforced.load_full();
     let version = applied
         .as_ref()
         .map_or(0, |applied| applied.stamp.version.0);
-    let (mut parts, incoming) = request.into_parts();
     let origin = Origin::of(&node, &parts);
     let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
@@ -41,7 +57,7 @@
     let result = match applied {
         _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
         None => Err(Failure::not_run(Reason::NoConfiguration)),
-        Some(applied) => run(&node, &applied, &parts, incoming, origin).await,
+        Some(applied) => run(&node, &applied, &parts, &replay, origin).await,
     };
     let mut response = match result {
         Ok(mut response) => {
@@ -121,7 +137,7 @@
     node: &Arc<NodeState>,
     applied: &Applied,
     parts: &Parts,
-    incoming: Incoming,
+    replay: &Replay,
     mut origin: Origin,
 ) -> Result<Response<Body>, Failure> {
     let host = host_of(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
@@ -129,7 +145,7 @@
     if origin.depth > retry::DEPTH_MAX {
         return Err(Failure::not_run(Reason::TooDeep));
     }
-    check_length(applied, &incoming)?;
+    check_length(applied, replay)?;
     let branch = branch_of(route);
     let limits = applied.configuration.service(&branch.service);
     let timeout = Duration::from_millis(u64::from(branch.treatment.timeout_ms));
@@ -146,12 +162,10 @@
             .map_or(own_deadline, |above| above.min(own_deadline)),
         depth: origin.depth,
     };
-    let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
-    let replay = Replay::new(incoming, stall_limit);
     let mut attempts = Attempts::new(&branch.treatment, origin.budget.retries);
     let given_up = origin.given_up.clone();
     // Dropping the attempts cancels the exchange under way, down to the backend server.
-    let ended = given_up.run_until_cancelled(call.run(&replay, &mut attempts));
+    let ended = given_up.run_until_cancelled(call.run(replay, &mut attempts));
     match ended.await {
         None => Err(Failure::may_have_run(Reason::GivenUp)),
         Some(Err(failure)) => {
@@ -184,10 +198,10 @@
 }
 
 /// Refuses a body that says from the start that it is too long; see [`Replay`] for the others.
-fn check_length(applied: &Applied, incoming: &Incoming) -> Result<(), Failure> {
+fn check_length(applied: &Applied, replay: &Replay) -> Result<(), Failure> {
     let limits = applied.configuration.caller_limits();
     let most = limits.map_or(u64::MAX, |limits| limits.body_max_bytes);
-    match incoming.size_hint().lower() > most {
+    match replay.least_len_bytes() > most {
         true => Err(Failure::not_run(Reason::BodyTooLong)),
         false => Ok(()),
     }
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -1,27 +1,32 @@
 //! The three listeners: accept connections and serve HTTP on each until told to stop.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::header::{self, HeaderValue};
+use http::request::Parts;
 use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use snafu::{Snafu, ensure};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 use tonic::codegen::Service;
 
+use super::answer::{Failure, Reason};
 use super::body::{self, Body};
 use super::callers::Callers;
+use super::pipeline::Pipeline;
+use super::replay::Replay;
 use super::stall::StallGuard;
-use super::{entry, gate, headers};
+use super::{entry, gate, headers, vocabulary};
 use crate::core::verdict::Verdict;
 use crate::node::operator::Operator;
 use crate::node::settings::Settings;
@@ -61,19 +66,7 @@
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let opening_limit = Duration::from_millis(node.settings.caller_header_timeout_ms);
     let callers = Callers::new(node.settings.caller_connections_max);
-    let handle = move |request: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move {
-            let leaving = node.leaving.clone();
-            let may_close = request.version() < Version::HTTP_2;
-            let mut response = entry::serve(node, request).await;
-            if may_close && leaving.is_cancelled() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            response
-        }
-    };
+    let head_max_bytes = node.settings.caller_header_max_bytes;
     let connections = TaskTracker::new();
     while let Some((stream, caller)) = accept(&listener, &polite, &stop).await {
         let Some(counted) = callers.enter(caller) else {
@@ -81,7 +74,11 @@
             continue;
         };
         let stream = StallGuard::new(stream, stall_limit, opening_limit);
-        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle.clone());
+        let (pipeline, stream) = Pipeline::new(stream, head_max_bytes);
+        let handling = Arc::clone(&node);
+        let handle =
+            move |request| caller_request(Arc::clone(&handling), request, pipeline.clone());
+        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle);
         let stop = stop.clone();
         connections.spawn(async move {
             let _counted = counted;
@@ -94,6 +91,69 @@
     connections.wait().await;
 }
 
+/// The caller has closed its connection: there is nobody to answer.
+#[derive(Debug, Snafu)]
+#[snafu(display("the caller has closed the connection"))]
+struct CallerLeft;
+
+async fn caller_request<S: AsyncRead + Unpin>(
+    node: Arc<NodeState>,
+    request: Request<Incoming>,
+    pipeline: Pipeline<S>,
+) -> Result<Response<Body>, CallerLeft> {
+    let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
+    let leaving = node.leaving.clone();
+    let (parts, incoming) = request.into_parts();
+    let replay = Replay::new(incoming, stall_limit);
+    if parts.version >= Version::HTTP_2 {
+        return Ok(entry::serve(node, parts, replay).await);
+    }
+    let mut response = match pipeline.take(&parts) {
+        Some(answer) => reading_on(&node, &pipeline, started_early(answer)).await?,
+        None if replay.is_empty() => {
+            let answer = entry::serve(Arc::clone(&node), parts, replay);
+            reading_on(&node, &pipeline, answer).await?
+        }
+        // What the caller sends is this request's body.
+        None => entry::serve(node, parts, replay).await,
+    };
+    if leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// The answer to a request that was started before the library came to it.
+async fn started_early(answer: AbortOnDropHandle<Response<Body>>) -> Response<Body> {
+    answer.await.unwrap_or_else(|error| {
+        // The task is aborted only together with its connection, so it has panicked.
+        log::error!(error:%; "serving a request failed");
+        Failure::may_have_run(Reason::Lost).into_response(&vocabulary::OWN)
+    })
+}
+
+/// Waits for an answer, reads meanwhile what the caller sends, and starts what may run early.
+async fn reading_on<S: AsyncRead + Unpin>(
+    node: &Arc<NodeState>,
+    pipeline: &Pipeline<S>,
+    answer: impl Future<Output = Response<Body>>,
+) -> Result<Response<Body>, CallerLeft> {
+    let start = |parts: &Parts| {
+        let serving = entry::serve(Arc::clone(node), parts.clone(), Replay::Empty);
+        entry::may_start_early(node, parts).then(|| AbortOnDropHandle::new(tokio::spawn(serving)))
+    };
+    tokio::pin!(answer);
+    loop {
+        pipeline.start_early(start);
+        tokio::select! {
+            biased;
+            response = &mut answer => return Ok(response),
+            open = poll_fn(|context| pipeline.poll_more(context)) => ensure!(open, CallerLeftSnafu),
+        }
+    }
+}
+
 fn caller_builder(settings: &Settings) -> Builder {
     let header_timeout = Duration::from_millis(settings.caller_header_timeout_ms);
     let header_max_bytes = settings.caller_header_max_bytes;
@@ -227,7 +287,12 @@
 {
     let connections = TaskTracker::new();
     while let Some((stream, _)) = accept(&listener, &polite, &stop).await {
-        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle.clone());
+        let handle = handle.clone();
+        let handle = move |request| {
+            let answer = handle(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        };
+        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle);
         let stop = stop.clone();
         connections.spawn(async move { stop.run_until_cancelled(serving).await });
     }
@@ -261,21 +326,18 @@
     }
 }
 
-async fn serve_connection<H, F, S>(
+async fn serve_connection<H, F, S, E>(
     builder: Builder,
     stream: S,
     polite: CancellationToken,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Result<Response<Body>, E>> + Send + 'static,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    E: std::error::Error + Send + Sync + 'static,
 {
-    let service = service_fn(move |request| {
-        let answer = handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(stream), service_fn(handle));
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- /dev/null
+++ b/src/proxy/pipeline.rs
@@ -0,0 +1,290 @@
+//! Callers that send further requests before the first one is answered.
+//!
+//! The HTTP library takes the requests of a connection one after the other. Load made for: a caller
+//! that sends several reads at once on one connection. Harm prevented: each waits for the answers
+//! to all before it, so the last of them is late although its endpoint is idle (9 % of a quiet day's
+//! requests reached their endpoint after half of the time that they had for the whole answer). So
+//! the bytes are looked at as they pass to the library ([`Watched`]), further requests without a
+//! body are [started early](Pipeline::start_early), and when the library comes to one of them
+//! it is given the answer that is under way ([`Pipeline::take`]). Answers keep their order, as the
+//! library still writes them.
+//!
+//! The bytes are looked at by the parser that the library itself uses. A request that the two were
+//! to read differently is started anew; only requests that may run twice are started early.
+
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, header};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::body::Body;
+
+/// Requests of one connection that are known ahead of the one being answered. A caller's library
+/// sends a handful; each holds memory for its head and its answer.
+const AHEAD_MAX: usize = 16;
+
+/// Bytes read from a connection ahead of the library: heads of a few requests.
+const BUFFER_MAX_BYTES: usize = 16 << 10;
+
+/// Fields of one head, as in the HTTP library.
+const HEADERS_MAX: usize = 100;
+
+/// A request known ahead: the library will come to it.
+struct Ahead {
+    parts: Parts,
+    answer: Option<AbortOnDropHandle<Response<Body>>>,
+}
+
+/// What is known of the requests of one connection.
+#[derive(Default)]
+struct Requests {
+    /// Bytes of a head that is not complete yet.
+    partial: BytesMut,
+    ahead: VecDeque<Ahead>,
+    /// Something was sent that is not looked at, such as a body; nothing is known from then on.
+    blind: bool,
+}
+
+impl Requests {
+    fn saw(&mut self, bytes: &[u8], head_max_bytes: usize) {
+        if self.blind {
+            return;
+        }
+        self.partial.extend_from_slice(bytes);
+        while !self.partial.is_empty() {
+            let full = self.ahead.len() >= AHEAD_MAX || self.partial.len() > head_max_bytes;
+            match parse(&self.partial) {
+                Parsed::Head(parts, len_bytes) if !full => {
+                    self.partial.advance(len_bytes);
+                    let answer = None;
+                    self.ahead.push_back(Ahead { parts, answer });
+                }
+                Parsed::Partial if !full => return,
+                _ => {
+                    self.blind = true;
+                    self.partial = BytesMut::new();
+                    return;
+                }
+            }
+        }
+        // An idle connection keeps no buffer.
+        self.partial = BytesMut::new();
+    }
+}
+
+enum Parsed {
+    Head(Parts, usize),
+    Partial,
+    /// A body follows, or it is no request.
+    Other,
+}
+
+fn parse(bytes: &[u8]) -> Parsed {
+    let mut fields = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut request = httparse::Request::new(&mut fields);
+    let len_bytes = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(len_bytes)) => len_bytes,
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(_) => return Parsed::Other,
+    };
+    match to_parts(&request) {
+        Some(parts) if is_plain(&parts) => Parsed::Head(parts, len_bytes),
+        _ => Parsed::Other,
+    }
+}
+
+fn to_parts(request: &httparse::Request<'_, '_>) -> Option<Parts> {
+    let mut built = Request::builder()
+        .method(request.method?)
+        .uri(request.path?);
+    for field in request.headers.iter() {
+        let value = HeaderValue::from_bytes(field.value).ok()?;
+        built = built.header(field.name, value);
+    }
+    let (parts, ()) = built.body(()).ok()?.into_parts();
+    Some(parts)
+}
+
+/// Whether nothing but the next request follows the head.
+fn is_plain(parts: &Parts) -> bool {
+    let other = [
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::EXPECT,
+    ];
+    other.iter().all(|name| !parts.headers.contains_key(name))
+}
+
+struct Shared<S> {
+    stream: S,
+    head_max_bytes: usize,
+    /// Read ahead of the library.
+    buffer: BytesMut,
+    /// The caller has closed, or the connection broke.
+    ended: bool,
+    requests: Requests,
+}
+
+/// The requests of one connection.
+pub(crate) struct Pipeline<S> {
+    shared: Arc<Mutex<Shared<S>>>,
+}
+
+impl<S> Clone for Pipeline<S> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+impl<S> Pipeline<S> {
+    /// Watches `stream`; heads are at most `head_max_bytes` long. The library gets the second half.
+    pub(crate) fn new(stream: S, head_max_bytes: usize) -> (Self, Watched<S>) {
+        let pipeline = Self {
+            shared: Arc::new(Mutex::new(Shared {
+                stream,
+                head_max_bytes,
+                buffer: BytesMut::new(),
+                ended: false,
+                requests: Requests::default(),
+            })),
+        };
+        (pipeline.clone(), Watched(pipeline))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared<S>> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The answer that was started early for the request that the library has come to, if any.
+    pub(crate) fn take(&self, parts: &Parts) -> Option<AbortOnDropHandle<Response<Body>>> {
+        let mut shared = self.lock();
+        let known = shared.requests.ahead.pop_front()?;
+        let same = known.parts.method == parts.method
+            && known.parts.uri == parts.uri
+            && known.parts.headers == parts.headers;
+        if !same {
+            log::debug!(uri:% = parts.uri; "a request was read in two ways; none is started early");
+            shared.requests.ahead.clear();
+            shared.requests.blind = true;
+            return None;
+        }
+        known.answer
+    }
+
+    /// Starts the requests that are known ahead and not started yet. `start` declines what may not
+    /// run early, and nothing behind such a request is started either.
+    pub(crate) fn start_early(
+        &self,
+        mut start: impl FnMut(&Parts) -> Option<AbortOnDropHandle<Response<Body>>>,
+    ) {
+        let mut shared = self.lock();
+        for known in &mut shared.requests.ahead {
+            if known.answer.is_none() {
+                known.answer = start(&known.parts);
+            }
+            if known.answer.is_none() {
+                return;
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> Pipeline<S> {
+    /// Reads what the caller sends while a request is being answered. Ready once more requests may
+    /// be known, or with false once the caller has closed: nobody waits for the answer then.
+    ///
+    /// Failure guarded against: the library looks for the end of a connection only while it holds
+    /// no bytes of a further request, so a caller that pipelines and leaves would go unnoticed.
+    pub(crate) fn poll_more(&self, context: &mut Context<'_>) -> Poll<bool> {
+        let mut shared = self.lock();
+        if shared.ended {
+            return Poll::Ready(false);
+        }
+        if shared.buffer.len() >= BUFFER_MAX_BYTES {
+            return Poll::Pending;
+        }
+        let mut space = [0; 4_096];
+        let mut read = ReadBuf::new(&mut space);
+        let polled = ready!(Pin::new(&mut shared.stream).poll_read(context, &mut read));
+        let bytes = read.filled();
+        if polled.is_err() || bytes.is_empty() {
+            shared.ended = true;
+            return Poll::Ready(false);
+        }
+        shared.buffer.extend_from_slice(bytes);
+        let head_max_bytes = shared.head_max_bytes;
+        shared.requests.saw(bytes, head_max_bytes);
+        Poll::Ready(true)
+    }
+}
+
+/// The connection as the library reads and writes it.
+pub(crate) struct Watched<S>(Pipeline<S>);
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut shared = self.0.lock();
+        if !shared.buffer.is_empty() {
+            let len_bytes = shared.buffer.len().min(buffer.remaining());
+            buffer.put_slice(&shared.buffer.split_to(len_bytes));
+            if shared.buffer.is_empty() {
+                shared.buffer = BytesMut::new();
+            }
+            return Poll::Ready(Ok(()));
+        }
+        if shared.ended {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut shared.stream).poll_read(context, buffer))?;
+        let head_max_bytes = shared.head_max_bytes;
+        shared
+            .requests
+            .saw(&buffer.filled()[before..], head_max_bytes);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.lock().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.lock().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.lock().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.lock().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.lock().stream.is_write_vectored()
+    }
+}
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -85,6 +85,19 @@
         })))
     }
 
+    /// Whether there is no body.
+    pub(crate) fn is_empty(&self) -> bool {
+        matches!(self, Self::Empty)
+    }
+
+    /// How long the body is at least, as far as its caller says.
+    pub(crate) fn least_len_bytes(&self) -> u64 {
+        match self {
+            Self::Empty => 0,
+            Self::Streamed(source) => lock(source).size.lower(),
+        }
+    }
+
     /// The body from its beginning. An earlier one reads nothing from now on: were it still to
     /// read, as a request that was given up a moment ago might, both would get half a body.
     pub(crate) fn next(&self) -> Body {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod requests_drain;
 mod requests_http2;
 mod requests_imposter;
+mod requests_pipeline;
 mod requests_streams;
 mod requests_untrusted;
 mod simulation;
--- /dev/null
+++ b/tests/testsuite/requests_pipeline.rs
@@ -0,0 +1,95 @@
+//! Callers that send further requests on a connection before the first one is answered.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use testkit::http::{request, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{LIMIT, runs, small, start_chatarras, vms_of};
+
+/// Head of a read of prices without a body.
+fn read(id: &str, work_ms: u64) -> String {
+    format!(
+        "GET /prices/copper?answer_bytes=10&work_ms={work_ms} HTTP/1.1\r\n\
+         host: tablon\r\nx-request-id: {id}\r\n\r\n"
+    )
+}
+
+/// Head of a payment without a body.
+fn payment(id: &str) -> String {
+    format!("POST /payments/9 HTTP/1.1\r\nhost: cobros\r\nx-request-id: {id}\r\n\r\n")
+}
+
+async fn send(entry: SocketAddr, requests: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(entry).await.expect("the node listens");
+    let sent = stream.write_all(requests.as_bytes()).await;
+    sent.expect("the node reads");
+    stream
+}
+
+/// Ids of the answers in the order in which they come, until there are `count`.
+async fn answered_ids(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    let mut text = String::new();
+    loop {
+        let id = |line: &str| line.strip_prefix("x-request-id: ").map(str::to_owned);
+        let ids: Vec<String> = text.lines().filter_map(id).collect();
+        if ids.len() >= count {
+            return ids;
+        }
+        let mut bytes = vec![0; 4_096];
+        let read = stream.read(&mut bytes).await.expect("the node answers");
+        assert!(read > 0, "the connection ended after {ids:?}");
+        text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+    }
+}
+
+/// A dealer's program asks for three prices at once on one connection, and the first takes long.
+/// The others must not wait for it at the mesh, or they are late although their endpoints idle;
+/// but their answers come in the order of the questions.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_reads_run_at_once_and_are_answered_in_order() {
+    let mesh = start_chatarras(small(&["tablon"], 1)).await;
+    let only = vms_of(&mesh, "tablon")[0];
+    for position in vms_of(&mesh, "tablon") {
+        if position != only {
+            let operator = mesh.vms[position].node().addresses.operator;
+            let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+            drained.expect("the node answers");
+        }
+    }
+    let entry = mesh.vms[only].node().addresses.caller;
+    let requests = [read("slow", 500), read("second", 250), read("third", 250)].concat();
+    let mut stream = send(entry, &requests).await;
+    let ids = answered_ids(&mut stream, 3).await;
+    assert_eq!(ids, ["slow", "second", "third"]);
+    let record = mesh.vms[only].backend.record();
+    assert_eq!(record.peak, 3, "they ran one after the other");
+    assert_eq!(record.runs.len(), 3);
+}
+
+/// A payment is sent behind a read that takes long, and the connection breaks before the read is
+/// answered. Its caller takes the payment for unread and pays again, so it must not have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_behind_an_unanswered_read_does_not_run() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let requests = [read("long", 700), payment("pay-behind")].concat();
+    let stream = send(entry, &requests).await;
+    wait_until("the read runs", LIMIT, || async {
+        !runs(&mesh, "tablon", "long").is_empty()
+    })
+    .await;
+    drop(stream);
+    wait_until("the read is given up", LIMIT, || async {
+        let cancelled = |position: usize| mesh.vms[position].backend.record().cancelled;
+        vms_of(&mesh, "tablon")
+            .into_iter()
+            .map(cancelled)
+            .sum::<u64>()
+            == 1
+    })
+    .await;
+    assert!(runs(&mesh, "cobros", "pay-behind").is_empty());
+}
