--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -93,6 +93,8 @@
 pub struct Branch {
     /// The service that runs it.
     pub service: ServiceName,
+    /// What it asks for there.
+    pub resource: ResourceName,
     /// Size of the part, relative to those of the other branches.
     pub weight: u32,
     /// Treatment of the target, found at compile time.
@@ -174,6 +176,7 @@
     let branch = |target: &Target, weight| {
         Ok(Branch {
             service: target.service.clone(),
+            resource: target.resource.clone(),
             weight,
             treatment: resolve(configuration, team, target)?.clone(),
         })
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,7 +2,9 @@
 
 pub mod admission;
 pub mod announcements;
+pub mod held;
 pub mod pacing;
+pub mod patience;
 pub mod placement;
 pub mod retry;
 pub mod split;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -6,11 +6,17 @@
 //! became of waiting requests and wakes them; between two changes nothing can have happened, so
 //! no one polls.
 
+mod lane;
+
 use std::collections::VecDeque;
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::core::configuration::Class;
+use self::lane::Lane;
+use super::held::HeldTimes;
+use super::placement::LoadReport;
+use crate::core::configuration::{Class, PRIORITY_DEFAULT};
+use crate::core::names::ResourceName;
 
 new_key_type! {
     /// Names a waiting request.
@@ -26,6 +32,31 @@
     pub queue_len: u32,
 }
 
+/// What a request asks of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Which queue it waits in.
+    pub class: Class,
+    /// Its rank among the requests of that queue, 0 first.
+    pub rank: u8,
+    /// When it is to have been answered, by the clock of the gate's calls.
+    pub deadline_us: u64,
+    /// How long it is willing to wait for its slot; a longer wait is refused at once.
+    pub patience_us: u64,
+}
+
+impl Ask {
+    /// A request of the default rank that waits as long as its deadline allows.
+    pub fn new(class: Class, deadline_us: u64) -> Self {
+        Self {
+            class,
+            rank: PRIORITY_DEFAULT,
+            deadline_us,
+            patience_us: u64::MAX,
+        }
+    }
+}
+
 /// Why a request was refused. Each is proof that it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -33,6 +64,8 @@
     Full,
     /// Its deadline would pass before its answer.
     TooLate,
+    /// It would wait for longer than it is willing to.
+    TooLong,
     /// The backend server takes no new work.
     Closed,
 }
@@ -82,41 +115,10 @@
 /// service that only does bulk work at night is to have all of its slots then.
 const RESERVE_MEMORY_US: u64 = 10_000_000;
 
-/// Gain of the running mean of service times is one in so many: settles within a queue's worth
-/// of requests, and one outlier moves it by an eighth.
-const MEAN_DIVISOR: i64 = 8;
-
 #[derive(Debug)]
 struct Waiter<W> {
     wake: W,
-    class: Class,
-    deadline_us: u64,
-}
-
-/// One class of work.
-#[derive(Debug, Default)]
-struct Lane {
-    queue: VecDeque<Ticket>,
-    in_use: u32,
-    /// Running mean of the time that a request holds its slot; 0 before the first.
-    mean_held_us: u64,
-    last_asked_us: Option<u64>,
-}
-
-impl Lane {
-    fn waiting(&self) -> u32 {
-        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
-    }
-
-    fn learn(&mut self, held_us: u64) {
-        if self.mean_held_us == 0 {
-            self.mean_held_us = held_us;
-            return;
-        }
-        let difference = held_us.cast_signed() - self.mean_held_us.cast_signed();
-        let step = difference / MEAN_DIVISOR;
-        self.mean_held_us = self.mean_held_us.saturating_add_signed(step);
-    }
+    ask: Ask,
 }
 
 /// Slots and queues of one backend server. `W` is what wakes a waiting request. Times are
@@ -132,8 +134,32 @@
     streak: u32,
     /// Waiting requests that were refused and have not been told yet.
     refused: VecDeque<(W, Refusal)>,
+    held: HeldTimes,
+    /// Sum of the times at which the requests that hold a slot got it.
+    since_sum_us: u64,
+}
+
+/// A slot that is given back.
+#[derive(Clone, Copy, Debug)]
+pub struct Released<'a> {
+    /// Class of the request that held it.
+    pub class: Class,
+    /// What the request asked for.
+    pub resource: &'a ResourceName,
+    /// For how long it held the slot.
+    pub held_us: u64,
+    /// Whether it was answered, or given up before.
+    pub answered: bool,
 }
 
+/// Requests that must have been running for long before the times of finished ones are taken for
+/// out of date: half of the slots. A single long request is no slow backend server.
+const AGED_DIVISOR: u32 = 2;
+/// How much longer than finished ones those must have been running on average. In a steady state
+/// both are about equal, as work scatters like an exponential; a few long requests among nine running
+/// ones easily double the average.
+const AGED_FACTOR: u64 = 4;
+
 impl<W> Default for Admission<W> {
     fn default() -> Self {
         Self {
@@ -144,6 +170,8 @@
             bulk: Lane::default(),
             streak: 0,
             refused: VecDeque::new(),
+            held: HeldTimes::default(),
+            since_sum_us: 0,
         }
     }
 }
@@ -165,9 +193,9 @@
     }
 
     fn refuse_waiting(&mut self) {
-        let refusal = self.refusal(Cause::Closed, Class::Interactive);
-        self.interactive.queue.clear();
-        self.bulk.queue.clear();
+        let refusal = self.refusal(Cause::Closed, &Ask::new(Class::Interactive, 0));
+        self.interactive.clear();
+        self.bulk.clear();
         let refused = self.waiting.drain();
         self.refused
             .extend(refused.map(|(_, waiter)| (waiter.wake, refusal)));
@@ -181,57 +209,105 @@
     /// A request asks for a slot; `wake` is called only if it has to wait.
     ///
     /// Load made for: more requests than slots. Harm prevented: the backend server overcommits
-    /// and every request becomes slow, or a queue grows in which each one times out. Reason for
-    /// the limits: the team says how many it runs at once and how many may wait; a request whose
-    /// deadline passes before its turn would take a slot for an answer that nobody reads.
-    pub fn admit(
-        &mut self,
-        now_us: u64,
-        class: Class,
-        deadline_us: u64,
-        wake: impl FnOnce() -> W,
-    ) -> Admitted {
+    /// and every request becomes slow, or a queue grows in which each one times out, or in which
+    /// all are served and all of them late. Reason for the limits: the team says how many it runs
+    /// at once and how many may wait; a request whose deadline passes before its turn would take a
+    /// slot for an answer that nobody reads; and of a queue that stays, every part beyond what
+    /// keeps the slots busy only makes answers late, so it is cut at each request's patience.
+    pub fn admit(&mut self, now_us: u64, ask: &Ask, wake: impl FnOnce() -> W) -> Admitted {
         if self.closed || self.limits.slots == 0 {
-            return Admitted::Refused(self.refusal(Cause::Closed, class));
+            return Admitted::Refused(self.refusal(Cause::Closed, ask));
         }
+        let class = ask.class;
         self.lane_mut(class).last_asked_us = Some(now_us);
         // Whoever waits while a slot is free may not take it (the reserve), so nobody is overtaken.
-        if self.lane(class).queue.is_empty() && self.may_take(now_us, class) {
-            self.take(class);
+        if self.lane(class).is_empty() && self.may_take(now_us, class) {
+            self.take(now_us, class);
             return Admitted::Slot;
         }
-        let answer_us = now_us + self.wait_us(class) + self.lane(class).mean_held_us;
-        if answer_us > deadline_us {
-            return Admitted::Refused(self.refusal(Cause::TooLate, class));
+        if let Some(cause) = self.hopeless(now_us, ask) {
+            return Admitted::Refused(self.refusal(cause, ask));
         }
         if !self.make_room(class) {
-            return Admitted::Refused(self.refusal(Cause::Full, class));
+            return Admitted::Refused(self.refusal(Cause::Full, ask));
         }
-        let ticket = self.waiting.insert(Waiter {
+        let waiter = Waiter {
             wake: wake(),
-            class,
-            deadline_us,
-        });
-        self.lane_mut(class).queue.push_back(ticket);
+            ask: *ask,
+        };
+        let ticket = self.waiting.insert(waiter);
+        self.lane_mut(class).push(ask.rank, ticket);
         Admitted::Queued(ticket)
     }
 
+    /// Why it is of no use to wait, if it is not.
+    fn hopeless(&self, now_us: u64, ask: &Ask) -> Option<Cause> {
+        let wait_us = self.wait_us(ask);
+        let answer_us = now_us + wait_us + self.lane(ask.class).held.us();
+        if answer_us > ask.deadline_us {
+            return Some(Cause::TooLate);
+        }
+        (wait_us > ask.patience_us).then_some(Cause::TooLong)
+    }
+
     /// Takes a request out of the queue. False if its turn has come before; then [`Self::next`]
     /// has given its answer, and a slot that it got is to be released.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let Some(waiter) = self.waiting.remove(ticket) else {
             return false;
         };
-        let lane = self.lane_mut(waiter.class);
-        lane.queue.retain(|queued| *queued != ticket);
+        let Ask { class, rank, .. } = waiter.ask;
+        self.lane_mut(class).remove(rank, ticket);
         true
     }
 
-    /// Gives a slot back after it was held for `held_us`.
-    pub fn release(&mut self, class: Class, held_us: u64) {
+    /// Gives a slot back.
+    pub fn release(&mut self, now_us: u64, released: &Released<'_>) {
+        let Released {
+            class,
+            resource,
+            held_us,
+            answered,
+        } = *released;
         let lane = self.lane_mut(class);
         lane.in_use = lane.in_use.saturating_sub(1);
-        lane.learn(held_us);
+        lane.held.learn(held_us);
+        let since_us = now_us.saturating_sub(held_us);
+        self.since_sum_us = self.since_sum_us.saturating_sub(since_us);
+        match answered {
+            true => self.held.answered(resource, held_us),
+            false => self.held.given_up(resource, held_us),
+        }
+    }
+
+    /// What entries are told with the answer to a request that asked for `resource`.
+    pub fn load(&self, now_us: u64, ask: &Ask, resource: &ResourceName) -> LoadReport {
+        let slowed = self.slowed(now_us);
+        let (own, other) = self.ahead(ask);
+        LoadReport {
+            in_use: self.in_use(),
+            ahead: own + other,
+            slots: self.limits.slots,
+            mean_held_us: self.held.of_any().max(slowed),
+            resource_held_us: self.held.of_resource(resource).max(slowed),
+        }
+    }
+
+    /// How long the requests that run now have been running on average, if that shows that the
+    /// backend server has become slow; else 0.
+    ///
+    /// Load made for: a backend server that becomes ten times as slow. Harm prevented: until the
+    /// first slow answers are through, its entries are told the times of before and go on sending.
+    fn slowed(&self, now_us: u64) -> u64 {
+        let running = self.in_use();
+        if running == 0 || running * AGED_DIVISOR < self.limits.slots {
+            return 0;
+        }
+        let age_us = now_us.saturating_sub(self.since_sum_us / u64::from(running));
+        match age_us > AGED_FACTOR * self.held.of_any() {
+            true => age_us,
+            false => 0,
+        }
     }
 
     /// A waiting request whose wait is over, if there is one.
@@ -240,13 +316,13 @@
             return Some((wake, Turn::Refused(refusal)));
         }
         let class = self.next_class(now_us)?;
-        let ticket = self.lane_mut(class).queue.pop_front()?;
+        let ticket = self.lane_mut(class).pop()?;
         let waiter = self.waiting.remove(ticket)?;
-        if now_us + self.lane(class).mean_held_us > waiter.deadline_us {
-            let refusal = self.refusal(Cause::TooLate, class);
+        if now_us + self.lane(class).held.us() > waiter.ask.deadline_us {
+            let refusal = self.refusal(Cause::TooLate, &waiter.ask);
             return Some((waiter.wake, Turn::Refused(refusal)));
         }
-        self.take(class);
+        self.take(now_us, class);
         Some((waiter.wake, Turn::Slot))
     }
 
@@ -260,33 +336,31 @@
         self.interactive.waiting() + self.bulk.waiting()
     }
 
-    /// Requests in hand in percent of the slots; above 100 some wait.
-    pub fn load_percent(&self) -> u32 {
-        let in_hand = self.in_use() + self.waiting();
-        match self.limits.slots {
-            0 => 100,
-            slots => in_hand.saturating_mul(100) / slots,
-        }
+    /// Waiting requests that would go before one that came now.
+    fn ahead(&self, ask: &Ask) -> (u32, u32) {
+        let own = self.lane(ask.class).ahead(ask.rank);
+        let other = self.lane(other(ask.class)).waiting();
+        let other = match ask.class {
+            Class::Interactive => other.min(own / INTERACTIVE_STREAK),
+            Class::Bulk => other.min((own + 1) * INTERACTIVE_STREAK),
+        };
+        (own, other)
     }
 
     /// Estimated wait of a request that came now, from the service times seen.
-    pub fn wait_us(&self, class: Class) -> u64 {
-        let own = self.lane(class);
-        let other = self.lane(other(class));
-        let ahead = own.waiting();
-        let other_ahead = match class {
-            Class::Interactive => other.waiting().min(ahead / INTERACTIVE_STREAK),
-            Class::Bulk => other.waiting().min((ahead + 1) * INTERACTIVE_STREAK),
-        };
-        let own_us = u64::from(ahead + 1).saturating_mul(own.mean_held_us);
-        let other_us = u64::from(other_ahead).saturating_mul(other.mean_held_us);
+    pub fn wait_us(&self, ask: &Ask) -> u64 {
+        let (own, other_ahead) = self.ahead(ask);
+        let own_us = self.lane(ask.class).held.us();
+        let other_us = self.lane(other(ask.class)).held.us();
+        let own_us = u64::from(own + 1).saturating_mul(own_us);
+        let other_us = u64::from(other_ahead).saturating_mul(other_us);
         own_us.saturating_add(other_us) / u64::from(self.limits.slots.max(1))
     }
 
-    fn refusal(&self, cause: Cause, class: Class) -> Refusal {
+    fn refusal(&self, cause: Cause, ask: &Ask) -> Refusal {
         Refusal {
             cause,
-            retry_after_ms: self.wait_us(class) / 1_000,
+            retry_after_ms: self.wait_us(ask) / 1_000,
         }
     }
 
@@ -304,7 +378,8 @@
         }
     }
 
-    fn take(&mut self, class: Class) {
+    fn take(&mut self, now_us: u64, class: Class) {
+        self.since_sum_us += now_us;
         self.lane_mut(class).in_use += 1;
         self.streak = match class {
             Class::Interactive => self.streak.saturating_add(1),
@@ -331,7 +406,7 @@
     }
 
     fn next_class(&self, now_us: u64) -> Option<Class> {
-        let ready = |class| !self.lane(class).queue.is_empty() && self.may_take(now_us, class);
+        let ready = |class| !self.lane(class).is_empty() && self.may_take(now_us, class);
         let bulk_turn = self.streak >= INTERACTIVE_STREAK;
         match (ready(Class::Interactive), ready(Class::Bulk)) {
             (true, true) if bulk_turn => Some(Class::Bulk),
@@ -356,8 +431,8 @@
         if !entitled || !borrowed {
             return false;
         }
-        let refusal = self.refusal(Cause::Full, other);
-        let newest = self.lane_mut(other).queue.pop_back();
+        let refusal = self.refusal(Cause::Full, &Ask::new(other, 0));
+        let newest = self.lane_mut(other).pop_newest();
         let evicted = newest.and_then(|ticket| self.waiting.remove(ticket));
         self.refused
             .extend(evicted.map(|waiter| (waiter.wake, refusal)));
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -10,13 +10,17 @@
 
 use rand::{Rng, RngExt};
 
-use self::observation::{EJECTED_MOST_US, JUDGED_EARLY_SAMPLES, JUDGED_SAMPLES, Seen};
+use self::cost::Choice;
+use self::observation::{EJECTED_MOST_US, Seen};
 use crate::core::configuration::Spill;
-use crate::core::member::{Member, NodeId, Place};
+use crate::core::member::{Distance, Member, NodeId, Place};
+use crate::core::names::ResourceName;
 
+mod cost;
 mod observation;
 
-pub use self::observation::Observed;
+pub use self::cost::Limits;
+pub use self::observation::{LoadReport, Observed};
 
 /// Endpoints of one service and distance that an entry uses at a time.
 ///
@@ -25,35 +29,27 @@
 /// load nearly as well as among all, and each endpoint is still in the subset of many entries.
 const SUBSET: usize = 8;
 
-/// Load from which an endpoint counts as full, in percent of its slots.
-const FULL_PERCENT: u32 = 100;
+/// Spread of the noise that parts entries which see endpoints as equal; below the least
+/// difference that matters, the crossing to another data centre.
+const NOISE: f64 = 0.004;
 
-/// Endpoints remembered before the ones not used lately are forgotten.
-const REMEMBERED_MAX: usize = 2_048;
+/// Length that an answer is taken to have before there was one: a short list.
+const ANSWER_UNKNOWN_BYTES: f64 = 2_000.0;
+/// Gain of the running mean of lengths: one in so many.
+const ANSWERS_DIVISOR: f64 = 16.0;
+/// Resources whose answers are measured: above those that a node calls under load.
+const ANSWERS_MAX: usize = 256;
 
-/// Distance classes, nearest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Distance {
-    /// Same data centre.
-    DataCentre,
-    /// Same region.
-    Region,
-    /// Across the billed link.
-    Mesh,
-}
+/// Time that a request is taken to hold a slot before any endpoint has said it: short work.
+const HELD_UNKNOWN_US: u64 = 20_000;
 
-impl Distance {
-    /// From one place to another.
-    pub fn between(from: &Place, to: &Place) -> Self {
-        if from == to {
-            Self::DataCentre
-        } else if from.region == to.region {
-            Self::Region
-        } else {
-            Self::Mesh
-        }
-    }
-}
+/// How much quicker than the quickest known an endpoint is taken to be before it has said it: were it
+/// taken for as quick, an entry beside a slow endpoint would never find the fast one a millisecond
+/// further.
+const UNKNOWN_QUICKNESS: u64 = 2;
+
+/// Endpoints remembered before the ones not used lately are forgotten.
+const REMEMBERED_MAX: usize = 2_048;
 
 /// One endpoint of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,7 +71,7 @@
 impl Ranked {
     /// Adds a member as seen by the entry `me` at `from`.
     pub fn add(&mut self, me: NodeId, from: &Place, member: &Member) {
-        let ring = Distance::between(from, &member.place) as usize;
+        let ring = from.distance_to(&member.place) as usize;
         self.rings[ring].push(Endpoint {
             node: member.node,
             address: member.dial_address(from),
@@ -125,10 +121,14 @@
 pub struct Need<'a> {
     /// How far away it may run.
     pub spill: Spill,
-    /// Slots of one endpoint of the service.
+    /// Slots of an endpoint that has not said how many it has.
     pub slots: u32,
-    /// Requests that may wait at one endpoint.
-    pub queue_len: u32,
+    /// What it asks for.
+    pub resource: &'a ResourceName,
+    /// Until when its answer is of use.
+    pub limits: Limits,
+    /// Length of its body.
+    pub body_bytes: u64,
     /// Endpoints that have failed it before.
     pub tried: &'a [NodeId],
 }
@@ -146,16 +146,18 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     seen: HashMap<NodeId, Seen>,
+    /// Mean length of answers, by resource.
+    answers_bytes: HashMap<ResourceName, f64>,
 }
 
 impl Balancer {
-    /// Picks an endpoint, nearest first, and further away only when the near ones are full.
+    /// Picks the endpoint that is likely to serve the request best; see [`cost`].
     ///
-    /// Load made for: skewed demand. Harm prevented: the single least loaded endpoint is
-    /// stampeded by every entry at once; two random choices spread what one report would
-    /// concentrate. Reason for the limits: the link between regions is billed, so crossing it
-    /// needs every nearer endpoint of the subset full; and an endpoint that failed this request
-    /// is asked again only if there is no other.
+    /// Load made for: many entries that place by reports which are some answers old. Harm
+    /// prevented: they all find the same endpoint the best and stampede it. Reason for the limits:
+    /// each counts what it has sent there since the report, and a little noise parts those that
+    /// see endpoints as equal. An endpoint that failed this request is asked again only if there
+    /// is no other.
     pub fn choose(
         &mut self,
         now_us: u64,
@@ -185,7 +187,7 @@
     }
 
     fn choose_among(
-        &mut self,
+        &self,
         now_us: u64,
         ranked: &Ranked,
         need: &Need<'_>,
@@ -197,25 +199,77 @@
             Spill::Region => 2,
             Spill::Mesh => 3,
         };
-        // Where no slot is free the nearest queue with room is next, and a refusal the last.
-        let queue_full_percent = (need.slots + need.queue_len) * 100 / need.slots.max(1);
-        let mut queue = None;
-        let mut fallback = None;
-        for ring in &ranked.rings[..reach] {
+        let held_us = self.least_held_us(now_us, ranked, need);
+        let size_kb = self.size_kb(need);
+        let distances = [Distance::DataCentre, Distance::Region, Distance::Mesh];
+        let rings = ranked.rings.iter().zip(distances).take(reach);
+        let mut best = None;
+        let mut least = f64::INFINITY;
+        for (ring, distance) in rings {
             let subset = self.usable(now_us, ring, others);
-            let Some(chosen) = self.least_of(now_us, ring, &subset, need.slots, rng) else {
-                continue;
-            };
-            let load = self.load(now_us, &chosen, need.slots);
-            if load < FULL_PERCENT {
-                return Some(chosen);
-            }
-            if load < queue_full_percent {
-                queue.get_or_insert(chosen);
+            for endpoint in subset.as_slice().iter().map(|position| &ring[*position]) {
+                let choice = self.choice(now_us, endpoint, distance, need, held_us);
+                let choice = Choice { size_kb, ..choice };
+                let cost = cost::of(&choice, need.limits) + rng.random_range(0.0..NOISE);
+                if cost < least {
+                    least = cost;
+                    best = Some(*endpoint);
+                }
             }
-            fallback.get_or_insert(chosen);
         }
-        queue.or(fallback)
+        best
+    }
+
+    /// The shortest time that a request like this one is known to hold a slot, anywhere: what an
+    /// endpoint is given credit for before it has said its own.
+    fn least_held_us(&self, now_us: u64, ranked: &Ranked, need: &Need<'_>) -> u64 {
+        let seen = ranked.iter().filter_map(|e| self.seen.get(&e.node));
+        let held = seen.filter_map(|seen| seen.held_us(now_us, need.resource));
+        held.min().unwrap_or(HELD_UNKNOWN_US)
+    }
+
+    fn choice(
+        &self,
+        now_us: u64,
+        endpoint: &Endpoint,
+        distance: Distance,
+        need: &Need<'_>,
+        least_held_us: u64,
+    ) -> Choice {
+        let seen = self.seen.get(&endpoint.node);
+        let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
+        let held_us = seen.and_then(|seen| seen.held_us(now_us, need.resource));
+        let outstanding = seen.map_or(0, |seen| seen.outstanding);
+        let asked = held_us.is_none().then_some(outstanding);
+        let held_us = held_us.unwrap_or(least_held_us / UNKNOWN_QUICKNESS);
+        let mean_held_us = seen.and_then(Seen::mean_held_us).unwrap_or(held_us);
+        let slots = seen.and_then(Seen::slots).unwrap_or(need.slots);
+        Choice {
+            distance,
+            in_hand: seen.map_or(0.0, |seen| seen.in_hand(now_us, need.resource)),
+            slots: f64::from(slots),
+            held_us: held_us as f64,
+            mean_held_us: mean_held_us as f64,
+            failing: seen.map_or(0.0, |seen| seen.failing(now_us)),
+            asked: f64::from(asked.unwrap_or(0)),
+            size_kb: 0.0,
+        }
+    }
+
+    fn size_kb(&self, need: &Need<'_>) -> f64 {
+        let answer_bytes = self.answers_bytes.get(need.resource);
+        let answer_bytes = answer_bytes.copied().unwrap_or(ANSWER_UNKNOWN_BYTES);
+        (need.body_bytes as f64 + answer_bytes) / 1_000.0
+    }
+
+    /// An answer for `resource` is so long.
+    pub fn answered(&mut self, resource: &ResourceName, bytes: u64) {
+        let bytes = bytes as f64;
+        if let Some(mean) = self.answers_bytes.get_mut(resource) {
+            *mean += (bytes - *mean) / ANSWERS_DIVISOR;
+        } else if self.answers_bytes.len() < ANSWERS_MAX {
+            self.answers_bytes.insert(resource.clone(), bytes);
+        }
     }
 
     /// The request goes to `endpoint`.
@@ -237,10 +291,16 @@
         }
     }
 
-    /// The endpoint reported its load.
-    pub fn reported(&mut self, now_us: u64, node: NodeId, load_percent: u32) {
+    /// The endpoint reported its load with an answer to a request for `resource`.
+    pub fn reported(
+        &mut self,
+        now_us: u64,
+        node: NodeId,
+        resource: &ResourceName,
+        load: LoadReport,
+    ) {
         if let Some(seen) = self.seen.get_mut(&node) {
-            seen.report(now_us, load_percent);
+            seen.report(now_us, resource, load);
         }
     }
 
@@ -291,80 +351,6 @@
         }
     }
 
-    fn least_of(
-        &mut self,
-        now_us: u64,
-        ring: &[Endpoint],
-        subset: &Subset,
-        slots: u32,
-        rng: &mut impl Rng,
-    ) -> Option<Endpoint> {
-        let positions = subset.as_slice();
-        let chosen = match positions {
-            [] => return None,
-            [only] => ring[*only],
-            _ => {
-                let first = rng.random_range(0..positions.len());
-                let step = rng.random_range(1..positions.len());
-                let second = (first + step) % positions.len();
-                let (first, second) = (ring[positions[first]], ring[positions[second]]);
-                let first_score = self.seen_mut(now_us, &first).score(now_us, slots);
-                let second_score = self.seen_mut(now_us, &second).score(now_us, slots);
-                if second_score < first_score {
-                    second
-                } else {
-                    first
-                }
-            }
-        };
-        self.judge(now_us, ring, positions, &chosen);
-        if self.load(now_us, &chosen, slots) < FULL_PERCENT {
-            return Some(chosen);
-        }
-        // Both are full; only now is it worth to look at all.
-        let score = |position: &&usize| {
-            let endpoint = &ring[**position];
-            let seen = self.seen.get(&endpoint.node);
-            seen.map_or(0, |seen| seen.score(now_us, slots))
-        };
-        positions
-            .iter()
-            .min_by_key(score)
-            .map(|position| ring[*position])
-    }
-
-    /// Ejects `endpoint` if it has become much slower than the others of its ring.
-    fn judge(&mut self, now_us: u64, ring: &[Endpoint], positions: &[usize], endpoint: &Endpoint) {
-        let seen = *self.seen_mut(now_us, endpoint);
-        let early = seen.samples.is_power_of_two() && seen.samples >= JUDGED_EARLY_SAMPLES;
-        if !early && seen.samples < JUDGED_SAMPLES {
-            return;
-        }
-        let mut others = [0; SUBSET];
-        let mut len = 0;
-        for other in positions.iter().map(|position| &ring[*position]) {
-            let other_seen = self.seen.get(&other.node);
-            let judged = other_seen.filter(|seen| seen.samples > 0 && other != endpoint);
-            if let Some(judged) = judged {
-                others[len] = judged.latency_us;
-                len += 1;
-            }
-        }
-        let seen = self.seen_mut(now_us, endpoint);
-        if len == 0 {
-            seen.judged();
-            return;
-        }
-        let others = &mut others[..len];
-        others.sort_unstable();
-        let median_us = others[len / 2];
-        seen.judge(now_us, median_us);
-    }
-
-    fn load(&mut self, now_us: u64, endpoint: &Endpoint, slots: u32) -> u32 {
-        self.seen_mut(now_us, endpoint).load(now_us, slots)
-    }
-
     fn seen_mut(&mut self, now_us: u64, endpoint: &Endpoint) -> &mut Seen {
         let seen = self.seen.entry(endpoint.node);
         let seen = seen.or_insert_with(|| Seen::new(now_us, endpoint));
--- /dev/null
+++ b/src/decide/placement/cost.rs
@@ -0,0 +1,106 @@
+//! What it costs a caller, and the mesh, to send a request to an endpoint.
+//!
+//! Costs are compared with each other and mean little alone: 1 is a request that is not answered.
+
+use crate::core::member::Distance;
+
+/// A late answer is worth about a third of one in time to the users, who weigh it so themselves.
+const LATE: f64 = 0.7;
+/// A request whose deadline passes has cost its caller the whole wait, too, and users count what is
+/// served at all several times as much as what is served in time.
+const LOST: f64 = 3.0;
+
+/// Crossing to another data centre of the region, for each kilobyte of request and answer. Reason for
+/// the figure: what the users pay for the volume, beside what an answer in time is worth to them. A
+/// price list of 5 KB stays near while its endpoint's queue is shorter than a third of its slots.
+const OTHER_DATA_CENTRE_PER_KB: f64 = 0.015;
+/// The same for the link between regions, which costs four times as much.
+const OTHER_REGION_PER_KB: f64 = 0.06;
+/// Least size that is reckoned with: heads, and packets of their own.
+const LEAST_KB: f64 = 1.0;
+
+/// Waiting for as long as one request holds a slot. Load made for: more requests than the near
+/// slots take. Harm prevented: a queue that makes everyone behind it wait while slots further away
+/// idle; the wait of the one request alone would hardly count.
+const WAIT: f64 = 0.25;
+
+/// Slots that are all in use. Requests come in clumps and backend servers slow down when nearly
+/// full, so an endpoint with room to spare goes before one that is about to be full.
+const BUSY: f64 = 0.02;
+
+/// An endpoint whose answers are all failures. A request there may be tried again elsewhere, which
+/// costs another attempt.
+const FAILING: f64 = 0.5;
+
+/// Each request that is outstanding at an endpoint of which nothing is known. Load made for: an
+/// endpoint that has just started and is cold. Harm prevented: it looks idle and quick, and every
+/// entry sends it all it has. Reason for the figure: one request finds out, a second one may go
+/// there only if all others are worse by a queue.
+const ASKED: f64 = 0.1;
+
+/// Time to an endpoint and back, in microseconds: the users' 1 ms between data centres and 20 ms between
+/// regions, each way.
+const ROUND_TRIP_US: [u64; 3] = [300, 2_000, 41_000];
+
+/// What is known of one choice. Times are microseconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub(super) distance: Distance,
+    /// Requests that are running or waiting there.
+    pub(super) in_hand: f64,
+    /// Requests that run there at a time.
+    pub(super) slots: f64,
+    /// How long a request like this one holds a slot there, on average.
+    pub(super) held_us: f64,
+    /// How long any request does, on average.
+    pub(super) mean_held_us: f64,
+    /// Part of its requests that failed lately.
+    pub(super) failing: f64,
+    /// Kilobytes of the request and its answer.
+    pub(super) size_kb: f64,
+    /// Requests of this entry that are outstanding at an endpoint whose times it does not know.
+    pub(super) asked: f64,
+}
+
+/// Until when an answer is of use. Times are microseconds from now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Until then it is worth most.
+    pub target_us: u64,
+    /// After it nobody waits any more.
+    pub deadline_us: u64,
+}
+
+/// The cost of a choice; the lowest is best.
+///
+/// Load made for: endpoints of one service that differ in speed by two and more, in every data
+/// centre. Harm prevented: with the nearest first, a data centre whose own endpoint is slow answers
+/// late (12 % late there, 1 to 3 % elsewhere, on a calm day of each deployment) although a fast one is a
+/// millisecond away. How long work takes scatters like an exponential, so the part that comes too
+/// late is taken from one with the endpoint's mean.
+pub(super) fn of(choice: &Choice, limits: Limits) -> f64 {
+    let slots = choice.slots.max(1.0);
+    let queued = (choice.in_hand + 1.0 - slots).max(0.0);
+    let waited = queued / slots;
+    let before_us = ROUND_TRIP_US[choice.distance as usize] as f64 + waited * choice.mean_held_us;
+    let past = |limit_us: u64| {
+        let left_us = limit_us as f64 - before_us;
+        (-left_us.max(0.0) / choice.held_us.max(1.0)).exp()
+    };
+    let busy = (choice.in_hand / slots).min(1.0);
+    LATE * past(limits.target_us)
+        + LOST * past(limits.deadline_us)
+        + WAIT * waited
+        + BUSY * busy.powi(3)
+        + FAILING * choice.failing
+        + ASKED * choice.asked
+        + crossing(choice.distance) * choice.size_kb.max(LEAST_KB)
+}
+
+fn crossing(distance: Distance) -> f64 {
+    match distance {
+        Distance::DataCentre => 0.0,
+        Distance::Region => OTHER_DATA_CENTRE_PER_KB,
+        Distance::Mesh => OTHER_REGION_PER_KB,
+    }
+}
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -1,15 +1,17 @@
 //! What one entry has seen of one endpoint with its own calls.
 
 use super::Endpoint;
+use crate::core::names::ResourceName;
 
-/// How long a reported load counts: some ten service times of short work. An older report keeps
-/// an endpoint out of work that has long become free.
+/// How long a reported load counts in full: some service times of short work.
 const LOAD_FRESH_US: u64 = 200_000;
+/// After so much longer it counts for nothing: what was in hand then has long become free.
+const LOAD_FADES_US: u64 = 800_000;
 
-/// An endpoint gets its full share so long after it was first seen.
-const SLOW_START_US: u64 = 10_000_000;
-/// Share of a new endpoint in percent: enough to warm its caches.
-const SLOW_START_PERCENT: u64 = 10;
+/// After so long without a report the times of an endpoint are taken for unknown, so that one that
+/// was slow for a moment is tried again. Several times what any request is waited for on the
+/// deployments.
+const HELD_FRESH_US: u64 = 5_000_000;
 
 /// Strikes that eject an endpoint. A lost connection is two, an answer of 5xx one; an answer
 /// that is none clears them.
@@ -18,35 +20,31 @@
 const EJECTED_FIRST_US: u64 = 1_000_000;
 pub(super) const EJECTED_MOST_US: u64 = 30_000_000;
 
-/// Answers of an endpoint after which its latency is judged: enough that one long request among
-/// short ones is not taken for a slow endpoint.
-pub(super) const JUDGED_SAMPLES: u32 = 16;
-/// Answers after which it is judged early, by the quickest of them: one that is slow throughout is
-/// found before it has had many requests, and long requests among short ones prove nothing.
-pub(super) const JUDGED_EARLY_SAMPLES: u32 = 4;
-/// An endpoint is slow if its mean latency is so many times the median of the others.
-const SLOW_FACTOR: u64 = 3;
-/// Differences below this are noise of a busy VM.
-const SLOW_LEAST_US: u64 = 5_000;
-
 /// A draining endpoint is left alone for so long; by then gossip says the same.
 const DRAINING_US: u64 = 5_000_000;
 
-/// Gain of the running mean: one in so many.
-const LATENCY_DIVISOR: u64 = 8;
+/// Gain of the running share of failures: one in so many.
+const FAILING_DIVISOR: f64 = 16.0;
+/// A share of failures is forgotten at this pace, so that an endpoint that has recovered is found
+/// out: to a third in this time.
+const FAILING_FORGOTTEN_US: f64 = 5_000_000.0;
+
+/// Resources whose times are remembered for one endpoint: above those that a service has under
+/// load; the oldest goes first.
+const RESOURCES_MAX: usize = 16;
 
 /// How an attempt ended, as far as it tells of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Observed {
-    /// An answer; latency to its header, if the request was an interactive one.
+    /// An answer.
     Answered {
-        /// From sending to the answer's header.
-        latency_us: Option<u64>,
         /// Whether the backend server answered 5xx.
         server_error: bool,
     },
     /// Refused for load.
     Refused,
+    /// Its backend server did not take it.
+    Rejected,
     /// Refused because it is draining.
     Draining,
     /// Not reached.
@@ -55,37 +53,72 @@
     Lost,
 }
 
+/// What a gate says of its backend server with each answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that are running.
+    pub in_use: u32,
+    /// Waiting requests that would go before another one like the request that is answered.
+    pub ahead: u32,
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// How long a request holds its slot on average, in microseconds; 0 before the first.
+    pub mean_held_us: u64,
+    /// The same for requests to the resource of the request that is answered.
+    pub resource_held_us: u64,
+}
+
 /// What one entry has seen of one endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Seen {
     pub(super) incarnation_us: u64,
-    first_seen_us: u64,
     pub(super) used_us: u64,
     pub(super) outstanding: u32,
-    load_percent: u32,
-    load_at_us: Option<u64>,
-    pub(super) latency_us: u64,
-    /// The quickest answer of the samples.
-    least_latency_us: u64,
-    pub(super) samples: u32,
+    report: Option<Reported>,
+    /// Time that a request holds a slot, by resource.
+    held: Vec<Held>,
+    failing: f64,
+    failing_at_us: u64,
     strikes: u32,
     ejections: u32,
     ejected_until_us: u64,
     draining_until_us: u64,
 }
 
+/// How long a request to a resource holds a slot, and how many like it wait.
+#[derive(Clone, Debug)]
+struct Held {
+    resource: ResourceName,
+    held_us: u64,
+    ahead: u32,
+    at_us: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    load: LoadReport,
+    at_us: u64,
+    /// Requests of this entry that were outstanding then.
+    outstanding: u32,
+}
+
+/// How much a load still counts that was reported at `at_us`.
+fn counts(now_us: u64, at_us: u64) -> f64 {
+    let age_us = now_us.saturating_sub(at_us);
+    let stale_us = age_us.saturating_sub(LOAD_FRESH_US) as f64;
+    (1.0 - stale_us / LOAD_FADES_US as f64).max(0.0)
+}
+
 impl Seen {
     pub(super) fn new(now_us: u64, endpoint: &Endpoint) -> Self {
         Self {
             incarnation_us: endpoint.incarnation_us,
-            first_seen_us: now_us,
             used_us: now_us,
             outstanding: 0,
-            load_percent: 0,
-            load_at_us: None,
-            latency_us: 0,
-            least_latency_us: u64::MAX,
-            samples: 0,
+            report: None,
+            held: Vec::new(),
+            failing: 0.0,
+            failing_at_us: now_us,
             strikes: 0,
             ejections: 0,
             ejected_until_us: 0,
@@ -93,40 +126,60 @@
         }
     }
 
-    /// Load in percent of the slots: the endpoint's own word while it is fresh, and never less
-    /// than what this entry alone has outstanding there.
-    pub(super) fn load(&self, now_us: u64, slots: u32) -> u32 {
-        let fresh = |at_us| now_us.saturating_sub(at_us) < LOAD_FRESH_US;
-        let reported = match self.load_at_us.is_some_and(fresh) {
-            true => self.load_percent,
-            false => 0,
+    /// Requests in hand at the endpoint: its own word while it is fresh, corrected by what this
+    /// entry has begun and ended since, and never less than what this entry has there.
+    pub(super) fn in_hand(&self, now_us: u64, resource: &ResourceName) -> f64 {
+        let own = f64::from(self.outstanding);
+        let Some(report) = &self.report else {
+            return own;
         };
-        let own = self.outstanding.saturating_mul(100) / slots.max(1);
-        reported.max(own)
+        let held = self.held.iter().find(|held| held.resource == *resource);
+        let ahead = held.map_or(0.0, |held| {
+            counts(now_us, held.at_us) * f64::from(held.ahead)
+        });
+        // What was outstanding then is part of the report; what was begun since comes on top.
+        let others = f64::from(report.load.in_use) + ahead - f64::from(report.outstanding);
+        own + counts(now_us, report.at_us) * others.max(0.0)
+    }
+
+    /// Slots, as last reported.
+    pub(super) fn slots(&self) -> Option<u32> {
+        let slots = self.report.as_ref().map(|report| report.load.slots);
+        slots.filter(|slots| *slots > 0)
+    }
+
+    /// How long a request to `resource` holds a slot, as last reported.
+    pub(super) fn held_us(&self, now_us: u64, resource: &ResourceName) -> Option<u64> {
+        let found = self.held.iter().find(|held| held.resource == *resource);
+        let fresh = found.filter(|held| now_us.saturating_sub(held.at_us) < HELD_FRESH_US);
+        fresh.map(|held| held.held_us)
+    }
+
+    /// How long any request holds a slot, as last reported.
+    pub(super) fn mean_held_us(&self) -> Option<u64> {
+        let mean_us = self.report.as_ref().map(|report| report.load.mean_held_us);
+        mean_us.filter(|mean_us| *mean_us > 0)
+    }
+
+    /// Part of its requests that failed lately.
+    pub(super) fn failing(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.failing_at_us) as f64;
+        self.failing * (-age_us / FAILING_FORGOTTEN_US).exp()
     }
 
-    /// What two endpoints are compared by; lower is better.
-    ///
-    /// Load made for: a cold endpoint among warm ones. Harm prevented: it looks idle, so every
-    /// entry sends it everything. Reason for the limit: the share rises over the time that a
-    /// cold start lasts.
-    pub(super) fn score(&self, now_us: u64, slots: u32) -> u64 {
-        let own = u64::from(self.outstanding) * 100 / u64::from(slots.max(1));
-        let load = u64::from(self.load(now_us, slots)) + own + 1;
-        let age_us = now_us.saturating_sub(self.first_seen_us).min(SLOW_START_US);
-        let risen = (100 - SLOW_START_PERCENT) * age_us / SLOW_START_US;
-        load * 100 / (SLOW_START_PERCENT + risen)
+    fn learn_failing(&mut self, now_us: u64, failed: bool) {
+        let known = self.failing(now_us);
+        let now = if failed { 1.0 } else { 0.0 };
+        self.failing = known + (now - known) / FAILING_DIVISOR;
+        self.failing_at_us = now_us;
     }
 
     fn eject(&mut self, now_us: u64) {
         let time_us = EJECTED_FIRST_US << self.ejections.min(5);
         self.ejections += 1;
         self.ejected_until_us = now_us + time_us.min(EJECTED_MOST_US);
-        self.first_seen_us = self.ejected_until_us;
         // When it comes back one more failure is enough, until it has given an answer.
         self.strikes = STRIKES_MAX - 1;
-        self.samples = 0;
-        self.least_latency_us = u64::MAX;
     }
 
     fn strike(&mut self, now_us: u64, strikes: u32) {
@@ -139,26 +192,53 @@
     /// Takes in how an attempt ended.
     pub(super) fn observe(&mut self, now_us: u64, observed: Observed) {
         match observed {
-            Observed::Answered {
-                server_error: true, ..
-            } => self.strike(now_us, 1),
-            Observed::Answered { latency_us, .. } => {
+            Observed::Answered { server_error: true } => {
+                self.learn_failing(now_us, true);
+                self.strike(now_us, 1);
+            }
+            Observed::Answered { .. } => {
+                self.learn_failing(now_us, false);
                 self.strikes = 0;
-                if let Some(latency_us) = latency_us {
-                    self.learn_latency(latency_us);
-                }
+                self.ejections = 0;
             }
             Observed::Refused => (),
+            Observed::Rejected => self.learn_failing(now_us, true),
             Observed::Draining => self.draining_until_us = now_us + DRAINING_US,
             Observed::Unreachable => self.eject(now_us),
-            Observed::Lost => self.strike(now_us, STRIKES_LOST),
+            Observed::Lost => {
+                self.learn_failing(now_us, true);
+                self.strike(now_us, STRIKES_LOST);
+            }
         }
     }
 
     /// Takes in its own word of its load.
-    pub(super) fn report(&mut self, now_us: u64, load_percent: u32) {
-        self.load_percent = load_percent;
-        self.load_at_us = Some(now_us);
+    pub(super) fn report(&mut self, now_us: u64, resource: &ResourceName, load: LoadReport) {
+        self.report = Some(Reported {
+            load,
+            at_us: now_us,
+            outstanding: self.outstanding,
+        });
+        if load.resource_held_us == 0 {
+            return;
+        }
+        let held_us = load.resource_held_us;
+        let known = self.held.iter_mut();
+        if let Some(known) = known.into_iter().find(|held| held.resource == *resource) {
+            known.held_us = held_us;
+            known.ahead = load.ahead;
+            known.at_us = now_us;
+            return;
+        }
+        if self.held.len() >= RESOURCES_MAX {
+            self.held.remove(0);
+        }
+        self.held.push(Held {
+            resource: resource.clone(),
+            held_us,
+            ahead: load.ahead,
+            at_us: now_us,
+        });
     }
 
     pub(super) fn is_ejected(&self, now_us: u64) -> bool {
@@ -168,34 +248,4 @@
     pub(super) fn is_draining(&self, now_us: u64) -> bool {
         self.draining_until_us > now_us
     }
-
-    /// Ejects it if it has become much slower than the others, whose median is given.
-    pub(super) fn judge(&mut self, now_us: u64, median_us: u64) {
-        let slow_us = median_us * SLOW_FACTOR + SLOW_LEAST_US;
-        let judged_us = match self.samples < JUDGED_SAMPLES {
-            true => self.least_latency_us,
-            false => self.latency_us,
-        };
-        if judged_us > slow_us {
-            self.eject(now_us);
-        } else if self.samples >= JUDGED_SAMPLES {
-            self.ejections = 0;
-            self.judged();
-        }
-    }
-
-    /// Begins a new round of samples; the mean goes on.
-    pub(super) fn judged(&mut self) {
-        self.samples = 1;
-        self.least_latency_us = u64::MAX;
-    }
-
-    fn learn_latency(&mut self, latency_us: u64) {
-        self.latency_us = match self.samples {
-            0 => latency_us,
-            _ => (self.latency_us * (LATENCY_DIVISOR - 1) + latency_us) / LATENCY_DIVISOR,
-        };
-        self.least_latency_us = self.least_latency_us.min(latency_us);
-        self.samples += 1;
-    }
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -15,7 +15,7 @@
 use crate::core::status::DataCentreSummary;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::announcements::Announcements;
-use crate::decide::placement::{Balancer, Ranked};
+use crate::decide::placement::{Balancer, LoadReport, Ranked};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::distribution::Applied;
 use crate::node::freeze;
@@ -25,6 +25,7 @@
 use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::calls::Calls;
+use crate::proxy::hop::Hop;
 use crate::proxy::peers::PeerConnections;
 use crate::proxy::slots::{self, Wake};
 use crate::proxy::vocabulary::Vocabulary;
@@ -179,6 +180,13 @@
         lock(&self.admission)
     }
 
+    /// What this node's gate says of its load with the answer to `hop`.
+    pub(crate) fn load(&self, hop: &Hop) -> LoadReport {
+        let now_us = clock::since_us(self.started);
+        let ask = hop.ask(self.started);
+        self.admission().load(now_us, &ask, &hop.resource)
+    }
+
     /// Lets the backend server have no new work; what waits for a slot is refused at once, so
     /// that its entry takes it elsewhere.
     pub(crate) fn close_gate(&self) {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -156,7 +156,8 @@
         host: &host,
         branch,
         slots: limits.map_or(1, |service| service.slots_per_endpoint),
-        queue_len: limits.map_or(0, |service| service.queue_len),
+        body_bytes: replay.least_len_bytes(),
+        began: Instant::now(),
         deadline: origin
             .deadline
             .map_or(own_deadline, |above| above.min(own_deadline)),
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -1,19 +1,20 @@
 //! The attempts of one routed request.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::header::HeaderMap;
 use http::request::Parts;
 use http::uri::Authority;
 use http::{Request, Response, Uri};
+use http_body::Body as _;
 
-use crate::core::configuration::Class;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::core::routing::Branch;
 use crate::core::verdict::Verdict;
-use crate::decide::placement::{Endpoint, Need, Observed};
+use crate::decide::patience;
+use crate::decide::placement::{Endpoint, Limits, LoadReport, Need, Observed};
 use crate::decide::retry::Attempts;
 use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
@@ -31,7 +32,8 @@
     pub(super) host: &'a Authority,
     pub(super) branch: &'a Branch,
     pub(super) slots: u32,
-    pub(super) queue_len: u32,
+    pub(super) body_bytes: u64,
+    pub(super) began: Instant,
     pub(super) deadline: Instant,
     pub(super) depth: u32,
 }
@@ -79,13 +81,31 @@
         }
     }
 
+    /// Until when an answer is of use, from now.
+    fn limits(&self) -> Limits {
+        let target_ms = self.branch.treatment.target_latency_ms;
+        let target_ms = target_ms.unwrap_or(self.branch.treatment.timeout_ms);
+        let target = self.began + Duration::from_millis(u64::from(target_ms));
+        let left_us = |until: Instant| {
+            let left = until.saturating_duration_since(Instant::now());
+            u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
+        };
+        let deadline_us = left_us(self.deadline);
+        Limits {
+            target_us: left_us(target).min(deadline_us),
+            deadline_us,
+        }
+    }
+
     fn choose(&self, tried: &[NodeId]) -> Option<Endpoint> {
         let view = self.node.view.load();
         let ranked = view.endpoints.get(self.service())?;
         let need = Need {
             spill: self.branch.treatment.spill,
             slots: self.slots,
-            queue_len: self.queue_len,
+            resource: &self.branch.resource,
+            limits: self.limits(),
+            body_bytes: self.body_bytes,
             tried,
         };
         let now_us = clock::since_us(self.node.started);
@@ -107,25 +127,27 @@
         };
         let hop = Hop {
             service: self.service().clone(),
+            resource: self.branch.resource.clone(),
             class: self.branch.treatment.class,
+            rank: self.branch.treatment.priority,
+            patience: patience::of(&self.branch.treatment),
             deadline: self.deadline,
             depth: self.depth,
             retries,
         };
-        let began = Instant::now();
         let result = if endpoint.node == self.node.me {
             let request = self.request(body);
             let result = gate::run(self.node, &hop, request).await;
-            let load_percent = self.node.admission().load_percent();
-            let now_us = clock::since_us(self.node.started);
-            self.node
-                .balancer()
-                .reported(now_us, endpoint.node, load_percent);
+            self.reported(&endpoint, self.node.load(&hop));
             result
         } else {
             self.send(&endpoint, &hop, body).await
         };
-        self.observe(&endpoint, began, &result);
+        self.observe(&endpoint, &result);
+        if let Ok(response) = &result {
+            let bytes = response.body().size_hint().lower();
+            self.node.balancer().answered(&self.branch.resource, bytes);
+        }
         result.map(|response| response.map(|inner| body::boxed(Guarded::new(inner, outstanding))))
     }
 
@@ -145,38 +167,34 @@
         let response = tokio::time::timeout_at(self.deadline.into(), exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-        let Some(load) = headers::number(response.headers(), &headers::LOAD_PERCENT) else {
+        let Some(load) = headers::load(response.headers()) else {
             log::warn!(peer:% = endpoint.node; "an answer came from no gate: look at the mesh token");
             return Err(without_gate(response.headers()));
         };
-        let load = u32::try_from(load).unwrap_or(u32::MAX);
-        let now_us = clock::since_us(self.node.started);
-        self.node.balancer().reported(now_us, endpoint.node, load);
+        self.reported(endpoint, load);
         match Failure::from_headers(response.headers()) {
             None => Ok(response.map(body::boxed)),
             Some(failure) => Err(failure),
         }
     }
 
+    fn reported(&self, endpoint: &Endpoint, load: LoadReport) {
+        let now_us = clock::since_us(self.node.started);
+        let resource = &self.branch.resource;
+        let mut balancer = self.node.balancer();
+        balancer.reported(now_us, endpoint.node, resource, load);
+    }
+
     /// Tells the balancer what this attempt has shown of its endpoint.
-    fn observe(
-        &self,
-        endpoint: &Endpoint,
-        began: Instant,
-        result: &Result<Response<Body>, Failure>,
-    ) {
+    fn observe(&self, endpoint: &Endpoint, result: &Result<Response<Body>, Failure>) {
         let observed = match result {
-            Ok(response) => {
-                // Bulk work takes as long as its body is large, which says nothing of the endpoint.
-                let interactive = self.branch.treatment.class == Class::Interactive;
-                Observed::Answered {
-                    latency_us: interactive.then(|| clock::since_us(began)),
-                    server_error: response.status().is_server_error(),
-                }
-            }
+            Ok(response) => Observed::Answered {
+                server_error: response.status().is_server_error(),
+            },
             Err(failure) => match failure.reason {
                 Reason::Draining | Reason::NoEndpoint => Observed::Draining,
                 Reason::Unreachable => Observed::Unreachable,
+                Reason::Rejected => Observed::Rejected,
                 Reason::Lost | Reason::Deadline => Observed::Lost,
                 _ => Observed::Refused,
             },
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -17,13 +17,13 @@
 
 /// Serves a request from another node: all outcomes become answers with the mesh's headers.
 pub(crate) async fn serve(node: Arc<NodeState>, request: Request<Body>) -> Response<Body> {
-    let result = match Hop::read(request.headers()) {
-        Some(hop) => run(&node, &hop, request).await,
-        None => Err(Failure::not_run(Reason::BadRequest)),
+    let Some(hop) = Hop::read(request.headers()) else {
+        return Failure::not_run(Reason::BadRequest).into_hop_response();
     };
+    let result = run(&node, &hop, request).await;
     let mut response = result.unwrap_or_else(Failure::into_hop_response);
-    let load = HeaderValue::from(node.admission().load_percent());
-    response.headers_mut().insert(headers::LOAD_PERCENT, load);
+    let load = headers::load_value(&node.load(&hop));
+    response.headers_mut().insert(headers::LOAD, load);
     response
 }
 
@@ -37,7 +37,7 @@
     mut request: Request<Body>,
 ) -> Result<Response<Body>, Failure> {
     serving(node, hop)?;
-    let slot = Slot::take(node, hop.class, hop.queue_deadline()).await?;
+    let mut slot = Slot::take(node, hop).await?;
     // Another backend server may have taken the address while the request waited.
     let backend = serving(node, hop)?;
     let mut running = node.calls.begin(hop);
@@ -49,6 +49,7 @@
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
     let response = judge(node, &backend, id.as_ref(), response)?;
     let unspent = running.answered();
+    slot.answered();
     Ok(finish(response, unspent, (slot, running)))
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -3,6 +3,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::core::token::TOKEN_HEADER;
+use crate::decide::placement::LoadReport;
 
 /// Prefix of every header that nodes exchange. Callers' headers with it are dropped: a caller
 /// must not be able to set its own class, deadline or verdict.
@@ -14,7 +15,10 @@
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("x-dragonflywall-deadline-ms");
 /// On a request between nodes: the service that it is for.
 pub(crate) const SERVICE: HeaderName = HeaderName::from_static("x-dragonflywall-service");
-/// On a request between nodes: class of the work.
+/// On a request between nodes: the resource that it asks for.
+pub(crate) const RESOURCE: HeaderName = HeaderName::from_static("x-dragonflywall-resource");
+/// On a request between nodes: class of the work, its rank, and for how many milliseconds it is
+/// willing to wait for a slot, with blanks between them.
 pub(crate) const CLASS: HeaderName = HeaderName::from_static("x-dragonflywall-class");
 /// On a request between nodes: calls that led to it.
 pub(crate) const DEPTH: HeaderName = HeaderName::from_static("x-dragonflywall-depth");
@@ -22,8 +26,8 @@
 pub(crate) const RETRIES: HeaderName = HeaderName::from_static("x-dragonflywall-retries");
 /// On a request to a backend server, which copies it to the calls that it makes meanwhile.
 pub(crate) const CALL: HeaderName = HeaderName::from_static("x-dragonflywall-call");
-/// On an answer between nodes: load of the endpoint in percent of its slots.
-pub(crate) const LOAD_PERCENT: HeaderName = HeaderName::from_static("x-dragonflywall-load-percent");
+/// On an answer between nodes: the endpoint's load, five numbers with blanks between them.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-dragonflywall-load");
 /// On a failed answer: what is known of whether the request ran.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
 /// On a failed answer: why, as one word.
@@ -83,6 +87,33 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Writes a load for [`LOAD`].
+pub(crate) fn load_value(load: &LoadReport) -> HeaderValue {
+    let LoadReport {
+        in_use,
+        ahead,
+        slots,
+        mean_held_us,
+        resource_held_us,
+    } = load;
+    value(&format!(
+        "{in_use} {ahead} {slots} {mean_held_us} {resource_held_us}"
+    ))
+}
+
+/// Reads what [`load_value`] wrote.
+pub(crate) fn load(headers: &HeaderMap) -> Option<LoadReport> {
+    let mut numbers = text(headers, &LOAD)?.split(' ').map(str::parse::<u64>);
+    let mut next = || numbers.next()?.ok();
+    Some(LoadReport {
+        in_use: u32::try_from(next()?).ok()?,
+        ahead: u32::try_from(next()?).ok()?,
+        slots: u32::try_from(next()?).ok()?,
+        mean_held_us: next()?,
+        resource_held_us: next()?,
+    })
+}
+
 /// A header value from text that the mesh itself made.
 pub(crate) fn value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("?"))
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -5,8 +5,9 @@
 use http::header::{HeaderMap, HeaderValue};
 
 use super::headers;
-use crate::core::configuration::Class;
-use crate::core::names::{ServiceName, is_name};
+use crate::core::configuration::{Class, PRIORITY_DEFAULT};
+use crate::core::names::{ResourceName, ServiceName, is_name};
+use crate::decide::admission::Ask;
 
 /// Part of the remaining time, at most [`MARGIN_MAX`], that a request does not spend in the queue:
 /// the gate's proof that it did not run has to reach the entry before the entry's own deadline
@@ -21,7 +22,13 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Hop {
     pub(crate) service: ServiceName,
+    /// What the request asks for.
+    pub(crate) resource: ResourceName,
     pub(crate) class: Class,
+    /// Rank among the requests of its class, 0 first.
+    pub(crate) rank: u8,
+    /// How long it is willing to wait for a slot.
+    pub(crate) patience: Duration,
     pub(crate) deadline: Instant,
     /// Calls that led to this one.
     pub(crate) depth: u32,
@@ -34,7 +41,8 @@
     pub(crate) fn write(&self, to: &mut HeaderMap) {
         to.insert(headers::DATA, HeaderValue::from_static("1"));
         to.insert(headers::SERVICE, headers::value(self.service.as_str()));
-        to.insert(headers::CLASS, HeaderValue::from_static(word(self.class)));
+        to.insert(headers::RESOURCE, headers::value(self.resource.as_str()));
+        to.insert(headers::CLASS, self.class_value());
         to.insert(headers::DEADLINE_MS, self.remaining_ms());
         to.insert(headers::DEPTH, HeaderValue::from(self.depth));
         to.insert(headers::RETRIES, HeaderValue::from(self.retries));
@@ -49,15 +57,35 @@
             let number = headers::number(from, name).unwrap_or(0);
             u32::try_from(number).unwrap_or(u32::MAX)
         };
+        let (class, rank, patience) = class(headers::text(from, &headers::CLASS).unwrap_or(""));
         Some(Self {
             service: ServiceName::new(service),
-            class: class(headers::text(from, &headers::CLASS)),
+            resource: ResourceName::new(headers::text(from, &headers::RESOURCE).unwrap_or("")),
+            class,
+            rank,
+            patience,
             deadline: Instant::now() + Duration::from_millis(deadline_ms),
             depth: small(&headers::DEPTH),
             retries: small(&headers::RETRIES),
         })
     }
 
+    fn class_value(&self) -> HeaderValue {
+        let (class, rank) = (word(self.class), self.rank);
+        headers::value(&format!("{class} {rank} {}", self.patience.as_millis()))
+    }
+
+    /// What it asks of the gate, by the microseconds since `started`.
+    pub(crate) fn ask(&self, started: Instant) -> Ask {
+        let us = |duration: Duration| u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 2);
+        Ask {
+            class: self.class,
+            rank: self.rank,
+            deadline_us: us(self.queue_deadline().saturating_duration_since(started)),
+            patience_us: us(self.patience),
+        }
+    }
+
     /// Until when it may wait for a slot.
     pub(crate) fn queue_deadline(&self) -> Instant {
         let now = Instant::now();
@@ -82,9 +110,19 @@
     }
 }
 
-fn class(word: Option<&str>) -> Class {
-    match word {
+/// Reads what [`Hop::class_value`] wrote.
+fn class(text: &str) -> (Class, u8, Duration) {
+    let mut words = text.split(' ');
+    let class = match words.next() {
         Some("bulk") => Class::Bulk,
         _ => Class::Interactive,
-    }
+    };
+    let rank = words.next().and_then(|rank| rank.parse().ok());
+    let patience_ms = words.next().and_then(|ms| ms.parse().ok());
+    let patience_ms = patience_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+    (
+        class,
+        rank.unwrap_or(PRIORITY_DEFAULT),
+        Duration::from_millis(patience_ms),
+    )
 }
--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -64,6 +64,7 @@
                 Parsed::Head(parts, len_bytes) if !full => {
                     self.partial.advance(len_bytes);
                     let answer = None;
+                    let parts = *parts;
                     self.ahead.push_back(Ahead { parts, answer });
                 }
                 Parsed::Partial if !full => return,
@@ -80,7 +81,7 @@
 }
 
 enum Parsed {
-    Head(Parts, usize),
+    Head(Box<Parts>, usize),
     Partial,
     /// A body follows, or it is no request.
     Other,
@@ -95,7 +96,7 @@
         Err(_) => return Parsed::Other,
     };
     match to_parts(&request) {
-        Some(parts) if is_plain(&parts) => Parsed::Head(parts, len_bytes),
+        Some(parts) if is_plain(&parts) => Parsed::Head(Box::new(parts), len_bytes),
         _ => Parsed::Other,
     }
 }
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -9,8 +9,10 @@
 use tokio::sync::oneshot;
 
 use super::answer::{Failure, Reason};
+use super::hop::Hop;
 use crate::core::configuration::Class;
-use crate::decide::admission::{Admitted, Cause, Refusal, Ticket, Turn};
+use crate::core::names::ResourceName;
+use crate::decide::admission::{Admitted, Cause, Refusal, Released, Ticket, Turn};
 use crate::node::state::NodeState;
 use crate::util::clock;
 
@@ -21,24 +23,30 @@
 pub(crate) struct Slot {
     node: Arc<NodeState>,
     class: Class,
+    resource: ResourceName,
     since: Instant,
+    answered: bool,
 }
 
 impl Slot {
-    fn new(node: &Arc<NodeState>, class: Class) -> Self {
+    fn new(node: &Arc<NodeState>, hop: &Hop) -> Self {
         Self {
             node: Arc::clone(node),
-            class,
+            class: hop.class,
+            resource: hop.resource.clone(),
             since: Instant::now(),
+            answered: false,
         }
     }
 
+    /// The backend server has answered the request that holds the slot.
+    pub(crate) fn answered(&mut self) {
+        self.answered = true;
+    }
+
     /// Takes a slot, waiting for it as long as the deadline allows.
-    pub(crate) async fn take(
-        node: &Arc<NodeState>,
-        class: Class,
-        deadline: Instant,
-    ) -> Result<Self, Failure> {
+    pub(crate) async fn take(node: &Arc<NodeState>, hop: &Hop) -> Result<Self, Failure> {
+        let deadline = hop.queue_deadline();
         let mut receiver = None;
         let wake = || {
             let (sender, turn) = oneshot::channel();
@@ -46,11 +54,10 @@
             sender
         };
         let now_us = clock::since_us(node.started);
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let deadline_us = now_us + u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX / 2);
-        let admitted = node.admission().admit(now_us, class, deadline_us, wake);
+        let ask = hop.ask(node.started);
+        let admitted = node.admission().admit(now_us, &ask, wake);
         let ticket = match admitted {
-            Admitted::Slot => return Ok(Self::new(node, class)),
+            Admitted::Slot => return Ok(Self::new(node, hop)),
             Admitted::Refused(refusal) => return Err(refused(refusal)),
             Admitted::Queued(ticket) => ticket,
         };
@@ -58,13 +65,13 @@
         settle(node);
         let mut waiting = Waiting {
             node,
-            class,
+            hop,
             ticket,
             turn: receiver.expect("a queued request has a channel"),
         };
         let turn = tokio::time::timeout_at(deadline.into(), &mut waiting.turn).await;
         match turn {
-            Ok(Ok(Turn::Slot)) => Ok(Self::new(node, class)),
+            Ok(Ok(Turn::Slot)) => Ok(Self::new(node, hop)),
             Ok(Ok(Turn::Refused(refusal))) => Err(refused(refusal)),
             // The drop of `waiting` takes it out of the queue: it will not run.
             Ok(Err(_)) | Err(_) => Err(Failure::not_run(Reason::TooLate)),
@@ -74,8 +81,14 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let held_us = clock::since_us(self.since);
-        self.node.admission().release(self.class, held_us);
+        let released = Released {
+            class: self.class,
+            resource: &self.resource,
+            held_us: clock::since_us(self.since),
+            answered: self.answered,
+        };
+        let now_us = clock::since_us(self.node.started);
+        self.node.admission().release(now_us, &released);
         settle(&self.node);
     }
 }
@@ -86,7 +99,7 @@
 /// channel, and a slot found there is given back.
 struct Waiting<'a> {
     node: &'a Arc<NodeState>,
-    class: Class,
+    hop: &'a Hop,
     ticket: Ticket,
     turn: oneshot::Receiver<Turn>,
 }
@@ -98,7 +111,7 @@
         }
         // Nothing is there if the turn was received; then the slot has its owner.
         if let Ok(Turn::Slot) = self.turn.try_recv() {
-            drop(Slot::new(self.node, self.class));
+            drop(Slot::new(self.node, self.hop));
         }
     }
 }
@@ -115,7 +128,7 @@
 
 fn refused(refusal: Refusal) -> Failure {
     let reason = match refusal.cause {
-        Cause::Full => Reason::Full,
+        Cause::Full | Cause::TooLong => Reason::Full,
         Cause::TooLate => Reason::TooLate,
         Cause::Closed => Reason::Draining,
     };
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -3,7 +3,10 @@
 use std::collections::VecDeque;
 
 use dragonflywall::core::configuration::Class;
-use dragonflywall::decide::admission::{Admission, Admitted, Cause, Limits, Ticket, Turn};
+use dragonflywall::core::names::ResourceName;
+use dragonflywall::decide::admission::{
+    Admission, Admitted, Ask, Cause, Limits, Released, Ticket, Turn,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -23,6 +26,16 @@
     slots.map(|(id, _)| id).collect()
 }
 
+fn release(admission: &mut Admission<u32>, class: Class, held_us: u64) {
+    let released = Released {
+        class,
+        resource: &ResourceName::new("prices"),
+        held_us,
+        answered: true,
+    };
+    admission.release(held_us, &released);
+}
+
 fn cause(admitted: Admitted) -> Option<Cause> {
     match admitted {
         Admitted::Refused(refusal) => Some(refusal.cause),
@@ -35,14 +48,14 @@
 #[test]
 fn short_reads_pass_long_uploads() {
     let mut admission = admission(20, 40);
-    let read = admission.admit(0, Class::Interactive, LATE, || 0);
+    let read = admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0);
     assert_eq!(read, Admitted::Slot);
-    admission.release(Class::Interactive, 1_000);
-    let uploads = (0..30).map(|id| admission.admit(1, Class::Bulk, LATE, || id));
+    release(&mut admission, Class::Interactive, 1_000);
+    let uploads = (0..30).map(|id| admission.admit(1, &Ask::new(Class::Bulk, LATE), || id));
     let running = uploads.filter(|upload| *upload == Admitted::Slot).count();
     assert_eq!(running, 15);
     assert_eq!(
-        admission.admit(2, Class::Interactive, LATE, || 99),
+        admission.admit(2, &Ask::new(Class::Interactive, LATE), || 99),
         Admitted::Slot
     );
 }
@@ -51,7 +64,8 @@
 #[test]
 fn bulk_work_gets_all_slots_when_nobody_else_asks() {
     let mut admission = admission(20, 40);
-    let uploads = (0..30).map(|id| admission.admit(60 * SECOND, Class::Bulk, LATE, || id));
+    let uploads =
+        (0..30).map(|id| admission.admit(60 * SECOND, &Ask::new(Class::Bulk, LATE), || id));
     let running = uploads.filter(|upload| *upload == Admitted::Slot).count();
     assert_eq!(running, 20);
 }
@@ -61,17 +75,17 @@
 fn endless_short_reads_do_not_starve_bulk_work() {
     let mut admission = admission(1, 20);
     assert_eq!(
-        admission.admit(0, Class::Interactive, LATE, || 0),
+        admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0),
         Admitted::Slot
     );
     for id in 1..=8 {
-        admission.admit(0, Class::Interactive, LATE, || id);
-        admission.admit(0, Class::Bulk, LATE, || 100 + id);
+        admission.admit(0, &Ask::new(Class::Interactive, LATE), || id);
+        admission.admit(0, &Ask::new(Class::Bulk, LATE), || 100 + id);
     }
     let mut order = Vec::new();
     let mut holder = Class::Interactive;
     for now_us in 1..=9 {
-        admission.release(holder, 1);
+        release(&mut admission, holder, 1);
         let id = granted(&mut admission, now_us)[0];
         holder = if id > 100 {
             Class::Bulk
@@ -89,13 +103,13 @@
 fn a_full_queue_still_has_room_for_the_other_class() {
     let mut admission = admission(1, 4);
     for id in 0..5 {
-        admission.admit(0, Class::Bulk, LATE, || id);
+        admission.admit(0, &Ask::new(Class::Bulk, LATE), || id);
     }
     assert_eq!(
-        cause(admission.admit(0, Class::Bulk, LATE, || 5)),
+        cause(admission.admit(0, &Ask::new(Class::Bulk, LATE), || 5)),
         Some(Cause::Full)
     );
-    let read = admission.admit(0, Class::Interactive, LATE, || 6);
+    let read = admission.admit(0, &Ask::new(Class::Interactive, LATE), || 6);
     assert!(matches!(read, Admitted::Queued(_)), "{read:?}");
     let (evicted, turn) = admission.next(0).expect("somebody made room");
     assert_eq!(evicted, 4);
@@ -108,12 +122,12 @@
 #[test]
 fn a_deadline_that_cannot_be_met_is_refused_at_once() {
     let mut admission = admission(1, 20);
-    admission.admit(0, Class::Interactive, LATE, || 0);
-    admission.release(Class::Interactive, SECOND);
+    admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0);
+    release(&mut admission, Class::Interactive, SECOND);
     for id in 0..10 {
-        admission.admit(0, Class::Interactive, LATE, || id);
+        admission.admit(0, &Ask::new(Class::Interactive, LATE), || id);
     }
-    let hasty = admission.admit(0, Class::Interactive, SECOND / 2, || 10);
+    let hasty = admission.admit(0, &Ask::new(Class::Interactive, SECOND / 2), || 10);
     assert_eq!(cause(hasty), Some(Cause::TooLate));
     let Admitted::Refused(refusal) = hasty else {
         unreachable!("its cause was looked at")
@@ -121,23 +135,71 @@
     assert_eq!(refusal.retry_after_ms, 10_000);
 }
 
+/// Payments and price reads wait for one slot. Payments go first, but the reads have a turn now and
+/// then: with strict ranks they would be kept out for as long as payments come.
+#[test]
+fn urgent_ranks_go_first_and_leave_a_turn_to_the_others() {
+    let mut admission = admission(1, 40);
+    let ranked = |rank| Ask {
+        rank,
+        ..Ask::new(Class::Interactive, LATE)
+    };
+    admission.admit(0, &ranked(2), || 0);
+    for id in 1..=3 {
+        admission.admit(0, &ranked(2), || id);
+    }
+    for id in 101..=116 {
+        admission.admit(0, &ranked(1), || id);
+    }
+    let mut order = Vec::new();
+    for now_us in 1..=16 {
+        release(&mut admission, Class::Interactive, 1);
+        order.push(granted(&mut admission, now_us)[0]);
+    }
+    let urgent = 101..=107;
+    let expected: Vec<u32> = urgent.chain([1]).chain(108..=114).chain([2]).collect();
+    assert_eq!(order, expected);
+}
+
+/// Price reads of 10 ms each come faster than the slot turns over, for seconds. One that is willing
+/// to wait 100 ms is refused behind ten others, at once and with the wait that it would have had;
+/// without that bound all of them would be served late.
+#[test]
+fn nobody_waits_longer_than_it_is_willing_to() {
+    let mut admission = admission(1, 1_000);
+    admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0);
+    release(&mut admission, Class::Interactive, 10_000);
+    let patient = Ask {
+        patience_us: 100_000,
+        ..Ask::new(Class::Interactive, LATE)
+    };
+    let admitted = (0..50).map(|id| admission.admit(0, &patient, || id));
+    let refused: Vec<_> = admitted.filter_map(cause).collect();
+    assert_eq!(refused.len(), 39);
+    assert!(refused.iter().all(|cause| *cause == Cause::TooLong));
+    // An urgent request passes them all.
+    let urgent = Ask { rank: 0, ..patient };
+    let urgent = admission.admit(0, &urgent, || 99);
+    assert!(matches!(urgent, Admitted::Queued(_)), "{urgent:?}");
+}
+
 /// A backend server is about to stop. What waits is refused at once, so that the entries take it
 /// elsewhere, and a slot that becomes free stays free.
 #[test]
 fn closing_refuses_what_waits() {
     let mut admission = admission(1, 4);
-    admission.admit(0, Class::Interactive, LATE, || 0);
-    admission.admit(0, Class::Interactive, LATE, || 1);
-    admission.admit(0, Class::Bulk, LATE, || 2);
+    admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0);
+    admission.admit(0, &Ask::new(Class::Interactive, LATE), || 1);
+    admission.admit(0, &Ask::new(Class::Bulk, LATE), || 2);
     admission.close();
     let turns: Vec<_> = std::iter::from_fn(|| admission.next(0)).collect();
     let closed = |turn: &Turn| matches!(turn, Turn::Refused(r) if r.cause == Cause::Closed);
     assert!(turns.iter().all(|(_, turn)| closed(turn)), "{turns:?}");
     assert_eq!(turns.len(), 2);
-    admission.release(Class::Interactive, 1);
+    release(&mut admission, Class::Interactive, 1);
     assert!(granted(&mut admission, 1).is_empty());
     assert_eq!(
-        cause(admission.admit(1, Class::Interactive, LATE, || 3)),
+        cause(admission.admit(1, &Ask::new(Class::Interactive, LATE), || 3)),
         Some(Cause::Closed)
     );
 }
@@ -147,6 +209,7 @@
 enum Step {
     Admit {
         bulk: bool,
+        rank: u8,
         patience_us: u64,
     },
     /// The nth holder gives its slot back.
@@ -194,8 +257,9 @@
 
     fn transitions(_: &Self) -> BoxedStrategy<Step> {
         prop_oneof![
-            8 => (any::<bool>(), 0_u64..200_000)
-                .prop_map(|(bulk, patience_us)| Step::Admit { bulk, patience_us }),
+            8 => (any::<bool>(), 0_u8..3, 0_u64..200_000).prop_map(|(bulk, rank, patience_us)| {
+                Step::Admit { bulk, rank, patience_us }
+            }),
             6 => (0_usize..8).prop_map(Step::Release),
             2 => (0_usize..8).prop_map(Step::Cancel),
             1 => (0_u32..6, 0_u32..8)
@@ -222,10 +286,14 @@
 impl Sut {
     fn step(&mut self, oracle: &Oracle, step: Step) {
         match step {
-            Step::Admit { bulk, patience_us } => self.admit(oracle, bulk, patience_us),
+            Step::Admit {
+                bulk,
+                rank,
+                patience_us,
+            } => self.admit(oracle, bulk, rank, patience_us),
             Step::Release(nth) if nth < self.holding.len() => {
                 let (id, class) = self.holding.swap_remove(nth);
-                self.admission.release(class, 10_000);
+                release(&mut self.admission, class, 10_000);
                 self.answered.push(id);
             }
             Step::Cancel(nth) if nth < self.waiting.len() => {
@@ -260,7 +328,7 @@
         );
     }
 
-    fn admit(&mut self, oracle: &Oracle, bulk: bool, patience_us: u64) {
+    fn admit(&mut self, oracle: &Oracle, bulk: bool, rank: u8, patience_us: u64) {
         let class = if bulk {
             Class::Bulk
         } else {
@@ -269,10 +337,11 @@
         let id = self.next_id;
         self.next_id += 1;
         let deadline_us = oracle.now_us + patience_us;
-        match self
-            .admission
-            .admit(oracle.now_us, class, deadline_us, || id)
-        {
+        let ask = Ask {
+            rank,
+            ..Ask::new(class, deadline_us)
+        };
+        match self.admission.admit(oracle.now_us, &ask, || id) {
             Admitted::Slot => self.holding.push((id, class)),
             Admitted::Queued(ticket) => self.waiting.push_back((id, class, ticket)),
             Admitted::Refused(_) => self.answered.push(id),
--- /dev/null
+++ b/tests/testsuite/decide_held.rs
@@ -0,0 +1,53 @@
+//! How long requests hold a slot, by what they ask for.
+
+use dragonflywall::core::names::ResourceName;
+use dragonflywall::decide::held::HeldTimes;
+
+fn name(name: &str) -> ResourceName {
+    ResourceName::new(name)
+}
+
+/// Short look-ups and long reads share an endpoint. Were their times one mean, an endpoint that gets
+/// more look-ups would seem quicker than an equal one.
+#[test]
+fn resources_are_told_apart() {
+    let mut held = HeldTimes::default();
+    for _ in 0..200 {
+        held.answered(&name("look-up"), 10_000);
+        held.answered(&name("read"), 200_000);
+    }
+    assert_eq!(held.of_resource(&name("look-up")), 10_000);
+    assert_eq!(held.of_resource(&name("read")), 200_000);
+    let any_us = held.of_any();
+    assert!((90_000..120_000).contains(&any_us), "{any_us}");
+    assert_eq!(held.of_resource(&name("new")), any_us);
+}
+
+/// A backend server becomes five times as slow; its callers are told within a few hundred requests.
+#[test]
+fn a_slower_backend_server_is_found_out() {
+    let mut held = HeldTimes::default();
+    for _ in 0..1_000 {
+        held.answered(&name("read"), 20_000);
+    }
+    for _ in 0..200 {
+        held.answered(&name("read"), 100_000);
+    }
+    assert!(held.of_resource(&name("read")) > 90_000);
+}
+
+/// Callers give up after a moment. That the requests were short then says nothing of the endpoint;
+/// that they were long says that it is at least so slow.
+#[test]
+fn what_was_given_up_counts_only_if_it_was_long() {
+    let mut held = HeldTimes::default();
+    for _ in 0..100 {
+        held.answered(&name("read"), 50_000);
+        held.given_up(&name("read"), 1_000);
+    }
+    assert_eq!(held.of_resource(&name("read")), 50_000);
+    for _ in 0..100 {
+        held.given_up(&name("read"), 500_000);
+    }
+    assert!(held.of_resource(&name("read")) > 200_000);
+}
--- a/tests/testsuite/decide_placement.rs
+++ b/tests/testsuite/decide_placement.rs
@@ -1,12 +1,13 @@
 //! Placement: distance, own observation, ejection within bounds, stable subsets.
 
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 
 use dragonflywall::core::configuration::Spill;
 use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
-use dragonflywall::core::names::{DataCentreName, RegionName, ServiceName};
+use dragonflywall::core::names::{DataCentreName, RegionName, ResourceName, ServiceName};
 use dragonflywall::core::version::Version;
-use dragonflywall::decide::placement::{Balancer, Need, Observed, Ranked};
+use dragonflywall::decide::placement::{Balancer, Limits, LoadReport, Need, Observed, Ranked};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -45,15 +46,33 @@
     ranked
 }
 
+static PRICES: LazyLock<ResourceName> = LazyLock::new(|| ResourceName::new("prices"));
+
 fn need(spill: Spill) -> Need<'static> {
     Need {
         spill,
         slots: 20,
-        queue_len: 20,
+        resource: &PRICES,
+        limits: Limits {
+            target_us: 300_000,
+            deadline_us: 800_000,
+        },
+        body_bytes: 3_000,
         tried: &[],
     }
 }
 
+/// Load of an endpoint with 20 slots and work of 20 ms.
+fn load(in_hand: u32) -> LoadReport {
+    LoadReport {
+        in_use: in_hand.min(20),
+        ahead: in_hand.saturating_sub(20),
+        slots: 20,
+        mean_held_us: 20_000,
+        resource_held_us: 20_000,
+    }
+}
+
 fn three_places() -> Vec<Member> {
     vec![
         member(1, &place("cantabrico", "gijon")),
@@ -62,49 +81,131 @@
     ]
 }
 
-/// The link between regions is billed. A request crosses it only when everything nearer is full,
-/// and not at all if its treatment forbids it.
+/// Tells the balancer of endpoints 1 to 3, in the order of distance, how many requests each has.
+fn report(balancer: &mut Balancer, ranked: &Ranked, in_hand: [u32; 3]) {
+    for (number, in_hand) in (1..).zip(in_hand) {
+        let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
+        let endpoint = endpoint.expect("it is ranked");
+        // Each has to be known before its word counts.
+        balancer.begun(0, endpoint);
+        balancer.ended(endpoint.node);
+        balancer.reported(0, endpoint.node, &PRICES, load(in_hand));
+    }
+}
+
+fn chosen(in_hand: [u32; 3], need: &Need<'_>, now_us: u64) -> NodeId {
+    let ranked = ranked(9, &three_places());
+    let mut balancer = Balancer::default();
+    report(&mut balancer, &ranked, in_hand);
+    let mut rng = StdRng::seed_from_u64(1);
+    let chosen = balancer.choose(now_us, &ranked, need, &mut rng);
+    chosen.expect("there are endpoints").node
+}
+
+/// Traffic between data centres is billed, and between regions several times as much. A price list
+/// leaves its data centre when it would have to queue there, and its region only when it would queue
+/// in all of it for long, and not at all if its treatment forbids it.
 #[test]
 fn the_billed_link_is_crossed_last() {
-    let members = three_places();
+    let prices = need(Spill::Mesh);
+    assert_eq!(chosen([0, 0, 0], &prices, 0), node(1));
+    assert_eq!(chosen([19, 0, 0], &prices, 0), node(1));
+    assert_eq!(chosen([30, 0, 0], &prices, 0), node(2));
+    assert_eq!(chosen([30, 30, 0], &prices, 0), node(1));
+    assert_eq!(chosen([60, 60, 0], &prices, 0), node(3));
+    assert_ne!(chosen([60, 60, 0], &need(Spill::Region), 0), node(3));
+    assert_eq!(chosen([60, 60, 0], &need(Spill::DataCentre), 0), node(1));
+    // Reports grow stale: two seconds later the nearest may be free again.
+    assert_eq!(chosen([60, 60, 0], &prices, 2 * SECOND), node(1));
+}
+
+/// A photo bundle of 60 KB costs a dozen times what a price list does on a billed link, so it waits
+/// longer for an endpoint near by; but it is not lost for that.
+#[test]
+fn a_large_request_stays_near_for_longer() {
+    let bundle = Need {
+        body_bytes: 60_000,
+        ..need(Spill::Mesh)
+    };
+    assert_eq!(chosen([30, 0, 0], &bundle, 0), node(1));
+    assert_eq!(chosen([200, 0, 0], &bundle, 0), node(2));
+    assert_eq!(chosen([1_000, 1_000, 0], &bundle, 0), node(3));
+}
+
+/// The endpoint of a data centre is four times as slow as the one a millisecond away. With the
+/// nearest first, a fifth of this data centre's answers would be late and no other's.
+#[test]
+fn a_slow_endpoint_near_by_is_left_for_a_fast_one() {
+    let ranked = ranked(9, &three_places());
+    let mut balancer = Balancer::default();
+    report(&mut balancer, &ranked, [0, 0, 0]);
+    let slow = LoadReport {
+        mean_held_us: 180_000,
+        resource_held_us: 180_000,
+        ..load(0)
+    };
+    balancer.reported(0, node(1), &PRICES, slow);
+    let mut rng = StdRng::seed_from_u64(1);
+    let choose = |balancer: &mut Balancer, spill, rng: &mut StdRng| {
+        let chosen = balancer.choose(0, &ranked, &need(spill), rng);
+        chosen.expect("there are endpoints").node
+    };
+    assert_eq!(choose(&mut balancer, Spill::Mesh, &mut rng), node(2));
+    // A team that keeps its requests in their data centre has them served there.
+    assert_eq!(choose(&mut balancer, Spill::DataCentre, &mut rng), node(1));
+    // Its times are old news a while later, and it is tried again.
+    let chosen = balancer.choose(6 * SECOND, &ranked, &need(Spill::Mesh), &mut rng);
+    assert_eq!(chosen.expect("there are endpoints").node, node(1));
+}
+
+/// An endpoint has just started and nobody knows its times. One request finds out; the others of that
+/// moment are not sent after it.
+#[test]
+fn an_unknown_endpoint_is_asked_once() {
+    let here = place("cantabrico", "gijon");
+    let members = [member(1, &here), member(2, &here)];
     let ranked = ranked(9, &members);
     let mut balancer = Balancer::default();
+    let known = ranked.iter().find(|endpoint| endpoint.node == node(1));
+    balancer.begun(0, known.expect("it is ranked"));
+    balancer.reported(0, node(1), &PRICES, load(5));
     let mut rng = StdRng::seed_from_u64(1);
-    for (full, expected) in [(0, 1), (1, 2), (2, 3)] {
-        for number in 1..=full {
-            balancer.reported(0, node(number), 100);
-        }
-        let chosen = balancer.choose(0, &ranked, &need(Spill::Mesh), &mut rng);
+    let mut unknown = 0;
+    for _ in 0..10 {
+        let chosen = balancer.choose(1, &ranked, &need(Spill::Mesh), &mut rng);
         let chosen = chosen.expect("there are endpoints");
-        assert_eq!(chosen.node, node(expected));
-        balancer.begun(0, &chosen);
+        balancer.begun(1, &chosen);
+        unknown += usize::from(chosen.node == node(2));
     }
-    let chosen = balancer.choose(0, &ranked, &need(Spill::Region), &mut rng);
-    assert_ne!(chosen.expect("there are endpoints").node, node(3));
-    // Reports grow stale: a second later the nearest may be free again.
-    let chosen = balancer.choose(2 * SECOND, &ranked, &need(Spill::Mesh), &mut rng);
-    assert_eq!(chosen.expect("there are endpoints").node, node(1));
+    assert_eq!(unknown, 1);
 }
 
-/// All slots are taken and the near queue is full, but further away there is room in a queue. The
-/// request waits there instead of being refused here.
+/// An endpoint fails half of what it gets, and its answers come at once. Least load alone would
+/// send it most requests; what the entry has seen keeps them away, and a while later it is tried again.
 #[test]
-fn a_full_queue_is_passed_by() {
-    let members = three_places();
+fn an_endpoint_that_fails_some_requests_is_avoided() {
+    let here = place("cantabrico", "gijon");
+    let members = [member(1, &here), member(2, &here)];
     let ranked = ranked(9, &members);
     let mut balancer = Balancer::default();
-    let mut rng = StdRng::seed_from_u64(1);
-    // Each has to be known before its word counts.
     for endpoint in ranked.iter() {
         balancer.begun(0, endpoint);
+        balancer.reported(0, endpoint.node, &PRICES, load(5));
     }
-    for (number, load_percent) in [(1, 200), (2, 150), (3, 100)] {
-        balancer.reported(0, node(number), load_percent);
+    for turn in 0..8 {
+        let server_error = turn % 2 == 0;
+        balancer.observed(0, node(1), Observed::Answered { server_error });
     }
-    let chosen = balancer.choose(0, &ranked, &need(Spill::Mesh), &mut rng);
-    assert_eq!(chosen.expect("there are endpoints").node, node(2));
-    let chosen = balancer.choose(0, &ranked, &need(Spill::DataCentre), &mut rng);
-    assert_eq!(chosen.expect("there are endpoints").node, node(1));
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut used = |now_us| {
+        let used: Vec<NodeId> = (0..50)
+            .filter_map(|_| balancer.choose(now_us, &ranked, &need(Spill::Mesh), &mut rng))
+            .map(|endpoint| endpoint.node)
+            .collect();
+        used.contains(&node(1))
+    };
+    assert!(!used(1));
+    assert!(used(30 * SECOND));
 }
 
 /// A request failed at an endpoint. Its retry goes to another one, and back to the same only if
@@ -127,7 +228,8 @@
 }
 
 /// Gossip says that all are well, but calls show otherwise: endpoints that lose requests get no
-/// more. When most of them do, the fault is a common one, and all are used again.
+/// more. When most of them do, the fault is a common one, and they are used again before the others
+/// are overrun.
 #[test]
 fn own_observation_outweighs_gossip_up_to_half() {
     let here = place("cantabrico", "gijon");
@@ -143,6 +245,10 @@
         }
         used
     };
+    for endpoint in ranked.iter() {
+        balancer.begun(1, endpoint);
+        balancer.reported(1, endpoint.node, &PRICES, load(0));
+    }
     assert_eq!(used(&mut balancer).len(), 8);
     for number in 1..=4 {
         for _ in 0..3 {
@@ -154,7 +260,13 @@
     for _ in 0..3 {
         balancer.observed(1, node(5), Observed::Lost);
     }
-    assert_eq!(used(&mut balancer).len(), 8);
+    // The three that are left idle, so they get all; once they would make requests wait, those that
+    // lost some are used as well.
+    assert_eq!(used(&mut balancer), (6..=8).map(node).collect());
+    for number in 6..=8 {
+        balancer.reported(1, node(number), &PRICES, load(60));
+    }
+    assert_eq!(used(&mut balancer), (1..=5).map(node).collect());
 }
 
 /// 520 nodes call a service of 37 endpoints. Each uses eight of a distance, every endpoint is used
--- a/tests/testsuite/decide_simulation.rs
+++ b/tests/testsuite/decide_simulation.rs
@@ -21,6 +21,8 @@
         per_s,
         work_us: WORK_US,
         timeout_us: 400 * MS,
+        target_us: 400 * MS,
+        patience_us: 400 * MS,
         from_us,
         until_us,
     }
@@ -32,6 +34,8 @@
         per_s,
         work_us,
         timeout_us: 60 * SECOND,
+        target_us: 60 * SECOND,
+        patience_us: 60 * SECOND,
         from_us: 0,
         until_us: 4 * SECOND,
     }
@@ -97,6 +101,35 @@
     }
 }
 
+/// For four seconds reads come a fifth faster than the slots turn over. They are of use within 100 ms
+/// and waited for four times as long. A queue as long as the deadline allows makes nearly every
+/// answer late; one of a third of the target answers as many, nearly all of them in time.
+#[test]
+fn a_lasting_overload_is_refused_instead_of_answered_late() {
+    for (name, slots, _) in DEPLOYMENTS {
+        let per_s = capacity_per_s(slots, 4) * 6 / 5;
+        let mut on_time = Vec::new();
+        let mut good = Vec::new();
+        for patience_us in [400 * MS, 100 * MS / 3] {
+            let stream = Stream {
+                target_us: 100 * MS,
+                patience_us,
+                ..reads(per_s, 0, 4 * SECOND)
+            };
+            let scenario = scenario(slots, 10_000, 4, vec![stream]);
+            let name = format!("{name} {} ms", patience_us / MS);
+            let (mut ours, _) = compare(&name, &scenario);
+            let seen = interactive(&mut ours);
+            println!("{name}: {} of {} in time", seen.on_time, seen.calls);
+            on_time.push(seen.on_time);
+            good.push(seen.good);
+        }
+        assert!(on_time[0] * 4 < good[0], "{on_time:?} of {good:?}");
+        assert!(on_time[1] * 100 >= good[1] * 95, "{on_time:?} of {good:?}");
+        assert!(good[1] * 100 >= good[0] * 90, "{good:?}");
+    }
+}
+
 /// Half a second of six times the capacity hits a mesh that is half busy. It is over soon after.
 #[test]
 fn a_burst_is_over_when_it_is_over() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod decide_admission;
 mod decide_announcements;
+mod decide_held;
 mod decide_pacing;
 mod decide_placement;
 mod decide_retry;
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -7,9 +7,9 @@
 
 use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::member::{Member, NodeId};
-use dragonflywall::core::names::ServiceName;
-use dragonflywall::decide::admission::{Admission, Admitted, Limits, Ticket, Turn};
-use dragonflywall::decide::placement::{Balancer, Endpoint, Need, Observed, Ranked};
+use dragonflywall::core::names::{ResourceName, ServiceName};
+use dragonflywall::decide::admission::{self, Admission, Admitted, Ask, Released, Ticket, Turn};
+use dragonflywall::decide::placement::{Balancer, Endpoint, Limits, Need, Observed, Ranked};
 use dragonflywall::decide::retry::{Attempts, Failed, RETRIES_PER_TREE, ServiceTokens};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -58,6 +58,10 @@
     pub(crate) per_s: u64,
     pub(crate) work_us: u64,
     pub(crate) timeout_us: u64,
+    /// An answer after this is late.
+    pub(crate) target_us: u64,
+    /// Longest wait for a slot.
+    pub(crate) patience_us: u64,
     /// Between these times.
     pub(crate) from_us: u64,
     pub(crate) until_us: u64,
@@ -76,6 +80,8 @@
 pub(crate) struct Seen {
     pub(crate) calls: u64,
     pub(crate) good: u64,
+    /// Good ones within the target.
+    pub(crate) on_time: u64,
     pub(crate) refused: u64,
     pub(crate) timed_out: u64,
     pub(crate) errors: u64,
@@ -199,7 +205,7 @@
             .collect();
         let gate = || {
             let mut ours = Admission::default();
-            ours.set_limits(Limits {
+            ours.set_limits(admission::Limits {
                 slots: scenario.slots,
                 queue_len: scenario.queue_len,
             });
@@ -318,10 +324,16 @@
         let (server, timeout_us) = match self.policy {
             Policy::Ours => {
                 let entry = &mut self.entries[call.entry];
+                let left_us = |until_us: u64| until_us.saturating_sub(self.now_us);
                 let need = Need {
                     spill: Spill::Region,
                     slots: self.scenario.slots,
-                    queue_len: self.scenario.queue_len,
+                    resource: &resource(),
+                    limits: Limits {
+                        target_us: left_us(call.began_us + call.stream.target_us),
+                        deadline_us: left_us(deadline_us),
+                    },
+                    body_bytes: 0,
                     tried: &call.tried,
                 };
                 let chosen = entry
@@ -369,11 +381,12 @@
         }
         let call = &self.calls[number];
         let deadline_us = call.began_us + call.stream.timeout_us;
-        let class = call.stream.class;
+        let ask = Ask {
+            patience_us: call.stream.patience_us,
+            ..Ask::new(call.stream.class, deadline_us)
+        };
         let wake = || (number, attempt);
-        let admitted = self.gates[server]
-            .ours
-            .admit(self.now_us, class, deadline_us, wake);
+        let admitted = self.gates[server].ours.admit(self.now_us, &ask, wake);
         match admitted {
             Admitted::Slot => self.start(number, attempt, server),
             Admitted::Queued(ticket) => {
@@ -413,7 +426,7 @@
         } else if !self.is_current(call, attempt) {
             return;
         } else {
-            self.release(call);
+            self.release(call, true);
         }
         let answer = match self.scenario.servers[server].fails {
             true => Answer::Error,
@@ -424,7 +437,7 @@
     }
 
     /// Gives back whatever a call holds at its gate.
-    fn release(&mut self, number: usize) {
+    fn release(&mut self, number: usize, answered: bool) {
         let call = &mut self.calls[number];
         let Some((server, place)) = call.at.take() else {
             return;
@@ -436,7 +449,13 @@
                 gate.cancel(ticket);
             }
             Where::Running { since_us } => {
-                gate.release(call.stream.class, self.now_us - since_us);
+                let released = Released {
+                    class: call.stream.class,
+                    resource: &resource(),
+                    held_us: self.now_us - since_us,
+                    answered,
+                };
+                gate.release(self.now_us, &released);
             }
         }
     }
@@ -490,10 +509,10 @@
         let observed = match answer {
             Answer::Refused => Observed::Refused,
             Answer::Good | Answer::Error => Observed::Answered {
-                latency_us: (call.stream.class == Class::Interactive).then_some(latency_us),
                 server_error: answer == Answer::Error,
             },
         };
+        let target_us = call.stream.target_us;
         self.observe(number, server, observed);
         let seen = self
             .seen
@@ -502,6 +521,7 @@
         match answer {
             Answer::Good => {
                 seen.good += 1;
+                seen.on_time += u64::from(latency_us <= target_us);
                 seen.latencies_us.push(latency_us);
                 self.calls[number].ended = true;
             }
@@ -516,7 +536,7 @@
     fn timeout(&mut self, number: usize) {
         let at = self.calls[number].at;
         if self.policy == Policy::Ours {
-            self.release(number);
+            self.release(number, false);
             if let Some((server, _)) = at {
                 self.settle(server);
                 self.observe(number, server, Observed::Lost);
@@ -538,8 +558,14 @@
         let node = node(server as u16 + 1);
         entry.balancer.observed(self.now_us, node, observed);
         entry.balancer.ended(node);
-        let load_percent = self.gates[server].ours.load_percent();
-        entry.balancer.reported(self.now_us, node, load_percent);
+        let ask = Ask::new(self.calls[call].stream.class, 0);
+        let gate = &self.gates[server].ours;
+        // A price list.
+        entry.balancer.answered(&resource(), 5_000);
+        let load = gate.load(self.now_us, &ask, &resource());
+        entry
+            .balancer
+            .reported(self.now_us, node, &resource(), load);
     }
 
     fn failed(&mut self, number: usize, server: usize, failed: Failed) {
@@ -561,6 +587,10 @@
     ServiceName::new("tablon")
 }
 
+fn resource() -> ResourceName {
+    ResourceName::new("prices")
+}
+
 fn server_of(endpoint: &Endpoint) -> usize {
     usize::from(endpoint.node.0.port()) - 1
 }
