Refuse at the gate what was held up on its way

Excluded: the entry (the close had reached it, and it had reset the stream). Change: requests between nodes carry the sender's steady time; a gate knows the usual difference for each connection, takes what is above it off the deadline, and refuses as not run what was held up for over 300 ms. A freeze is noticed by the clock that counts suspensions; the time of day is not looked at any more. Tests: decide_transit and requests_held_up (without the refusal the payment runs). The listeners' file is split by who connects.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,3 +8,4 @@
 pub mod placement;
 pub mod retry;
 pub mod split;
+pub mod transit;
--- a/src/node/freeze.rs
+++ b/src/node/freeze.rs
@@ -2,10 +2,10 @@
 //!
 //! Failure guarded against: a VM is paused, or the process stopped, while versions are published;
 //! when it goes on, it routes by what was in force before. It shows as a gap between two ticks. The
-//! steady clock goes on while a process is stopped; where it stands still, as in a paused VM, the
-//! wall clock jumps instead. The guard holds although a request may be served before the first
-//! tick after the gap, since admission itself compares the time of the last tick
-//! ([`NodeState::is_fresh`]).
+//! steady clock goes on while a process is stopped; where it stands still, as in a suspended VM, the
+//! clock that counts suspensions goes on. The time of day is not looked at: it may be set at any
+//! time. The guard holds although a request may be served before the first tick after the gap, since
+//! admission itself compares the time of the last tick ([`NodeState::is_fresh`]).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -29,17 +29,18 @@
     configuration: ActorRef<ConfigurationMsg>,
     stop: CancellationToken,
 ) {
-    let mut last_wall_ms = clock::wall_ms();
+    let mut last_boot_us = clock::boot_us();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
             () = tokio::time::sleep(TICK) => (),
         }
         let now_ms = clock::since_ms(node.started);
-        let wall_ms = clock::wall_ms();
+        let boot_us = clock::boot_us();
         let steady_gap_ms = now_ms.saturating_sub(node.last_tick_ms.load(Ordering::Acquire));
-        let gap_ms = steady_gap_ms.max(wall_ms.saturating_sub(last_wall_ms));
-        last_wall_ms = wall_ms;
+        let boot_gap_ms = boot_us.saturating_sub(last_boot_us) / 1_000;
+        let gap_ms = steady_gap_ms.max(boot_gap_ms);
+        last_boot_us = boot_us;
         if gap_ms >= GAP_MS {
             log::warn!(gap_ms; "this process was frozen; it catches up before it admits work");
             metrics::counter!("dragonflywall_freezes_total").increment(1);
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -72,13 +72,13 @@
             node: Arc::clone(node),
             metrics: recorder(),
         });
-        let callers = tasks.spawn(listener::serve_callers(
+        let callers = tasks.spawn(listener::callers::serve(
             self.caller,
             Arc::clone(node),
             stops.callers.clone(),
             stops.all.clone(),
         ));
-        let peers = tasks.spawn(listener::serve_peers(
+        let peers = tasks.spawn(listener::peers::serve(
             self.peer,
             Arc::clone(node),
             control,
@@ -88,9 +88,9 @@
         for listener in self.platform {
             let operator = Arc::clone(&operator);
             let all = stops.all.clone();
-            tasks.spawn(listener::serve_platform(listener, operator, all));
+            tasks.spawn(listener::operators::serve_platform(listener, operator, all));
         }
-        tasks.spawn(listener::serve_operators(
+        tasks.spawn(listener::operators::serve(
             self.operator,
             operator,
             stops.all.clone(),
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -50,10 +50,12 @@
     BodyTooLong,
     /// The backend server says that it has not run the request.
     Rejected,
+    /// The request came to the gate much later than it was sent.
+    HeldUp,
 }
 
 impl Reason {
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -70,6 +72,7 @@
         Self::BadRequest,
         Self::BodyTooLong,
         Self::Rejected,
+        Self::HeldUp,
     ];
 
     /// The word used in [`headers::REASON`].
@@ -91,6 +94,7 @@
             Self::BadRequest => "bad-request",
             Self::BodyTooLong => "body-too-long",
             Self::Rejected => "rejected",
+            Self::HeldUp => "held-up",
         }
     }
 
@@ -116,6 +120,7 @@
             Self::BadRequest => "the request is malformed or broke off",
             Self::BodyTooLong => "the request body is longer than allowed",
             Self::Rejected => "the endpoint's backend server did not run it",
+            Self::HeldUp => "the request came to the endpoint too late",
         }
     }
 
@@ -134,7 +139,8 @@
             | Self::TooLate
             | Self::Draining
             | Self::Unreachable
-            | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Rejected
+            | Self::HeldUp => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -1,6 +1,7 @@
 //! The backend server's own node: admits a request and forwards it over the last hop.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{self, HeaderMap, HeaderValue};
 use http::uri::Authority;
@@ -15,12 +16,31 @@
 use crate::node::local::LocalBackend;
 use crate::node::state::NodeState;
 
+/// How long a request may have been held up on its way and still be run. Above the first
+/// retransmission of a lost packet, below the half second after which work for a caller that has left
+/// is work for nobody.
+const DELAY_MAX: Duration = Duration::from_millis(300);
+
 /// Serves a request from another node: all outcomes become answers with the mesh's headers.
-pub(crate) async fn serve(node: Arc<NodeState>, request: Request<Body>) -> Response<Body> {
-    let Some(hop) = Hop::read(request.headers()) else {
+///
+/// `delay` is how long the request was held up on its way.
+///
+/// Failure guarded against: packets between two nodes are lost and come a second later, when the
+/// caller may have left; the word of that is behind the request on the same connection. It shows as
+/// work for nobody. A request that comes so late is not run: its entry, if it still waits, takes it
+/// elsewhere.
+pub(crate) async fn serve(
+    node: Arc<NodeState>,
+    request: Request<Body>,
+    delay: Duration,
+) -> Response<Body> {
+    let Some(hop) = Hop::read(request.headers(), delay) else {
         return Failure::not_run(Reason::BadRequest).into_hop_response();
     };
-    let result = run(&node, &hop, request).await;
+    let result = match delay > DELAY_MAX {
+        true => Err(Failure::not_run(Reason::HeldUp)),
+        false => run(&node, &hop, request).await,
+    };
     let mut response = result.unwrap_or_else(Failure::into_hop_response);
     let load = headers::load_value(&node.load(&hop));
     response.headers_mut().insert(headers::LOAD, load);
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -8,7 +8,8 @@
 /// Prefix of every header that nodes exchange. Callers' headers with it are dropped: a caller
 /// must not be able to set its own class, deadline or verdict.
 pub(crate) const MESH_PREFIX: &str = "x-dragonflywall-";
-/// On a request between nodes: marks data, apart from control calls on the same listener.
+/// On a request between nodes: marks data, apart from control calls on the same listener, and says
+/// when it was sent, by the sender's microseconds since its VM was started.
 pub(crate) const DATA: HeaderName = HeaderName::from_static("x-dragonflywall-data");
 /// On a request between nodes: milliseconds that remain until its deadline;
 /// also on one to a backend server.
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -8,6 +8,7 @@
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
 use crate::decide::admission::Ask;
+use crate::util::clock;
 
 /// Part of the remaining time, at most [`MARGIN_MAX`], that a request does not spend in the queue:
 /// the gate's proof that it did not run has to reach the entry before the entry's own deadline
@@ -39,7 +40,7 @@
 impl Hop {
     /// Writes it for a gate on another node.
     pub(crate) fn write(&self, to: &mut HeaderMap) {
-        to.insert(headers::DATA, HeaderValue::from_static("1"));
+        to.insert(headers::DATA, HeaderValue::from(clock::boot_us()));
         to.insert(headers::SERVICE, headers::value(self.service.as_str()));
         to.insert(headers::RESOURCE, headers::value(self.resource.as_str()));
         to.insert(headers::CLASS, self.class_value());
@@ -48,8 +49,8 @@
         to.insert(headers::RETRIES, HeaderValue::from(self.retries));
     }
 
-    /// Reads what another node's entry wrote.
-    pub(crate) fn read(from: &HeaderMap) -> Option<Self> {
+    /// Reads what another node's entry wrote, of a request that was held up for `delay` on its way.
+    pub(crate) fn read(from: &HeaderMap, delay: Duration) -> Option<Self> {
         let service = headers::text(from, &headers::SERVICE).filter(|name| is_name(name))?;
         let deadline_ms = headers::number(from, &headers::DEADLINE_MS);
         let deadline_ms = deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
@@ -64,7 +65,7 @@
             class,
             rank,
             patience,
-            deadline: Instant::now() + Duration::from_millis(deadline_ms),
+            deadline: Instant::now() + Duration::from_millis(deadline_ms).saturating_sub(delay),
             depth: small(&headers::DEPTH),
             retries: small(&headers::RETRIES),
         })
--- /dev/null
+++ b/src/proxy/listener/peers.rs
@@ -0,0 +1,100 @@
+//! The listener for other nodes: control calls, and requests for the local backend server.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tonic::codegen::Service;
+
+use super::{Builder, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
+use super::{accept, infallible, may_speak, serve_connection, unauthorized};
+use crate::decide::transit::Transit;
+use crate::node::state::NodeState;
+use crate::peer::generated::control_server::ControlServer;
+use crate::peer::server::ControlService;
+use crate::proxy::body::{self, Body};
+use crate::proxy::{gate, headers};
+use crate::util::clock;
+
+/// Largest control message: a snapshot with its envelope.
+const CONTROL_MESSAGE_MAX_BYTES: usize = 9 << 20;
+/// Requests at a time on one connection between nodes: above slots and queue of any endpoint, so
+/// that the gate refuses a request, and not the transport delays it.
+const PEER_STREAMS_MAX: u32 = 1_024;
+/// As much as all streams together, so that one stalled upload never holds up another.
+const PEER_WINDOW_BYTES: u32 = PEER_STREAMS_MAX * REQUEST_WINDOW_BYTES;
+
+type Control = ControlServer<ControlService>;
+
+/// Serves other nodes until `polite`, after which each connection ends with its last answer. A
+/// draining node still gossips, so its peers' connections stay until the end.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    node: Arc<NodeState>,
+    control: ControlService,
+    polite: CancellationToken,
+    stop: CancellationToken,
+) {
+    let control = ControlServer::new(control)
+        .max_decoding_message_size(CONTROL_MESSAGE_MAX_BYTES)
+        .max_encoding_message_size(CONTROL_MESSAGE_MAX_BYTES);
+    let builder = builder();
+    let connections = TaskTracker::new();
+    while let Some((stream, _)) = accept(&listener, &polite, &stop).await {
+        let node = Arc::clone(&node);
+        let control = control.clone();
+        let transit = Arc::new(Mutex::new(Transit::default()));
+        let handle = infallible(move |request| {
+            let (node, control) = (Arc::clone(&node), control.clone());
+            peer_request(node, control, Arc::clone(&transit), request)
+        });
+        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle);
+        let stop = stop.clone();
+        connections.spawn(async move { stop.run_until_cancelled(serving).await });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+fn builder() -> Builder {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(PEER_STREAMS_MAX)
+        .initial_stream_window_size(REQUEST_WINDOW_BYTES)
+        .initial_connection_window_size(PEER_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_MAX_BYTES);
+    builder
+}
+
+async fn peer_request(
+    node: Arc<NodeState>,
+    mut control: Control,
+    transit: Arc<Mutex<Transit>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if !may_speak(&node, &request) {
+        return unauthorized();
+    }
+    // Only nodes set this header: an entry drops it from what callers send.
+    let Some(sent_us) = headers::number(request.headers(), &headers::DATA) else {
+        return match control.call(request).await {
+            Ok(response) => response.map(body::boxed),
+            Err(never) => match never {},
+        };
+    };
+    let delay = {
+        let mut transit = transit.lock().unwrap_or_else(PoisonError::into_inner);
+        Duration::from_micros(transit.delay_us(clock::boot_us(), sent_us))
+    };
+    let token = node.in_gate.token();
+    let response = gate::serve(node, request.map(body::boxed), delay).await;
+    response.map(|inner| body::boxed(body::Guarded::new(inner, token)))
+}
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Wall time since the epoch. Used in records that people read, never to order events.
 pub(crate) fn wall() -> Duration {
     SystemTime::now()
@@ -14,6 +16,13 @@
     u64::try_from(wall().as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Microseconds since the VM was started, those included for which it was suspended.
+pub(crate) fn boot_us() -> u64 {
+    let now = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    let now = now.map(Duration::from).unwrap_or_default();
+    u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Steady milliseconds since `start`.
 pub(crate) fn since_ms(start: Instant) -> u64 {
     u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
--- /dev/null
+++ b/tests/testsuite/requests_held_up.rs
@@ -0,0 +1,67 @@
+//! Requests that are held up between two nodes.
+
+use std::time::Duration;
+
+use http::Method;
+use testkit::http::{request, wait_until};
+use testkit::mesh::Mesh;
+
+use crate::support::{LIMIT, REASON, VERDICT, ask, command, repository_file, runs, small};
+use crate::support::{start_chatarras, vms_of};
+
+/// Publishes the subscriptions team's file with a single attempt for payments.
+async fn publish_one_attempt(mesh: &Mesh) {
+    let file = repository_file("examples/chatarras/suscripciones.toml");
+    let text = std::fs::read_to_string(file).expect("the example is there");
+    let text = text.replacen("attempts = 3", "attempts = 1", 1);
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("suscripciones.toml");
+    std::fs::write(&path, text).expect("written");
+    let path = path.to_str().expect("a plain path");
+    let url = mesh.platform.url();
+    let published = command(&["publish", "--operator", "ana", "--platform", &url, path]).await;
+    assert!(published.status.success(), "{published:?}");
+    mesh.wait_enforced(2).await;
+}
+
+/// Packets between two data centres are lost for most of a second, and a payment that was sent
+/// meanwhile comes when its caller may have left. The word of that would come behind it, so a late
+/// payment is not run: the caller, if it still waits, is told so and can pay again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_that_was_held_up_is_not_run() {
+    let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
+    publish_one_attempt(&mesh).await;
+    let entry_at = vms_of(&mesh, "tablon")[0];
+    let entry = mesh.vms[entry_at].node().addresses.caller;
+    let region = |position: usize| {
+        let site = mesh.vms[position].site;
+        mesh.network.same_region(site, mesh.vms[entry_at].site)
+    };
+    // One endpoint is left, in the other data centre of the region.
+    let only = vms_of(&mesh, "cobros")
+        .into_iter()
+        .find(|position| region(*position) && mesh.vms[*position].site != mesh.vms[entry_at].site)
+        .expect("the region has two data centres");
+    for position in vms_of(&mesh, "cobros") {
+        if position != only {
+            let operator = mesh.vms[position].node().addresses.operator;
+            let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+            drained.expect("the node answers");
+        }
+    }
+    // Until the way is known, nothing can be told to be late.
+    wait_until("payments reach the endpoint", LIMIT, || async {
+        let reply = ask(entry, Method::POST, "cobros", "/payments/1", "usual").await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    mesh.network.set_cut(true, |_, _| true);
+    let late = tokio::spawn(ask(entry, Method::POST, "cobros", "/payments/2", "late"));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    mesh.network.set_cut(false, |_, _| true);
+    let reply = late.await.expect("no panic").expect("the node answers");
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert_eq!(reply.header(VERDICT), "not-run");
+    assert_eq!(reply.header(REASON), "held-up");
+    assert!(runs(&mesh, "cobros", "late").is_empty());
+}
