--- a/src/proxy/listener/operators.rs
+++ b/src/proxy/listener/operators.rs
@@ -43,6 +43,7 @@
         async move { operator.handle_platform(request).await.map(body::boxed) }
     };
     let mut builder = Builder::new(TokioExecutor::new()).http1_only();
-    builder.http1().timer(TokioTimer::new());
+    // Asked once a second by whoever does, often on a new connection, and each holds 30 KB.
+    builder.http1().timer(TokioTimer::new()).keep_alive(false);
     serve_all(listener, builder, stop.clone(), stop, handle).await;
 }
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -5,14 +5,16 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::server::conn::http2::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tonic::codegen::Service;
 
-use super::{Builder, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
-use super::{accept, infallible, may_speak, serve_connection, unauthorized};
+use super::{REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
+use super::{accept, infallible, may_speak, run, unauthorized};
 use crate::decide::transit::Transit;
 use crate::node::state::NodeState;
 use crate::peer::generated::control_server::ControlServer;
@@ -53,7 +55,8 @@
             let (node, control) = (Arc::clone(&node), control.clone());
             peer_request(node, control, Arc::clone(&transit), request)
         });
-        let serving = serve_connection(builder.clone(), stream, polite.clone(), handle);
+        let connection = builder.serve_connection(TokioIo::new(stream), service_fn(handle));
+        let serving = run(connection, polite.clone());
         let stop = stop.clone();
         connections.spawn(async move { stop.run_until_cancelled(serving).await });
     }
@@ -61,11 +64,9 @@
     connections.wait().await;
 }
 
-fn builder() -> Builder {
+fn builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new());
     builder
-        .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(PEER_STREAMS_MAX)
         .initial_stream_window_size(REQUEST_WINDOW_BYTES)
