Follow the store by one node of each data centre

Change: the lead of a data centre reads the store; the others wait at the lead for the next version and get the difference, which is compressed against the version that they hold (6 KB -> 200 bytes). Whoever has no lead, gets no answer from it, or hears that the store has not spoken for 3 s reads the store itself. The token test speaks HTTP/2 to the peer listener, which speaks nothing else now.

--- a/crates/experiment/src/slopes.rs
+++ b/crates/experiment/src/slopes.rs
@@ -88,7 +88,7 @@
     second
         .teams
         .insert(changed[0].team.clone(), changed[0].clone());
-    let delta = Delta::between(&first, &second).to_bytes();
+    let delta = Delta::between(&first, &second).to_bytes(&first);
     let snapshot = first.to_snapshot();
     let (delta_bytes, snapshot_bytes) = (delta.len(), snapshot.len());
     let snapshot = Content::Snapshot(snapshot);
--- a/crates/model/src/contents.rs
+++ b/crates/model/src/contents.rs
@@ -198,7 +198,8 @@
             Form::Damaged => Content::Snapshot(self.damaged(version).to_snapshot()),
             Form::Delta => {
                 let parent = self.published(version.saturating_sub(1));
-                Content::Delta(Delta::between(&parent, &self.published(version)).to_bytes())
+                let delta = Delta::between(&parent, &self.published(version));
+                Content::Delta(delta.to_bytes(&parent))
             }
         }
     }
--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -205,11 +205,23 @@
         path: &str,
         id: &str,
     ) -> impl Future<Output = Result<Reply>> + Send + 'static {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{host}{path}"))
-            .header("x-request-id", id)
-            .body(Full::new(Bytes::new()));
+        self.request_with(method, host, path, &[("x-request-id", id)])
+    }
+
+    /// The same with headers of the caller's choice.
+    pub fn request_with(
+        &self,
+        method: Method,
+        host: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static {
+        let uri = format!("http://{host}{path}");
+        let mut request = Request::builder().method(method).uri(uri);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::new()));
         let mut sender = self.sender.clone();
         async move {
             let request = request.map_err(text)?;
--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
+use zstd::bulk::{Compressor, Decompressor};
 
 use crate::core::names::{HostName, ResourceName, ServiceName, TeamName};
 use crate::core::version::{Digest, Stamp, Version};
@@ -276,14 +277,23 @@
         }
     }
 
-    /// Compressed, as stored and sent.
-    pub fn to_bytes(&self) -> Vec<u8> {
-        compress(&serde_json::to_vec(self).expect("maps with string keys always encode"))
+    /// Compressed, as stored and sent. What a changed record has in common with `parent`, which the
+    /// receiver holds, need not travel: a changed timeout among 300 routes is 200 bytes and not 6 KB.
+    pub fn to_bytes(&self, parent: &Configuration) -> Vec<u8> {
+        let bytes = serde_json::to_vec(self).expect("maps with string keys always encode");
+        let compressor = Compressor::with_dictionary(ZSTD_LEVEL, &parent.to_canonical());
+        let compressed = compressor.and_then(|mut compressor| compressor.compress(&bytes));
+        compressed.expect("compression into memory does not fail")
     }
 
-    /// Reads what [`Self::to_bytes`] wrote. Whether it is right shows only when it is applied.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
-        serde_json::from_slice(&decompress(bytes)?).context(DecodeSnafu)
+    /// Reads what [`Self::to_bytes`] wrote for `parent`. Whether it is right shows only when it is
+    /// applied.
+    pub fn from_bytes(bytes: &[u8], parent: &Configuration) -> Result<Self> {
+        let decompressor = Decompressor::with_dictionary(&parent.to_canonical());
+        let bytes = decompressor
+            .and_then(|mut decompressor| decompressor.decompress(bytes, CONFIGURATION_MAX_BYTES))
+            .context(DecompressSnafu)?;
+        serde_json::from_slice(&bytes).context(DecodeSnafu)
     }
 
     /// The child configuration, verified to be `expected`.
--- a/src/distribution/fetch.rs
+++ b/src/distribution/fetch.rs
@@ -89,6 +89,7 @@
     failed_far: bool,
     not_before_ms: u64,
     store_distance_ms: u64,
+    near_delay_ms: u64,
 }
 
 impl Fetcher {
@@ -105,9 +106,16 @@
             failed_far: false,
             not_before_ms: 0,
             store_distance_ms: STORE_DISTANCE_MS,
+            near_delay_ms: 0,
         }
     }
 
+    /// Leaves peers of the region alone for so long after a version was heard of.
+    pub fn with_near_delay_ms(mut self, near_delay_ms: u64) -> Self {
+        self.near_delay_ms = near_delay_ms;
+        self
+    }
+
     /// Newest stamp heard of.
     pub fn head(&self) -> Stamp {
         self.head
@@ -168,7 +176,10 @@
             return None;
         }
         self.holders.retain(|_, (stamp, _)| stamp.version > held);
-        let fetch = self.near_fetch().or_else(|| self.far_fetch(now_ms))?;
+        let near = self
+            .near_fetch()
+            .filter(|_| self.waited_ms(now_ms) >= self.near_delay_ms);
+        let fetch = near.or_else(|| self.far_fetch(now_ms))?;
         self.in_flight = Some(fetch);
         Some(fetch)
     }
@@ -181,7 +192,9 @@
         let far = self.head_heard_ms + self.far_delay_ms();
         let store = self.head_heard_ms + self.store_delay_ms();
         let soonest = match self.holders.values().map(|(_, peer)| peer.distance).min() {
-            Some(Distance::DataCentre | Distance::Region) => 0,
+            Some(Distance::DataCentre | Distance::Region) => {
+                self.head_heard_ms + self.near_delay_ms
+            }
             Some(Distance::Mesh) => far.min(store),
             None => store,
         };
@@ -230,8 +243,12 @@
         best.map(|(stamp, peer)| from_peer(*stamp, peer))
     }
 
+    fn waited_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.head_heard_ms)
+    }
+
     fn far_fetch(&self, now_ms: u64) -> Option<Fetch> {
-        let waited_ms = now_ms.saturating_sub(self.head_heard_ms);
+        let waited_ms = self.waited_ms(now_ms);
         let far = self.holders.values().next();
         if let Some((stamp, peer)) = far
             && waited_ms >= self.far_delay_ms()
--- a/src/distribution/holder.rs
+++ b/src/distribution/holder.rs
@@ -191,6 +191,11 @@
         let lowest = self.held().version;
         ensure!(stamp.version > lowest, NotNewerSnafu { stamp, lowest });
         let applied = compile(stamp, configuration)?;
+        if let Some(parent) = &self.held {
+            let delta = Delta::between(&parent.configuration, &applied.configuration);
+            let delta = delta.to_bytes(&parent.configuration);
+            self.keep_delta(lowest, Step { stamp, delta });
+        }
         self.held = Some(Arc::clone(&applied));
         Ok(applied)
     }
@@ -313,5 +318,5 @@
     stamp: Stamp,
     bytes: &[u8],
 ) -> configuration::Result<Configuration> {
-    Delta::from_bytes(bytes).and_then(|delta| delta.apply(parent, stamp))
+    Delta::from_bytes(bytes, parent).and_then(|delta| delta.apply(parent, stamp))
 }
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -71,6 +71,15 @@
     ranked(near, "watcher", BRIDGES)
 }
 
+/// The member of `me`'s data centre that reads the store for the others, `me` itself maybe. One that
+/// is suspected is none: whoever follows it would hear of nothing until it counts as dead.
+pub fn lead<'a>(me: &Member, members: impl Iterator<Item = &'a Member>) -> Option<NodeId> {
+    let near = members
+        .filter(|member| member.liveness == Liveness::Alive && member.place == me.place)
+        .collect();
+    ranked(near, "watcher", 1).pop()
+}
+
 /// Whether `me` looks after the links to `far`'s data centre, also when nobody there is alive.
 pub fn is_bridge_to<'a>(
     me: &Member,
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -176,6 +176,12 @@
         self.watcher_rank
     }
 
+    /// The node of the data centre that reads the store for the others, if it is not this one.
+    pub fn lead(&self) -> Option<NodeId> {
+        let lead = neighbours::lead(&self.me, self.members());
+        lead.filter(|lead| *lead != self.me.node)
+    }
+
     /// Highest version that a node's address has reported, in any of its lives.
     pub fn remembered(&self, node: NodeId) -> Version {
         self.reports.highest(node)
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -92,6 +92,11 @@
     Written(Option<Box<Configuration>>),
     /// The store could not be read.
     NotRead,
+    /// The node that reads the store for this data centre handed on a newer version.
+    FromLead {
+        stamp: Stamp,
+        content: Content,
+    },
     /// A peer told what it remembers of this node, and what it enforces.
     FloorAnswered {
         peer: Peer,
@@ -140,12 +145,21 @@
     store_answers: bool,
     woken_for_ms: Option<u64>,
     told_held: Version,
-    /// Newest version that the store itself handed to this process.
-    told_by_store: Version,
     floor_asked_ms: u64,
     membership: Option<ActorRef<MembershipMsg>>,
 }
 
+/// Where versions are followed, gossip tells of them as well; what it tells is fetched only if it has not
+/// come the other way by then.
+const FOLLOWED_NEAR_DELAY_MS: u64 = 300;
+
+fn fetcher(me: NodeId, origin: &Origin) -> Fetcher {
+    match origin {
+        Origin::Published(_) => Fetcher::new(me),
+        Origin::Written(_) => Fetcher::new(me).with_near_delay_ms(FOLLOWED_NEAR_DELAY_MS),
+    }
+}
+
 impl Actor for ConfigurationActor {
     type Msg = ConfigurationMsg;
     type State = State;
@@ -159,7 +173,7 @@
         myself.send_interval(TICK, || ConfigurationMsg::Tick);
         let now_ms = clock::since_ms(node.started);
         Ok(State {
-            fetcher: Fetcher::new(node.me),
+            fetcher: fetcher(node.me, &origin),
             node,
             origin,
             holder: Holder::default(),
@@ -171,7 +185,6 @@
             store_answers: true,
             woken_for_ms: None,
             told_held: Version::NONE,
-            told_by_store: Version::NONE,
             floor_asked_ms: 0,
             membership: None,
         })
@@ -194,6 +207,9 @@
             ConfigurationMsg::HeadRead { head, took_ms } => state.head_read(now_ms, head, took_ms),
             ConfigurationMsg::Written(configuration) => state.written(now_ms, configuration),
             ConfigurationMsg::NotRead => state.note_store(false),
+            ConfigurationMsg::FromLead { stamp, content } => {
+                state.led(now_ms, stamp, &content);
+            }
             ConfigurationMsg::FloorAnswered {
                 peer,
                 reported,
@@ -313,7 +329,6 @@
         };
         let version = configuration.version;
         self.floor.head_read(version);
-        self.told_by_store = self.told_by_store.max(version);
         if version <= self.holder.held().version {
             return;
         }
@@ -326,6 +341,14 @@
         }
     }
 
+    fn led(&mut self, now_ms: u64, stamp: Stamp, content: &Content) {
+        if self.prepare(stamp, content, "lead") {
+            self.floor.head_read(stamp.version);
+            self.announced(now_ms, stamp, None);
+            self.tell(MembershipMsg::Head(stamp));
+        }
+    }
+
     fn refused(&self, version: Version, error: &holder::Error) {
         log::warn!(version = version.0, error:? = error; "refused a configuration");
         metrics::counter!("dragonflywall_refused_content_total").increment(1);
@@ -452,6 +475,9 @@
 
     /// Enforces what is held once the floor is settled and a peer remembers it.
     fn enforce(&mut self, now_ms: u64) {
+        let newest = self.holder.held().version;
+        let tell = |held: &mut Version| std::mem::replace(held, newest) != newest;
+        self.node.held.send_if_modified(tell);
         if !self.floor.is_settled(now_ms) {
             self.node.waiting.store(Arc::new(Some(
                 "it is not known yet which version this address has enforced before",
@@ -469,10 +495,7 @@
             self.told_held = stamp.version;
             self.tell(MembershipMsg::SetHeld(stamp));
         }
-        // What the store itself has told needs no witness: it tells it again after a restart.
-        let told_by_store = self.told_by_store >= stamp.version;
-        let alone = self.role.alone && now_ms >= ALONE_MS;
-        if self.role.witnessed < stamp.version && !alone && !told_by_store {
+        if !self.is_witnessed(now_ms, stamp) {
             return;
         }
         if let Some(applied) = self.holder.enforce() {
@@ -484,6 +507,19 @@
         }
     }
 
+    /// Whether a version may be enforced as far as it has to be remembered by others.
+    fn is_witnessed(&self, now_ms: u64, stamp: Stamp) -> bool {
+        match self.origin {
+            Origin::Published(_) => {
+                let alone = self.role.alone && now_ms >= ALONE_MS;
+                self.role.witnessed >= stamp.version || alone
+            }
+            // The store's own row is newer than anything that was ever enforced, and is read first
+            // after a restart.
+            Origin::Written(_) => true,
+        }
+    }
+
     fn tell(&self, message: MembershipMsg) {
         if let Some(membership) = &self.membership {
             // The actor is gone only while the process ends.
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -199,6 +199,10 @@
             alone: self.membership.is_alone(),
             last_in_data_centre: self.membership.is_last_in_data_centre(),
         };
+        let lead = self.membership.lead().and_then(|node| self.peer(node));
+        self.node
+            .lead
+            .send_if_modified(|known| std::mem::replace(known, lead) != lead);
         if role != self.role {
             self.role = role.clone();
             let _ = self.configuration.cast(ConfigurationMsg::Role(role));
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -114,11 +114,14 @@
     if let Origin::Written(again) = origin {
         let feed = Client::new(&node.settings.platform_url, node.settings.dial_from);
         let all = stops.all.clone();
-        tasks.spawn(follower::run(feed, configuration.clone(), again, all));
+        let configuration = configuration.clone();
+        let node = Arc::clone(&node);
+        tasks.spawn(follower::run(node, feed, configuration, again, all));
     }
     let control = ControlService {
         membership: membership.clone(),
         configuration: configuration.clone(),
+        node: Arc::clone(&node),
     };
     let (callers, peers) = listeners.serve(&node, control, &stops, &tasks);
     tasks.spawn(registration::run(
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,17 +7,20 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ractor::ActorRef;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::core::member::{Liveness, Member, NodeId, Place};
 use crate::core::names::ServiceName;
 use crate::core::status::DataCentreSummary;
+use crate::core::version::Version;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::announcements::Announcements;
 use crate::decide::placement::{Balancer, LoadReport, Ranked};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::distribution::Applied;
+use crate::distribution::fetch::Peer;
 use crate::node::freeze;
 use crate::node::local::LocalBackend;
 use crate::node::membership::MembershipMsg;
@@ -91,6 +94,13 @@
     pub(crate) refreshing: AtomicBool,
     /// When the process last ticked, by the clock of `started`.
     pub(crate) last_tick_ms: AtomicU64,
+    /// Newest version whose content is here; peers that follow this node wait on it.
+    pub(crate) held: watch::Sender<Version>,
+    /// The node of this data centre that reads the store for the others; none if it is this one.
+    pub(crate) lead: watch::Sender<Option<Peer>>,
+    /// When the store last told this node, or whom it follows, what is newest; by the clock of
+    /// `started`, 0 for never.
+    store_read_ms: AtomicU64,
     /// Cancelled when the node itself is about to leave.
     pub(crate) leaving: CancellationToken,
     /// Requests of other nodes in flight at this node's gate.
@@ -126,11 +136,33 @@
             waiting: ArcSwap::default(),
             refreshing: AtomicBool::new(false),
             last_tick_ms: AtomicU64::new(0),
+            held: watch::Sender::new(Version::NONE),
+            lead: watch::Sender::new(None),
+            store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             in_gate: TaskTracker::new(),
         })
     }
 
+    /// Milliseconds since the process was started.
+    pub(crate) fn age_ms(&self) -> u64 {
+        clock::since_ms(self.started)
+    }
+
+    /// Notes that the store told what is newest, `age_ms` ago.
+    pub(crate) fn store_was_read(&self, age_ms: u64) {
+        let read_ms = self.age_ms().saturating_sub(age_ms);
+        self.store_read_ms.fetch_max(read_ms, Ordering::AcqRel);
+    }
+
+    /// How long ago the store told what is newest.
+    pub(crate) fn store_age_ms(&self) -> u64 {
+        match self.store_read_ms.load(Ordering::Acquire) {
+            0 => u64::MAX,
+            read_ms => self.age_ms().saturating_sub(read_ms),
+        }
+    }
+
     /// Whether the process has gone on without a freeze since it last caught up.
     pub(crate) fn is_fresh(&self) -> bool {
         let now_ms = clock::since_ms(self.started);
--- a/src/ops/command/publish/rounds.rs
+++ b/src/ops/command/publish/rounds.rs
@@ -193,7 +193,7 @@
         let version = child.version;
         let snapshot = child.to_snapshot();
         let delta = Delta::between(base, child);
-        let delta_bytes = delta.to_bytes();
+        let delta_bytes = delta.to_bytes(base);
         let snapshot_object = Digest::of(&snapshot);
         let delta_object = Digest::of(&delta_bytes);
         // Both at once: the shorter a round, the less often somebody else comes first.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -30,6 +30,18 @@
 /// Content may be a snapshot over the throttled link between regions.
 pub(crate) const CONTENT_TIMEOUT: Duration = Duration::from_millis(5_000);
 
+/// What an answer to a follower may take beyond the time that it was to wait.
+const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
+
+/// What a peer told a follower.
+#[derive(Debug)]
+pub(crate) struct Newer {
+    /// A newer version, if there was one in time.
+    pub(crate) content: Option<(Stamp, Content)>,
+    /// How long ago the store told the peer, or whom it follows, what is newest.
+    pub(crate) store_age_ms: u64,
+}
+
 /// Why a peer gave no usable answer.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -145,6 +157,34 @@
         convert::content_from_wire(answer.into_inner()).map_err(|error| self.broken(&error))
     }
 
+    /// Asks for the content of a version above `have` as soon as the peer holds one, and waits for
+    /// it for `wait` at most.
+    pub(crate) async fn follow(&mut self, have: Version, wait: Duration) -> Result<Newer> {
+        let request = wire::FollowRequest {
+            have_version: have.0,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let answer = self
+            .client
+            .follow(timed(request, wait + FOLLOW_MARGIN))
+            .await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        let answer = answer.into_inner();
+        let store_age_ms = u64::from(answer.store_age_ms);
+        let content = match answer.newer {
+            Some(newer) => {
+                convert::content_from_wire(newer).map_err(|error| self.broken(&error))?
+            }
+            None => None,
+        };
+        Ok(Newer {
+            content,
+            store_age_ms,
+        })
+    }
+
     /// Tells the peer that `head` has been accepted; answers what it enforces.
     pub async fn hint(&mut self, head: Stamp) -> Result<Stamp> {
         let request = wire::HintRequest {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,5 +1,8 @@
 //! The control service of this node: hands each call to the actor that owns the matter.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use ractor::ActorRef;
 use tonic::{Request, Response, Status};
 
@@ -7,17 +10,34 @@
 use super::generated as wire;
 use super::generated::control_server::Control;
 use crate::core::member::NodeId;
-use crate::core::version::Version;
+use crate::core::version::{Stamp, Version};
+use crate::distribution::Content;
 use crate::node::configuration::ConfigurationMsg;
 use crate::node::membership::MembershipMsg;
+use crate::node::state::NodeState;
 
 /// Longest wait for an actor of this process.
 const ACTOR_TIMEOUT_MS: u64 = 1_000;
+/// Longest time for which a follower is kept waiting.
+const FOLLOW_WAIT_MAX: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Debug)]
 pub(crate) struct ControlService {
     pub(crate) membership: ActorRef<MembershipMsg>,
     pub(crate) configuration: ActorRef<ConfigurationMsg>,
+    pub(crate) node: Arc<NodeState>,
+}
+
+impl ControlService {
+    async fn content_for(&self, have: Version) -> Result<Option<(Stamp, Content)>, Status> {
+        let content = ractor::call_t!(
+            self.configuration,
+            ConfigurationMsg::ContentFor,
+            ACTOR_TIMEOUT_MS,
+            have
+        );
+        content.map_err(|_| stopping())
+    }
 }
 
 #[tonic::async_trait]
@@ -42,16 +62,31 @@
         request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::FetchReply>, Status> {
         let have = Version(request.get_ref().have_version);
-        let content = ractor::call_t!(
-            self.configuration,
-            ConfigurationMsg::ContentFor,
-            ACTOR_TIMEOUT_MS,
-            have
-        );
-        let content = content.map_err(|_| stopping())?;
+        let content = self.content_for(have).await?;
         Ok(Response::new(convert::content_to_wire(content)))
     }
 
+    async fn follow(
+        &self,
+        request: Request<wire::FollowRequest>,
+    ) -> Result<Response<wire::FollowReply>, Status> {
+        let request = request.get_ref();
+        let have = Version(request.have_version);
+        let wait = Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
+        let mut held = self.node.held.subscribe();
+        let newer = tokio::time::timeout(wait, held.wait_for(|held| *held > have));
+        let is_newer = newer.await.is_ok();
+        let content = match is_newer {
+            true => self.content_for(have).await?,
+            false => None,
+        };
+        let store_age_ms = u32::try_from(self.node.store_age_ms()).unwrap_or(u32::MAX);
+        Ok(Response::new(wire::FollowReply {
+            newer: Some(convert::content_to_wire(content)),
+            store_age_ms,
+        }))
+    }
+
     async fn hint(
         &self,
         request: Request<wire::HintRequest>,
--- a/tests/testsuite/fuzz_holder.rs
+++ b/tests/testsuite/fuzz_holder.rs
@@ -54,7 +54,7 @@
 
 fn delta(parent: usize, version: usize) -> Content {
     let delta = Delta::between(&PUBLISHED[parent], &PUBLISHED[version]);
-    Content::Delta(delta.to_bytes())
+    Content::Delta(delta.to_bytes(&PUBLISHED[parent]))
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -152,7 +152,10 @@
     cut: bool,
 ) -> Option<Content> {
     let mut bytes = match parent {
-        Some(parent) => Delta::between(&PUBLISHED[parent], &PUBLISHED[version]).to_bytes(),
+        Some(parent) => {
+            let parent = &PUBLISHED[parent];
+            Delta::between(parent, &PUBLISHED[version]).to_bytes(parent)
+        }
         None => PUBLISHED[version].to_snapshot(),
     };
     let at = at.index(bytes.len());
@@ -164,7 +167,7 @@
     let stamp = stamp(version);
     match parent {
         Some(parent) => {
-            let read = Delta::from_bytes(&bytes);
+            let read = Delta::from_bytes(&bytes, &PUBLISHED[parent]);
             let intact = read.and_then(|delta| delta.apply(&PUBLISHED[parent], stamp));
             intact.is_err().then_some(Content::Delta(bytes))
         }
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -149,7 +149,7 @@
 }
 
 fn delta(parent: &Configuration, child: &Configuration) -> (Stamp, Content) {
-    let bytes = Delta::between(parent, child).to_bytes();
+    let bytes = Delta::between(parent, child).to_bytes(parent);
     (child.stamp(), Content::Delta(bytes))
 }
 
--- a/tests/testsuite/token.rs
+++ b/tests/testsuite/token.rs
@@ -5,7 +5,7 @@
 
 use http::Method;
 use testkit::backend::{Backend, Behaviour};
-use testkit::http::request;
+use testkit::http::{Http2, request};
 use testkit::platform::Platform;
 use testkit::process::NodeProcess;
 
@@ -50,8 +50,9 @@
         ("x-dragonflywall-service", "cobros"),
     ];
     let peer = node.addresses.peer;
-    let reply = request(peer, Method::POST, "cobros", "/payments", &forged, "").await;
-    let reply = reply.expect("an answer");
+    let stranger = Http2::connect(peer).await.expect("it listens");
+    let reply = stranger.request_with(Method::POST, "cobros", "/payments", &forged);
+    let reply = reply.await.expect("an answer");
     assert_eq!(reply.status, 401);
     assert_eq!(reply.header(VERDICT), "not-run");
     assert!(backend.record().runs.is_empty());
