--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -204,7 +204,7 @@
         host: &str,
         path: &str,
         id: &str,
-    ) -> impl Future<Output = Result<Reply>> + Send + 'static {
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
         self.request_with(method, host, path, &[("x-request-id", id)])
     }
 
@@ -215,7 +215,7 @@
         host: &str,
         path: &str,
         headers: &[(&str, &str)],
-    ) -> impl Future<Output = Result<Reply>> + Send + 'static {
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
         let uri = format!("http://{host}{path}");
         let mut request = Request::builder().method(method).uri(uri);
         for (name, value) in headers {
