Log each decision of a request under its id, on standard output

Lines for placing, failed attempts, admission, refusal, the end at the entry and callers that leave, with the inputs and their age. Histograms for requests and the wait at the gate on the metrics address.

--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -43,8 +43,8 @@
     pub behaviour: Behaviour,
     /// Whether traffic between nodes of one data centre passes counted fronts as well.
     pub counts_inside: bool,
-    /// Where the nodes' log lines go, as JSON from level `info` on; without it nodes write
-    /// warnings to the standard error of whoever started the mesh.
+    /// Where the nodes' log lines go, as JSON from level `info` on; without it their warnings go to
+    /// the standard error of whoever started the mesh.
     pub log_lines: Option<mpsc::UnboundedSender<LogLine>>,
 }
 
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use tokio::io::{AsyncBufReadExt, AsyncRead, BufReader};
 use tokio::process::{Child, Command};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// A node that does not print its addresses within this has not started.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -68,27 +68,19 @@
         arguments: &[String],
         log_lines: Option<(usize, mpsc::UnboundedSender<LogLine>)>,
     ) -> Result<Self, String> {
-        let mut command = Command::new(program);
-        if log_lines.is_some() {
-            command.stderr(Stdio::piped());
-        }
-        let mut child = command
+        let mut child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .map_err(|error| format!("{}: {error}", program.display()))?;
-        if let (Some((position, sender)), Some(stderr)) = (log_lines, child.stderr.take()) {
-            tokio::spawn(pass_on(position, stderr, sender));
-        }
         let stdout = child.stdout.take().expect("stdout is piped");
-        let mut lines = BufReader::new(stdout).lines();
-        let line = tokio::time::timeout(START_LIMIT, lines.next_line()).await;
-        let line = line.map_err(|_| "the node printed no addresses".to_owned())?;
-        let line = line.map_err(|error| error.to_string())?;
-        let line = line.ok_or("the node ended before it listened")?;
-        let addresses = serde_json::from_str(&line).map_err(|error| error.to_string())?;
+        let (sender, addresses) = oneshot::channel();
+        tokio::spawn(read(stdout, sender, log_lines));
+        let addresses = tokio::time::timeout(START_LIMIT, addresses).await;
+        let addresses = addresses.map_err(|_| "the node printed no addresses".to_owned())?;
+        let addresses = addresses.map_err(|_| "the node ended before it listened")?;
         Ok(Self { addresses, child })
     }
 
@@ -138,20 +130,29 @@
     }
 }
 
-/// Passes log lines on until the process closes its standard error.
-async fn pass_on(
-    position: usize,
-    stderr: impl AsyncRead + Unpin,
-    sender: mpsc::UnboundedSender<LogLine>,
+/// Reads what a node prints until it closes its output: one line of addresses, all others logged.
+async fn read(
+    stdout: impl AsyncRead + Unpin,
+    addresses: oneshot::Sender<Addresses>,
+    log_lines: Option<(usize, mpsc::UnboundedSender<LogLine>)>,
 ) {
-    let mut lines = BufReader::new(stderr).lines();
+    let mut addresses = Some(addresses);
+    let mut lines = BufReader::new(stdout).lines();
     while let Ok(Some(text)) = lines.next_line().await {
-        let line = LogLine {
-            position,
-            read_at: Instant::now(),
-            text,
-        };
-        // Nobody listens any more; the pipe still has to be emptied.
-        let _ = sender.send(line);
+        let printed = serde_json::from_str(&text).ok();
+        if let Some((sender, printed)) = addresses.take_if(|_| printed.is_some()).zip(printed) {
+            // The caller has given up waiting; the pipe still has to be emptied.
+            let _ = sender.send(printed);
+        } else if let Some((position, sender)) = &log_lines {
+            let line = LogLine {
+                position: *position,
+                read_at: Instant::now(),
+                text,
+            };
+            // Nobody listens any more; the pipe still has to be emptied.
+            let _ = sender.send(line);
+        } else {
+            eprintln!("{text}");
+        }
     }
 }
--- a/src/bin/dragonflywall/commands/node.rs
+++ b/src/bin/dragonflywall/commands/node.rs
@@ -18,7 +18,7 @@
 fn help() -> String {
     format!(
         "Runs the node of this VM: proxy, member of the mesh, carrier of configuration.\n\
-         Prints its addresses as one line of JSON, and drains on SIGTERM or SIGINT.\n\n\
+         Prints its addresses as one line of JSON and then its log, and drains on SIGTERM or SIGINT.\n\n\
          Usage: dragonflywall node [OPTIONS]\n\nOptions [environment variable]:\n{}",
         settings::help()
     )
@@ -28,7 +28,9 @@
     let settings = settings::parse(arguments, |name| std::env::var(name).ok())
         .map_err(|error| Failure::Usage(error.to_string()))?;
     logging::init(settings.log_format, settings.log_level);
-    node::runtime().block_on(serve(settings))
+    let ended = node::runtime().block_on(serve(settings));
+    logging::flush();
+    ended
 }
 
 async fn serve(settings: Settings) -> Result {
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -133,6 +133,22 @@
     pub tried: &'a [NodeId],
 }
 
+/// What an entry believes of one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Believed {
+    /// Requests that are running or waiting there.
+    pub in_hand: f64,
+    /// Requests that run there at a time.
+    pub slots: f64,
+    /// How long a request to the same resource holds a slot there, in microseconds, if it has said so
+    /// lately.
+    pub held_us: Option<u64>,
+    /// Part of its requests that failed lately.
+    pub failing: f64,
+    /// How long ago it last said its load, in microseconds; none if never.
+    pub report_age_us: Option<u64>,
+}
+
 /// Which endpoints are looked at.
 #[derive(Clone, Copy)]
 struct Others<'a> {
@@ -262,6 +278,25 @@
         (need.body_bytes as f64 + answer_bytes) / 1_000.0
     }
 
+    /// What this entry goes by when it weighs `endpoint`; for whoever explains the choice.
+    pub fn believed(&self, now_us: u64, endpoint: &Endpoint, need: &Need<'_>) -> Believed {
+        let choice = self.choice(
+            now_us,
+            endpoint,
+            Distance::DataCentre,
+            need,
+            HELD_UNKNOWN_US,
+        );
+        let seen = self.seen.get(&endpoint.node);
+        Believed {
+            in_hand: choice.in_hand,
+            slots: choice.slots,
+            held_us: seen.and_then(|seen| seen.held_us(now_us, need.resource)),
+            failing: choice.failing,
+            report_age_us: seen.and_then(|seen| seen.report_age_us(now_us)),
+        }
+    }
+
     /// An answer for `resource` is so long.
     pub fn answered(&mut self, resource: &ResourceName, bytes: u64) {
         let bytes = bytes as f64;
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -142,6 +142,12 @@
         own + counts(now_us, report.at_us) * others.max(0.0)
     }
 
+    /// How long ago it last said its load.
+    pub(super) fn report_age_us(&self, now_us: u64) -> Option<u64> {
+        let report = self.report.as_ref();
+        report.map(|report| now_us.saturating_sub(report.at_us))
+    }
+
     /// Slots, as last reported.
     pub(super) fn slots(&self) -> Option<u32> {
         let slots = self.report.as_ref().map(|report| report.load.slots);
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -1,15 +1,15 @@
 //! The listeners of a node: bound before anything else starts, served once the actors are there.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
 
 use crate::node::operator::Operator;
+use crate::node::recorder;
 use crate::node::run::{ListenSnafu, Result, Stops};
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
@@ -70,7 +70,7 @@
     ) -> (JoinHandle<()>, JoinHandle<()>) {
         let operator = Arc::new(Operator {
             node: Arc::clone(node),
-            metrics: recorder(),
+            metrics: recorder::handle(),
         });
         let callers = tasks.spawn(listener::callers::serve(
             self.caller,
@@ -108,16 +108,3 @@
 fn bound(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(asked)
 }
-
-/// The process's metrics recorder, installed when first asked for.
-fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Fails only if the host program has installed its own, which then gets the figures.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    };
-    RECORDER.get_or_init(install).clone()
-}
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -240,7 +240,7 @@
         let mut view = View::new(members, self.node.me, &self.node.settings.place);
         view.data_centres = self.membership.summaries();
         metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
-        changes::log_liveness(&self.node.view.load(), &view);
+        changes::log_liveness(&self.node.decisions, &self.node.view.load(), &view);
         self.node.view.store(Arc::new(view));
         self.node.refresh_retries();
     }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -20,7 +20,7 @@
 use crate::node::registration;
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
-use crate::node::{follower, freeze, reload};
+use crate::node::{follower, freeze, recorder, reload};
 use crate::peer::server::ControlService;
 use crate::platform::store::Client;
 use crate::store::NodeStore;
@@ -131,6 +131,7 @@
         membership.clone(),
         stops.all.clone(),
     ));
+    tasks.spawn(recorder::keep_up(stops.all.clone()));
     tasks.spawn(reload::run(Arc::clone(&node), stops.all.clone()));
     tasks.spawn(freeze::watch(
         Arc::clone(&node),
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -28,6 +28,7 @@
 use crate::peer::pool::PeerPool;
 use crate::proxy::backend::BackendPool;
 use crate::proxy::calls::Calls;
+use crate::proxy::decisions::Decisions;
 use crate::proxy::hop::Hop;
 use crate::proxy::peers::PeerConnections;
 use crate::proxy::slots::{self, Wake};
@@ -85,6 +86,8 @@
     pub(crate) drained: AtomicBool,
     pub(crate) pool: BackendPool,
     pub(crate) calls: Calls,
+    /// What is logged of requests.
+    pub(crate) decisions: Decisions,
     pub(crate) peers: PeerConnections,
     /// Connections for control traffic.
     pub(crate) control: PeerPool,
@@ -131,6 +134,7 @@
             drained: AtomicBool::new(false),
             pool: BackendPool::default(),
             calls: Calls::default(),
+            decisions: Decisions::default(),
             peers: PeerConnections::new(dial_options.clone()),
             control: PeerPool::new(dial_options),
             waiting: ArcSwap::default(),
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -10,6 +10,7 @@
 pub(crate) mod body;
 pub(crate) mod callers;
 pub(crate) mod calls;
+pub(crate) mod decisions;
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod headers;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -182,6 +182,11 @@
         self
     }
 
+    /// When asking again may help, in milliseconds.
+    pub(crate) fn wait_ms(&self) -> u64 {
+        self.retry_after_ms
+    }
+
     /// The same failure of a request that an earlier attempt may have run.
     pub(crate) fn after(mut self, earlier: Verdict) -> Self {
         if earlier != Verdict::NotRun {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -9,6 +9,7 @@
 use http::uri::Authority;
 use tokio_util::sync::CancellationToken;
 
+use self::arrival::Arrival;
 use self::call::Call;
 use super::answer::{Failure, Reason};
 use super::body::Body;
@@ -16,12 +17,12 @@
 use super::headers;
 use super::replay::Replay;
 use crate::core::routing::{Branch, Route};
-use crate::core::verdict::Verdict;
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::Applied;
 use crate::node::state::NodeState;
 
+mod arrival;
 mod call;
 
 /// Whether a request may be started before those that its caller sent ahead of it are answered:
@@ -54,27 +55,19 @@
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh(&mut parts.headers);
     mark(&node, &mut parts, id.clone());
+    let arrival = Arrival::new(&node, &id, target(&parts), version);
     let result = match applied {
         _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
         None => Err(Failure::not_run(Reason::NoConfiguration)),
         Some(applied) => run(&node, &applied, &parts, &replay, origin).await,
     };
+    arrival.ended(&result);
     let mut response = match result {
         Ok(mut response) => {
             headers::strip_mesh(response.headers_mut());
-            count(Verdict::Answered);
             response
         }
-        Err(failure) => {
-            log::debug!(
-                request_id:? = id,
-                version = version,
-                verdict:% = failure.verdict;
-                "request failed: {}", failure.reason.as_str()
-            );
-            count(failure.verdict);
-            failure.into_response(node.vocabulary)
-        }
+        Err(failure) => failure.into_response(node.vocabulary),
     };
     let headers = response.headers_mut();
     headers.insert(headers::VERSION, HeaderValue::from(version));
@@ -94,10 +87,6 @@
     }
 }
 
-fn count(verdict: Verdict) {
-    metrics::counter!("dragonflywall_requests_total", "verdict" => verdict.as_str()).increment(1);
-}
-
 fn request_id(node: &NodeState, parts: &Parts) -> HeaderValue {
     let given = parts.headers.get(&node.vocabulary.request_id).cloned();
     given.unwrap_or_else(|| headers::value(&format!("{:016x}", rand::random::<u64>())))
@@ -208,6 +197,13 @@
     }
 }
 
+/// Host and path, as a log line shows them.
+fn target(parts: &Parts) -> String {
+    let host = host_of(parts);
+    let host = host.as_ref().map_or("", Authority::host);
+    format!("{host}{}", parts.uri.path())
+}
+
 fn host_of(parts: &Parts) -> Option<Authority> {
     match parts.uri.authority() {
         Some(authority) => Some(authority.clone()),
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -14,11 +14,12 @@
 use crate::core::routing::Branch;
 use crate::core::verdict::Verdict;
 use crate::decide::patience;
-use crate::decide::placement::{Endpoint, Limits, LoadReport, Need, Observed};
+use crate::decide::placement::{Believed, Endpoint, Limits, LoadReport, Need, Observed};
 use crate::decide::retry::Attempts;
 use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
 use crate::proxy::body::{self, Body, Guarded};
+use crate::proxy::decisions::{self, Weight};
 use crate::proxy::hop::Hop;
 use crate::proxy::replay::Replay;
 use crate::proxy::{gate, headers};
@@ -72,7 +73,9 @@
                 let mut tokens = self.node.retry_tokens();
                 attempts.again(failed, tokens.entry_for(self.service()))
             };
-            if !again || !replay.has_next() || Instant::now() >= self.deadline {
+            let again = again && replay.has_next() && Instant::now() < self.deadline;
+            self.log_attempt_failed(&endpoint, &failure, again);
+            if !again {
                 return Err(failure.after(verdict));
             }
             metrics::counter!("dragonflywall_retries_total").increment(1);
@@ -99,7 +102,10 @@
 
     fn choose(&self, tried: &[NodeId]) -> Option<Endpoint> {
         let view = self.node.view.load();
-        let ranked = view.endpoints.get(self.service())?;
+        let Some(ranked) = view.endpoints.get(self.service()) else {
+            self.log_not_placed(0, tried.len());
+            return None;
+        };
         let need = Need {
             spill: self.branch.treatment.spill,
             slots: self.slots,
@@ -110,11 +116,81 @@
         };
         let now_us = clock::since_us(self.node.started);
         let mut balancer = self.node.balancer();
-        let endpoint = balancer.choose(now_us, ranked, &need, &mut rand::rng())?;
+        let Some(endpoint) = balancer.choose(now_us, ranked, &need, &mut rand::rng()) else {
+            self.log_not_placed(ranked.iter().count(), tried.len());
+            return None;
+        };
+        self.log_placed(
+            &endpoint,
+            &balancer.believed(now_us, &endpoint, &need),
+            tried.len(),
+        );
         balancer.begun(now_us, &endpoint);
         Some(endpoint)
     }
 
+    fn id(&self) -> &str {
+        let id = self.parts.headers.get(&self.node.vocabulary.request_id);
+        decisions::shown(id)
+    }
+
+    fn left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn log_placed(&self, endpoint: &Endpoint, believed: &Believed, tried: usize) {
+        if !self.node.decisions.may_log(Weight::Routine) {
+            return;
+        }
+        log::info!(
+            request_id = self.id(),
+            service:% = self.service(),
+            resource:% = self.branch.resource,
+            node:% = endpoint.node,
+            tried,
+            in_hand = believed.in_hand,
+            slots = believed.slots,
+            held_us:? = believed.held_us,
+            failing = believed.failing,
+            report_age_us:? = believed.report_age_us,
+            left_ms = self.left_ms();
+            "placed the request"
+        );
+    }
+
+    fn log_not_placed(&self, known: usize, tried: usize) {
+        if !self.node.decisions.may_log(Weight::Notable) {
+            return;
+        }
+        log::warn!(
+            request_id = self.id(),
+            service:% = self.service(),
+            known,
+            tried,
+            store_age_ms = self.node.store_age_ms(),
+            left_ms = self.left_ms();
+            "no endpoint to place the request at"
+        );
+    }
+
+    fn log_attempt_failed(&self, endpoint: &Endpoint, failure: &Failure, again: bool) {
+        if !self.node.decisions.may_log(Weight::Notable) {
+            return;
+        }
+        log::warn!(
+            request_id = self.id(),
+            service:% = self.service(),
+            node:% = endpoint.node,
+            verdict = failure.verdict.as_str(),
+            reason = failure.reason.word(),
+            idempotent = self.branch.treatment.idempotent,
+            again,
+            left_ms = self.left_ms();
+            "an attempt failed: {}", failure.reason.as_str()
+        );
+    }
+
     async fn attempt(
         &self,
         endpoint: Endpoint,
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -1,7 +1,7 @@
 //! The backend server's own node: admits a request and forwards it over the last hop.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderMap, HeaderValue};
 use http::uri::Authority;
@@ -10,11 +10,13 @@
 use super::answer::{Failure, Reason};
 use super::body::{self, Body, Guarded};
 use super::calls::Running;
+use super::decisions::{self, Weight};
 use super::headers;
 use super::hop::Hop;
 use super::slots::Slot;
 use crate::node::local::LocalBackend;
 use crate::node::state::NodeState;
+use crate::util::clock;
 
 /// How long a request may have been held up on its way and still be run. Above the first
 /// retransmission of a lost packet, below the half second after which work for a caller that has left
@@ -38,7 +40,7 @@
         return Failure::not_run(Reason::BadRequest).into_hop_response();
     };
     let result = match delay > DELAY_MAX {
-        true => Err(Failure::not_run(Reason::HeldUp)),
+        true => Err(held_up(&node, &hop, &request, delay)),
         false => run(&node, &hop, request).await,
     };
     let mut response = result.unwrap_or_else(Failure::into_hop_response);
@@ -47,32 +49,114 @@
     response
 }
 
+fn held_up(node: &NodeState, hop: &Hop, request: &Request<Body>, delay: Duration) -> Failure {
+    let failure = Failure::not_run(Reason::HeldUp);
+    let id = request.headers().get(&node.vocabulary.request_id);
+    let sent = Instant::now().checked_sub(delay);
+    log_failed(node, hop, id, sent.unwrap_or(node.started), &failure);
+    failure
+}
+
 /// Admits `request` and runs it on the local backend server.
 ///
 /// Up to the moment in which it holds a slot nothing of it has been passed on, not even read: the
 /// failures up to there prove that it did not run.
 pub(crate) async fn run(
+    node: &Arc<NodeState>,
+    hop: &Hop,
+    request: Request<Body>,
+) -> Result<Response<Body>, Failure> {
+    let id = request.headers().get(&node.vocabulary.request_id).cloned();
+    let came = Instant::now();
+    let result = admit(node, hop, request, id.as_ref()).await;
+    if let Err(failure) = &result {
+        log_failed(node, hop, id.as_ref(), came, failure);
+    }
+    result
+}
+
+async fn admit(
     node: &Arc<NodeState>,
     hop: &Hop,
     mut request: Request<Body>,
+    id: Option<&HeaderValue>,
 ) -> Result<Response<Body>, Failure> {
     serving(node, hop)?;
+    let came = Instant::now();
     let mut slot = Slot::take(node, hop).await?;
     // Another backend server may have taken the address while the request waited.
     let backend = serving(node, hop)?;
+    log_admitted(node, hop, id, came, &backend);
     let mut running = node.calls.begin(hop);
     prepare(node, &mut request, hop, &backend, &running);
-    let id = request.headers().get(&node.vocabulary.request_id).cloned();
     let exchange = node.pool.send(backend.address, request);
     let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
         .await
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-    let response = judge(node, &backend, id.as_ref(), response)?;
+    let response = judge(node, &backend, id, response)?;
     let unspent = running.answered();
     slot.answered();
     Ok(finish(response, unspent, (slot, running)))
 }
 
+fn log_admitted(
+    node: &NodeState,
+    hop: &Hop,
+    id: Option<&HeaderValue>,
+    came: Instant,
+    backend: &LocalBackend,
+) {
+    let waited = came.elapsed();
+    metrics::histogram!("dragonflywall_gate_wait_seconds").record(waited);
+    if !node.decisions.may_log(Weight::Routine) {
+        return;
+    }
+    let load = node.load(hop);
+    log::info!(
+        request_id = decisions::shown(id),
+        backend:% = backend.address,
+        instance:? = backend.instance,
+        waited_ms = clock::since_ms(came),
+        in_use = load.in_use,
+        slots = load.slots;
+        "the request has its slot"
+    );
+}
+
+fn log_failed(
+    node: &NodeState,
+    hop: &Hop,
+    id: Option<&HeaderValue>,
+    came: Instant,
+    failure: &Failure,
+) {
+    let reason = failure.reason.word();
+    metrics::counter!("dragonflywall_gate_failures_total", "reason" => reason).increment(1);
+    if !node.decisions.may_log(Weight::Notable) {
+        return;
+    }
+    let load = node.load(hop);
+    let left = hop.deadline.saturating_duration_since(Instant::now());
+    log::warn!(
+        request_id = decisions::shown(id),
+        service:% = hop.service,
+        resource:% = hop.resource,
+        rank = hop.rank,
+        verdict = failure.verdict.as_str(),
+        reason,
+        took_ms = clock::since_ms(came),
+        patience_ms:% = hop.patience.as_millis(),
+        left_ms:% = left.as_millis(),
+        in_use = load.in_use,
+        ahead = load.ahead,
+        slots = load.slots,
+        mean_held_us = load.mean_held_us,
+        resource_held_us = load.resource_held_us,
+        retry_after_ms = failure.wait_ms();
+        "the gate has no answer: {}", failure.reason.as_str()
+    );
+}
+
 fn serving(node: &NodeState, hop: &Hop) -> Result<Arc<LocalBackend>, Failure> {
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
--- a/tests/testsuite/logs.rs
+++ b/tests/testsuite/logs.rs
@@ -1,10 +1,16 @@
 //! What the log tells an operator after a failure.
 
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+
+use http::Method;
+use serde_json::Value;
+use testkit::http::{request, wait_until};
 use testkit::platform::Faults;
-use testkit::process::{LogLine, Signal};
+use testkit::process::{Addresses, LogLine, Signal};
 use tokio::sync::mpsc;
 
-use crate::support::{LIMIT, small, start_chatarras};
+use crate::support::{LIMIT, PROGRAM, ask, metrics, small, start_chatarras, vms_of};
 
 /// In the night the platform is down for a while, a VM dies, and its replacement starts meanwhile. In
 /// the morning the operator finds the death in its neighbours' logs, and the outage with its
@@ -35,18 +41,113 @@
     wait_for(&mut lines, of_victim("the platform answers again")).await;
 }
 
+/// A payment is refused in the night: every endpoint of its service was being drained. The dealer
+/// complains with the id of the payment, and the operator finds under it, at the node that took it,
+/// where it was placed, what became of each attempt, and how it ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_by_its_id_why_a_payment_was_refused() {
+    let (sender, mut lines) = mpsc::unbounded_channel();
+    let mut deployment = small(&["tablon", "cobros"], 1);
+    deployment.log_lines = Some(sender);
+    let mesh = start_chatarras(deployment).await;
+    let entry = mesh.vms[vms_of(&mesh, "tablon")[0]].node().addresses.caller;
+    for position in vms_of(&mesh, "cobros") {
+        let operator = mesh.vms[position].node().addresses.operator;
+        let drained = request(operator, Method::POST, "node", "/drain", &[], "").await;
+        drained.expect("the node answers");
+    }
+    let reply = ask(entry, Method::POST, "cobros", "/payments/1", "complaint").await;
+    assert_eq!(reply.expect("the node answers").status, 503);
+    let ended = wait_for(&mut lines, |line| {
+        let fields = fields(line);
+        fields["request_id"] == "complaint" && fields["took_ms"].is_u64() && is_entry(line)
+    });
+    let fields = fields(&ended.await);
+    assert_eq!(fields["verdict"], "not-run", "{fields}");
+    assert!(fields["reason"].is_string(), "{fields}");
+    assert_eq!(fields["target"], "cobros/payments/1");
+    assert!(fields["version"].as_u64() > Some(0), "{fields}");
+}
+
+/// Whoever collects a node's log stops reading. The pipe fills, and were a line written by whoever
+/// logs it, the next request that is refused would wait for ever, and all behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_nobody_reads_blocks_no_request() {
+    const REQUESTS: usize = 3_000;
+    let (_unread, node) = start_unread();
+    let mut answered = 0;
+    for number in 0..REQUESTS {
+        let reply = ask(node.caller, Method::GET, "tablon", "/prices/copper", "x").await;
+        let reply = reply.unwrap_or_else(|error| panic!("request {number}: {error}"));
+        assert_eq!(reply.status, 503);
+        answered += 1;
+    }
+    assert_eq!(answered, REQUESTS);
+    wait_until("lines were dropped and counted", LIMIT, || async {
+        let text = metrics(node.operator).await;
+        text.contains("dragonflywall_log_lines_dropped_total")
+    })
+    .await;
+}
+
+/// Killed when dropped, as its output is not read.
+struct Unread(Child);
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        self.0.kill().expect("it is our child");
+        self.0.wait().expect("it is our child");
+    }
+}
+
+/// A node without a platform, which refuses everything. Its output is read up to its addresses.
+fn start_unread() -> (Unread, Addresses) {
+    let arguments = [
+        "node",
+        "--caller-listen=127.0.0.1:0",
+        "--peer-listen=127.0.0.1:0",
+        "--operator-listen=127.0.0.1:0",
+        "--region=cantabrico",
+        "--data-centre=gijon",
+        "--platform=http://127.0.0.1:1",
+        "--log-format=json",
+        "--log-level=trace",
+    ];
+    let child = Command::new(PROGRAM)
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .spawn();
+    let mut child = Unread(child.expect("the program starts"));
+    let stdout = child.0.stdout.as_mut().expect("it is piped");
+    let mut lines = BufReader::with_capacity(1, stdout).lines();
+    let addresses = lines.find_map(|line| {
+        let line = line.expect("the node prints text");
+        serde_json::from_str(&line).ok()
+    });
+    (child, addresses.expect("the node prints its addresses"))
+}
+
+fn fields(line: &LogLine) -> Value {
+    let line: Value = serde_json::from_str(&line.text).unwrap_or_default();
+    line["kvs"].clone()
+}
+
+fn is_entry(line: &LogLine) -> bool {
+    line.text.contains("dragonflywall::proxy::entry")
+}
+
 async fn wait_for(
     lines: &mut mpsc::UnboundedReceiver<LogLine>,
     is_wanted: impl Fn(&LogLine) -> bool,
-) {
+) -> LogLine {
     let found = async {
         while let Some(line) = lines.recv().await {
             if is_wanted(&line) {
-                return true;
+                return Some(line);
             }
         }
-        false
+        None
     };
     let found = tokio::time::timeout(LIMIT, found).await;
-    assert_eq!(found, Ok(true), "the line never came");
+    found.ok().flatten().expect("the line comes")
 }
