Take in large bodies before their slot, few at a time by the rate of the link

Cause: on VMs with links of 7 Mbit/s uploads of 60 KB arrive several at a time, unasked up to 64 KiB each and holding a slot meanwhile; calls with 300 to 400 ms to spare wait behind them on the link and fail, and with them the bookings that made them. Excluded: slots (half in use), processors (0.01 of 0.1 cores). The gate refuses before a body uses the link, lets in as many as keep the link busy for 40 ms, asks for a slot once the body is there, and reports how long that takes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod announcements;
 pub mod held;
+pub mod intake;
 pub mod pacing;
 pub mod patience;
 pub mod placement;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -240,6 +240,18 @@
         Admitted::Queued(ticket)
     }
 
+    /// Whether a request that came now would be refused: its body is not worth its way.
+    pub fn would_refuse(&self, now_us: u64, ask: &Ask) -> Option<Refusal> {
+        if self.closed || self.limits.slots == 0 {
+            return Some(self.refusal(Cause::Closed, ask));
+        }
+        if self.lane(ask.class).is_empty() && self.may_take(now_us, ask.class) {
+            return None;
+        }
+        let cause = self.hopeless(now_us, ask)?;
+        Some(self.refusal(cause, ask))
+    }
+
     /// Why it is of no use to wait, if it is not.
     fn hopeless(&self, now_us: u64, ask: &Ask) -> Option<Cause> {
         let wait_us = self.wait_us(ask);
@@ -290,6 +302,7 @@
             slots: self.limits.slots,
             mean_held_us: self.held.of_any().max(slowed),
             resource_held_us: self.held.of_resource(resource).max(slowed),
+            intake_us: 0,
         }
     }
 
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -12,6 +12,7 @@
 
 use self::cost::Choice;
 use self::observation::{EJECTED_MOST_US, Seen};
+use super::intake::SMALL_BYTES;
 use crate::core::configuration::Spill;
 use crate::core::member::{Distance, Member, NodeId, Place};
 use crate::core::names::ResourceName;
@@ -268,10 +269,19 @@
             mean_held_us: mean_held_us as f64,
             failing: seen.map_or(0.0, |seen| seen.failing(now_us)),
             asked: f64::from(asked.unwrap_or(0)),
+            intake_us: self.intake_us(seen, need),
             size_kb: 0.0,
         }
     }
 
+    /// How long the body of the request takes to come in.
+    fn intake_us(&self, seen: Option<&Seen>, need: &Need<'_>) -> f64 {
+        match need.body_bytes > SMALL_BYTES {
+            true => seen.map_or(0.0, |seen| seen.intake_us() as f64),
+            false => 0.0,
+        }
+    }
+
     fn size_kb(&self, need: &Need<'_>) -> f64 {
         let answer_bytes = self.answers_bytes.get(need.resource);
         let answer_bytes = answer_bytes.copied().unwrap_or(ANSWER_UNKNOWN_BYTES);
--- a/src/decide/placement/cost.rs
+++ b/src/decide/placement/cost.rs
@@ -54,6 +54,8 @@
     pub(super) held_us: f64,
     /// How long any request does, on average.
     pub(super) mean_held_us: f64,
+    /// How long the body of the request takes to come in there, with its wait.
+    pub(super) intake_us: f64,
     /// Part of its requests that failed lately.
     pub(super) failing: f64,
     /// Kilobytes of the request and its answer.
@@ -82,12 +84,16 @@
     let slots = choice.slots.max(1.0);
     let queued = (choice.in_hand + 1.0 - slots).max(0.0);
     let waited = queued / slots;
-    let before_us = ROUND_TRIP_US[choice.distance as usize] as f64 + waited * choice.mean_held_us;
+    let before_us = ROUND_TRIP_US[choice.distance as usize] as f64
+        + choice.intake_us
+        + waited * choice.mean_held_us;
     let past = |limit_us: u64| {
         let left_us = limit_us as f64 - before_us;
         (-left_us.max(0.0) / choice.held_us.max(1.0)).exp()
     };
     let busy = (choice.in_hand / slots).min(1.0);
+    // A link that is busy costs those behind this body as much as a queue for a slot does.
+    let waited = waited + choice.intake_us / choice.held_us.max(1.0);
     LATE * past(limits.target_us)
         + LOST * past(limits.deadline_us)
         + WAIT * waited
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -66,6 +66,8 @@
     pub mean_held_us: u64,
     /// The same for requests to the resource of the request that is answered.
     pub resource_held_us: u64,
+    /// How long a large body takes to come in there, in microseconds, with its wait; 0 before the first.
+    pub intake_us: u64,
 }
 
 /// What one entry has seen of one endpoint.
@@ -167,6 +169,13 @@
         mean_us.filter(|mean_us| *mean_us > 0)
     }
 
+    /// How long a large body takes to come in, as last reported.
+    pub(super) fn intake_us(&self) -> u64 {
+        self.report
+            .as_ref()
+            .map_or(0, |report| report.load.intake_us)
+    }
+
     /// Part of its requests that failed lately.
     pub(super) fn failing(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.failing_at_us) as f64;
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -53,6 +53,7 @@
         };
         metrics::gauge!("dragonflywall_gate_slots_in_use").set(in_use);
         metrics::gauge!("dragonflywall_gate_waiting").set(waiting);
+        metrics::gauge!("dragonflywall_uploads_coming").set(self.node.intake().coming());
         self.metrics.render()
     }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -120,6 +120,8 @@
     /// Retries of a service's requests beyond that share, all entries of the mesh together; if left
     /// out, ten for each entry.
     pub retry_reserve: Option<u32>,
+    /// Rate of the VM's link in kilobits a second, if it is known.
+    pub link_kbit_per_s: Option<u32>,
     /// How log lines are written.
     #[builder(default = LogFormat::Text)]
     pub log_format: LogFormat,
@@ -279,6 +281,7 @@
         let drain_timeout_ms = self.required("drain-timeout-ms");
         let stop_least_ms = self.required("stop-least-ms");
         let retry_percent = self.required("retry-percent");
+        let link_kbit_per_s = self.optional("link-kbit-per-s");
         let log_format = self.required("log-format");
         let log_level = self.required("log-level");
         if !self.problems.is_empty() {
@@ -295,6 +298,7 @@
             retry_reserve: None,
             stop_least_ms: stop_least_ms.expect(checked),
             retry_percent: retry_percent.expect(checked),
+            link_kbit_per_s,
             caller_listen: caller_listen.expect(checked),
             peer_listen: peer_listen.expect(checked),
             operator_listen: operator_listen.expect(checked),
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -149,6 +149,12 @@
         default: "10",
         help: "retries of a service's requests, in percent of the first attempts",
     },
+    Spec {
+        flag: "link-kbit-per-s",
+        value: "KBIT",
+        default: "",
+        help: "rate of the VM's link, by which large bodies are let in (default: fast)",
+    },
     Spec {
         flag: "log-format",
         value: "FORMAT",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ractor::ActorRef;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -17,6 +17,7 @@
 use crate::core::version::Version;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::announcements::Announcements;
+use crate::decide::intake::{Intake, LinkShare};
 use crate::decide::placement::{Balancer, LoadReport, Ranked};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::distribution::Applied;
@@ -30,6 +31,7 @@
 use crate::proxy::calls::Calls;
 use crate::proxy::decisions::Decisions;
 use crate::proxy::hop::Hop;
+use crate::proxy::intake;
 use crate::proxy::peers::PeerConnections;
 use crate::proxy::slots::{self, Wake};
 use crate::proxy::vocabulary::Vocabulary;
@@ -78,6 +80,11 @@
     balancer: Mutex<Balancer>,
     retry_tokens: Mutex<ServiceTokens>,
     admission: Mutex<Admission<Wake>>,
+    /// What the link of this VM takes at a time.
+    pub(crate) link_share: LinkShare,
+    intake: Mutex<Intake>,
+    /// One for each large body that may come in at a time.
+    pub(crate) intake_turns: Arc<Semaphore>,
     /// The backend server that may be sent requests, if one is known.
     pub(crate) backend: ArcSwapOption<LocalBackend>,
     announcements: Mutex<Announcements>,
@@ -117,7 +124,11 @@
         let known = settings.backend_server.as_ref();
         let known = known.filter(|_| !settings.backend_server_announces);
         let backend = known.map(|known| Arc::new(LocalBackend::from(known)));
+        let link_share = LinkShare::of_link(settings.link_kbit_per_s);
         Arc::new(Self {
+            link_share,
+            intake: Mutex::new(Intake::new(link_share)),
+            intake_turns: intake::turns(link_share.at_a_time),
             vocabulary: Vocabulary::of(settings.dialect),
             tunable: ArcSwap::from_pointee(settings.tunable()),
             settings,
@@ -220,7 +231,13 @@
     pub(crate) fn load(&self, hop: &Hop) -> LoadReport {
         let now_us = clock::since_us(self.started);
         let ask = hop.ask(self.started);
-        self.admission().load(now_us, &ask, &hop.resource)
+        let intake_us = self.intake().taken_us();
+        let load = self.admission().load(now_us, &ask, &hop.resource);
+        LoadReport { intake_us, ..load }
+    }
+
+    pub(crate) fn intake(&self) -> MutexGuard<'_, Intake> {
+        lock(&self.intake)
     }
 
     /// Lets the backend server have no new work; what waits for a slot is refused at once, so
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,7 @@
 //! | `listen.control` | where the VM's backend server announces itself |
 //! | `seeds` | `listen.control` addresses of other VMs; stale ones may be among them |
 //! | `platform.address` | the store |
+//! | `limits.linkMbps` | rate of the VM's link, each way |
 //! | `bounds` | figures of the users' rules, as `name=value` |
 //!
 //! Keys that are not used are ignored: new ones may come.
@@ -97,6 +98,7 @@
             .stop_least_ms(STOP_LEAST_MS.min(stop_ms / 2))
             .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
             .maybe_retry_reserve(bounds.number("budgetExtra"))
+            .maybe_link_kbit_per_s(self.link_kbit_per_s())
             .log_format(LogFormat::Json)
             .build();
         Some(settings)
@@ -158,6 +160,14 @@
         seeds
     }
 
+    /// The platform says it in megabits, mostly with a fraction.
+    fn link_kbit_per_s(&self) -> Option<u32> {
+        let value = self.value(&["limits", "linkMbps"])?;
+        let whole = value.as_integer().map(|mbit| mbit as f64);
+        let mbit = value.as_float().or(whole)?;
+        (mbit > 0.0).then_some((mbit * 1_000.0) as u32)
+    }
+
     fn bounds(&self) -> Bounds {
         let listed = self.value(&["bounds"]).and_then(Value::as_array);
         let texts = listed.into_iter().flatten().filter_map(Value::as_str);
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -15,6 +15,7 @@
 pub(crate) mod gate;
 pub(crate) mod headers;
 pub(crate) mod hop;
+pub(crate) mod intake;
 pub(crate) mod listener;
 pub(crate) mod peers;
 pub(crate) mod pipeline;
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -13,7 +13,8 @@
 use super::decisions::{self, Weight};
 use super::headers;
 use super::hop::Hop;
-use super::slots::Slot;
+use super::intake;
+use super::slots::{self, Slot};
 use crate::node::local::LocalBackend;
 use crate::node::state::NodeState;
 use crate::util::clock;
@@ -78,11 +79,17 @@
 async fn admit(
     node: &Arc<NodeState>,
     hop: &Hop,
-    mut request: Request<Body>,
+    request: Request<Body>,
     id: Option<&HeaderValue>,
 ) -> Result<Response<Body>, Failure> {
     serving(node, hop)?;
     let came = Instant::now();
+    if let Some(refusal) = slots::would_refuse(node, hop) {
+        return Err(refusal);
+    }
+    let (parts, body) = request.into_parts();
+    let body = intake::take(node, hop, body).await?;
+    let mut request = Request::from_parts(parts, body);
     let mut slot = Slot::take(node, hop).await?;
     // Another backend server may have taken the address while the request waited.
     let backend = serving(node, hop)?;
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -27,7 +27,7 @@
 pub(crate) const RETRIES: HeaderName = HeaderName::from_static("x-dragonflywall-retries");
 /// On a request to a backend server, which copies it to the calls that it makes meanwhile.
 pub(crate) const CALL: HeaderName = HeaderName::from_static("x-dragonflywall-call");
-/// On an answer between nodes: the endpoint's load, five numbers with blanks between them.
+/// On an answer between nodes: the endpoint's load, six numbers with blanks between them.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-dragonflywall-load");
 /// On a failed answer: what is known of whether the request ran.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
@@ -96,9 +96,10 @@
         slots,
         mean_held_us,
         resource_held_us,
+        intake_us,
     } = load;
     value(&format!(
-        "{in_use} {ahead} {slots} {mean_held_us} {resource_held_us}"
+        "{in_use} {ahead} {slots} {mean_held_us} {resource_held_us} {intake_us}"
     ))
 }
 
@@ -112,6 +113,8 @@
         slots: u32::try_from(next()?).ok()?,
         mean_held_us: next()?,
         resource_held_us: next()?,
+        // A node of the release before says no sixth.
+        intake_us: next().unwrap_or(0),
     })
 }
 
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -45,7 +45,7 @@
     let control = ControlServer::new(control)
         .max_decoding_message_size(CONTROL_MESSAGE_MAX_BYTES)
         .max_encoding_message_size(CONTROL_MESSAGE_MAX_BYTES);
-    let builder = builder();
+    let builder = builder(node.link_share.window_bytes);
     let connections = TaskTracker::new();
     while let Some((stream, _)) = accept(&listener, &polite, &stop).await {
         let node = Arc::clone(&node);
@@ -64,12 +64,13 @@
     connections.wait().await;
 }
 
-fn builder() -> Builder<TokioExecutor> {
+/// `window_bytes` of each request's body come without being asked for.
+fn builder(window_bytes: u32) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .timer(TokioTimer::new())
         .max_concurrent_streams(PEER_STREAMS_MAX)
-        .initial_stream_window_size(REQUEST_WINDOW_BYTES)
+        .initial_stream_window_size(window_bytes)
         .initial_connection_window_size(PEER_WINDOW_BYTES)
         .max_send_buf_size(SEND_BUFFER_MAX_BYTES);
     builder
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -12,10 +12,11 @@
 
 use super::body::{self, Body, BoxError};
 
-/// Bytes kept for a retry. Payments and bookings are a few KB. A gate reads nothing before it has
-/// admitted the request, and until then takes a window of 64 KiB; with one read of the caller's
-/// connection on top this is enough for an upload of any size that was refused or had to wait.
-const KEPT_MAX_BYTES: usize = 192 << 10;
+/// Bytes kept for a retry. Payments and bookings are a few KB. Of what is longer than this a gate reads
+/// nothing before it has admitted the request, and until then takes a window of 64 KiB; with one read
+/// of the caller's connection on top this is enough for an upload of any size that was refused or had to
+/// wait.
+pub(crate) const KEPT_MAX_BYTES: usize = 192 << 10;
 
 /// A request body, and whether it can be sent again.
 #[derive(Debug)]
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -116,6 +116,14 @@
     }
 }
 
+/// The failure of a request that would be refused if it asked for a slot now.
+pub(crate) fn would_refuse(node: &NodeState, hop: &Hop) -> Option<Failure> {
+    let now_us = clock::since_us(node.started);
+    let ask = hop.ask(node.started);
+    let refusal = node.admission().would_refuse(now_us, &ask);
+    refusal.map(refused)
+}
+
 /// Wakes the waiting requests whose turn has come.
 pub(crate) fn settle(node: &NodeState) {
     let now_us = clock::since_us(node.started);
--- a/tests/testsuite/decide_placement.rs
+++ b/tests/testsuite/decide_placement.rs
@@ -70,6 +70,7 @@
         slots: 20,
         mean_held_us: 20_000,
         resource_held_us: 20_000,
+        intake_us: 0,
     }
 }
 
@@ -142,6 +143,7 @@
     let slow = LoadReport {
         mean_held_us: 180_000,
         resource_held_us: 180_000,
+        intake_us: 0,
         ..load(0)
     };
     balancer.reported(0, node(1), &PRICES, slow);
