Refuse a chain of differences that leads back

Cause: a difference is compressed against its parent. Read against another version that differs only in its number it decodes, says that this version is its parent, and ends at the right digest. A node that had reached 3 while it asked for 1 -> 4 applied 3 -> 2 -> 3 -> 4, kept the steps, and went round in circles for the next peer that held 2. Excluded: the compression library, the HTTP/2 library, the follower's loop. Change: each step of a chain must rise; content that was asked for while another version was held is left out quietly, unless it is a whole, and no longer counted as refused. Test: differences_that_lead_back_are_refused (failed before: the chain was taken).

--- a/src/distribution/holder.rs
+++ b/src/distribution/holder.rs
@@ -260,16 +260,7 @@
         match content {
             Content::Snapshot(bytes) => Configuration::from_snapshot(bytes, stamp),
             Content::Delta(bytes) => apply_delta(parent()?, stamp, bytes),
-            Content::Chain(steps) => {
-                let mut reached = parent()?.clone();
-                for step in steps {
-                    let next = apply_delta(&reached, step.stamp, &step.delta);
-                    reached = next.context(ContentSnafu { stamp })?;
-                }
-                let found = reached.stamp();
-                ensure!(found == stamp, ChainSnafu { stamp, found });
-                Ok(reached)
-            }
+            Content::Chain(steps) => return apply_chain(parent()?, stamp, steps),
         }
         .context(ContentSnafu { stamp })
     }
@@ -313,6 +304,30 @@
     applied.map_or(Stamp::NONE, |applied| applied.stamp)
 }
 
+/// Failure guarded against: a node that holds version 3 by now gets the differences from 1 to 4 that it
+/// asked for when it held 1. A difference is compressed against its parent; read against a version that
+/// differs in little but its number it may seem to be one from there, and the first of them leads back to
+/// 2. It shows as a node that goes round in circles among its kept differences. Steps that only
+/// rise cannot make a circle.
+fn apply_chain(parent: &Configuration, stamp: Stamp, steps: &[Step]) -> Result<Configuration> {
+    let mut reached = parent.clone();
+    for step in steps {
+        let lowest = reached.version;
+        ensure!(
+            step.stamp.version > lowest,
+            NotNewerSnafu {
+                stamp: step.stamp,
+                lowest
+            }
+        );
+        let next = apply_delta(&reached, step.stamp, &step.delta);
+        reached = next.context(ContentSnafu { stamp })?;
+    }
+    let found = reached.stamp();
+    ensure!(found == stamp, ChainSnafu { stamp, found });
+    Ok(reached)
+}
+
 fn apply_delta(
     parent: &Configuration,
     stamp: Stamp,
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -78,9 +78,10 @@
         stamp: Stamp,
         holder: Option<Peer>,
     },
-    /// A fetch ended.
+    /// A fetch ended that was made while `have` was held.
     Fetched {
         fetch: Fetch,
+        have: Version,
         found: Option<(Stamp, Content)>,
     },
     /// The head row was read, or not.
@@ -92,9 +93,10 @@
     Written(Option<Box<Configuration>>),
     /// The store could not be read.
     NotRead,
-    /// The node that reads the store for this data centre handed on a newer version.
+    /// The node that reads the store for this data centre handed on a version newer than `have`.
     FromLead {
         stamp: Stamp,
+        have: Version,
         content: Content,
     },
     /// A peer told what it remembers of this node, and what it enforces.
@@ -203,13 +205,17 @@
             ConfigurationMsg::Announced { stamp, holder } => {
                 state.announced(now_ms, stamp, holder);
             }
-            ConfigurationMsg::Fetched { fetch, found } => state.fetched(now_ms, &fetch, found),
+            ConfigurationMsg::Fetched { fetch, have, found } => {
+                state.fetched(now_ms, &fetch, have, found);
+            }
             ConfigurationMsg::HeadRead { head, took_ms } => state.head_read(now_ms, head, took_ms),
             ConfigurationMsg::Written(configuration) => state.written(now_ms, configuration),
             ConfigurationMsg::NotRead => state.note_store(false),
-            ConfigurationMsg::FromLead { stamp, content } => {
-                state.led(now_ms, stamp, &content);
-            }
+            ConfigurationMsg::FromLead {
+                stamp,
+                have,
+                content,
+            } => state.led(now_ms, stamp, have, &content),
             ConfigurationMsg::FloorAnswered {
                 peer,
                 reported,
@@ -341,8 +347,8 @@
         }
     }
 
-    fn led(&mut self, now_ms: u64, stamp: Stamp, content: &Content) {
-        if self.prepare(stamp, content, "lead") {
+    fn led(&mut self, now_ms: u64, stamp: Stamp, have: Version, content: &Content) {
+        if self.prepare(stamp, have, content, "lead") {
             self.floor.head_read(stamp.version);
             self.announced(now_ms, stamp, None);
             self.tell(MembershipMsg::Head(stamp));
@@ -436,7 +442,8 @@
             let myself = myself.clone();
             tokio::spawn(async move {
                 let found = content::fetch(&node, &origin, held, &fetch).await;
-                let _ = myself.cast(ConfigurationMsg::Fetched { fetch, found });
+                let have = held.version;
+                let _ = myself.cast(ConfigurationMsg::Fetched { fetch, have, found });
             });
             return;
         }
@@ -450,22 +457,42 @@
         }
     }
 
-    fn fetched(&mut self, now_ms: u64, fetch: &Fetch, found: Option<(Stamp, Content)>) {
+    fn fetched(
+        &mut self,
+        now_ms: u64,
+        fetch: &Fetch,
+        have: Version,
+        found: Option<(Stamp, Content)>,
+    ) {
         let source = content::source_name(&fetch.source);
-        let prepared = found.is_some_and(|(stamp, content)| self.prepare(stamp, &content, source));
+        let prepared =
+            found.is_some_and(|(stamp, content)| self.prepare(stamp, have, &content, source));
         let result = if prepared { "used" } else { "failed" };
         metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
             .increment(1);
         self.fetcher.done(now_ms, fetch, prepared);
     }
 
-    fn prepare(&mut self, stamp: Stamp, content: &Content, source: &'static str) -> bool {
+    /// Whether the version is held now. `have` was held when its content was asked for.
+    fn prepare(
+        &mut self,
+        stamp: Stamp,
+        have: Version,
+        content: &Content,
+        source: &'static str,
+    ) -> bool {
         let bytes = content.len_bytes() as u64;
         metrics::counter!("dragonflywall_fetched_bytes_total", "source" => source).increment(bytes);
-        if stamp.version <= self.holder.held().version {
+        let held = self.holder.held().version;
+        if stamp.version <= held {
             // It came another way meanwhile.
             return true;
         }
+        if held != have && !matches!(content, Content::Snapshot(_)) {
+            // Differences from what was held then; whoever follows asks again for those from now.
+            log::debug!(version = stamp.version.0, have = have.0, held = held.0; "differences from an older version");
+            return false;
+        }
         let prepared = self.holder.prepare(stamp, content);
         if let Err(error) = &prepared {
             self.refused(stamp.version, error);
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -137,7 +137,11 @@
         }
         self.node.store_was_read(newer.store_age_ms);
         if let Some((stamp, content)) = newer.content {
-            self.tell(ConfigurationMsg::FromLead { stamp, content });
+            self.tell(ConfigurationMsg::FromLead {
+                stamp,
+                have,
+                content,
+            });
         }
     }
 
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -237,3 +237,44 @@
     assert!(floor.is_settled(0));
     assert_eq!(floor.version(), Version(5));
 }
+
+/// A configuration large enough that a difference is shorter than the whole; its versions differ in
+/// nothing but their number, as when operators write the same again and again.
+fn alike(version: u64) -> Configuration {
+    let team = |number: u64| {
+        let name = TeamName::new(format!("team-{number}"));
+        let team = TeamRecord {
+            team: name.clone(),
+            services: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            caller_limits: None,
+        };
+        (name, team)
+    };
+    Configuration {
+        version: Version(version),
+        teams: (0..50).map(team).collect(),
+    }
+}
+
+/// Versions come many a second. While a node asks a neighbour for what is newer than version 1, it gets
+/// versions 2 and 3 from elsewhere; then the differences from 1 to 4 arrive. Taken for differences from 3,
+/// the first leads back to 2: a peer that then asks for what is newer than 1 sends the node round in
+/// circles for ever, and with it all of its requests.
+#[test]
+fn differences_that_lead_back_are_refused() {
+    let mut source = Holder::default();
+    for version in 1..=4 {
+        source.prepare_whole(alike(version)).expect("it closes");
+    }
+    let (newest, chain) = source.content_for(Version(1)).expect("it is newer");
+    assert!(matches!(chain, Content::Chain(_)), "{chain:?}");
+    let mut holder = Holder::default();
+    for version in 1..=3 {
+        holder.prepare_whole(alike(version)).expect("it closes");
+    }
+    holder.prepare(newest, &chain).expect_err("it leads back");
+    assert_eq!(holder.held().version, Version(3));
+    let (reached, _) = holder.content_for(Version(2)).expect("it is newer");
+    assert_eq!(reached.version, Version(3));
+}
