--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -306,7 +306,7 @@
 }
 
 /// Bytes that differ from one request to the next, so that a mixed-up answer shows.
-fn filler(id: &str, bytes: u64) -> Bytes {
+pub(crate) fn filler(id: &str, bytes: u64) -> Bytes {
     let bytes = usize::try_from(bytes).unwrap_or(0);
     let mut content = vec![0; bytes];
     let mut hasher = blake3::Hasher::new();
--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -84,13 +84,31 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    serve_from(listener, stop, connections, move |_, request| {
+        handle(request)
+    })
+    .await;
+}
+
+/// As [`serve_counted`], and tells the handler who asks.
+pub async fn serve_from<H, F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    connections: Arc<Connections>,
+    handle: H,
+) where
+    H: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
 {
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else { continue };
+        let Ok((stream, peer)) = accepted else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let handle = handle.clone();
         let stop = stop.clone();
@@ -100,7 +118,7 @@
             let drop_now = CancellationToken::new();
             let dropper = drop_now.clone();
             let service = service_fn(move |request| {
-                let answer = handle(request);
+                let answer = handle(peer, request);
                 let dropper = dropper.clone();
                 async move {
                     match answer.await {
@@ -123,6 +141,19 @@
     }
 }
 
+/// The query of a request, whose values are plain.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a>(pub &'a str);
+
+impl Query<'_> {
+    /// The value of `name`, empty if absent.
+    pub fn get(&self, name: &str) -> &str {
+        let pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
+        let mut found = pairs.filter(|(key, _)| *key == name);
+        found.next().map_or("", |(_, value)| value)
+    }
+}
+
 /// What a request brought.
 #[derive(Clone, Debug)]
 pub struct Reply {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`platform`] is the transactional table and object store, [`backend`] a backend server that
 //! records what it ran, [`network`] the links between data centres, which can be cut, delayed,
 //! throttled and counted. [`process`] starts nodes as processes and [`mesh`] a whole deployment.
+//! [`users`] is all of this on the users' platform.
+//!
 //! All listen on loopback addresses; data centre number N has the addresses 127.x.N+1.1, where x is the network's own.
 
 pub mod backend;
@@ -11,3 +13,5 @@
 pub mod network;
 pub mod platform;
 pub mod process;
+pub(crate) mod rates;
+pub mod users;
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -16,7 +16,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::{Body, answer, serve};
+use crate::http::{Body, Query, answer, serve};
+use crate::rates::Bucket;
 
 /// Several hundred writes a second.
 const WRITES_PER_S: f64 = 400.0;
@@ -108,35 +109,6 @@
     puts: BTreeMap<String, String>,
 }
 
-#[derive(Debug)]
-struct Bucket {
-    per_s: f64,
-    tokens: f64,
-    filled: Instant,
-}
-
-impl Bucket {
-    fn new(per_s: f64) -> Self {
-        Self {
-            per_s,
-            tokens: per_s,
-            filled: Instant::now(),
-        }
-    }
-
-    fn take(&mut self) -> bool {
-        let now = Instant::now();
-        let gained = now.duration_since(self.filled).as_secs_f64() * self.per_s;
-        self.tokens = (self.tokens + gained).min(self.per_s);
-        self.filled = now;
-        let enough = self.tokens >= 1.0;
-        if enough {
-            self.tokens -= 1.0;
-        }
-        enough
-    }
-}
-
 #[derive(Debug)]
 struct Store {
     rows: BTreeMap<String, Row>,
@@ -247,16 +219,6 @@
     Some(response)
 }
 
-struct Query<'a>(&'a str);
-
-impl Query<'_> {
-    fn get(&self, name: &str) -> &str {
-        let pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
-        let mut found = pairs.filter(|(key, _)| *key == name);
-        found.next().map_or("", |(_, value)| value)
-    }
-}
-
 impl Store {
     fn run(
         &mut self,
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -22,6 +22,10 @@
     pub peer: SocketAddr,
     /// For operators.
     pub operator: SocketAddr,
+    /// For questions about readiness, if they have an address of their own.
+    pub ready: Option<SocketAddr>,
+    /// For announcements of the backend server, likewise.
+    pub announce: Option<SocketAddr>,
 }
 
 /// A signal that a test sends.
@@ -29,6 +33,8 @@
 pub enum Signal {
     /// Please stop.
     Terminate,
+    /// Read the settings again.
+    Hangup,
     /// Freeze.
     Stop,
     /// Go on.
@@ -93,6 +99,7 @@
     pub fn signal(&self, signal: Signal) {
         let number = match signal {
             Signal::Terminate => libc::SIGTERM,
+            Signal::Hangup => libc::SIGHUP,
             Signal::Stop => libc::SIGSTOP,
             Signal::Continue => libc::SIGCONT,
             Signal::Kill => libc::SIGKILL,
--- /dev/null
+++ b/crates/testkit/src/users/backend.rs
@@ -0,0 +1,286 @@
+//! Stand-in for a backend server of the users' platform.
+//!
+//! It keeps a record of what it ran. What a request does to it stands in its query: `work_ms` (time to
+//! run), `bytes` (length of the answer), `answer` (what goes wrong with it, see [`Answering`]) and `call`
+//! (`HOST/PATH`, asked for through the own node before the answer). It announces itself to the node
+//! beside it until it is stopped, drained, or leaves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+mod announcer;
+mod exchange;
+
+pub use self::announcer::Announced;
+pub use self::exchange::seal_of;
+
+/// What becomes of requests beyond slots and queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OnFull {
+    /// They are told that they were not run.
+    #[default]
+    Refuse,
+    /// Their connection is reset.
+    Reset,
+    /// They get no answer, and no later one on their connection does.
+    Mute,
+}
+
+/// What a backend server does with the answer of a request that ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Answering {
+    /// Sends it.
+    #[default]
+    Whole,
+    /// Closes the connection instead.
+    Lost,
+    /// Breaks off in the middle.
+    Cut,
+    /// Sends it without a length, and closes.
+    Unframed,
+    /// Sends a second one at once behind it.
+    Extra,
+    /// Sends a second one when the connection may carry the next request already.
+    ExtraLate,
+    /// Sends a failure before it has read the body, and reads on.
+    Early,
+    /// Sends a failure of its own.
+    Failure,
+}
+
+impl Answering {
+    /// The word for it in a query.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Lost => "lost",
+            Self::Cut => "cut",
+            Self::Unframed => "unframed",
+            Self::Extra => "extra",
+            Self::ExtraLate => "extra-late",
+            Self::Early => "early",
+            Self::Failure => "failure",
+        }
+    }
+
+    /// All of them.
+    pub const ALL: [Self; 8] = [
+        Self::Whole,
+        Self::Lost,
+        Self::Cut,
+        Self::Unframed,
+        Self::Extra,
+        Self::ExtraLate,
+        Self::Early,
+        Self::Failure,
+    ];
+
+    fn from_word(word: &str) -> Self {
+        let known = Self::ALL.into_iter().find(|known| known.word() == word);
+        known.unwrap_or_default()
+    }
+}
+
+/// How a backend server behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Behaviour {
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// Requests that wait.
+    pub queue: u32,
+    /// Time to run a request that does not say.
+    pub work: Duration,
+    /// What becomes of others.
+    pub on_full: OnFull,
+    /// A connection that has been idle for so long is forgotten without a word, and reset by whatever
+    /// is sent on it next.
+    pub forgets_idle: Option<Duration>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            queue: 16,
+            work: Duration::ZERO,
+            on_full: OnFull::Refuse,
+            forgets_idle: None,
+        }
+    }
+}
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// When it began.
+    pub began: Instant,
+    /// When it reached the backend server: before [`Self::began`] if it waited.
+    pub reached: Instant,
+    /// Which service the request is said to come from.
+    pub caller: String,
+    /// Milliseconds that it was said to have.
+    pub deadline_ms: Option<u64>,
+    /// Method, host, path and query, as they came.
+    pub target: String,
+    /// BLAKE3 digest of its body.
+    pub body_digest: String,
+}
+
+/// What a backend server did.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Its runs, by request id.
+    pub runs: BTreeMap<String, Vec<Run>>,
+    /// Requests that it told that they did not run.
+    pub refused: u64,
+    /// Requests meant for another instance.
+    pub misdirected: u64,
+    /// When the last request reached it.
+    pub last_reached: Option<Instant>,
+    /// Requests at work now.
+    pub running: u32,
+    /// Requests whose sender had gone before their end.
+    pub given_up: u64,
+}
+
+/// Who a backend server is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// What it serves.
+    pub service: String,
+    /// What it calls itself.
+    pub instance: String,
+    /// When it was started, in Unix milliseconds.
+    pub born_ms: u64,
+    /// Its data centre.
+    pub data_centre: String,
+}
+
+impl Identity {
+    /// One that is started now.
+    pub fn new(service: &str, instance: &str, data_centre: &str) -> Self {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born_ms = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(0);
+        Self {
+            service: service.to_owned(),
+            instance: instance.to_owned(),
+            born_ms,
+            data_centre: data_centre.to_owned(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    identity: Identity,
+    address: SocketAddr,
+    behaviour: Mutex<Behaviour>,
+    record: Mutex<Record>,
+    slots: Arc<tokio::sync::Semaphore>,
+    waiting: AtomicU64,
+    /// Answers say that the connection ends.
+    leaving: AtomicBool,
+    sequence: AtomicU64,
+    /// Caller listener of the own node, for calls that a request asks for.
+    entry: Mutex<Option<SocketAddr>>,
+}
+
+/// A running backend server; it ends as by a crash when dropped.
+#[derive(Debug)]
+pub struct Backend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+impl Backend {
+    /// Starts on `address`.
+    pub async fn start(
+        address: SocketAddr,
+        identity: Identity,
+        behaviour: Behaviour,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            identity,
+            address,
+            slots: Arc::new(tokio::sync::Semaphore::new(behaviour.slots as usize)),
+            behaviour: Mutex::new(behaviour),
+            record: Mutex::default(),
+            waiting: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+            entry: Mutex::default(),
+        });
+        let stop = CancellationToken::new();
+        tokio::spawn(exchange::serve(listener, Arc::clone(&shared), stop.clone()));
+        Ok(Self {
+            address,
+            shared,
+            stop,
+        })
+    }
+
+    /// Who it is.
+    pub fn identity(&self) -> &Identity {
+        &self.shared.identity
+    }
+
+    /// Drops every connection and stops listening.
+    pub fn crash(&self) {
+        self.stop.cancel();
+    }
+
+    /// Changes the behaviour from now on, but for the number of slots.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *lock(&self.shared.behaviour) = behaviour;
+    }
+
+    /// Names the caller listener of the node beside it.
+    pub fn set_entry(&self, entry: SocketAddr) {
+        *lock(&self.shared.entry) = Some(entry);
+    }
+
+    /// Its answers say from now on that their connection ends.
+    pub fn set_leaving(&self) {
+        self.shared.leaving.store(true, Ordering::Release);
+    }
+
+    /// What it did so far.
+    pub fn record(&self) -> Record {
+        lock(&self.shared.record).clone()
+    }
+
+    /// Requests at work now.
+    pub fn running(&self) -> u32 {
+        lock(&self.shared.record).running
+    }
+}
+
+impl Shared {
+    fn behaviour(&self) -> Behaviour {
+        *lock(&self.behaviour)
+    }
+
+    fn record(&self) -> MutexGuard<'_, Record> {
+        lock(&self.record)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/testkit/src/users/configuration.rs
@@ -0,0 +1,114 @@
+//! The configuration as the users' operators write it.
+
+use serde_json::{Value, json};
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Any number of times.
+    Idempotent,
+    /// Never.
+    NonIdempotent,
+    /// Never; its bodies are large.
+    Upload,
+}
+
+impl Kind {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Upload => "upload",
+        }
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Host that callers name.
+    pub host: String,
+    /// Beginning of their path, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a caller is kept waiting.
+    pub timeout_ms: u32,
+    /// Time within which an answer is worth most.
+    pub target_latency_ms: u32,
+    /// Endpoints that one request may be sent to.
+    pub attempts: u32,
+    /// Services by weight; one alone gets all.
+    pub to: Vec<(String, u32)>,
+}
+
+impl Route {
+    /// A route to one service.
+    pub fn new(prefix: &str, kind: Kind, service: &str) -> Self {
+        Self {
+            host: HOST.to_owned(),
+            prefix: prefix.to_owned(),
+            kind,
+            timeout_ms: 5_000,
+            target_latency_ms: 1_000,
+            attempts: 2,
+            to: vec![(service.to_owned(), 100)],
+        }
+    }
+}
+
+/// Host of routes that name no other.
+pub const HOST: &str = "mesh.example";
+
+/// The text of a configuration.
+pub fn text(version: u64, routes: &[Route], services: &[&str]) -> String {
+    let route_columns = [
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout",
+        "targetLatency",
+        "priority",
+        "service",
+        "attempts",
+        "weightedClusters",
+    ];
+    let routes: Vec<Value> = routes.iter().enumerate().map(route_row).collect();
+    let service_columns = ["name", "healthPath", "maxConnections", "protocol", "tls"];
+    let service = |name: &&str| json!([name, "/healthz", 110, "h1", false]);
+    let services: Vec<Value> = services.iter().map(service).collect();
+    json!({
+        "version": version,
+        "routes": {"columns": route_columns, "rows": routes},
+        "services": {"columns": service_columns, "rows": services},
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 67_108_864,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+    })
+    .to_string()
+}
+
+fn route_row((number, route): (usize, &Route)) -> Value {
+    let part = |(service, weight): &(String, u32)| json!({"service": service, "weight": weight});
+    let parts: Vec<Value> = route.to.iter().map(part).collect();
+    let (single, split) = match &route.to[..] {
+        [(service, _)] => (json!(service), Value::Null),
+        _ => (Value::Null, json!(parts)),
+    };
+    json!([
+        format!("r-{number}"),
+        route.host,
+        route.prefix,
+        route.kind.word(),
+        format!("{}ms", route.timeout_ms),
+        format!("{}ms", route.target_latency_ms),
+        1,
+        single,
+        route.attempts,
+        split,
+    ])
+}
--- /dev/null
+++ b/crates/testkit/src/users/mesh.rs
@@ -0,0 +1,507 @@
+//! VMs of the users' platform on this machine: a backend server and a node process on each.
+//!
+//! Every VM has a loopback address of its own, from which its node dials, so each link between two VMs,
+//! or between one and the store, can be cut, delayed or reset by itself.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use ::http::Method;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::backend::{Announced, Backend, Behaviour, Identity};
+use super::store::Store;
+use crate::http::{Reply, Result, request, wait_until};
+use crate::network::{Front, Network, Site};
+use crate::process::{LogLine, NodeProcess, Signal};
+
+/// Bounds a hang; no test judges speed by it.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Between two announcements of a backend server.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// A data centre and its region.
+pub type DataCentre = (&'static str, &'static str);
+
+/// Which VMs to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Where they stand.
+    pub data_centres: Vec<DataCentre>,
+    /// What they serve; each data centre has `vms_per_service` VMs of each.
+    pub services: Vec<&'static str>,
+    /// VMs of each service in each data centre.
+    pub vms_per_service: usize,
+    /// How backend servers behave.
+    pub behaviour: Behaviour,
+    /// Where the nodes' log lines go, from level `info` on; without it their warnings go to standard
+    /// error.
+    pub log_lines: Option<mpsc::UnboundedSender<LogLine>>,
+}
+
+impl Plan {
+    /// Two data centres of one region and one of another.
+    pub fn new(services: &[&'static str]) -> Self {
+        Self {
+            data_centres: vec![
+                ("gijon", "cantabrico"),
+                ("bilbao", "cantabrico"),
+                ("burgos", "meseta"),
+            ],
+            services: services.to_vec(),
+            vms_per_service: 1,
+            behaviour: Behaviour::default(),
+            log_lines: None,
+        }
+    }
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its number, by which links are named.
+    pub site: Site,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// What its backend server serves.
+    pub service: String,
+    /// Its node, unless it was taken away.
+    pub node: Option<NodeProcess>,
+    /// Where its backend server listens, also while there is none.
+    pub backend_address: SocketAddr,
+    /// Its backend server, unless it was taken away.
+    pub backend: Option<Arc<Backend>>,
+    beats: Option<Beats>,
+    control: Arc<Mutex<Option<SocketAddr>>>,
+    front: Front,
+    settings: PathBuf,
+    starts: u32,
+}
+
+impl Vm {
+    /// The running node.
+    pub fn node(&self) -> &NodeProcess {
+        self.node.as_ref().expect("the node was not taken away")
+    }
+
+    /// The running backend server.
+    pub fn backend(&self) -> &Arc<Backend> {
+        self.backend.as_ref().expect("the backend server runs")
+    }
+
+    /// Where its node takes announcements.
+    pub fn control(&self) -> SocketAddr {
+        let announce = self.node().addresses.announce;
+        announce.expect("nodes of the platform take announcements")
+    }
+
+    /// What its backend server announces from now on.
+    pub fn set_announced(&self, announced: Announced) {
+        if let Some(beats) = &self.beats {
+            *beats
+                .announced
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = announced;
+        }
+    }
+}
+
+/// A backend server's announcements, which end when dropped.
+#[derive(Debug)]
+struct Beats {
+    announced: Arc<Mutex<Announced>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Beats {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn beat(
+    backend: Arc<Backend>,
+    control: Arc<Mutex<Option<SocketAddr>>>,
+    announced: Arc<Mutex<Announced>>,
+) {
+    loop {
+        let to = *control.lock().unwrap_or_else(PoisonError::into_inner);
+        let what = *announced.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(to) = to {
+            // One that is not acknowledged is followed by the next.
+            let _ = backend.announce(to, what).await;
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+/// A running deployment on the users' platform.
+#[derive(Debug)]
+pub struct Mesh {
+    /// What it was started from.
+    pub plan: Plan,
+    /// The platform's store.
+    pub store: Store,
+    /// The links.
+    pub network: Arc<Network>,
+    /// The VMs, data centre by data centre.
+    pub vms: Vec<Vm>,
+    /// Number of the store, as that of a VM.
+    pub store_site: Site,
+    program: PathBuf,
+    leading: Vec<String>,
+    store_front: Front,
+    directory: tempfile::TempDir,
+}
+
+impl Mesh {
+    /// Starts everything; `program` followed by `leading` runs a node.
+    pub async fn start(program: &Path, leading: &[&str], plan: Plan) -> Result<Self> {
+        let mut vms_of = Vec::new();
+        for data_centre in &plan.data_centres {
+            for service in &plan.services {
+                vms_of.extend(vec![(*data_centre, *service); plan.vms_per_service]);
+            }
+        }
+        let mut regions: Vec<&str> = plan
+            .data_centres
+            .iter()
+            .map(|(_, region)| *region)
+            .collect();
+        regions.dedup();
+        let number = |region: &str| regions.iter().position(|known| *known == region);
+        let small = |number: usize| u8::try_from(number).map_err(text);
+        let mut region_of = Vec::new();
+        for ((_, region), _) in &vms_of {
+            region_of.push(small(number(region).unwrap_or(0))?);
+        }
+        // The store stands in the first region.
+        region_of.push(0);
+        let store_site = small(vms_of.len())?;
+        let network = Network::new(region_of, 30.0);
+        network.set_delays(Duration::from_millis(1), Duration::from_millis(5));
+        let store_address = SocketAddr::new(network.site_ip(store_site), 0);
+        let store = Store::start(store_address).await.map_err(text)?;
+        let store_front = Front::open(&network, store_site).await.map_err(text)?;
+        store_front.set_target(store.address);
+        let mut mesh = Self {
+            plan,
+            store,
+            network,
+            vms: Vec::new(),
+            store_site,
+            program: program.to_owned(),
+            leading: leading.iter().map(|text| (*text).to_owned()).collect(),
+            store_front,
+            directory: tempfile::TempDir::new().map_err(text)?,
+        };
+        for (position, (data_centre, service)) in vms_of.into_iter().enumerate() {
+            mesh.add_vm(small(position)?, data_centre, service).await?;
+        }
+        for position in 0..mesh.vms.len() {
+            mesh.start_node(position).await?;
+        }
+        Ok(mesh)
+    }
+
+    async fn add_vm(
+        &mut self,
+        site: Site,
+        data_centre: DataCentre,
+        service: &'static str,
+    ) -> Result<()> {
+        let ip = self.network.site_ip(site);
+        let identity = Identity::new(service, &format!("i-{site}-1"), data_centre.0);
+        let any_port = SocketAddr::new(ip, 0);
+        let backend = Backend::start(any_port, identity, self.plan.behaviour).await;
+        let backend = Arc::new(backend.map_err(text)?);
+        let front = Front::open(&self.network, site).await.map_err(text)?;
+        let settings = self.directory.path().join(format!("vm-{site}.toml"));
+        self.vms.push(Vm {
+            site,
+            ip,
+            data_centre,
+            service: service.to_owned(),
+            node: None,
+            backend_address: backend.address,
+            backend: None,
+            beats: None,
+            control: Arc::default(),
+            front,
+            settings,
+            starts: 0,
+        });
+        let position = self.vms.len() - 1;
+        self.adopt(position, backend);
+        Ok(())
+    }
+
+    /// Puts a backend server beside the node of a VM; it announces itself from now on.
+    fn adopt(&mut self, position: usize, backend: Arc<Backend>) {
+        let vm = &mut self.vms[position];
+        if let Some(node) = &vm.node {
+            backend.set_entry(node.addresses.caller);
+        }
+        let announced = Arc::new(Mutex::new(Announced::Ready));
+        let beating = beat(
+            Arc::clone(&backend),
+            Arc::clone(&vm.control),
+            Arc::clone(&announced),
+        );
+        vm.beats = Some(Beats {
+            announced,
+            task: tokio::spawn(beating),
+        });
+        vm.backend = Some(backend);
+    }
+
+    /// Takes the backend server of a VM away as a crash would, and waits until its address is free.
+    pub async fn crash_backend(&mut self, position: usize) {
+        self.mute_backend(position);
+        let vm = &mut self.vms[position];
+        if let Some(backend) = vm.backend.take() {
+            backend.crash();
+        }
+        let address = vm.backend_address;
+        wait_until("the address is free", LIMIT, || async move {
+            tokio::net::TcpListener::bind(address).await.is_ok()
+        })
+        .await;
+    }
+
+    /// The backend server of a VM announces itself no more.
+    pub fn mute_backend(&mut self, position: usize) {
+        self.vms[position].beats = None;
+    }
+
+    /// Starts another backend server at the address of a VM's one, of a service of choice.
+    pub async fn restart_backend(&mut self, position: usize, service: &str) -> Result<()> {
+        let vm = &mut self.vms[position];
+        vm.starts += 1;
+        let instance = format!("i-{}-{}", vm.site, vm.starts + 1);
+        let identity = Identity::new(service, &instance, vm.data_centre.0);
+        let address = vm.backend_address;
+        let backend = Backend::start(address, identity, self.plan.behaviour).await;
+        self.adopt(position, Arc::new(backend.map_err(text)?));
+        Ok(())
+    }
+
+    /// Writes the settings file of a VM's node.
+    pub fn write_settings(&self, position: usize) -> Result<()> {
+        let text_of = self.settings_text(position);
+        std::fs::write(&self.vms[position].settings, text_of).map_err(text)
+    }
+
+    /// The settings file of a VM's node.
+    pub fn settings_path(&self, position: usize) -> &Path {
+        &self.vms[position].settings
+    }
+
+    /// What a VM's settings file says.
+    pub fn settings_text(&self, position: usize) -> String {
+        let vm = &self.vms[position];
+        let any_port = SocketAddr::new(vm.ip, 0);
+        let (zone, region) = vm.data_centre;
+        let bounds = [
+            "grace=6s",
+            "drain=2500ms",
+            "retryBudgetRatio=0.2",
+            "budgetExtra=60",
+        ];
+        format!(
+            "nodeId = \"sidecar-{zone}-{site}\"\nip = \"{ip}\"\nzone = \"{zone}\"\n\
+             region = \"{region}\"\nseeds = []\nheartbeat = \"300ms\"\nbounds = {bounds:?}\n\
+             appAddr = \"{app}\"\nservice = \"{service}\"\n\
+             [listen]\ninbound = \"{any_port}\"\noutbound = \"{any_port}\"\n\
+             ready = \"{any_port}\"\ncontrol = \"{any_port}\"\n\
+             [limits]\nlinkMbps = 1000.0\n[platform]\naddress = \"{store}\"\nform = \"table\"\n",
+            site = vm.site,
+            ip = vm.ip,
+            app = vm.backend_address,
+            service = vm.service,
+            store = self.store_front.address,
+        )
+    }
+
+    /// Starts the node of a VM.
+    pub async fn start_node(&mut self, position: usize) -> Result<()> {
+        self.write_settings(position)?;
+        let arguments = self.arguments(position);
+        let log_lines = self.plan.log_lines.clone();
+        let log_lines = log_lines.map(|lines| (position, lines));
+        let node = NodeProcess::start_logged(&self.program, &arguments, log_lines).await?;
+        let vm = &mut self.vms[position];
+        vm.front.set_target(node.addresses.peer);
+        *vm.control.lock().unwrap_or_else(PoisonError::into_inner) = node.addresses.announce;
+        if let Some(backend) = &vm.backend {
+            backend.set_entry(node.addresses.caller);
+        }
+        vm.node = Some(node);
+        Ok(())
+    }
+
+    /// Takes the node of a VM away; its process is killed and waited for.
+    pub async fn kill_node(&mut self, position: usize) -> Result<()> {
+        let vm = &mut self.vms[position];
+        *vm.control.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        if let Some(mut node) = vm.node.take() {
+            node.signal(Signal::Kill);
+            node.ended().await.map_err(text)?;
+        }
+        Ok(())
+    }
+
+    fn arguments(&self, position: usize) -> Vec<String> {
+        let vm = &self.vms[position];
+        let mut arguments = self.leading.clone();
+        let mut set = |flag: &str, value: String| {
+            arguments.push(format!("--{flag}"));
+            arguments.push(value);
+        };
+        set("config", vm.settings.display().to_string());
+        set("operator-listen", SocketAddr::new(vm.ip, 0).to_string());
+        set("dial-from", vm.ip.to_string());
+        set("peer-advertise", vm.front.address.to_string());
+        let level = if self.plan.log_lines.is_some() {
+            "info"
+        } else {
+            "warn"
+        };
+        set("log-level", level.to_owned());
+        arguments
+    }
+
+    /// Positions of the VMs of a service.
+    pub fn vms_of(&self, service: &str) -> Vec<usize> {
+        let of_service = |position: &usize| self.vms[*position].service == service;
+        (0..self.vms.len()).filter(of_service).collect()
+    }
+
+    /// The status page of a node.
+    pub async fn status(&self, position: usize) -> serde_json::Value {
+        let Some(node) = &self.vms[position].node else {
+            return serde_json::Value::Null;
+        };
+        let operator = node.addresses.operator;
+        let reply = request(operator, Method::GET, "node", "/status", &[], "").await;
+        let body = reply.map(|reply| reply.body).unwrap_or_default();
+        serde_json::from_slice(&body).unwrap_or_default()
+    }
+
+    /// The version that a node enforces, 0 if it does not answer.
+    pub async fn version_at(&self, position: usize) -> u64 {
+        let status = self.status(position).await;
+        status["enforced"]["version"].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until every running node enforces `version` or a later one.
+    pub async fn wait_enforced(&self, version: u64) {
+        for position in 0..self.vms.len() {
+            if self.vms[position].node.is_none() {
+                continue;
+            }
+            let what = format!("version {version} at VM {position}");
+            wait_until(&what, LIMIT, || async {
+                self.version_at(position).await >= version
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every running node knows of as many backend servers that serve as there are.
+    pub async fn wait_serving(&self) {
+        let serving = self.vms.iter().filter(|vm| {
+            let is_known = vm.node.is_some() && vm.backend.is_some();
+            is_known && vm.beats.is_some()
+        });
+        let expected = serving.count();
+        for position in 0..self.vms.len() {
+            if self.vms[position].node.is_none() {
+                continue;
+            }
+            let what = format!("{expected} backend servers known at VM {position}");
+            wait_until(&what, LIMIT, || async {
+                let status = self.status(position).await;
+                let members = status["members"].as_array().cloned().unwrap_or_default();
+                let serves = |member: &&serde_json::Value| {
+                    member["backend"] == "serving" && member["liveness"] == "alive"
+                };
+                members.iter().filter(serves).count() == expected
+            })
+            .await;
+        }
+    }
+
+    /// A caller's request through the node of a VM.
+    pub async fn ask(&self, position: usize, asked: &Asked<'_>) -> Result<Reply> {
+        let entry = self.vms[position].node().addresses.caller;
+        let deadline = asked.deadline_ms.to_string();
+        let headers = [
+            (REQUEST_ID, asked.id),
+            ("x-dfw-deadline-ms", deadline.as_str()),
+        ];
+        let method = asked.method.clone();
+        request(
+            entry,
+            method,
+            asked.host,
+            asked.path,
+            &headers,
+            asked.body.to_vec(),
+        )
+        .await
+    }
+}
+
+/// Header with the id of a request.
+pub const REQUEST_ID: &str = "x-dfw-attempt-id";
+/// Header by which a backend server says that an answer is its own.
+pub const SEAL: &str = "x-dfw-response-seal";
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    /// Method.
+    pub method: Method,
+    /// Host that it names.
+    pub host: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Its id.
+    pub id: &'a str,
+    /// How long its caller waits.
+    pub deadline_ms: u64,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
+impl<'a> Asked<'a> {
+    /// A read of a path of the usual host.
+    pub fn get(path: &'a str, id: &'a str) -> Self {
+        Self {
+            method: Method::GET,
+            host: super::configuration::HOST,
+            path,
+            id,
+            deadline_ms: 5_000,
+            body: b"",
+        }
+    }
+
+    /// A request that is run once at most.
+    pub fn post(path: &'a str, id: &'a str) -> Self {
+        Self {
+            method: Method::POST,
+            ..Self::get(path, id)
+        }
+    }
+}
+
+fn text(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -21,8 +21,10 @@
     caller: TcpListener,
     peer: TcpListener,
     operator: TcpListener,
-    /// For what the platform asks at addresses of its own.
-    platform: Vec<TcpListener>,
+    /// For readiness, if it is asked for at an address of its own.
+    ready: Option<TcpListener>,
+    /// For announcements, likewise.
+    announce: Option<TcpListener>,
 }
 
 /// Where a node listens: as asked, and with the port that the system picked for port 0.
@@ -31,23 +33,19 @@
     pub(crate) caller: SocketAddr,
     pub(crate) peer: SocketAddr,
     pub(crate) operator: SocketAddr,
+    pub(crate) ready: Option<SocketAddr>,
+    pub(crate) announce: Option<SocketAddr>,
 }
 
 impl Listeners {
     /// Binds every listener of `settings`.
     pub(crate) async fn bind(settings: &Settings) -> Result<Self> {
-        let mut platform = Vec::new();
-        if let Some(address) = settings.ready_listen {
-            platform.push(listen("readiness", address).await?);
-        }
-        if let Some(address) = settings.announce_listen {
-            platform.push(listen("announcements", address).await?);
-        }
         Ok(Self {
             caller: listen("callers", settings.caller_listen).await?,
             peer: listen("peers", settings.peer_listen).await?,
             operator: listen("operators", settings.operator_listen).await?,
-            platform,
+            ready: listen_if_asked("readiness", settings.ready_listen).await?,
+            announce: listen_if_asked("announcements", settings.announce_listen).await?,
         })
     }
 
@@ -57,6 +55,8 @@
             caller: bound(&self.caller, settings.caller_listen),
             peer: bound(&self.peer, settings.peer_listen),
             operator: bound(&self.operator, settings.operator_listen),
+            ready: bound_if_asked(self.ready.as_ref(), settings.ready_listen),
+            announce: bound_if_asked(self.announce.as_ref(), settings.announce_listen),
         }
     }
 
@@ -85,7 +85,7 @@
             stops.peers.clone(),
             stops.all.clone(),
         ));
-        for listener in self.platform {
+        for listener in [self.ready, self.announce].into_iter().flatten() {
             let operator = Arc::clone(&operator);
             let all = stops.all.clone();
             tasks.spawn(listener::operators::serve_platform(listener, operator, all));
@@ -105,6 +105,21 @@
         .context(ListenSnafu { what, address })
 }
 
+async fn listen_if_asked(
+    what: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<TcpListener>> {
+    match address {
+        Some(address) => listen(what, address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+fn bound_if_asked(listener: Option<&TcpListener>, asked: Option<SocketAddr>) -> Option<SocketAddr> {
+    let (listener, asked) = listener.zip(asked)?;
+    Some(bound(listener, asked))
+}
+
 fn bound(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(asked)
 }
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
-use super::settings::{self, Settings};
+use super::settings::{Settings, file};
 use super::state::NodeState;
 
 /// How often the file is looked at. A change without a signal is in force about as soon as a
@@ -81,7 +81,7 @@
 }
 
 fn reload(node: &NodeState, path: &Path) {
-    let read = match settings::read_file(path) {
+    let read = match file::read(path) {
         Ok(read) => read,
         Err(problems) => {
             let problems = problems.join("; ");
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -69,6 +69,10 @@
     pub peer: SocketAddr,
     /// Where operators connect.
     pub operator: SocketAddr,
+    /// Where readiness is asked for, if not only there.
+    pub ready: Option<SocketAddr>,
+    /// Where the local backend server announces itself, if not there.
+    pub announce: Option<SocketAddr>,
     node: Arc<NodeState>,
     membership: ActorRef<MembershipMsg>,
     configuration: ActorRef<ConfigurationMsg>,
@@ -148,6 +152,8 @@
         caller: addresses.caller,
         peer: addresses.peer,
         operator: addresses.operator,
+        ready: addresses.ready,
+        announce: addresses.announce,
         node,
         membership,
         configuration,
@@ -207,6 +213,8 @@
             "caller": self.caller,
             "peer": self.peer,
             "operator": self.operator,
+            "ready": self.ready,
+            "announce": self.announce,
         });
         addresses.to_string()
     }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,8 +1,9 @@
 //! Settings of a node, from flags and environment variables, checked all at once.
 //!
 //! [`specs`] says which settings there are; this module reads and checks their values. On the users'
-//! platform most of them come from its settings file instead, see [`crate::platform`].
+//! platform most of them come from its settings file instead, see [`mod@file`].
 
+pub(crate) mod file;
 pub mod specs;
 
 use std::collections::BTreeMap;
@@ -21,7 +22,6 @@
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
 use crate::peer::client::DialOptions;
-use crate::platform;
 
 /// Result of this module.
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
@@ -199,20 +199,6 @@
     reader.settings()
 }
 
-/// Flags that add to a settings file.
-const BESIDE_FILE: [&str; 3] = ["config", "log-format", "log-level"];
-
-/// Reads the platform's settings file, or says everything that is wrong with it.
-pub(crate) fn read_file(path: &Path) -> Result<Settings, Vec<String>> {
-    let named = |problem: String| format!("{}: {problem}", path.display());
-    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
-    let decoded = platform::settings::decode(&text);
-    let mut settings =
-        decoded.map_err(|problems| problems.into_iter().map(named).collect::<Vec<_>>())?;
-    settings.config_file = Some(path.to_owned());
-    Ok(settings)
-}
-
 struct Reader {
     values: BTreeMap<&'static str, String>,
     problems: Vec<String>,
@@ -259,7 +245,7 @@
 
     fn settings(mut self) -> Result<Settings> {
         if let Some(path) = self.text("config") {
-            return self.settings_of_file(&PathBuf::from(path));
+            return self.settings_of_file(Path::new(&path));
         }
         let caller_listen = self.required("caller-listen");
         let peer_listen = self.required("peer-listen");
@@ -324,33 +310,6 @@
         })
     }
 
-    /// Settings of the platform's file; flags and variables add only how to log.
-    fn settings_of_file(mut self, path: &Path) -> Result<Settings> {
-        let others: Vec<&str> = self.values.keys().copied().collect();
-        for flag in others {
-            if !BESIDE_FILE.contains(&flag) {
-                self.problem(flag, "cannot be given together with --config");
-            }
-        }
-        let is_given = |flag| self.values.contains_key(flag);
-        let (format_given, level_given) = (is_given("log-format"), is_given("log-level"));
-        let log_format = self.required("log-format").filter(|_| format_given);
-        let log_level = self.required("log-level").filter(|_| level_given);
-        let mut settings = read_file(path)
-            .map_err(|problems| self.problems.extend(problems))
-            .ok();
-        if let Some(settings) = &mut settings {
-            settings.log_format = log_format.unwrap_or(settings.log_format);
-            settings.log_level = log_level.unwrap_or(settings.log_level);
-        }
-        match settings.filter(|_| self.problems.is_empty()) {
-            Some(settings) => Ok(settings),
-            None => Err(SettingsError {
-                problems: self.problems,
-            }),
-        }
-    }
-
     /// Failure guarded against: a listener that anybody on the network may speak to, through
     /// which a stranger drains nodes or feeds them gossip. Without a token only processes of the
     /// same machine can reach the listeners, so the guard holds.
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -27,7 +27,7 @@
         flag: "config",
         value: "FILE",
         default: "",
-        help: "settings file of the users' platform, in place of all others but --log-*",
+        help: "settings file of the users' platform, in place of most others",
     },
     Spec {
         flag: "caller-listen",
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -26,12 +26,29 @@
 /// Bytes of one answer that are read ahead of a slow reader; also bounds the answer's head.
 const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 
+/// Longest rest after which a connection is used again.
+///
+/// Failure guarded against: a backend server, or what lies before it, forgets connections that have been
+/// idle for some hundred milliseconds, and resets them when something is sent. It shows as a payment that
+/// may have run and is not tried again. Under load connections rest for some milliseconds, the one used
+/// last goes first, and a new one costs a millisecond; so the guard costs little and holds for every
+/// backend server that keeps connections for longer than this.
+const REST_MAX: Duration = Duration::from_millis(100);
+
 type Sender = http1::SendRequest<Body>;
 
+/// A connection that no request uses.
+#[derive(Debug)]
+struct Resting {
+    address: SocketAddr,
+    sender: Sender,
+    since: Instant,
+}
+
 /// Connections to the backend server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BackendPool {
-    idle: Arc<Mutex<Vec<(SocketAddr, Sender)>>>,
+    idle: Arc<Mutex<Vec<Resting>>>,
     open: Arc<AtomicU32>,
     most: Arc<AtomicU32>,
 }
@@ -121,9 +138,12 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(of, sender)| *of == address && !sender.is_closed());
-        let ready = idle.iter().rposition(|(_, sender)| sender.is_ready())?;
-        Some(idle.swap_remove(ready).1)
+        idle.retain(|resting| {
+            let usable = resting.address == address && !resting.sender.is_closed();
+            usable && resting.since.elapsed() < REST_MAX
+        });
+        let ready = idle.iter().rposition(|resting| resting.sender.is_ready())?;
+        Some(idle.remove(ready).sender)
     }
 }
 
@@ -143,7 +163,11 @@
                 .idle
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
-            idle.push((self.address, sender));
+            idle.push(Resting {
+                address: self.address,
+                sender,
+                since: Instant::now(),
+            });
         }
     }
 }
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -8,6 +8,8 @@
 use http::Method;
 use testkit::http::{Reply, request, wait_until};
 use testkit::mesh::{Deployment, Mesh};
+use testkit::users;
+use testkit::users::configuration::{Kind, Route};
 
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_dragonflywall");
 
@@ -117,3 +119,53 @@
     let body = reply.map(|reply| reply.body).unwrap_or_default();
     String::from_utf8_lossy(&body).into_owned()
 }
+
+/// Services of the deployments on the users' platform, as tests start them.
+pub(crate) const SERVICES: [&str; 2] = ["armazem", "expedicao"];
+
+/// Starts VMs of the users' platform.
+pub(crate) async fn start_users(plan: users::mesh::Plan) -> users::mesh::Mesh {
+    let mesh = users::mesh::Mesh::start(Path::new(PROGRAM), &["node"], plan).await;
+    mesh.expect("every process starts")
+}
+
+/// Routes to both of [`SERVICES`]: reads and uploads to the first one, payments to the second.
+pub(crate) fn users_routes() -> Vec<Route> {
+    vec![
+        Route::new("/stock/", Kind::Idempotent, SERVICES[0]),
+        Route::new("/sheets/", Kind::Upload, SERVICES[0]),
+        Route::new("/book/", Kind::NonIdempotent, SERVICES[1]),
+    ]
+}
+
+/// Starts VMs of the users' platform, with [`users_routes`] in force and all backend servers known.
+pub(crate) async fn start_users_serving(plan: users::mesh::Plan) -> users::mesh::Mesh {
+    let services = plan.services.clone();
+    let mesh = start_users(plan).await;
+    write_routes(&mesh, 1, &users_routes(), &services);
+    mesh.wait_enforced(1).await;
+    mesh.wait_serving().await;
+    mesh
+}
+
+/// The operator writes a configuration into the store.
+pub(crate) fn write_routes(
+    mesh: &users::mesh::Mesh,
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+) {
+    let text = users::configuration::text(version, routes, services);
+    mesh.store.operator_writes("config", text.as_bytes());
+}
+
+/// The VMs at whose backend servers a request ran, one entry for each run.
+pub(crate) fn users_runs(mesh: &users::mesh::Mesh, id: &str) -> Vec<usize> {
+    let vms = mesh.vms.iter().enumerate();
+    vms.flat_map(|(position, vm)| {
+        let record = vm.backend.as_ref().map(|backend| backend.record());
+        let runs = record.and_then(|record| record.runs.get(id).map(Vec::len));
+        vec![position; runs.unwrap_or(0)]
+    })
+    .collect()
+}
--- /dev/null
+++ b/tests/testsuite/users_configuration.rs
@@ -0,0 +1,203 @@
+//! Configurations that the users' operators write into the store, on their way to every node.
+
+use http::{Method, StatusCode};
+use testkit::http::wait_until;
+use testkit::users::configuration::{Kind, Route};
+use testkit::users::mesh::{Asked, Mesh, Plan};
+use testkit::users::store::Trouble;
+
+use crate::support::{
+    LIMIT, SERVICES, start_users, start_users_serving, users_routes, users_runs, write_routes,
+};
+
+async fn status_of(mesh: &Mesh, position: usize, path: &str) -> StatusCode {
+    let reply = mesh.ask(position, &Asked::get(path, "probe")).await;
+    reply.expect("the node answers").status
+}
+
+/// A service team moves a route, adds one and drops one. Once the version is in force everywhere, every
+/// node sends requests where it says, and answers 404 for what it no longer has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_is_enforced_whole_by_every_node() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let mut routes = users_routes();
+    routes[0].to = vec![(SERVICES[1].to_owned(), 100)];
+    routes[1].prefix = "/scans/".to_owned();
+    write_routes(&mesh, 2, &routes, &SERVICES);
+    mesh.wait_enforced(2).await;
+    for position in 0..mesh.vms.len() {
+        let id = format!("moved-{position}");
+        let reply = mesh.ask(position, &Asked::get("/stock/1", &id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        let runs = users_runs(&mesh, &id);
+        assert_eq!(mesh.vms[runs[0]].service, SERVICES[1]);
+        assert_eq!(status_of(&mesh, position, "/sheets/1").await, 404);
+        assert_eq!(status_of(&mesh, position, "/scans/1").await, 200);
+    }
+}
+
+/// The longest prefix that begins the path takes a request, and a route of another host never does.
+#[tokio::test(flavor = "multi_thread")]
+async fn host_and_longest_prefix_select_the_route() {
+    let mesh = start_users(Plan::new(&SERVICES)).await;
+    let mut elsewhere = Route::new("/stock/salt/fine/", Kind::Idempotent, SERVICES[0]);
+    elsewhere.host = "other.example".to_owned();
+    let routes = [
+        Route::new("/stock/", Kind::Idempotent, SERVICES[0]),
+        Route::new("/stock/salt/", Kind::Idempotent, SERVICES[1]),
+        elsewhere,
+    ];
+    write_routes(&mesh, 1, &routes, &SERVICES);
+    mesh.wait_enforced(1).await;
+    mesh.wait_serving().await;
+    let ran_by = async |path: &str, id: &str| {
+        let reply = mesh.ask(0, &Asked::get(path, id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        mesh.vms[users_runs(&mesh, id)[0]].service.clone()
+    };
+    assert_eq!(ran_by("/stock/salt/1", "long").await, SERVICES[1]);
+    assert_eq!(ran_by("/stock/salt", "short").await, SERVICES[0]);
+    assert_eq!(ran_by("/stock/salt/fine/1", "host").await, SERVICES[1]);
+}
+
+/// A canary gets a tenth of a route's requests, from each node.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_split_route_is_divided_by_its_weights() {
+    const REQUESTS: usize = 60;
+    let mesh = start_users(Plan::new(&SERVICES)).await;
+    let mut route = Route::new("/stock/", Kind::Idempotent, SERVICES[0]);
+    route.to = vec![(SERVICES[0].to_owned(), 90), (SERVICES[1].to_owned(), 10)];
+    write_routes(&mesh, 1, &[route], &SERVICES);
+    mesh.wait_enforced(1).await;
+    mesh.wait_serving().await;
+    let mut canary = 0;
+    for number in 0..REQUESTS {
+        let id = format!("split-{number}");
+        let reply = mesh.ask(0, &Asked::get("/stock/1", &id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        let ran = users_runs(&mesh, &id)[0];
+        canary += usize::from(mesh.vms[ran].service == SERVICES[1]);
+    }
+    assert!((4..=8).contains(&canary), "{canary} of {REQUESTS}");
+}
+
+/// The store serves some nodes and turns others away, in each of its ways, the lead of a data centre
+/// among them. A version that is written meanwhile still comes to all of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_the_store_turns_away_hear_of_a_version() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let ways = [
+        Trouble::Busy,
+        Trouble::Many,
+        Trouble::Reset,
+        Trouble::Silent,
+    ];
+    for (number, way) in ways.into_iter().enumerate() {
+        // One of the two VMs of each data centre; each of the two in turn.
+        for vm in mesh.vms.iter().skip(number % 2).step_by(2) {
+            mesh.store.set_trouble_for(vm.ip, way);
+        }
+        let version = number as u64 + 2;
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        mesh.wait_enforced(version).await;
+        for vm in &mesh.vms {
+            mesh.store.set_trouble_for(vm.ip, Trouble::None);
+        }
+    }
+}
+
+/// The store forgets its history between two versions; nobody misses the second one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_forgets_its_history_loses_no_version() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    mesh.store.drop_history();
+    write_routes(&mesh, 2, &users_routes(), &SERVICES);
+    mesh.wait_enforced(2).await;
+    mesh.store.drop_history();
+    write_routes(&mesh, 3, &users_routes(), &SERVICES);
+    mesh.store.drop_history();
+    mesh.wait_enforced(3).await;
+}
+
+/// Somebody writes rows that are no configuration: cut short, with a service that is not there, with a
+/// negative time. What is in force stays in force, and the next whole one comes through.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_configuration_changes_nothing() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let whole = testkit::users::configuration::text(2, &users_routes(), &SERVICES);
+    let broken = [
+        whole[..whole.len() / 2].to_owned(),
+        whole.replace(SERVICES[1], "nobody"),
+        whole.replace("\"5000ms\"", "\"-5000ms\""),
+    ];
+    for text in broken {
+        mesh.store.operator_writes("config", text.as_bytes());
+    }
+    write_routes(&mesh, 3, &users_routes(), &SERVICES);
+    mesh.wait_enforced(3).await;
+    for position in 0..mesh.vms.len() {
+        assert_eq!(status_of(&mesh, position, "/stock/1").await, 200);
+        assert_eq!(mesh.version_at(position).await, 3);
+    }
+}
+
+/// Versions come many a second. No node is ever seen with an older one than before, and all end with the
+/// last.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_node_goes_back_in_a_storm_of_versions() {
+    const LAST: u64 = 40;
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let mut seen = vec![1; mesh.vms.len()];
+    for version in 2..=LAST {
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        for (position, seen) in seen.iter_mut().enumerate() {
+            let now = mesh.version_at(position).await;
+            assert!(now >= *seen, "VM {position} went from {seen} to {now}");
+            *seen = now;
+        }
+    }
+    mesh.wait_enforced(LAST).await;
+}
+
+/// The store is away when a node is started again. Its neighbours hand it the configuration, and not an
+/// older one than it had; once the store is back it follows that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_while_the_store_is_away_is_served_by_others() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    write_routes(&mesh, 2, &users_routes(), &SERVICES);
+    mesh.wait_enforced(2).await;
+    for way in [Trouble::Busy, Trouble::Silent] {
+        mesh.store.set_trouble(way);
+        mesh.kill_node(0).await.expect("it ends");
+        mesh.start_node(0).await.expect("it starts");
+        wait_until("the node serves again", LIMIT, || async {
+            let reply = mesh.ask(0, &Asked::get("/stock/1", "again")).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+        assert!(mesh.version_at(0).await >= 2);
+    }
+    mesh.store.set_trouble(Trouble::None);
+    write_routes(&mesh, 3, &users_routes(), &SERVICES);
+    mesh.wait_enforced(3).await;
+}
+
+/// A node without any configuration must not say that a route does not exist: 503, and come again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_knows_no_configuration_answers_503() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_users(plan).await;
+    let reply = mesh.ask(0, &Asked::get("/stock/1", "early")).await;
+    let reply = reply.expect("it is answered");
+    assert_eq!(reply.status, 503);
+    let seconds: f64 = reply.header("retry-after").parse().expect("it is told");
+    assert!(seconds > 0.0, "{seconds}");
+    let ready = mesh.vms[0]
+        .node()
+        .addresses
+        .ready
+        .expect("it is asked there");
+    let ready = testkit::http::request(ready, Method::GET, "node", "/-/readyz", &[], "").await;
+    assert_eq!(ready.expect("it is answered").status, 503);
+}
--- /dev/null
+++ b/tests/testsuite/users_requests.rs
@@ -0,0 +1,348 @@
+//! Requests on the users' platform, beside backend servers that do what theirs do.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use testkit::http::{Reply, wait_until};
+use testkit::users::backend::{Answering, Behaviour, OnFull, seal_of};
+use testkit::users::mesh::{Asked, Mesh, Plan, REQUEST_ID, SEAL};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{LIMIT, SERVICES, start_users_serving, users_runs};
+
+/// One VM of each service.
+fn small() -> Plan {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan
+}
+
+fn assert_own_answer(reply: &Reply, id: &str, bytes: u64) {
+    assert_eq!(reply.status, 200, "{id}");
+    assert_eq!(reply.header(REQUEST_ID), id);
+    assert_eq!(reply.header(SEAL), seal_of(id, bytes), "{id}");
+    assert_eq!(reply.body.len() as u64, bytes, "{id}");
+}
+
+async fn ask(mesh: &Mesh, asked: &Asked<'_>) -> Reply {
+    mesh.ask(0, asked).await.expect("the node answers")
+}
+
+/// A backend server answers some requests twice, the second time at once or when the connection may carry
+/// another request already. A keeper who asks for one stock must never get the figure of another.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_comes_twice_reaches_nobody_else() {
+    let mesh = start_users_serving(small()).await;
+    let mut served = 0;
+    for number in 0..60 {
+        let word = match number % 3 {
+            0 => Answering::Extra.word(),
+            1 => Answering::ExtraLate.word(),
+            _ => Answering::Whole.word(),
+        };
+        let bytes = 100 + number;
+        let path = format!("/stock/{number}?bytes={bytes}&answer={word}");
+        let id = format!("twice-{number}");
+        let reply = ask(&mesh, &Asked::get(&path, &id)).await;
+        // Whose place the other answer took may have run, and is tried again only so often.
+        if reply.status != StatusCode::BAD_GATEWAY {
+            assert_own_answer(&reply, &id, bytes);
+            served += 1;
+        }
+    }
+    assert!(served >= 40, "{served} of 60");
+}
+
+/// An answer without a length ends with its connection. It is passed on whole, and one that breaks off
+/// in the middle does not look complete to the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_length_is_whole_and_a_cut_one_is_broken() {
+    let mesh = start_users_serving(small()).await;
+    let path = format!("/stock/1?bytes=5000&answer={}", Answering::Unframed.word());
+    let reply = ask(&mesh, &Asked::get(&path, "unframed")).await;
+    assert_own_answer(&reply, "unframed", 5_000);
+    let path = format!("/book/1?bytes=5000&answer={}", Answering::Cut.word());
+    let reply = mesh.ask(0, &Asked::post(&path, "cut")).await;
+    let whole = reply.is_ok_and(|reply| reply.status == 200);
+    assert!(!whole, "a cut answer looked whole");
+}
+
+/// A booking runs and its answer is lost. The keeper is told neither "booked" nor "not run", and the
+/// lorry is not booked twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_answer_is_lost_runs_once() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let path = format!("/book/1?answer={}", Answering::Lost.word());
+    let reply = ask(&mesh, &Asked::post(&path, "lost")).await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(users_runs(&mesh, "lost").len(), 1);
+}
+
+/// A look-up whose answer is lost is asked for once more, elsewhere, and no more often than the route
+/// says.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_is_lost_is_tried_elsewhere() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let path = format!("/stock/1?answer={}", Answering::Lost.word());
+    let reply = ask(&mesh, &Asked::get(&path, "lost")).await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    let runs = users_runs(&mesh, "lost");
+    assert_eq!(runs.len(), 2);
+    assert_ne!(runs[0], runs[1]);
+}
+
+/// All slots are taken by long bookings. Whoever comes then is told at once that nothing ran and when to
+/// come back, and it is true for good: the request never runs later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_for_load_is_true() {
+    let mut plan = small();
+    plan.behaviour = Behaviour {
+        slots: 2,
+        ..Behaviour::default()
+    };
+    let mesh = start_users_serving(plan).await;
+    let booking = |number: u32| {
+        let id = format!("long-{number}");
+        let mesh = &mesh;
+        async move {
+            let path = "/book/1?work_ms=900";
+            let mut asked = Asked::post(path, &id);
+            asked.deadline_ms = 1_000;
+            (ask(mesh, &asked).await, users_runs(mesh, &id).len())
+        }
+    };
+    let mut bookings: Vec<_> = Vec::new();
+    for number in 0..12 {
+        bookings.push(booking(number));
+    }
+    let ended = futures(bookings).await;
+    let served = ended.iter().filter(|(reply, _)| reply.status == 200);
+    assert!(served.count() >= 2);
+    for (reply, runs) in &ended {
+        if reply.status == 503 {
+            let seconds: f64 = reply.header("retry-after").parse().expect("it is told");
+            assert!(seconds > 0.0);
+            assert_eq!(*runs, 0);
+        } else {
+            assert_eq!(*runs, 1, "{reply:?}");
+        }
+    }
+    assert!(ended.iter().any(|(reply, _)| reply.status == 503));
+}
+
+async fn futures<F: Future>(all: Vec<F>) -> Vec<F::Output> {
+    let mut all: Vec<_> = all.into_iter().map(Box::pin).collect();
+    let mut ended: Vec<Option<F::Output>> = all.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        let mut pending = false;
+        for (future, output) in all.iter_mut().zip(&mut ended) {
+            if output.is_none() {
+                match future.as_mut().poll(context) {
+                    std::task::Poll::Ready(value) => *output = Some(value),
+                    std::task::Poll::Pending => pending = true,
+                }
+            }
+        }
+        match pending {
+            true => std::task::Poll::Pending,
+            false => std::task::Poll::Ready(()),
+        }
+    })
+    .await;
+    ended.into_iter().flatten().collect()
+}
+
+/// A backend server crashes, and its address goes to one of another service before anybody hears of it.
+/// The other one runs nothing that was meant for the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_service_at_an_address_runs_nothing_of_the_last() {
+    let mut mesh = start_users_serving(small()).await;
+    let position = mesh.vms_of(SERVICES[0])[0];
+    mesh.crash_backend(position).await;
+    mesh.restart_backend(position, SERVICES[1])
+        .await
+        .expect("the address is free");
+    // It has not announced itself where it stands now.
+    mesh.mute_backend(position);
+    let reply = ask(&mesh, &Asked::post("/sheets/1", "meant-for-the-last")).await;
+    assert_eq!(reply.status, 503);
+    assert!(users_runs(&mesh, "meant-for-the-last").is_empty());
+}
+
+/// A keeper hangs up while the work runs; the backend server is told, and does not work on for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_work() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let path = "/stock/1?work_ms=60000";
+    for position in 0..mesh.vms.len() {
+        let id = format!("left-{position}");
+        let mut asked = Asked::get(path, &id);
+        asked.deadline_ms = 60_000;
+        {
+            let asking = mesh.ask(position, &asked);
+            let running = wait_until("it runs", LIMIT, || async {
+                !users_runs(&mesh, &id).is_empty()
+            });
+            tokio::select! {
+                _ = asking => panic!("nothing was answered"),
+                () = running => (),
+            }
+        }
+        let ran = users_runs(&mesh, &id)[0];
+        wait_until("the work is given up", LIMIT, || async {
+            mesh.vms[ran].backend().running() == 0
+        })
+        .await;
+    }
+}
+
+/// What is left of the caller's time comes to the backend server with the service that asks, whatever
+/// the caller claimed, and the answer is given at the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_left_and_the_asking_service_reach_the_backend_server() {
+    let mesh = start_users_serving(small()).await;
+    let mut asked = Asked::get("/stock/1?work_ms=5000", "hasty");
+    asked.deadline_ms = 300;
+    let reply = ask(&mesh, &asked).await;
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+    let ran = users_runs(&mesh, "hasty")[0];
+    let run = mesh.vms[ran].backend().record().runs["hasty"][0].clone();
+    assert!(run.deadline_ms.is_some_and(|ms| ms <= 300), "{run:?}");
+    assert_eq!(run.caller, mesh.vms[0].service);
+    assert_eq!(run.target, "GET mesh.example/stock/1?work_ms=5000");
+}
+
+/// An upload is rejected before it is in, and the backend server reads on. The keeper gets that answer,
+/// and the bytes that were still due reach no other request.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upload_that_is_rejected_early_spoils_no_other() {
+    let mesh = start_users_serving(small()).await;
+    let body = vec![7; 300_000];
+    for number in 0..10 {
+        let path = format!("/sheets/{number}?answer={}", Answering::Early.word());
+        let id = format!("early-{number}");
+        let asked = Asked {
+            body: &body,
+            ..Asked::post(&path, &id)
+        };
+        // It may break off as the answer comes before its end.
+        if let Ok(reply) = mesh.ask(0, &asked).await {
+            assert_eq!(reply.status, 500);
+        }
+        let path = format!("/sheets/{number}");
+        let id = format!("whole-{number}");
+        let asked = Asked {
+            body: &body,
+            ..Asked::post(&path, &id)
+        };
+        let reply = ask(&mesh, &asked).await;
+        assert_own_answer(&reply, &id, 64);
+        let ran = users_runs(&mesh, &id)[0];
+        let run = mesh.vms[ran].backend().record().runs[&id][0].clone();
+        assert_eq!(run.body_digest, blake3::hash(&body).to_hex().to_string());
+    }
+}
+
+/// A backend server that is full resets its connections, or never answers on them again. The node beside
+/// it keeps count of its slots, so that neither happens however many ask.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_backend_server_is_sent_more_than_it_takes() {
+    for on_full in [OnFull::Reset, OnFull::Mute] {
+        let mut plan = small();
+        plan.behaviour = Behaviour {
+            slots: 2,
+            queue: 0,
+            work: Duration::from_millis(20),
+            on_full,
+            ..Behaviour::default()
+        };
+        let mesh = start_users_serving(plan).await;
+        let ids: Vec<String> = (0..40).map(|number| format!("full-{number}")).collect();
+        let asked = ids.iter().map(|id| async {
+            let reply = ask(&mesh, &Asked::get("/stock/1", id)).await;
+            reply.status
+        });
+        for status in futures(asked.collect()).await {
+            assert!(status == 200 || status == 503, "{status}");
+        }
+    }
+}
+
+/// A backend server forgets connections that have been idle for a while, without a word, and resets them
+/// when something is sent on them. Nobody can tell then whether a booking has run, so none may be sent
+/// on such a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_idle_connection_costs_no_booking() {
+    let mut plan = small();
+    plan.behaviour = Behaviour {
+        forgets_idle: Some(Duration::from_millis(200)),
+        ..Behaviour::default()
+    };
+    let mesh = start_users_serving(plan).await;
+    for number in 0..8 {
+        let id = format!("idle-{number}");
+        let reply = ask(&mesh, &Asked::post("/book/1", &id)).await;
+        assert_own_answer(&reply, &id, 64);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+/// A caller sends three look-ups at once on one connection. The first is the slowest; the answers come
+/// in the order of the questions.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_one_connection_are_answered_in_their_order() {
+    let mesh = start_users_serving(small()).await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let mut stream = TcpStream::connect(entry).await.expect("the node listens");
+    let mut sent = String::new();
+    for (number, work_ms) in [200, 50, 0].into_iter().enumerate() {
+        sent.push_str(&format!(
+            "GET /stock/1?work_ms={work_ms} HTTP/1.1\r\nHost: mesh.example\r\n\
+             X-Dfw-Attempt-Id: order-{number}\r\nX-Dfw-Deadline-Ms: 5000\r\n\r\n"
+        ));
+    }
+    stream.write_all(sent.as_bytes()).await.expect("it is sent");
+    let mut text = String::new();
+    let mut space = [0; 4_096];
+    while text.matches("HTTP/1.1 200").count() < 3 {
+        let len = stream.read(&mut space).await.expect("it answers");
+        assert!(len > 0, "the connection ended: {text}");
+        text.push_str(&String::from_utf8_lossy(&space[..len]));
+    }
+    let at = |number: usize| text.find(&format!("order-{number}"));
+    assert!(at(0) < at(1) && at(1) < at(2), "{text}");
+    // The last of them did not wait for the first to run.
+    let begun = |number: usize| {
+        let id = format!("order-{number}");
+        let ran = users_runs(&mesh, &id)[0];
+        mesh.vms[ran].backend().record().runs[&id][0].began
+    };
+    assert!(begun(2) < begun(0) + Duration::from_millis(200));
+}
+
+/// A backend server's work leads to a call of its own, which goes through the node beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_of_a_backend_server_go_through_its_node() {
+    let mesh = start_users_serving(small()).await;
+    let path = "/book/1?call=mesh.example/stock/7";
+    let reply = ask(&mesh, &Asked::post(path, "chain")).await;
+    assert_own_answer(&reply, "chain", 64);
+    let called = users_runs(&mesh, "chain-call");
+    assert_eq!(called.len(), 1);
+    let run = mesh.vms[called[0]].backend().record().runs["chain-call"][0].clone();
+    assert_eq!(run.caller, SERVICES[1]);
+}
+
+/// A failure of the backend server's own is passed on as it is, with its seal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_servers_own_failure_is_passed_on() {
+    let mesh = start_users_serving(small()).await;
+    let path = format!("/book/1?answer={}", Answering::Failure.word());
+    let reply = ask(&mesh, &Asked::post(&path, "failed")).await;
+    assert_eq!(reply.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(reply.header(SEAL), "failure.failed");
+    let ran = users_runs(&mesh, "failed")[0];
+    let run = mesh.vms[ran].backend().record().runs["failed"][0].clone();
+    assert_eq!(run.target, format!("POST mesh.example{path}"));
+}
--- /dev/null
+++ b/tests/testsuite/users_settings.rs
@@ -0,0 +1,93 @@
+//! The settings file of the users' platform, at the start and while a node runs.
+
+use testkit::http::wait_until;
+use testkit::process::{LogLine, Signal};
+use testkit::users::mesh::{Asked, Mesh, Plan};
+use tokio::sync::mpsc;
+
+use crate::support::{LIMIT, SERVICES, command, start_users_serving};
+
+fn small() -> Plan {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan
+}
+
+/// A settings file that was written by hand has three faults. The node names all of them at once and ends
+/// with 2, before it listens anywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_settings_file_is_refused_with_all_its_faults() {
+    let mesh = start_users_serving(small()).await;
+    let text = mesh.settings_text(0);
+    let broken = text
+        .replace("zone = ", "zon = ")
+        .replace("form = \"table\"", "form = \"table\"\naddress2 = 5")
+        .replace("ip = \"", "ip = \"x");
+    let directory = tempfile::TempDir::new().expect("there is room for files");
+    let path = directory.path().join("settings.toml");
+    std::fs::write(&path, broken).expect("the file is written");
+    let output = command(&["node", "--config", path.to_str().expect("UTF-8")]).await;
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("`zone` is missing"), "{error}");
+    assert!(error.contains("`ip` = `x"), "{error}");
+    assert!(
+        !error.contains("address2"),
+        "unknown keys are ignored: {error}"
+    );
+    let output = command(&[
+        "node",
+        "--config",
+        path.to_str().expect("UTF-8"),
+        "--region=norte",
+    ])
+    .await;
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        error.contains("cannot be given together with --config"),
+        "{error}"
+    );
+}
+
+async fn wait_for_line(lines: &mut mpsc::UnboundedReceiver<LogLine>, text: &str) -> String {
+    let found = async {
+        while let Some(line) = lines.recv().await {
+            if line.text.contains(text) {
+                return Some(line.text);
+            }
+        }
+        None
+    };
+    let found = tokio::time::timeout(LIMIT, found).await;
+    let found = found.ok().flatten();
+    found.unwrap_or_else(|| panic!("no line says {text}"))
+}
+
+async fn serves(mesh: &Mesh) -> bool {
+    let reply = mesh.ask(0, &Asked::get("/stock/1", "after")).await;
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+/// The platform changes a settings file, with a signal or without. What may change does; a file that is
+/// only half there changes nothing and says so in one line, and the node serves on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settings_file_is_read_again() {
+    let (sender, mut lines) = mpsc::unbounded_channel();
+    let mut plan = small();
+    plan.log_lines = Some(sender);
+    let mesh = start_users_serving(plan).await;
+    let text = mesh.settings_text(0);
+    let path = mesh.settings_path(0);
+    std::fs::write(path, text.replace("grace=6s", "grace=7s")).expect("the file is written");
+    let line = wait_for_line(&mut lines, "read the settings file again").await;
+    assert!(line.contains("\"changed\":true"), "{line}");
+    std::fs::write(path, &text[..text.len() / 2]).expect("the file is written");
+    mesh.vms[0].node().signal(Signal::Hangup);
+    let line = wait_for_line(&mut lines, "the old settings stay").await;
+    assert!(line.contains("problems"), "{line}");
+    assert!(serves(&mesh).await);
+    std::fs::write(path, &text).expect("the file is written");
+    mesh.vms[0].node().signal(Signal::Hangup);
+    wait_for_line(&mut lines, "read the settings file again").await;
+    wait_until("it serves on", LIMIT, || serves(&mesh)).await;
+}
--- /dev/null
+++ b/tests/testsuite/users_stops.rs
@@ -0,0 +1,207 @@
+//! Backend servers that leave, and nodes that stop, on the users' platform.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use testkit::http::wait_until;
+use testkit::process::Signal;
+use testkit::users::backend::Announced;
+use testkit::users::mesh::{Asked, Mesh, Plan};
+
+use crate::support::{LIMIT, SERVICES, start_users_serving, users_runs};
+
+/// Asks through every node but one of them, one request after the other, until told to stop; returns the
+/// ids that were not answered with 200.
+async fn keep_asking(mesh: &Mesh, but: usize, stop: &AtomicBool) -> Vec<String> {
+    let mut failed = Vec::new();
+    let mut number = 0;
+    while !stop.load(Ordering::Acquire) {
+        let position = number % mesh.vms.len();
+        number += 1;
+        if position == but {
+            continue;
+        }
+        let id = format!("steady-{number}");
+        let reply = mesh
+            .ask(position, &Asked::post("/book/1?work_ms=5", &id))
+            .await;
+        if !reply.is_ok_and(|reply| reply.status == 200) {
+            failed.push(id);
+        }
+    }
+    failed
+}
+
+/// A backend server says that it will leave, and its node acknowledges that. From then on it is sent
+/// nothing, whoever asks, although bookings come all the time; none of them fails for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_backend_server_gets_nothing_after_the_acknowledgement() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    let stop = AtomicBool::new(false);
+    let (failed, acknowledged_at) = tokio::join!(keep_asking(&mesh, usize::MAX, &stop), async {
+        let vm = &mesh.vms[leaving];
+        wait_until("it has work", LIMIT, || async {
+            vm.backend().record().last_reached.is_some()
+        })
+        .await;
+        vm.set_announced(Announced::Draining);
+        let acknowledged = vm
+            .backend()
+            .announce(vm.control(), Announced::Draining)
+            .await;
+        assert!(acknowledged);
+        let acknowledged_at = Instant::now();
+        wait_until("others have work", LIMIT, || async {
+            let others = mesh.vms_of(SERVICES[1]).into_iter().skip(1);
+            let mut reached = others.map(|other| mesh.vms[other].backend().record().last_reached);
+            let after = |at: Option<Instant>| at.is_some_and(|at| at > acknowledged_at);
+            reached.all(after)
+        })
+        .await;
+        stop.store(true, Ordering::Release);
+        acknowledged_at
+    });
+    assert_eq!(failed, Vec::<String>::new());
+    let last = mesh.vms[leaving].backend().record().last_reached;
+    // What was admitted before the acknowledgement may still be on its way over the loopback.
+    let slack = Duration::from_millis(100);
+    assert!(last.is_some_and(|last| last < acknowledged_at + slack));
+}
+
+/// Another backend server leaves without a word before: it says only that it is gone, and serves on for a
+/// while. It is sent nothing any more either, and what it runs is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_only_says_goodbye_finishes_its_work() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    mesh.mute_backend(leaving);
+    let mesh = mesh;
+    let booking = Asked::post("/book/1?work_ms=500", "before");
+    let booked = mesh.ask(leaving, &booking);
+    let leaves = async {
+        wait_until("it runs", LIMIT, || async {
+            !users_runs(&mesh, "before").is_empty()
+        })
+        .await;
+        let at = users_runs(&mesh, "before")[0];
+        let vm = &mesh.vms[at];
+        assert!(vm.backend().leave(vm.control()).await);
+        let id = "after";
+        let reply = mesh.ask(leaving, &Asked::post("/book/1", id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        assert_ne!(users_runs(&mesh, id)[0], at);
+    };
+    let (reply, ()) = tokio::join!(booked, leaves);
+    assert_eq!(reply.expect("it is answered").status, 200);
+}
+
+/// An announcement was held up in a cut: "ready" from before the backend server said that it leaves. It
+/// does not open the gate again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_announcement_revives_nothing() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    mesh.mute_backend(leaving);
+    let vm = &mesh.vms[leaving];
+    let held_up = vm.backend().next_announcement(Announced::Ready);
+    assert!(
+        vm.backend()
+            .announce(vm.control(), Announced::Draining)
+            .await
+    );
+    let late = vm.backend().send_announcement(vm.control(), held_up).await;
+    assert!(late.expect("it is answered").status.is_success());
+    for number in 0..20 {
+        let id = format!("after-{number}");
+        let reply = mesh.ask(leaving, &Asked::post("/book/1", &id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        assert_ne!(users_runs(&mesh, &id), [leaving]);
+    }
+}
+
+/// Bytes that are no announcement, or one of another service, reach the address where backend servers
+/// announce themselves. They name nothing to use, and the real one is served on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forged_announcement_changes_nothing() {
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let vm = &mesh.vms[0];
+    let whole = vm.backend().next_announcement(Announced::Ready);
+    let forged = [
+        "\u{0}\u{1}".to_owned(),
+        whole.replace("\"ready\"", "\"asleep\""),
+        whole.replace("\"seq\":", "\"sequence\":"),
+        whole.replace("\"slots\":8", "\"slots\":\"8\""),
+        "[]".to_owned(),
+    ];
+    for text in forged {
+        let reply = vm.backend().send_announcement(vm.control(), text).await;
+        assert!(!reply.expect("it is answered").status.is_success());
+    }
+    let reply = mesh.ask(0, &Asked::get("/stock/1", "still")).await;
+    assert_eq!(reply.expect("it is answered").status, 200);
+}
+
+/// A node is stopped as planned while its VM's callers and others ask. Every booking that it has read is
+/// answered; the process ends by itself; others are not disturbed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let stopped = mesh.vms_of(SERVICES[1])[0];
+    let mut node = mesh.vms[stopped].node.take().expect("it runs");
+    let caller = node.addresses.caller;
+    let mesh = Arc::new(mesh);
+    let stop = AtomicBool::new(false);
+    let (failed, own) = tokio::join!(keep_asking(&mesh, stopped, &stop), async {
+        // The callers of the VM itself, whose requests are under way when it is stopped.
+        let mut own = tokio::task::JoinSet::new();
+        for number in 0..6 {
+            own.spawn(async move {
+                let id = format!("own-{number}");
+                let headers = [
+                    ("x-dfw-attempt-id", id.as_str()),
+                    ("x-dfw-deadline-ms", "5000"),
+                ];
+                let path = "/book/1?work_ms=400";
+                let host = testkit::users::configuration::HOST;
+                let method = http::Method::POST;
+                let reply = testkit::http::request(caller, method, host, path, &headers, "").await;
+                reply.map(|reply| reply.status.as_u16())
+            });
+        }
+        wait_until("its callers' bookings run", LIMIT, || async {
+            (0..6).all(|number| !users_runs(&mesh, &format!("own-{number}")).is_empty())
+        })
+        .await;
+        node.signal(Signal::Terminate);
+        let own = own.join_all().await;
+        node.ended().await.expect("it ends");
+        stop.store(true, Ordering::Release);
+        own
+    });
+    assert_eq!(own, vec![Ok(200); 6]);
+    assert_eq!(failed, Vec::<String>::new());
+}
+
+/// All nodes are killed at one moment, and their VMs start them again with nothing but the store. Every
+/// node serves again, under the newest configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_herd_that_was_killed_serves_again() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    for position in 0..mesh.vms.len() {
+        mesh.kill_node(position).await.expect("it ends");
+    }
+    crate::support::write_routes(&mesh, 2, &crate::support::users_routes(), &SERVICES);
+    for position in 0..mesh.vms.len() {
+        mesh.start_node(position).await.expect("it starts");
+    }
+    mesh.wait_enforced(2).await;
+    mesh.wait_serving().await;
+    for position in 0..mesh.vms.len() {
+        let id = format!("again-{position}");
+        let reply = mesh.ask(position, &Asked::post("/book/1", &id)).await;
+        assert_eq!(reply.expect("it is answered").status, 200);
+        assert_eq!(users_runs(&mesh, &id).len(), 1);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/users_store.rs
@@ -0,0 +1,167 @@
+//! What the client of the users' store makes of each of its answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dragonflywall::platform::store::Client;
+use dragonflywall::store::{Condition, Error, Feed, Outcome, Position, Table, Transaction};
+use testkit::http::wait_until;
+use testkit::users::configuration::text;
+use testkit::users::store::{Store, Trouble, WriteFault};
+
+use crate::support::{LIMIT, SERVICES, users_routes};
+
+const TABLE: &str = "dragonflywall";
+
+async fn start() -> (Store, Client) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = Store::start(any).await.expect("it starts");
+    let client = Client::new(&format!("http://{}", store.address), None);
+    (store, client)
+}
+
+fn put(key: &str, value: &str, conditions: Vec<Condition>) -> Transaction {
+    Transaction {
+        conditions,
+        puts: BTreeMap::from([(key.to_owned(), value.to_owned())]),
+    }
+}
+
+fn absent(key: &str) -> Vec<Condition> {
+    vec![Condition::Absent {
+        key: key.to_owned(),
+    }]
+}
+
+/// Two nodes register under one key at the same moment. One transaction takes effect, the other is told
+/// that its condition did not hold, and the row holds what the first one wrote.
+#[tokio::test]
+async fn a_condition_that_does_not_hold_writes_nothing() {
+    let (store, client) = start().await;
+    let first = client.transact(&put("a", "1", absent("a"))).await;
+    assert_eq!(first.expect("it answers"), Outcome::Committed);
+    let second = client.transact(&put("a", "2", absent("a"))).await;
+    assert_eq!(second.expect("it answers"), Outcome::ConditionFailed);
+    assert_eq!(store.value(TABLE, "a").as_deref(), Some(&b"1"[..]));
+    let row = client.row("a").await.expect("it answers");
+    let row = row.expect("it was written");
+    let revision = row.revision;
+    let again = vec![Condition::Revision {
+        key: "a".to_owned(),
+        revision,
+    }];
+    let third = client.transact(&put("a", "3", again)).await;
+    assert_eq!(third.expect("it answers"), Outcome::Committed);
+}
+
+/// Rows are listed by prefix, a page at a time, as a node looks for others.
+#[tokio::test]
+async fn rows_are_listed_behind_a_key() {
+    let (_store, client) = start().await;
+    for key in ["node/a", "node/b", "node/c", "other"] {
+        let written = client.transact(&put(key, key, Vec::new())).await;
+        assert_eq!(written.expect("it answers"), Outcome::Committed);
+    }
+    let page = client.rows("node/", "node/a", 10).await;
+    let page = page.expect("it answers");
+    let keys: Vec<&str> = page.keys().map(String::as_str).collect();
+    assert_eq!(keys, ["node/b", "node/c"]);
+    assert_eq!(client.row("node").await.expect("it answers"), None);
+}
+
+/// The store turns a node away in each of its ways. Whoever wrote must know whether it may have been
+/// done: 503 and 429 prove that it was not; a lost connection proves nothing.
+#[tokio::test]
+async fn a_refusal_and_a_lost_answer_are_told_apart() {
+    let (store, client) = start().await;
+    store.set_trouble(Trouble::Busy);
+    let busy = client.transact(&put("a", "1", Vec::new())).await;
+    assert!(matches!(busy, Err(Error::Unavailable { .. })), "{busy:?}");
+    store.set_trouble(Trouble::Many);
+    let many = client.transact(&put("a", "1", Vec::new())).await;
+    assert!(matches!(many, Err(Error::Busy)), "{many:?}");
+    store.set_trouble(Trouble::Reset);
+    let lost = client.transact(&put("a", "1", Vec::new())).await;
+    assert!(
+        matches!(lost, Err(Error::OutcomeUnknown { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(store.value(TABLE, "a"), None);
+    store.set_trouble(Trouble::None);
+    store.set_write_fault(WriteFault::AnswerLost);
+    let lost = client.transact(&put("a", "1", Vec::new())).await;
+    assert!(
+        matches!(lost, Err(Error::OutcomeUnknown { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(store.value(TABLE, "a").as_deref(), Some(&b"1"[..]));
+}
+
+/// A write is not answered and done only later. Until then it is not there, so a node that looked once
+/// and found nothing must not take that for "never".
+#[tokio::test]
+async fn a_write_may_be_done_later() {
+    let (store, client) = start().await;
+    store.set_write_fault(WriteFault::Late(Duration::from_millis(200)));
+    let lost = client.transact(&put("a", "1", Vec::new())).await;
+    assert!(
+        matches!(lost, Err(Error::OutcomeUnknown { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(store.value(TABLE, "a"), None);
+    wait_until("the write is done", LIMIT, || async {
+        store.value(TABLE, "a").is_some()
+    })
+    .await;
+}
+
+/// The store forgets its history while a node follows it. The node is told so, reads the newest
+/// configuration, and follows again from there.
+#[tokio::test]
+async fn a_feed_whose_history_is_gone_says_so() {
+    let (store, client) = start().await;
+    let write = |version| {
+        let text = text(version, &users_routes(), &SERVICES);
+        store.operator_writes("config", text.as_bytes())
+    };
+    write(1);
+    let told = client.newest().await.expect("it answers");
+    assert_eq!(told.configuration.expect("it is there").version.0, 1);
+    let position = told.position;
+    write(2);
+    let told = client.after(position, Duration::ZERO).await;
+    let told = told.expect("it answers");
+    assert_eq!(told.configuration.expect("it is new").version.0, 2);
+    store.drop_history();
+    let gone = client.after(told.position, Duration::ZERO).await;
+    assert!(matches!(gone, Err(Error::HistoryGone)), "{gone:?}");
+    let told = client.newest().await.expect("it answers");
+    assert_eq!(told.configuration.expect("it is there").version.0, 2);
+    let quiet = client.after(told.position, Duration::ZERO).await;
+    assert!(quiet.expect("it answers").configuration.is_none());
+}
+
+/// A feed that waits hears of a version when it is written, not when its wait is over.
+#[tokio::test]
+async fn a_feed_that_waits_is_woken() {
+    let (store, client) = start().await;
+    let waiting = tokio::spawn(async move {
+        let hour = Duration::from_secs(3_600);
+        client.after(Position(0), hour).await
+    });
+    let text = text(5, &users_routes(), &SERVICES);
+    store.operator_writes("config", text.as_bytes());
+    let told = waiting.await.expect("it ends").expect("it answers");
+    assert_eq!(told.configuration.expect("it is new").version.0, 5);
+}
+
+/// A row that nobody should have written stands where the configuration is. It is no configuration, and
+/// no failure of the store either.
+#[tokio::test]
+async fn an_unreadable_configuration_is_none() {
+    let (store, client) = start().await;
+    store.operator_writes("config", b"\xff\xfe not a configuration");
+    let told = client.newest().await.expect("it answers");
+    assert!(told.configuration.is_none());
+}
