Start a pipelined read that the HTTP library has read itself

Cause: while a request is being answered the library reads once more, to see whether the caller is still there.

Excluded: the answers ahead; a read behind one slow read still waits for its turn on the connection, as HTTP/1.1 wants it.

--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -141,6 +141,8 @@
     flushed: bool,
     /// The library has looked for a request and found nothing.
     hungry: bool,
+    /// The library has read something since [`Pipeline::poll_more`] last said so.
+    library_read: bool,
 }
 
 impl<S: Unpin> Shared<S> {
@@ -191,6 +193,7 @@
                 began: false,
                 flushed: true,
                 hungry: false,
+                library_read: false,
             })),
         };
         (pipeline.clone(), Watched(pipeline))
@@ -282,11 +285,18 @@
     ///
     /// Failure guarded against: the library looks for the end of a connection only while it holds
     /// no bytes of a further request, so a caller that pipelines and leaves would go unnoticed.
+    ///
+    /// While it looks for the end the library reads one further request itself. That one would wait
+    /// for the answers before it; so what the library has read counts as well. It reads before it
+    /// polls the answer that this is a part of, in the same task, so nobody has to be woken.
     pub(crate) fn poll_more(&self, context: &mut Context<'_>) -> Poll<bool> {
         let mut shared = self.lock();
         if shared.ended {
             return Poll::Ready(false);
         }
+        if std::mem::take(&mut shared.library_read) {
+            return Poll::Ready(true);
+        }
         if shared.buffer.len() >= BUFFER_MAX_BYTES {
             return Poll::Pending;
         }
@@ -334,6 +344,7 @@
         let polled = shared.stream()?.poll_read(context, buffer);
         shared.hungry = polled.is_pending();
         ready!(polled)?;
+        shared.library_read = true;
         let head_max_bytes = shared.head_max_bytes;
         shared
             .requests
--- a/tests/testsuite/requests_pipeline.rs
+++ b/tests/testsuite/requests_pipeline.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::support::{LIMIT, runs, small, start_chatarras, vms_of};
+use crate::support::{LIMIT, runs, small, start_chatarras, vms_of, wait_running};
 
 /// Head of a read of prices without a body.
 fn read(id: &str, work_ms: u64) -> String {
@@ -69,6 +69,26 @@
     assert_eq!(record.runs.len(), 3);
 }
 
+/// A dealer's program asks for a price while the answer to the one before is awaited, and then for
+/// nothing more. The HTTP library reads that request itself, to see whether the connection still
+/// stands, and only keeps it. It must start all the same: its answer would be late although its
+/// endpoint is idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_that_comes_during_another_one_runs_at_once() {
+    let mesh = start_chatarras(small(&["tablon"], 1)).await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let mut stream = send(entry, &read("slow", 500)).await;
+    wait_running(&mesh, "tablon", "slow").await;
+    let sent = stream.write_all(read("behind", 250).as_bytes()).await;
+    sent.expect("the node reads");
+    wait_running(&mesh, "tablon", "behind").await;
+    let finished = |position: usize| mesh.vms[position].backend.record().finished;
+    let finished: u64 = vms_of(&mesh, "tablon").into_iter().map(finished).sum();
+    assert_eq!(finished, 0, "the second read waited for the first one");
+    let ids = answered_ids(&mut stream, 2).await;
+    assert_eq!(ids, ["slow", "behind"]);
+}
+
 /// A payment is sent behind a read that takes long, and the connection breaks before the read is
 /// answered. Its caller takes the payment for unread and pays again, so it must not have run.
 #[tokio::test(flavor = "multi_thread")]
