Close the longest idle connection of a caller for a new one

Cause: a node kept 1,024 connections of one address, and all callers of a VM share one. Besides, a connection looked up how long it may be idle once, when it began.

The allowed idle time is looked up again when it is over.

The test of hoarded connections held that the fifth of four is closed at once although all four are idle. It now holds that the longest idle one goes, the three others stay, and that with four in use the fifth is closed.

--- a/crates/testkit/src/users/configuration.rs
+++ b/crates/testkit/src/users/configuration.rs
@@ -60,8 +60,21 @@
 /// Host of routes that name no other.
 pub const HOST: &str = "mesh.example";
 
+/// Longest time that a caller's connection may be idle, where a test asks for no other.
+pub const IDLE_TIMEOUT_MS: u32 = 15_000;
+
 /// The text of a configuration.
 pub fn text(version: u64, routes: &[Route], services: &[&str]) -> String {
+    text_with_idle_timeout(version, routes, services, IDLE_TIMEOUT_MS)
+}
+
+/// The text of a configuration under which callers' connections may be idle for so long.
+pub fn text_with_idle_timeout(
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    idle_timeout_ms: u32,
+) -> String {
     let route_columns = [
         "name",
         "host",
@@ -86,7 +99,7 @@
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 67_108_864,
             "headerTimeout": "3000ms",
-            "idleTimeout": "15000ms",
+            "idleTimeout": format!("{idle_timeout_ms}ms"),
         },
     })
     .to_string()
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod announcements;
+pub mod connections;
 pub mod held;
 pub mod intake;
 pub mod pacing;
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -21,7 +21,9 @@
 use crate::core::member::Place;
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
+use crate::decide::connections::ConnectionLimits;
 use crate::peer::client::DialOptions;
+use crate::util::descriptors;
 
 /// Result of this module.
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
@@ -108,6 +110,10 @@
     /// Most connections of one caller's address.
     #[builder(default = 1_024)]
     pub caller_connections_max: u32,
+    /// Descriptors that the process may open, if it is told otherwise than by the system.
+    pub descriptors_max: Option<u32>,
+    /// Memory that the process may use, in megabytes, if it is limited.
+    pub memory_mb: Option<u32>,
     /// Longest wait for requests in flight when stopping, in milliseconds.
     #[builder(default = 600_000)]
     pub drain_timeout_ms: u64,
@@ -161,6 +167,12 @@
         }
     }
 
+    /// How many connections callers may have.
+    pub(crate) fn connection_limits(&self) -> ConnectionLimits {
+        let descriptors = self.descriptors_max.unwrap_or_else(descriptors::allowed);
+        ConnectionLimits::of_process(descriptors, self.memory_mb, self.caller_connections_max)
+    }
+
     /// How this node dials others.
     pub fn dial_options(&self) -> DialOptions {
         DialOptions {
@@ -264,6 +276,8 @@
         let caller_header_timeout_ms = self.required("caller-header-timeout-ms");
         let caller_idle_timeout_ms = self.required("caller-idle-timeout-ms");
         let caller_connections_max = self.required("caller-connections-max");
+        let descriptors_max = self.optional("descriptors-max");
+        let memory_mb = self.optional("memory-mb");
         let drain_timeout_ms = self.required("drain-timeout-ms");
         let stop_least_ms = self.required("stop-least-ms");
         let retry_percent = self.required("retry-percent");
@@ -303,6 +317,8 @@
             caller_header_timeout_ms: caller_header_timeout_ms.expect(checked),
             caller_idle_timeout_ms: caller_idle_timeout_ms.expect(checked),
             caller_connections_max: caller_connections_max.expect(checked),
+            descriptors_max,
+            memory_mb,
             drain_timeout_ms: drain_timeout_ms.expect(checked),
             log_format: log_format.expect(checked),
             log_level: log_level.expect(checked),
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -131,6 +131,18 @@
         default: "1024",
         help: "most connections of one caller's address",
     },
+    Spec {
+        flag: "descriptors-max",
+        value: "N",
+        default: "",
+        help: "descriptors of the process; callers' connections get most of them (default: the system's limit)",
+    },
+    Spec {
+        flag: "memory-mb",
+        value: "MB",
+        default: "",
+        help: "memory of the process, which bounds callers' connections (default: not limited)",
+    },
     Spec {
         flag: "drain-timeout-ms",
         value: "MS",
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -11,6 +11,8 @@
 //! | `seeds` | `listen.control` addresses of other VMs; stale ones may be among them |
 //! | `platform.address` | the store |
 //! | `limits.linkMbps` | rate of the VM's link, each way |
+//! | `limits.maxFds` | descriptors that the process may open |
+//! | `limits.memoryMb` | memory that the process may use |
 //! | `bounds` | figures of the users' rules, as `name=value` |
 //!
 //! Keys that are not used are ignored: new ones may come.
@@ -99,6 +101,10 @@
             .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
             .maybe_retry_reserve(bounds.number("budgetExtra"))
             .maybe_link_kbit_per_s(self.link_kbit_per_s())
+            // All callers of a VM have its address.
+            .caller_connections_max(u32::MAX)
+            .maybe_descriptors_max(self.limit("maxFds"))
+            .maybe_memory_mb(self.limit("memoryMb"))
             .log_format(LogFormat::Json)
             .build();
         Some(settings)
@@ -168,6 +174,12 @@
         (mbit > 0.0).then_some((mbit * 1_000.0) as u32)
     }
 
+    /// A whole number of the limits; none if it is missing, zero or no such number.
+    fn limit(&self, name: &str) -> Option<u32> {
+        let number = self.value(&["limits", name])?.as_integer()?;
+        u32::try_from(number).ok().filter(|number| *number > 0)
+    }
+
     fn bounds(&self) -> Bounds {
         let listed = self.value(&["bounds"]).and_then(Value::as_array);
         let texts = listed.into_iter().flatten().filter_map(Value::as_str);
--- a/src/proxy/callers.rs
+++ b/src/proxy/callers.rs
@@ -1,60 +1,117 @@
-//! How many connections each caller has open.
+//! The connections of callers, and how an idle one is told that its place is needed.
 
-use std::collections::HashMap;
 use std::net::IpAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Connections by caller.
-///
-/// Load made for: one caller that opens connection after connection. Harm prevented: it takes the
-/// descriptors and memory that all others need. Reason for the limit: a setting, as a caller's
-/// address may stand for many behind one router.
+use slotmap::SecondaryMap;
+use tokio::sync::oneshot;
+
+use crate::decide::connections::{ConnectionKey, ConnectionLimits, Connections};
+
+/// Connections by caller; see [`Connections`].
 #[derive(Clone, Debug)]
 pub(crate) struct Callers {
-    most: u32,
-    open: Arc<Mutex<HashMap<IpAddr, u32>>>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    connections: Connections,
+    /// Wakes the idle ones.
+    wakes: SecondaryMap<ConnectionKey, oneshot::Sender<()>>,
 }
 
 impl Callers {
-    /// At most `most` connections of one address.
-    pub(crate) fn new(most: u32) -> Self {
+    pub(crate) fn new(limits: ConnectionLimits) -> Self {
+        let state = State {
+            connections: Connections::new(limits),
+            wakes: SecondaryMap::new(),
+        };
         Self {
-            most,
-            open: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
         }
     }
 
-    /// Counts one more connection, unless there are too many.
+    /// Counts one more connection and closes an idle one for it if need be; none if there is no room.
     pub(crate) fn enter(&self, caller: IpAddr) -> Option<Counted> {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = open.entry(caller).or_default();
-        if *count >= self.most {
+        let mut state = self.lock();
+        let Some(entered) = state.connections.enter(caller) else {
+            metrics::counter!("dragonflywall_caller_connections_refused_total").increment(1);
             return None;
+        };
+        if let Some(closed) = entered.closed {
+            metrics::counter!("dragonflywall_caller_connections_closed_idle_total").increment(1);
+            // Its task ends when the sender is dropped.
+            state.wakes.remove(closed);
         }
-        *count += 1;
+        state.record();
         Some(Counted {
             callers: self.clone(),
-            caller,
+            connection: entered.connection,
         })
     }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn record(&self) {
+        let count = self.connections.count();
+        metrics::gauge!("dragonflywall_caller_connections").set(count as f64);
+    }
 }
 
 /// One connection of a caller.
 #[derive(Debug)]
 pub(crate) struct Counted {
     callers: Callers,
-    caller: IpAddr,
+    connection: ConnectionKey,
+}
+
+impl Counted {
+    /// The connection waits for a request, until what is returned is dropped.
+    pub(crate) fn idle(&self) -> Idle<'_> {
+        let (wake, needed) = oneshot::channel();
+        let mut state = self.callers.lock();
+        state.connections.idle(self.connection);
+        state.wakes.insert(self.connection, wake);
+        Idle {
+            counted: self,
+            needed,
+        }
+    }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        let open = &self.callers.open;
-        let mut open = open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = open.get_mut(&self.caller) {
-            *count -= 1;
-            if *count == 0 {
-                open.remove(&self.caller);
-            }
-        }
+        let mut state = self.callers.lock();
+        state.connections.leave(self.connection);
+        state.wakes.remove(self.connection);
+        state.record();
+    }
+}
+
+/// The time during which a connection is idle.
+#[derive(Debug)]
+pub(crate) struct Idle<'a> {
+    counted: &'a Counted,
+    needed: oneshot::Receiver<()>,
+}
+
+impl Idle<'_> {
+    /// Waits until the place of the connection is needed for another one.
+    pub(crate) async fn place_needed(&mut self) {
+        // Nothing is ever sent: the sender is dropped.
+        let _ = (&mut self.needed).await;
+    }
+}
+
+impl Drop for Idle<'_> {
+    fn drop(&mut self) {
+        let mut state = self.counted.callers.lock();
+        state.connections.used(self.counted.connection);
+        state.wakes.remove(self.counted.connection);
     }
 }
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -23,7 +23,8 @@
 use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
 use crate::proxy::body::{self, Body, Guarded};
-use crate::proxy::callers::Callers;
+use crate::proxy::callers::{Callers, Counted};
+use crate::proxy::decisions::Weight;
 use crate::proxy::pipeline::{Pipeline, Used};
 use crate::proxy::replay::Replay;
 use crate::proxy::stall::StallGuard;
@@ -39,17 +40,18 @@
     polite: CancellationToken,
     stop: CancellationToken,
 ) {
-    let callers = Callers::new(node.settings.caller_connections_max);
+    let callers = Callers::new(node.settings.connection_limits());
     let connections = TaskTracker::new();
     while let Some((stream, caller)) = accept(&listener, &polite, &stop).await {
         let Some(counted) = callers.enter(caller) else {
-            log::debug!(caller:%; "refused a connection: too many of this caller");
+            if node.decisions.may_log(Weight::Notable) {
+                log::warn!(caller:%; "refused a connection: none of the others is idle");
+            }
             continue;
         };
-        let serving = serve_connection(Arc::clone(&node), stream, polite.clone());
+        let serving = serve_connection(Arc::clone(&node), stream, counted, polite.clone());
         let stop = stop.clone();
         connections.spawn(async move {
-            let _counted = counted;
             stop.run_until_cancelled(serving).await;
         });
     }
@@ -59,13 +61,22 @@
     connections.wait().await;
 }
 
-async fn serve_connection(node: Arc<NodeState>, stream: TcpStream, polite: CancellationToken) {
+async fn serve_connection(
+    node: Arc<NodeState>,
+    stream: TcpStream,
+    counted: Counted,
+    polite: CancellationToken,
+) {
     let limits = limits(&node);
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
+    let mut place = counted.idle();
     let opening = tokio::select! {
+        biased;
         opening = tokio::time::timeout(limits.idle_timeout, is_http2(&stream)) => opening,
+        () = place.place_needed() => return,
         () = polite.cancelled() => return,
     };
+    drop(place);
     // One that sends nothing is closed.
     let Ok(Ok(is_http2)) = opening else {
         return;
@@ -73,12 +84,12 @@
     let stream = StallGuard::new(stream, stall_limit);
     match is_http2 {
         true => Box::pin(serve_http2(node, stream, limits, polite)).await,
-        false => http1::serve(node, stream, limits, polite).await,
+        false => http1::serve(node, stream, &counted, polite).await,
     }
 }
 
 /// What callers may send: as the configuration says, else as the settings do.
-fn limits(node: &NodeState) -> Limits {
+pub(super) fn limits(node: &NodeState) -> Limits {
     let settings = &node.settings;
     let enforced = node.enforced.load();
     let limits = enforced.as_ref();
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -17,10 +17,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::AsyncWriteExt;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::callers::caller_request;
+use super::callers::{caller_request, limits};
 use crate::node::state::NodeState;
+use crate::proxy::callers::Counted;
 use crate::proxy::pipeline::Pipeline;
 use crate::proxy::stall::StallGuard;
 
@@ -41,19 +43,19 @@
     unread: Bytes,
 }
 
-/// Serves a connection until its caller closes it, it is idle for too long, or `polite` asks it to
-/// end after the requests that it is serving.
+/// Serves a connection until its caller closes it, it is idle for too long, its place is needed, or
+/// `polite` asks it to end after the requests that it is serving.
 pub(super) async fn serve(
     node: Arc<NodeState>,
     stream: StallGuard,
-    limits: Limits,
+    counted: &Counted,
     polite: CancellationToken,
 ) {
     let unread = Bytes::new();
     let mut idle = Idle { stream, unread };
-    while is_used(&idle, limits, &polite).await {
+    while is_used(&node, &idle, counted, &polite).await {
         // Boxed, so that an idle connection does not hold the room for it.
-        match Box::pin(serve_requests(&node, idle, limits, &polite)).await {
+        match Box::pin(serve_requests(&node, idle, &polite)).await {
             Some(again) => idle = again,
             None => return,
         }
@@ -61,26 +63,48 @@
 }
 
 /// Waits until the caller sends something; false if the connection is to be closed instead.
-async fn is_used(idle: &Idle, limits: Limits, polite: &CancellationToken) -> bool {
+async fn is_used(
+    node: &NodeState,
+    idle: &Idle,
+    counted: &Counted,
+    polite: &CancellationToken,
+) -> bool {
     if !idle.unread.is_empty() {
         return true;
     }
+    let mut place = counted.idle();
     tokio::select! {
         biased;
-        readable = tokio::time::timeout(limits.idle_timeout, idle.stream.readable()) => {
-            matches!(readable, Ok(Ok(())))
-        }
+        readable = idle.stream.readable() => readable.is_ok(),
+        () = place.place_needed() => false,
+        () = idle_for_too_long(node) => false,
         () = polite.cancelled() => false,
     }
 }
 
+/// Waits for as long as a connection may be idle.
+///
+/// Failure guarded against: operators allow a longer time while the connection is idle, and its caller,
+/// who knows of that, uses it again after the old time. It shows as a request on a connection that is
+/// being closed. So the time is looked up again when it seems to be over.
+async fn idle_for_too_long(node: &NodeState) {
+    let since = Instant::now();
+    loop {
+        let most = limits(node).idle_timeout;
+        if since.elapsed() >= most {
+            return;
+        }
+        tokio::time::sleep_until(since + most).await;
+    }
+}
+
 /// Serves requests until the connection is idle again, and returns it; none if it has ended.
 async fn serve_requests(
     node: &Arc<NodeState>,
     idle: Idle,
-    limits: Limits,
     polite: &CancellationToken,
 ) -> Option<Idle> {
+    let limits = limits(node);
     let (pipeline, watched) = Pipeline::new(idle.stream, idle.unread, limits.head_max_bytes);
     let handle = {
         let (node, pipeline) = (Arc::clone(node), pipeline.clone());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod decide_admission;
 mod decide_announcements;
+mod decide_connections;
 mod decide_held;
 mod decide_intake;
 mod decide_pacing;
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -1,10 +1,14 @@
 //! Configurations that the users' operators write into the store, on their way to every node.
 
+use std::time::{Duration, Instant};
+
 use http::{Method, StatusCode};
 use testkit::http::wait_until;
-use testkit::users::configuration::{Kind, Route};
+use testkit::users::configuration::{HOST, Kind, Route, text_with_idle_timeout};
 use testkit::users::mesh::{Asked, Mesh, Plan};
 use testkit::users::store::Trouble;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::support::{
     LIMIT, SERVICES, start_users, start_users_serving, users_routes, users_runs, write_routes,
@@ -201,3 +205,37 @@
     let ready = testkit::http::request(ready, Method::GET, "node", "/-/readyz", &[], "").await;
     assert_eq!(ready.expect("it is answered").status, 503);
 }
+
+/// Asks on an open connection; false if it is closed instead of answered.
+async fn answers(stream: &mut TcpStream) -> bool {
+    let request = format!("GET /stock/1?bytes=10 HTTP/1.1\r\nhost: {HOST}\r\n\r\n");
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return false;
+    }
+    let mut answer = [0; 4_096];
+    let read = stream.read(&mut answer).await;
+    read.is_ok_and(|count| answer[..count].starts_with(b"HTTP/1.1 200"))
+}
+
+/// Operators let connections be idle for longer. A caller that has been idle since before knows of the
+/// new time and uses its connection again after the old one: it is still there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_longer_idle_time_holds_for_connections_that_are_idle_already() {
+    const OLD_MS: u32 = 3_000;
+    let mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let write = |version, idle_ms| {
+        let text = text_with_idle_timeout(version, &users_routes(), &SERVICES, idle_ms);
+        mesh.store.operator_writes("config", text.as_bytes());
+    };
+    write(2, OLD_MS);
+    mesh.wait_enforced(2).await;
+    let entry = mesh.vms[0].node().addresses.caller;
+    let mut stream = TcpStream::connect(entry).await.expect("it listens");
+    assert!(answers(&mut stream).await);
+    let idle_since = Instant::now();
+    write(3, 60_000);
+    mesh.wait_enforced(3).await;
+    let old = Duration::from_millis(u64::from(OLD_MS));
+    tokio::time::sleep_until((idle_since + 2 * old).into()).await;
+    assert!(answers(&mut stream).await, "closed after the old time");
+}
