Tell the mesh that a backend server serves only once it has announced itself

Cause: a node's first statement said that it serves whenever its settings name a backend server, also where that has to announce itself first. For up to a heartbeat after a start entries sent requests there, were refused for want of an endpoint, and left the endpoint alone for five seconds. Found through a test that failed one time in seven (requests after start_users_serving met a closed gate).

The test fails without the change: the mesh believes "serving" of a node that sends nothing.

--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -94,6 +94,11 @@
         self.backend.as_ref().expect("the backend server runs")
     }
 
+    /// Where other nodes reach its node, whichever process that is.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.front.address
+    }
+
     /// Where its node takes announcements.
     pub fn control(&self) -> SocketAddr {
         let announce = self.node().addresses.announce;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -266,10 +266,11 @@
 fn own_statement(settings: &Settings, peer_address: SocketAddr) -> Member {
     let node = settings.peer_advertise.unwrap_or(peer_address);
     let service = settings.backend_server.as_ref().map(|b| b.service.clone());
-    let backend = if service.is_some() {
-        BackendState::Serving
-    } else {
-        BackendState::Gone
+    // One that announces itself is sent nothing before it has; whoever is sent there until then finds no
+    // endpoint, and leaves this one alone for a while.
+    let backend = match &service {
+        Some(_) if !settings.backend_server_announces => BackendState::Serving,
+        _ => BackendState::Gone,
     };
     Member {
         node: NodeId(node),
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -205,3 +205,39 @@
         assert_eq!(users_runs(&mesh, &id).len(), 1);
     }
 }
+
+/// What VM `at` believes of the node of VM `of`.
+async fn member(mesh: &Mesh, at: usize, of: usize) -> serde_json::Value {
+    let node = mesh.vms[of].peer_address().to_string();
+    let status = mesh.status(at).await;
+    let members = status["members"].as_array().cloned().unwrap_or_default();
+    let found = members.into_iter().find(|member| member["node"] == node);
+    found.unwrap_or_default()
+}
+
+/// A node is killed and starts again while its backend server goes on. Until that announces itself the
+/// next time the node sends it nothing, so the mesh must not hear that it serves: whoever is sent there
+/// is refused, and leaves the endpoint alone for seconds although it could serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_serves_only_once_its_backend_server_has_announced_itself() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let position = mesh.vms_of(SERVICES[0])[0];
+    let other = mesh.vms_of(SERVICES[0])[1];
+    let before = member(&mesh, other, position).await["incarnation_us"].clone();
+    mesh.mute_backend(position);
+    mesh.kill_node(position).await.expect("it ends");
+    mesh.start_node(position).await.expect("it starts");
+    wait_until("the restart is known", LIMIT, || async {
+        let member = member(&mesh, other, position).await;
+        member["liveness"] == "alive" && member["incarnation_us"] != before
+    })
+    .await;
+    assert_eq!(member(&mesh, other, position).await["backend"], "gone");
+    let vm = &mesh.vms[position];
+    let acknowledged = vm.backend().announce(vm.control(), Announced::Ready).await;
+    assert!(acknowledged);
+    wait_until("it serves again", LIMIT, || async {
+        member(&mesh, other, position).await["backend"] == "serving"
+    })
+    .await;
+}
