Let calls of running requests go first at a gate

Seen: delivery-status held a slot 86 ms of which its call took 51, with 30 to 36 ms of that in the queue of the called service.

Change: a call is known by an id that extends the id of a request which the backend server beside the entry runs (it inherits deadline, depth, cancellation and retries, as with the product's own token). At a gate calls go before callers, who keep every sixteenth turn; a call waits as long as its deadline allows and does not look for a free slot first.

--- a/crates/testkit/src/users/backend/exchange.rs
+++ b/crates/testkit/src/users/backend/exchange.rs
@@ -370,10 +370,10 @@
 async fn call_other(entry: Option<SocketAddr>, target: &str, id: &str) {
     let Some(entry) = entry else { return };
     let (host, path) = target.split_once('/').unwrap_or((target, ""));
-    let id = format!("{id}-call");
+    let id = format!("{id}.call");
     let headers = [
         ("x-dfw-attempt-id", id.as_str()),
-        ("x-dfw-deadline-ms", "1000"),
+        ("x-dfw-deadline-ms", "10000"),
     ];
     let path = format!("/{path}");
     // What became of it is in the record of whoever ran it.
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -32,14 +32,32 @@
     pub queue_len: u32,
 }
 
+/// Which requests of a class go first.
+///
+/// Load made for: requests of one service that call another one while both are busy. Harm prevented: the
+/// call waits among callers' requests, and meanwhile the request that made it holds a slot of its own
+/// service for nothing, so that service loses up to half of its capacity; if the call is refused, what
+/// its request has done is lost as well. Calls are short beside callers' requests, which therefore
+/// hardly notice them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// A call that a running request waits for.
+    Call,
+    /// A caller's request.
+    Caller {
+        /// 0 first.
+        rank: u8,
+    },
+}
+
 /// What a request asks of a gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
     /// Which queue it waits in.
     pub class: Class,
-    /// Its rank among the requests of that queue, 0 first.
-    pub rank: u8,
-    /// Until when its answer is worth most; among those of its rank the earliest goes first.
+    /// How urgent it is among the requests of that queue.
+    pub urgency: Urgency,
+    /// Until when its answer is worth most; among those as urgent the earliest goes first.
     pub due_us: u64,
     /// How long it will hold its slot, if that is known; else it is taken for average.
     pub held_us: Option<u64>,
@@ -54,7 +72,9 @@
     pub fn new(class: Class, deadline_us: u64) -> Self {
         Self {
             class,
-            rank: PRIORITY_DEFAULT,
+            urgency: Urgency::Caller {
+                rank: PRIORITY_DEFAULT,
+            },
             due_us: deadline_us,
             held_us: None,
             deadline_us,
@@ -64,7 +84,7 @@
 
     fn place(&self) -> Place {
         Place {
-            rank: self.rank,
+            urgency: self.urgency,
             due_us: self.due_us,
         }
     }
@@ -145,7 +165,7 @@
     waiting: SlotMap<Ticket, Waiter<W>>,
     interactive: Lane,
     bulk: Lane,
-    /// Interactive requests let in since the last bulk one.
+    /// Interactive requests of callers let in since the last bulk one.
     streak: u32,
     /// Waiting requests that were refused and have not been told yet.
     refused: VecDeque<(W, Refusal)>,
@@ -230,9 +250,9 @@
     /// slot for an answer that nobody reads; and of a queue that stays, every part beyond what
     /// keeps the slots busy only makes answers late, so it is cut at each request's patience.
     ///
-    /// Among requests of a rank the one goes first whose answer is due first. Load made for: short calls
-    /// that running requests make, beside long requests that have just come. Harm prevented: a call waits
-    /// behind requests that have ten times as long, is refused, and the work of its whole request is lost.
+    /// Among requests that are as urgent the one goes first whose answer is due first. Load made for: short
+    /// and long requests of one rank. Harm prevented: those that have little time wait behind those that
+    /// have ten times as long.
     pub fn admit(&mut self, now_us: u64, ask: &Ask, wake: impl FnOnce() -> W) -> Admitted {
         if self.closed || self.limits.slots == 0 {
             return Admitted::Refused(self.refusal(Cause::Closed, ask));
@@ -241,7 +261,7 @@
         self.lane_mut(class).last_asked_us = Some(now_us);
         // Whoever waits while a slot is free may not take it (the reserve), so nobody is overtaken.
         if self.lane(class).is_empty() && self.may_take(now_us, class) {
-            self.take(now_us, class);
+            self.take(now_us, ask);
             return Admitted::Slot;
         }
         if let Some(cause) = self.hopeless(now_us, ask) {
@@ -357,7 +377,7 @@
             let refusal = self.refusal(Cause::TooLate, &waiter.ask);
             return Some((waiter.wake, Turn::Refused(refusal)));
         }
-        self.take(now_us, class);
+        self.take(now_us, &waiter.ask);
         Some((waiter.wake, Turn::Slot))
     }
 
@@ -423,12 +443,13 @@
         }
     }
 
-    fn take(&mut self, now_us: u64, class: Class) {
+    fn take(&mut self, now_us: u64, ask: &Ask) {
         self.since_sum_us += now_us;
-        self.lane_mut(class).in_use += 1;
-        self.streak = match class {
-            Class::Interactive => self.streak.saturating_add(1),
-            Class::Bulk => 0,
+        self.lane_mut(ask.class).in_use += 1;
+        self.streak = match (ask.class, ask.urgency) {
+            (Class::Interactive, Urgency::Call) => self.streak,
+            (Class::Interactive, Urgency::Caller { .. }) => self.streak.saturating_add(1),
+            (Class::Bulk, _) => 0,
         };
     }
 
@@ -452,7 +473,7 @@
 
     fn next_class(&self, now_us: u64) -> Option<Class> {
         let ready = |class| !self.lane(class).is_empty() && self.may_take(now_us, class);
-        let bulk_turn = self.streak >= INTERACTIVE_STREAK;
+        let bulk_turn = self.streak >= INTERACTIVE_STREAK && !self.interactive.call_is_next();
         match (ready(Class::Interactive), ready(Class::Bulk)) {
             (true, true) if bulk_turn => Some(Class::Bulk),
             (true, _) => Some(Class::Interactive),
--- a/src/decide/admission/lane.rs
+++ b/src/decide/admission/lane.rs
@@ -1,8 +1,9 @@
-//! One class of work at a gate: what of it runs, and what waits, by rank and by when it is due.
+//! One class of work at a gate: what of it runs, and what waits, by urgency and by when it is due.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
-use super::Ticket;
+use super::{Ticket, Urgency};
 use crate::decide::held::Mean;
 
 /// Requests of more urgent ranks let in before a waiting one of a lower rank has its turn. Load made
@@ -11,11 +12,16 @@
 /// eight keeps them alive and costs the urgent ones little.
 const URGENT_STREAK: u32 = 7;
 
+/// Calls let in before a waiting caller's request has its turn. Load made for: calls that come faster than
+/// the slots turn over. Harm prevented: callers' requests to the called service are never served. Reason for
+/// the limit: calls are short beside what callers ask for, and the request behind each holds a slot.
+const CALLS_STREAK: u32 = 15;
+
 /// Where a request stands in its queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Place {
-    pub(super) rank: u8,
-    /// Until when its answer is worth most; among those of a rank the earliest goes first.
+    pub(super) urgency: Urgency,
+    /// Until when its answer is worth most; among those as urgent the earliest goes first.
     pub(super) due_us: u64,
 }
 
@@ -76,18 +82,20 @@
     held_us: Option<u64>,
 }
 
-/// Waiting requests of one rank, by when they are due.
-type Rank = BTreeMap<Order, Entry>;
+/// Waiting requests that are as urgent as each other, by when they are due.
+type Equals = BTreeMap<Order, Entry>;
 
 /// One class of work.
 #[derive(Debug, Default)]
 pub(super) struct Lane {
-    /// The most urgent rank first; none of them is empty.
-    ranks: BTreeMap<u8, Rank>,
-    waiting: u32,
+    /// The most urgent first; none of them is empty.
+    waiting: BTreeMap<Urgency, Equals>,
+    count: u32,
     arrivals: u64,
     /// More urgent requests let in since the last one that was not the most urgent waiting.
     streak: u32,
+    /// Calls let in since the last request of a caller.
+    calls_streak: u32,
     pub(super) in_use: u32,
     /// Time that a request holds its slot.
     pub(super) held: Mean,
@@ -96,89 +104,116 @@
 
 impl Lane {
     pub(super) fn waiting(&self) -> u32 {
-        self.waiting
+        self.count
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.waiting == 0
+        self.count == 0
     }
 
     /// All that wait.
     pub(super) fn queued(&self) -> Queued {
-        sum(self.ranks.values().flat_map(BTreeMap::values))
+        sum(self.waiting.values().flat_map(BTreeMap::values))
+    }
+
+    /// Whether a call has the next turn.
+    pub(super) fn call_is_next(&self) -> bool {
+        self.turn() == Some(Urgency::Call)
     }
 
     /// Waiting requests that go before a new one at `place`.
     pub(super) fn ahead(&self, place: Place) -> Queued {
-        let earlier = |(rank, waiting): (&u8, &Rank)| {
-            let until_us = match *rank == place.rank {
+        let earlier = |(urgency, equals): (&Urgency, &Equals)| {
+            let until_us = match *urgency == place.urgency {
                 true => place.due_us,
                 false => u64::MAX,
             };
-            let before = waiting.range(..=(until_us, u64::MAX));
+            let before = equals.range(..=(until_us, u64::MAX));
             sum(before.map(|(_, entry)| entry))
         };
-        let urgent = self.ranks.range(..=place.rank).map(earlier);
+        let urgent = self.waiting.range(..=place.urgency).map(earlier);
         let urgent = urgent.fold(Queued::default(), Queued::and);
-        let less_urgent = self.ranks.range(place.rank.saturating_add(1)..);
-        let others = sum(less_urgent.flat_map(|(_, waiting)| waiting.values()));
-        urgent.and(others.at_most(urgent.count / URGENT_STREAK))
+        let less_urgent = (Bound::Excluded(place.urgency), Bound::Unbounded);
+        let less_urgent = self.waiting.range(less_urgent);
+        let others = sum(less_urgent.flat_map(|(_, equals)| equals.values()));
+        let streak = match place.urgency {
+            Urgency::Call => CALLS_STREAK,
+            Urgency::Caller { .. } => URGENT_STREAK,
+        };
+        urgent.and(others.at_most(urgent.count / streak))
     }
 
     /// Puts a request into its place; returns the number of its arrival.
     pub(super) fn push(&mut self, place: Place, ticket: Ticket, held_us: Option<u64>) -> u64 {
         self.arrivals += 1;
-        let rank = self.ranks.entry(place.rank).or_default();
-        rank.insert((place.due_us, self.arrivals), Entry { ticket, held_us });
-        self.waiting += 1;
+        let equals = self.waiting.entry(place.urgency).or_default();
+        equals.insert((place.due_us, self.arrivals), Entry { ticket, held_us });
+        self.count += 1;
         self.arrivals
     }
 
     /// The request whose turn it is among those of this class.
     pub(super) fn pop(&mut self) -> Option<Ticket> {
-        let mut ranks = self.ranks.keys();
-        let first = *ranks.next()?;
-        let last = *ranks.next_back().unwrap_or(&first);
-        let turn = match self.streak >= URGENT_STREAK {
-            true => last,
-            false => first,
-        };
-        self.streak = match turn == last {
-            true => 0,
-            false => self.streak + 1,
-        };
-        let taken = self.ranks.get_mut(&turn)?.pop_first();
+        let turn = self.turn()?;
+        match turn {
+            Urgency::Call => self.calls_streak += 1,
+            Urgency::Caller { .. } => {
+                self.calls_streak = 0;
+                self.streak = match self.least_urgent() == Some(turn) {
+                    true => 0,
+                    false => self.streak + 1,
+                };
+            }
+        }
+        let taken = self.waiting.get_mut(&turn)?.pop_first();
         self.forget(turn);
         taken.map(|(_, entry)| entry.ticket)
     }
 
+    /// Which of the waiting have the next turn.
+    fn turn(&self) -> Option<Urgency> {
+        let callers = Urgency::Caller { rank: 0 }..;
+        let first_caller = self.waiting.range(callers).next();
+        let calls_wait = self.waiting.contains_key(&Urgency::Call);
+        match first_caller {
+            None => calls_wait.then_some(Urgency::Call),
+            Some(_) if calls_wait && self.calls_streak < CALLS_STREAK => Some(Urgency::Call),
+            Some(_) if self.streak >= URGENT_STREAK => self.least_urgent(),
+            Some((first, _)) => Some(*first),
+        }
+    }
+
+    fn least_urgent(&self) -> Option<Urgency> {
+        self.waiting.keys().next_back().copied()
+    }
+
     /// Of the least urgent the one that is due last.
     pub(super) fn pop_last(&mut self) -> Option<Ticket> {
-        let last = *self.ranks.keys().next_back()?;
-        let taken = self.ranks.get_mut(&last)?.pop_last();
+        let last = self.least_urgent()?;
+        let taken = self.waiting.get_mut(&last)?.pop_last();
         self.forget(last);
         taken.map(|(_, entry)| entry.ticket)
     }
 
     pub(super) fn remove(&mut self, place: Place, arrival: u64) {
-        if let Some(rank) = self.ranks.get_mut(&place.rank) {
-            rank.remove(&(place.due_us, arrival));
+        if let Some(equals) = self.waiting.get_mut(&place.urgency) {
+            equals.remove(&(place.due_us, arrival));
         }
-        self.forget(place.rank);
+        self.forget(place.urgency);
     }
 
     pub(super) fn clear(&mut self) {
-        self.ranks.clear();
-        self.waiting = 0;
+        self.waiting.clear();
+        self.count = 0;
     }
 
-    /// Counts anew after one was taken from a rank.
-    fn forget(&mut self, rank: u8) {
-        if self.ranks.get(&rank).is_some_and(BTreeMap::is_empty) {
-            self.ranks.remove(&rank);
+    /// Counts anew after one was taken.
+    fn forget(&mut self, urgency: Urgency) {
+        if self.waiting.get(&urgency).is_some_and(BTreeMap::is_empty) {
+            self.waiting.remove(&urgency);
         }
-        let waiting = self.ranks.values().map(BTreeMap::len).sum::<usize>();
-        self.waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let count = self.waiting.values().map(BTreeMap::len).sum::<usize>();
+        self.count = u32::try_from(count).unwrap_or(u32::MAX);
     }
 }
 
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -11,20 +11,24 @@
 /// requests come, and leaves the work itself two thirds.
 const PATIENCE_DIVISOR: u32 = 3;
 
-/// Shortest patience. Load made for: short calls that a running request makes. Harm prevented: a
-/// call that is refused wastes the request that made it, and what that has done so far. Reason for the
-/// figure: several turns of a slot of the longest of such work; the request that called has more
-/// time than that.
-const PATIENCE_LEAST: Duration = Duration::from_millis(60);
-
-/// How long a request of this treatment waits for a slot, where the team has said how soon it wants
-/// the answer; without that, as long as the deadline allows.
-pub fn of(treatment: &Treatment) -> Duration {
+/// How long a caller's request of this treatment waits for a slot, where the team has said how soon it
+/// wants the answer; without that, as long as the deadline allows.
+pub fn of_caller(treatment: &Treatment) -> Duration {
     match treatment.target_latency_ms {
-        None => Duration::from_millis(u64::from(treatment.timeout_ms)),
-        Some(target_ms) => {
-            let target = Duration::from_millis(u64::from(target_ms));
-            (target / PATIENCE_DIVISOR).max(PATIENCE_LEAST)
-        }
+        None => whole(treatment),
+        Some(target_ms) => Duration::from_millis(u64::from(target_ms)) / PATIENCE_DIVISOR,
     }
 }
+
+/// How long a call of a running request waits.
+///
+/// Load made for: a called service that is full. Harm prevented: a call that is refused wastes what the
+/// request behind it has done so far. It goes before callers' requests, so it waits for little more
+/// than a slot to be given back, and its own deadline is the only limit that helps anybody.
+pub fn of_call(treatment: &Treatment) -> Duration {
+    whole(treatment)
+}
+
+fn whole(treatment: &Treatment) -> Duration {
+    Duration::from_millis(u64::from(treatment.timeout_ms))
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,9 +10,9 @@
     request_id: HeaderName::from_static("x-dfw-attempt-id"),
     deadline_ms: HeaderName::from_static("x-dfw-deadline-ms"),
     callers_say_deadline: true,
-    // Calls of a backend server are requests like any other, with nothing of the one that led to
-    // them.
+    // Calls of a backend server bear no token, but their ids tell which request led to them.
     call: None,
+    calls_extend_ids: true,
     // The service of the VM where the request began, not of the caller.
     caller_service: Some(HeaderName::from_static("x-dfw-caller")),
     expected_instance: Some(HeaderName::from_static("x-dfw-expected-instance")),
--- a/src/proxy/calls.rs
+++ b/src/proxy/calls.rs
@@ -5,7 +5,12 @@
 //! makes meanwhile through its own node. Deadline, depth and retries left come from the record
 //! that the token names, never from a header that a caller could write; the token is looked up
 //! together with a random secret, so it cannot be guessed either.
+//!
+//! Backend servers of the users' platform copy no token, but the id of a call begins with the id of the
+//! running request. That counts only while the request runs on the backend server beside this node,
+//! and ids are random, so a caller can pass for nobody's call but its own request's.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -28,10 +33,17 @@
     given_up: CancellationToken,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    running: SlotMap<CallKey, Call>,
+    /// Those whose calls are known by their ids.
+    by_id: HashMap<Box<str>, CallKey>,
+}
+
 /// All calls that the local backend server is running.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Calls {
-    calls: Arc<Mutex<SlotMap<CallKey, Call>>>,
+    state: Arc<Mutex<State>>,
 }
 
 /// What a call inherits from the call that led to it.
@@ -65,19 +77,20 @@
         let Some((calls, key)) = self.of.take() else {
             return;
         };
-        if let Some(call) = calls.lock().get_mut(key) {
+        if let Some(call) = calls.lock().running.get_mut(key) {
             call.retries += self.retries;
         }
     }
 }
 
 impl Calls {
-    fn lock(&self) -> MutexGuard<'_, SlotMap<CallKey, Call>> {
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes a call that the backend server is about to run.
-    pub(crate) fn begin(&self, hop: &Hop) -> Running {
+    /// Notes a call that the backend server is about to run; `id` is the one that its own calls will
+    /// begin with, if they do.
+    pub(crate) fn begin(&self, hop: &Hop, id: Option<&str>) -> Running {
         let secret = rand::random();
         let call = Call {
             secret,
@@ -86,10 +99,16 @@
             retries: hop.retries,
             given_up: CancellationToken::new(),
         };
-        let key = self.lock().insert(call);
+        let mut state = self.lock();
+        let key = state.running.insert(call);
+        let id: Option<Box<str>> = id.map(Into::into);
+        if let Some(id) = id.clone() {
+            state.by_id.insert(id, key);
+        }
         Running {
             calls: self.clone(),
             key,
+            id,
             secret,
             answered: false,
         }
@@ -101,9 +120,21 @@
         let key = u64::from_str_radix(key, 16).ok()?;
         let secret = u128::from_str_radix(secret, 16).ok()?;
         let key = CallKey::from(KeyData::from_ffi(key));
-        let mut calls = self.lock();
-        let call = calls.get_mut(key).filter(|call| call.secret == secret)?;
-        Some(Inherited {
+        let mut state = self.lock();
+        let call = state.running.get_mut(key)?;
+        (call.secret == secret).then(|| self.inherited(key, call))
+    }
+
+    /// What a call inherits that the running request `id` has made; none if no such request runs.
+    pub(crate) fn inherit_by_id(&self, id: &str) -> Option<Inherited> {
+        let mut state = self.lock();
+        let key = *state.by_id.get(id)?;
+        let call = state.running.get_mut(key)?;
+        Some(self.inherited(key, call))
+    }
+
+    fn inherited(&self, key: CallKey, call: &mut Call) -> Inherited {
+        Inherited {
             deadline: call.deadline,
             depth: call.depth + 1,
             given_up: call.given_up.clone(),
@@ -111,7 +142,7 @@
                 of: Some((self.clone(), key)),
                 retries: std::mem::take(&mut call.retries),
             },
-        })
+        }
     }
 }
 
@@ -120,6 +151,7 @@
 pub(crate) struct Running {
     calls: Calls,
     key: CallKey,
+    id: Option<Box<str>>,
     secret: u128,
     answered: bool,
 }
@@ -133,15 +165,23 @@
     /// The backend server answered: takes the retries that were not spent.
     pub(crate) fn answered(&mut self) -> u32 {
         self.answered = true;
-        let mut calls = self.calls.lock();
-        let call = calls.get_mut(self.key);
+        let mut state = self.calls.lock();
+        let call = state.running.get_mut(self.key);
         call.map_or(0, |call| std::mem::take(&mut call.retries))
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let call = self.calls.lock().remove(self.key);
+        let mut state = self.calls.lock();
+        if let Some(id) = &self.id {
+            // The same request may run here again by now.
+            if state.by_id.get(id) == Some(&self.key) {
+                state.by_id.remove(id);
+            }
+        }
+        let call = state.running.remove(self.key);
+        drop(state);
         if let Some(call) = call.filter(|_| !self.answered) {
             call.given_up.cancel();
         }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -13,7 +13,7 @@
 use self::call::Call;
 use super::answer::{Failure, Reason};
 use super::body::Body;
-use super::calls::RetryBudget;
+use super::calls::{Inherited, RetryBudget};
 use super::headers;
 use super::replay::Replay;
 use crate::core::routing::{Branch, Route};
@@ -102,18 +102,20 @@
 
 impl Origin {
     fn of(node: &NodeState, parts: &Parts) -> Self {
-        let vocabulary = node.vocabulary;
-        let name = vocabulary.call.as_ref();
-        let token = name.and_then(|name| headers::text(&parts.headers, name));
-        match token.and_then(|token| node.calls.inherit(token)) {
+        let deadline = node.vocabulary.deadline(&parts.headers);
+        match inherited(node, parts) {
             Some(inherited) => Self {
-                deadline: Some(inherited.deadline),
+                deadline: Some(
+                    inherited
+                        .deadline
+                        .min(deadline.unwrap_or(inherited.deadline)),
+                ),
                 depth: inherited.depth,
                 given_up: inherited.given_up,
                 budget: inherited.budget,
             },
             None => Self {
-                deadline: vocabulary.deadline(&parts.headers),
+                deadline,
                 depth: 0,
                 given_up: CancellationToken::new(),
                 budget: RetryBudget::fresh(retry::RETRIES_PER_TREE),
@@ -122,6 +124,17 @@
     }
 }
 
+/// What the request has of one that the local backend server runs, if it is a call of that one.
+fn inherited(node: &NodeState, parts: &Parts) -> Option<Inherited> {
+    let vocabulary = node.vocabulary;
+    let name = vocabulary.call.as_ref();
+    if let Some(token) = name.and_then(|name| headers::text(&parts.headers, name)) {
+        return node.calls.inherit(token);
+    }
+    let id = parts.headers.get(&vocabulary.request_id)?;
+    node.calls.inherit_by_id(vocabulary.parent_of(id)?)
+}
+
 async fn run(
     node: &Arc<NodeState>,
     applied: &Applied,
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -60,7 +60,7 @@
                 let none = Failure::not_run(Reason::NoEndpoint);
                 return Err(last.unwrap_or(none).after(verdict));
             };
-            let waits = search.waits_at(endpoint.node);
+            let waits = self.is_call() || search.waits_at(endpoint.node);
             let hop = self.hop(attempts.passed_down(), waits);
             let failure = match self.attempt(endpoint, replay, hop).await {
                 Ok(response) => return Ok(response),
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether a request that is running elsewhere waits for the answer.
+    fn is_call(&self) -> bool {
+        self.depth > 0
+    }
+
     /// Until when an answer is worth most.
     fn due(&self) -> Instant {
         let target_ms = self.branch.treatment.target_latency_ms;
@@ -206,7 +211,8 @@
     fn hop(&self, retries: u32, waits: bool) -> Hop {
         let treatment = &self.branch.treatment;
         let patience = match waits {
-            true => patience::of(treatment),
+            true if self.is_call() => patience::of_call(treatment),
+            true => patience::of_caller(treatment),
             false => Duration::ZERO,
         };
         let now = Instant::now();
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -121,7 +121,9 @@
     // Another backend server may have taken the address while the request waited.
     let backend = serving(node, hop)?;
     log_admitted(node, hop, id, came, &backend);
-    let mut running = node.calls.begin(hop);
+    let own_id = id.filter(|_| node.vocabulary.calls_extend_ids);
+    let own_id = own_id.and_then(|id| id.to_str().ok());
+    let mut running = node.calls.begin(hop, own_id);
     prepare(node, &mut request, hop, &backend, &running);
     let exchange = node.pool.send(backend.address, request);
     let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -7,7 +7,7 @@
 use super::headers;
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
-use crate::decide::admission::Ask;
+use crate::decide::admission::{Ask, Urgency};
 use crate::util::clock;
 
 /// Part of the remaining time, at most [`MARGIN_MAX`], that a request does not spend in the queue:
@@ -109,7 +109,10 @@
         let us = |duration: Duration| u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 2);
         Ask {
             class: self.class,
-            rank: self.rank,
+            urgency: match self.depth {
+                0 => Urgency::Caller { rank: self.rank },
+                _ => Urgency::Call,
+            },
             due_us: us(self.due().saturating_duration_since(started)),
             held_us: None,
             deadline_us: us(self.queue_deadline().saturating_duration_since(started)),
--- a/src/proxy/vocabulary.rs
+++ b/src/proxy/vocabulary.rs
@@ -22,6 +22,9 @@
     pub(crate) callers_say_deadline: bool,
     /// To a backend server: names the running call, to be copied to the calls that it makes.
     pub(crate) call: Option<HeaderName>,
+    /// A backend server's call has an id of its own that begins with that of the running request and
+    /// [`CALL_ID_SEPARATOR`].
+    pub(crate) calls_extend_ids: bool,
     /// To a backend server: the service on whose VM the request began.
     pub(crate) caller_service: Option<HeaderName>,
     /// To a backend server: the only instance that may run the request.
@@ -37,12 +40,16 @@
     pub(crate) retry_after_has_fractions: bool,
 }
 
+/// Parts the id of a call from that of the request that led to it.
+pub(crate) const CALL_ID_SEPARATOR: char = '.';
+
 /// The product's own names.
 pub(crate) static OWN: Vocabulary = Vocabulary {
     request_id: headers::REQUEST_ID,
     deadline_ms: headers::DEADLINE_MS,
     callers_say_deadline: false,
     call: Some(headers::CALL),
+    calls_extend_ids: false,
     caller_service: None,
     expected_instance: None,
     not_run: None,
@@ -60,6 +67,13 @@
         }
     }
 
+    /// The id of the request that led to the one with this id, if it is a call's.
+    pub(crate) fn parent_of<'a>(&self, id: &'a HeaderValue) -> Option<&'a str> {
+        let text = id.to_str().ok().filter(|_| self.calls_extend_ids)?;
+        text.rsplit_once(CALL_ID_SEPARATOR)
+            .map(|(parent, _)| parent)
+    }
+
     /// Until when a caller waits, if it says so.
     pub(crate) fn deadline(&self, from: &HeaderMap) -> Option<Instant> {
         if !self.callers_say_deadline {
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -5,7 +5,7 @@
 use dragonflywall::core::configuration::Class;
 use dragonflywall::core::names::ResourceName;
 use dragonflywall::decide::admission::{
-    Admission, Admitted, Ask, Cause, Limits, Released, Ticket, Turn,
+    Admission, Admitted, Ask, Cause, Limits, Released, Ticket, Turn, Urgency,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -43,6 +43,59 @@
     }
 }
 
+/// Two services are busy, and one calls the other. The call goes before callers' requests of any rank
+/// that came earlier: a slot of its own service is held for it meanwhile. Among calls the first due goes
+/// first.
+#[test]
+fn calls_of_running_requests_go_first() {
+    let mut admission = admission(1, 20);
+    let urgent = Ask {
+        urgency: Urgency::Caller { rank: 0 },
+        ..Ask::new(Class::Interactive, LATE)
+    };
+    let call = |due_us| Ask {
+        urgency: Urgency::Call,
+        due_us,
+        ..Ask::new(Class::Interactive, LATE)
+    };
+    assert_eq!(admission.admit(0, &urgent, || 0), Admitted::Slot);
+    admission.admit(1, &urgent, || 1);
+    admission.admit(2, &Ask::new(Class::Bulk, LATE), || 2);
+    admission.admit(3, &call(500), || 3);
+    admission.admit(4, &call(400), || 4);
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        release(&mut admission, Class::Interactive, 10);
+        order.extend(granted(&mut admission, 10));
+    }
+    assert_eq!(order, [4, 3, 1, 2]);
+}
+
+/// Calls come faster than the slots turn over. Callers' requests to the called service still have every
+/// sixteenth turn.
+#[test]
+fn endless_calls_do_not_starve_callers() {
+    let mut admission = admission(1, 100);
+    let call = Ask {
+        urgency: Urgency::Call,
+        ..Ask::new(Class::Interactive, LATE)
+    };
+    assert_eq!(admission.admit(0, &call, || 0), Admitted::Slot);
+    admission.admit(1, &Ask::new(Class::Interactive, LATE), || 1_000);
+    for id in 1..=40 {
+        admission.admit(1, &call, || id);
+    }
+    let mut turns = 0;
+    loop {
+        turns += 1;
+        release(&mut admission, Class::Interactive, 10);
+        if granted(&mut admission, 10) == [1_000] {
+            break;
+        }
+    }
+    assert_eq!(turns, 16);
+}
+
 /// Dealers' short reads arrive while uploads hold every slot that bulk work may have. The reserve
 /// lets them in at once; without it they would wait for the end of an upload.
 #[test]
@@ -146,7 +199,7 @@
 fn urgent_ranks_go_first_and_leave_a_turn_to_the_others() {
     let mut admission = admission(1, 40);
     let ranked = |rank| Ask {
-        rank,
+        urgency: Urgency::Caller { rank },
         ..Ask::new(Class::Interactive, LATE)
     };
     admission.admit(0, &ranked(2), || 0);
@@ -218,7 +271,10 @@
     assert_eq!(refused.len(), 39);
     assert!(refused.iter().all(|cause| *cause == Cause::TooLong));
     // An urgent request passes them all.
-    let urgent = Ask { rank: 0, ..patient };
+    let urgent = Ask {
+        urgency: Urgency::Caller { rank: 0 },
+        ..patient
+    };
     let urgent = admission.admit(0, &urgent, || 99);
     assert!(matches!(urgent, Admitted::Queued(_)), "{urgent:?}");
 }
@@ -378,7 +434,7 @@
         self.next_id += 1;
         let deadline_us = oracle.now_us + patience_us;
         let ask = Ask {
-            rank,
+            urgency: Urgency::Caller { rank },
             ..Ask::new(class, deadline_us)
         };
         match self.admission.admit(oracle.now_us, &ask, || id) {
--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -9,7 +9,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::support::{LIMIT, SERVICES, start_users_serving, users_runs};
+use crate::support::{
+    LIMIT, SERVICES, metrics, start_users_serving, users_routes, users_runs, write_routes,
+};
 
 /// One VM of each service.
 fn small() -> Plan {
@@ -328,12 +330,80 @@
     let path = "/book/1?call=mesh.example/stock/7";
     let reply = ask(&mesh, &Asked::post(path, "chain")).await;
     assert_own_answer(&reply, "chain", 64);
-    let called = users_runs(&mesh, "chain-call");
+    let called = users_runs(&mesh, "chain.call");
     assert_eq!(called.len(), 1);
-    let run = mesh.vms[called[0]].backend().record().runs["chain-call"][0].clone();
+    let run = mesh.vms[called[0]].backend().record().runs["chain.call"][0].clone();
     assert_eq!(run.caller, SERVICES[1]);
 }
 
+/// The only slot of the stock ledger is taken, and keepers' look-ups wait for it. A booking that runs at
+/// the other service looks up a stock itself. It holds a slot meanwhile, so its call goes before the
+/// keepers who came earlier.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_of_a_running_request_goes_before_waiting_callers() {
+    let mut plan = small();
+    plan.behaviour = Behaviour {
+        slots: 1,
+        ..Behaviour::default()
+    };
+    let mesh = start_users_serving(plan).await;
+    let mut routes = users_routes();
+    for route in &mut routes {
+        route.timeout_ms = 60_000;
+        route.target_latency_ms = 30_000;
+    }
+    write_routes(&mesh, 2, &routes, &SERVICES);
+    mesh.wait_enforced(2).await;
+    let ledger = mesh.vms_of(SERVICES[0])[0];
+    let operator = mesh.vms[ledger].node().addresses.operator;
+    let waiting = async |count: u64| {
+        wait_until("requests wait", LIMIT, || async {
+            let text = metrics(operator).await;
+            let says = |line: String| text.lines().any(|known| known == line);
+            says("dragonflywall_gate_slots_in_use 1".to_owned())
+                && says(format!("dragonflywall_gate_waiting {count}"))
+        })
+        .await;
+    };
+    let read = |id: &'static str, path: &'static str| {
+        let mesh = &mesh;
+        let mut asked = Asked::get(path, id);
+        asked.deadline_ms = 60_000;
+        async move {
+            let reply = ask(mesh, &asked).await;
+            assert_own_answer(&reply, id, 64);
+        }
+    };
+    let others = async {
+        waiting(0).await;
+        tokio::join!(
+            read("keeper-1", "/stock/2"),
+            read("keeper-2", "/stock/3"),
+            async {
+                waiting(2).await;
+                let path = "/book/1?call=mesh.example/stock/7";
+                ask(&mesh, &Asked::post(path, "booking")).await
+            },
+        )
+    };
+    tokio::join!(read("long", "/stock/1?work_ms=1500"), others);
+    let begun = |id: &str| mesh.vms[ledger].backend().record().runs[id][0].began;
+    assert!(begun("booking.call") < begun("keeper-1"));
+    assert!(begun("booking.call") < begun("keeper-2"));
+}
+
+/// A caller gives its request an id as if a running one had made it. Nobody runs such a request, so it is
+/// a caller's like any other, and has its whole own deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_that_extends_no_running_request_is_a_callers() {
+    let mesh = start_users_serving(small()).await;
+    let reply = ask(&mesh, &Asked::get("/stock/1", "nobody.call")).await;
+    assert_own_answer(&reply, "nobody.call", 64);
+    let ran = users_runs(&mesh, "nobody.call")[0];
+    let run = mesh.vms[ran].backend().record().runs["nobody.call"][0].clone();
+    assert!(run.deadline_ms > Some(4_000), "{run:?}");
+}
+
 /// A failure of the backend server's own is passed on as it is, with its seal.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_backend_servers_own_failure_is_passed_on() {
