Keep in a node's row what its backend server last said

Change: the row by which a node is found holds the last announcement of its backend server while that takes work; the next process takes it up, unless something was heard since. A row that is out of date does no harm: each request names the instance it is for, and the next announcement sets it right; a node that has acknowledged a leaving backend server writes its row without it. The first page of rows is read within as long a span as the own row took to read.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -85,6 +85,17 @@
         heard
     }
 
+    /// Whether nothing has been heard yet.
+    pub fn is_silent(&self) -> bool {
+        self.current.is_none() && self.left.is_empty()
+    }
+
+    /// What the backend server said last, if it takes work.
+    pub fn serving(&self) -> Option<&Announcement> {
+        let announcement = self.current.as_ref().map(|current| &current.announcement);
+        announcement.filter(|announcement| announcement.state == BackendState::Serving)
+    }
+
     fn leave(&mut self, start: Start) -> Heard {
         let current = self.current.as_ref();
         // One that leaves need not say when it started.
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -78,6 +78,18 @@
         Noted::Yes
     }
 
+    /// Takes up what the process before this one has heard last, unless something was heard since.
+    pub(crate) fn recall(self: &Arc<Self>, announcement: &Announcement) {
+        let own = self.settings.backend_server.as_ref();
+        let same = own.is_some_and(|own| {
+            own.service == announcement.service && own.address == announcement.address
+        });
+        if same && self.announcements().is_silent() {
+            log::info!(instance:? = announcement.instance; "took up the backend server known before");
+            self.hear(announcement);
+        }
+    }
+
     fn take_backend(&self, announcement: &Announcement) {
         let state = announcement.state;
         let backend = LocalBackend::from(announcement);
@@ -95,6 +107,7 @@
             "backend server announced itself"
         );
         self.tell_membership(MembershipMsg::SetBackend(Some(service), state));
+        self.backend_news.notify_one();
     }
 
     /// Another instance has answered in `backend`'s place: it gets nothing until something
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -4,10 +4,10 @@
 //! through its peers, and one that cannot read the list uses `--peer-seeds`.
 //!
 //! Load made for: 520 nodes that start at once, against a table of several hundred writes and two
-//! thousand reads a second. Each node reads one page, at a random moment of [`FIRST_READ_SPREAD`],
-//! and writes its own row at a random moment of a span that grows with the number of rows it
-//! found: 520 writes take about two seconds. Each reads the rows behind its own key, so that no
-//! few nodes are everybody's seeds.
+//! thousand reads a second. Each node reads its own row, then one page at a random moment of a span that
+//! grows with the time that the first read took, and writes its own row at a random moment of a span
+//! that grows with the number of rows it found: 520 writes take about two seconds. Each reads the rows
+//! behind its own key, so that no few nodes are everybody's seeds.
 //!
 //! Harm prevented: half of the nodes reach the table across the billed link, where a page costs
 //! more than many publications. So pages are short, rows are renewed seldom, and only the watchers
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ractor::ActorRef;
 use rand::RngExt;
@@ -49,9 +49,11 @@
 const PAGE_ROWS: u32 = 16;
 /// And while the node has found nobody, since those may all be of VMs that are gone.
 const LONG_PAGE_ROWS: u32 = 128;
-/// Span of the first reads of a herd: 520 in it, and as many
-/// first looks at the head, are half of the table's ceiling.
-const FIRST_READ_SPREAD: Duration = Duration::from_millis(1_000);
+/// The first page is read within as long a span as the read of the own row took: a store that answers at
+/// once has room for more, and one that a herd of 520 asks at the same moment makes it wait. This is the
+/// longest such span, and that of a node whose first read failed: 520 reads in it, and as many first looks
+/// at the head, are half of the table's ceiling.
+const FIRST_READ_SPREAD_MAX: Duration = Duration::from_millis(1_000);
 /// Span of the writes of a herd per row found. A full page means a large mesh.
 const WRITE_SPREAD_PER_ROW: Duration = Duration::from_millis(120);
 
@@ -62,58 +64,147 @@
     membership: ActorRef<MembershipMsg>,
     stop: CancellationToken,
 ) {
-    stop.run_until_cancelled(keep(&node, &me, &platform, &membership))
-        .await;
+    let registration = Registration {
+        node,
+        me,
+        platform,
+        membership,
+    };
+    stop.run_until_cancelled(registration.keep()).await;
 }
 
-async fn keep(
-    node: &NodeState,
-    me: &Member,
-    platform: &NodeStore,
-    membership: &ActorRef<MembershipMsg>,
-) {
-    sleep_within(FIRST_READ_SPREAD).await;
-    let mut failures = 0;
-    let mut page_rows = PAGE_ROWS;
-    loop {
-        let found = bootstrap(platform, me, page_rows, membership).await;
-        let rows = found.as_ref().map_or(PAGE_ROWS, |rows| *rows);
-        sleep_within(WRITE_SPREAD_PER_ROW * rows.min(PAGE_ROWS)).await;
-        let done = register(platform, me).await;
-        let alone = node.view.load().alive() < 2;
-        if done.is_ok() && found.is_ok() && !alone {
-            break;
+struct Registration {
+    node: Arc<NodeState>,
+    me: Member,
+    platform: NodeStore,
+    membership: ActorRef<MembershipMsg>,
+}
+
+impl Registration {
+    /// Reads the own row and takes up the backend server that the process before this one knew.
+    ///
+    /// Load made for: all nodes lose power at once and start again beside backend servers that have gone
+    /// on, and announce themselves only some seconds apart. Harm prevented: until then no service is
+    /// known to be served anywhere, and all that callers ask is refused. A row that is out of date
+    /// does no harm: each request names the instance that it is meant for, any other turns it away,
+    /// and the next announcement sets it right.
+    async fn recall(&self) -> Result<()> {
+        let Some(row) = self.platform.row(&node_key(self.me.node)).await? else {
+            return Ok(());
+        };
+        match serde_json::from_str::<NodeRow>(&row.value) {
+            Ok(row) => {
+                if let Some(announcement) = row.backend {
+                    self.node.recall(&announcement);
+                }
+            }
+            Err(error) => log::warn!(error:%; "the own row cannot be read"),
         }
-        page_rows = if alone { LONG_PAGE_ROWS } else { PAGE_ROWS };
-        sleep_about(Duration::from_millis(RETRY.pause_ms(failures))).await;
-        failures += 1;
+        Ok(())
     }
-    for pause in FURTHER_READS {
-        sleep_about(pause).await;
-        read_as_watcher(node, me, platform, membership).await;
+
+    async fn keep(&self) {
+        self.join().await;
+        tokio::join!(self.read_further(), self.keep_row());
     }
-    loop {
-        sleep_about(RENEWAL).await;
-        read_as_watcher(node, me, platform, membership).await;
-        while register(platform, me).await.is_err() {
-            sleep_about(Duration::from_millis(RETRY_LONGEST_MS)).await;
+
+    /// Reads and writes until the node is registered and has found somebody.
+    async fn join(&self) {
+        let began = Instant::now();
+        let spread = match self.recall().await {
+            Ok(()) => began.elapsed().min(FIRST_READ_SPREAD_MAX),
+            Err(error) => {
+                log::info!(error:%; "the own row was not read");
+                FIRST_READ_SPREAD_MAX
+            }
+        };
+        sleep_within(spread).await;
+        let mut failures = 0;
+        let mut page_rows = PAGE_ROWS;
+        loop {
+            let found = self.bootstrap(page_rows).await;
+            let rows = found.as_ref().map_or(PAGE_ROWS, |rows| *rows);
+            sleep_within(WRITE_SPREAD_PER_ROW * rows.min(PAGE_ROWS)).await;
+            let done = self.register().await;
+            let alone = self.is_alone();
+            if done.is_ok() && found.is_ok() && !alone {
+                return;
+            }
+            page_rows = if alone { LONG_PAGE_ROWS } else { PAGE_ROWS };
+            sleep_about(Duration::from_millis(RETRY.pause_ms(failures))).await;
+            failures += 1;
         }
     }
-}
 
-async fn read_as_watcher(
-    node: &NodeState,
-    me: &Member,
-    platform: &NodeStore,
-    membership: &ActorRef<MembershipMsg>,
-) {
-    let view = node.view.load_full();
-    let watchers = neighbours::watchers(me, view.members.iter());
-    let alone = view.alive() < 2;
-    if alone || watchers.contains(&me.node) {
-        let rows = if alone { LONG_PAGE_ROWS } else { PAGE_ROWS };
-        // A failure is made up for with the next read.
-        let _ = bootstrap(platform, me, rows, membership).await;
+    async fn read_further(&self) {
+        for pause in FURTHER_READS {
+            sleep_about(pause).await;
+            self.read_as_watcher().await;
+        }
+        loop {
+            sleep_about(RENEWAL).await;
+            self.read_as_watcher().await;
+        }
+    }
+
+    /// Writes the row again now and then, and when it no longer says what is beside the node.
+    async fn keep_row(&self) {
+        loop {
+            tokio::select! {
+                () = sleep_about(RENEWAL) => (),
+                () = self.node.backend_news.notified() => (),
+            }
+            let mut failures = 0;
+            while let Err(error) = self.register().await {
+                log::debug!(error:%; "the own row was not written");
+                sleep_about(Duration::from_millis(RETRY.pause_ms(failures))).await;
+                failures += 1;
+            }
+        }
+    }
+
+    fn is_alone(&self) -> bool {
+        self.node.view.load().alive() < 2
+    }
+
+    async fn read_as_watcher(&self) {
+        let view = self.node.view.load_full();
+        let watchers = neighbours::watchers(&self.me, view.members.iter());
+        let alone = self.is_alone();
+        if alone || watchers.contains(&self.me.node) {
+            let rows = if alone { LONG_PAGE_ROWS } else { PAGE_ROWS };
+            // A failure is made up for with the next read.
+            let _ = self.bootstrap(rows).await;
+        }
+    }
+
+    async fn register(&self) -> Result<()> {
+        let row = NodeRow {
+            node: self.me.node,
+            external: self.me.external,
+            place: self.me.place.clone(),
+            renewed_ms: clock::wall_ms(),
+            backend: self.node.announcements().serving().cloned(),
+        };
+        let value = serde_json::to_string(&row).expect("rows always encode");
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            puts: [(node_key(self.me.node), value)].into(),
+        };
+        self.platform.transact(&transaction).await.map(drop)
+    }
+
+    /// Reads a page of registrations behind the own one, or the first page at the end of the list.
+    /// Returns how many rows there were.
+    async fn bootstrap(&self, page_rows: u32) -> Result<u32> {
+        let own_key = node_key(self.me.node);
+        let mut rows = self.platform.rows(NODE_PREFIX, &own_key, page_rows).await?;
+        if rows.len() < page_rows as usize / 2 {
+            rows.extend(self.platform.rows(NODE_PREFIX, "", page_rows).await?);
+        }
+        let seeds = seeds(&rows, &self.me);
+        let _ = self.membership.cast(MembershipMsg::Seeds(seeds));
+        Ok(u32::try_from(rows.len()).unwrap_or(u32::MAX))
     }
 }
 
@@ -129,39 +220,6 @@
     tokio::time::sleep(span.mul_f64(share)).await;
 }
 
-async fn register(platform: &NodeStore, me: &Member) -> Result<()> {
-    let row = NodeRow {
-        node: me.node,
-        external: me.external,
-        place: me.place.clone(),
-        renewed_ms: clock::wall_ms(),
-    };
-    let value = serde_json::to_string(&row).expect("rows always encode");
-    let transaction = Transaction {
-        conditions: Vec::new(),
-        puts: [(node_key(me.node), value)].into(),
-    };
-    platform.transact(&transaction).await.map(drop)
-}
-
-/// Reads a page of registrations behind the own one, or the first page at the end of the list.
-/// Returns how many rows there were.
-async fn bootstrap(
-    platform: &NodeStore,
-    me: &Member,
-    page_rows: u32,
-    membership: &ActorRef<MembershipMsg>,
-) -> Result<u32> {
-    let mut rows = platform
-        .rows(NODE_PREFIX, &node_key(me.node), page_rows)
-        .await?;
-    if rows.len() < page_rows as usize / 2 {
-        rows.extend(platform.rows(NODE_PREFIX, "", page_rows).await?);
-    }
-    let _ = membership.cast(MembershipMsg::Seeds(seeds(&rows, me)));
-    Ok(u32::try_from(rows.len()).unwrap_or(u32::MAX))
-}
-
 /// Addresses to greet, nearest first: an answer with the whole view need not cross the link.
 fn seeds(rows: &BTreeMap<String, Row>, me: &Member) -> Vec<SocketAddr> {
     let now_ms = clock::wall_ms();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ractor::ActorRef;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -92,6 +92,8 @@
     /// The backend server that may be sent requests, if one is known.
     pub(crate) backend: ArcSwapOption<LocalBackend>,
     announcements: Mutex<Announcements>,
+    /// The backend server has said something new.
+    pub(crate) backend_news: Notify,
     membership: OnceLock<ActorRef<MembershipMsg>>,
     /// The operator has drained the backend server; an announcement does not undo that.
     pub(crate) drained: AtomicBool,
@@ -147,6 +149,7 @@
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
             announcements: Mutex::default(),
+            backend_news: Notify::new(),
             membership: OnceLock::new(),
             drained: AtomicBool::new(false),
             pool: BackendPool::default(),
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -5,7 +5,7 @@
 //! | `head` | [`HeadRow`] | each publication, conditionally |
 //! | `version/N` | [`VersionRow`] | with the head, once; the audit trail |
 //! | `publish/ID` | [`PublishRow`] | with the head or when abandoned, once; settles lost answers |
-//! | `node/ADDRESS` | [`NodeRow`] | that node, seldom |
+//! | `node/ADDRESS` | [`NodeRow`] | that node, seldom, and when its backend server changes |
 
 use std::net::SocketAddr;
 
@@ -13,6 +13,7 @@
 
 use crate::core::member::{NodeId, Place};
 use crate::core::names::TeamName;
+use crate::core::status::Announcement;
 use crate::core::version::{Digest, Stamp, Version};
 
 /// Key of the head row.
@@ -100,7 +101,8 @@
     },
 }
 
-/// Where a node may be reached: a bootstrap hint, nothing more.
+/// Where a node may be reached, and what stands beside it: hints for its start and that of others, nothing
+/// more.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRow {
     /// Peer address inside its data centre.
@@ -111,4 +113,7 @@
     pub place: Place,
     /// Last renewal in milliseconds since the epoch.
     pub renewed_ms: u64,
+    /// The last word of the backend server beside it, if that announces itself and takes work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backend: Option<Announcement>,
 }
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -8,6 +8,7 @@
 use testkit::process::Signal;
 use testkit::users::backend::Announced;
 use testkit::users::mesh::{Asked, Mesh, Plan};
+use testkit::users::store::Trouble;
 
 use crate::support::{LIMIT, SERVICES, start_users_serving, users_runs};
 
@@ -215,9 +216,10 @@
     found.unwrap_or_default()
 }
 
-/// A node is killed and starts again while its backend server goes on. Until that announces itself the
-/// next time the node sends it nothing, so the mesh must not hear that it serves: whoever is sent there
-/// is refused, and leaves the endpoint alone for seconds although it could serve.
+/// A node is killed and starts again while the store is away, so that it knows nothing of its backend
+/// server until that announces itself the next time. Until then it sends it nothing, so the mesh must
+/// not hear that it serves: whoever is sent there is refused, and leaves the endpoint alone for seconds
+/// although it could serve.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_node_serves_only_once_its_backend_server_has_announced_itself() {
     let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
@@ -225,6 +227,7 @@
     let other = mesh.vms_of(SERVICES[0])[1];
     let before = member(&mesh, other, position).await["incarnation_us"].clone();
     mesh.mute_backend(position);
+    mesh.store.set_trouble(Trouble::Busy);
     mesh.kill_node(position).await.expect("it ends");
     mesh.start_node(position).await.expect("it starts");
     wait_until("the restart is known", LIMIT, || async {
@@ -241,3 +244,81 @@
     })
     .await;
 }
+
+/// Whether the row that the store keeps of a VM's node names a backend server that takes work.
+fn row_names_backend(mesh: &Mesh, position: usize) -> bool {
+    let key = format!("node/{}", mesh.vms[position].peer_address());
+    let row = mesh.store.value("dragonflywall", &key).unwrap_or_default();
+    let row: serde_json::Value = serde_json::from_slice(&row).unwrap_or_default();
+    row["backend"]["state"] == "serving"
+}
+
+/// All nodes lose power at one moment and start again. Their backend servers have gone on, and announce
+/// themselves only every few seconds. Callers are served before that: each node has left in its row what
+/// stood beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_herd_serves_before_backend_servers_announce_themselves_again() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let all = 0..mesh.vms.len();
+    wait_until("every row names a backend server", LIMIT, || async {
+        all.clone()
+            .all(|position| row_names_backend(&mesh, position))
+    })
+    .await;
+    for position in all.clone() {
+        mesh.mute_backend(position);
+        mesh.kill_node(position).await.expect("it ends");
+    }
+    for position in all {
+        mesh.start_node(position).await.expect("it starts");
+    }
+    mesh.wait_enforced(1).await;
+    for (path, id) in [("/book/1", "booking"), ("/stock/1", "look-up")] {
+        wait_until("both services are served", LIMIT, || {
+            is_served(&mesh, path, id)
+        })
+        .await;
+    }
+}
+
+async fn is_served(mesh: &Mesh, path: &str, id: &str) -> bool {
+    let reply = mesh.ask(0, &Asked::get(path, id)).await;
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+/// A backend server says that it leaves, and its node is killed right after. The next process must not
+/// take it up again: it has been promised that nothing comes any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_does_not_take_up_a_backend_server_that_was_leaving() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    wait_until("its row names the backend server", LIMIT, || async {
+        row_names_backend(&mesh, leaving)
+    })
+    .await;
+    mesh.mute_backend(leaving);
+    let vm = &mesh.vms[leaving];
+    let acknowledged = vm
+        .backend()
+        .announce(vm.control(), Announced::Draining)
+        .await;
+    assert!(acknowledged);
+    wait_until("its row names it no more", LIMIT, || async {
+        !row_names_backend(&mesh, leaving)
+    })
+    .await;
+    mesh.kill_node(leaving).await.expect("it ends");
+    mesh.start_node(leaving).await.expect("it starts");
+    mesh.wait_enforced(1).await;
+    wait_until("it knows the others", LIMIT, || async {
+        let reply = mesh.ask(leaving, &Asked::get("/book/1", "first")).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    for number in 0..8 {
+        let id = format!("elsewhere-{number}");
+        let reply = mesh.ask(leaving, &Asked::post("/book/1", &id)).await;
+        assert_eq!(reply.expect("the node answers").status, 200);
+    }
+    assert_eq!(mesh.vms[leaving].backend().record().last_reached, None);
+}
