Find nodes that were stopped as planned while the store is away

A node that has said goodbye was looked for by nobody, has no seeds and cannot read the rows, so it had no configuration and no peers until the store was back: 4 s of its slots and its callers (trace: listening 21.8 s, enforced 26.6 s). Besides, a node asked for its floor only a second after its start, and with fewer than three peers in its data centre waited for five.

Change: nodes that left are probed like dead ones, half a second after they went and then less and less often; where versions are followed from the store, any peer's answer settles the floor after a second. The test hangs without the probes.

--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -352,10 +352,17 @@
 
     /// Takes the node of a VM away; its process is killed and waited for.
     pub async fn kill_node(&mut self, position: usize) -> Result<()> {
+        if let Some(node) = &self.vms[position].node {
+            node.signal(Signal::Kill);
+        }
+        self.end_node(position).await
+    }
+
+    /// Takes the node of a VM away once its process has ended, as it was told to.
+    pub async fn end_node(&mut self, position: usize) -> Result<()> {
         let vm = &mut self.vms[position];
         *vm.control.lock().unwrap_or_else(PoisonError::into_inner) = None;
         if let Some(mut node) = vm.node.take() {
-            node.signal(Signal::Kill);
             node.ended().await.map_err(text)?;
         }
         Ok(())
--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -29,9 +29,33 @@
 /// answer has.
 pub const FEW_PEERS_MS: u64 = 5_000;
 
+/// The same where versions are [`Followed`](Origin::Followed): those who answer later know no more than
+/// those who answer at once.
+const FEW_FOLLOWERS_MS: u64 = 1_000;
+
+/// How versions come to nodes, and with that what peers may know of an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A version is enforced once witnesses in the data centre have noted it: only they may know.
+    Witnessed,
+    /// Operators write each version into the store as a whole, from where all nodes follow it within a
+    /// round trip, and nobody waits for witnesses: any peer may know.
+    Followed,
+}
+
+impl Origin {
+    fn few_peers_ms(self) -> u64 {
+        match self {
+            Self::Witnessed => FEW_PEERS_MS,
+            Self::Followed => FEW_FOLLOWERS_MS,
+        }
+    }
+}
+
 /// The floor of one life of a node.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Floor {
+    origin: Origin,
     version: Version,
     head_read: bool,
     asked: BTreeSet<NodeId>,
@@ -43,10 +67,16 @@
 
 impl Floor {
     /// The floor of a node that starts now.
-    pub fn new(now_ms: u64) -> Self {
+    pub fn new(now_ms: u64, origin: Origin) -> Self {
         Self {
+            origin,
+            version: Version::NONE,
+            head_read: false,
+            asked: BTreeSet::new(),
+            answered: BTreeSet::new(),
             started_ms: now_ms,
-            ..Self::default()
+            settled: false,
+            last_in_data_centre: false,
         }
     }
 
@@ -63,8 +93,7 @@
         self.last_in_data_centre = last;
     }
 
-    /// A peer of the data centre is asked: until [`FEW_PEERS_MS`] have passed its answer is waited
-    /// for.
+    /// A peer of the data centre is asked: its answer is waited for until few peers are enough.
     pub fn asked(&mut self, peer: NodeId) {
         self.asked.insert(peer);
     }
@@ -83,7 +112,10 @@
             return;
         }
         self.version = self.version.max(reported).max(enforced);
-        let counts = distance == Distance::DataCentre || self.last_in_data_centre;
+        let counts = match self.origin {
+            Origin::Witnessed => distance == Distance::DataCentre || self.last_in_data_centre,
+            Origin::Followed => true,
+        };
         if counts && enforced > Version::NONE {
             self.answered.insert(peer);
         }
@@ -92,7 +124,7 @@
     /// Whether the node may begin to enforce. Once it may, it always may: from then on only
     /// greater versions are applied anyway.
     pub fn is_settled(&mut self, now_ms: u64) -> bool {
-        let waited = now_ms.saturating_sub(self.started_ms) >= FEW_PEERS_MS;
+        let waited = now_ms.saturating_sub(self.started_ms) >= self.origin.few_peers_ms();
         // Any two of those asked may be the only witnesses of what this address enforced last. Were
         // the first answers enough, the node would start below it when the witness answers late.
         let all = self.answered.len() >= PEERS_ASKED && self.asked.is_subset(&self.answered);
--- a/src/membership/discovery.rs
+++ b/src/membership/discovery.rs
@@ -5,6 +5,7 @@
 
 use super::gossip::{Exchange, Gossip};
 use super::neighbours::{self, weight};
+use super::roster::Entry;
 use super::view::Membership;
 use crate::core::member::{Liveness, NodeId};
 use crate::core::version::Version;
@@ -14,6 +15,12 @@
 /// to probe, so this bounds only the time to find each other again after a long cut.
 const PROBE_PAUSE_MAX_MS: u64 = 30_000;
 
+/// How long one that has gone is looked for often: most that go are back within seconds, some without a
+/// word of who else is there.
+const RECENT_MS: u64 = 30_000;
+/// Between two probes for such members, and before the first of one.
+const RECENT_PROBE_MS: u64 = 500;
+
 /// Pauses between greetings of seeds while the node knows nobody.
 const GREETING: Backoff = Backoff::new(200, 10_000);
 
@@ -81,36 +88,40 @@
         greetings
     }
 
-    /// Looks for members that were declared dead, and for seeds that nobody has mentioned.
+    /// Looks for members that were declared dead or have left, and for seeds that nobody has mentioned.
     ///
     /// Failure guarded against: a partition, at whose end both halves hold each other for dead; or
     /// two groups that started apart. Neither would ever speak to the other again. Only those who
     /// would hold the link probe it, so a healed link sees a few greetings, not one of each node.
+    ///
+    /// The same for a node that is stopped and started as planned while the platform is away: it has
+    /// nobody to ask for peers or a configuration, and refuses its callers until somebody finds it.
     pub(super) fn probe(&mut self, now_ms: u64) -> Option<Exchange> {
         if now_ms < self.next_probe_ms {
             return None;
         }
-        self.next_probe_ms = now_ms + self.jittered(self.timing.probe_ms, now_ms);
         if self.is_alone() {
+            self.next_probe_ms = now_ms + self.jittered(self.timing.probe_ms, now_ms);
             return None;
         }
-        if let Some((node, address)) = self.dead_to_probe(now_ms) {
+        let recent = self.gone_to_probe(now_ms, Gone::Recently);
+        let pause_ms = match recent {
+            Some(_) => RECENT_PROBE_MS,
+            None => self.jittered(self.timing.probe_ms, now_ms),
+        };
+        self.next_probe_ms = now_ms + pause_ms.min(self.timing.probe_ms);
+        let found = recent.or_else(|| self.gone_to_probe(now_ms, Gone::LongAgo));
+        if let Some((node, address)) = found {
             return self.stray_exchange(Some(node), address, now_ms);
         }
         let seed = self.unknown_seed()?;
         self.stray_exchange(None, seed, now_ms)
     }
 
-    fn dead_to_probe(&mut self, now_ms: u64) -> Option<(NodeId, SocketAddr)> {
+    fn gone_to_probe(&mut self, now_ms: u64, gone: Gone) -> Option<(NodeId, SocketAddr)> {
         let mut candidates: Vec<(u64, NodeId)> = Vec::new();
-        let min_ms = self.timing.probe_ms;
         for entry in self.roster.entries_mut() {
-            if entry.member.liveness != Liveness::Dead {
-                continue;
-            }
-            let age_ms = entry.probed_ms.saturating_sub(entry.changed_ms);
-            let pause_ms = age_ms.clamp(min_ms, PROBE_PAUSE_MAX_MS.max(min_ms));
-            if now_ms.saturating_sub(entry.probed_ms) >= pause_ms {
+            if gone.is_due(now_ms, entry, self.timing.probe_ms) {
                 candidates.push((entry.probed_ms, entry.member.node));
             }
         }
@@ -157,3 +168,33 @@
         Some(seed)
     }
 }
+
+/// Members that are looked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gone {
+    /// Died or left within [`RECENT_MS`].
+    Recently,
+    /// Died before. One that left then is not expected back.
+    LongAgo,
+}
+
+impl Gone {
+    /// Whether a member is one of these and may be probed again; the pauses grow with the time since it
+    /// went.
+    fn is_due(self, now_ms: u64, entry: &Entry, probe_ms: u64) -> bool {
+        let gone_ms = now_ms.saturating_sub(entry.changed_ms);
+        let sought = match (self, entry.member.liveness) {
+            (_, Liveness::Alive | Liveness::Suspect) => false,
+            (Self::Recently, Liveness::Dead | Liveness::Left) => gone_ms < RECENT_MS,
+            (Self::LongAgo, Liveness::Dead) => gone_ms >= RECENT_MS,
+            (Self::LongAgo, Liveness::Left) => false,
+        };
+        let least_ms = match self {
+            Self::Recently => RECENT_PROBE_MS.min(probe_ms),
+            Self::LongAgo => probe_ms,
+        };
+        let age_ms = entry.probed_ms.saturating_sub(entry.changed_ms);
+        let pause_ms = age_ms.clamp(least_ms, PROBE_PAUSE_MAX_MS.max(least_ms));
+        sought && now_ms.saturating_sub(entry.probed_ms) >= pause_ms
+    }
+}
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -11,7 +11,7 @@
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, holder};
+use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, floor, holder};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
 use crate::node::{content, store};
@@ -39,7 +39,7 @@
 const FAR_FACTOR_MAX: u64 = 8;
 
 /// Between two rounds of questions about the floor.
-const ASK_FLOOR_MS: u64 = 1_000;
+const ASK_FLOOR_MS: u64 = 500;
 
 /// A node that knows no peer takes itself for alone only after so long: its greetings take a
 /// moment, and alone it would enforce without a witness.
@@ -147,7 +147,7 @@
     store_answers: bool,
     woken_for_ms: Option<u64>,
     told_held: Version,
-    floor_asked_ms: u64,
+    floor_asked_ms: Option<u64>,
     membership: Option<ActorRef<MembershipMsg>>,
 }
 
@@ -174,12 +174,16 @@
     ) -> Result<State, ActorProcessingErr> {
         myself.send_interval(TICK, || ConfigurationMsg::Tick);
         let now_ms = clock::since_ms(node.started);
+        let floor_origin = match origin {
+            Origin::Published(_) => floor::Origin::Witnessed,
+            Origin::Written(_) => floor::Origin::Followed,
+        };
         Ok(State {
             fetcher: fetcher(node.me, &origin),
             node,
             origin,
             holder: Holder::default(),
-            floor: Floor::new(now_ms),
+            floor: Floor::new(now_ms, floor_origin),
             role: Role::default(),
             refresh: None,
             next_poll_ms: now_ms + rand::random_range(0..FIRST_POLL_SPREAD_MS),
@@ -187,7 +191,7 @@
             store_answers: true,
             woken_for_ms: None,
             told_held: Version::NONE,
-            floor_asked_ms: 0,
+            floor_asked_ms: None,
             membership: None,
         })
     }
@@ -245,9 +249,11 @@
             self.next_poll_ms = now_ms + self.poll_pause_ms();
             self.read_head(myself);
         }
-        let asked_lately = now_ms < self.floor_asked_ms + ASK_FLOOR_MS;
-        if !asked_lately && !self.floor.is_settled(now_ms) {
-            self.floor_asked_ms = now_ms;
+        let lately = |asked_ms| now_ms < asked_ms + ASK_FLOOR_MS;
+        let asked_lately = self.floor_asked_ms.is_some_and(lately);
+        let has_neighbours = !self.role.neighbours.is_empty();
+        if has_neighbours && !asked_lately && !self.floor.is_settled(now_ms) {
+            self.floor_asked_ms = Some(now_ms);
             self.ask_floor(myself);
         }
     }
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -8,6 +8,7 @@
 use dragonflywall::core::names::TeamName;
 use dragonflywall::core::version::{Digest, Stamp, Version};
 use dragonflywall::distribution::fetch::Peer;
+use dragonflywall::distribution::floor::Origin;
 use dragonflywall::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
 
 use crate::spread_network::stamp;
@@ -201,7 +202,7 @@
 /// peers of other data centres were not told before it enforced: neither may settle its floor.
 #[test]
 fn floor_waits_for_peers_that_can_know() {
-    let mut floor = Floor::new(0);
+    let mut floor = Floor::new(0, Origin::Witnessed);
     floor.answered(node(2), Distance::DataCentre, Version::NONE, Version::NONE);
     for number in 3..9 {
         floor.answered(node(number), Distance::Mesh, Version::NONE, Version(4));
@@ -217,7 +218,7 @@
 /// must wait for the one that knows, for as long as that one may still answer.
 #[test]
 fn floor_waits_for_every_peer_that_may_be_the_witness() {
-    let mut floor = Floor::new(0);
+    let mut floor = Floor::new(0, Origin::Witnessed);
     (2..6).for_each(|number| floor.asked(node(number)));
     for number in 2..5 {
         floor.answered(node(number), Distance::DataCentre, Version(4), Version(4));
@@ -228,10 +229,25 @@
     assert_eq!(floor.version(), Version(5));
 }
 
+/// Operators write configurations into the store, and it is away when a node restarts in a data centre
+/// whose other nodes are all down. Peers elsewhere follow the store as well: what they enforce is as new
+/// as anything known there, and the node need not wait for the dead.
+#[test]
+fn a_follower_does_with_any_peer_after_a_second() {
+    let mut floor = Floor::new(0, Origin::Followed);
+    floor.asked(node(2));
+    floor.answered(node(9), Distance::Mesh, Version(3), Version(4));
+    assert!(!floor.is_settled(900), "the one asked may still answer");
+    assert!(floor.is_settled(1_000));
+    assert_eq!(floor.version(), Version(4));
+    let mut alone = Floor::new(0, Origin::Followed);
+    assert!(!alone.is_settled(600_000), "without any answer it waits");
+}
+
 /// The head is at or above whatever anybody has applied, so having read it is enough.
 #[test]
 fn head_settles_the_floor_at_once() {
-    let mut floor = Floor::new(0);
+    let mut floor = Floor::new(0, Origin::Witnessed);
     assert!(!floor.is_settled(0));
     floor.head_read(Version(5));
     assert!(floor.is_settled(0));
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -4,6 +4,7 @@
 
 use http::{Method, StatusCode};
 use testkit::http::wait_until;
+use testkit::process::Signal;
 use testkit::users::configuration::{HOST, Kind, Route, text_with_idle_timeout};
 use testkit::users::mesh::{Asked, Mesh, Plan};
 use testkit::users::store::Trouble;
@@ -186,6 +187,23 @@
     mesh.wait_enforced(3).await;
 }
 
+/// The store is away when a node is stopped as planned and started again. It has said goodbye, so nobody
+/// expects it, and it knows nobody itself: there are no seeds, and the rows by which nodes find each
+/// other lie in the store. The others look for it, and it serves again with what they enforce.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_stopped_while_the_store_is_away_is_found_by_others() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    mesh.store.set_trouble(Trouble::Silent);
+    mesh.vms[0].node().signal(Signal::Terminate);
+    mesh.end_node(0).await.expect("it ends");
+    mesh.start_node(0).await.expect("it starts");
+    wait_until("the node serves again", LIMIT, || async {
+        let reply = mesh.ask(0, &Asked::get("/stock/1", "again")).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+}
+
 /// A node without any configuration must not say that a route does not exist: 503, and come again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_knows_no_configuration_answers_503() {
