Ask a backend server for its health before its first announcement counts

Change: a process's first "ready", announced or recalled, counts once the backend server has answered 200 at its health path under the same instance; without that the third later announcement is believed, as health answers may be wrong. Tests: the old announcement after a restart (fails without the change), the decision alone, a confirmation that comes after "draining".

--- a/crates/testkit/src/users/backend/exchange.rs
+++ b/crates/testkit/src/users/backend/exchange.rs
@@ -105,12 +105,19 @@
         }
     }
 
+    async fn health(&mut self) -> io::Result<()> {
+        let leaving = self.shared.leaving.load(Ordering::Acquire);
+        let status = if leaving { 503 } else { 200 };
+        let instance = format!("X-Dfw-Instance: {}\r\n", self.shared.identity.instance);
+        self.answer(status, "", &instance, b"").await
+    }
+
     async fn exchange(&mut self) -> io::Result<Next> {
         let Some(head) = self.head().await? else {
             return Ok(Next::Close);
         };
         if head.target == "/healthz" {
-            self.answer(200, "", "", b"ok").await?;
+            self.health().await?;
             return Ok(Next::Request);
         }
         let reached = Instant::now();
--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -19,12 +19,19 @@
 pub enum Heard {
     /// It holds from now on.
     Taken,
+    /// It may be from before this process: the backend server is to be asked before it holds.
+    Unconfirmed,
     /// It says nothing new of the backend server that holds.
     Repeated,
     /// A later announcement, or a later start, is known.
     Outdated,
 }
 
+/// Announcements of one start, each later than the one before, after which it is believed that it takes
+/// work although it says otherwise when it is asked. One that leaves says so, or nothing any more, and of
+/// what was held up on its way hardly ever so many come.
+const LATER_ENOUGH: u32 = 3;
+
 /// One start of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Start {
@@ -44,9 +51,37 @@
 pub struct Announcements {
     current: Option<Current>,
     left: VecDeque<Start>,
+    /// The first "ready" of this process needs an answer of the backend server itself.
+    doubtful: bool,
+    /// Announcements since, each later than the one before.
+    later: u32,
 }
 
 impl Announcements {
+    /// None yet, of backend servers that can be asked themselves whether they take work.
+    ///
+    /// Failure guarded against: a backend server has left, and the process that acknowledged that is
+    /// gone. A "ready" from before, held up on its way, reaches the next process, which knows
+    /// nothing. It shows as requests at a backend server after it was told that none would come. The
+    /// guard holds as only the backend server knows what it has said last.
+    pub fn doubtful() -> Self {
+        Self {
+            doubtful: true,
+            ..Self::default()
+        }
+    }
+
+    /// The backend server said itself that it takes work; what it has announced, if that was said by
+    /// the same one.
+    pub fn confirm(&mut self, instance: &InstanceName) -> Option<&Announcement> {
+        let current = self.current.as_ref()?;
+        if current.start.instance != *instance {
+            return None;
+        }
+        self.doubtful = false;
+        self.serving()
+    }
+
     /// Takes in an announcement.
     ///
     /// Failure guarded against: "ready" of a backend server that has left since, or of one that had
@@ -75,14 +110,33 @@
             None => Heard::Taken,
             Some(current) => current.compare(&start, sequence, announcement),
         };
-        if heard != Heard::Outdated {
-            self.current = Some(Current {
-                start,
-                sequence,
-                announcement: announcement.clone(),
-            });
+        if heard == Heard::Outdated {
+            return heard;
+        }
+        let before = self.current.replace(Current {
+            start,
+            sequence,
+            announcement: announcement.clone(),
+        });
+        match self.doubtful && announcement.state == BackendState::Serving {
+            true => self.doubt(before.as_ref(), sequence),
+            false => heard,
+        }
+    }
+
+    /// What becomes of a "ready" that nobody has confirmed yet, and that came after `before`.
+    fn doubt(&mut self, before: Option<&Current>, sequence: u64) -> Heard {
+        let current = self.current.as_ref();
+        let same = before.filter(|before| current.is_some_and(|now| now.start == before.start));
+        self.later = match same {
+            Some(before) => self.later + u32::from(sequence > before.sequence),
+            None => 1,
+        };
+        self.doubtful = self.later < LATER_ENOUGH;
+        match self.doubtful {
+            true => Heard::Unconfirmed,
+            false => Heard::Taken,
         }
-        heard
     }
 
     /// Whether nothing has been heard yet.
@@ -92,7 +146,8 @@
 
     /// What the backend server said last, if it takes work.
     pub fn serving(&self) -> Option<&Announcement> {
-        let announcement = self.current.as_ref().map(|current| &current.announcement);
+        let current = self.current.as_ref().filter(|_| !self.doubtful);
+        let announcement = current.map(|current| &current.announcement);
         announcement.filter(|announcement| announcement.state == BackendState::Serving)
     }
 
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::core::member::BackendState;
 use crate::core::names::{InstanceName, ServiceName};
@@ -10,6 +11,12 @@
 use crate::node::membership::MembershipMsg;
 use crate::node::settings::BackendServer;
 use crate::node::state::NodeState;
+use crate::proxy::health::{self, Health};
+
+/// Questions to a backend server that has announced itself, and the pause between two of them. Together
+/// about a heartbeat, after which the next announcement comes.
+const HEALTH_TRIES: u32 = 12;
+const HEALTH_PAUSE: Duration = Duration::from_millis(100);
 
 /// A backend server that may be sent requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +78,12 @@
                 );
                 return Noted::Yes;
             }
+            Heard::Unconfirmed => {
+                let node = Arc::clone(self);
+                let announcement = announcement.clone();
+                tokio::spawn(async move { node.confirm(&announcement).await });
+                return Noted::Yes;
+            }
             Heard::Repeated if !serving || self.backend.load().is_some() => return Noted::Yes,
             Heard::Repeated | Heard::Taken => (),
         }
@@ -78,6 +91,33 @@
         Noted::Yes
     }
 
+    /// Asks a backend server that is said to take work whether it does, and takes it up then. Without an
+    /// answer the next announcement is the next occasion.
+    async fn confirm(self: &Arc<Self>, announcement: &Announcement) {
+        for _ in 0..HEALTH_TRIES {
+            match health::ask(self, announcement).await {
+                Health::Serving(instance) => return self.confirmed(&instance),
+                Health::Refusing => {
+                    log::info!(instance:? = announcement.instance; "the backend server announced itself, but takes no work");
+                    return;
+                }
+                Health::Unknown => tokio::time::sleep(HEALTH_PAUSE).await,
+            }
+        }
+        log::info!(instance:? = announcement.instance; "the backend server announced itself, but gave no answer");
+    }
+
+    fn confirmed(&self, instance: &InstanceName) {
+        let announcement = self.announcements().confirm(instance).cloned();
+        match announcement {
+            Some(announcement) if !self.is_stopping() => self.take_backend(&announcement),
+            Some(_) => (),
+            None => {
+                log::info!(instance:%; "the backend server that answers is not the one that announced itself last");
+            }
+        }
+    }
+
     /// Takes up what the process before this one has heard last, unless something was heard since.
     pub(crate) fn recall(self: &Arc<Self>, announcement: &Announcement) {
         let own = self.settings.backend_server.as_ref();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -131,13 +131,14 @@
         let known = known.filter(|_| !settings.backend_server_announces);
         let backend = known.map(|known| Arc::new(LocalBackend::from(known)));
         let link_share = LinkShare::of_link(settings.link_kbit_per_s);
+        let vocabulary = Vocabulary::of(settings.dialect);
         Arc::new(Self {
             link_share,
             intake: Mutex::new(Intake::new(link_share)),
             intake_turns: turns::turns(link_share.at_a_time),
             bodies_coming: AtomicU32::new(0),
             granted: Granted::default(),
-            vocabulary: Vocabulary::of(settings.dialect),
+            vocabulary,
             tunable: ArcSwap::from_pointee(settings.tunable()),
             settings,
             me,
@@ -148,7 +149,10 @@
             retry_tokens: Mutex::default(),
             admission: Mutex::default(),
             backend: ArcSwapOption::from(backend),
-            announcements: Mutex::default(),
+            announcements: Mutex::new(match vocabulary.instance {
+                Some(_) => Announcements::doubtful(),
+                None => Announcements::default(),
+            }),
             backend_news: Notify::new(),
             membership: OnceLock::new(),
             drained: AtomicBool::new(false),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,7 @@
     // The service of the VM where the request began, not of the caller.
     caller_service: Some(HeaderName::from_static("x-dfw-caller")),
     expected_instance: Some(HeaderName::from_static("x-dfw-expected-instance")),
+    instance: Some(HeaderName::from_static("x-dfw-instance")),
     not_run: Some(HeaderName::from_static("x-dfw-not-executed")),
     answers_repeat_id: true,
     seal: Some(HeaderName::from_static("x-dfw-response-seal")),
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -14,6 +14,7 @@
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod headers;
+pub(crate) mod health;
 pub(crate) mod hop;
 pub(crate) mod intake;
 pub(crate) mod listener;
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -96,7 +96,8 @@
     }
 
     fn open(&self) -> Option<Open> {
-        let most = self.most.load(Ordering::Acquire);
+        // One that is not known to take requests yet may be asked whether it does.
+        let most = self.most.load(Ordering::Acquire).max(1);
         let one_more = |open| (open < most).then_some(open + 1);
         let counted = self
             .open
--- a/src/proxy/vocabulary.rs
+++ b/src/proxy/vocabulary.rs
@@ -29,6 +29,8 @@
     pub(crate) caller_service: Option<HeaderName>,
     /// To a backend server: the only instance that may run the request.
     pub(crate) expected_instance: Option<HeaderName>,
+    /// From a backend server, when it is asked for its health: which instance it is.
+    pub(crate) instance: Option<HeaderName>,
     /// From a backend server: the request of this answer has not run.
     pub(crate) not_run: Option<HeaderName>,
     /// Backend servers repeat `request_id` in their answers, so an answer to another request is
@@ -52,6 +54,7 @@
     calls_extend_ids: false,
     caller_service: None,
     expected_instance: None,
+    instance: None,
     not_run: None,
     answers_repeat_id: false,
     seal: None,
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -98,3 +98,40 @@
         assert_eq!(heard.hear(&unnamed(state)), Heard::Taken);
     }
 }
+
+/// A backend server has left, and the process that acknowledged that has been replaced. A "ready" from
+/// before, held up on its way, must not open the next process's gate: only the backend server itself
+/// can say whether it still holds.
+#[test]
+fn the_first_ready_of_a_process_waits_for_the_backend_server_itself() {
+    let mut heard = Announcements::doubtful();
+    assert_eq!(heard.hear(&serving("i-1", 10, 4)), Heard::Unconfirmed);
+    assert_eq!(heard.serving(), None);
+    assert_eq!(heard.confirm(&InstanceName::new("i-2")), None);
+    let confirmed = heard.confirm(&InstanceName::new("i-1"));
+    assert_eq!(confirmed, Some(&serving("i-1", 10, 4)));
+    assert_eq!(heard.hear(&serving("i-1", 10, 5)), Heard::Repeated);
+    // From now on this process knows itself what was said before.
+    assert_eq!(heard.hear(&serving("i-3", 20, 1)), Heard::Taken);
+}
+
+/// The backend server was asked, and before its answer came it said that it leaves.
+#[test]
+fn a_confirmation_does_not_undo_what_was_said_since() {
+    let mut heard = Announcements::doubtful();
+    assert_eq!(heard.hear(&serving("i-1", 10, 4)), Heard::Unconfirmed);
+    let draining = announcement("i-1", 10, 5, BackendState::Draining);
+    assert_eq!(heard.hear(&draining), Heard::Taken);
+    assert_eq!(heard.confirm(&InstanceName::new("i-1")), None);
+}
+
+/// A backend server's answers about its health are wrong. It goes on announcing itself, which one that
+/// has left does not, so it is believed in the end. The same message again proves nothing.
+#[test]
+fn a_backend_server_that_goes_on_announcing_itself_is_believed() {
+    let mut heard = Announcements::doubtful();
+    assert_eq!(heard.hear(&serving("i-1", 10, 4)), Heard::Unconfirmed);
+    assert_eq!(heard.hear(&serving("i-1", 10, 4)), Heard::Unconfirmed);
+    assert_eq!(heard.hear(&serving("i-1", 10, 5)), Heard::Unconfirmed);
+    assert_eq!(heard.hear(&serving("i-1", 10, 6)), Heard::Taken);
+}
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -322,3 +322,33 @@
     }
     assert_eq!(mesh.vms[leaving].backend().record().last_reached, None);
 }
+
+/// A backend server leaves, which its node acknowledges; then the node is killed and started again while
+/// the store is away. An announcement from before was held up and reaches the new process, which knows
+/// nothing of the leaving. It must not send anything there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_announcement_does_not_open_a_restarted_gate() {
+    let mut mesh = start_users_serving(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    mesh.mute_backend(leaving);
+    let vm = &mesh.vms[leaving];
+    vm.backend().set_leaving();
+    assert!(vm.backend().leave(vm.control()).await);
+    mesh.store.set_trouble(Trouble::Busy);
+    mesh.kill_node(leaving).await.expect("it ends");
+    mesh.start_node(leaving).await.expect("it starts");
+    wait_until("it serves as an entry", LIMIT, || async {
+        let reply = mesh.ask(leaving, &Asked::get("/book/1", "first")).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    let vm = &mesh.vms[leaving];
+    let before = vm.backend().record().last_reached;
+    assert!(vm.backend().announce(vm.control(), Announced::Ready).await);
+    for number in 0..8 {
+        let id = format!("elsewhere-{number}");
+        let reply = mesh.ask(leaving, &Asked::post("/book/1", &id)).await;
+        assert_eq!(reply.expect("the node answers").status, 200);
+    }
+    assert_eq!(mesh.vms[leaving].backend().record().last_reached, before);
+}
