Log and measure by which way versions come, and how late

Change: a line for each version heard of before its content is here, and for each version learnt, with its way, how long ago it was heard of and its age since it was accepted; each node that passes a version on tells its age. A line for each answer of the store or a lead that comes late, with time and length, and for each failed read of the store. Metrics: histogram of the age at enforcement, counter by way, gauge of the age of the store's last word.

No decision changes.

--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -9,7 +9,11 @@
 pub mod fetch;
 pub mod floor;
 pub mod holder;
+pub mod offer;
+pub mod sightings;
 
 pub use fetch::{Fetch, Fetcher, Source};
 pub use floor::Floor;
 pub use holder::{Applied, Content, Holder, Step};
+pub use offer::Offer;
+pub use sightings::Sightings;
--- /dev/null
+++ b/src/distribution/sightings.rs
@@ -0,0 +1,40 @@
+//! When versions that a node does not hold yet were first heard of.
+
+use std::collections::VecDeque;
+
+use crate::core::version::Version;
+
+/// Versions remembered; of a longer series the later ones count as heard of with the last kept.
+const KEPT_MAX: usize = 64;
+
+/// Moments at which versions were first heard of, by any way, in the order of both.
+#[derive(Clone, Debug, Default)]
+pub struct Sightings {
+    seen: VecDeque<(Version, u64)>,
+}
+
+impl Sightings {
+    /// Notes that `version` exists; true if nothing as new was heard of before.
+    pub fn note(&mut self, now_ms: u64, version: Version) -> bool {
+        let is_new = self.seen.back().is_none_or(|(newest, _)| *newest < version);
+        if is_new && self.seen.len() < KEPT_MAX {
+            self.seen.push_back((version, now_ms));
+        } else if is_new && let Some((newest, _)) = self.seen.back_mut() {
+            *newest = version;
+        }
+        is_new
+    }
+
+    /// When `version`, or a newer one, was first heard of.
+    pub fn of(&self, version: Version) -> Option<u64> {
+        let first = self.seen.iter().find(|(seen, _)| *seen >= version);
+        first.map(|(_, at_ms)| *at_ms)
+    }
+
+    /// Forgets what came before `version`.
+    pub fn forget_below(&mut self, version: Version) {
+        while self.seen.front().is_some_and(|(seen, _)| *seen < version) {
+            self.seen.pop_front();
+        }
+    }
+}
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -11,7 +11,10 @@
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, floor, holder};
+use crate::distribution::{
+    Content, Fetch, Fetcher, Floor, Holder, Offer, Sightings, floor, holder,
+};
+use crate::node::learning::{self, Learnt, Way};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
 use crate::node::{content, store};
@@ -82,7 +85,7 @@
     Fetched {
         fetch: Fetch,
         have: Version,
-        found: Option<(Stamp, Content)>,
+        found: Option<Offer>,
     },
     /// The head row was read, or not.
     HeadRead {
@@ -90,14 +93,17 @@
         took_ms: u64,
     },
     /// The store was read: a configuration that was written into it as a whole, if there is news.
-    Written(Option<Box<Configuration>>),
+    Written {
+        configuration: Option<Box<Configuration>>,
+        /// How old the store's last word was when the read began.
+        unwatched_ms: u64,
+    },
     /// The store could not be read.
     NotRead,
     /// The node that reads the store for this data centre handed on a version newer than `have`.
     FromLead {
-        stamp: Stamp,
+        offer: Offer,
         have: Version,
-        content: Content,
     },
     /// A peer told what it remembers of this node, and what it enforces.
     FloorAnswered {
@@ -108,7 +114,7 @@
     /// The process was frozen until now.
     Refresh,
     Role(Role),
-    ContentFor(Version, RpcReplyPort<Option<(Stamp, Content)>>),
+    Offer(Version, RpcReplyPort<Option<Offer>>),
     Enforced(RpcReplyPort<Stamp>),
     /// The membership actor is there; it is told of every version held and enforced.
     Membership(ActorRef<MembershipMsg>),
@@ -139,6 +145,9 @@
     origin: Origin,
     holder: Holder,
     fetcher: Fetcher,
+    sightings: Sightings,
+    /// When the version held was accepted, as far as clocks and answers tell.
+    held_accepted_ms: u64,
     floor: Floor,
     role: Role,
     refresh: Option<Refresh>,
@@ -183,6 +192,8 @@
             node,
             origin,
             holder: Holder::default(),
+            sightings: Sightings::default(),
+            held_accepted_ms: now_ms,
             floor: Floor::new(now_ms, floor_origin),
             role: Role::default(),
             refresh: None,
@@ -213,13 +224,12 @@
                 state.fetched(now_ms, &fetch, have, found);
             }
             ConfigurationMsg::HeadRead { head, took_ms } => state.head_read(now_ms, head, took_ms),
-            ConfigurationMsg::Written(configuration) => state.written(now_ms, configuration),
+            ConfigurationMsg::Written {
+                configuration,
+                unwatched_ms,
+            } => state.written(now_ms, configuration, unwatched_ms),
             ConfigurationMsg::NotRead => state.note_store(false),
-            ConfigurationMsg::FromLead {
-                stamp,
-                have,
-                content,
-            } => state.led(now_ms, stamp, have, &content),
+            ConfigurationMsg::FromLead { offer, have } => state.led(now_ms, &offer, have),
             ConfigurationMsg::FloorAnswered {
                 peer,
                 reported,
@@ -227,8 +237,8 @@
             } => state.floor_answered(now_ms, peer, reported, enforced),
             ConfigurationMsg::Refresh => state.begin_refresh(&myself, now_ms),
             ConfigurationMsg::Role(role) => state.set_role(now_ms, role),
-            ConfigurationMsg::ContentFor(have, reply) => {
-                let _ = reply.send(state.holder.content_for(have));
+            ConfigurationMsg::Offer(have, reply) => {
+                let _ = reply.send(state.offer(now_ms, have));
             }
             ConfigurationMsg::Enforced(reply) => {
                 let _ = reply.send(state.holder.stamp());
@@ -244,6 +254,9 @@
 
 impl State {
     fn tick(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        if let Some(age_ms) = self.node.store_age_ms() {
+            metrics::gauge!("dragonflywall_store_age_seconds").set(age_ms as f64 / 1_000.0);
+        }
         self.set_gateway_rank(now_ms);
         if now_ms >= self.next_poll_ms {
             self.next_poll_ms = now_ms + self.poll_pause_ms();
@@ -294,6 +307,10 @@
     }
 
     fn announced(&mut self, now_ms: u64, stamp: Stamp, holder: Option<Peer>) {
+        let held = self.holder.held().version;
+        if stamp.version > held && self.sightings.note(now_ms, stamp.version) {
+            learning::heard(stamp.version, holder.map(|peer| peer.node), held);
+        }
         self.holder.announce(stamp);
         match holder {
             Some(peer) => self.fetcher.held_by(now_ms, stamp, peer),
@@ -331,7 +348,12 @@
 
     /// Failure guarded against: a store that answers with an older configuration than the one in
     /// force. It shows as a version that is not newer, which the holder refuses.
-    fn written(&mut self, now_ms: u64, configuration: Option<Box<Configuration>>) {
+    fn written(
+        &mut self,
+        now_ms: u64,
+        configuration: Option<Box<Configuration>>,
+        unwatched_ms: u64,
+    ) {
         self.note_store(true);
         if let Some(refresh) = &mut self.refresh {
             refresh.head_read = true;
@@ -346,6 +368,7 @@
         }
         match self.holder.prepare_whole(*configuration) {
             Ok(applied) => {
+                self.learnt(now_ms, applied.stamp.version, Way::Store, unwatched_ms);
                 self.announced(now_ms, applied.stamp, None);
                 self.tell(MembershipMsg::Head(applied.stamp));
             }
@@ -353,8 +376,9 @@
         }
     }
 
-    fn led(&mut self, now_ms: u64, stamp: Stamp, have: Version, content: &Content) {
-        if self.prepare(stamp, have, content, "lead") {
+    fn led(&mut self, now_ms: u64, offer: &Offer, have: Version) {
+        let stamp = offer.stamp;
+        if self.prepare(now_ms, offer, have, Way::Lead) {
             self.floor.head_read(stamp.version);
             self.announced(now_ms, stamp, None);
             self.tell(MembershipMsg::Head(stamp));
@@ -463,16 +487,10 @@
         }
     }
 
-    fn fetched(
-        &mut self,
-        now_ms: u64,
-        fetch: &Fetch,
-        have: Version,
-        found: Option<(Stamp, Content)>,
-    ) {
-        let source = content::source_name(&fetch.source);
-        let prepared =
-            found.is_some_and(|(stamp, content)| self.prepare(stamp, have, &content, source));
+    fn fetched(&mut self, now_ms: u64, fetch: &Fetch, have: Version, found: Option<Offer>) {
+        let way = Way::from(&fetch.source);
+        let source = way.as_str();
+        let prepared = found.is_some_and(|offer| self.prepare(now_ms, &offer, have, way));
         let result = if prepared { "used" } else { "failed" };
         metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
             .increment(1);
@@ -480,15 +498,15 @@
     }
 
     /// Whether the version is held now. `have` was held when its content was asked for.
-    fn prepare(
-        &mut self,
-        stamp: Stamp,
-        have: Version,
-        content: &Content,
-        source: &'static str,
-    ) -> bool {
+    fn prepare(&mut self, now_ms: u64, offer: &Offer, have: Version, way: Way) -> bool {
+        let Offer {
+            stamp,
+            content,
+            age_ms,
+        } = offer;
         let bytes = content.len_bytes() as u64;
-        metrics::counter!("dragonflywall_fetched_bytes_total", "source" => source).increment(bytes);
+        metrics::counter!("dragonflywall_fetched_bytes_total", "source" => way.as_str())
+            .increment(bytes);
         let held = self.holder.held().version;
         if stamp.version <= held {
             // It came another way meanwhile.
@@ -499,11 +517,42 @@
             log::debug!(version = stamp.version.0, have = have.0, held = held.0; "differences from an older version");
             return false;
         }
-        let prepared = self.holder.prepare(stamp, content);
-        if let Err(error) = &prepared {
-            self.refused(stamp.version, error);
+        match self.holder.prepare(*stamp, content) {
+            Ok(_) => self.learnt(now_ms, stamp.version, way, *age_ms),
+            Err(error) => {
+                self.refused(stamp.version, &error);
+                return false;
+            }
         }
-        prepared.is_ok()
+        true
+    }
+
+    /// The content of a version that was accepted `age_ms` ago, or earlier, is held now.
+    fn learnt(&mut self, now_ms: u64, version: Version, way: Way, age_ms: u64) {
+        let heard_ms = self.sightings.of(version).unwrap_or(now_ms);
+        self.sightings.forget_below(version);
+        self.held_accepted_ms = heard_ms.min(now_ms.saturating_sub(age_ms));
+        learning::learnt(&Learnt {
+            version,
+            way,
+            heard_ms: now_ms.saturating_sub(heard_ms),
+            age_ms: self.held_age_ms(now_ms),
+        });
+    }
+
+    fn held_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.held_accepted_ms)
+    }
+
+    /// What a peer that holds `have` gets.
+    fn offer(&self, now_ms: u64, have: Version) -> Option<Offer> {
+        let (stamp, content) = self.holder.content_for(have)?;
+        let age_ms = self.held_age_ms(now_ms);
+        Some(Offer {
+            stamp,
+            content,
+            age_ms,
+        })
     }
 
     /// Enforces what is held once the floor is settled and a peer remembers it.
@@ -532,8 +581,7 @@
             return;
         }
         if let Some(applied) = self.holder.enforce() {
-            log::info!(version = stamp.version.0, digest:% = stamp.digest.short(); "enforced a configuration");
-            metrics::gauge!("dragonflywall_enforced_version").set(stamp.version.0 as f64);
+            learning::enforced(stamp, self.held_age_ms(now_ms));
             self.node.enforced.store(Some(applied));
             self.node.refresh_slots();
             self.tell(MembershipMsg::SetEnforced(stamp.version));
--- a/src/node/content.rs
+++ b/src/node/content.rs
@@ -4,7 +4,7 @@
 
 use crate::core::member::Distance;
 use crate::core::version::Stamp;
-use crate::distribution::{Content, Fetch, Source};
+use crate::distribution::{Fetch, Offer, Source};
 use crate::node::configuration::Origin;
 use crate::node::state::NodeState;
 use crate::node::store;
@@ -14,28 +14,16 @@
 /// somebody else has it.
 const NEAR_FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Word for a source in metrics.
-pub(crate) fn source_name(source: &Source) -> &'static str {
-    match source {
-        Source::Store => "store",
-        Source::Peer { distance, .. } => match distance {
-            Distance::DataCentre => "data-centre",
-            Distance::Region => "region",
-            Distance::Mesh => "mesh",
-        },
-    }
-}
-
 /// Makes a fetch; what was found, if anything.
 pub(crate) async fn fetch(
     node: &NodeState,
     origin: &Origin,
     held: Stamp,
     fetch: &Fetch,
-) -> Option<(Stamp, Content)> {
+) -> Option<Offer> {
     match fetch.source {
         Source::Store => match origin {
-            Origin::Published(store) => store::content(store, held, fetch.want).await,
+            Origin::Published(store) => store::offer(store, held, fetch.want).await,
             Origin::Written(again) => {
                 // What it reads comes as a message of its own.
                 again.notify_one();
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -12,7 +12,7 @@
 //! | **a lead for each data centre** | a lead that is gone shows at once, as its answer is being waited for |
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ractor::ActorRef;
 use tokio::sync::Notify;
@@ -24,6 +24,7 @@
 use crate::decide::pacing::{Backoff, jittered_ms};
 use crate::distribution::fetch::Peer;
 use crate::store::{Error, Feed, Position, Told};
+use crate::util::clock;
 
 /// How long one read of the store waits for news. A connection can go silent without a word, and then a
 /// new version is heard of only with the next read.
@@ -38,6 +39,9 @@
 /// A lead that was no help is left alone for so long.
 const LEAD_PAUSE_MS: u64 = 3_000;
 
+/// An answer that takes so much longer than it was to wait for news is logged as late.
+const LATE_MS: u64 = 300;
+
 /// Pauses after failures of the store. Its rates are shared by all nodes, and a version that was accepted
 /// right after an outage is to be in force within seconds.
 const RETRY: Backoff = Backoff::new(50, 1_000);
@@ -116,6 +120,7 @@
         let Some(mut client) = self.node.control.client(lead.address) else {
             return self.leave_alone(lead);
         };
+        let began = Instant::now();
         let answer = tokio::select! {
             answer = client.follow(have, LEAD_WAIT) => answer,
             _ = changes.wait_for(|now| now.map(|now| now.node) != Some(lead.node)) => return,
@@ -123,11 +128,19 @@
         let newer = match answer {
             Ok(newer) => newer,
             Err(error) => {
-                log::info!(lead:% = lead.node, error:%; "the lead gives no answer; reading the store");
+                log::info!(
+                    lead:% = lead.node, error:%, took_ms = clock::since_ms(began);
+                    "the lead gives no answer; reading the store"
+                );
                 self.node.control.forget(lead.address);
                 return self.leave_alone(lead);
             }
         };
+        let len_bytes = newer
+            .offer
+            .as_ref()
+            .map_or(0, |offer| offer.content.len_bytes());
+        log_late("lead", began, LEAD_WAIT, len_bytes);
         if newer.store_age_ms >= STALE_MS {
             log::info!(
                 lead:% = lead.node, store_age_ms = newer.store_age_ms;
@@ -136,12 +149,8 @@
             self.leave_alone(lead);
         }
         self.node.store_was_read(newer.store_age_ms);
-        if let Some((stamp, content)) = newer.content {
-            self.tell(ConfigurationMsg::FromLead {
-                stamp,
-                have,
-                content,
-            });
+        if let Some(offer) = newer.offer {
+            self.tell(ConfigurationMsg::FromLead { offer, have });
         }
     }
 
@@ -151,30 +160,41 @@
     }
 
     async fn read_store(&mut self) {
-        let read = match self.position {
-            None => self.feed.newest().await,
-            Some(position) => self.feed.after(position, STORE_WAIT).await,
+        let unwatched_ms = self.node.store_age_ms().unwrap_or(0);
+        let began = Instant::now();
+        let (wait, read) = match self.position {
+            None => (Duration::ZERO, self.feed.newest().await),
+            Some(position) => (STORE_WAIT, self.feed.after(position, STORE_WAIT).await),
         };
         self.asked_store = true;
         match read {
-            Ok(told) => self.store_told(told),
+            Ok(told) => {
+                log_late("store", began, wait, told.len_bytes);
+                self.store_told(told, unwatched_ms);
+            }
             Err(Error::HistoryGone) => {
                 log::info!("the store has dropped its history; reading the newest version");
                 self.position = None;
             }
-            Err(error) => self.store_failed(&error).await,
+            Err(error) => self.store_failed(&error, began).await,
         }
     }
 
-    fn store_told(&mut self, told: Told) {
+    fn store_told(&mut self, told: Told, unwatched_ms: u64) {
         self.failures = 0;
         self.position = Some(told.position);
         self.node.store_was_read(0);
-        self.tell(ConfigurationMsg::Written(told.configuration.map(Box::new)));
+        self.tell(ConfigurationMsg::Written {
+            configuration: told.configuration.map(Box::new),
+            unwatched_ms,
+        });
     }
 
-    async fn store_failed(&mut self, error: &Error) {
-        log::debug!(error:%; "reading the store failed");
+    async fn store_failed(&mut self, error: &Error, began: Instant) {
+        log::info!(
+            error:%, took_ms = clock::since_ms(began), failures = self.failures;
+            "reading the store failed"
+        );
         self.tell(ConfigurationMsg::NotRead);
         let pause_ms = jittered_ms(RETRY.pause_ms(self.failures), rand::random());
         self.failures += 1;
@@ -188,3 +208,12 @@
         let _ = self.configuration.cast(message);
     }
 }
+
+/// Logs an answer that took longer than `wait`, for which it may wait for news, and [`LATE_MS`].
+fn log_late(source: &str, began: Instant, wait: Duration, len_bytes: usize) {
+    let took_ms = clock::since_ms(began);
+    let wait_ms = clock::whole_ms(wait);
+    if took_ms >= wait_ms + LATE_MS {
+        log::warn!(source, took_ms, wait_ms, len_bytes; "an answer came late");
+    }
+}
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -183,11 +183,11 @@
         self.store_read_ms.fetch_max(read_ms, Ordering::AcqRel);
     }
 
-    /// How long ago the store told what is newest.
-    pub(crate) fn store_age_ms(&self) -> u64 {
+    /// How long ago the store told what is newest, if it ever did.
+    pub(crate) fn store_age_ms(&self) -> Option<u64> {
         match self.store_read_ms.load(Ordering::Acquire) {
-            0 => u64::MAX,
-            read_ms => self.age_ms().saturating_sub(read_ms),
+            0 => None,
+            read_ms => Some(self.age_ms().saturating_sub(read_ms)),
         }
     }
 
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use crate::core::version::{Stamp, Version};
-use crate::distribution::{Content, Step};
+use crate::distribution::{Content, Offer, Step};
 use crate::ops::query::accepted;
 use crate::store::http::HttpStore;
 use crate::store::rows::VersionRow;
@@ -24,12 +24,9 @@
     (head.ok().map(|head| head.stamp), clock::since_ms(begin))
 }
 
-/// The content of `want`: the deltas from `held` where they are few, else the snapshot.
-pub(crate) async fn content(
-    platform: &HttpStore,
-    held: Stamp,
-    want: Stamp,
-) -> Option<(Stamp, Content)> {
+/// The content of `want`: the deltas from `held` where they are few, else the snapshot. Its age is not
+/// known here.
+pub(crate) async fn offer(platform: &HttpStore, held: Stamp, want: Stamp) -> Option<Offer> {
     let newest = accepted::version_row(platform, want.version).await.ok()?;
     let stamp = newest.stamp;
     let snapshot = newest.snapshot_object;
@@ -42,7 +39,11 @@
         1 => Content::Delta(steps.into_iter().next()?.delta),
         _ => Content::Chain(steps),
     };
-    Some((stamp, content))
+    Some(Offer {
+        stamp,
+        content,
+        age_ms: 0,
+    })
 }
 
 /// The rows from the one after `held` to `newest`, oldest first, if they are few.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -17,7 +17,7 @@
 use crate::core::member::NodeId;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
-use crate::distribution::Content;
+use crate::distribution::Offer;
 use crate::membership::Gossip;
 
 /// Result of this module.
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Newer {
     /// A newer version, if there was one in time.
-    pub(crate) content: Option<(Stamp, Content)>,
+    pub(crate) offer: Option<Offer>,
     /// How long ago the store told the peer, or whom it follows, what is newest.
     pub(crate) store_age_ms: u64,
 }
@@ -141,11 +141,7 @@
     }
 
     /// Asks for the content of a version above `have`.
-    pub async fn fetch(
-        &mut self,
-        have: Version,
-        want: Version,
-    ) -> Result<Option<(Stamp, Content)>> {
+    pub async fn fetch(&mut self, have: Version, want: Version) -> Result<Option<Offer>> {
         let request = wire::FetchRequest {
             have_version: have.0,
             want_version: want.0,
@@ -154,7 +150,7 @@
         let answer = answer.context(CallSnafu {
             address: self.address,
         })?;
-        convert::content_from_wire(answer.into_inner()).map_err(|error| self.broken(&error))
+        convert::offer_from_wire(answer.into_inner()).map_err(|error| self.broken(&error))
     }
 
     /// Asks for the content of a version above `have` as soon as the peer holds one, and waits for
@@ -173,14 +169,12 @@
         })?;
         let answer = answer.into_inner();
         let store_age_ms = u64::from(answer.store_age_ms);
-        let content = match answer.newer {
-            Some(newer) => {
-                convert::content_from_wire(newer).map_err(|error| self.broken(&error))?
-            }
+        let offer = match answer.newer {
+            Some(newer) => convert::offer_from_wire(newer).map_err(|error| self.broken(&error))?,
             None => None,
         };
         Ok(Newer {
-            content,
+            offer,
             store_age_ms,
         })
     }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -8,7 +8,7 @@
 use crate::core::member::{BackendState, Liveness, Member, NodeId, Place};
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::version::{Digest, NotADigest, Stamp, Version};
-use crate::distribution::{Content, Step};
+use crate::distribution::{Content, Offer, Step};
 use crate::membership::{Gossip, Report, Summary};
 
 /// Result of this module.
@@ -288,14 +288,15 @@
     }
 }
 
-pub(crate) fn content_to_wire(content: Option<(Stamp, Content)>) -> wire::FetchReply {
-    let Some((stamp, content)) = content else {
+pub(crate) fn offer_to_wire(offer: Option<Offer>) -> wire::FetchReply {
+    let Some(offer) = offer else {
         return wire::FetchReply {
             reached: Some(stamp_to_wire(Stamp::NONE)),
             content: None,
+            age_ms: 0,
         };
     };
-    let content = match content {
+    let content = match offer.content {
         Content::Delta(bytes) => wire::fetch_reply::Content::Delta(bytes),
         Content::Snapshot(bytes) => wire::fetch_reply::Content::Snapshot(bytes),
         Content::Chain(steps) => {
@@ -308,12 +309,13 @@
         }
     };
     wire::FetchReply {
-        reached: Some(stamp_to_wire(stamp)),
+        reached: Some(stamp_to_wire(offer.stamp)),
         content: Some(content),
+        age_ms: u32::try_from(offer.age_ms).unwrap_or(u32::MAX),
     }
 }
 
-pub(crate) fn content_from_wire(reply: wire::FetchReply) -> Result<Option<(Stamp, Content)>> {
+pub(crate) fn offer_from_wire(reply: wire::FetchReply) -> Result<Option<Offer>> {
     let stamp = stamp_from_wire(reply.reached.as_ref())?;
     let content = match reply.content {
         None => return Ok(None),
@@ -324,7 +326,11 @@
             Content::Chain(steps?)
         }
     };
-    Ok(Some((stamp, content)))
+    Ok(Some(Offer {
+        stamp,
+        content,
+        age_ms: u64::from(reply.age_ms),
+    }))
 }
 
 fn step_from_wire(step: wire::Step) -> Result<Step> {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -10,8 +10,8 @@
 use super::generated as wire;
 use super::generated::control_server::Control;
 use crate::core::member::NodeId;
-use crate::core::version::{Stamp, Version};
-use crate::distribution::Content;
+use crate::core::version::Version;
+use crate::distribution::Offer;
 use crate::node::configuration::ConfigurationMsg;
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
@@ -29,14 +29,14 @@
 }
 
 impl ControlService {
-    async fn content_for(&self, have: Version) -> Result<Option<(Stamp, Content)>, Status> {
-        let content = ractor::call_t!(
+    async fn offer(&self, have: Version) -> Result<Option<Offer>, Status> {
+        let offer = ractor::call_t!(
             self.configuration,
-            ConfigurationMsg::ContentFor,
+            ConfigurationMsg::Offer,
             ACTOR_TIMEOUT_MS,
             have
         );
-        content.map_err(|_| stopping())
+        offer.map_err(|_| stopping())
     }
 }
 
@@ -62,8 +62,8 @@
         request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::FetchReply>, Status> {
         let have = Version(request.get_ref().have_version);
-        let content = self.content_for(have).await?;
-        Ok(Response::new(convert::content_to_wire(content)))
+        let offer = self.offer(have).await?;
+        Ok(Response::new(convert::offer_to_wire(offer)))
     }
 
     async fn follow(
@@ -76,13 +76,14 @@
         let mut held = self.node.held.subscribe();
         let newer = tokio::time::timeout(wait, held.wait_for(|held| *held > have));
         let is_newer = newer.await.is_ok();
-        let content = match is_newer {
-            true => self.content_for(have).await?,
+        let offer = match is_newer {
+            true => self.offer(have).await?,
             false => None,
         };
-        let store_age_ms = u32::try_from(self.node.store_age_ms()).unwrap_or(u32::MAX);
+        let store_age_ms = self.node.store_age_ms().unwrap_or(u64::MAX);
+        let store_age_ms = u32::try_from(store_age_ms).unwrap_or(u32::MAX);
         Ok(Response::new(wire::FollowReply {
-            newer: Some(convert::content_to_wire(content)),
+            newer: Some(convert::offer_to_wire(offer)),
             store_age_ms,
         }))
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -107,6 +107,9 @@
     rows: Vec<WireRow>,
     /// The newest transaction that the answer takes in.
     ver: u64,
+    /// Length of the answer.
+    #[serde(skip)]
+    len_bytes: usize,
 }
 
 impl Client {
@@ -120,7 +123,10 @@
     async fn get(&self, path: &str, timeout: Duration) -> Result<WireRows> {
         let call = self.transport.call(Method::GET, path, Vec::new(), timeout);
         match call.await? {
-            (StatusCode::OK, body) => decode(&body),
+            (StatusCode::OK, body) => Ok(WireRows {
+                len_bytes: body.len(),
+                ..decode(&body)?
+            }),
             (StatusCode::GONE, _) => Err(Error::HistoryGone),
             (status, _) => unexpected(status),
         }
@@ -216,6 +222,7 @@
     Ok(Told {
         position: Position(answer.ver),
         configuration: newest.and_then(readable),
+        len_bytes: answer.len_bytes,
     })
 }
 
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -184,7 +184,7 @@
             service:% = self.service(),
             known,
             tried,
-            store_age_ms = self.node.store_age_ms(),
+            store_age_ms:? = self.node.store_age_ms(),
             left_ms = self.left_ms();
             "no endpoint to place the request at"
         );
--- a/src/store.rs
+++ b/src/store.rs
@@ -151,6 +151,8 @@
     pub position: Position,
     /// The newest configuration, if there is one that was not told before.
     pub configuration: Option<Configuration>,
+    /// Length of the answer.
+    pub len_bytes: usize,
 }
 
 /// A configuration that operators write into the store as a whole, instead of publishing it.
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -23,9 +23,14 @@
     u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Whole milliseconds of a span.
+pub(crate) fn whole_ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Steady milliseconds since `start`.
 pub(crate) fn since_ms(start: Instant) -> u64 {
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    whole_ms(start.elapsed())
 }
 
 /// Steady microseconds since `start`.
--- a/tests/testsuite/logs.rs
+++ b/tests/testsuite/logs.rs
@@ -1,5 +1,6 @@
 //! What the log tells an operator after a failure.
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
@@ -8,9 +9,14 @@
 use testkit::http::{request, wait_until};
 use testkit::platform::Faults;
 use testkit::process::{Addresses, LogLine, Signal};
+use testkit::users::mesh::Plan;
+use testkit::users::store::Trouble;
 use tokio::sync::mpsc;
 
-use crate::support::{LIMIT, PROGRAM, ask, metrics, small, start_chatarras, vms_of};
+use crate::support::{
+    LIMIT, PROGRAM, SERVICES, ask, metrics, small, start_chatarras, start_users_serving,
+    users_routes, vms_of, write_routes,
+};
 
 /// In the night the platform is down for a while, a VM dies, and its replacement starts meanwhile. In
 /// the morning the operator finds the death in its neighbours' logs, and the outage with its
@@ -69,6 +75,57 @@
     assert!(fields["version"].as_u64() > Some(0), "{fields}");
 }
 
+/// From one node's log and metrics an operator sees by which way a version came and how old it was.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_by_which_way_a_version_came() {
+    let (sender, mut lines) = mpsc::unbounded_channel();
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.log_lines = Some(sender);
+    let mesh = start_users_serving(plan).await;
+    let mut ways = BTreeSet::new();
+    // A node that has just started reads the store itself until it knows its lead.
+    for version in 2.. {
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        mesh.wait_enforced(version).await;
+        for _ in &mesh.vms {
+            let learnt = |line: &LogLine| {
+                line.text.contains("learnt a version") && fields(line)["version"] == version
+            };
+            let fields = fields(&wait_for(&mut lines, learnt).await);
+            assert!(fields["age_ms"].is_u64(), "{fields}");
+            assert!(fields["heard_ms"].is_u64(), "{fields}");
+            ways.extend(fields["way"].as_str().map(str::to_owned));
+        }
+        if ways.contains("lead") && ways.contains("store") {
+            break;
+        }
+    }
+    let text = metrics(mesh.vms[0].node().addresses.operator).await;
+    for name in [
+        "version_age_seconds",
+        "versions_learnt_total",
+        "store_age_seconds",
+    ] {
+        assert!(text.contains(&format!("dragonflywall_{name}")), "{name}");
+    }
+}
+
+/// A lead that the store refuses says so in its log, with how long each read took.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_of_each_failed_read_of_the_store() {
+    let (sender, mut lines) = mpsc::unbounded_channel();
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.log_lines = Some(sender);
+    let mesh = start_users_serving(plan).await;
+    mesh.store.set_trouble(Trouble::Reset);
+    let failed = |line: &LogLine| line.text.contains("reading the store failed");
+    let fields = fields(&wait_for(&mut lines, failed).await);
+    assert!(fields["took_ms"].is_u64(), "{fields}");
+    assert!(fields["error"].is_string(), "{fields}");
+}
+
 /// Whoever collects a node's log stops reading. The pipe fills, and were a line written by whoever
 /// logs it, the next request that is refused would wait for ever, and all behind it.
 #[tokio::test(flavor = "multi_thread")]
