Count the wait for a fetch from the first version that is missing

What callers saw: a route accepted more than 2.5 s before was answered 404, at nodes of a data centre whose lead the store refused, while versions came in quick succession.

Cause: a node leaves a version that gossip tells of to its lead for 300 ms before it fetches it from a peer. Each newer version restarted that wait, so versions that came less than 300 ms apart were never fetched. Class of fault: a fallback whose delay is restarted by the events that it is there for.

Change: the fetcher remembers when each version that is not held yet was first heard of, and counts all its waits (near, far, store) from the first.

The store's bytes and those between regions are the same.

Excluded: gossip that does not reach the data centre (the log shows each version heard within 120 ms).

--- a/src/distribution/fetch.rs
+++ b/src/distribution/fetch.rs
@@ -19,6 +19,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use super::sightings::Sightings;
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::decide::pacing::{Backoff, jittered_ms};
@@ -82,7 +83,8 @@
     me: NodeId,
     gateway_rank: Option<usize>,
     head: Stamp,
-    head_heard_ms: u64,
+    /// Versions above the one held; waits count from the first, not from the newest.
+    sightings: Sightings,
     holders: BTreeMap<NodeId, (Stamp, Peer)>,
     in_flight: Option<Fetch>,
     failures: u32,
@@ -99,7 +101,7 @@
             me,
             gateway_rank: None,
             head: Stamp::NONE,
-            head_heard_ms: 0,
+            sightings: Sightings::default(),
             holders: BTreeMap::new(),
             in_flight: None,
             failures: 0,
@@ -110,7 +112,7 @@
         }
     }
 
-    /// Leaves peers of the region alone for so long after a version was heard of.
+    /// Leaves peers of the region alone for so long after the first version that is missing was heard of.
     pub fn with_near_delay_ms(mut self, near_delay_ms: u64) -> Self {
         self.near_delay_ms = near_delay_ms;
         self
@@ -148,13 +150,18 @@
     pub fn heard(&mut self, now_ms: u64, stamp: Stamp) {
         if stamp.version > self.head.version {
             self.head = stamp;
-            self.head_heard_ms = now_ms;
+            self.sightings.note(now_ms, stamp.version);
             // A newer version is a new matter: its first try is not held back by old failures.
             self.failures = 0;
             self.not_before_ms = now_ms;
         }
     }
 
+    /// When `version`, or a newer one, was first heard of, unless it has been held since.
+    pub fn heard_at_ms(&self, version: Version) -> Option<u64> {
+        self.sightings.of(version)
+    }
+
     /// Notes that `peer` holds the content of `stamp`.
     pub fn held_by(&mut self, now_ms: u64, stamp: Stamp, peer: Peer) {
         self.heard(now_ms, stamp);
@@ -176,10 +183,12 @@
             return None;
         }
         self.holders.retain(|_, (stamp, _)| stamp.version > held);
+        self.sightings.forget(held);
+        let waited_ms = now_ms.saturating_sub(self.behind_since_ms(held)?);
         let near = self
             .near_fetch()
-            .filter(|_| self.waited_ms(now_ms) >= self.near_delay_ms);
-        let fetch = near.or_else(|| self.far_fetch(now_ms))?;
+            .filter(|_| waited_ms >= self.near_delay_ms);
+        let fetch = near.or_else(|| self.far_fetch(waited_ms))?;
         self.in_flight = Some(fetch);
         Some(fetch)
     }
@@ -189,12 +198,11 @@
         if self.in_flight.is_some() || self.head.version <= held {
             return None;
         }
-        let far = self.head_heard_ms + self.far_delay_ms();
-        let store = self.head_heard_ms + self.store_delay_ms();
+        let since_ms = self.behind_since_ms(held)?;
+        let far = since_ms + self.far_delay_ms();
+        let store = since_ms + self.store_delay_ms();
         let soonest = match self.holders.values().map(|(_, peer)| peer.distance).min() {
-            Some(Distance::DataCentre | Distance::Region) => {
-                self.head_heard_ms + self.near_delay_ms
-            }
+            Some(Distance::DataCentre | Distance::Region) => since_ms + self.near_delay_ms,
             Some(Distance::Mesh) => far.min(store),
             None => store,
         };
@@ -243,12 +251,12 @@
         best.map(|(stamp, peer)| from_peer(*stamp, peer))
     }
 
-    fn waited_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.head_heard_ms)
+    /// When the first version was heard of that is newer than the one held.
+    fn behind_since_ms(&self, held: Version) -> Option<u64> {
+        self.sightings.first_above(held)
     }
 
-    fn far_fetch(&self, now_ms: u64) -> Option<Fetch> {
-        let waited_ms = self.waited_ms(now_ms);
+    fn far_fetch(&self, waited_ms: u64) -> Option<Fetch> {
         let far = self.holders.values().next();
         if let Some((stamp, peer)) = far
             && waited_ms >= self.far_delay_ms()
--- a/src/distribution/sightings.rs
+++ b/src/distribution/sightings.rs
@@ -31,9 +31,15 @@
         first.map(|(_, at_ms)| *at_ms)
     }
 
-    /// Forgets what came before `version`.
-    pub fn forget_below(&mut self, version: Version) {
-        while self.seen.front().is_some_and(|(seen, _)| *seen < version) {
+    /// When the first version above `held` was heard of.
+    pub fn first_above(&self, held: Version) -> Option<u64> {
+        let first = self.seen.iter().find(|(seen, _)| *seen > held);
+        first.map(|(_, at_ms)| *at_ms)
+    }
+
+    /// Forgets `held` and what came before it.
+    pub fn forget(&mut self, held: Version) {
+        while self.seen.front().is_some_and(|(seen, _)| *seen <= held) {
             self.seen.pop_front();
         }
     }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -11,9 +11,7 @@
 use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{
-    Content, Fetch, Fetcher, Floor, Holder, Offer, Sightings, floor, holder,
-};
+use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, Offer, floor, holder};
 use crate::node::learning::{self, Learnt, Way};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
@@ -145,7 +143,6 @@
     origin: Origin,
     holder: Holder,
     fetcher: Fetcher,
-    sightings: Sightings,
     /// When the version held was accepted, as far as clocks and answers tell.
     held_accepted_ms: u64,
     floor: Floor,
@@ -192,7 +189,6 @@
             node,
             origin,
             holder: Holder::default(),
-            sightings: Sightings::default(),
             held_accepted_ms: now_ms,
             floor: Floor::new(now_ms, floor_origin),
             role: Role::default(),
@@ -308,7 +304,7 @@
 
     fn announced(&mut self, now_ms: u64, stamp: Stamp, holder: Option<Peer>) {
         let held = self.holder.held().version;
-        if stamp.version > held && self.sightings.note(now_ms, stamp.version) {
+        if stamp.version > held.max(self.fetcher.head().version) {
             learning::heard(stamp.version, holder.map(|peer| peer.node), held);
         }
         self.holder.announce(stamp);
@@ -529,8 +525,7 @@
 
     /// The content of a version that was accepted `age_ms` ago, or earlier, is held now.
     fn learnt(&mut self, now_ms: u64, version: Version, way: Way, age_ms: u64) {
-        let heard_ms = self.sightings.of(version).unwrap_or(now_ms);
-        self.sightings.forget_below(version);
+        let heard_ms = self.fetcher.heard_at_ms(version).unwrap_or(now_ms);
         self.held_accepted_ms = heard_ms.min(now_ms.saturating_sub(age_ms));
         learning::learnt(&Learnt {
             version,
