Read the newest version, not the history, after a while without the store

Cause: a follower kept the position of its last own read of the store, from the start of its life, and read on from there when its lead was of no help. The store answers with a whole configuration for each version since, 1 MB at a time.

Change: a position older than a second is given up for a read of the newest version. /status says whom a node follows.

Excluded: the link alone (the reads brought 4.3 MB) and a connection at rest.

--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -411,6 +411,28 @@
         status["enforced"]["version"].as_u64().unwrap_or(0)
     }
 
+    /// Waits until all nodes of a data centre but one follow that one, and returns its position.
+    pub async fn lead_of(&self, data_centre: &str) -> usize {
+        let vms = self.vms.iter().enumerate();
+        let here: Vec<usize> = vms
+            .filter(|(_, vm)| vm.data_centre.0 == data_centre)
+            .map(|(position, _)| position)
+            .collect();
+        let mut readers = Vec::new();
+        let until = tokio::time::Instant::now() + LIMIT;
+        while readers.len() != 1 {
+            assert!(tokio::time::Instant::now() < until, "readers: {readers:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            readers.clear();
+            for position in &here {
+                if self.status(*position).await["follows"].is_null() {
+                    readers.push(*position);
+                }
+            }
+        }
+        readers[0]
+    }
+
     /// Waits until every running node enforces `version` or a later one.
     pub async fn wait_enforced(&self, version: u64) {
         for position in 0..self.vms.len() {
--- a/crates/testkit/src/users/store.rs
+++ b/crates/testkit/src/users/store.rs
@@ -66,6 +66,14 @@
     pub writes: u64,
     /// Calls above the rates.
     pub refused: u64,
+    /// Most rows that one answer of a feed held.
+    pub feed_rows_most: usize,
+}
+
+impl Counts {
+    fn note_feed(&mut self, rows: usize) {
+        self.feed_rows_most = self.feed_rows_most.max(rows);
+    }
 }
 
 #[derive(Debug)]
@@ -77,6 +85,7 @@
     delay: Duration,
     write_fault: WriteFault,
     counts: Counts,
+    reads_by: BTreeMap<IpAddr, u64>,
     reads: Bucket,
     writes: Bucket,
 }
@@ -118,6 +127,7 @@
                 delay: Duration::ZERO,
                 write_fault: WriteFault::None,
                 counts: Counts::default(),
+                reads_by: BTreeMap::new(),
                 reads: Bucket::new(READS_PER_S),
                 writes: Bucket::new(WRITES_PER_S),
             }),
@@ -180,6 +190,12 @@
         self.shared.state().counts
     }
 
+    /// How often one caller has read what operators write, refused reads included.
+    pub fn configuration_reads_of(&self, caller: IpAddr) -> u64 {
+        let state = self.shared.state();
+        state.reads_by.get(&caller).copied().unwrap_or(0)
+    }
+
     /// The value of a row of a part without a name.
     pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         self.shared.state().rows.value(table, "", key)
@@ -229,6 +245,10 @@
     ) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
+        let query = Query(parts.uri.query().unwrap_or(""));
+        if query.get("tableName") == "op" {
+            *self.state().reads_by.entry(caller).or_default() += 1;
+        }
         let delay = self.state().delay;
         tokio::time::sleep(delay).await;
         if let Some(turned_away) = self.turn_away(caller) {
@@ -240,7 +260,6 @@
         if let Some(refused) = self.above_rates(&parts.method) {
             return Some(refused);
         }
-        let query = Query(parts.uri.query().unwrap_or(""));
         match (&parts.method, parts.uri.path()) {
             (&Method::POST, "/-/rows-tx") => self.transact(&body).into(),
             (&Method::GET, "/-/rows-get") => Some(self.get(&query)),
@@ -368,7 +387,10 @@
             let late = tokio::time::Instant::now() >= until;
             match told {
                 Feed::Gone => return Some(answer(StatusCode::GONE, "{}")),
-                Feed::Changes(rows) if !rows.is_empty() || late => return Some(self.told(&rows)),
+                Feed::Changes(rows) if !rows.is_empty() || late => {
+                    self.state().counts.note_feed(rows.len());
+                    return Some(self.told(&rows));
+                }
                 Feed::Changes(_) => (),
             }
             // Either way the history is looked at again.
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -21,6 +21,9 @@
     /// Services of the enforced configuration without an endpoint that this node can reach.
     #[serde(default)]
     pub lacking: Vec<ServiceName>,
+    /// The node that it hears of new versions from; none if it reads the store itself.
+    #[serde(default)]
+    pub follows: Option<NodeId>,
     /// Everything it knows of the mesh, itself included.
     pub members: Vec<Member>,
     /// What the nodes of each data centre enforce.
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -39,6 +39,10 @@
 /// A lead that was no help is left alone for so long.
 const LEAD_PAUSE_MS: u64 = 3_000;
 
+/// A position that was reached longer ago is given up for the newest configuration: the store answers with
+/// every version since, a whole configuration each.
+const POSITION_AGE_MAX: Duration = Duration::from_secs(1);
+
 /// An answer that takes so much longer than it was to wait for news is logged as late.
 const LATE_MS: u64 = 300;
 
@@ -70,8 +74,8 @@
     node: Arc<NodeState>,
     feed: F,
     configuration: ActorRef<ConfigurationMsg>,
-    /// Up to where the store's history is known.
-    position: Option<Position>,
+    /// Up to where the store's history is known, and since when.
+    position: Option<(Position, Instant)>,
     /// The store has been asked once, whether or not it has answered.
     asked_store: bool,
     /// Failures of the store in a row.
@@ -162,9 +166,12 @@
     async fn read_store(&mut self) {
         let unwatched_ms = self.node.store_age_ms().unwrap_or(0);
         let began = Instant::now();
-        let (wait, read) = match self.position {
+        let recent = self
+            .position
+            .filter(|(_, reached)| reached.elapsed() < POSITION_AGE_MAX);
+        let (wait, read) = match recent {
             None => (Duration::ZERO, self.feed.newest().await),
-            Some(position) => (STORE_WAIT, self.feed.after(position, STORE_WAIT).await),
+            Some((position, _)) => (STORE_WAIT, self.feed.after(position, STORE_WAIT).await),
         };
         self.asked_store = true;
         match read {
@@ -182,7 +189,7 @@
 
     fn store_told(&mut self, told: Told, unwatched_ms: u64) {
         self.failures = 0;
-        self.position = Some(told.position);
+        self.position = Some((told.position, Instant::now()));
         self.node.store_was_read(0);
         self.tell(ConfigurationMsg::Written {
             configuration: told.configuration.map(Box::new),
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -142,6 +142,32 @@
     }
 }
 
+/// Guards against a node that, turning from its lead to the store, is sent every version since its last read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_turns_to_the_store_reads_the_newest_version_alone() {
+    const LAST: u64 = 30;
+    const LEAST_ROWS_OF_HISTORY: usize = 10;
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_users_serving(plan).await;
+    for version in 2..=LAST {
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        mesh.wait_enforced(version).await;
+    }
+    let lead = mesh.lead_of("gijon").await;
+    let other = 1 - lead;
+    let reads = mesh.store.configuration_reads_of(mesh.vms[other].ip);
+    mesh.store.set_trouble_for(mesh.vms[lead].ip, Trouble::Busy);
+    wait_until("the other node reads the store", LIMIT, || async {
+        mesh.store.configuration_reads_of(mesh.vms[other].ip) > reads
+    })
+    .await;
+    write_routes(&mesh, LAST + 1, &users_routes(), &SERVICES);
+    mesh.wait_enforced(LAST + 1).await;
+    let rows = mesh.store.counts().feed_rows_most;
+    assert!(rows < LEAST_ROWS_OF_HISTORY, "{rows} rows in one answer");
+}
+
 /// The store forgets its history between two versions; nobody misses the second one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_that_forgets_its_history_loses_no_version() {
