Replace a lead that hears nothing of the store; take each wait from one budget

Cause: a follower learnt that its lead was blind from the age of the store's last word, at 3,000 ms, while a version is to be in force after 2,500 ms. Each wait (2 s for a read of the store, 1 s at a lead, 1.5 s and 0.7 s for their answers, 3 s until stale) was reasonable alone; nobody added them up, and none knew the bound. Once a lead was blind, all of its followers read the store, 56 KB a version each.

Change: the bound is a setting (--apply-within-ms, the platform's configApply), and each wait a named share of it; a test adds the shares up for each way and failure. A lead whose reads fail says so at once, and the next of three ranked leads reads in its place; a node that is no lead reads the store once none helps, seldom while it refuses. A read waits shorter where nothing else would show a silent connection. The store's answer has to begin in time and may then take as long as it goes on coming. /status: follows.

Tests: decisions (spread_leads); one node reads the store in place of a lead that it refuses (fails before: all do). With the old constants the way by a blind lead takes 3,000 ms and a read, by a silent one 1,700 and 3,500 ms.

Excluded: an election or a lease (a second reader for a moment costs calls only); shorter waits everywhere (idle reads of the store are priced).

--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -6,12 +6,15 @@
 //! what it had. Only a greater version is ever applied, and after a restart none below the
 //! [`Floor`]. See `docs/design/spread.md`.
 
+pub mod budget;
 pub mod fetch;
 pub mod floor;
 pub mod holder;
+pub mod lead_choice;
 pub mod offer;
 pub mod sightings;
 
+pub use budget::Budget;
 pub use fetch::{Fetch, Fetcher, Source};
 pub use floor::Floor;
 pub use holder::{Applied, Content, Holder, Step};
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -20,6 +20,9 @@
 /// Bridges between two data centres of a region. Two, so that the loss of one is not a gap.
 pub const BRIDGES: usize = 2;
 
+/// Members of a data centre that may read the store for the others.
+pub const LEADS: usize = 3;
+
 /// Gateways of a region: the first carries, the second stands by, the third is a spare for the
 /// store.
 pub const GATEWAYS: usize = 3;
@@ -71,13 +74,14 @@
     ranked(near, "watcher", BRIDGES)
 }
 
-/// The member of `me`'s data centre that reads the store for the others, `me` itself maybe. One that
-/// is suspected is none: whoever follows it would hear of nothing until it counts as dead.
-pub fn lead<'a>(me: &Member, members: impl Iterator<Item = &'a Member>) -> Option<NodeId> {
+/// The members of `me`'s data centre that read the store for the others, `me` itself maybe: the first
+/// while it can, the next in its place. One that is suspected is none: whoever follows it would hear of
+/// nothing until it counts as dead.
+pub fn leads<'a>(me: &Member, members: impl Iterator<Item = &'a Member>) -> Vec<NodeId> {
     let near = members
         .filter(|member| member.liveness == Liveness::Alive && member.place == me.place)
         .collect();
-    ranked(near, "watcher", 1).pop()
+    ranked(near, "watcher", LEADS)
 }
 
 /// Whether `me` looks after the links to `far`'s data centre, also when nobody there is alive.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -176,10 +176,16 @@
         self.watcher_rank
     }
 
-    /// The node of the data centre that reads the store for the others, if it is not this one.
-    pub fn lead(&self) -> Option<NodeId> {
-        let lead = neighbours::lead(&self.me, self.members());
-        lead.filter(|lead| *lead != self.me.node)
+    /// The nodes of the data centre that read the store for the others, see [`neighbours::leads`].
+    pub fn leads(&self) -> Vec<NodeId> {
+        neighbours::leads(&self.me, self.members())
+    }
+
+    /// Whether no node of another data centre is known to be alive.
+    pub fn is_only_data_centre(&self) -> bool {
+        let place = &self.me.place;
+        let mut others = self.roster.members();
+        !others.any(|m| m.place != *place && m.liveness == Liveness::Alive)
     }
 
     /// Highest version that a node's address has reported, in any of its lives.
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -2,14 +2,14 @@
 //!
 //! One node of each data centre, its lead, has a read of the store under way that tells of each new
 //! version within a round trip; the others have one under way at the lead, and get the difference.
-//! Whoever has no lead, gets no answer from it, or hears from it that the store has not spoken for
-//! long reads the store itself.
+//! [`LeadChoice`] decides who that is. What comes neither way in time is fetched from peers, see
+//! [`crate::distribution::fetch`].
 //!
 //! | way | why (not) |
 //! |---|---|
 //! | every node reads the store | 83 nodes that each read 56 KB four times a second in a burst of changes need more than the link between the regions carries |
 //! | news by gossip alone | a node that is cut off from its neighbours and not from the store, or whose neighbours have just died, hears of a version too late |
-//! | **a lead for each data centre** | a lead that is gone shows at once, as its answer is being waited for |
+//! | **a lead for each data centre** | a lead that is gone, or hears nothing of the store, is replaced by the next |
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,25 +20,12 @@
 
 use super::configuration::ConfigurationMsg;
 use super::state::NodeState;
-use crate::core::member::NodeId;
-use crate::decide::pacing::{Backoff, jittered_ms};
+use crate::decide::pacing::jittered_ms;
 use crate::distribution::fetch::Peer;
+use crate::distribution::lead_choice::{Ask, LeadChoice, StoreFailure};
 use crate::store::{Error, Feed, Position, Told};
 use crate::util::clock;
 
-/// How long one read of the store waits for news. A connection can go silent without a word, and then a
-/// new version is heard of only with the next read.
-const STORE_WAIT: Duration = Duration::from_secs(2);
-/// The same at a lead. A lead that has vanished silently is noticed within this and the time that an
-/// answer takes, which leaves time to read the store before a version has to be in force.
-const LEAD_WAIT: Duration = Duration::from_secs(1);
-
-/// Age of the store's last word, as a lead tells it, from which the lead is no help: it reads every
-/// [`STORE_WAIT`], and a slow store takes a quarter of a second.
-const STALE_MS: u64 = 3_000;
-/// A lead that was no help is left alone for so long.
-const LEAD_PAUSE_MS: u64 = 3_000;
-
 /// A position that was reached longer ago is given up for the newest configuration: the store answers with
 /// every version since, a whole configuration each.
 const POSITION_AGE_MAX: Duration = Duration::from_secs(1);
@@ -46,11 +33,7 @@
 /// An answer that takes so much longer than it was to wait for news is logged as late.
 const LATE_MS: u64 = 300;
 
-/// Pauses after failures of the store. Its rates are shared by all nodes, and a version that was accepted
-/// right after an outage is to be in force within seconds.
-const RETRY: Backoff = Backoff::new(50, 1_000);
-
-/// Follows `feed`, or the lead, until `stop`; `again` asks for the newest version at once.
+/// Follows `feed`, or a lead, until `stop`; `again` asks for the newest version at once.
 pub(crate) async fn run(
     node: Arc<NodeState>,
     feed: impl Feed,
@@ -62,10 +45,8 @@
         node,
         feed,
         configuration,
+        choice: LeadChoice::default(),
         position: None,
-        asked_store: false,
-        failures: 0,
-        unhelpful: None,
     };
     stop.run_until_cancelled(follower.follow(&again)).await;
 }
@@ -74,14 +55,9 @@
     node: Arc<NodeState>,
     feed: F,
     configuration: ActorRef<ConfigurationMsg>,
+    choice: LeadChoice,
     /// Up to where the store's history is known, and since when.
     position: Option<(Position, Instant)>,
-    /// The store has been asked once, whether or not it has answered.
-    asked_store: bool,
-    /// Failures of the store in a row.
-    failures: u32,
-    /// A lead that was no help, and until when it is left alone.
-    unhelpful: Option<(NodeId, u64)>,
 }
 
 impl<F: Feed> Follower<F> {
@@ -96,99 +72,107 @@
     }
 
     async fn step(&mut self) {
-        match self.lead() {
-            Some(lead) => self.ask_lead(lead).await,
-            None => self.read_store().await,
+        let ask = self.next();
+        let follows = match &ask {
+            Ask::Store => None,
+            Ask::Lead { lead, .. } => Some(lead.node),
+        };
+        self.node.follows.send_replace(follows);
+        match ask {
+            Ask::Store => self.read_store().await,
+            Ask::Lead {
+                lead,
+                wait_ms,
+                answer_ms,
+            } => {
+                let wait = Duration::from_millis(wait_ms);
+                self.ask_lead(lead, wait, Duration::from_millis(answer_ms))
+                    .await;
+            }
         }
+        self.node.blind.send_if_modified(|known| {
+            let blind = self.choice.is_blind();
+            std::mem::replace(known, blind) != blind
+        });
     }
 
-    /// Whom to ask instead of the store.
-    fn lead(&self) -> Option<Peer> {
-        // The first question of a life is the store's: its answer tells below which version nothing
-        // may be enforced.
-        if !self.asked_store {
-            return None;
-        }
-        let lead = *self.node.lead.borrow();
+    fn next(&mut self) -> Ask {
         let now_ms = self.node.age_ms();
-        let left_alone = |lead: &Peer| {
-            let unhelpful = self.unhelpful;
-            unhelpful.is_some_and(|(node, until_ms)| node == lead.node && now_ms < until_ms)
-        };
-        lead.filter(|lead| !left_alone(lead))
+        self.choice.set_leads(self.node.leads.borrow().clone());
+        self.choice.note_held(now_ms, *self.node.held.borrow());
+        self.choice.next(now_ms, self.node.budget())
     }
 
-    async fn ask_lead(&mut self, lead: Peer) {
-        let mut changes = self.node.lead.subscribe();
+    async fn ask_lead(&mut self, lead: Peer, wait: Duration, answer: Duration) {
         let have = *self.node.held.borrow();
         let Some(mut client) = self.node.control.client(lead.address) else {
-            return self.leave_alone(lead);
+            return self.choice.lead_silent(self.node.age_ms(), lead.node);
         };
         let began = Instant::now();
+        let mut leads = self.node.leads.subscribe();
         let answer = tokio::select! {
-            answer = client.follow(have, LEAD_WAIT) => answer,
-            _ = changes.wait_for(|now| now.map(|now| now.node) != Some(lead.node)) => return,
+            answer = client.follow(have, wait, answer) => answer,
+            // Another one may be better by now.
+            _ = leads.changed() => return,
         };
+        let took_ms = clock::since_ms(began);
         let newer = match answer {
             Ok(newer) => newer,
             Err(error) => {
-                log::info!(
-                    lead:% = lead.node, error:%, took_ms = clock::since_ms(began);
-                    "the lead gives no answer; reading the store"
-                );
+                log::info!(lead:% = lead.node, error:%, took_ms; "the lead gives no answer");
                 self.node.control.forget(lead.address);
-                return self.leave_alone(lead);
+                return self.choice.lead_silent(self.node.age_ms(), lead.node);
             }
         };
-        let len_bytes = newer
-            .offer
-            .as_ref()
-            .map_or(0, |offer| offer.content.len_bytes());
-        log_late("lead", began, LEAD_WAIT, len_bytes);
-        if newer.store_age_ms >= STALE_MS {
+        let offered = newer.offer.as_ref();
+        let len_bytes = offered.map_or(0, |offer| offer.content.len_bytes());
+        log_late("lead", took_ms, wait, len_bytes);
+        let (now_ms, budget) = (self.node.age_ms(), self.node.budget());
+        let state = newer.state;
+        if !self.choice.lead_answered(now_ms, lead.node, state, budget) {
             log::info!(
-                lead:% = lead.node, store_age_ms = newer.store_age_ms;
-                "the lead has not heard of the store for long; reading the store"
+                lead:% = lead.node, store_age_ms = state.store_age_ms, blind = state.blind;
+                "the lead hears nothing of the store"
             );
-            self.leave_alone(lead);
         }
-        self.node.store_was_read(newer.store_age_ms);
+        self.node.store_was_read(state.store_age_ms);
         if let Some(offer) = newer.offer {
             self.tell(ConfigurationMsg::FromLead { offer, have });
         }
     }
 
-    fn leave_alone(&mut self, lead: Peer) {
-        let until_ms = self.node.age_ms() + LEAD_PAUSE_MS;
-        self.unhelpful = Some((lead.node, until_ms));
-    }
-
     async fn read_store(&mut self) {
         let unwatched_ms = self.node.store_age_ms().unwrap_or(0);
+        let budget = self.node.budget();
+        let answer = Duration::from_millis(self.choice.store_answer_ms(budget));
         let began = Instant::now();
         let recent = self
             .position
             .filter(|(_, reached)| reached.elapsed() < POSITION_AGE_MAX);
         let (wait, read) = match recent {
-            None => (Duration::ZERO, self.feed.newest().await),
-            Some((position, _)) => (STORE_WAIT, self.feed.after(position, STORE_WAIT).await),
+            None => (Duration::ZERO, self.feed.newest(answer).await),
+            Some((position, _)) => {
+                let wait_ms = self.choice.store_wait_ms(self.node.age_ms(), budget);
+                let wait = Duration::from_millis(wait_ms);
+                (wait, self.feed.after(position, wait, answer).await)
+            }
         };
-        self.asked_store = true;
+        let took_ms = clock::since_ms(began);
         match read {
             Ok(told) => {
-                log_late("store", began, wait, told.len_bytes);
+                log_late("store", took_ms, wait, told.len_bytes);
                 self.store_told(told, unwatched_ms);
             }
             Err(Error::HistoryGone) => {
                 log::info!("the store has dropped its history; reading the newest version");
                 self.position = None;
             }
-            Err(error) => self.store_failed(&error, began).await,
+            Err(error) => self.store_failed(&error, took_ms).await,
         }
     }
 
     fn store_told(&mut self, told: Told, unwatched_ms: u64) {
-        self.failures = 0;
+        self.choice.store_answered();
         self.position = Some((told.position, Instant::now()));
         self.node.store_was_read(0);
         self.tell(ConfigurationMsg::Written {
@@ -197,17 +181,17 @@
         });
     }
 
-    async fn store_failed(&mut self, error: &Error, began: Instant) {
-        log::info!(
-            error:%, took_ms = clock::since_ms(began), failures = self.failures;
-            "reading the store failed"
-        );
+    async fn store_failed(&mut self, error: &Error, took_ms: u64) {
+        let failure = match error {
+            Error::Silent { .. } => StoreFailure::Silent,
+            _ => StoreFailure::Refused,
+        };
+        let pause_ms = self.choice.store_failed(failure, self.node.budget());
+        let pause_ms = jittered_ms(pause_ms, rand::random());
+        log::info!(error:%, took_ms, pause_ms; "reading the store failed");
         self.tell(ConfigurationMsg::NotRead);
-        let pause_ms = jittered_ms(RETRY.pause_ms(self.failures), rand::random());
-        self.failures += 1;
+        self.node.blind.send_replace(self.choice.is_blind());
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        // Another node may reach the store.
-        self.unhelpful = None;
     }
 
     fn tell(&self, message: ConfigurationMsg) {
@@ -217,8 +201,7 @@
 }
 
 /// Logs an answer that took longer than `wait`, for which it may wait for news, and [`LATE_MS`].
-fn log_late(source: &str, began: Instant, wait: Duration, len_bytes: usize) {
-    let took_ms = clock::since_ms(began);
+fn log_late(source: &str, took_ms: u64, wait: Duration, len_bytes: usize) {
     let wait_ms = clock::whole_ms(wait);
     if took_ms >= wait_ms + LATE_MS {
         log::warn!(source, took_ms, wait_ms, len_bytes; "an answer came late");
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -11,6 +11,7 @@
 use crate::core::names::ServiceName;
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
+use crate::distribution::lead_choice::Leads;
 use crate::membership::link::NEWS_PAUSE_MS;
 use crate::membership::{Exchange, Gossip, Membership, Timing};
 use crate::node::changes;
@@ -199,16 +200,29 @@
             alone: self.membership.is_alone(),
             last_in_data_centre: self.membership.is_last_in_data_centre(),
         };
-        let lead = self.membership.lead().and_then(|node| self.peer(node));
-        self.node
-            .lead
-            .send_if_modified(|known| std::mem::replace(known, lead) != lead);
+        let leads = self.leads();
+        self.node.leads.send_if_modified(|known| {
+            let changed = *known != leads;
+            *known = leads;
+            changed
+        });
         if role != self.role {
             self.role = role.clone();
             let _ = self.configuration.cast(ConfigurationMsg::Role(role));
         }
     }
 
+    fn leads(&self) -> Leads {
+        let ranked = self.membership.leads();
+        let own_rank = ranked.iter().position(|node| *node == self.node.me);
+        let before = &ranked[..own_rank.unwrap_or(ranked.len())];
+        Leads {
+            before: before.iter().filter_map(|node| self.peer(*node)).collect(),
+            own: own_rank.is_some(),
+            alone: self.membership.is_only_data_centre(),
+        }
+    }
+
     async fn say_goodbye(&mut self, now_ms: u64) {
         let mut goodbyes = tokio::task::JoinSet::new();
         for exchange in self.membership.tick(now_ms) {
@@ -231,9 +245,10 @@
         self.published_generation = generation;
         self.published_ms = now_ms;
         let neighbours = self.membership.neighbours();
-        let wanted: BTreeSet<SocketAddr> = neighbours
+        let mut wanted: BTreeSet<SocketAddr> = neighbours
             .filter_map(|(node, _)| self.membership.address_of(node))
             .collect();
+        wanted.extend(self.leads().before.iter().map(|lead| lead.address));
         self.node.control.retain(&wanted);
         metrics::gauge!("dragonflywall_neighbours").set(wanted.len() as f64);
         let members = self.membership.members_with_versions();
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -99,7 +99,7 @@
             enforced: stamp.unwrap_or(Stamp::NONE),
             ready: self.why_not_ready().is_none(),
             lacking,
-            follows: self.node.lead.borrow().map(|lead| lead.node),
+            follows: *self.node.follows.borrow(),
             members: view.members.clone(),
             data_centres: view.data_centres.clone(),
         }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -120,6 +120,9 @@
     /// Shortest time for which callers are still served when stopping, in milliseconds.
     #[builder(default = 500)]
     pub stop_least_ms: u64,
+    /// Time within which an accepted version is to be in force everywhere, in milliseconds.
+    #[builder(default = 15_000)]
+    pub apply_within_ms: u64,
     /// Retries of a service's requests, in percent of the first attempts of an entry.
     #[builder(default = 10)]
     pub retry_percent: u32,
@@ -150,6 +153,7 @@
 /// Settings that may change under a running node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Tunable {
+    pub(crate) apply_within_ms: u64,
     pub(crate) drain_timeout_ms: u64,
     pub(crate) stop_least_ms: u64,
     pub(crate) retry_percent: u32,
@@ -160,6 +164,7 @@
     /// What of it may change under a running node.
     pub(crate) fn tunable(&self) -> Tunable {
         Tunable {
+            apply_within_ms: self.apply_within_ms,
             drain_timeout_ms: self.drain_timeout_ms,
             stop_least_ms: self.stop_least_ms,
             retry_percent: self.retry_percent,
@@ -280,6 +285,7 @@
         let memory_mb = self.optional("memory-mb");
         let drain_timeout_ms = self.required("drain-timeout-ms");
         let stop_least_ms = self.required("stop-least-ms");
+        let apply_within_ms = self.required("apply-within-ms");
         let retry_percent = self.required("retry-percent");
         let link_kbit_per_s = self.optional("link-kbit-per-s");
         let log_format = self.required("log-format");
@@ -297,6 +303,7 @@
             backend_server_announces: false,
             retry_reserve: None,
             stop_least_ms: stop_least_ms.expect(checked),
+            apply_within_ms: apply_within_ms.expect(checked),
             retry_percent: retry_percent.expect(checked),
             link_kbit_per_s,
             caller_listen: caller_listen.expect(checked),
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -155,6 +155,12 @@
         default: "500",
         help: "shortest time for which callers are still served when stopping",
     },
+    Spec {
+        flag: "apply-within-ms",
+        value: "MS",
+        default: "15000",
+        help: "time within which an accepted version is to be in force everywhere",
+    },
     Spec {
         flag: "retry-percent",
         value: "PERCENT",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -21,7 +21,8 @@
 use crate::decide::placement::{Balancer, LoadReport, Ranked};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::distribution::Applied;
-use crate::distribution::fetch::Peer;
+use crate::distribution::Budget;
+use crate::distribution::lead_choice::Leads;
 use crate::node::freeze;
 use crate::node::local::LocalBackend;
 use crate::node::membership::MembershipMsg;
@@ -112,8 +113,12 @@
     pub(crate) last_tick_ms: AtomicU64,
     /// Newest version whose content is here; peers that follow this node wait on it.
     pub(crate) held: watch::Sender<Version>,
-    /// The node of this data centre that reads the store for the others; none if it is this one.
-    pub(crate) lead: watch::Sender<Option<Peer>>,
+    /// The nodes of this data centre that read the store for the others.
+    pub(crate) leads: watch::Sender<Leads>,
+    /// The node that this one hears of new versions from; none while it reads the store itself.
+    pub(crate) follows: watch::Sender<Option<NodeId>>,
+    /// Reads of the store fail here.
+    pub(crate) blind: watch::Sender<bool>,
     /// When the store last told this node, or whom it follows, what is newest; by the clock of
     /// `started`, 0 for never.
     store_read_ms: AtomicU64,
@@ -165,7 +170,9 @@
             refreshing: AtomicBool::new(false),
             last_tick_ms: AtomicU64::new(0),
             held: watch::Sender::new(Version::NONE),
-            lead: watch::Sender::new(None),
+            leads: watch::Sender::new(Leads::default()),
+            follows: watch::Sender::new(None),
+            blind: watch::Sender::new(false),
             store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             in_gate: TaskTracker::new(),
@@ -177,6 +184,11 @@
         clock::since_ms(self.started)
     }
 
+    /// Shares of the time within which a version is to be in force.
+    pub(crate) fn budget(&self) -> Budget {
+        Budget::new(self.tunable.load().apply_within_ms)
+    }
+
     /// Notes that the store told what is newest, `age_ms` ago.
     pub(crate) fn store_was_read(&self, age_ms: u64) {
         let read_ms = self.age_ms().saturating_sub(age_ms);
--- a/src/ops/command/publish/rounds.rs
+++ b/src/ops/command/publish/rounds.rs
@@ -123,10 +123,12 @@
                 changes,
             }),
             Ok(Outcome::ConditionFailed) => self.overtaken(head).await,
-            Err(source @ store::Error::OutcomeUnknown { .. }) => Ok(Round::AnswerLost {
-                sent_at_revision: head.revision,
-                source,
-            }),
+            Err(source @ (store::Error::OutcomeUnknown { .. } | store::Error::Silent { .. })) => {
+                Ok(Round::AnswerLost {
+                    sent_at_revision: head.revision,
+                    source,
+                })
+            }
             Err(source) => Err(Error::CommitRefused {
                 version: row.stamp.version,
                 source,
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -18,6 +18,7 @@
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::Offer;
+use crate::distribution::lead_choice::LeadState;
 use crate::membership::Gossip;
 
 /// Result of this module.
@@ -30,16 +31,13 @@
 /// Content may be a snapshot over the throttled link between regions.
 pub(crate) const CONTENT_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// What an answer to a follower may take beyond the time that it was to wait.
-const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
-
 /// What a peer told a follower.
 #[derive(Debug)]
 pub(crate) struct Newer {
     /// A newer version, if there was one in time.
     pub(crate) offer: Option<Offer>,
-    /// How long ago the store told the peer, or whom it follows, what is newest.
-    pub(crate) store_age_ms: u64,
+    /// How the peer stands to the store.
+    pub(crate) state: LeadState,
 }
 
 /// Why a peer gave no usable answer.
@@ -154,29 +152,31 @@
     }
 
     /// Asks for the content of a version above `have` as soon as the peer holds one, and waits for
-    /// it for `wait` at most.
-    pub(crate) async fn follow(&mut self, have: Version, wait: Duration) -> Result<Newer> {
+    /// it for `wait` at most; its answer may take `answer` beyond that.
+    pub(crate) async fn follow(
+        &mut self,
+        have: Version,
+        wait: Duration,
+        answer: Duration,
+    ) -> Result<Newer> {
         let request = wire::FollowRequest {
             have_version: have.0,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let answer = self
-            .client
-            .follow(timed(request, wait + FOLLOW_MARGIN))
-            .await;
+        let answer = self.client.follow(timed(request, wait + answer)).await;
         let answer = answer.context(CallSnafu {
             address: self.address,
         })?;
         let answer = answer.into_inner();
-        let store_age_ms = u64::from(answer.store_age_ms);
+        let state = LeadState {
+            store_age_ms: u64::from(answer.store_age_ms),
+            blind: answer.blind,
+        };
         let offer = match answer.newer {
             Some(newer) => convert::offer_from_wire(newer).map_err(|error| self.broken(&error))?,
             None => None,
         };
-        Ok(Newer {
-            offer,
-            store_age_ms,
-        })
+        Ok(Newer { offer, state })
     }
 
     /// Tells the peer that `head` has been accepted; answers what it enforces.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -74,8 +74,12 @@
         let have = Version(request.have_version);
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
         let mut held = self.node.held.subscribe();
-        let newer = tokio::time::timeout(wait, held.wait_for(|held| *held > have));
-        let is_newer = newer.await.is_ok();
+        let mut blind = self.node.blind.subscribe();
+        let is_newer = tokio::select! {
+            newer = held.wait_for(|held| *held > have) => newer.is_ok(),
+            _ = blind.wait_for(|blind| *blind) => false,
+            () = tokio::time::sleep(wait) => false,
+        };
         let offer = match is_newer {
             true => self.offer(have).await?,
             false => None,
@@ -85,6 +89,7 @@
         Ok(Response::new(wire::FollowReply {
             newer: Some(convert::offer_to_wire(offer)),
             store_age_ms,
+            blind: *self.node.blind.borrow(),
         }))
     }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -98,6 +98,7 @@
             .backend_server_announces(true)
             .drain_timeout_ms(stop_ms.saturating_sub(STOP_MARGIN_MS))
             .stop_least_ms(STOP_LEAST_MS.min(stop_ms / 2))
+            .maybe_apply_within_ms(bounds.ms("configApply"))
             .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
             .maybe_retry_reserve(bounds.number("budgetExtra"))
             .maybe_link_kbit_per_s(self.link_kbit_per_s())
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -198,20 +198,20 @@
 }
 
 impl Feed for Client {
-    async fn newest(&self) -> Result<Told> {
+    async fn newest(&self, answer: Duration) -> Result<Told> {
         let path = format!(
             "/-/rows-get?tableName={OPERATORS_TABLE}&part=&from={CONFIGURATION_KEY}&limit=1"
         );
-        told(self.get(&path, ANSWER_TIMEOUT).await?)
+        told(self.get(&path, answer).await?)
     }
 
-    async fn after(&self, position: Position, wait: Duration) -> Result<Told> {
+    async fn after(&self, position: Position, wait: Duration, answer: Duration) -> Result<Told> {
         let path = format!(
             "/-/rows-feed?tableName={OPERATORS_TABLE}&after={}&waitMs={}",
             position.0,
             wait.as_millis()
         );
-        told(self.get(&path, wait + ANSWER_TIMEOUT).await?)
+        told(self.get(&path, wait + answer).await?)
     }
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use serde::de::DeserializeOwned;
@@ -44,6 +45,12 @@
         /// As reported.
         reason: String,
     },
+    /// No answer came in time: a write may have taken effect.
+    #[snafu(display("the platform gave no answer in {after_ms} ms"))]
+    Silent {
+        /// How long it was waited for.
+        after_ms: u64,
+    },
     /// It answered something that is not of its protocol.
     #[snafu(display("the platform answered unexpectedly: {reason}"))]
     Protocol {
@@ -157,14 +164,15 @@
 
 /// A configuration that operators write into the store as a whole, instead of publishing it.
 pub trait Feed: Send + Sync + 'static {
-    /// The newest configuration.
-    fn newest(&self) -> impl Future<Output = Result<Told>> + Send;
-    /// The newest configuration written after `position`, or nothing after about `wait`. A configuration that
-    /// cannot be used is left out.
+    /// The newest configuration. The answer begins within `answer`, or there is none.
+    fn newest(&self, answer: Duration) -> impl Future<Output = Result<Told>> + Send;
+    /// The newest configuration written after `position`, or nothing after about `wait`; the answer begins
+    /// within `answer` then. A configuration that cannot be used is left out.
     fn after(
         &self,
         position: Position,
-        wait: std::time::Duration,
+        wait: Duration,
+        answer: Duration,
     ) -> impl Future<Output = Result<Told>> + Send;
 }
 
--- a/src/store/patient.rs
+++ b/src/store/patient.rs
@@ -48,7 +48,7 @@
                 let wait_ms = jittered_ms(WAIT.pause_ms(earlier_tries), rand::random());
                 tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             }
-            Err(Error::OutcomeUnknown { .. })
+            Err(Error::OutcomeUnknown { .. } | Error::Silent { .. })
                 if repeatable == Repeatable::Yes && lost < LOST_ANSWERS =>
             {
                 lost += 1;
--- a/src/store/transport.rs
+++ b/src/store/transport.rs
@@ -7,16 +7,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use super::{Error, Result, UnavailableSnafu};
+use crate::util::clock;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest pause between two pieces of an answer.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections are closed: 520 nodes that ask every few seconds must not hold the store's
 /// connections open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -53,7 +57,8 @@
         }
     }
 
-    /// Makes a call and waits for its whole answer, `timeout` at most.
+    /// Makes a call. Its answer begins within `timeout`, and each further piece of it comes within
+    /// [`STALL_TIMEOUT`].
     pub(crate) async fn call(
         &self,
         method: Method,
@@ -69,10 +74,9 @@
             .map_err(|error| Error::Protocol {
                 reason: error.to_string(),
             })?;
-        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
-        let (status, body) = answer.map_err(|_| Error::OutcomeUnknown {
-            reason: format!("no answer in {} ms", timeout.as_millis()),
-        })??;
+        let response = in_time(timeout, self.send(request)).await??;
+        let status = response.status();
+        let body = whole(response.into_body()).await?;
         match status {
             StatusCode::TOO_MANY_REQUESTS => Err(Error::Busy),
             StatusCode::SERVICE_UNAVAILABLE => UnavailableSnafu {
@@ -83,8 +87,8 @@
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
-        let response = self.shared.client.request(request).await.map_err(|error| {
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        self.shared.client.request(request).await.map_err(|error| {
             let reason = with_causes(&error);
             // Only a failed connect proves that the store saw nothing of a write.
             if error.is_connect() {
@@ -92,14 +96,28 @@
             } else {
                 Error::OutcomeUnknown { reason }
             }
-        })?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| Error::OutcomeUnknown {
+        })
+    }
+}
+
+async fn in_time<T>(limit: Duration, future: impl Future<Output = T>) -> Result<T> {
+    let done = tokio::time::timeout(limit, future).await;
+    done.map_err(|_| Error::Silent {
+        after_ms: clock::whole_ms(limit),
+    })
+}
+
+async fn whole(mut body: Incoming) -> Result<Bytes> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = in_time(STALL_TIMEOUT, body.frame()).await? {
+        let frame = frame.map_err(|error| Error::OutcomeUnknown {
             reason: error.to_string(),
         })?;
-        Ok((status, body.to_bytes()))
+        if let Ok(piece) = frame.into_data() {
+            read.extend_from_slice(&piece);
+        }
     }
+    Ok(read.freeze())
 }
 
 fn with_causes(error: &dyn std::error::Error) -> String {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod simulation;
 mod spread_decisions;
 mod spread_failures;
+mod spread_leads;
 mod spread_membership;
 mod spread_network;
 mod support;
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -142,6 +142,43 @@
     }
 }
 
+/// Guards against a data centre whose nodes all read the store because its lead cannot.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_node_reads_the_store_in_place_of_a_lead_that_it_refuses() {
+    const LAST: u64 = 12;
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.vms_per_service = 3;
+    let mesh = start_users_serving(plan).await;
+    let lead = mesh.lead_of("gijon").await;
+    mesh.store.set_trouble_for(mesh.vms[lead].ip, Trouble::Busy);
+    let others: Vec<usize> = (0..mesh.vms.len())
+        .filter(|position| *position != lead)
+        .collect();
+    let first = mesh.status(lead).await["node"].clone();
+    wait_until("the others have another lead", LIMIT, || async {
+        let mut following = 0;
+        for position in &others {
+            let follows = mesh.status(*position).await["follows"].clone();
+            following += usize::from(!follows.is_null() && follows != first);
+        }
+        following == others.len() - 1
+    })
+    .await;
+    let reads = |position: &usize| mesh.store.configuration_reads_of(mesh.vms[*position].ip);
+    let before: Vec<u64> = others.iter().map(reads).collect();
+    for version in 2..=LAST {
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        mesh.wait_enforced(version).await;
+    }
+    let after: Vec<u64> = others.iter().map(reads).collect();
+    let readers = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| before != after);
+    assert_eq!(readers.count(), 1, "{before:?} {after:?}");
+}
+
 /// Guards against a node that, turning from its lead to the store, is sent every version since its last read.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_turns_to_the_store_reads_the_newest_version_alone() {
--- a/tests/testsuite/users_store.rs
+++ b/tests/testsuite/users_store.rs
@@ -13,6 +13,8 @@
 use crate::support::{LIMIT, SERVICES, users_routes};
 
 const TABLE: &str = "dragonflywall";
+/// Longest wait for an answer; bounds a hang.
+const ANSWER: Duration = LIMIT;
 
 async fn start() -> (Store, Client) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -126,19 +128,19 @@
         store.operator_writes("config", text.as_bytes())
     };
     write(1);
-    let told = client.newest().await.expect("it answers");
+    let told = client.newest(ANSWER).await.expect("it answers");
     assert_eq!(told.configuration.expect("it is there").version.0, 1);
     let position = told.position;
     write(2);
-    let told = client.after(position, Duration::ZERO).await;
+    let told = client.after(position, Duration::ZERO, ANSWER).await;
     let told = told.expect("it answers");
     assert_eq!(told.configuration.expect("it is new").version.0, 2);
     store.drop_history();
-    let gone = client.after(told.position, Duration::ZERO).await;
+    let gone = client.after(told.position, Duration::ZERO, ANSWER).await;
     assert!(matches!(gone, Err(Error::HistoryGone)), "{gone:?}");
-    let told = client.newest().await.expect("it answers");
+    let told = client.newest(ANSWER).await.expect("it answers");
     assert_eq!(told.configuration.expect("it is there").version.0, 2);
-    let quiet = client.after(told.position, Duration::ZERO).await;
+    let quiet = client.after(told.position, Duration::ZERO, ANSWER).await;
     assert!(quiet.expect("it answers").configuration.is_none());
 }
 
@@ -148,7 +150,7 @@
     let (store, client) = start().await;
     let waiting = tokio::spawn(async move {
         let hour = Duration::from_secs(3_600);
-        client.after(Position(0), hour).await
+        client.after(Position(0), hour, ANSWER).await
     });
     let text = text(5, &users_routes(), &SERVICES);
     store.operator_writes("config", text.as_bytes());
@@ -162,6 +164,6 @@
 async fn an_unreadable_configuration_is_none() {
     let (store, client) = start().await;
     store.operator_writes("config", b"\xff\xfe not a configuration");
-    let told = client.newest().await.expect("it answers");
+    let told = client.newest(ANSWER).await.expect("it answers");
     assert!(told.configuration.is_none());
 }
