Fetch from peers alone where a store is followed, at once while the lead is late

Besides, each version waited 300 ms for a lead that had not told of the ones before.

Change: a follower's fetcher has peers alone as its sources; the follower's own reads go on by themselves. After a version that came from a peer the next ones are fetched at once, until the lead or the own read tells within the 300 ms again. Fetches have their share of the budget. Tests: both decisions.

--- a/src/distribution/fetch.rs
+++ b/src/distribution/fetch.rs
@@ -13,6 +13,9 @@
 //! | both | gateway of rank R | R times [`RANK_DELAY_MS`] later |
 //! | both | everybody else | after [`OTHERS_DELAY_MS`], spread over [`OTHERS_SPREAD_MS`] |
 //!
+//! Where versions are [followed](Fetcher::followed), peers are what is left when the other way is late:
+//! the times count from when it is, and the store is not among the sources.
+//!
 //! The gateway nearest the store thus fetches first and announces it, and the other region's finds
 //! it there while it still waits: the content crosses the link once.
 
@@ -91,7 +94,17 @@
     failed_far: bool,
     not_before_ms: u64,
     store_distance_ms: u64,
-    near_delay_ms: u64,
+    followed: Option<Followed>,
+}
+
+/// Where versions come from a lead or the own read of the store, and peers are what is left.
+#[derive(Clone, Copy, Debug)]
+struct Followed {
+    hold_ms: u64,
+    /// The last version came sooner from a peer than the other way.
+    lags: bool,
+    /// Version that was last fetched from a peer, and when it was first heard of.
+    fetched: (Version, u64),
 }
 
 impl Fetcher {
@@ -108,14 +121,22 @@
             failed_far: false,
             not_before_ms: 0,
             store_distance_ms: STORE_DISTANCE_MS,
-            near_delay_ms: 0,
+            followed: None,
         }
     }
 
-    /// Leaves peers of the region alone for so long after the first version that is missing was heard of.
-    pub fn with_near_delay_ms(mut self, near_delay_ms: u64) -> Self {
-        self.near_delay_ms = near_delay_ms;
-        self
+    /// For a node that follows a lead or the store: peers are asked for a version once it has been missing for
+    /// `hold_ms`, or at once while the other way is slower than that, and the store never.
+    pub fn followed(me: NodeId, hold_ms: u64) -> Self {
+        let followed = Followed {
+            hold_ms,
+            lags: false,
+            fetched: (Version::NONE, 0),
+        };
+        Self {
+            followed: Some(followed),
+            ..Self::new(me)
+        }
     }
 
     /// Newest stamp heard of.
@@ -162,6 +183,20 @@
         self.sightings.of(version)
     }
 
+    /// The lead that this node follows, or its own read of the store, has told of `version`.
+    pub fn source_told(&mut self, now_ms: u64, version: Version) {
+        let heard_ms = self.heard_at_ms(version);
+        let Some(followed) = &mut self.followed else {
+            return;
+        };
+        let heard_ms = match followed.fetched {
+            (fetched, heard_ms) if version == fetched => heard_ms,
+            (fetched, _) if version < fetched => return,
+            _ => heard_ms.unwrap_or(now_ms),
+        };
+        followed.lags = now_ms.saturating_sub(heard_ms) >= followed.hold_ms;
+    }
+
     /// Notes that `peer` holds the content of `stamp`.
     pub fn held_by(&mut self, now_ms: u64, stamp: Stamp, peer: Peer) {
         self.heard(now_ms, stamp);
@@ -185,10 +220,8 @@
         self.holders.retain(|_, (stamp, _)| stamp.version > held);
         self.sightings.forget(held);
         let waited_ms = now_ms.saturating_sub(self.behind_since_ms(held)?);
-        let near = self
-            .near_fetch()
-            .filter(|_| waited_ms >= self.near_delay_ms);
-        let fetch = near.or_else(|| self.far_fetch(waited_ms))?;
+        let waited_ms = waited_ms.checked_sub(self.hold_ms())?;
+        let fetch = self.near_fetch().or_else(|| self.far_fetch(waited_ms))?;
         self.in_flight = Some(fetch);
         Some(fetch)
     }
@@ -198,15 +231,18 @@
         if self.in_flight.is_some() || self.head.version <= held {
             return None;
         }
-        let since_ms = self.behind_since_ms(held)?;
+        let since_ms = self.behind_since_ms(held)? + self.hold_ms();
         let far = since_ms + self.far_delay_ms();
-        let store = since_ms + self.store_delay_ms();
+        let store = match self.followed {
+            Some(_) => u64::MAX,
+            None => since_ms + self.store_delay_ms(),
+        };
         let soonest = match self.holders.values().map(|(_, peer)| peer.distance).min() {
-            Some(Distance::DataCentre | Distance::Region) => since_ms + self.near_delay_ms,
+            Some(Distance::DataCentre | Distance::Region) => since_ms,
             Some(Distance::Mesh) => far.min(store),
             None => store,
         };
-        Some(soonest.max(self.not_before_ms))
+        (soonest < u64::MAX).then(|| soonest.max(self.not_before_ms))
     }
 
     /// Notes the end of the fetch: whether its content is now held. After a failure the source is
@@ -222,6 +258,7 @@
         self.in_flight = None;
         if succeeded {
             self.failures = 0;
+            self.note_fetched(fetch);
             return;
         }
         self.failed_far = match fetch.source {
@@ -236,6 +273,22 @@
         self.failures += 1;
     }
 
+    fn note_fetched(&mut self, fetch: &Fetch) {
+        let version = fetch.want.version;
+        let heard_ms = self.heard_at_ms(version);
+        if let (Some(followed), Some(heard_ms)) = (&mut self.followed, heard_ms) {
+            followed.lags = true;
+            followed.fetched = (version, heard_ms);
+        }
+    }
+
+    fn hold_ms(&self) -> u64 {
+        match self.followed {
+            Some(followed) if !followed.lags => followed.hold_ms,
+            _ => 0,
+        }
+    }
+
     /// The nearest holder with the newest version inside the region.
     fn near_fetch(&self) -> Option<Fetch> {
         let near = self
@@ -263,7 +316,8 @@
         {
             return Some(from_peer(*stamp, peer));
         }
-        (waited_ms >= self.store_delay_ms()).then_some(Fetch {
+        let reads_store = self.followed.is_none();
+        (reads_store && waited_ms >= self.store_delay_ms()).then_some(Fetch {
             want: self.head,
             source: Source::Store,
         })
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -123,8 +123,8 @@
 pub(crate) enum Origin {
     /// Published by the product's own command; the head is read here and heard of from peers.
     Published(HttpStore),
-    /// Written by operators as a whole, and followed by [`crate::node::follower`], which reads the
-    /// newest one at once when it is notified.
+    /// Written by operators as a whole, and followed by [`crate::node::follower`], which gives up what is
+    /// under way and asks anew when it is notified.
     Written(Arc<Notify>),
 }
 
@@ -157,14 +157,10 @@
     membership: Option<ActorRef<MembershipMsg>>,
 }
 
-/// Where versions are followed, gossip tells of them as well; what it tells is fetched only if it has not
-/// come the other way by then.
-const FOLLOWED_NEAR_DELAY_MS: u64 = 300;
-
-fn fetcher(me: NodeId, origin: &Origin) -> Fetcher {
+fn fetcher(node: &NodeState, origin: &Origin) -> Fetcher {
     match origin {
-        Origin::Published(_) => Fetcher::new(me),
-        Origin::Written(_) => Fetcher::new(me).with_near_delay_ms(FOLLOWED_NEAR_DELAY_MS),
+        Origin::Published(_) => Fetcher::new(node.me),
+        Origin::Written(_) => Fetcher::followed(node.me, node.budget().hold_ms()),
     }
 }
 
@@ -185,7 +181,7 @@
             Origin::Written(_) => floor::Origin::Followed,
         };
         Ok(State {
-            fetcher: fetcher(node.me, &origin),
+            fetcher: fetcher(&node, &origin),
             node,
             origin,
             holder: Holder::default(),
@@ -268,20 +264,18 @@
     }
 
     fn poll_pause_ms(&self) -> u64 {
-        let pause_ms = match (self.role.gateway_rank, self.role.watcher_rank) {
-            _ if self.holder.stamp() == Stamp::NONE => FIRST_POLL_MS,
-            (Some(0), _) => GATEWAY_POLL_MS,
-            (_, Some(0)) => WATCHER_POLL_MS,
-            _ => MEMBER_POLL_MS,
+        if self.holder.stamp() == Stamp::NONE {
+            return rand::random_range(FIRST_POLL_MS / 2..=FIRST_POLL_MS);
+        }
+        let for_others_ms = self.node.budget().head_poll_ms();
+        let (pause_ms, longest_ms) = match (self.role.gateway_rank, self.role.watcher_rank) {
+            (Some(0), _) => (GATEWAY_POLL_MS, for_others_ms),
+            (_, Some(0)) => (WATCHER_POLL_MS, for_others_ms),
+            _ => (MEMBER_POLL_MS, MEMBER_POLL_MS),
         };
         let factor = self.fetcher.store_distance_ms() / NEAR_READ_MS;
-        let known = self.holder.stamp() != Stamp::NONE;
-        let factor = if known {
-            factor.clamp(1, FAR_FACTOR_MAX)
-        } else {
-            1
-        };
-        let pause_ms = (pause_ms * factor).min(MEMBER_POLL_MS);
+        let pause_ms = pause_ms * factor.clamp(1, FAR_FACTOR_MAX);
+        let pause_ms = pause_ms.min(longest_ms);
         rand::random_range(pause_ms / 2..=pause_ms)
     }
 
@@ -359,6 +353,7 @@
         };
         let version = configuration.version;
         self.floor.head_read(version);
+        self.fetcher.source_told(now_ms, version);
         if version <= self.holder.held().version {
             return;
         }
@@ -374,6 +369,7 @@
 
     fn led(&mut self, now_ms: u64, offer: &Offer, have: Version) {
         let stamp = offer.stamp;
+        self.fetcher.source_told(now_ms, stamp.version);
         if self.prepare(now_ms, offer, have, Way::Lead) {
             self.floor.head_read(stamp.version);
             self.announced(now_ms, stamp, None);
--- a/src/node/content.rs
+++ b/src/node/content.rs
@@ -8,11 +8,6 @@
 use crate::node::configuration::Origin;
 use crate::node::state::NodeState;
 use crate::node::store;
-use crate::peer::client::CONTENT_TIMEOUT;
-
-/// Longest wait for content from a peer of the region. One that takes longer is frozen, and
-/// somebody else has it.
-const NEAR_FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Makes a fetch; what was found, if anything.
 pub(crate) async fn fetch(
@@ -24,9 +19,8 @@
     match fetch.source {
         Source::Store => match origin {
             Origin::Published(store) => store::offer(store, held, fetch.want).await,
-            Origin::Written(again) => {
-                // What it reads comes as a message of its own.
-                again.notify_one();
+            Origin::Written(_) => {
+                log::error!("a node that follows the store fetches from peers alone");
                 None
             }
         },
@@ -35,10 +29,12 @@
         } => {
             let mut client = node.control.client(address)?;
             let found = client.fetch(held.version, fetch.want.version);
-            let limit = match distance {
-                Distance::DataCentre | Distance::Region => NEAR_FETCH_TIMEOUT,
-                Distance::Mesh => CONTENT_TIMEOUT,
+            let budget = node.budget();
+            let limit_ms = match distance {
+                Distance::DataCentre | Distance::Region => budget.near_fetch_ms(),
+                Distance::Mesh => budget.far_fetch_ms(),
             };
+            let limit = Duration::from_millis(limit_ms);
             let found = tokio::time::timeout(limit, found).await;
             found.ok()?.ok().flatten()
         }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -29,7 +29,7 @@
 /// is frozen or cut off, and the next heartbeat tries again.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Content may be a snapshot over the throttled link between regions.
-pub(crate) const CONTENT_TIMEOUT: Duration = Duration::from_millis(5_000);
+const CONTENT_TIMEOUT: Duration = Duration::from_millis(5_000);
 
 /// What a peer told a follower.
 #[derive(Debug)]
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -78,9 +78,9 @@
 /// Guards against a fetch that waits anew with each version that is announced meanwhile.
 #[test]
 fn newer_versions_do_not_postpone_a_fetch() {
-    const NEAR_DELAY_MS: u64 = 300;
+    const HOLD_MS: u64 = 300;
     const GAP_MS: u64 = 140;
-    let mut fetcher = Fetcher::new(node(1)).with_near_delay_ms(NEAR_DELAY_MS);
+    let mut fetcher = Fetcher::followed(node(1), HOLD_MS);
     let announced = (0..50).map(|number| (number * GAP_MS, stamp(number + 1)));
     let fetched_ms = announced.into_iter().find_map(|(now_ms, stamp)| {
         fetcher.held_by(now_ms, stamp, peer(2, Distance::DataCentre));
@@ -89,7 +89,36 @@
             .into_iter()
             .find(|at_ms| fetcher.next(*at_ms, Version::NONE).is_some())
     });
-    assert_eq!(fetched_ms, Some(NEAR_DELAY_MS));
+    assert_eq!(fetched_ms, Some(HOLD_MS));
+}
+
+/// Guards against versions that are each held back for a lead that has not told of the ones before.
+#[test]
+fn a_lead_that_is_late_is_not_waited_for_again_until_it_is_in_time() {
+    const HOLD_MS: u64 = 300;
+    let near = peer(2, Distance::DataCentre);
+    let mut fetcher = Fetcher::followed(node(1), HOLD_MS);
+    fetcher.held_by(0, stamp(1), near);
+    assert_eq!(fetcher.next(HOLD_MS - 1, Version::NONE), None);
+    let fetch = fetcher.next(HOLD_MS, Version::NONE).expect("it has waited");
+    fetcher.done(HOLD_MS, &fetch, true);
+    fetcher.held_by(400, stamp(2), near);
+    let fetch = fetcher.next(400, Version(1)).expect("the lead is late");
+    fetcher.done(405, &fetch, true);
+    fetcher.source_told(410, Version(2));
+    fetcher.held_by(500, stamp(3), near);
+    assert_eq!(fetcher.next(500, Version(2)), None, "the lead told in time");
+    assert_eq!(fetcher.wake_at(Version(2)), Some(500 + HOLD_MS));
+}
+
+/// Guards against reads of the store that each version that gossip tells of starts anew.
+#[test]
+fn a_follower_fetches_from_peers_alone() {
+    let mut fetcher = Fetcher::followed(node(1), 300);
+    fetcher.set_gateway_rank(Some(0));
+    fetcher.heard(0, stamp(1));
+    assert_eq!(goes_to_store(&mut fetcher), None);
+    assert_eq!(fetcher.wake_at(Version::NONE), None);
 }
 
 /// The region's gateway hears of a version from the store's side and from across the link; the
