Play leads, store and gossip in virtual time with failures drawn at random

Nodes take the product's decisions (LeadChoice, Fetcher); the store refuses, is silent, or silent on old connections, for a third of the nodes in three series that overlap, and a process is killed.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod spread_leads;
 mod spread_membership;
 mod spread_network;
+mod spread_timing;
 mod support;
 mod token;
 mod users_configuration;
