--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -145,6 +145,8 @@
     fetcher: Fetcher,
     /// When the version held was accepted, as far as clocks and answers tell.
     held_accepted_ms: u64,
+    /// Longest time from a version's acceptance to its enforcement.
+    longest_age_ms: u64,
     floor: Floor,
     role: Role,
     refresh: Option<Refresh>,
@@ -186,6 +188,7 @@
             origin,
             holder: Holder::default(),
             held_accepted_ms: now_ms,
+            longest_age_ms: 0,
             floor: Floor::new(now_ms, floor_origin),
             role: Role::default(),
             refresh: None,
@@ -572,7 +575,13 @@
             return;
         }
         if let Some(applied) = self.holder.enforce() {
-            learning::enforced(stamp, self.held_age_ms(now_ms));
+            let age_ms = self.held_age_ms(now_ms);
+            learning::enforced(stamp, age_ms);
+            // One from before the start was in force elsewhere all the while.
+            if self.held_accepted_ms > 0 {
+                self.longest_age_ms = self.longest_age_ms.max(age_ms);
+                learning::measure(age_ms, self.longest_age_ms);
+            }
             self.node.enforced.store(Some(applied));
             self.node.refresh_slots();
             self.tell(MembershipMsg::SetEnforced(stamp.version));
--- a/src/node/learning.rs
+++ b/src/node/learning.rs
@@ -71,5 +71,10 @@
         "enforced a configuration"
     );
     metrics::gauge!("dragonflywall_enforced_version").set(stamp.version.0 as f64);
+}
+
+/// Measures the age at which a version came into force; `longest_ms` is the longest of this process.
+pub(crate) fn measure(age_ms: u64, longest_ms: u64) {
     metrics::histogram!("dragonflywall_version_age_seconds").record(age_ms as f64 / 1_000.0);
+    metrics::gauge!("dragonflywall_version_age_max_seconds").set(longest_ms as f64 / 1_000.0);
 }
--- a/tests/testsuite/logs.rs
+++ b/tests/testsuite/logs.rs
@@ -104,6 +104,7 @@
     let text = metrics(mesh.vms[0].node().addresses.operator).await;
     for name in [
         "version_age_seconds",
+        "version_age_max_seconds",
         "versions_learnt_total",
         "store_age_seconds",
     ] {
