--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -34,11 +34,8 @@
 
 /// Which requests of a class go first.
 ///
-/// Load made for: requests of one service that call another one while both are busy. Harm prevented: the
-/// call waits among callers' requests, and meanwhile the request that made it holds a slot of its own
-/// service for nothing, so that service loses up to half of its capacity; if the call is refused, what
-/// its request has done is lost as well. Calls are short beside callers' requests, which therefore
-/// hardly notice them.
+/// A call goes before callers' requests: whoever made it holds a slot of its own service meanwhile, and what
+/// it has done is lost if the call is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
     /// A call that a running request waits for.
@@ -132,20 +129,15 @@
     Refused(Refusal),
 }
 
-/// Interactive requests let in before a waiting bulk request has its turn. Load made for: both
-/// classes saturate the slots. Harm prevented: with strict priority a busy day of price reads
-/// would keep every archive look-up out. Reason for the limit: three of four keeps short reads
-/// short, and the fourth is more than overnight work needs.
+/// Interactive requests let in before a waiting bulk request has its turn, so that bulk work is not starved.
 const INTERACTIVE_STREAK: u32 = 3;
 
-/// One of so many slots is kept free of bulk work. Load made for: long bulk work that holds each
-/// slot for seconds. Harm prevented: a short read waits for the end of an upload although it
-/// would itself take a millisecond. Reason for the limit: a quarter of 20 or of 6 slots turns
-/// over short reads far faster than they come; fewer than four slots are too few to divide.
+/// One of so many slots is kept free of bulk work, so that a short read need not wait for the end of a long
+/// one. Fewer slots than this are not divided.
 const RESERVE_DIVISOR: u32 = 4;
 
-/// How long after the last interactive request the reserve is kept. Reason for the limit: a
-/// service that only does bulk work at night is to have all of its slots then.
+/// How long after the last interactive request the reserve is kept; a service that only does bulk work has all
+/// of its slots then.
 const RESERVE_MEMORY_US: u64 = 10_000_000;
 
 #[derive(Debug)]
@@ -243,16 +235,9 @@
 
     /// A request asks for a slot; `wake` is called only if it has to wait.
     ///
-    /// Load made for: more requests than slots. Harm prevented: the backend server overcommits
-    /// and every request becomes slow, or a queue grows in which each one times out, or in which
-    /// all are served and all of them late. Reason for the limits: the team says how many it runs
-    /// at once and how many may wait; a request whose deadline passes before its turn would take a
-    /// slot for an answer that nobody reads; and of a queue that stays, every part beyond what
-    /// keeps the slots busy only makes answers late, so it is cut at each request's patience.
-    ///
-    /// Among requests that are as urgent the one goes first whose answer is due first. Load made for: short
-    /// and long requests of one rank. Harm prevented: those that have little time wait behind those that
-    /// have ten times as long.
+    /// It is refused if the queue is full or if its deadline or its patience passes before its turn: a longer
+    /// queue would only make answers late. Among requests that are as urgent the one whose answer is due first
+    /// goes first.
     pub fn admit(&mut self, now_us: u64, ask: &Ask, wake: impl FnOnce() -> W) -> Admitted {
         if self.closed || self.limits.slots == 0 {
             return Admitted::Refused(self.refusal(Cause::Closed, ask));
@@ -348,11 +333,8 @@
         }
     }
 
-    /// How long the requests that run now have been running on average, if that shows that the
-    /// backend server has become slow; else 0.
-    ///
-    /// Load made for: a backend server that becomes ten times as slow. Harm prevented: until the
-    /// first slow answers are through, its entries are told the times of before and go on sending.
+    /// How long the requests that run now have been running on average, if that shows that the backend server has
+    /// become slow; else 0. Without it entries would go by the answers of before until the first slow one.
     fn slowed(&self, now_us: u64) -> u64 {
         let running = self.in_use();
         if running == 0 || running * AGED_DIVISOR < self.limits.slots {
@@ -482,11 +464,8 @@
         }
     }
 
-    /// Finds room in the queue for one more of `class`.
-    ///
-    /// Load made for: one class floods the queue. Harm prevented: the other class is refused
-    /// although it asks for little. Reason for the limit: half of the queue is each class's own;
-    /// what the other has borrowed of it is given back from its end.
+    /// Finds room in the queue for one more of `class`. Half of the queue is each class's own; what the other has
+    /// borrowed of it is given back from its end.
     fn make_room(&mut self, class: Class) -> bool {
         if self.waiting() < self.limits.queue_len {
             return true;
--- a/src/decide/admission/lane.rs
+++ b/src/decide/admission/lane.rs
@@ -6,15 +6,11 @@
 use super::{Ticket, Urgency};
 use crate::decide::held::Mean;
 
-/// Requests of more urgent ranks let in before a waiting one of a lower rank has its turn. Load made
-/// for: urgent requests that come faster than the slots turn over. Harm prevented: with strict ranks
-/// the others are never served, and their callers come again. Reason for the limit: one turn in
-/// eight keeps them alive and costs the urgent ones little.
+/// Requests of more urgent ranks let in before a waiting one of a lower rank has its turn, so that it is not
+/// starved.
 const URGENT_STREAK: u32 = 7;
 
-/// Calls let in before a waiting caller's request has its turn. Load made for: calls that come faster than
-/// the slots turn over. Harm prevented: callers' requests to the called service are never served. Reason for
-/// the limit: calls are short beside what callers ask for, and the request behind each holds a slot.
+/// Calls let in before a waiting caller's request has its turn, so that it is not starved.
 const CALLS_STREAK: u32 = 15;
 
 /// Where a request stands in its queue.
--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -60,10 +60,8 @@
 impl Announcements {
     /// None yet, of backend servers that can be asked themselves whether they take work.
     ///
-    /// Failure guarded against: a backend server has left, and the process that acknowledged that is
-    /// gone. A "ready" from before, held up on its way, reaches the next process, which knows
-    /// nothing. It shows as requests at a backend server after it was told that none would come. The
-    /// guard holds as only the backend server knows what it has said last.
+    /// A "ready" from before, held up on its way, may reach a process whose predecessor has acknowledged that the
+    /// backend server left. So the first one is believed only once the backend server confirms it.
     pub fn doubtful() -> Self {
         Self {
             doubtful: true,
@@ -84,11 +82,9 @@
 
     /// Takes in an announcement.
     ///
-    /// Failure guarded against: "ready" of a backend server that has left since, or of one that had
-    /// the address before, opens the gate to something that is draining or another service's. It
-    /// shows as requests at a backend server after it was told that none would come. The guard
-    /// holds as only the backend server itself raises its sequence, and one that has left is
-    /// remembered longer than an announcement is under way.
+    /// One that is older than what is known is refused: it may be of a backend server that has left since, or of
+    /// one that had the address before. Those that have left are remembered longer than an announcement is
+    /// under way.
     pub fn hear(&mut self, announcement: &Announcement) -> Heard {
         let Some(instance) = &announcement.instance else {
             // Without a name there is nothing to order by: the last word holds.
--- a/src/decide/connections.rs
+++ b/src/decide/connections.rs
@@ -60,12 +60,9 @@
 
 /// The connections of all callers.
 ///
-/// Load made for: callers that open a connection for each request or each try, and leave it open until
-/// it has been idle for too long; on a busy day there are more of them than the process may have. Harm
-/// prevented: a new connection is closed, and with it the request that is already on its way, although
-/// thousands of others are idle. So room is made by closing the one that has been idle the longest: its
-/// caller is the least likely to use it now, and a request that crosses the close was not read, so it
-/// may be sent again. One address that opens connection after connection loses its own first.
+/// At the limit the longest idle one is closed for a new one: its caller is the least likely to use it now, and
+/// a request that crosses the close was not read, so it may be sent again. An address that opens connection
+/// after connection loses its own first.
 #[derive(Debug)]
 pub struct Connections {
     limits: ConnectionLimits,
--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -35,11 +35,8 @@
 }
 
 impl LinkShare {
-    /// For a link of so many kilobits a second; none if it is not known.
-    ///
-    /// Load made for: uploads of 60 KB to a backend server behind a link of 7 Mbit/s, which they fill to
-    /// four fifths. Harm prevented: each takes the link for 70 ms, several come at a time, and calls that
-    /// have 120 ms to spare wait behind them. Reason for the limits: see [`BUSY_US`].
+    /// For a link of so many kilobits a second; none if it is not known. Several large bodies at a time would
+    /// fill a slow link, and short requests would wait behind them.
     pub fn of_link(kbit_per_s: Option<u32>) -> Self {
         let busy_bytes = kbit_per_s.map_or(u64::MAX, |kbit| u64::from(kbit) * BUSY_US / 8_000);
         let window_bytes =
--- a/src/decide/pacing.rs
+++ b/src/decide/pacing.rs
@@ -3,12 +3,8 @@
 /// Doublings after which a pause is at its longest whatever it began with; keeps the shift in range.
 const DOUBLINGS_MAX: u32 = 16;
 
-/// Pauses that double from one failure in a row to the next.
-///
-/// Load made for: a peer or the platform that is away while many nodes want it. Harm prevented: it
-/// comes back under a load of retries that sends it away again, and a refused connection becomes a
-/// hot loop. Reason for the limits: the first pause is what a short failure lasts at that place, the
-/// longest is what may be lost after a long one.
+/// Pauses that double from one failure in a row to the next, so that a peer or platform that was away does not
+/// come back to a storm of retries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Backoff {
     first_ms: u64,
@@ -31,10 +27,8 @@
     }
 }
 
-/// Half to whole of a pause, as `random` says.
-///
-/// Load made for: a herd that failed at one moment. Harm prevented: it comes back at one moment
-/// too. Reason for the half: a node that drew a short pause must not become the hot loop again.
+/// Half to whole of a pause, as `random` says, so that those who failed at one moment do not come back at one
+/// moment.
 pub fn jittered_ms(pause_ms: u64, random: u64) -> u64 {
     let half_ms = pause_ms / 2;
     half_ms + random % (pause_ms - half_ms + 1)
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -25,11 +25,8 @@
 pub use self::observation::{LoadReport, Observed};
 pub use self::search::Search;
 
-/// Endpoints of one service and distance that an entry uses at a time.
-///
-/// Load made for: 520 nodes that call 14 services. Harm prevented: a full mesh of connections,
-/// each of which costs memory at both ends. Reason for the limit: two choices among eight spread
-/// load nearly as well as among all, and each endpoint is still in the subset of many entries.
+/// Endpoints of one service and distance that an entry uses at a time: each connection costs memory at both
+/// ends, and a choice among few spreads load nearly as well as one among all.
 const SUBSET: usize = 8;
 
 /// Spread of the noise that parts entries which see endpoints as equal; below the least
@@ -172,11 +169,9 @@
 impl Balancer {
     /// Picks the endpoint that is likely to serve the request best; see [`cost`].
     ///
-    /// Load made for: many entries that place by reports which are some answers old. Harm
-    /// prevented: they all find the same endpoint the best and stampede it. Reason for the limits:
-    /// each counts what it has sent there since the report, and a little noise parts those that
-    /// see endpoints as equal. An endpoint that failed this request is asked again only if there
-    /// is no other.
+    /// Reports are some answers old, and many entries go by the same ones. So each counts what it has sent there
+    /// since, and a little noise parts those that see endpoints as equal. An endpoint that failed this request
+    /// is asked again only if there is no other.
     pub fn choose(
         &mut self,
         now_us: u64,
@@ -364,12 +359,8 @@
         seen.is_some_and(|seen| seen.is_ejected(now_us))
     }
 
-    /// The part of a ring that may be used, in the entry's order.
-    ///
-    /// Load made for: endpoints that fail or are slow. Harm prevented: requests wait on an
-    /// endpoint that will not answer; but also that a fault common to all (a bad release, a full
-    /// service) ejects one after the other until the last ones break down. Reason for the
-    /// limit: with more than half ejected the fault is hardly the endpoints' own, so all are used.
+    /// The part of a ring that may be used, in the entry's order: endpoints that fail or are slow are left out. With
+    /// more than half left out the fault is hardly the endpoints' own, so all are used.
     fn usable(&self, now_us: u64, ring: &[Endpoint], others: Others<'_>) -> Subset {
         let mut usable = Subset::default();
         let mut all = Subset::default();
--- a/src/decide/placement/cost.rs
+++ b/src/decide/placement/cost.rs
@@ -10,18 +10,15 @@
 /// served at all several times as much as what is served in time.
 const LOST: f64 = 3.0;
 
-/// Crossing to another data centre of the region, for each kilobyte of request and answer. Reason for
-/// the figure: what the users pay for the volume, beside what an answer in time is worth to them. A
-/// price list of 5 KB stays near while its endpoint's queue is shorter than a third of its slots.
+/// Crossing to another data centre of the region, for each kilobyte of request and answer.
 const OTHER_DATA_CENTRE_PER_KB: f64 = 0.015;
 /// The same for the link between regions, which costs four times as much.
 const OTHER_REGION_PER_KB: f64 = 0.06;
 /// Least size that is reckoned with: heads, and packets of their own.
 const LEAST_KB: f64 = 1.0;
 
-/// Waiting for as long as one request holds a slot. Load made for: more requests than the near
-/// slots take. Harm prevented: a queue that makes everyone behind it wait while slots further away
-/// idle; the wait of the one request alone would hardly count.
+/// Waiting for as long as one request holds a slot. It counts more than that one wait, as everyone behind in the
+/// queue waits as well.
 const WAIT: f64 = 0.25;
 
 /// Slots that are all in use. Requests come in clumps and backend servers slow down when nearly
@@ -32,10 +29,7 @@
 /// costs another attempt.
 const FAILING: f64 = 0.5;
 
-/// Each request that is outstanding at an endpoint of which nothing is known. Load made for: an
-/// endpoint that has just started and is cold. Harm prevented: it looks idle and quick, and every
-/// entry sends it all it has. Reason for the figure: one request finds out, a second one may go
-/// there only if all others are worse by a queue.
+/// Each request that is outstanding at an endpoint of which nothing is known: it may be cold, so few find out.
 const ASKED: f64 = 0.1;
 
 /// Time to an endpoint and back, in microseconds: the users' 1 ms between data centres and 20 ms between
@@ -75,11 +69,8 @@
 
 /// The cost of a choice; the lowest is best.
 ///
-/// Load made for: endpoints of one service that differ in speed by two and more, in every data
-/// centre. Harm prevented: with the nearest first, a data centre whose own endpoint is slow answers
-/// late (12 % late there, 1 to 3 % elsewhere, on a calm day of each deployment) although a fast one is a
-/// millisecond away. How long work takes scatters like an exponential, so the part that comes too
-/// late is taken from one with the endpoint's mean.
+/// How long work takes scatters like an exponential, so the part that comes too late is taken from one with
+/// the endpoint's mean. The nearest endpoint does not go first by itself: a fast one elsewhere may answer sooner.
 pub(super) fn of(choice: &Choice, limits: Limits) -> f64 {
     let slots = choice.slots.max(1.0);
     let queued = (choice.in_hand + 1.0 - slots).max(0.0);
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -11,12 +11,10 @@
 use crate::core::names::ServiceName;
 use crate::core::verdict::Verdict;
 
-/// Calls below the first one. The letter's longest chain; a deeper one is a loop.
+/// Calls below the first one; a longer chain is taken for a loop.
 pub const DEPTH_MAX: u32 = 7;
 
-/// Retries of a whole tree of calls. Load made for: an outage at the bottom of a chain of calls.
-/// Harm prevented: three attempts at each of seven levels are two thousand attempts at the last.
-/// Reason for the limit: one for each level, so that every level can mend one failure.
+/// Retries of a whole tree of calls, one for each level; attempts of every level would multiply.
 pub const RETRIES_PER_TREE: u32 = 8;
 
 /// Endpoints that a request may find draining without using up an attempt. A planned stop is not
@@ -81,13 +79,8 @@
         self.budget
     }
 
-    /// Whether an attempt that failed is to be made again.
-    ///
-    /// Load made for: an endpoint that fails some requests, or is full while others are not. Harm
-    /// prevented: a payment that runs twice, and retries that multiply the load of a service
-    /// which is already failing. Reason for the limits: the team's `attempts`, the budget of the
-    /// tree, the tokens of the service, and for a non-idempotent request proof that it did not
-    /// run.
+    /// Whether an attempt that failed is to be made again: within the team's `attempts`, the budget of the tree and
+    /// the tokens of the service, and for a non-idempotent request only with proof that it did not run.
     pub fn again(&mut self, failed: Failed, tokens: &mut RetryTokens) -> bool {
         if failed == Failed::Draining {
             self.draining += 1;
@@ -107,11 +100,8 @@
     }
 }
 
-/// Retries that an entry may make for one service, in proportion to its first attempts.
-///
-/// Load made for: a service that refuses or fails everything. Harm prevented: each request costs
-/// it `attempts` refusals, which keeps it down. Reason for the limits: a tenth of the traffic is
-/// far above the failures of an ordinary day; the reserve lets a quiet entry retry at all.
+/// Retries that an entry may make for one service, in proportion to its first attempts, so that they do not keep
+/// a failing service down. The reserve lets a quiet entry retry at all.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryTokens {
     hundredths: u32,
@@ -146,12 +136,9 @@
 const USED_DENOMINATOR: u32 = 4;
 
 impl RetryPolicy {
-    /// The share of one entry in what the settings allow: `percent` of first attempts, and a
-    /// reserve that all `entries` of the mesh have together, if one is set.
-    ///
-    /// Load made for: a failure that all entries see at once. Harm prevented: each spends the whole
-    /// reserve, which is meant for the mesh. Reason for the limits: entries do not talk before a
-    /// retry, so each takes only its part.
+    /// The share of one entry in what the settings allow: `percent` of first attempts, and a reserve that all
+    /// `entries` of the mesh have together, if one is set. Entries do not talk before a retry, so each takes only its
+    /// part.
     pub fn of_entry(percent: u32, reserve: Option<u32>, entries: usize) -> Self {
         let Some(reserve) = reserve else {
             return Self {
--- a/src/distribution/fetch.rs
+++ b/src/distribution/fetch.rs
@@ -1,9 +1,7 @@
 //! What to fetch, from whom, and when to try again.
 //!
-//! Load made for: one publication and 520 nodes that hear of it within a second, most of them
-//! before any neighbour holds the content. Harm prevented: every node of a region goes to the store
-//! or across the billed link at once. So content travels from neighbour to neighbour, and only a
-//! region's gateways go further, one at a time:
+//! Content travels from neighbour to neighbour, so that a publication does not send every node of a region to
+//! the store or across the billed link; only a region's gateways go further, one at a time:
 //!
 //! | source | who | from when |
 //! |---|---|---|
@@ -13,11 +11,11 @@
 //! | both | gateway of rank R | R times [`RANK_DELAY_MS`] later |
 //! | both | everybody else | after [`OTHERS_DELAY_MS`], spread over [`OTHERS_SPREAD_MS`] |
 //!
-//! Where versions are [followed](Fetcher::followed), peers are what is left when the other way is late:
-//! the times count from when it is, and the store is not among the sources.
+//! The gateway nearest the store thus fetches first and announces it, and the other region's finds it there
+//! while it still waits: the content crosses the link once.
 //!
-//! The gateway nearest the store thus fetches first and announces it, and the other region's finds
-//! it there while it still waits: the content crosses the link once.
+//! Where versions are [followed](Fetcher::followed), peers are what is left when the other way is late: the
+//! times count from when it is, and the store is not among the sources.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -245,12 +243,9 @@
         (soonest < u64::MAX).then(|| soonest.max(self.not_before_ms))
     }
 
-    /// Notes the end of the fetch: whether its content is now held. After a failure the source is
-    /// left alone until it announces itself again, and the next try waits.
-    ///
-    /// Failure guarded against: a peer or store that refuses at once, over and over. It shows as a
-    /// hot loop of fetches. The pause doubles with each failure in a row and differs from node to
-    /// node, so that a herd does not come back in step.
+    /// Notes the end of the fetch: whether its content is now held. After a failure the source is left alone until it
+    /// announces itself again, and the next try waits: twice as long with each failure in a row, and not in step with
+    /// other nodes.
     pub fn done(&mut self, now_ms: u64, fetch: &Fetch, succeeded: bool) {
         if self.in_flight.as_ref() != Some(fetch) {
             return;
--- a/src/distribution/holder.rs
+++ b/src/distribution/holder.rs
@@ -304,11 +304,8 @@
     applied.map_or(Stamp::NONE, |applied| applied.stamp)
 }
 
-/// Failure guarded against: a node that holds version 3 by now gets the differences from 1 to 4 that it
-/// asked for when it held 1. A difference is compressed against its parent; read against a version that
-/// differs in little but its number it may seem to be one from there, and the first of them leads back to
-/// 2. It shows as a node that goes round in circles among its kept differences. Steps that only
-/// rise cannot make a circle.
+/// Steps have to rise: read against another version than its parent, a difference may seem to lead back to an
+/// older one, and a node would go round in circles among its kept differences.
 fn apply_chain(parent: &Configuration, stamp: Stamp, steps: &[Step]) -> Result<Configuration> {
     let mut reached = parent.clone();
     for step in steps {
--- a/src/membership/discovery.rs
+++ b/src/membership/discovery.rs
@@ -62,10 +62,9 @@
         })
     }
 
-    /// Failure guarded against: 520 nodes start at once and all greet everybody, again and again.
-    /// It shows as a storm of whole views. Two seeds at a time, ever more slowly, keep it bounded:
-    /// the nearest, which is asked for the whole view, and any other, which is only told of this
-    /// node, so that groups that start apart know of each other.
+    /// Greets two seeds at a time, ever more slowly, so that a herd that starts does not flood itself with whole
+    /// views: the nearest, which is asked for its view, and any other, which is only told of this node, so that
+    /// groups that start apart know of each other.
     pub(super) fn greetings(&mut self, now_ms: u64) -> Vec<Exchange> {
         if now_ms < self.next_greeting_ms || self.seeds.is_empty() || !self.is_alone() {
             return Vec::new();
@@ -90,12 +89,9 @@
 
     /// Looks for members that were declared dead or have left, and for seeds that nobody has mentioned.
     ///
-    /// Failure guarded against: a partition, at whose end both halves hold each other for dead; or
-    /// two groups that started apart. Neither would ever speak to the other again. Only those who
-    /// would hold the link probe it, so a healed link sees a few greetings, not one of each node.
-    ///
-    /// The same for a node that is stopped and started as planned while the platform is away: it has
-    /// nobody to ask for peers or a configuration, and refuses its callers until somebody finds it.
+    /// After a partition both halves hold each other for dead, and a node that restarts while the platform is away
+    /// knows nobody: neither would ever speak to the other again. Only those who would hold the link probe it, so
+    /// a healed link sees a few greetings.
     pub(super) fn probe(&mut self, now_ms: u64) -> Option<Exchange> {
         if now_ms < self.next_probe_ms {
             return None;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -113,9 +113,8 @@
         self.learn(now_ms, suspect, None);
     }
 
-    /// Failure guarded against: a data centre or the link to it is lost at once. It shows as one
-    /// bridge partner after the other giving no answer. Suspecting all members together is safe,
-    /// since each of them refutes it if any way to it is left.
+    /// Bridge partners of a data centre that one after the other give no answer put all of its members under suspicion
+    /// together; each of them refutes it if any way to it is left.
     fn note_silence(&mut self, now_ms: u64, member: &Member) {
         let key = place_key(&member.place);
         let silent = self.silent.entry(key.clone()).or_default();
--- a/src/membership/learning.rs
+++ b/src/membership/learning.rs
@@ -61,10 +61,8 @@
 
     /// Somebody says of this node what it does not say itself: a higher sequence overrules it.
     ///
-    /// Failure guarded against: a replaced VM whose clock is behind starts with an incarnation
-    /// below the one that the mesh remembers, and everything it says would be taken for old. It
-    /// shows as the mesh's answer, a claim about this address with a higher incarnation; one above
-    /// it supersedes that life. No two processes share an address, so nobody competes.
+    /// A replaced VM whose clock is behind starts with an incarnation below the one that the mesh remembers, and learns
+    /// that one from such a claim; one above it supersedes the earlier life.
     fn refute(&mut self, claim: &Member) {
         if claim.rank() <= self.me.rank() {
             return;
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -304,11 +304,8 @@
         self.links.values_mut().for_each(Link::hurry);
     }
 
-    /// Notices a freeze of this process by the gap since the last call.
-    ///
-    /// Failure guarded against: the calls that were under way when the process was frozen all time
-    /// out when it goes on, and it would suspect every neighbour. What was under way then proves
-    /// nothing about others.
+    /// Notices a freeze of this process by the gap since the last call. Calls that were under way all time out when it
+    /// goes on, which proves nothing about others.
     pub(super) fn note_time(&mut self, now_ms: u64) {
         let gap_ms = now_ms.saturating_sub(self.last_call_ms);
         self.last_call_ms = now_ms;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -339,8 +339,7 @@
         self.tell(MembershipMsg::Head(head));
     }
 
-    /// Failure guarded against: a store that answers with an older configuration than the one in
-    /// force. It shows as a version that is not newer, which the holder refuses.
+    /// Takes in what the store told. A configuration older than the one held is refused by the holder.
     fn written(
         &mut self,
         now_ms: u64,
--- a/src/node/freeze.rs
+++ b/src/node/freeze.rs
@@ -1,11 +1,9 @@
 //! Notices that the process was frozen, so that it catches up before it admits new work.
 //!
-//! Failure guarded against: a VM is paused, or the process stopped, while versions are published;
-//! when it goes on, it routes by what was in force before. It shows as a gap between two ticks. The
-//! steady clock goes on while a process is stopped; where it stands still, as in a suspended VM, the
-//! clock that counts suspensions goes on. The time of day is not looked at: it may be set at any
-//! time. The guard holds although a request may be served before the first tick after the gap, since
-//! admission itself compares the time of the last tick ([`NodeState::is_fresh`]).
+//! A freeze shows as a gap between two ticks, by the steady clock or, where that stands still as in a suspended
+//! VM, by the clock that counts suspensions. The time of day is not looked at: it may be set at any time. A
+//! request that is served before the first tick after the gap is caught by admission, which compares the time of
+//! the last tick ([`NodeState::is_fresh`]).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -150,12 +150,8 @@
         self.backend_news.notify_one();
     }
 
-    /// Another instance has answered in `backend`'s place: it gets nothing until something
-    /// announces itself.
-    ///
-    /// Failure guarded against: a backend server crashes and its address goes to one of another
-    /// service, which would be sent this service's requests. It turns each of them away by the
-    /// instance that they name; the gate is closed so that none is sent in vain.
+    /// Another instance has answered in `backend`'s place, as an address may pass to another service: the gate is
+    /// closed until something announces itself.
     pub(crate) fn mistaken(&self, backend: &LocalBackend) {
         let current = self.backend.load_full();
         if current.as_deref() != Some(backend) {
--- a/src/node/logging/bounded.rs
+++ b/src/node/logging/bounded.rs
@@ -1,8 +1,7 @@
 //! The bound on lines that wait for the writing thread.
 //!
-//! Failure guarded against: whoever reads the process's output stops, the pipe fills, and with it
-//! each request that logs a line waits for ever. The writing thread waits alone; in front of it are
-//! at most so many lines, and a line too many is dropped and counted.
+//! If nobody reads the process's output, that thread waits alone; a line beyond the bound is dropped and counted,
+//! and no request waits.
 
 use std::sync::Arc;
 
--- a/src/node/recorder.rs
+++ b/src/node/recorder.rs
@@ -12,10 +12,7 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
-/// How often new samples are put into their buckets.
-///
-/// Failure guarded against: until then each sample is kept by itself, and a process whose metrics
-/// nobody reads would grow by 8 bytes a sample for ever.
+/// How often new samples are put into their buckets; until then each takes memory of its own.
 const UPKEEP: Duration = Duration::from_secs(5);
 
 /// The process's recorder, installed when first asked for.
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -1,17 +1,13 @@
 //! Registers the node with the platform and reads who else is registered.
 //!
-//! The table's rows are a bootstrap hint and nothing more: a node that cannot register is reached
-//! through its peers, and one that cannot read the list uses `--peer-seeds`.
+//! The table's rows are a bootstrap hint and nothing more: a node that cannot register is reached through its
+//! peers, and one that cannot read the list uses `--peer-seeds`.
 //!
-//! Load made for: 520 nodes that start at once, against a table of several hundred writes and two
-//! thousand reads a second. Each node reads its own row, then one page at a random moment of a span that
-//! grows with the time that the first read took, and writes its own row at a random moment of a span
-//! that grows with the number of rows it found: 520 writes take about two seconds. Each reads the rows
-//! behind its own key, so that no few nodes are everybody's seeds.
-//!
-//! Harm prevented: half of the nodes reach the table across the billed link, where a page costs
-//! more than many publications. So pages are short, rows are renewed seldom, and only the watchers
-//! of each data centre read again, to find nodes that started apart from them.
+//! A herd that starts at once must stay below the table's rates: each node reads its own row, then one page at a
+//! random moment of a span that grows with the time that the first read took, and writes its own row at a random
+//! moment of a span that grows with the number of rows it found. Each reads the rows behind its own key, so that no
+//! few nodes are everybody's seeds. Half of the nodes reach the table across the billed link, so pages are short,
+//! rows are renewed seldom, and only the watchers of each data centre read again, to find nodes that started apart.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -81,13 +77,9 @@
 }
 
 impl Registration {
-    /// Reads the own row and takes up the backend server that the process before this one knew.
-    ///
-    /// Load made for: all nodes lose power at once and start again beside backend servers that have gone
-    /// on, and announce themselves only some seconds apart. Harm prevented: until then no service is
-    /// known to be served anywhere, and all that callers ask is refused. A row that is out of date
-    /// does no harm: each request names the instance that it is meant for, any other turns it away,
-    /// and the next announcement sets it right.
+    /// Reads the own row and takes up the backend server that the process before this one knew, so that it is of use
+    /// before its next announcement. A row that is out of date does no harm: each request names the instance that it
+    /// is meant for, any other turns it away, and the next announcement sets it right.
     async fn recall(&self) -> Result<()> {
         let Some(row) = self.platform.row(&node_key(self.me.node)).await? else {
             return Ok(());
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -333,9 +333,7 @@
         })
     }
 
-    /// Failure guarded against: a listener that anybody on the network may speak to, through
-    /// which a stranger drains nodes or feeds them gossip. Without a token only processes of the
-    /// same machine can reach the listeners, so the guard holds.
+    /// Without a token only processes of the same machine may reach the listeners of peers and operators.
     fn require_token_beyond_loopback(
         &mut self,
         token: &MeshToken,
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -26,13 +26,8 @@
 /// Bytes of one answer that are read ahead of a slow reader; also bounds the answer's head.
 const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 
-/// Longest rest after which a connection is used again.
-///
-/// Failure guarded against: a backend server, or what lies before it, forgets connections that have been
-/// idle for some hundred milliseconds, and resets them when something is sent. It shows as a payment that
-/// may have run and is not tried again. Under load connections rest for some milliseconds, the one used
-/// last goes first, and a new one costs a millisecond; so the guard costs little and holds for every
-/// backend server that keeps connections for longer than this.
+/// Longest rest after which a connection is used again. A backend server, or what lies before it, may have
+/// forgotten it by then, and a request that meets a reset may have run.
 const REST_MAX: Duration = Duration::from_millis(100);
 
 type Sender = http1::SendRequest<Body>;
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -350,12 +350,9 @@
     }
 }
 
-/// Only a gate says its load. An answer without it is a peer listener's refusal of the mesh token,
-/// which says itself that nothing ran, or comes from a program that is no node.
-///
-/// Failure guarded against: a VM's address passes to another program while the mesh still routes to
-/// it; that program runs a payment and the entry sends it to a second endpoint. Only the mesh's own
-/// words prove "not run", and such a program does not send them.
+/// Only a gate says its load. An answer without it is a peer listener's refusal of the mesh token, which says itself
+/// that nothing ran, or comes from a program that is no node: a VM's address may have passed to one. Only the
+/// mesh's own words prove "not run".
 fn without_gate(headers: &HeaderMap) -> Failure {
     match Failure::from_headers(headers) {
         Some(failure) if failure.verdict == Verdict::NotRun => {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -26,12 +26,8 @@
 
 /// Serves a request from another node: all outcomes become answers with the mesh's headers.
 ///
-/// `delay` is how long the request was held up on its way.
-///
-/// Failure guarded against: packets between two nodes are lost and come a second later, when the
-/// caller may have left; the word of that is behind the request on the same connection. It shows as
-/// work for nobody. A request that comes so late is not run: its entry, if it still waits, takes it
-/// elsewhere.
+/// `delay` is how long the request was held up on its way. One that comes so late that its caller may have left is
+/// not run; its entry, if it still waits, takes it elsewhere.
 pub(crate) async fn serve(
     node: Arc<NodeState>,
     request: Request<Body>,
--- a/src/proxy/intake/turns.rs
+++ b/src/proxy/intake/turns.rs
@@ -28,11 +28,7 @@
     }
 }
 
-/// Longest time that a turn is kept for a body that does not come.
-///
-/// Failure guarded against: a caller leaves between the grant and its body, and the entry with it. It shows
-/// as turns that nobody uses while other uploads wait. Reason for the figure: a round trip between regions
-/// and what a busy node of a tenth of a core adds to it.
+/// Longest time that a turn is kept for a body that does not come, as when its caller has left.
 const GRANT_MAX: Duration = Duration::from_millis(300);
 
 /// The right to have one body come in.
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -38,9 +38,7 @@
 
 type Builder = auto::Builder<TokioExecutor>;
 
-/// Failure guarded against: a process that is no part of the mesh sends data past every entry, or
-/// commands a node. It shows as requests that no entry logged. Without the secret nothing of the
-/// request is looked at, so the guard holds.
+/// Whether a request to the peer or operator listener shows the mesh token; else nothing of it is looked at.
 fn may_speak(node: &NodeState, request: &Request<Incoming>) -> bool {
     let given = request.headers().get(headers::TOKEN);
     let token = &node.settings.mesh_token;
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -1,10 +1,8 @@
 //! One HTTP/1 connection of a caller.
 //!
-//! Load made for: callers that keep hundreds of connections open to each node and use few of them at
-//! a time. Harm prevented: the HTTP library keeps two buffers of 8 KB and its state for each, about
-//! 30 KB, and most of a node's memory lies idle. So the library is only there while requests are
-//! being served: when a connection has become idle, the library gives back the bare stream, and gets it
-//! again when the caller sends something.
+//! Callers keep many connections open and use few at a time, and the HTTP library keeps some 30 KB for each. So the
+//! library is only there while requests are being served: when a connection has become idle it gives back the bare
+//! stream, and gets it again when the caller sends something.
 
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -82,11 +80,8 @@
     }
 }
 
-/// Waits for as long as a connection may be idle.
-///
-/// Failure guarded against: operators allow a longer time while the connection is idle, and its caller,
-/// who knows of that, uses it again after the old time. It shows as a request on a connection that is
-/// being closed. So the time is looked up again when it seems to be over.
+/// Waits for as long as a connection may be idle. Operators may allow a longer time meanwhile, so it is looked up
+/// again when it seems to be over.
 async fn idle_for_too_long(node: &NodeState) {
     let since = Instant::now();
     loop {
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -23,9 +23,7 @@
 /// A frozen or cut-off peer is noticed within two of these while requests wait on it.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-/// Bytes of one answer that may be under way and unread. Load made for: slow readers. Harm
-/// prevented: an answer of any size piles up here. Reason for the limit: about what the link
-/// between regions carries for one stream in a round trip.
+/// Bytes of one answer that may be under way and unread, so that a slow reader does not make it pile up here.
 const ANSWER_WINDOW_BYTES: u32 = 128 << 10;
 /// Window of the whole connection: as much as all of its streams together may have under way, so
 /// that slow readers of some answers never hold up the others on the connection.
@@ -113,9 +111,7 @@
         if let Some(sender) = open {
             return Ok(sender.clone());
         }
-        // Failure guarded against: a VM is gone without a word and requests queue for it. Each
-        // would dial for the whole timeout after the one before it; so those that waited while
-        // one dial failed take its result.
+        // Those that waited while one dial failed take its result; else each would dial for the whole timeout.
         if slot.failed_at.is_some_and(|failed_at| failed_at > asked_at) {
             return Err(Failure::not_run(Reason::Unreachable));
         }
--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -1,16 +1,12 @@
 //! Callers that send further requests before the first one is answered.
 //!
-//! The HTTP library takes the requests of a connection one after the other. Load made for: a caller
-//! that sends several reads at once on one connection. Harm prevented: each waits for the answers
-//! to all before it, so the last of them is late although its endpoint is idle (9 % of a quiet day's
-//! requests reached their endpoint after half of the time that they had for the whole answer). So
-//! the bytes are looked at as they pass to the library ([`Watched`]), further requests without a
-//! body are [started early](Pipeline::start_early), and when the library comes to one of them
-//! it is given the answer that is under way ([`Pipeline::take`]). Answers keep their order, as the
-//! library still writes them.
+//! The HTTP library takes the requests of a connection one after the other, so each would wait for the answers to all
+//! before it. Therefore the bytes are looked at as they pass to the library ([`Watched`]), further requests without a
+//! body are [started early](Pipeline::start_early), and when the library comes to one of them it is given the answer
+//! that is under way ([`Pipeline::take`]). Answers keep their order, as the library still writes them.
 //!
-//! The bytes are looked at by the parser that the library itself uses. A request that the two were
-//! to read differently is started anew; only requests that may run twice are started early.
+//! The bytes are looked at by the parser that the library itself uses. A request that the two were to read
+//! differently is started anew; only requests that may run twice are started early.
 
 use std::collections::VecDeque;
 use std::io;
@@ -212,11 +208,8 @@
         Used(self.clone())
     }
 
-    /// Whether requests were served, all are answered, and the caller has sent nothing more.
-    ///
-    /// Failure guarded against: the library is asked to let go of a connection while it still has
-    /// part of an answer to write. It shows as an answer that is cut. The library flushes the
-    /// stream only once it has nothing left to write, so the guard holds.
+    /// Whether requests were served, all are answered, and the caller has sent nothing more. The library flushes the
+    /// stream only once it has nothing left to write; before that, letting go of the connection would cut an answer.
     pub(crate) fn is_idle(&self) -> bool {
         let shared = self.lock();
         let answered = shared.began && shared.used == 0 && shared.flushed;
@@ -280,15 +273,12 @@
 }
 
 impl<S: AsyncRead + Unpin> Pipeline<S> {
-    /// Reads what the caller sends while a request is being answered. Ready once more requests may
-    /// be known, or with false once the caller has closed: nobody waits for the answer then.
-    ///
-    /// Failure guarded against: the library looks for the end of a connection only while it holds
-    /// no bytes of a further request, so a caller that pipelines and leaves would go unnoticed.
+    /// Reads what the caller sends while a request is being answered. Ready once more requests may be known, or with
+    /// false once the caller has closed: nobody waits for the answer then.
     ///
-    /// While it looks for the end the library reads one further request itself. That one would wait
-    /// for the answers before it; so what the library has read counts as well. It reads before it
-    /// polls the answer that this is a part of, in the same task, so nobody has to be woken.
+    /// The library looks for the end of a connection only while it holds no bytes of a further request, so a caller that
+    /// pipelines and leaves would go unnoticed. While it looks it reads one further request itself, which counts as well.
+    /// It reads before it polls the answer that this is a part of, in the same task, so nobody has to be woken.
     pub(crate) fn poll_more(&self, context: &mut Context<'_>) -> Poll<bool> {
         let mut shared = self.lock();
         if shared.ended {
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -96,10 +96,9 @@
     }
 }
 
-/// A request in the queue. Failure guarded against: its caller hangs up, this is dropped at an
-/// await, and a slot that was granted at the same moment would be lost for good. The turn is sent
-/// under the admission lock, so after `cancel` says that it was too late the turn is in the
-/// channel, and a slot found there is given back.
+/// A request in the queue. If its caller hangs up, this is dropped at an await, and a slot may have been granted at
+/// the same moment. The turn is sent under the admission lock, so after `cancel` says that it was too late the turn
+/// is in the channel, and the slot is given back.
 struct Waiting<'a> {
     node: &'a Arc<NodeState>,
     hop: &'a Hop,
--- a/src/proxy/stall.rs
+++ b/src/proxy/stall.rs
@@ -10,9 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// Failure guarded against: a caller asks for a long answer and never reads it. It shows as a
-/// slot of the backend server that stays taken, and as buffers that stay full. A write that has
-/// been pending for the limit breaks the connection, which frees both.
+/// Breaks a connection on which a write has been pending for the limit: a caller that does not read its answer holds
+/// a slot of the backend server and full buffers.
 #[derive(Debug)]
 pub(crate) struct StallGuard {
     stream: TcpStream,
--- a/src/proxy/vocabulary.rs
+++ b/src/proxy/vocabulary.rs
@@ -108,12 +108,8 @@
         name.is_some_and(|name| answer.contains_key(name))
     }
 
-    /// Whether an answer is a backend server's to the request with this id, as far as answers say.
-    ///
-    /// Failure guarded against: a backend server answers twice, and the second answer comes where
-    /// the next request's is expected; or bytes that happen to look like an answer do. It shows as
-    /// one caller's answer at another. The guard holds as only the right answer has the id, and
-    /// nothing counts as a success without it.
+    /// Whether an answer is a backend server's to the request with this id, as far as answers say. A backend server may
+    /// answer twice, the second time where the next request's answer is expected; only the right answer has the id.
     pub(crate) fn answers(&self, id: Option<&HeaderValue>, answer: &http::response::Parts) -> bool {
         if !self.answers_repeat_id {
             return true;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod requests_streams;
 mod requests_untrusted;
 mod simulation;
+mod sources;
 mod spread_decisions;
 mod spread_failures;
 mod spread_leads;
--- /dev/null
+++ b/tests/testsuite/sources.rs
@@ -0,0 +1,47 @@
+//! Rules of the sources that neither the formatter nor the linter knows.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use crate::support::repository_file;
+
+/// All source files below a folder.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("the folder is there");
+    let mut found = Vec::new();
+    for entry in entries {
+        let path = entry.expect("it can be listed").path();
+        if path.is_dir() {
+            found.extend(sources(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+    found
+}
+
+/// Lines of the product's sources that hold one of `words`, with their places.
+fn lines_with(folder: &str, words: &[&str]) -> Vec<String> {
+    let mut found = Vec::new();
+    for path in sources(&repository_file(folder)) {
+        let text = fs::read_to_string(&path).expect("sources are text");
+        for (number, line) in text.lines().enumerate() {
+            if words.iter().any(|word| line.contains(word)) {
+                found.push(format!("{}:{}: {line}", path.display(), number + 1));
+            }
+        }
+    }
+    found
+}
+
+#[test]
+fn comments_have_no_set_phrases() {
+    let phrases = [
+        "Load made for",
+        "Harm prevented",
+        "Failure guarded against",
+        "Reason for the",
+        "The guard holds",
+    ];
+    assert_eq!(lines_with("src", &phrases), Vec::<String>::new());
+}
