--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -16,6 +16,7 @@
 use lexopt::ValueExt;
 use snafu::Snafu;
 
+use self::specs::default_of;
 pub use self::specs::{SPECS, Spec};
 use crate::core::dialect::Dialect;
 use crate::core::member::Place;
@@ -99,32 +100,32 @@
     #[builder(default)]
     pub backend_server_announces: bool,
     /// Longest head of a caller's request.
-    #[builder(default = 65_536)]
+    #[builder(default = default_of("caller-header-max-bytes"))]
     pub caller_header_max_bytes: usize,
     /// Longest wait for the head of a caller's next request, in milliseconds.
-    #[builder(default = 30_000)]
+    #[builder(default = default_of("caller-header-timeout-ms"))]
     pub caller_header_timeout_ms: u64,
     /// Longest time without progress of a caller's body, either way, in milliseconds.
-    #[builder(default = 60_000)]
+    #[builder(default = default_of("caller-idle-timeout-ms"))]
     pub caller_idle_timeout_ms: u64,
     /// Most connections of one caller's address.
-    #[builder(default = 1_024)]
+    #[builder(default = default_of("caller-connections-max"))]
     pub caller_connections_max: u32,
     /// Descriptors that the process may open, if it is told otherwise than by the system.
     pub descriptors_max: Option<u32>,
     /// Memory that the process may use, in megabytes, if it is limited.
     pub memory_mb: Option<u32>,
     /// Longest wait for requests in flight when stopping, in milliseconds.
-    #[builder(default = 600_000)]
+    #[builder(default = default_of("drain-timeout-ms"))]
     pub drain_timeout_ms: u64,
     /// Shortest time for which callers are still served when stopping, in milliseconds.
-    #[builder(default = 500)]
+    #[builder(default = default_of("stop-least-ms"))]
     pub stop_least_ms: u64,
     /// Time within which an accepted version is to be in force everywhere, in milliseconds.
-    #[builder(default = 15_000)]
+    #[builder(default = default_of("apply-within-ms"))]
     pub apply_within_ms: u64,
     /// Retries of a service's requests, in percent of the first attempts of an entry.
-    #[builder(default = 10)]
+    #[builder(default = default_of("retry-percent"))]
     pub retry_percent: u32,
     /// Retries of a service's requests beyond that share, all entries of the mesh together; if left
     /// out, ten for each entry.
@@ -132,10 +133,10 @@
     /// Rate of the VM's link in kilobits a second, if it is known.
     pub link_kbit_per_s: Option<u32>,
     /// How log lines are written.
-    #[builder(default = LogFormat::Text)]
+    #[builder(default = default_of("log-format"))]
     pub log_format: LogFormat,
     /// Least severe level that is logged.
-    #[builder(default = log::LevelFilter::Info)]
+    #[builder(default = default_of("log-level"))]
     pub log_level: log::LevelFilter,
     /// The file that they were read from, if any.
     pub config_file: Option<PathBuf>,
@@ -348,19 +349,14 @@
         }
     }
 
-    fn spec(flag: &str) -> &'static Spec {
-        let found = SPECS.iter().find(|spec| spec.flag == flag);
-        found.expect("every flag that is read has a spec")
-    }
-
     fn text(&self, flag: &str) -> Option<String> {
         let given = self.values.get(flag).map(String::as_str);
-        let text = given.unwrap_or(Self::spec(flag).default);
+        let text = given.unwrap_or(Spec::of(flag).default);
         (!text.is_empty()).then(|| text.to_owned())
     }
 
     fn problem(&mut self, flag: &str, what: &str) {
-        let variable = Self::spec(flag).variable();
+        let variable = Spec::of(flag).variable();
         self.problems.push(format!("--{flag} ({variable}): {what}"));
     }
 
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -1,5 +1,8 @@
 //! The table of every setting of a node: flag, default, and the line of help for each.
 
+use std::fmt::Debug;
+use std::str::FromStr;
+
 /// One setting: its flag, its environment variable, and what it is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Spec {
@@ -19,6 +22,18 @@
         let upper = self.flag.to_uppercase().replace('-', "_");
         format!("DRAGONFLYWALL_{upper}")
     }
+
+    /// The setting of a flag that the node reads.
+    pub(crate) fn of(flag: &str) -> &'static Self {
+        let found = SPECS.iter().find(|spec| spec.flag == flag);
+        found.expect("every flag that is read has a spec")
+    }
+}
+
+/// The default of a setting that has one.
+pub(crate) fn default_of<T: FromStr<Err: Debug>>(flag: &str) -> T {
+    let parsed = Spec::of(flag).default.parse();
+    parsed.expect("defaults are of their setting's type")
 }
 
 /// Every setting of a node.
--- a/tests/testsuite/users_settings.rs
+++ b/tests/testsuite/users_settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of the users' platform, at the start and while a node runs.
 
+use dragonflywall::node::{self, Settings};
 use testkit::http::wait_until;
 use testkit::process::{LogLine, Signal};
 use testkit::users::mesh::{Asked, Mesh, Plan};
@@ -49,6 +50,33 @@
     );
 }
 
+/// Guards against defaults that differ between a node's own settings and the platform's file.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_ways_of_starting_have_the_same_defaults() {
+    let mesh = start_users_serving(small()).await;
+    let settings = |flags: &[&str]| {
+        let arguments = flags.iter().map(|flag| (*flag).into());
+        node::settings::parse(arguments, |_| None).expect("they are right")
+    };
+    let path = mesh.settings_path(0).to_str().expect("UTF-8");
+    let from_file = settings(&["--config", path]);
+    let own = settings(&[
+        "--region=norte",
+        "--data-centre=gijon",
+        "--platform=http://x",
+    ]);
+    let defaults = |settings: &Settings| {
+        (
+            settings.caller_header_max_bytes,
+            settings.caller_header_timeout_ms,
+            settings.caller_idle_timeout_ms,
+            settings.apply_within_ms,
+            settings.log_level,
+        )
+    };
+    assert_eq!(defaults(&from_file), defaults(&own));
+}
+
 async fn wait_for_line(lines: &mut mpsc::UnboundedReceiver<LogLine>, text: &str) -> String {
     let found = async {
         while let Some(line) = lines.recv().await {
