Part what requests read from what the actors own

Nine files of node and proxy knew each other through node/state.rs. ProxyState now holds what the request path reads and leaves for itself; NodeState has it, and what the actors and tasks share. No file of src/proxy imports an actor, its messages or NodeState: a test looks. The listener for operators moves to the node, the one for peers takes any control service, the platform's header names no longer know of the dialect's choice, and the experiment's fleet and publication no longer know each other.

--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -5,7 +5,7 @@
 //! the mesh passes, inside data centres too.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use dragonflywall::core::configuration::TeamRecord;
 use dragonflywall::store::http::HttpStore;
@@ -18,6 +18,7 @@
 use crate::error::{Error, Result};
 use crate::publication;
 use crate::usage::{self, Memory};
+use crate::wall_clock::wall_us;
 
 /// Services of the design size.
 pub(crate) const SERVICES: [&str; 14] = [
@@ -327,12 +328,6 @@
     }
 }
 
-/// Microseconds since the epoch.
-pub(crate) fn wall_us() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(now.unwrap_or_default().as_micros()).unwrap_or(u64::MAX)
-}
-
 /// From one moment to a time of day, which may be a little before it: then 0.
 fn since_us(begin_us: u64, time_of_day_us: u64) -> u64 {
     let after = (time_of_day_us + DAY_US - begin_us % DAY_US) % DAY_US;
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -24,6 +24,7 @@
 mod requests;
 mod slopes;
 mod usage;
+mod wall_clock;
 
 use std::process::ExitCode;
 
--- a/crates/experiment/src/publication.rs
+++ b/crates/experiment/src/publication.rs
@@ -12,7 +12,7 @@
 use snafu::ResultExt;
 
 use crate::error::{Error, PublishSnafu, Result};
-use crate::fleet::wall_us;
+use crate::wall_clock::wall_us;
 
 /// A publication that took effect.
 #[derive(Debug)]
--- a/src/node/changes.rs
+++ b/src/node/changes.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use crate::core::member::{Liveness, Member, NodeId};
-use crate::node::state::View;
 use crate::proxy::decisions::{Decisions, Weight};
+use crate::proxy::view::View;
 
 /// Logs each member whose liveness is not what it was, with the state of its backend server.
 /// Suspicions come and go with every pause of a VM, and all members are new to a node that starts:
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -161,8 +161,8 @@
 
 fn fetcher(node: &NodeState, origin: &Origin) -> Fetcher {
     match origin {
-        Origin::Published(_) => Fetcher::new(node.me),
-        Origin::Written(_) => Fetcher::followed(node.me, node.budget().hold_ms()),
+        Origin::Published(_) => Fetcher::new(node.proxy.me),
+        Origin::Written(_) => Fetcher::followed(node.proxy.me, node.budget().hold_ms()),
     }
 }
 
@@ -177,7 +177,7 @@
         (node, origin): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
         myself.send_interval(TICK, || ConfigurationMsg::Tick);
-        let now_ms = clock::since_ms(node.started);
+        let now_ms = clock::since_ms(node.proxy.started);
         let floor_origin = match origin {
             Origin::Published(_) => floor::Origin::Witnessed,
             Origin::Written(_) => floor::Origin::Followed,
@@ -208,7 +208,7 @@
         message: Self::Msg,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
-        let now_ms = clock::since_ms(state.node.started);
+        let now_ms = clock::since_ms(state.node.proxy.started);
         match message {
             ConfigurationMsg::Tick => state.tick(&myself, now_ms),
             ConfigurationMsg::Wake => state.woken_for_ms = None,
@@ -249,7 +249,7 @@
 
 impl State {
     fn tick(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
-        if let Some(age_ms) = self.node.store_age_ms() {
+        if let Some(age_ms) = self.node.proxy.store_age_ms() {
             metrics::gauge!("dragonflywall_store_age_seconds").set(age_ms as f64 / 1_000.0);
         }
         self.set_gateway_rank(now_ms);
@@ -402,7 +402,7 @@
             let Some(mut client) = self.node.control.client(peer.address) else {
                 continue;
             };
-            let me = self.node.me;
+            let me = self.node.proxy.me;
             let myself = myself.clone();
             tokio::spawn(async move {
                 if let Ok((reported, enforced)) = client.floor(me).await {
@@ -453,7 +453,7 @@
         let caught_up = self.holder.stamp().version >= self.fetcher.head().version;
         if (heard && caught_up) || now_ms >= refresh.until_ms {
             self.refresh = None;
-            self.node.refreshing.store(false, Ordering::Release);
+            self.node.proxy.refreshing.store(false, Ordering::Release);
             log::info!(caught_up; "admits work again");
         }
     }
@@ -581,8 +581,8 @@
                 self.longest_age_ms = self.longest_age_ms.max(age_ms);
                 learning::measure(age_ms, self.longest_age_ms);
             }
-            self.node.enforced.store(Some(applied));
-            self.node.refresh_slots();
+            self.node.proxy.enforced.store(Some(applied));
+            self.node.proxy.refresh_slots();
             self.tell(MembershipMsg::SetEnforced(stamp.version));
         }
     }
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -97,7 +97,7 @@
     }
 
     fn next(&mut self) -> Ask {
-        let now_ms = self.node.age_ms();
+        let now_ms = self.node.proxy.age_ms();
         self.choice.set_leads(self.node.leads.borrow().clone());
         self.choice.note_held(now_ms, *self.node.held.borrow());
         self.choice.next(now_ms, self.node.budget())
@@ -106,7 +106,7 @@
     async fn ask_lead(&mut self, lead: Peer, wait: Duration, answer: Duration) {
         let have = *self.node.held.borrow();
         let Some(mut client) = self.node.control.client(lead.address) else {
-            return self.choice.lead_silent(self.node.age_ms(), lead.node);
+            return self.choice.lead_silent(self.node.proxy.age_ms(), lead.node);
         };
         let began = Instant::now();
         let mut leads = self.node.leads.subscribe();
@@ -121,13 +121,13 @@
             Err(error) => {
                 log::info!(lead:% = lead.node, error:%, took_ms; "the lead gives no answer");
                 self.node.control.forget(lead.address);
-                return self.choice.lead_silent(self.node.age_ms(), lead.node);
+                return self.choice.lead_silent(self.node.proxy.age_ms(), lead.node);
             }
         };
         let offered = newer.offer.as_ref();
         let len_bytes = offered.map_or(0, |offer| offer.content.len_bytes());
         log_late("lead", took_ms, wait, len_bytes);
-        let (now_ms, budget) = (self.node.age_ms(), self.node.budget());
+        let (now_ms, budget) = (self.node.proxy.age_ms(), self.node.budget());
         let state = newer.state;
         if !self.choice.lead_answered(now_ms, lead.node, state, budget) {
             log::info!(
@@ -135,14 +135,14 @@
                 "the lead hears nothing of the store"
             );
         }
-        self.node.store_was_read(state.store_age_ms);
+        self.node.proxy.store_was_read(state.store_age_ms);
         if let Some(offer) = newer.offer {
             self.tell(ConfigurationMsg::FromLead { offer, have });
         }
     }
 
     async fn read_store(&mut self) {
-        let unwatched_ms = self.node.store_age_ms().unwrap_or(0);
+        let unwatched_ms = self.node.proxy.store_age_ms().unwrap_or(0);
         let budget = self.node.budget();
         let answer = Duration::from_millis(self.choice.store_answer_ms(budget));
         let began = Instant::now();
@@ -152,7 +152,7 @@
         let (wait, read) = match recent {
             None => (Duration::ZERO, self.feed.newest(answer).await),
             Some((position, _)) => {
-                let wait_ms = self.choice.store_wait_ms(self.node.age_ms(), budget);
+                let wait_ms = self.choice.store_wait_ms(self.node.proxy.age_ms(), budget);
                 let wait = Duration::from_millis(wait_ms);
                 (wait, self.feed.after(position, wait, answer).await)
             }
@@ -174,7 +174,7 @@
     fn store_told(&mut self, told: Told, unwatched_ms: u64) {
         self.choice.store_answered();
         self.position = Some((told.position, Instant::now()));
-        self.node.store_was_read(0);
+        self.node.proxy.store_was_read(0);
         self.tell(ConfigurationMsg::Written {
             configuration: told.configuration.map(Box::new),
             unwatched_ms,
--- a/src/node/freeze.rs
+++ b/src/node/freeze.rs
@@ -3,7 +3,7 @@
 //! A freeze shows as a gap between two ticks, by the steady clock or, where that stands still as in a suspended
 //! VM, by the clock that counts suspensions. The time of day is not looked at: it may be set at any time. A
 //! request that is served before the first tick after the gap is caught by admission, which compares the time of
-//! the last tick ([`NodeState::is_fresh`]).
+//! the last tick ([`ProxyState::is_fresh`](crate::proxy::state::ProxyState::is_fresh)).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,14 +14,11 @@
 
 use super::configuration::ConfigurationMsg;
 use super::state::NodeState;
+use crate::proxy::state::FREEZE_GAP_MS;
 use crate::util::clock;
 
 const TICK: Duration = Duration::from_millis(250);
 
-/// A gap from which the process counts as frozen. Twelve ticks: a busy processor delays a few, and
-/// versions are in force elsewhere "within seconds" anyway.
-pub(crate) const GAP_MS: u64 = 3_000;
-
 pub(crate) async fn watch(
     node: Arc<NodeState>,
     configuration: ActorRef<ConfigurationMsg>,
@@ -33,19 +30,19 @@
             () = stop.cancelled() => return,
             () = tokio::time::sleep(TICK) => (),
         }
-        let now_ms = clock::since_ms(node.started);
+        let now_ms = clock::since_ms(node.proxy.started);
         let boot_us = clock::boot_us();
-        let steady_gap_ms = now_ms.saturating_sub(node.last_tick_ms.load(Ordering::Acquire));
+        let steady_gap_ms = now_ms.saturating_sub(node.proxy.last_tick_ms.load(Ordering::Acquire));
         let boot_gap_ms = boot_us.saturating_sub(last_boot_us) / 1_000;
         let gap_ms = steady_gap_ms.max(boot_gap_ms);
         last_boot_us = boot_us;
-        if gap_ms >= GAP_MS {
+        if gap_ms >= FREEZE_GAP_MS {
             log::warn!(gap_ms; "this process was frozen; it catches up before it admits work");
             metrics::counter!("dragonflywall_freezes_total").increment(1);
             // Before the tick is noted, so that admission sees one or the other.
-            node.refreshing.store(true, Ordering::Release);
+            node.proxy.refreshing.store(true, Ordering::Release);
             let _ = configuration.cast(ConfigurationMsg::Refresh);
         }
-        node.last_tick_ms.store(now_ms, Ordering::Release);
+        node.proxy.last_tick_ms.store(now_ms, Ordering::Release);
     }
 }
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -1,5 +1,7 @@
 //! The listeners of a node: bound before anything else starts, served once the actors are there.
 
+mod operators;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -74,13 +76,13 @@
         });
         let callers = tasks.spawn(listener::callers::serve(
             self.caller,
-            Arc::clone(node),
+            Arc::clone(&node.proxy),
             stops.callers.clone(),
             stops.all.clone(),
         ));
         let peers = tasks.spawn(listener::peers::serve(
             self.peer,
-            Arc::clone(node),
+            Arc::clone(&node.proxy),
             control,
             stops.peers.clone(),
             stops.all.clone(),
@@ -88,13 +90,9 @@
         for listener in [self.ready, self.announce].into_iter().flatten() {
             let operator = Arc::clone(&operator);
             let all = stops.all.clone();
-            tasks.spawn(listener::operators::serve_platform(listener, operator, all));
+            tasks.spawn(operators::serve_platform(listener, operator, all));
         }
-        tasks.spawn(listener::operators::serve(
-            self.operator,
-            operator,
-            stops.all.clone(),
-        ));
+        tasks.spawn(operators::serve(self.operator, operator, stops.all.clone()));
         (callers, peers)
     }
 }
--- a/src/proxy/listener/operators.rs
+++ b/src/node/listeners/operators.rs
@@ -8,9 +8,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::{Builder, may_speak, serve_all, unauthorized};
 use crate::node::operator::Operator;
 use crate::proxy::body;
+use crate::proxy::listener::{Builder, may_speak, serve_all, unauthorized};
 
 /// Answers operators and the backend server of the VM.
 pub(crate) async fn serve(listener: TcpListener, operator: Arc<Operator>, stop: CancellationToken) {
@@ -19,7 +19,7 @@
         async move {
             // Whoever restarts VMs asks for readiness and holds no secret of the mesh.
             let is_open = request.uri().path() == "/ready";
-            if !is_open && !may_speak(&operator.node, &request) {
+            if !is_open && !may_speak(&operator.node.proxy, &request) {
                 return unauthorized();
             }
             operator.handle(request).await.map(body::boxed)
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -16,7 +16,8 @@
 use crate::membership::{Exchange, Gossip, Membership, Timing};
 use crate::node::changes;
 use crate::node::configuration::{ConfigurationMsg, Role};
-use crate::node::state::{NodeState, View};
+use crate::node::state::NodeState;
+use crate::proxy::view::View;
 use crate::util::clock;
 
 /// How often due heartbeats and suspicions are looked for. News does not wait for it.
@@ -78,7 +79,7 @@
         arguments: Arguments,
     ) -> Result<State, ActorProcessingErr> {
         myself.send_interval(TICK, || MembershipMsg::Tick);
-        let seeds = arguments.node.settings.peer_seeds.clone();
+        let seeds = arguments.node.proxy.settings.peer_seeds.clone();
         Ok(State {
             membership: Membership::new(arguments.me, seeds, Timing::default()),
             node: arguments.node,
@@ -96,7 +97,7 @@
         message: Self::Msg,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
-        let now_ms = clock::since_ms(state.node.started);
+        let now_ms = clock::since_ms(state.node.proxy.started);
         match message {
             MembershipMsg::Tick => (),
             MembershipMsg::Wake => state.woken = false,
@@ -214,7 +215,7 @@
 
     fn leads(&self) -> Leads {
         let ranked = self.membership.leads();
-        let own_rank = ranked.iter().position(|node| *node == self.node.me);
+        let own_rank = ranked.iter().position(|node| *node == self.node.proxy.me);
         let before = &ranked[..own_rank.unwrap_or(ranked.len())];
         Leads {
             before: before.iter().filter_map(|node| self.peer(*node)).collect(),
@@ -252,12 +253,16 @@
         self.node.control.retain(&wanted);
         metrics::gauge!("dragonflywall_neighbours").set(wanted.len() as f64);
         let members = self.membership.members_with_versions();
-        let mut view = View::new(members, self.node.me, &self.node.settings.place);
+        let mut view = View::new(members, self.node.proxy.me, &self.node.proxy.settings.place);
         view.data_centres = self.membership.summaries();
         metrics::gauge!("dragonflywall_members_alive").set(view.alive() as f64);
-        changes::log_liveness(&self.node.decisions, &self.node.view.load(), &view);
-        self.node.view.store(Arc::new(view));
-        self.node.refresh_retries();
+        changes::log_liveness(
+            &self.node.proxy.decisions,
+            &self.node.proxy.view.load(),
+            &view,
+        );
+        self.node.proxy.view.store(Arc::new(view));
+        self.node.proxy.refresh_retries();
     }
 }
 
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -48,28 +48,28 @@
 
     fn metrics(&self) -> String {
         let (in_use, waiting) = {
-            let admission = self.node.admission();
+            let admission = self.node.proxy.admission();
             (admission.in_use(), admission.waiting())
         };
         metrics::gauge!("dragonflywall_gate_slots_in_use").set(in_use);
         metrics::gauge!("dragonflywall_gate_waiting").set(waiting);
-        let coming = self.node.bodies_coming.load(Ordering::Acquire);
+        let coming = self.node.proxy.bodies_coming.load(Ordering::Acquire);
         metrics::gauge!("dragonflywall_uploads_coming").set(coming);
         self.metrics.render()
     }
 
     /// Why the node takes no requests, if it takes none.
     pub(crate) fn why_not_ready(&self) -> Option<&'static str> {
-        if self.node.leaving.is_cancelled() {
+        if self.node.proxy.leaving.is_cancelled() {
             return Some("draining");
         }
         if let Some(why) = **self.node.waiting.load() {
             return Some(why);
         }
-        if !self.node.is_fresh() {
+        if !self.node.proxy.is_fresh() {
             return Some("the process was frozen and catches up");
         }
-        if self.node.enforced.load().is_none() {
+        if self.node.proxy.enforced.load().is_none() {
             return Some("no configuration is enforced yet");
         }
         None
@@ -83,8 +83,8 @@
     }
 
     fn status(&self) -> Status {
-        let enforced = self.node.enforced.load();
-        let view = self.node.view.load();
+        let enforced = self.node.proxy.enforced.load();
+        let view = self.node.proxy.view.load();
         let stamp = enforced.as_ref().map(|applied| applied.stamp);
         let services = enforced
             .iter()
@@ -95,7 +95,7 @@
             .cloned()
             .collect();
         Status {
-            node: self.node.me,
+            node: self.node.proxy.me,
             enforced: stamp.unwrap_or(Stamp::NONE),
             ready: self.why_not_ready().is_none(),
             lacking,
@@ -110,13 +110,13 @@
     fn drain(&self) -> Response<Full<Bytes>> {
         if !self.node.drained.swap(true, Ordering::AcqRel) {
             log::info!("draining the backend server by command");
-            let backend = self.node.backend.load();
+            let backend = self.node.proxy.backend.load();
             let service = backend.as_ref().map(|backend| backend.service.clone());
-            self.node.close_gate();
+            self.node.proxy.close_gate();
             self.node
                 .tell_membership(MembershipMsg::SetBackend(service, BackendState::Draining));
         }
-        let in_flight = self.node.admission().in_use();
+        let in_flight = self.node.proxy.admission().in_use();
         json(&serde_json::json!({ "draining": true, "in_flight": in_flight }))
     }
 
@@ -128,7 +128,7 @@
         if listeners::asks_readiness(request.method(), request.uri().path()) {
             return self.ready();
         }
-        let Some(local) = &self.node.settings.backend_server else {
+        let Some(local) = &self.node.proxy.settings.backend_server else {
             return text(StatusCode::NOT_FOUND, "this VM has no backend server\n");
         };
         let (parts, body) = request.into_parts();
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -156,11 +156,11 @@
     }
 
     fn is_alone(&self) -> bool {
-        self.node.view.load().alive() < 2
+        self.node.proxy.view.load().alive() < 2
     }
 
     async fn read_as_watcher(&self) {
-        let view = self.node.view.load_full();
+        let view = self.node.proxy.view.load_full();
         let watchers = neighbours::watchers(&self.me, view.members.iter());
         let alone = self.is_alone();
         if alone || watchers.contains(&self.me.node) {
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -26,7 +26,7 @@
             return;
         }
     };
-    let path = node.settings.config_file.clone();
+    let path = node.proxy.settings.config_file.clone();
     let watch = Watch {
         seen: path.as_deref().and_then(Seen::of),
         path,
@@ -89,12 +89,12 @@
             return;
         }
     };
-    let before = node.tunable.load();
+    let before = node.proxy.tunable.load();
     let now = read.tunable();
     let changed = **before != now;
-    let waiting = needs_restart(&node.settings, &read).join(", ");
-    node.tunable.store(Arc::new(now));
-    node.refresh_retries();
+    let waiting = needs_restart(&node.proxy.settings, &read).join(", ");
+    node.proxy.tunable.store(Arc::new(now));
+    node.proxy.refresh_retries();
     log::info!(changed, needs_restart = waiting; "read the settings file again");
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -109,14 +109,17 @@
     let addresses = listeners.addresses(&settings);
     let me = own_statement(&settings, addresses.peer);
     let node = NodeState::new(settings, me.node);
-    let origin = origin(&node.settings);
+    let origin = origin(&node.proxy.settings);
     let (configuration, membership) = actors(&node, &me, origin.clone()).await?;
     node.set_membership(membership.clone());
 
     let stops = Stops::default();
     let tasks = TaskTracker::new();
     if let Origin::Written(again) = origin {
-        let feed = Client::new(&node.settings.platform_url, node.settings.dial_from);
+        let feed = Client::new(
+            &node.proxy.settings.platform_url,
+            node.proxy.settings.dial_from,
+        );
         let all = stops.all.clone();
         let configuration = configuration.clone();
         let node = Arc::clone(&node);
@@ -131,7 +134,7 @@
     tasks.spawn(registration::run(
         Arc::clone(&node),
         me.clone(),
-        store_of(&node.settings),
+        store_of(&node.proxy.settings),
         membership.clone(),
         stops.all.clone(),
     ));
@@ -209,7 +212,7 @@
     /// The node's addresses as one line of JSON, for whoever started it with port 0.
     pub fn addresses_json(&self) -> String {
         let addresses = serde_json::json!({
-            "node": self.node.me,
+            "node": self.node.proxy.me,
             "caller": self.caller,
             "peer": self.peer,
             "operator": self.operator,
@@ -226,13 +229,19 @@
     /// Only then do the callers' connections end, and last the other nodes'.
     pub async fn drain(mut self) {
         log::info!("draining");
-        self.node.leaving.cancel();
-        self.node.close_gate();
-        let service = self.node.backend.load().as_ref().map(|b| b.service.clone());
+        self.node.proxy.leaving.cancel();
+        self.node.proxy.close_gate();
+        let service = self
+            .node
+            .proxy
+            .backend
+            .load()
+            .as_ref()
+            .map(|b| b.service.clone());
         let _ = self
             .membership
             .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
-        let drain_timeout_ms = self.node.tunable.load().drain_timeout_ms;
+        let drain_timeout_ms = self.node.proxy.tunable.load().drain_timeout_ms;
         let limit = Duration::from_millis(drain_timeout_ms);
         if tokio::time::timeout(limit, self.finish()).await.is_err() {
             log::warn!(drain_timeout_ms; "requests in flight were cut");
@@ -253,11 +262,11 @@
         // Callers' connections that have been idle so long are closed; until then an answer says that
         // it is the last on its connection. A caller that sends while its idle connection is being
         // closed cannot know whether its request was read, so few are to be closed that way.
-        let least = Duration::from_millis(self.node.tunable.load().stop_least_ms);
+        let least = Duration::from_millis(self.node.proxy.tunable.load().stop_least_ms);
         // Whatever the gate is asked from now on it refuses at once, so a request that comes
         // after the last one has ended cannot be lost by not being waited for.
-        self.node.in_gate.close();
-        tokio::join!(self.node.in_gate.wait(), tokio::time::sleep(least));
+        self.node.proxy.in_gate.close();
+        tokio::join!(self.node.proxy.in_gate.wait(), tokio::time::sleep(least));
         self.stops.callers.cancel();
         let _ = (&mut self.callers).await;
     }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -84,7 +84,7 @@
             true => self.offer(have).await?,
             false => None,
         };
-        let store_age_ms = self.node.store_age_ms().unwrap_or(u64::MAX);
+        let store_age_ms = self.node.proxy.store_age_ms().unwrap_or(u64::MAX);
         let store_age_ms = u32::try_from(store_age_ms).unwrap_or(u32::MAX);
         Ok(Response::new(wire::FollowReply {
             newer: Some(convert::offer_to_wire(offer)),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -20,14 +20,14 @@
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::Applied;
-use crate::node::state::NodeState;
+use crate::proxy::state::ProxyState;
 
 mod arrival;
 mod call;
 
 /// Whether a request may be started before those that its caller sent ahead of it are answered:
 /// were the connection to end with one of them, the caller would send it again.
-pub(crate) fn may_start_early(node: &NodeState, parts: &Parts) -> bool {
+pub(crate) fn may_start_early(node: &ProxyState, parts: &Parts) -> bool {
     let applied = node.enforced.load();
     let Some(applied) = applied.as_ref().filter(|_| !node.leaving.is_cancelled()) else {
         return false;
@@ -41,7 +41,7 @@
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     mut parts: Parts,
     replay: Replay,
 ) -> Response<Body> {
@@ -76,7 +76,7 @@
 }
 
 /// Puts in what the mesh tells the backend server of a caller's request.
-fn mark(node: &NodeState, parts: &mut Parts, id: HeaderValue) {
+fn mark(node: &ProxyState, parts: &mut Parts, id: HeaderValue) {
     let vocabulary = node.vocabulary;
     vocabulary.strip_from_caller(&mut parts.headers);
     parts.headers.insert(&vocabulary.request_id, id);
@@ -87,7 +87,7 @@
     }
 }
 
-fn request_id(node: &NodeState, parts: &Parts) -> HeaderValue {
+fn request_id(node: &ProxyState, parts: &Parts) -> HeaderValue {
     let given = parts.headers.get(&node.vocabulary.request_id).cloned();
     given.unwrap_or_else(|| headers::value(&format!("{:016x}", rand::random::<u64>())))
 }
@@ -101,7 +101,7 @@
 }
 
 impl Origin {
-    fn of(node: &NodeState, parts: &Parts) -> Self {
+    fn of(node: &ProxyState, parts: &Parts) -> Self {
         let deadline = node.vocabulary.deadline(&parts.headers);
         match inherited(node, parts) {
             Some(inherited) => Self {
@@ -125,7 +125,7 @@
 }
 
 /// What the request has of one that the local backend server runs, if it is a call of that one.
-fn inherited(node: &NodeState, parts: &Parts) -> Option<Inherited> {
+fn inherited(node: &ProxyState, parts: &Parts) -> Option<Inherited> {
     let vocabulary = node.vocabulary;
     let name = vocabulary.call.as_ref();
     if let Some(token) = name.and_then(|name| headers::text(&parts.headers, name)) {
@@ -136,7 +136,7 @@
 }
 
 async fn run(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     applied: &Applied,
     parts: &Parts,
     replay: &Replay,
--- a/src/proxy/entry/arrival.rs
+++ b/src/proxy/entry/arrival.rs
@@ -7,15 +7,15 @@
 use http::header::HeaderValue;
 
 use crate::core::verdict::Verdict;
-use crate::node::state::NodeState;
 use crate::proxy::answer::Failure;
 use crate::proxy::body::Body;
 use crate::proxy::decisions::{self, Weight};
+use crate::proxy::state::ProxyState;
 use crate::util::clock;
 
 /// A request that has come; its end is told once, also if its caller leaves.
 pub(super) struct Arrival {
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     id: HeaderValue,
     target: String,
     version: u64,
@@ -26,7 +26,7 @@
 impl Arrival {
     /// `target` is the host and path that it asked for, `version` the configuration it runs under.
     pub(super) fn new(
-        node: &Arc<NodeState>,
+        node: &Arc<ProxyState>,
         id: &HeaderValue,
         target: String,
         version: u64,
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -17,18 +17,18 @@
 use crate::decide::patience;
 use crate::decide::placement::{Believed, Endpoint, Limits, LoadReport, Need, Observed, Search};
 use crate::decide::retry::Attempts;
-use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
 use crate::proxy::body::{self, Body, Guarded};
 use crate::proxy::decisions::{self, Weight};
 use crate::proxy::hop::Hop;
 use crate::proxy::replay::Replay;
+use crate::proxy::state::ProxyState;
 use crate::proxy::{gate, headers, intake};
 use crate::util::clock;
 
 /// A routed request.
 pub(super) struct Call<'a> {
-    pub(super) node: &'a Arc<NodeState>,
+    pub(super) node: &'a Arc<ProxyState>,
     pub(super) parts: &'a Parts,
     /// What the caller named as the host.
     pub(super) host: &'a Authority,
@@ -375,7 +375,7 @@
 
 /// Counts one request at its endpoint until its answer has been passed on or given up.
 struct Outstanding {
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     endpoint: NodeId,
 }
 
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -15,8 +15,8 @@
 use super::hop::Hop;
 use super::intake::{self, turns};
 use super::slots::{self, Slot};
-use crate::node::local::LocalBackend;
-use crate::node::state::NodeState;
+use crate::proxy::local_backend::LocalBackend;
+use crate::proxy::state::ProxyState;
 use crate::util::clock;
 
 /// How long a request may have been held up on its way and still be run. Above the first
@@ -29,7 +29,7 @@
 /// `delay` is how long the request was held up on its way. One that comes so late that its caller may have left is
 /// not run; its entry, if it still waits, takes it elsewhere.
 pub(crate) async fn serve(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     request: Request<Body>,
     delay: Duration,
 ) -> Response<Body> {
@@ -47,7 +47,7 @@
 }
 
 async fn serve_in_time(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     hop: &Hop,
     request: Request<Body>,
 ) -> Result<Response<Body>, Failure> {
@@ -59,7 +59,7 @@
 }
 
 /// Gives a turn to the large body of a request, if the request would be let in.
-async fn reserve(node: &Arc<NodeState>, hop: &Hop) -> Result<Response<Body>, Failure> {
+async fn reserve(node: &Arc<ProxyState>, hop: &Hop) -> Result<Response<Body>, Failure> {
     serving(node, hop)?;
     if let Some(refusal) = slots::would_refuse(node, hop) {
         return Err(refusal);
@@ -71,7 +71,7 @@
     Ok(response)
 }
 
-fn held_up(node: &NodeState, hop: &Hop, request: &Request<Body>, delay: Duration) -> Failure {
+fn held_up(node: &ProxyState, hop: &Hop, request: &Request<Body>, delay: Duration) -> Failure {
     let failure = Failure::not_run(Reason::HeldUp);
     let id = request.headers().get(&node.vocabulary.request_id);
     let sent = Instant::now().checked_sub(delay);
@@ -84,7 +84,7 @@
 /// Up to the moment in which it holds a slot nothing of it has been passed on, not even read: the
 /// failures up to there prove that it did not run.
 pub(crate) async fn run(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     hop: &Hop,
     request: Request<Body>,
     from: intake::From,
@@ -99,7 +99,7 @@
 }
 
 async fn admit(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     hop: &Hop,
     request: Request<Body>,
     from: intake::From,
@@ -132,7 +132,7 @@
 }
 
 fn log_admitted(
-    node: &NodeState,
+    node: &ProxyState,
     hop: &Hop,
     id: Option<&HeaderValue>,
     came: Instant,
@@ -156,7 +156,7 @@
 }
 
 fn log_failed(
-    node: &NodeState,
+    node: &ProxyState,
     hop: &Hop,
     id: Option<&HeaderValue>,
     came: Instant,
@@ -194,14 +194,14 @@
     );
 }
 
-fn serving(node: &NodeState, hop: &Hop) -> Result<Arc<LocalBackend>, Failure> {
+fn serving(node: &ProxyState, hop: &Hop) -> Result<Arc<LocalBackend>, Failure> {
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
     backend.ok_or(Failure::not_run(Reason::NoEndpoint))
 }
 
 fn prepare(
-    node: &NodeState,
+    node: &ProxyState,
     request: &mut Request<Body>,
     hop: &Hop,
     backend: &LocalBackend,
@@ -228,7 +228,7 @@
 
 /// Whether the backend server's answer is one to this request.
 fn judge(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     backend: &LocalBackend,
     id: Option<&HeaderValue>,
     response: Response<Body>,
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -8,7 +8,7 @@
 use super::headers;
 use crate::core::names::InstanceName;
 use crate::core::status::Announcement;
-use crate::node::state::NodeState;
+use crate::proxy::state::ProxyState;
 
 /// Longest wait for its answer: it is on the same VM, and the question waits for a slot like any request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -25,7 +25,7 @@
 }
 
 /// Asks the backend server that `announcement` tells of.
-pub(crate) async fn ask(node: &NodeState, announcement: &Announcement) -> Health {
+pub(crate) async fn ask(node: &ProxyState, announcement: &Announcement) -> Health {
     let enforced = node.enforced.load_full();
     let Some(applied) = enforced else {
         return Health::Unknown;
@@ -55,7 +55,7 @@
     instance.map_or(Health::Unknown, Health::Serving)
 }
 
-fn judge(node: &NodeState, status: StatusCode, answer: &HeaderMap) -> Health {
+fn judge(node: &ProxyState, status: StatusCode, answer: &HeaderMap) -> Health {
     if node.vocabulary.says_not_run(answer) {
         return Health::Unknown;
     }
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -21,7 +21,7 @@
 use super::hop::Hop;
 use super::replay;
 use crate::decide::intake::SMALL_BYTES;
-use crate::node::state::NodeState;
+use crate::proxy::state::ProxyState;
 
 use self::turns::Turn;
 
@@ -43,7 +43,7 @@
 }
 
 /// Gives a turn to a request whose body is still with its entry.
-pub(crate) async fn reserve(node: &Arc<NodeState>, hop: &Hop) -> Result<turns::Key, Failure> {
+pub(crate) async fn reserve(node: &Arc<ProxyState>, hop: &Hop) -> Result<turns::Key, Failure> {
     let turn = Turn::wait(node, hop).await?;
     Ok(turns::keep(node, turn))
 }
@@ -54,7 +54,7 @@
 /// another endpoint, whole. So of a body that its entry cannot keep nothing is read before its slot; its
 /// turn ends with it.
 pub(crate) async fn take(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     hop: &Hop,
     body: Body,
     from: From,
--- a/src/proxy/intake/turns.rs
+++ b/src/proxy/intake/turns.rs
@@ -6,9 +6,9 @@
 use slotmap::{Key as _, KeyData, SlotMap, new_key_type};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
 use crate::proxy::hop::Hop;
+use crate::proxy::state::ProxyState;
 use crate::util::clock;
 
 new_key_type! {
@@ -34,14 +34,14 @@
 /// The right to have one body come in.
 #[derive(Debug)]
 pub(crate) struct Turn {
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     began: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Turn {
     /// Waits for a turn as long as the request is willing to.
-    pub(super) async fn wait(node: &Arc<NodeState>, hop: &Hop) -> Result<Self, Failure> {
+    pub(super) async fn wait(node: &Arc<ProxyState>, hop: &Hop) -> Result<Self, Failure> {
         let wait_us = node.intake().wait_us();
         let wait = Duration::from_micros(wait_us);
         if wait > hop.patience || Instant::now() + wait > hop.deadline {
@@ -64,7 +64,7 @@
     }
 
     /// One that was counted as waiting has its turn.
-    fn begin(node: &Arc<NodeState>, permit: OwnedSemaphorePermit) -> Self {
+    fn begin(node: &Arc<ProxyState>, permit: OwnedSemaphorePermit) -> Self {
         node.intake().begun();
         Self {
             node: Arc::clone(node),
@@ -82,12 +82,12 @@
 
 /// Counted as waiting until it is dropped or its wait is over.
 struct Waiting<'a> {
-    node: &'a NodeState,
+    node: &'a ProxyState,
     over: bool,
 }
 
 impl<'a> Waiting<'a> {
-    fn new(node: &'a NodeState) -> Self {
+    fn new(node: &'a ProxyState) -> Self {
         node.intake().waits();
         Self { node, over: false }
     }
@@ -126,7 +126,7 @@
 }
 
 /// Keeps `turn` until its body comes, [`GRANT_MAX`] at most.
-pub(super) fn keep(node: &Arc<NodeState>, turn: Turn) -> Key {
+pub(super) fn keep(node: &Arc<ProxyState>, turn: Turn) -> Key {
     let key = node.granted.lock().insert(turn);
     let node = Arc::clone(node);
     tokio::spawn(async move {
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -2,7 +2,6 @@
 
 pub(crate) mod callers;
 mod http1;
-pub(crate) mod operators;
 pub(crate) mod peers;
 
 use std::convert::Infallible;
@@ -26,7 +25,7 @@
 use super::body::{self, Body};
 use super::headers;
 use crate::core::verdict::Verdict;
-use crate::node::state::NodeState;
+use crate::proxy::state::ProxyState;
 
 /// Bytes of one request body that may be under way and unread. It is also what an entry has sent
 /// of an upload that still waits for its slot, and has to be able to send again elsewhere.
@@ -36,16 +35,16 @@
 /// A silent HTTP/2 connection is asked whether it is still there.
 const KEEP_ALIVE: Duration = Duration::from_secs(20);
 
-type Builder = auto::Builder<TokioExecutor>;
+pub(crate) type Builder = auto::Builder<TokioExecutor>;
 
 /// Whether a request to the peer or operator listener shows the mesh token; else nothing of it is looked at.
-fn may_speak(node: &NodeState, request: &Request<Incoming>) -> bool {
+pub(crate) fn may_speak(node: &ProxyState, request: &Request<Incoming>) -> bool {
     let given = request.headers().get(headers::TOKEN);
     let token = &node.settings.mesh_token;
     token.accepts(given.map(|value| value.as_bytes()))
 }
 
-fn unauthorized() -> Response<Body> {
+pub(crate) fn unauthorized() -> Response<Body> {
     let mut response = Response::new(body::full("the mesh token is missing or wrong\n"));
     *response.status_mut() = StatusCode::UNAUTHORIZED;
     let not_run = HeaderValue::from_static(Verdict::NotRun.as_str());
@@ -55,7 +54,7 @@
 
 /// Accepts until `polite` or `stop`. `polite` also asks each connection to end after the requests
 /// that it is serving; `stop` drops it.
-async fn serve_all<H, F>(
+pub(crate) async fn serve_all<H, F>(
     listener: TcpListener,
     builder: Builder,
     polite: CancellationToken,
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -20,7 +20,6 @@
 use super::http1::{self, Limits};
 use super::{KEEP_ALIVE, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
 use super::{accept, infallible, run};
-use crate::node::state::NodeState;
 use crate::proxy::answer::{Failure, Reason};
 use crate::proxy::body::{self, Body, Guarded};
 use crate::proxy::callers::{Callers, Counted};
@@ -28,6 +27,7 @@
 use crate::proxy::pipeline::{Pipeline, Used};
 use crate::proxy::replay::Replay;
 use crate::proxy::stall::StallGuard;
+use crate::proxy::state::ProxyState;
 use crate::proxy::{entry, vocabulary};
 
 /// Requests at a time on one HTTP/2 connection of a caller.
@@ -36,7 +36,7 @@
 /// Serves callers until `polite`, after which each connection ends with its last answer.
 pub(crate) async fn serve(
     listener: TcpListener,
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     polite: CancellationToken,
     stop: CancellationToken,
 ) {
@@ -62,7 +62,7 @@
 }
 
 async fn serve_connection(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     stream: TcpStream,
     counted: Counted,
     polite: CancellationToken,
@@ -89,7 +89,7 @@
 }
 
 /// What callers may send: as the configuration says, else as the settings do.
-pub(super) fn limits(node: &NodeState) -> Limits {
+pub(super) fn limits(node: &ProxyState) -> Limits {
     let settings = &node.settings;
     let enforced = node.enforced.load();
     let limits = enforced.as_ref();
@@ -130,7 +130,7 @@
 }
 
 async fn serve_http2(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     stream: StallGuard,
     limits: Limits,
     polite: CancellationToken,
@@ -160,7 +160,7 @@
 
 /// Serves one request of an HTTP/1 connection; `used` is dropped with the end of its answer.
 pub(super) async fn caller_request<S: AsyncRead + Unpin + Send + 'static>(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     request: Request<Incoming>,
     pipeline: Pipeline<S>,
     used: Used<S>,
@@ -209,7 +209,7 @@
 
 /// Waits for an answer, reads meanwhile what the caller sends, and starts what may run early.
 async fn reading_on<S: AsyncRead + Unpin>(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     pipeline: &Pipeline<S>,
     answer: impl Future<Output = Response<Body>>,
 ) -> Result<Response<Body>, CallerLeft> {
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -19,10 +19,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{caller_request, limits};
-use crate::node::state::NodeState;
 use crate::proxy::callers::Counted;
 use crate::proxy::pipeline::Pipeline;
 use crate::proxy::stall::StallGuard;
+use crate::proxy::state::ProxyState;
 
 /// What a caller may send on one connection, and how long it may take.
 #[derive(Clone, Copy, Debug)]
@@ -44,7 +44,7 @@
 /// Serves a connection until its caller closes it, it is idle for too long, its place is needed, or
 /// `polite` asks it to end after the requests that it is serving.
 pub(super) async fn serve(
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     stream: StallGuard,
     counted: &Counted,
     polite: CancellationToken,
@@ -62,7 +62,7 @@
 
 /// Waits until the caller sends something; false if the connection is to be closed instead.
 async fn is_used(
-    node: &NodeState,
+    node: &ProxyState,
     idle: &Idle,
     counted: &Counted,
     polite: &CancellationToken,
@@ -82,7 +82,7 @@
 
 /// Waits for as long as a connection may be idle. Operators may allow a longer time meanwhile, so it is looked up
 /// again when it seems to be over.
-async fn idle_for_too_long(node: &NodeState) {
+async fn idle_for_too_long(node: &ProxyState) {
     let since = Instant::now();
     loop {
         let most = limits(node).idle_timeout;
@@ -95,7 +95,7 @@
 
 /// Serves requests until the connection is idle again, and returns it; none if it has ended.
 async fn serve_requests(
-    node: &Arc<NodeState>,
+    node: &Arc<ProxyState>,
     idle: Idle,
     polite: &CancellationToken,
 ) -> Option<Idle> {
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -16,10 +16,9 @@
 use super::{REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
 use super::{accept, infallible, may_speak, run, unauthorized};
 use crate::decide::transit::Transit;
-use crate::node::state::NodeState;
-use crate::peer::generated::control_server::ControlServer;
-use crate::peer::server::ControlService;
+use crate::peer::generated::control_server::{Control, ControlServer};
 use crate::proxy::body::{self, Body};
+use crate::proxy::state::ProxyState;
 use crate::proxy::{gate, headers};
 use crate::util::clock;
 
@@ -31,14 +30,12 @@
 /// As much as all streams together, so that one stalled upload never holds up another.
 const PEER_WINDOW_BYTES: u32 = PEER_STREAMS_MAX * REQUEST_WINDOW_BYTES;
 
-type Control = ControlServer<ControlService>;
-
 /// Serves other nodes until `polite`, after which each connection ends with its last answer. A
 /// draining node still gossips, so its peers' connections stay until the end.
-pub(crate) async fn serve(
+pub(crate) async fn serve<C: Control>(
     listener: TcpListener,
-    node: Arc<NodeState>,
-    control: ControlService,
+    node: Arc<ProxyState>,
+    control: C,
     polite: CancellationToken,
     stop: CancellationToken,
 ) {
@@ -76,9 +73,9 @@
     builder
 }
 
-async fn peer_request(
-    node: Arc<NodeState>,
-    mut control: Control,
+async fn peer_request<C: Control>(
+    node: Arc<ProxyState>,
+    mut control: ControlServer<C>,
     transit: Arc<Mutex<Transit>>,
     request: Request<Incoming>,
 ) -> Response<Body> {
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -13,7 +13,7 @@
 use crate::core::configuration::Class;
 use crate::core::names::ResourceName;
 use crate::decide::admission::{Admission, Admitted, Ask, Cause, Refusal, Released, Ticket, Turn};
-use crate::node::state::NodeState;
+use crate::proxy::state::ProxyState;
 use crate::util::clock;
 
 /// Wakes a waiting request.
@@ -21,7 +21,7 @@
 
 /// A slot of the backend server, given back when the answer has been passed on or given up.
 pub(crate) struct Slot {
-    node: Arc<NodeState>,
+    node: Arc<ProxyState>,
     class: Class,
     resource: ResourceName,
     since: Instant,
@@ -29,7 +29,7 @@
 }
 
 impl Slot {
-    fn new(node: &Arc<NodeState>, hop: &Hop) -> Self {
+    fn new(node: &Arc<ProxyState>, hop: &Hop) -> Self {
         Self {
             node: Arc::clone(node),
             class: hop.class,
@@ -45,7 +45,7 @@
     }
 
     /// Takes a slot, waiting for it as long as the deadline allows.
-    pub(crate) async fn take(node: &Arc<NodeState>, hop: &Hop) -> Result<Self, Failure> {
+    pub(crate) async fn take(node: &Arc<ProxyState>, hop: &Hop) -> Result<Self, Failure> {
         let deadline = hop.queue_deadline();
         let mut receiver = None;
         let wake = || {
@@ -100,7 +100,7 @@
 /// the same moment. The turn is sent under the admission lock, so after `cancel` says that it was too late the turn
 /// is in the channel, and the slot is given back.
 struct Waiting<'a> {
-    node: &'a Arc<NodeState>,
+    node: &'a Arc<ProxyState>,
     hop: &'a Hop,
     ticket: Ticket,
     turn: oneshot::Receiver<Turn>,
@@ -119,7 +119,7 @@
 }
 
 /// The failure of a request that would be refused if it asked for a slot now.
-pub(crate) fn would_refuse(node: &NodeState, hop: &Hop) -> Option<Failure> {
+pub(crate) fn would_refuse(node: &ProxyState, hop: &Hop) -> Option<Failure> {
     let now_us = clock::since_us(node.started);
     let admission = node.admission();
     let ask = ask(node, &admission, hop);
@@ -127,7 +127,7 @@
 }
 
 /// What a request asks, with what its gate knows of others like it.
-fn ask(node: &NodeState, admission: &Admission<Wake>, hop: &Hop) -> Ask {
+fn ask(node: &ProxyState, admission: &Admission<Wake>, hop: &Hop) -> Ask {
     Ask {
         held_us: admission.held_of(&hop.resource),
         ..hop.ask(node.started)
@@ -135,7 +135,7 @@
 }
 
 /// Wakes the waiting requests whose turn has come.
-pub(crate) fn settle(node: &NodeState) {
+pub(crate) fn settle(node: &ProxyState) {
     let now_us = clock::since_us(node.started);
     let mut admission = node.admission();
     while let Some((wake, turn)) = admission.next(now_us) {
--- a/src/proxy/vocabulary.rs
+++ b/src/proxy/vocabulary.rs
@@ -9,7 +9,6 @@
 use http::header::{HeaderMap, HeaderValue};
 
 use super::headers;
-use crate::core::dialect::Dialect;
 
 /// One set of names, and what goes with them.
 #[derive(Debug)]
@@ -62,14 +61,6 @@
 };
 
 impl Vocabulary {
-    /// The names of a dialect.
-    pub(crate) fn of(dialect: Dialect) -> &'static Self {
-        match dialect {
-            Dialect::Own => &OWN,
-            Dialect::Platform => &crate::platform::headers::VOCABULARY,
-        }
-    }
-
     /// The id of the request that led to the one with this id, if it is a call's.
     pub(crate) fn parent_of<'a>(&self, id: &'a HeaderValue) -> Option<&'a str> {
         let text = id.to_str().ok().filter(|_| self.calls_extend_ids)?;
@@ -108,8 +99,9 @@
         name.is_some_and(|name| answer.contains_key(name))
     }
 
-    /// Whether an answer is a backend server's to the request with this id, as far as answers say. A backend server may
-    /// answer twice, the second time where the next request's answer is expected; only the right answer has the id.
+    /// Whether an answer is a backend server's to the request with this id, as far as answers say. A
+    /// backend server may answer twice, the second time where the next request's answer is expected;
+    /// only the right answer has the id.
     pub(crate) fn answers(&self, id: Option<&HeaderValue>, answer: &http::response::Parts) -> bool {
         if !self.answers_repeat_id {
             return true;
--- a/tests/testsuite/sources.rs
+++ b/tests/testsuite/sources.rs
@@ -45,3 +45,38 @@
     ];
     assert_eq!(lines_with("src", &phrases), Vec::<String>::new());
 }
+
+/// Guards against a request path that knows the actors which write what it reads.
+#[test]
+fn the_request_path_knows_no_actor() {
+    let of_node = lines_with("src/proxy", &["crate::node::"]);
+    let others: Vec<&String> = of_node
+        .iter()
+        .filter(|line| !line.contains("crate::node::settings::"))
+        .collect();
+    assert_eq!(others, Vec::<&String>::new());
+    let of_actors = ["ConfigurationMsg", "MembershipMsg", "NodeState"];
+    assert_eq!(lines_with("src/proxy", &of_actors), Vec::<String>::new());
+}
+
+#[test]
+fn the_platforms_names_stay_in_their_folder() {
+    let names = [
+        "x-dfw-",
+        "rows-tx",
+        "rows-get",
+        "rows-feed",
+        "heartbeatAddr",
+        "coldRemaining",
+    ];
+    for folder in [
+        "src/core",
+        "src/decide",
+        "src/distribution",
+        "src/membership",
+        "src/node",
+    ] {
+        assert_eq!(lines_with(folder, &names), Vec::<String>::new());
+    }
+    assert_eq!(lines_with("src/proxy", &names), Vec::<String>::new());
+}
