Split the configuration actor and the longest test files

The simulated deployment is apart from its tests, the VM and the requests of the testkit's mesh from the mesh.

--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -3,15 +3,20 @@
 //! Every VM has a loopback address of its own, from which its node dials, so each link between two VMs,
 //! or between one and the store, can be cut, delayed or reset by itself.
 
-use std::net::{IpAddr, SocketAddr};
+mod asked;
+mod vm;
+
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ::http::Method;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 
+pub use self::asked::{Asked, REQUEST_ID, SEAL};
+pub use self::vm::Vm;
+use self::vm::{Beats, beat};
 use super::backend::{Announced, Backend, Behaviour, Identity};
 use super::store::Store;
 use crate::http::{Reply, Result, request, wait_until};
@@ -20,8 +25,6 @@
 
 /// Bounds a hang; no test judges speed by it.
 const LIMIT: Duration = Duration::from_secs(60);
-/// Between two announcements of a backend server.
-const HEARTBEAT: Duration = Duration::from_millis(300);
 
 /// A data centre and its region.
 pub type DataCentre = (&'static str, &'static str);
@@ -59,92 +62,6 @@
     }
 }
 
-/// One VM.
-#[derive(Debug)]
-pub struct Vm {
-    /// Its number, by which links are named.
-    pub site: Site,
-    /// Its address.
-    pub ip: IpAddr,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// What its backend server serves.
-    pub service: String,
-    /// Its node, unless it was taken away.
-    pub node: Option<NodeProcess>,
-    /// Where its backend server listens, also while there is none.
-    pub backend_address: SocketAddr,
-    /// Its backend server, unless it was taken away.
-    pub backend: Option<Arc<Backend>>,
-    beats: Option<Beats>,
-    control: Arc<Mutex<Option<SocketAddr>>>,
-    front: Front,
-    settings: PathBuf,
-    starts: u32,
-}
-
-impl Vm {
-    /// The running node.
-    pub fn node(&self) -> &NodeProcess {
-        self.node.as_ref().expect("the node was not taken away")
-    }
-
-    /// The running backend server.
-    pub fn backend(&self) -> &Arc<Backend> {
-        self.backend.as_ref().expect("the backend server runs")
-    }
-
-    /// Where other nodes reach its node, whichever process that is.
-    pub fn peer_address(&self) -> SocketAddr {
-        self.front.address
-    }
-
-    /// Where its node takes announcements.
-    pub fn control(&self) -> SocketAddr {
-        let announce = self.node().addresses.announce;
-        announce.expect("nodes of the platform take announcements")
-    }
-
-    /// What its backend server announces from now on.
-    pub fn set_announced(&self, announced: Announced) {
-        if let Some(beats) = &self.beats {
-            *beats
-                .announced
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner) = announced;
-        }
-    }
-}
-
-/// A backend server's announcements, which end when dropped.
-#[derive(Debug)]
-struct Beats {
-    announced: Arc<Mutex<Announced>>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Beats {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn beat(
-    backend: Arc<Backend>,
-    control: Arc<Mutex<Option<SocketAddr>>>,
-    announced: Arc<Mutex<Announced>>,
-) {
-    loop {
-        let to = *control.lock().unwrap_or_else(PoisonError::into_inner);
-        let what = *announced.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(to) = to {
-            // One that is not acknowledged is followed by the next.
-            let _ = backend.announce(to, what).await;
-        }
-        tokio::time::sleep(HEARTBEAT).await;
-    }
-}
-
 /// A running deployment on the users' platform.
 #[derive(Debug)]
 pub struct Mesh {
@@ -492,50 +409,6 @@
     }
 }
 
-/// Header with the id of a request.
-pub const REQUEST_ID: &str = "x-dfw-attempt-id";
-/// Header by which a backend server says that an answer is its own.
-pub const SEAL: &str = "x-dfw-response-seal";
-
-/// A caller's request.
-#[derive(Clone, Debug)]
-pub struct Asked<'a> {
-    /// Method.
-    pub method: Method,
-    /// Host that it names.
-    pub host: &'a str,
-    /// Path and query.
-    pub path: &'a str,
-    /// Its id.
-    pub id: &'a str,
-    /// How long its caller waits.
-    pub deadline_ms: u64,
-    /// Its body.
-    pub body: &'a [u8],
-}
-
-impl<'a> Asked<'a> {
-    /// A read of a path of the usual host.
-    pub fn get(path: &'a str, id: &'a str) -> Self {
-        Self {
-            method: Method::GET,
-            host: super::configuration::HOST,
-            path,
-            id,
-            deadline_ms: 5_000,
-            body: b"",
-        }
-    }
-
-    /// A request that is run once at most.
-    pub fn post(path: &'a str, id: &'a str) -> Self {
-        Self {
-            method: Method::POST,
-            ..Self::get(path, id)
-        }
-    }
-}
-
 fn text(error: impl std::fmt::Display) -> String {
     error.to_string()
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,6 @@
 pub(crate) mod content;
 pub(crate) mod follower;
 pub(crate) mod freeze;
-pub(crate) mod learning;
 pub(crate) mod listeners;
 pub(crate) mod local;
 pub mod logging;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -1,44 +1,30 @@
 //! The actor that drives [`Holder`], [`Fetcher`] and [`Floor`]: their sockets and their time.
 
+mod head;
+mod learning;
+mod peers;
+mod versions;
+
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::Notify;
 
+use self::head::FIRST_POLL_SPREAD_MS;
+use self::peers::Refresh;
 use crate::core::configuration::Configuration;
-use crate::core::member::{Distance, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Content, Fetch, Fetcher, Floor, Holder, Offer, floor, holder};
-use crate::node::learning::{self, Learnt, Way};
+use crate::distribution::{Fetch, Fetcher, Floor, Holder, Offer, floor};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
-use crate::node::{content, store};
 use crate::store::http::HttpStore;
 use crate::util::clock;
 
 /// How often floors, refreshes and head reads are looked after. Content does not wait for it.
 const TICK: Duration = Duration::from_millis(250);
 
-/// How often the head is read as the backstop of hints and gossip: by the region's first gateway,
-/// by the watcher of each data centre, and by everybody else. At 520 nodes that is about ten reads
-/// a second; a lost hint costs a second or two, and nobody depends on one node's reading it.
-const GATEWAY_POLL_MS: u64 = 2_000;
-const WATCHER_POLL_MS: u64 = 10_000;
-const MEMBER_POLL_MS: u64 = 120_000;
-/// Until the first read has worked, which settles the floor.
-const FIRST_POLL_MS: u64 = 1_000;
-/// First reads of a herd of 520 are spread over this.
-const FIRST_POLL_SPREAD_MS: u64 = 1_000;
-
-/// A read that takes this long crosses no regional link and meets no slow platform. One that takes
-/// longer is made less often, up to [`FAR_FACTOR_MAX`] times: the link is paid for by volume, a
-/// slow platform needs rest, and the region nearest the platform hears of a version anyway.
-const NEAR_READ_MS: u64 = 5;
-const FAR_FACTOR_MAX: u64 = 8;
-
 /// Between two rounds of questions about the floor.
 const ASK_FLOOR_MS: u64 = 500;
 
@@ -46,16 +32,6 @@
 /// moment, and alone it would enforce without a witness.
 const ALONE_MS: u64 = 3_000;
 
-/// Before this age a node that knows nobody leaves the store to others: in a herd everybody is
-/// the only member of its own view for a moment, and so its first gateway.
-const YOUNG_MS: u64 = 1_500;
-
-/// Longest time that a node woken from a freeze refuses work. Peers answer in milliseconds; one
-/// that is cut off serves what it has.
-const REFRESH_MAX_MS: u64 = 2_000;
-/// Peers whose word ends a refresh, unless the head itself was read.
-const REFRESH_PEERS: usize = 2;
-
 /// What this node's part in the mesh is.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Role {
@@ -128,14 +104,6 @@
     Written(Arc<Notify>),
 }
 
-/// A refresh under way.
-#[derive(Debug)]
-struct Refresh {
-    until_ms: u64,
-    peers: Vec<NodeId>,
-    head_read: bool,
-}
-
 pub(crate) struct ConfigurationActor;
 
 pub(crate) struct State {
@@ -266,22 +234,6 @@
         }
     }
 
-    fn poll_pause_ms(&self) -> u64 {
-        if self.holder.stamp() == Stamp::NONE {
-            return rand::random_range(FIRST_POLL_MS / 2..=FIRST_POLL_MS);
-        }
-        let for_others_ms = self.node.budget().head_poll_ms();
-        let (pause_ms, longest_ms) = match (self.role.gateway_rank, self.role.watcher_rank) {
-            (Some(0), _) => (GATEWAY_POLL_MS, for_others_ms),
-            (_, Some(0)) => (WATCHER_POLL_MS, for_others_ms),
-            _ => (MEMBER_POLL_MS, MEMBER_POLL_MS),
-        };
-        let factor = self.fetcher.store_distance_ms() / NEAR_READ_MS;
-        let pause_ms = pause_ms * factor.clamp(1, FAR_FACTOR_MAX);
-        let pause_ms = pause_ms.min(longest_ms);
-        rand::random_range(pause_ms / 2..=pause_ms)
-    }
-
     fn set_role(&mut self, now_ms: u64, role: Role) {
         let was = (self.role.gateway_rank, self.role.watcher_rank);
         self.role = role;
@@ -293,12 +245,6 @@
         }
     }
 
-    fn set_gateway_rank(&mut self, now_ms: u64) {
-        let young = self.role.alone && now_ms < YOUNG_MS;
-        let rank = self.role.gateway_rank.filter(|_| !young);
-        self.fetcher.set_gateway_rank(rank);
-    }
-
     fn announced(&mut self, now_ms: u64, stamp: Stamp, holder: Option<Peer>) {
         let held = self.holder.held().version;
         if stamp.version > held.max(self.fetcher.head().version) {
@@ -311,79 +257,6 @@
         }
     }
 
-    fn read_head(&mut self, myself: &ActorRef<ConfigurationMsg>) {
-        let Origin::Published(store) = &self.origin else {
-            return;
-        };
-        if std::mem::replace(&mut self.reading_head, true) {
-            return;
-        }
-        let platform = store.clone();
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let (head, took_ms) = store::head(&platform).await;
-            let _ = myself.cast(ConfigurationMsg::HeadRead { head, took_ms });
-        });
-    }
-
-    fn head_read(&mut self, now_ms: u64, head: Option<Stamp>, took_ms: u64) {
-        self.reading_head = false;
-        self.note_store(head.is_some());
-        let Some(head) = head else { return };
-        self.fetcher.store_answered(took_ms);
-        self.floor.head_read(head.version);
-        if let Some(refresh) = &mut self.refresh {
-            refresh.head_read = true;
-        }
-        self.announced(now_ms, head, None);
-        self.tell(MembershipMsg::Head(head));
-    }
-
-    /// Takes in what the store told. A configuration older than the one held is refused by the holder.
-    fn written(
-        &mut self,
-        now_ms: u64,
-        configuration: Option<Box<Configuration>>,
-        unwatched_ms: u64,
-    ) {
-        self.note_store(true);
-        if let Some(refresh) = &mut self.refresh {
-            refresh.head_read = true;
-        }
-        let Some(configuration) = configuration else {
-            return;
-        };
-        let version = configuration.version;
-        self.floor.head_read(version);
-        self.fetcher.source_told(now_ms, version);
-        if version <= self.holder.held().version {
-            return;
-        }
-        match self.holder.prepare_whole(*configuration) {
-            Ok(applied) => {
-                self.learnt(now_ms, applied.stamp.version, Way::Store, unwatched_ms);
-                self.announced(now_ms, applied.stamp, None);
-                self.tell(MembershipMsg::Head(applied.stamp));
-            }
-            Err(error) => self.refused(version, &error),
-        }
-    }
-
-    fn led(&mut self, now_ms: u64, offer: &Offer, have: Version) {
-        let stamp = offer.stamp;
-        self.fetcher.source_told(now_ms, stamp.version);
-        if self.prepare(now_ms, offer, have, Way::Lead) {
-            self.floor.head_read(stamp.version);
-            self.announced(now_ms, stamp, None);
-            self.tell(MembershipMsg::Head(stamp));
-        }
-    }
-
-    fn refused(&self, version: Version, error: &holder::Error) {
-        log::warn!(version = version.0, error:? = error; "refused a configuration");
-        metrics::counter!("dragonflywall_refused_content_total").increment(1);
-    }
-
     /// Logs the beginning and the end of an outage, not each failed read.
     fn note_store(&mut self, answers: bool) {
         match (self.store_answers, answers) {
@@ -394,160 +267,6 @@
         self.store_answers = answers;
     }
 
-    fn ask_floor(&mut self, myself: &ActorRef<ConfigurationMsg>) {
-        for peer in self.role.neighbours.clone() {
-            if peer.distance == Distance::DataCentre {
-                self.floor.asked(peer.node);
-            }
-            let Some(mut client) = self.node.control.client(peer.address) else {
-                continue;
-            };
-            let me = self.node.proxy.me;
-            let myself = myself.clone();
-            tokio::spawn(async move {
-                if let Ok((reported, enforced)) = client.floor(me).await {
-                    let _ = myself.cast(ConfigurationMsg::FloorAnswered {
-                        peer,
-                        reported,
-                        enforced,
-                    });
-                }
-            });
-        }
-    }
-
-    fn floor_answered(&mut self, now_ms: u64, peer: Peer, reported: Version, enforced: Stamp) {
-        let (node, distance) = (peer.node, peer.distance);
-        self.floor
-            .answered(node, distance, reported, enforced.version);
-        if enforced.version > Version::NONE {
-            self.announced(now_ms, enforced, Some(peer));
-        }
-        if let Some(refresh) = &mut self.refresh
-            && !refresh.peers.contains(&peer.node)
-        {
-            refresh.peers.push(peer.node);
-        }
-    }
-
-    fn begin_refresh(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
-        self.refresh = Some(Refresh {
-            until_ms: now_ms + REFRESH_MAX_MS,
-            peers: Vec::new(),
-            head_read: false,
-        });
-        self.fetcher.woke(now_ms);
-        self.reading_head = false;
-        match &self.origin {
-            Origin::Published(_) => self.read_head(myself),
-            Origin::Written(again) => again.notify_one(),
-        }
-        self.ask_floor(myself);
-    }
-
-    /// The refresh ends once what was heard from peers or the platform is in force here, or when
-    /// its time is up.
-    fn end_refresh(&mut self, now_ms: u64) {
-        let Some(refresh) = &self.refresh else { return };
-        let heard = refresh.head_read || refresh.peers.len() >= REFRESH_PEERS;
-        let caught_up = self.holder.stamp().version >= self.fetcher.head().version;
-        if (heard && caught_up) || now_ms >= refresh.until_ms {
-            self.refresh = None;
-            self.node.proxy.refreshing.store(false, Ordering::Release);
-            log::info!(caught_up; "admits work again");
-        }
-    }
-
-    fn fetch(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
-        let held = self.holder.held();
-        if let Some(fetch) = self.fetcher.next(now_ms, held.version) {
-            let node = Arc::clone(&self.node);
-            let origin = self.origin.clone();
-            let myself = myself.clone();
-            tokio::spawn(async move {
-                let found = content::fetch(&node, &origin, held, &fetch).await;
-                let have = held.version;
-                let _ = myself.cast(ConfigurationMsg::Fetched { fetch, have, found });
-            });
-            return;
-        }
-        let Some(wake_ms) = self.fetcher.wake_at(held.version) else {
-            return;
-        };
-        if self.woken_for_ms.is_none_or(|already| wake_ms < already) {
-            self.woken_for_ms = Some(wake_ms);
-            let pause = Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1));
-            myself.send_after(pause, || ConfigurationMsg::Wake);
-        }
-    }
-
-    fn fetched(&mut self, now_ms: u64, fetch: &Fetch, have: Version, found: Option<Offer>) {
-        let way = Way::from(&fetch.source);
-        let source = way.as_str();
-        let prepared = found.is_some_and(|offer| self.prepare(now_ms, &offer, have, way));
-        let result = if prepared { "used" } else { "failed" };
-        metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
-            .increment(1);
-        self.fetcher.done(now_ms, fetch, prepared);
-    }
-
-    /// Whether the version is held now. `have` was held when its content was asked for.
-    fn prepare(&mut self, now_ms: u64, offer: &Offer, have: Version, way: Way) -> bool {
-        let Offer {
-            stamp,
-            content,
-            age_ms,
-        } = offer;
-        let bytes = content.len_bytes() as u64;
-        metrics::counter!("dragonflywall_fetched_bytes_total", "source" => way.as_str())
-            .increment(bytes);
-        let held = self.holder.held().version;
-        if stamp.version <= held {
-            // It came another way meanwhile.
-            return true;
-        }
-        if held != have && !matches!(content, Content::Snapshot(_)) {
-            // Differences from what was held then; whoever follows asks again for those from now.
-            log::debug!(version = stamp.version.0, have = have.0, held = held.0; "differences from an older version");
-            return false;
-        }
-        match self.holder.prepare(*stamp, content) {
-            Ok(_) => self.learnt(now_ms, stamp.version, way, *age_ms),
-            Err(error) => {
-                self.refused(stamp.version, &error);
-                return false;
-            }
-        }
-        true
-    }
-
-    /// The content of a version that was accepted `age_ms` ago, or earlier, is held now.
-    fn learnt(&mut self, now_ms: u64, version: Version, way: Way, age_ms: u64) {
-        let heard_ms = self.fetcher.heard_at_ms(version).unwrap_or(now_ms);
-        self.held_accepted_ms = heard_ms.min(now_ms.saturating_sub(age_ms));
-        learning::learnt(&Learnt {
-            version,
-            way,
-            heard_ms: now_ms.saturating_sub(heard_ms),
-            age_ms: self.held_age_ms(now_ms),
-        });
-    }
-
-    fn held_age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.held_accepted_ms)
-    }
-
-    /// What a peer that holds `have` gets.
-    fn offer(&self, now_ms: u64, have: Version) -> Option<Offer> {
-        let (stamp, content) = self.holder.content_for(have)?;
-        let age_ms = self.held_age_ms(now_ms);
-        Some(Offer {
-            stamp,
-            content,
-            age_ms,
-        })
-    }
-
     /// Enforces what is held once the floor is settled and a peer remembers it.
     fn enforce(&mut self, now_ms: u64) {
         let newest = self.holder.held().version;
--- /dev/null
+++ b/src/node/configuration/peers.rs
@@ -0,0 +1,97 @@
+//! What peers are asked: below which version nothing may be enforced, and after a freeze what is in force.
+
+use std::sync::atomic::Ordering;
+
+use ractor::ActorRef;
+
+use super::{ConfigurationMsg, Origin, State};
+use crate::core::member::{Distance, NodeId};
+use crate::core::version::{Stamp, Version};
+use crate::distribution::fetch::Peer;
+
+/// Longest time that a node woken from a freeze refuses work. Peers answer in milliseconds; one
+/// that is cut off serves what it has.
+const REFRESH_MAX_MS: u64 = 2_000;
+
+/// Peers whose word ends a refresh, unless the head itself was read.
+const REFRESH_PEERS: usize = 2;
+
+/// A refresh under way.
+#[derive(Debug)]
+pub(super) struct Refresh {
+    until_ms: u64,
+    peers: Vec<NodeId>,
+    pub(super) head_read: bool,
+}
+
+impl State {
+    pub(super) fn ask_floor(&mut self, myself: &ActorRef<ConfigurationMsg>) {
+        for peer in self.role.neighbours.clone() {
+            if peer.distance == Distance::DataCentre {
+                self.floor.asked(peer.node);
+            }
+            let Some(mut client) = self.node.control.client(peer.address) else {
+                continue;
+            };
+            let me = self.node.proxy.me;
+            let myself = myself.clone();
+            tokio::spawn(async move {
+                if let Ok((reported, enforced)) = client.floor(me).await {
+                    let _ = myself.cast(ConfigurationMsg::FloorAnswered {
+                        peer,
+                        reported,
+                        enforced,
+                    });
+                }
+            });
+        }
+    }
+
+    pub(super) fn floor_answered(
+        &mut self,
+        now_ms: u64,
+        peer: Peer,
+        reported: Version,
+        enforced: Stamp,
+    ) {
+        let (node, distance) = (peer.node, peer.distance);
+        self.floor
+            .answered(node, distance, reported, enforced.version);
+        if enforced.version > Version::NONE {
+            self.announced(now_ms, enforced, Some(peer));
+        }
+        if let Some(refresh) = &mut self.refresh
+            && !refresh.peers.contains(&peer.node)
+        {
+            refresh.peers.push(peer.node);
+        }
+    }
+
+    pub(super) fn begin_refresh(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        self.refresh = Some(Refresh {
+            until_ms: now_ms + REFRESH_MAX_MS,
+            peers: Vec::new(),
+            head_read: false,
+        });
+        self.fetcher.woke(now_ms);
+        self.reading_head = false;
+        match &self.origin {
+            Origin::Published(_) => self.read_head(myself),
+            Origin::Written(again) => again.notify_one(),
+        }
+        self.ask_floor(myself);
+    }
+
+    /// The refresh ends once what was heard from peers or the platform is in force here, or when
+    /// its time is up.
+    pub(super) fn end_refresh(&mut self, now_ms: u64) {
+        let Some(refresh) = &self.refresh else { return };
+        let heard = refresh.head_read || refresh.peers.len() >= REFRESH_PEERS;
+        let caught_up = self.holder.stamp().version >= self.fetcher.head().version;
+        if (heard && caught_up) || now_ms >= refresh.until_ms {
+            self.refresh = None;
+            self.node.proxy.refreshing.store(false, Ordering::Release);
+            log::info!(caught_up; "admits work again");
+        }
+    }
+}
--- /dev/null
+++ b/src/node/configuration/versions.rs
@@ -0,0 +1,157 @@
+//! The ways of a version's content to this node, and from it to others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::ActorRef;
+
+use super::learning::{self, Learnt, Way};
+use super::{ConfigurationMsg, State};
+use crate::core::configuration::Configuration;
+use crate::core::version::Version;
+use crate::distribution::{Content, Fetch, Offer, holder};
+use crate::node::content;
+use crate::node::membership::MembershipMsg;
+
+impl State {
+    /// Takes in what the store told. A configuration older than the one held is refused by the holder.
+    pub(super) fn written(
+        &mut self,
+        now_ms: u64,
+        configuration: Option<Box<Configuration>>,
+        unwatched_ms: u64,
+    ) {
+        self.note_store(true);
+        if let Some(refresh) = &mut self.refresh {
+            refresh.head_read = true;
+        }
+        let Some(configuration) = configuration else {
+            return;
+        };
+        let version = configuration.version;
+        self.floor.head_read(version);
+        self.fetcher.source_told(now_ms, version);
+        if version <= self.holder.held().version {
+            return;
+        }
+        match self.holder.prepare_whole(*configuration) {
+            Ok(applied) => {
+                self.learnt(now_ms, applied.stamp.version, Way::Store, unwatched_ms);
+                self.announced(now_ms, applied.stamp, None);
+                self.tell(MembershipMsg::Head(applied.stamp));
+            }
+            Err(error) => self.refused(version, &error),
+        }
+    }
+
+    pub(super) fn led(&mut self, now_ms: u64, offer: &Offer, have: Version) {
+        let stamp = offer.stamp;
+        self.fetcher.source_told(now_ms, stamp.version);
+        if self.prepare(now_ms, offer, have, Way::Lead) {
+            self.floor.head_read(stamp.version);
+            self.announced(now_ms, stamp, None);
+            self.tell(MembershipMsg::Head(stamp));
+        }
+    }
+
+    pub(super) fn fetch(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
+        let held = self.holder.held();
+        if let Some(fetch) = self.fetcher.next(now_ms, held.version) {
+            let node = Arc::clone(&self.node);
+            let origin = self.origin.clone();
+            let myself = myself.clone();
+            tokio::spawn(async move {
+                let found = content::fetch(&node, &origin, held, &fetch).await;
+                let have = held.version;
+                let _ = myself.cast(ConfigurationMsg::Fetched { fetch, have, found });
+            });
+            return;
+        }
+        let Some(wake_ms) = self.fetcher.wake_at(held.version) else {
+            return;
+        };
+        if self.woken_for_ms.is_none_or(|already| wake_ms < already) {
+            self.woken_for_ms = Some(wake_ms);
+            let pause = Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1));
+            myself.send_after(pause, || ConfigurationMsg::Wake);
+        }
+    }
+
+    pub(super) fn fetched(
+        &mut self,
+        now_ms: u64,
+        fetch: &Fetch,
+        have: Version,
+        found: Option<Offer>,
+    ) {
+        let way = Way::from(&fetch.source);
+        let source = way.as_str();
+        let prepared = found.is_some_and(|offer| self.prepare(now_ms, &offer, have, way));
+        let result = if prepared { "used" } else { "failed" };
+        metrics::counter!("dragonflywall_fetches_total", "source" => source, "result" => result)
+            .increment(1);
+        self.fetcher.done(now_ms, fetch, prepared);
+    }
+
+    /// Whether the version is held now. `have` was held when its content was asked for.
+    pub(super) fn prepare(&mut self, now_ms: u64, offer: &Offer, have: Version, way: Way) -> bool {
+        let Offer {
+            stamp,
+            content,
+            age_ms,
+        } = offer;
+        let bytes = content.len_bytes() as u64;
+        metrics::counter!("dragonflywall_fetched_bytes_total", "source" => way.as_str())
+            .increment(bytes);
+        let held = self.holder.held().version;
+        if stamp.version <= held {
+            // It came another way meanwhile.
+            return true;
+        }
+        if held != have && !matches!(content, Content::Snapshot(_)) {
+            // Differences from what was held then; whoever follows asks again for those from now.
+            log::debug!(version = stamp.version.0, have = have.0, held = held.0; "differences from an older version");
+            return false;
+        }
+        match self.holder.prepare(*stamp, content) {
+            Ok(_) => self.learnt(now_ms, stamp.version, way, *age_ms),
+            Err(error) => {
+                self.refused(stamp.version, &error);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The content of a version that was accepted `age_ms` ago, or earlier, is held now.
+    pub(super) fn learnt(&mut self, now_ms: u64, version: Version, way: Way, age_ms: u64) {
+        let heard_ms = self.fetcher.heard_at_ms(version).unwrap_or(now_ms);
+        self.held_accepted_ms = heard_ms.min(now_ms.saturating_sub(age_ms));
+        learning::learnt(&Learnt {
+            version,
+            way,
+            heard_ms: now_ms.saturating_sub(heard_ms),
+            age_ms: self.held_age_ms(now_ms),
+        });
+    }
+
+    pub(super) fn held_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.held_accepted_ms)
+    }
+
+    /// What a peer that holds `have` gets.
+    pub(super) fn offer(&self, now_ms: u64, have: Version) -> Option<Offer> {
+        let (stamp, content) = self.holder.content_for(have)?;
+        let age_ms = self.held_age_ms(now_ms);
+        Some(Offer {
+            stamp,
+            content,
+            age_ms,
+        })
+    }
+
+    pub(super) fn refused(&self, version: Version, error: &holder::Error) {
+        log::warn!(version = version.0, error:? = error; "refused a configuration");
+        metrics::counter!("dragonflywall_refused_content_total").increment(1);
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod simulation;
 mod sources;
 mod spread_decisions;
+mod spread_deployment;
 mod spread_failures;
 mod spread_leads;
 mod spread_membership;
