Let tuning flags and variables stand beside the platform's settings file

Operators who run under the platform's file could not set a limit or a timeout without changing the file, which the platform writes. What is given now goes before the file, at the start and when the file is read again; only what the file has to say itself (addresses, places, services, the store) is refused beside it. Wrong values are named all at once, with those of the file.

--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -81,10 +81,10 @@
 }
 
 fn reload(node: &NodeState, path: &Path) {
-    let read = match file::read(path) {
+    let read = match file::read(path, &node.proxy.settings.given) {
         Ok(read) => read,
-        Err(problems) => {
-            let problems = problems.join("; ");
+        Err(error) => {
+            let problems = error.problems.join("; ");
             log::error!(problems; "the settings file cannot be used; the old settings stay");
             return;
         }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -140,6 +140,23 @@
     pub log_level: log::LevelFilter,
     /// The file that they were read from, if any.
     pub config_file: Option<PathBuf>,
+    /// What flags and variables said.
+    #[builder(default)]
+    pub given: Given,
+}
+
+/// Settings as flags and variables gave them, by flag.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Given(BTreeMap<&'static str, String>);
+
+impl Given {
+    fn has(&self, flag: &str) -> bool {
+        self.0.contains_key(flag)
+    }
+
+    fn flags(&self) -> impl Iterator<Item = &'static str> + '_ {
+        self.0.keys().copied()
+    }
 }
 
 /// A backend server: what it serves and where.
@@ -209,7 +226,7 @@
     variable: impl Fn(&str) -> Option<String>,
 ) -> Result<Settings> {
     let mut reader = Reader {
-        values: BTreeMap::new(),
+        given: Given::default(),
         problems: Vec::new(),
     };
     reader.read_variables(variable);
@@ -218,7 +235,7 @@
 }
 
 struct Reader {
-    values: BTreeMap<&'static str, String>,
+    given: Given,
     problems: Vec<String>,
 }
 
@@ -226,7 +243,7 @@
     fn read_variables(&mut self, variable: impl Fn(&str) -> Option<String>) {
         for spec in SPECS {
             if let Some(value) = variable(&spec.variable()) {
-                self.values.insert(spec.flag, value);
+                self.given.0.insert(spec.flag, value);
             }
         }
     }
@@ -251,7 +268,7 @@
             let value = parser.value().map(|value| value.string());
             match (spec, value) {
                 (Some(spec), Ok(Ok(value))) => {
-                    self.values.insert(spec.flag, value);
+                    self.given.0.insert(spec.flag, value);
                 }
                 (Some(spec), _) => self
                     .problems
@@ -263,7 +280,7 @@
 
     fn settings(mut self) -> Result<Settings> {
         if let Some(path) = self.text("config") {
-            return self.settings_of_file(Path::new(&path));
+            return file::read(Path::new(&path), &self.given);
         }
         let caller_listen = self.required("caller-listen");
         let peer_listen = self.required("peer-listen");
@@ -331,6 +348,7 @@
             log_format: log_format.expect(checked),
             log_level: log_level.expect(checked),
             config_file: None,
+            given: self.given,
         })
     }
 
@@ -350,7 +368,7 @@
     }
 
     fn text(&self, flag: &str) -> Option<String> {
-        let given = self.values.get(flag).map(String::as_str);
+        let given = self.given.0.get(flag).map(String::as_str);
         let text = given.unwrap_or(Spec::of(flag).default);
         (!text.is_empty()).then(|| text.to_owned())
     }
--- a/tests/testsuite/users_settings.rs
+++ b/tests/testsuite/users_settings.rs
@@ -50,6 +50,24 @@
     );
 }
 
+/// Guards against a file that undoes what an operator has set beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_given_goes_before_the_file() {
+    let mesh = start_users_serving(small()).await;
+    let path = mesh.settings_path(0).to_str().expect("UTF-8");
+    let arguments = ["--config", path, "--retry-percent=5", "--memory-mb=64"];
+    let arguments = arguments.iter().map(|flag| (*flag).into());
+    let variable = |name: &str| (name == "DRAGONFLYWALL_STOP_LEAST_MS").then(|| "900".to_owned());
+    let settings = node::settings::parse(arguments, variable).expect("they are right");
+    assert_eq!(settings.retry_percent, 5);
+    assert_eq!(settings.memory_mb, Some(64));
+    assert_eq!(settings.stop_least_ms, 900);
+    let arguments = ["--config", path, "--retry-percent=many", "--region=sul"];
+    let arguments = arguments.iter().map(|flag| (*flag).into());
+    let error = node::settings::parse(arguments, |_| None).expect_err("two are wrong");
+    assert_eq!(error.problems.len(), 2, "{error}");
+}
+
 /// Guards against defaults that differ between a node's own settings and the platform's file.
 #[tokio::test(flavor = "multi_thread")]
 async fn both_ways_of_starting_have_the_same_defaults() {
