--- a/src/core.rs
+++ b/src/core.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod dialect;
 pub mod difference;
+pub mod mechanism;
 pub mod member;
 pub mod names;
 pub mod routing;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -16,6 +16,7 @@
 use super::held::HeldTimes;
 use super::placement::LoadReport;
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
+use crate::core::mechanism::{Mechanism, Without};
 use crate::core::names::ResourceName;
 
 new_key_type! {
@@ -79,11 +80,19 @@
         }
     }
 
-    fn place(&self) -> Place {
-        Place {
-            urgency: self.urgency,
-            due_us: self.due_us,
-        }
+    fn place(&self, without: Without) -> Place {
+        let urgency = match self.urgency {
+            Urgency::Call if without.has(Mechanism::CallsFirst) => Urgency::Call,
+            Urgency::Caller { rank } if without.has(Mechanism::Ranks) => Urgency::Caller { rank },
+            _ => Urgency::Caller {
+                rank: PRIORITY_DEFAULT,
+            },
+        };
+        let due_us = match without.has(Mechanism::DueOrder) {
+            true => self.due_us,
+            false => 0,
+        };
+        Place { urgency, due_us }
     }
 }
 
@@ -152,6 +161,7 @@
 /// microseconds of any steady clock.
 #[derive(Debug)]
 pub struct Admission<W> {
+    without: Without,
     limits: Limits,
     closed: bool,
     waiting: SlotMap<Ticket, Waiter<W>>,
@@ -189,7 +199,15 @@
 
 impl<W> Default for Admission<W> {
     fn default() -> Self {
+        Self::new(Without::default())
+    }
+}
+
+impl<W> Admission<W> {
+    /// No slots yet.
+    pub fn new(without: Without) -> Self {
         Self {
+            without,
             limits: Limits::default(),
             closed: false,
             waiting: SlotMap::with_key(),
@@ -201,9 +219,7 @@
             since_sum_us: 0,
         }
     }
-}
 
-impl<W> Admission<W> {
     /// Sets the limits; requests already in keep their slots and places. Without slots the
     /// service is not offered here any more, and what waits is refused.
     pub fn set_limits(&mut self, limits: Limits) {
@@ -260,9 +276,10 @@
             ask: *ask,
             arrival: 0,
         };
+        let place = self.place(ask);
         let ticket = self.waiting.insert(waiter);
         let lane = self.lane_mut(class);
-        let arrival = lane.push(ask.place(), ticket, ask.held_us);
+        let arrival = lane.push(place, ticket, ask.held_us);
         self.waiting[ticket].arrival = arrival;
         Admitted::Queued(ticket)
     }
@@ -296,7 +313,8 @@
             return false;
         };
         let Waiter { ask, arrival, .. } = waiter;
-        self.lane_mut(ask.class).remove(ask.place(), arrival);
+        let place = self.place(&ask);
+        self.lane_mut(ask.class).remove(place, arrival);
         true
     }
 
@@ -385,7 +403,7 @@
 
     /// Waiting requests that would go before one that came now, of its class and of the other.
     fn ahead(&self, ask: &Ask) -> (Queued, Queued) {
-        let own = self.lane(ask.class).ahead(ask.place());
+        let own = self.lane(ask.class).ahead(self.place(ask));
         let other = self.lane(other(ask.class)).queued();
         let other = other.at_most(match ask.class {
             Class::Interactive => own.count / INTERACTIVE_STREAK,
@@ -404,6 +422,10 @@
         own_us.saturating_add(other_us) / u64::from(self.limits.slots.max(1))
     }
 
+    fn place(&self, ask: &Ask) -> Place {
+        ask.place(self.without)
+    }
+
     fn refusal(&self, cause: Cause, ask: &Ask) -> Refusal {
         Refusal {
             cause,
@@ -446,7 +468,8 @@
     fn bulk_ceiling(&self, now_us: u64) -> u32 {
         let slots = self.limits.slots;
         let asked_lately = |asked_us| now_us.saturating_sub(asked_us) < RESERVE_MEMORY_US;
-        if self.interactive.last_asked_us.is_some_and(asked_lately) {
+        let reserves = self.without.has(Mechanism::BulkReserve);
+        if reserves && self.interactive.last_asked_us.is_some_and(asked_lately) {
             slots - slots / RESERVE_DIVISOR
         } else {
             slots
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::core::configuration::Treatment;
+use crate::core::mechanism::{Mechanism, Without};
 
 /// Part of its target latency that a request waits for a slot at most. With a longer queue every answer would be
 /// late and no more would be given.
@@ -10,8 +11,9 @@
 
 /// How long a caller's request of this treatment waits for a slot, where the team has said how soon it
 /// wants the answer; without that, as long as the deadline allows.
-pub fn of_caller(treatment: &Treatment) -> Duration {
-    match treatment.target_latency_ms {
+pub fn of_caller(treatment: &Treatment, without: Without) -> Duration {
+    let target_ms = treatment.target_latency_ms;
+    match target_ms.filter(|_| without.has(Mechanism::PatienceCut)) {
         None => whole(treatment),
         Some(target_ms) => Duration::from_millis(u64::from(target_ms)) / PATIENCE_DIVISOR,
     }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -14,6 +14,7 @@
 use self::observation::{EJECTED_MOST_US, Seen};
 use super::intake::SMALL_BYTES;
 use crate::core::configuration::Spill;
+use crate::core::mechanism::{Mechanism, Without};
 use crate::core::member::{Distance, Member, NodeId, Place};
 use crate::core::names::ResourceName;
 
@@ -94,28 +95,6 @@
     hasher.finish()
 }
 
-/// Up to [`SUBSET`] positions in a ring.
-#[derive(Clone, Copy, Default)]
-struct Subset {
-    positions: [usize; SUBSET],
-    len: usize,
-}
-
-impl Subset {
-    fn push(&mut self, position: usize) {
-        self.positions[self.len] = position;
-        self.len += 1;
-    }
-
-    fn as_slice(&self) -> &[usize] {
-        &self.positions[..self.len]
-    }
-
-    fn is_full(&self) -> bool {
-        self.len == SUBSET
-    }
-}
-
 /// What a request needs of its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -161,12 +140,21 @@
 /// What one entry has seen of endpoints. Times are microseconds of any steady clock.
 #[derive(Debug, Default)]
 pub struct Balancer {
+    without: Without,
     seen: HashMap<NodeId, Seen>,
     /// Mean length of answers, by resource.
     answers_bytes: HashMap<ResourceName, f64>,
 }
 
 impl Balancer {
+    /// Nothing seen yet.
+    pub fn new(without: Without) -> Self {
+        Self {
+            without,
+            ..Self::default()
+        }
+    }
+
     /// Picks the endpoint that is likely to serve the request best; see [`cost`].
     ///
     /// Reports are some answers old, and many entries go by the same ones. So each counts what it has sent there
@@ -220,11 +208,11 @@
         let mut best = None;
         let mut least = f64::INFINITY;
         for (ring, distance) in rings {
-            let subset = self.usable(now_us, ring, others);
-            for endpoint in subset.as_slice().iter().map(|position| &ring[*position]) {
+            for endpoint in self.usable(now_us, ring, others) {
                 let choice = self.choice(now_us, endpoint, distance, need, held_us);
                 let choice = Choice { size_kb, ..choice };
-                let cost = cost::of(&choice, need.limits) + rng.random_range(0.0..NOISE);
+                let cost =
+                    cost::of(&choice, need.limits, self.without) + rng.random_range(0.0..NOISE);
                 if cost < least {
                     least = cost;
                     best = Some(*endpoint);
@@ -361,10 +349,20 @@
 
     /// The part of a ring that may be used, in the entry's order: endpoints that fail or are slow are left out. With
     /// more than half left out the fault is hardly the endpoints' own, so all are used.
-    fn usable(&self, now_us: u64, ring: &[Endpoint], others: Others<'_>) -> Subset {
-        let mut usable = Subset::default();
-        let mut all = Subset::default();
-        for (position, endpoint) in ring.iter().enumerate() {
+    fn usable<'a>(
+        &self,
+        now_us: u64,
+        ring: &'a [Endpoint],
+        others: Others<'_>,
+    ) -> Vec<&'a Endpoint> {
+        let most = match self.without.has(Mechanism::Subset) {
+            true => SUBSET,
+            false => ring.len(),
+        };
+        let ejects = self.without.has(Mechanism::Ejection);
+        let mut usable = Vec::with_capacity(most.min(ring.len()));
+        let mut all = Vec::with_capacity(most.min(ring.len()));
+        for endpoint in ring {
             let seen = self.seen.get(&endpoint.node);
             let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
             let draining = seen.is_some_and(|seen| seen.is_draining(now_us));
@@ -372,17 +370,17 @@
             if left_out || others.tried.contains(&endpoint.node) {
                 continue;
             }
-            if !all.is_full() {
-                all.push(position);
+            if all.len() < most {
+                all.push(endpoint);
             }
-            if seen.is_none_or(|seen| !seen.is_ejected(now_us)) {
-                usable.push(position);
+            if !ejects || seen.is_none_or(|seen| !seen.is_ejected(now_us)) {
+                usable.push(endpoint);
             }
-            if usable.is_full() {
+            if usable.len() == most {
                 return usable;
             }
         }
-        if usable.len * 2 < all.len {
+        if usable.len() * 2 < all.len() {
             all
         } else {
             usable
--- a/src/decide/placement/search.rs
+++ b/src/decide/placement/search.rs
@@ -1,5 +1,6 @@
 //! How a request finds a free slot among endpoints whose load its entry hardly knows.
 
+use crate::core::mechanism::{Mechanism, Without};
 use crate::core::member::NodeId;
 
 /// Endpoints that a request asks for a slot that is free at once, before it waits at one.
@@ -11,13 +12,26 @@
 /// has a slot, so whoever has looked at some of them waits where the queue is known to be short.
 #[derive(Clone, Debug, Default)]
 pub struct Search {
+    without: Without,
     busy: Vec<NodeId>,
 }
 
 impl Search {
+    /// None looked at yet.
+    pub fn new(without: Without) -> Self {
+        Self {
+            without,
+            busy: Vec::new(),
+        }
+    }
+
     /// Whether the request, which is placed at `node`, waits there if no slot is free.
     pub fn waits_at(&self, node: NodeId) -> bool {
-        self.busy.len() >= LOOKS_MAX || self.busy.contains(&node)
+        let most = match self.without.has(Mechanism::FreeSlotLooks) {
+            true => LOOKS_MAX,
+            false => 0,
+        };
+        self.busy.len() >= most || self.busy.contains(&node)
     }
 
     /// `node` had no free slot.
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use crate::core::configuration::Treatment;
+use crate::core::mechanism::{Mechanism, Without};
 use crate::core::names::ServiceName;
 use crate::core::verdict::Verdict;
 
@@ -115,6 +116,8 @@
     pub percent: u32,
     /// Retries that may be saved up for a bad moment.
     pub reserve: u32,
+    /// Whether there is no limit.
+    pub unlimited: bool,
 }
 
 impl Default for RetryPolicy {
@@ -122,12 +125,15 @@
         Self {
             percent: 10,
             reserve: RESERVE,
+            unlimited: false,
         }
     }
 }
 
 /// Retries that an entry may save up where its settings do not say it.
 const RESERVE: u32 = 10;
+/// An entry that could not save up a whole retry would never make one.
+const RESERVE_LEAST: u32 = 1;
 
 /// Part of a bound on all retries of the mesh that its entries use together. The rest is for what no
 /// entry counts: calls that a repeated request makes again, and entries that have restarted with a
@@ -144,13 +150,27 @@
             return Self {
                 percent,
                 reserve: RESERVE,
+                unlimited: false,
             };
         };
         let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
         let used = |all: u32| all * USED_NUMERATOR / USED_DENOMINATOR;
         Self {
             percent: used(percent),
-            reserve: (used(reserve) / entries).max(1),
+            reserve: (used(reserve) / entries).max(RESERVE_LEAST),
+            unlimited: false,
+        }
+    }
+
+    /// The same with some mechanisms switched off.
+    pub fn without(self, without: Without) -> Self {
+        Self {
+            reserve: match without.has(Mechanism::RetryReserve) {
+                true => self.reserve,
+                false => RESERVE_LEAST,
+            },
+            unlimited: !without.has(Mechanism::RetryTokens),
+            ..self
         }
     }
 }
@@ -206,6 +226,9 @@
     }
 
     fn take(&mut self) -> bool {
+        if self.policy.unlimited {
+            return true;
+        }
         let enough = self.hundredths >= TOKEN_HUNDREDTHS;
         if enough {
             self.hundredths -= TOKEN_HUNDREDTHS;
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -20,9 +20,10 @@
 
 use super::configuration::ConfigurationMsg;
 use super::state::NodeState;
+use crate::core::mechanism::Mechanism;
 use crate::decide::pacing::jittered_ms;
 use crate::distribution::fetch::Peer;
-use crate::distribution::lead_choice::{Ask, LeadChoice, StoreFailure};
+use crate::distribution::lead_choice::{Ask, LeadChoice, Leads, StoreFailure};
 use crate::store::{Error, Feed, Position, Told};
 use crate::util::clock;
 
@@ -98,11 +99,23 @@
 
     fn next(&mut self) -> Ask {
         let now_ms = self.node.proxy.age_ms();
-        self.choice.set_leads(self.node.leads.borrow().clone());
+        self.choice.set_leads(self.leads());
         self.choice.note_held(now_ms, *self.node.held.borrow());
         self.choice.next(now_ms, self.node.budget())
     }
 
+    fn leads(&self) -> Leads {
+        let leads = self.node.leads.borrow().clone();
+        match self.node.proxy.without().has(Mechanism::Leads) {
+            true => leads,
+            false => Leads {
+                before: Vec::new(),
+                own: true,
+                ..leads
+            },
+        }
+    }
+
     async fn ask_lead(&mut self, lead: Peer, wait: Duration, answer: Duration) {
         let have = *self.node.held.borrow();
         let Some(mut client) = self.node.control.client(lead.address) else {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -145,6 +145,10 @@
         configuration.clone(),
         stops.all.clone(),
     ));
+    let without = node.proxy.without();
+    if !without.is_empty() {
+        log::warn!(without:%; "mechanisms are switched off");
+    }
     log::info!(
         node:% = me.node,
         caller:% = addresses.caller,
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -19,6 +19,7 @@
 use self::specs::default_of;
 pub use self::specs::{SPECS, Spec};
 use crate::core::dialect::Dialect;
+use crate::core::mechanism::Without;
 use crate::core::member::Place;
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
@@ -132,6 +133,9 @@
     pub retry_reserve: Option<u32>,
     /// Rate of the VM's link in kilobits a second, if it is known.
     pub link_kbit_per_s: Option<u32>,
+    /// Mechanisms that are switched off.
+    #[builder(default)]
+    pub without: Without,
     /// How log lines are written.
     #[builder(default = default_of("log-format"))]
     pub log_format: LogFormat,
@@ -306,6 +310,7 @@
         let apply_within_ms = self.required("apply-within-ms");
         let retry_percent = self.required("retry-percent");
         let link_kbit_per_s = self.optional("link-kbit-per-s");
+        let without = self.optional("without").unwrap_or_default();
         let log_format = self.required("log-format");
         let log_level = self.required("log-level");
         if !self.problems.is_empty() {
@@ -324,6 +329,7 @@
             apply_within_ms: apply_within_ms.expect(checked),
             retry_percent: retry_percent.expect(checked),
             link_kbit_per_s,
+            without,
             caller_listen: caller_listen.expect(checked),
             peer_listen: peer_listen.expect(checked),
             operator_listen: operator_listen.expect(checked),
--- a/src/node/settings/file.rs
+++ b/src/node/settings/file.rs
@@ -83,6 +83,7 @@
         self.put("stop-least-ms", &mut settings.stop_least_ms);
         self.put("apply-within-ms", &mut settings.apply_within_ms);
         self.put("retry-percent", &mut settings.retry_percent);
+        self.put("without", &mut settings.without);
         self.put("log-format", &mut settings.log_format);
         self.put("log-level", &mut settings.log_level);
         self.put_optional("dial-from", &mut settings.dial_from);
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -188,6 +188,12 @@
         default: "",
         help: "rate of the VM's link, by which large bodies are let in (default: fast)",
     },
+    Spec {
+        flag: "without",
+        value: "NAME,...",
+        default: "",
+        help: "mechanisms to switch off in an emergency, see docs/reference/mechanisms.md",
+    },
     Spec {
         flag: "log-format",
         value: "FORMAT",
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -15,6 +15,7 @@
 
 use super::answer::{Failure, Reason};
 use super::body::{self, Body, BoxError, Guarded};
+use crate::core::mechanism::{Mechanism, Without};
 use crate::util::dial::dial;
 
 #[cfg(test)]
@@ -46,6 +47,7 @@
     idle: Arc<Mutex<Vec<Resting>>>,
     open: Arc<AtomicU32>,
     most: Arc<AtomicU32>,
+    without: Without,
 }
 
 /// Counts one open connection until it is closed.
@@ -58,6 +60,14 @@
 }
 
 impl BackendPool {
+    /// No connections yet.
+    pub(crate) fn new(without: Without) -> Self {
+        Self {
+            without,
+            ..Self::default()
+        }
+    }
+
     /// Sets how many connections the backend server accepts.
     pub(crate) fn set_connections_max(&self, most: u32) {
         self.most.store(most, Ordering::Release);
@@ -134,9 +144,10 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let may_rest_long = !self.without.has(Mechanism::ShortRests);
         idle.retain(|resting| {
             let usable = resting.address == address && !resting.sender.is_closed();
-            usable && resting.since.elapsed() < REST_MAX
+            usable && (may_rest_long || resting.since.elapsed() < REST_MAX)
         });
         let ready = idle.iter().rposition(|resting| resting.sender.is_ready())?;
         Some(idle.remove(ready).sender)
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -16,6 +16,7 @@
 use super::calls::{Inherited, RetryBudget};
 use super::headers;
 use super::replay::Replay;
+use crate::core::mechanism::Mechanism;
 use crate::core::routing::{Branch, Route};
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
@@ -28,6 +29,9 @@
 /// Whether a request may be started before those that its caller sent ahead of it are answered:
 /// were the connection to end with one of them, the caller would send it again.
 pub(crate) fn may_start_early(node: &ProxyState, parts: &Parts) -> bool {
+    if !node.without().has(Mechanism::EarlyStart) {
+        return false;
+    }
     let applied = node.enforced.load();
     let Some(applied) = applied.as_ref().filter(|_| !node.leaving.is_cancelled()) else {
         return false;
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, Uri};
 use http_body::Body as _;
 
+use crate::core::mechanism::Mechanism;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::core::routing::Branch;
@@ -52,7 +53,7 @@
     ) -> Result<Response<Body>, Failure> {
         self.node.retry_tokens().entry_for(self.service()).earn();
         let mut tried: Vec<NodeId> = Vec::new();
-        let mut search = Search::default();
+        let mut search = Search::new(self.node.without());
         let mut verdict = Verdict::NotRun;
         let mut last = None;
         loop {
@@ -212,7 +213,7 @@
         let treatment = &self.branch.treatment;
         let patience = match waits {
             true if self.is_call() => patience::of_call(treatment),
-            true => patience::of_caller(treatment),
+            true => patience::of_caller(treatment, self.node.without()),
             false => Duration::ZERO,
         };
         let now = Instant::now();
@@ -260,7 +261,7 @@
     }
 
     fn is_large(&self) -> bool {
-        self.body_bytes > SMALL_BYTES
+        self.body_bytes > SMALL_BYTES && self.node.without().has(Mechanism::UploadTurns)
     }
 
     /// Asks for a turn, and sends the request once it has been given.
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -20,6 +20,7 @@
 use super::body::{self, Body, BoxError, Guarded};
 use super::hop::Hop;
 use super::replay;
+use crate::core::mechanism::Mechanism;
 use crate::decide::intake::SMALL_BYTES;
 use crate::proxy::state::ProxyState;
 
@@ -60,7 +61,8 @@
     from: From,
 ) -> Result<Body, Failure> {
     let len = body.size_hint().upper();
-    if len.is_some_and(|len| len <= SMALL_BYTES) {
+    let by_turns = node.without().has(Mechanism::UploadTurns);
+    if !by_turns || len.is_some_and(|len| len <= SMALL_BYTES) {
         return Ok(body);
     }
     let turn = match from {
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -15,6 +15,7 @@
 
 use super::{REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
 use super::{accept, infallible, may_speak, run, unauthorized};
+use crate::core::mechanism::Mechanism;
 use crate::decide::transit::Transit;
 use crate::peer::generated::control_server::{Control, ControlServer};
 use crate::proxy::body::{self, Body};
@@ -89,9 +90,11 @@
             Err(never) => match never {},
         };
     };
+    let checked = node.without().has(Mechanism::TransitCheck);
     let delay = {
         let mut transit = transit.lock().unwrap_or_else(PoisonError::into_inner);
-        Duration::from_micros(transit.delay_us(clock::boot_us(), sent_us))
+        let delay_us = transit.delay_us(clock::boot_us(), sent_us);
+        Duration::from_micros(if checked { delay_us } else { 0 })
     };
     let token = node.in_gate.token();
     let response = gate::serve(node, request.map(body::boxed), delay).await;
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -20,6 +20,7 @@
 use super::slots::{self, Wake};
 use super::view::View;
 use super::vocabulary::Vocabulary;
+use crate::core::mechanism::Without;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::decide::admission::{Admission, Limits};
@@ -109,6 +110,7 @@
         let known = known.filter(|_| !settings.backend_server_announces);
         let backend = known.map(|known| Arc::new(LocalBackend::from(known)));
         let link_share = LinkShare::of_link(settings.link_kbit_per_s);
+        let without = settings.without;
         Self {
             link_share,
             intake: Mutex::new(Intake::new(link_share)),
@@ -118,17 +120,16 @@
             vocabulary,
             tunable: ArcSwap::from_pointee(settings.tunable()),
             peers: PeerConnections::new(settings.dial_options()),
-            settings,
             me,
             started: Instant::now(),
             enforced: ArcSwapOption::empty(),
             view: ArcSwap::default(),
-            balancer: Mutex::default(),
+            balancer: Mutex::new(Balancer::new(without)),
             retry_tokens: Mutex::default(),
-            admission: Mutex::default(),
+            admission: Mutex::new(Admission::new(without)),
             backend: ArcSwapOption::from(backend),
             backend_lost: BackendLost::default(),
-            pool: BackendPool::default(),
+            pool: BackendPool::new(without),
             calls: Calls::default(),
             decisions: Decisions::default(),
             refreshing: AtomicBool::new(false),
@@ -136,9 +137,15 @@
             store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             in_gate: TaskTracker::new(),
+            settings,
         }
     }
 
+    /// Mechanisms that are switched off.
+    pub(crate) fn without(&self) -> Without {
+        self.settings.without
+    }
+
     /// Milliseconds since the process was started.
     pub(crate) fn age_ms(&self) -> u64 {
         clock::since_ms(self.started)
@@ -175,7 +182,8 @@
         let tunable = self.tunable.load();
         let (percent, reserve) = (tunable.retry_percent, tunable.retry_reserve);
         let policy = RetryPolicy::of_entry(percent, reserve, self.view.load().alive());
-        self.retry_tokens().set_policy(policy);
+        self.retry_tokens()
+            .set_policy(policy.without(self.without()));
     }
 
     pub(crate) fn retry_tokens(&self) -> MutexGuard<'_, ServiceTokens> {
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -26,7 +26,7 @@
     slots.map(|(id, _)| id).collect()
 }
 
-fn release(admission: &mut Admission<u32>, class: Class, held_us: u64) {
+pub(crate) fn release<W>(admission: &mut Admission<W>, class: Class, held_us: u64) {
     let released = Released {
         class,
         resource: &ResourceName::new("prices"),
--- a/tests/testsuite/decide_retry.rs
+++ b/tests/testsuite/decide_retry.rs
@@ -6,7 +6,7 @@
     Attempts, DEPTH_MAX, Failed, RETRIES_PER_TREE, RetryPolicy, ServiceTokens,
 };
 
-fn treatment(idempotent: bool) -> Treatment {
+pub(crate) fn treatment(idempotent: bool) -> Treatment {
     Treatment {
         class: Class::Interactive,
         idempotent,
--- a/tests/testsuite/documentation.rs
+++ b/tests/testsuite/documentation.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{command, repository_file};
 
-fn page(path: &str) -> String {
+pub(crate) fn page(path: &str) -> String {
     let text = std::fs::read_to_string(repository_file(path));
     text.expect("the page exists")
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod known_red;
 mod ledger;
 mod logs;
+mod mechanisms;
 mod operator_commands;
 mod proofs;
 mod publish;
