Keep to fast endpoints: let the times of endpoints fade, take unknown ones for average

Cause: an entry took an endpoint that had not reported for 5 s for twice as quick as the quickest. 75 entries with 2.2 such reads a second each ask 24 endpoints about once in 5 s, so most requests went to find out, and as many to slow servers as there are slow ones. Change: times fade instead of being forgotten, and what is unknown lies between the quickest and the mean of those known.

--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -44,11 +44,6 @@
 /// Time that a request is taken to hold a slot before any endpoint has said it: short work.
 const HELD_UNKNOWN_US: u64 = 20_000;
 
-/// How much quicker than the quickest known an endpoint is taken to be before it has said it: were it
-/// taken for as quick, an entry beside a slow endpoint would never find the fast one a millisecond
-/// further.
-const UNKNOWN_QUICKNESS: u64 = 2;
-
 /// Endpoints remembered before the ones not used lately are forgotten.
 const REMEMBERED_MAX: usize = 2_048;
 
@@ -201,7 +196,7 @@
             Spill::Region => 2,
             Spill::Mesh => 3,
         };
-        let held_us = self.least_held_us(now_us, ranked, need);
+        let held_us = self.unknown_held_us(now_us, ranked, need);
         let size_kb = self.size_kb(need);
         let distances = [Distance::DataCentre, Distance::Region, Distance::Mesh];
         let rings = ranked.rings.iter().zip(distances).take(reach);
@@ -222,12 +217,24 @@
         best
     }
 
-    /// The shortest time that a request like this one is known to hold a slot, anywhere: what an
-    /// endpoint is given credit for before it has said its own.
-    fn least_held_us(&self, now_us: u64, ranked: &Ranked, need: &Need<'_>) -> u64 {
+    /// How long a request like this one is taken to hold a slot where that is not known: between the shortest
+    /// known time and the mean of those known.
+    ///
+    /// An entry that has found a fast endpoint goes on using it. Were unknown endpoints taken for quicker, an
+    /// entry with few requests would spend most of them on finding out, and half of those on slow endpoints.
+    fn unknown_held_us(&self, now_us: u64, ranked: &Ranked, need: &Need<'_>) -> u64 {
         let seen = ranked.iter().filter_map(|e| self.seen.get(&e.node));
         let held = seen.filter_map(|seen| seen.held_us(now_us, need.resource));
-        held.min().unwrap_or(HELD_UNKNOWN_US)
+        let (mut sum_us, mut count, mut least_us) = (0, 0, u64::MAX);
+        for held_us in held {
+            sum_us += held_us;
+            count += 1;
+            least_us = least_us.min(held_us);
+        }
+        match count {
+            0 => HELD_UNKNOWN_US,
+            _ => least_us.midpoint(sum_us / count),
+        }
     }
 
     fn choice(
@@ -236,14 +243,14 @@
         endpoint: &Endpoint,
         distance: Distance,
         need: &Need<'_>,
-        least_held_us: u64,
+        unknown_held_us: u64,
     ) -> Choice {
         let seen = self.seen.get(&endpoint.node);
         let seen = seen.filter(|seen| seen.incarnation_us == endpoint.incarnation_us);
         let held_us = seen.and_then(|seen| seen.held_us(now_us, need.resource));
         let outstanding = seen.map_or(0, |seen| seen.outstanding);
         let asked = held_us.is_none().then_some(outstanding);
-        let held_us = held_us.unwrap_or(least_held_us / UNKNOWN_QUICKNESS);
+        let held_us = held_us.unwrap_or(unknown_held_us);
         let mean_held_us = seen.and_then(Seen::mean_held_us).unwrap_or(held_us);
         let slots = seen.and_then(Seen::slots).unwrap_or(need.slots);
         Choice {
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -8,10 +8,11 @@
 /// After so much longer it counts for nothing: what was in hand then has long become free.
 const LOAD_FADES_US: u64 = 800_000;
 
-/// After so long without a report the times of an endpoint are taken for unknown, so that one that
-/// was slow for a moment is tried again. Several times what any request is waited for on the
-/// deployments.
+/// For so long the times that an endpoint has reported count in full.
 const HELD_FRESH_US: u64 = 5_000_000;
+/// After that they are taken for shorter and shorter, to a third in this time, so that an endpoint that was slow
+/// for a moment is tried again.
+const HELD_FADES_US: f64 = 10_000_000.0;
 
 /// Strikes that eject an endpoint. A lost connection is two, an answer of 5xx one; an answer
 /// that is none clears them.
@@ -156,11 +157,13 @@
         slots.filter(|slots| *slots > 0)
     }
 
-    /// How long a request to `resource` holds a slot, as last reported.
+    /// How long a request to `resource` holds a slot, as last reported; less if that is long ago.
     pub(super) fn held_us(&self, now_us: u64, resource: &ResourceName) -> Option<u64> {
-        let found = self.held.iter().find(|held| held.resource == *resource);
-        let fresh = found.filter(|held| now_us.saturating_sub(held.at_us) < HELD_FRESH_US);
-        fresh.map(|held| held.held_us)
+        let held = self.held.iter().find(|held| held.resource == *resource)?;
+        let age_us = now_us.saturating_sub(held.at_us);
+        let faded_us = age_us.saturating_sub(HELD_FRESH_US) as f64;
+        let left = (-faded_us / HELD_FADES_US).exp();
+        Some((held.held_us as f64 * left) as u64)
     }
 
     /// How long any request holds a slot, as last reported.
