Use a connection to the backend server again within a second for idempotent requests

Cause: a connection that has rested for 100 ms is not used again, since a request that meets a reset may have run. That is a reason for requests that may not run twice; all others are tried again after a reset. At a server with seven requests a second most connections rest for longer than 100 ms. Change: the request says to its gate whether it is idempotent; such a one takes a connection that has rested for up to a second. One that breaks takes the other idle ones with it.

--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -137,6 +137,8 @@
 pub struct Record {
     /// Its runs, by request id.
     pub runs: BTreeMap<String, Vec<Run>>,
+    /// Connections that it accepted.
+    pub connections: u64,
     /// Requests that it told that they did not run.
     pub refused: u64,
     /// Requests meant for another instance.
--- a/crates/testkit/src/users/backend/exchange.rs
+++ b/crates/testkit/src/users/backend/exchange.rs
@@ -27,6 +27,7 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else { continue };
+        shared.record().connections += 1;
         let _ = stream.set_nodelay(true);
         let connection = Connection {
             stream,
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -27,10 +27,13 @@
 /// Bytes of one answer that are read ahead of a slow reader; also bounds the answer's head.
 const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 
-/// Longest rest after which a connection is used again. A backend server, or what lies before it, may have
-/// forgotten it by then, and a request that meets a reset may have run.
+/// Longest rest after which a connection is used again for a request that may not run twice. A backend server, or
+/// what lies before it, may have forgotten it by then, and a request that meets a reset may have run.
 const REST_MAX: Duration = Duration::from_millis(100);
 
+/// The same for idempotent requests, which are tried again after a reset.
+const REST_MAX_IDEMPOTENT: Duration = Duration::from_secs(1);
+
 type Sender = http1::SendRequest<Body>;
 
 /// A connection that no request uses.
@@ -73,19 +76,27 @@
         self.most.store(most, Ordering::Release);
     }
 
-    /// Sends a request to the backend server at `address`.
+    /// Sends a request, which may be `idempotent`, to the backend server at `address`.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Body>,
+        idempotent: bool,
     ) -> Result<Response<Body>, Failure> {
         let mut request = request;
-        while let Some(sender) = self.take_idle(address) {
+        let rest_max = match idempotent {
+            true => REST_MAX_IDEMPOTENT,
+            false => REST_MAX,
+        };
+        while let Some(sender) = self.take_idle(address, rest_max) {
             match self.exchange(address, sender, request).await {
                 Ok(response) => return Ok(response),
                 // An idle connection that the backend server had closed: nothing was sent.
                 Err((_, Some(unsent))) => request = unsent,
-                Err((failure, None)) => return Err(failure),
+                Err((failure, None)) => {
+                    self.forget_idle();
+                    return Err(failure);
+                }
             }
         }
         // Slots are never more than connections, so this refuses only while connections of
@@ -100,6 +111,12 @@
             .map_err(|(failure, _)| failure)
     }
 
+    /// Uses no connection again that is idle now: what has broken one may have broken all.
+    fn forget_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     fn open(&self) -> Option<Open> {
         // One that is not known to take requests yet may be asked whether it does.
         let most = self.most.load(Ordering::Acquire).max(1);
@@ -142,14 +159,19 @@
         })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// The connection that has rested for the shortest time, if that is below `rest_max`.
+    fn take_idle(&self, address: SocketAddr, rest_max: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let may_rest_long = !self.without.has(Mechanism::ShortRests);
         idle.retain(|resting| {
             let usable = resting.address == address && !resting.sender.is_closed();
-            usable && (may_rest_long || resting.since.elapsed() < REST_MAX)
+            usable && (may_rest_long || resting.since.elapsed() < REST_MAX_IDEMPOTENT)
         });
-        let ready = idle.iter().rposition(|resting| resting.sender.is_ready())?;
+        let may_use = |resting: &Resting| {
+            let rested_briefly = may_rest_long || resting.since.elapsed() < rest_max;
+            rested_briefly && resting.sender.is_ready()
+        };
+        let ready = idle.iter().rposition(may_use)?;
         Some(idle.remove(ready).sender)
     }
 }
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -102,7 +102,7 @@
 
     async fn send(&self, path: &str, id: &str) -> Result<Response<Body>, Failure> {
         let address = self.backends[self.current].address;
-        self.pool.send(address, request(path, id)).await
+        self.pool.send(address, request(path, id), true).await
     }
 
     async fn step(&mut self, step: &Step) {
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -222,6 +222,7 @@
             resource: self.branch.resource.clone(),
             class: treatment.class,
             rank: treatment.priority,
+            idempotent: treatment.idempotent,
             patience,
             came: now,
             due_in: self.due().saturating_duration_since(now),
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -121,7 +121,7 @@
     let own_id = own_id.and_then(|id| id.to_str().ok());
     let mut running = node.calls.begin(hop, own_id);
     prepare(node, &mut request, hop, &backend, &running);
-    let exchange = node.pool.send(backend.address, request);
+    let exchange = node.pool.send(backend.address, request, hop.idempotent);
     let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
         .await
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -42,7 +42,7 @@
         log::warn!(path; "the health path of the service is no path");
         return unasked(announcement);
     };
-    let exchange = node.pool.send(announcement.address, request);
+    let exchange = node.pool.send(announcement.address, request, false);
     match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
         Ok(Ok(response)) => judge(node, response.status(), response.headers()),
         Ok(Err(_)) | Err(_) => Health::Unknown,
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -28,6 +28,8 @@
     pub(crate) class: Class,
     /// Rank among the requests of its class, 0 first.
     pub(crate) rank: u8,
+    /// Whether it may run twice.
+    pub(crate) idempotent: bool,
     /// How long it is willing to wait for a slot.
     pub(crate) patience: Duration,
     pub(crate) came: Instant,
@@ -68,6 +70,7 @@
             resource: ResourceName::new(headers::text(from, &headers::RESOURCE).unwrap_or("")),
             class: asked.class,
             rank: asked.rank,
+            idempotent: asked.idempotent,
             patience: asked.patience,
             came: now,
             due_in: asked.due_in.saturating_sub(delay),
@@ -80,11 +83,12 @@
     fn class_value(&self) -> HeaderValue {
         let due_in = self.due().saturating_duration_since(Instant::now());
         headers::value(&format!(
-            "{} {} {} {}",
+            "{} {} {} {} {}",
             word(self.class),
             self.rank,
             self.patience.as_millis(),
-            due_in.as_millis()
+            due_in.as_millis(),
+            if self.idempotent { IDEMPOTENT } else { "once" }
         ))
     }
 
@@ -137,6 +141,9 @@
     HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Says of a request that it may run twice.
+const IDEMPOTENT: &str = "idempotent";
+
 fn word(class: Class) -> &'static str {
     match class {
         Class::Interactive => "interactive",
@@ -150,6 +157,7 @@
     rank: u8,
     patience: Duration,
     due_in: Duration,
+    idempotent: bool,
 }
 
 impl Asked {
@@ -164,11 +172,13 @@
             let ms = words.next().and_then(|ms| ms.parse().ok());
             Duration::from_millis(ms.unwrap_or(DEADLINE_DEFAULT_MS))
         };
+        let (patience, due_in) = (time(), time());
         Self {
             class,
             rank: rank.unwrap_or(PRIORITY_DEFAULT),
-            patience: time(),
-            due_in: time(),
+            patience,
+            due_in,
+            idempotent: words.next() == Some(IDEMPOTENT),
         }
     }
 }
--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -290,6 +290,44 @@
     }
 }
 
+/// Guards against reads that fail on a connection which the backend server has forgotten.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_idle_connection_costs_no_read() {
+    let mut plan = small();
+    plan.behaviour = Behaviour {
+        forgets_idle: Some(Duration::from_millis(200)),
+        ..Behaviour::default()
+    };
+    let mesh = start_users_serving(plan).await;
+    for number in 0..8 {
+        let id = format!("idle-{number}");
+        let reply = ask(&mesh, &Asked::get("/stock/1", &id)).await;
+        assert_own_answer(&reply, &id, 64);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+/// Guards against a new connection to the backend server for each read of a quiet time.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_of_a_quiet_time_share_a_connection() {
+    const READS: u64 = 8;
+    let mesh = start_users_serving(small()).await;
+    let connections = || {
+        let backends = mesh.vms.iter().filter_map(|vm| vm.backend.as_ref());
+        let connections = backends.map(|backend| backend.record().connections);
+        connections.sum::<u64>()
+    };
+    let before = connections();
+    for number in 0..READS {
+        let id = format!("quiet-{number}");
+        let reply = ask(&mesh, &Asked::get("/stock/1", &id)).await;
+        assert_own_answer(&reply, &id, 64);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let opened = connections() - before;
+    assert!(opened < READS, "{opened} connections for {READS} reads");
+}
+
 /// A caller sends three look-ups at once on one connection. The first is the slowest; the answers come
 /// in the order of the questions.
 #[tokio::test(flavor = "multi_thread")]
