Tell with each answer how long other requests hold a slot

Cause: an entry knows how long an endpoint takes for a kind of request only from answers of that kind, and gets 2 of the long kind a second from 24 endpoints, beside 13 of the short kinds. Change: a gate adds up to three times of other kinds to each answer, those that it learnt within a second. What is older is not told: an endpoint that was slow for a moment would never be tried again.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -189,6 +189,12 @@
     pub answered: bool,
 }
 
+/// Resources whose times go with the answer to a request for another one. Long work differs most between endpoints,
+/// and is asked for least.
+const OTHER_HELD_MAX: usize = 3;
+/// Times that were learnt longer ago are not told: a backend server that was slow would never be tried again.
+const OTHER_HELD_AGE_MAX_US: u64 = 1_000_000;
+
 /// Requests that must have been running for long before the times of finished ones are taken for
 /// out of date: half of the slots. A single long request is no slow backend server.
 const AGED_DIVISOR: u32 = 2;
@@ -332,8 +338,8 @@
         let since_us = now_us.saturating_sub(held_us);
         self.since_sum_us = self.since_sum_us.saturating_sub(since_us);
         match answered {
-            true => self.held.answered(resource, held_us),
-            false => self.held.given_up(resource, held_us),
+            true => self.held.answered(now_us, resource, held_us),
+            false => self.held.given_up(now_us, resource, held_us),
         }
     }
 
@@ -351,6 +357,13 @@
         }
     }
 
+    /// How long requests for other resources than `resource` hold a slot, the longest first: entries that ask
+    /// for them seldom learn it with answers to others.
+    pub fn other_held(&self, now_us: u64, resource: &ResourceName) -> Vec<(&ResourceName, u64)> {
+        let since_us = now_us.saturating_sub(OTHER_HELD_AGE_MAX_US);
+        self.held.longest(OTHER_HELD_MAX, resource, since_us)
+    }
+
     /// How long the requests that run now have been running on average, if that shows that the backend server has
     /// become slow; else 0. Without it entries would go by the answers of before until the first slow one.
     fn slowed(&self, now_us: u64) -> u64 {
--- a/src/decide/held.rs
+++ b/src/decide/held.rs
@@ -3,6 +3,7 @@
 //! It is what tells endpoints apart that differ in speed: they get the same mix of requests, so only
 //! the times of one resource can be compared between them.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use crate::core::names::ResourceName;
@@ -41,32 +42,55 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeldTimes {
     any: Mean,
-    of: HashMap<ResourceName, Mean>,
+    of: HashMap<ResourceName, Timed>,
+}
+
+/// The mean of one resource, and when it last learnt a value.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timed {
+    mean: Mean,
+    at_us: u64,
 }
 
 impl HeldTimes {
     /// A request for `resource` was answered after it had held its slot for `held_us`.
-    pub fn answered(&mut self, resource: &ResourceName, held_us: u64) {
+    pub fn answered(&mut self, now_us: u64, resource: &ResourceName, held_us: u64) {
         self.any.learn(held_us);
-        if let Some(mean) = self.of.get_mut(resource) {
-            mean.learn(held_us);
-            return;
+        if !self.of.contains_key(resource) && self.of.len() < RESOURCES_MAX {
+            self.of.insert(resource.clone(), Timed::default());
         }
-        if self.of.len() < RESOURCES_MAX {
-            let mut mean = Mean::default();
-            mean.learn(held_us);
-            self.of.insert(resource.clone(), mean);
+        if let Some(timed) = self.of.get_mut(resource) {
+            timed.mean.learn(held_us);
+            timed.at_us = now_us;
         }
     }
 
     /// A request was given up before its answer: it would have held its slot for longer, which
     /// tells something only if it was long already.
-    pub fn given_up(&mut self, resource: &ResourceName, held_us: u64) {
+    pub fn given_up(&mut self, now_us: u64, resource: &ResourceName, held_us: u64) {
         if held_us > self.of_resource(resource).max(1) {
-            self.answered(resource, held_us);
+            self.answered(now_us, resource, held_us);
         }
     }
 
+    /// The longest times of up to `most` resources other than `besides` that were learnt since `since_us`, the
+    /// longest first.
+    pub fn longest(
+        &self,
+        most: usize,
+        besides: &ResourceName,
+        since_us: u64,
+    ) -> Vec<(&ResourceName, u64)> {
+        let others = self.of.iter();
+        let others = others.filter(|(name, timed)| *name != besides && timed.at_us >= since_us);
+        let mut times: Vec<_> = others
+            .map(|(name, timed)| (name, timed.mean.value_us))
+            .collect();
+        times.sort_by_key(|(resource, held_us)| (Reverse(*held_us), *resource));
+        times.truncate(most);
+        times
+    }
+
     /// Of any request.
     pub fn of_any(&self) -> u64 {
         self.any.value_us
@@ -76,6 +100,6 @@
     pub fn of_resource(&self, resource: &ResourceName) -> u64 {
         self.of
             .get(resource)
-            .map_or(self.any.value_us, |mean| mean.value_us)
+            .map_or(self.any.value_us, |timed| timed.mean.value_us)
     }
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -341,6 +341,19 @@
         }
     }
 
+    /// The endpoint reported, with an answer to another request, how long requests for `resource` hold a slot.
+    pub fn learnt_held(
+        &mut self,
+        now_us: u64,
+        node: NodeId,
+        resource: &ResourceName,
+        held_us: u64,
+    ) {
+        if let Some(seen) = self.seen.get_mut(&node) {
+            seen.learn_held(now_us, resource, held_us);
+        }
+    }
+
     /// An attempt ended.
     pub fn observed(&mut self, now_us: u64, node: NodeId, observed: Observed) {
         if let Some(seen) = self.seen.get_mut(&node) {
--- a/src/decide/placement/observation.rs
+++ b/src/decide/placement/observation.rs
@@ -90,11 +90,12 @@
 
 /// How long a request to a resource holds a slot, and how many like it wait.
 #[derive(Clone, Debug)]
-struct Held {
+pub(super) struct Held {
     resource: ResourceName,
     held_us: u64,
-    ahead: u32,
     at_us: u64,
+    ahead: u32,
+    ahead_at_us: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -138,7 +139,7 @@
         };
         let held = self.held.iter().find(|held| held.resource == *resource);
         let ahead = held.map_or(0.0, |held| {
-            counts(now_us, held.at_us) * f64::from(held.ahead)
+            counts(now_us, held.ahead_at_us) * f64::from(held.ahead)
         });
         // What was outstanding then is part of the report; what was begun since comes on top.
         let others = f64::from(report.load.in_use) + ahead - f64::from(report.outstanding);
@@ -240,23 +241,39 @@
         if load.resource_held_us == 0 {
             return;
         }
-        let held_us = load.resource_held_us;
-        let known = self.held.iter_mut();
-        if let Some(known) = known.into_iter().find(|held| held.resource == *resource) {
-            known.held_us = held_us;
-            known.ahead = load.ahead;
-            known.at_us = now_us;
-            return;
-        }
-        if self.held.len() >= RESOURCES_MAX {
-            self.held.remove(0);
-        }
-        self.held.push(Held {
-            resource: resource.clone(),
-            held_us,
-            ahead: load.ahead,
-            at_us: now_us,
-        });
+        let held = self.learn_held(now_us, resource, load.resource_held_us);
+        held.ahead = load.ahead;
+        held.ahead_at_us = now_us;
+    }
+
+    /// Takes in its word of how long requests to `resource` hold a slot.
+    pub(super) fn learn_held(
+        &mut self,
+        now_us: u64,
+        resource: &ResourceName,
+        held_us: u64,
+    ) -> &mut Held {
+        let mut known = self.held.iter();
+        let position = match known.position(|held| held.resource == *resource) {
+            Some(position) => position,
+            None => {
+                if self.held.len() >= RESOURCES_MAX {
+                    self.held.remove(0);
+                }
+                self.held.push(Held {
+                    resource: resource.clone(),
+                    held_us,
+                    at_us: now_us,
+                    ahead: 0,
+                    ahead_at_us: now_us,
+                });
+                self.held.len() - 1
+            }
+        };
+        let held = &mut self.held[position];
+        held.held_us = held_us;
+        held.at_us = now_us;
+        held
     }
 
     pub(super) fn is_ejected(&self, now_us: u64) -> bool {
--- a/src/proxy/entry/call.rs
+++ b/src/proxy/entry/call.rs
@@ -308,6 +308,7 @@
             return Err(without_gate(response.headers()));
         };
         self.reported(endpoint, load);
+        self.learn_held(endpoint, response.headers());
         match Failure::from_headers(response.headers()) {
             None => Ok(response.map(body::boxed)),
             Some(failure) => Err(failure),
@@ -321,6 +322,14 @@
         balancer.reported(now_us, endpoint.node, resource, load);
     }
 
+    fn learn_held(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+        let now_us = clock::since_us(self.node.started);
+        let mut balancer = self.node.balancer();
+        for (resource, held_us) in headers::held(headers) {
+            balancer.learnt_held(now_us, endpoint.node, &resource, held_us);
+        }
+    }
+
     /// Tells the balancer what this attempt has shown of its endpoint.
     fn observe(&self, endpoint: &Endpoint, result: &Result<Response<Body>, Failure>) {
         let observed = match result {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -43,6 +43,8 @@
     let mut response = result.unwrap_or_else(Failure::into_hop_response);
     let load = headers::load_value(&node.load(&hop));
     response.headers_mut().insert(headers::LOAD, load);
+    let held = node.other_held(&hop);
+    response.headers_mut().insert(headers::HELD, held);
     response
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,6 +2,7 @@
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
+use crate::core::names::ResourceName;
 use crate::core::token::TOKEN_HEADER;
 use crate::decide::placement::LoadReport;
 
@@ -29,6 +30,9 @@
 pub(crate) const CALL: HeaderName = HeaderName::from_static("x-dragonflywall-call");
 /// On an answer between nodes: the endpoint's load, six numbers with blanks between them.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-dragonflywall-load");
+/// On an answer between nodes: how many microseconds requests for other resources hold a slot, as `NAME MICROSECONDS`
+/// with commas between them.
+pub(crate) const HELD: HeaderName = HeaderName::from_static("x-dragonflywall-held");
 /// On a request between nodes: its large body is still with the entry, which asks for a turn.
 pub(crate) const RESERVE: HeaderName = HeaderName::from_static("x-dragonflywall-reserve");
 /// The turn that a gate gave to a large body, and with which the body comes.
@@ -122,6 +126,26 @@
     })
 }
 
+/// Writes how long requests for some resources hold a slot, for [`HELD`].
+pub(crate) fn held_value(times: &[(&ResourceName, u64)]) -> HeaderValue {
+    let times = times.iter();
+    let times: Vec<String> = times
+        .map(|(resource, held_us)| format!("{resource} {held_us}"))
+        .collect();
+    value(&times.join(","))
+}
+
+/// Reads what [`held_value`] wrote.
+pub(crate) fn held(headers: &HeaderMap) -> Vec<(ResourceName, u64)> {
+    let times = text(headers, &HELD).unwrap_or("").split(',');
+    let times = times.filter_map(|time| {
+        let (resource, held_us) = time.split_once(' ')?;
+        let held_us = held_us.parse().ok().filter(|held_us| *held_us > 0)?;
+        Some((ResourceName::new(resource), held_us))
+    });
+    times.collect()
+}
+
 /// A header value from text that the mesh itself made.
 pub(crate) fn value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("?"))
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use http::HeaderValue;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -13,6 +14,7 @@
 use super::backend::BackendPool;
 use super::calls::Calls;
 use super::decisions::Decisions;
+use super::headers;
 use super::hop::Hop;
 use super::intake::turns::{self, Granted};
 use super::local_backend::LocalBackend;
@@ -203,6 +205,13 @@
         LoadReport { intake_us, ..load }
     }
 
+    /// What this node's gate says, with the answer to `hop`, of how long other requests hold a slot.
+    pub(crate) fn other_held(&self, hop: &Hop) -> HeaderValue {
+        let admission = self.admission();
+        let now_us = clock::since_us(self.started);
+        headers::held_value(&admission.other_held(now_us, &hop.resource))
+    }
+
     pub(crate) fn intake(&self) -> MutexGuard<'_, Intake> {
         lock(&self.intake)
     }
--- a/tests/testsuite/decide_held.rs
+++ b/tests/testsuite/decide_held.rs
@@ -13,8 +13,8 @@
 fn resources_are_told_apart() {
     let mut held = HeldTimes::default();
     for _ in 0..200 {
-        held.answered(&name("look-up"), 10_000);
-        held.answered(&name("read"), 200_000);
+        held.answered(0, &name("look-up"), 10_000);
+        held.answered(0, &name("read"), 200_000);
     }
     assert_eq!(held.of_resource(&name("look-up")), 10_000);
     assert_eq!(held.of_resource(&name("read")), 200_000);
@@ -28,10 +28,10 @@
 fn a_slower_backend_server_is_found_out() {
     let mut held = HeldTimes::default();
     for _ in 0..1_000 {
-        held.answered(&name("read"), 20_000);
+        held.answered(0, &name("read"), 20_000);
     }
     for _ in 0..200 {
-        held.answered(&name("read"), 100_000);
+        held.answered(0, &name("read"), 100_000);
     }
     assert!(held.of_resource(&name("read")) > 90_000);
 }
@@ -42,12 +42,12 @@
 fn what_was_given_up_counts_only_if_it_was_long() {
     let mut held = HeldTimes::default();
     for _ in 0..100 {
-        held.answered(&name("read"), 50_000);
-        held.given_up(&name("read"), 1_000);
+        held.answered(0, &name("read"), 50_000);
+        held.given_up(0, &name("read"), 1_000);
     }
     assert_eq!(held.of_resource(&name("read")), 50_000);
     for _ in 0..100 {
-        held.given_up(&name("read"), 500_000);
+        held.given_up(0, &name("read"), 500_000);
     }
     assert!(held.of_resource(&name("read")) > 200_000);
 }
--- a/tests/testsuite/decide_placement.rs
+++ b/tests/testsuite/decide_placement.rs
@@ -207,6 +207,27 @@
     );
 }
 
+/// Guards against long work at slow endpoints that an entry knows by short work alone.
+#[test]
+fn times_told_with_other_answers_count() {
+    let here = place("cantabrico", "gijon");
+    let members = [member(1, &here), member(2, &here)];
+    let ranked = ranked(9, &members);
+    let mut balancer = Balancer::default();
+    for endpoint in ranked.iter() {
+        balancer.begun(0, endpoint);
+        balancer.ended(endpoint.node);
+        balancer.reported(0, endpoint.node, &ResourceName::new("look-ups"), load(0));
+    }
+    balancer.learnt_held(0, node(1), &PRICES, 400_000);
+    balancer.learnt_held(0, node(2), &PRICES, 20_000);
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..20 {
+        let chosen = balancer.choose(1, &ranked, &need(Spill::Mesh), &mut rng);
+        assert_eq!(chosen.expect("there are endpoints").node, node(2));
+    }
+}
+
 /// An endpoint has just started and nobody knows its times. One request finds out; the others of that
 /// moment are not sent after it.
 #[test]
