Make room for a new connection to the backend server before refusing for want of one

What callers saw: with as many connections as slots, payments were refused with 503 "the service is full" while a slot was free. Cause: a connection that has rested for too long to be used for a payment still counts until its task has closed it. On a machine that stalls for 100 ms all idle ones are such. Change: where there is no room the idle connections are closed, and the request waits for that for 50 ms at most. Test: an_idle_connection_makes_room_for_a_request_that_may_not_use_it (failed before with "full").

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -4,6 +4,7 @@
 //! been read to the end, so a late answer can never meet another request.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::sync::Notify;
 
 use super::answer::{Failure, Reason};
 use super::body::{self, Body, BoxError, Guarded};
@@ -27,6 +29,9 @@
 /// Bytes of one answer that are read ahead of a slow reader; also bounds the answer's head.
 const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 
+/// Longest wait for a connection that is being closed.
+const CLOSING_MAX: Duration = Duration::from_millis(50);
+
 /// Longest rest after which a connection is used again for a request that may not run twice. A backend server, or
 /// what lies before it, may have forgotten it by then, and a request that meets a reset may have run.
 const REST_MAX: Duration = Duration::from_millis(100);
@@ -50,15 +55,21 @@
     idle: Arc<Mutex<Vec<Resting>>>,
     open: Arc<AtomicU32>,
     most: Arc<AtomicU32>,
+    /// Told when a connection has been closed.
+    closed: Arc<Notify>,
     without: Without,
 }
 
 /// Counts one open connection until it is closed.
-struct Open(Arc<AtomicU32>);
+struct Open {
+    open: Arc<AtomicU32>,
+    closed: Arc<Notify>,
+}
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.open.fetch_sub(1, Ordering::AcqRel);
+        self.closed.notify_waiters();
     }
 }
 
@@ -99,9 +110,8 @@
                 }
             }
         }
-        // Slots are never more than connections, so this refuses only while connections of
-        // requests that were given up a moment ago are still being closed.
-        let open = self.open().ok_or(Failure::not_run(Reason::Full))?;
+        let open = self.room().await;
+        let open = open.ok_or(Failure::not_run(Reason::Full))?;
         let sender = connect(address, open).await.map_err(|error| {
             log::debug!(backend:% = address, error:%; "backend server not reached");
             Failure::not_run(Reason::Unreachable)
@@ -117,6 +127,26 @@
         idle.clear();
     }
 
+    /// Room for one more connection. Slots are never more than connections, so what is in the way are idle ones, or
+    /// those of requests that were given up a moment ago.
+    async fn room(&self) -> Option<Open> {
+        if let Some(open) = self.open() {
+            return Some(open);
+        }
+        self.forget_idle();
+        let room = async {
+            loop {
+                let mut closed = pin!(self.closed.notified());
+                closed.as_mut().enable();
+                if let Some(open) = self.open() {
+                    return open;
+                }
+                closed.await;
+            }
+        };
+        tokio::time::timeout(CLOSING_MAX, room).await.ok()
+    }
+
     fn open(&self) -> Option<Open> {
         // One that is not known to take requests yet may be asked whether it does.
         let most = self.most.load(Ordering::Acquire).max(1);
@@ -124,7 +154,10 @@
         let counted = self
             .open
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, one_more);
-        counted.ok().map(|_| Open(Arc::clone(&self.open)))
+        counted.ok().map(|_| Open {
+            open: Arc::clone(&self.open),
+            closed: Arc::clone(&self.closed),
+        })
     }
 
     async fn exchange(
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -201,3 +201,20 @@
     });
     result.expect("no sequence of steps mixes answers");
 }
+
+/// Guards against a payment that is refused because an idle connection takes the last place.
+#[tokio::test]
+async fn an_idle_connection_makes_room_for_a_request_that_may_not_use_it() {
+    let run = Run::start().await;
+    run.pool.set_connections_max(1);
+    let address = run.backends[0].address;
+    let send = async |id, idempotent| {
+        let request = request("/archive?answer_bytes=10", id);
+        let sent = run.pool.send(address, request, idempotent).await;
+        let body = sent.expect("there is room").into_body();
+        body.collect().await.expect("a whole answer");
+    };
+    send("look-up", true).await;
+    tokio::time::sleep(REST_MAX).await;
+    send("payment", false).await;
+}
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -71,24 +71,6 @@
     assert_eq!(order, [4, 3, 1, 2]);
 }
 
-/// Guards against a backend server that was slow for a moment and is never tried again.
-#[test]
-fn times_of_other_work_are_told_while_they_are_news() {
-    let (archive, prices) = (ResourceName::new("archive"), ResourceName::new("prices"));
-    let mut admission = admission(1, 1);
-    admission.admit(0, &Ask::new(Class::Interactive, LATE), || 0);
-    let released = Released {
-        class: Class::Interactive,
-        resource: &archive,
-        held_us: SECOND,
-        answered: true,
-    };
-    admission.release(SECOND, &released);
-    assert_eq!(admission.other_held(SECOND, &prices), [(&archive, SECOND)]);
-    assert_eq!(admission.other_held(SECOND, &archive), []);
-    assert_eq!(admission.other_held(3 * SECOND, &prices), []);
-}
-
 /// Calls come faster than the slots turn over. Callers' requests to the called service still have every
 /// sixteenth turn.
 #[test]
--- a/tests/testsuite/decide_held.rs
+++ b/tests/testsuite/decide_held.rs
@@ -1,8 +1,12 @@
 //! How long requests hold a slot, by what they ask for.
 
+use dragonflywall::core::configuration::Class;
 use dragonflywall::core::names::ResourceName;
+use dragonflywall::decide::admission::{Admission, Ask, Limits, Released};
 use dragonflywall::decide::held::HeldTimes;
 
+const SECOND: u64 = 1_000_000;
+
 fn name(name: &str) -> ResourceName {
     ResourceName::new(name)
 }
@@ -51,3 +55,25 @@
     }
     assert!(held.of_resource(&name("read")) > 200_000);
 }
+
+/// Guards against a backend server that was slow for a moment and is never tried again.
+#[test]
+fn times_of_other_work_are_told_while_they_are_news() {
+    let (archive, prices) = (ResourceName::new("archive"), ResourceName::new("prices"));
+    let mut admission: Admission<()> = Admission::default();
+    admission.set_limits(Limits {
+        slots: 1,
+        queue_len: 1,
+    });
+    admission.admit(0, &Ask::new(Class::Interactive, 10 * SECOND), || ());
+    let released = Released {
+        class: Class::Interactive,
+        resource: &archive,
+        held_us: SECOND,
+        answered: true,
+    };
+    admission.release(SECOND, &released);
+    assert_eq!(admission.other_held(SECOND, &prices), [(&archive, SECOND)]);
+    assert_eq!(admission.other_held(SECOND, &archive), []);
+    assert_eq!(admission.other_held(3 * SECOND, &prices), []);
+}
