Let the stand-in's backend server be dead when kill returns

Trace: the gate reached the killed backend server after 5 ms and lost the connection. kill only asked its task to end, which on a busy machine had not run yet, so the system still accepted the connection; the mesh's answer was the true one. kill now waits until nobody can connect. No check is changed.

Two more tests failed in a run beside 60 runnable processes on 8 cores, payments_survive_kills and a_route_that_is_removed_cuts_no_payment. Their logs show nodes that got no processor for 7.1 s and a payment of 2 s that took 12.3 s, past its deadline of 10 s: the machine was overrun. Run once by themselves right after it, the four tests of the ledger passed.

--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::http::{Body, Connections, Reply, answer, request, serve_counted};
 
@@ -90,11 +91,12 @@
     pub address: SocketAddr,
     shared: Arc<Shared>,
     stop: CancellationToken,
+    serving: TaskTracker,
 }
 
 impl Drop for Backend {
     fn drop(&mut self) {
-        self.kill();
+        self.stop.cancel();
     }
 }
 
@@ -122,17 +124,21 @@
             let shared = Arc::clone(&handler);
             async move { Some(shared.handle(request).await) }
         };
-        tokio::spawn(serve_counted(listener, stop.clone(), connections, handle));
+        let serving = TaskTracker::new();
+        serving.spawn(serve_counted(listener, stop.clone(), connections, handle));
+        serving.close();
         Ok(Self {
             address,
             shared,
             stop,
+            serving,
         })
     }
 
-    /// Drops every connection and stops listening, as a crash would.
-    pub fn kill(&self) {
+    /// Drops every connection and stops listening, as a crash would. Nobody can connect any more when it returns.
+    pub async fn kill(&self) {
         self.stop.cancel();
+        self.serving.wait().await;
     }
 
     /// Changes the behaviour from now on.
--- a/tests/testsuite/ledger.rs
+++ b/tests/testsuite/ledger.rs
@@ -165,7 +165,7 @@
         mesh.start_node(position).await.expect("it starts again");
         callers.pass(100).await;
     }
-    mesh.vms[vms_of(&mesh, "cobros")[1]].backend.kill();
+    mesh.vms[vms_of(&mesh, "cobros")[1]].backend.kill().await;
     callers.pass(300).await;
     check(&mesh, &callers.end().await);
 }
--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -60,7 +60,7 @@
     let path = "/payments/1?work_ms=8000";
     let asked = tokio::spawn(ask(entry, Method::POST, "cobros", path, "pay-1"));
     let position = wait_running(&mesh, "cobros", "pay-1").await;
-    mesh.vms[position].backend.kill();
+    mesh.vms[position].backend.kill().await;
     let reply = asked.await.expect("no panic").expect("the node answers");
     assert_eq!(reply.status, 502);
     assert_eq!(reply.header(VERDICT), "may-have-run");
@@ -86,7 +86,7 @@
             assert_eq!(drained.expect("the node answers").status, 200);
         }
     }
-    mesh.vms[ran_at].backend.kill();
+    mesh.vms[ran_at].backend.kill().await;
     let reply = asked.await.expect("no panic").expect("the node answers");
     assert!(reply.status.is_server_error(), "{reply:?}");
     assert_eq!(reply.header(VERDICT), "may-have-run", "{reply:?}");
@@ -99,7 +99,7 @@
 async fn a_payment_that_reaches_nobody_is_proved_not_run() {
     let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
     for position in vms_of(&mesh, "cobros") {
-        mesh.vms[position].backend.kill();
+        mesh.vms[position].backend.kill().await;
     }
     let entry = entry(&mesh, "cobros");
     let reply = ask(entry, Method::POST, "cobros", "/payments/3", "pay-3").await;
