Let the payment of the drain test outlast the start of the command on a busy machine

Trace: the payment took 500 ms, and the command's process had started after that. The payment takes four seconds now; what the command has to say and that the payment is answered whole are unchanged.

--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -237,14 +237,14 @@
     assert!(complete(serde_json::json!({ "2": 1, "3": 1 })));
 }
 
-/// An operator drains a VM that runs a payment of half a second, and waits. When the command ends
+/// An operator drains a VM that runs a payment of four seconds, and waits. When the command ends
 /// with 0, the payment has been answered whole, so stopping the backend server cuts nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_of_a_node_ends_after_its_last_request() {
     let mesh = start_chatarras(small(&["tablon", "cobros"], 1)).await;
     let entry = mesh.vms.iter().find(|vm| vm.service == "tablon");
     let entry = entry.expect("tablon is deployed").node().addresses.caller;
-    let path = "/payments?work_ms=500";
+    let path = "/payments?work_ms=4000";
     let payment = tokio::spawn(ask(entry, Method::POST, "cobros", path, "payment-1"));
     let position = wait_running(&mesh, "cobros", "payment-1").await;
     let node = mesh.vms[position].node().addresses.operator.to_string();
