--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -271,11 +271,8 @@
     }
 }
 
-/// A backend server forgets connections that have been idle for a while, without a word, and resets them
-/// when something is sent on them. Nobody can tell then whether a booking has run, so none may be sent
-/// on such a connection.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_forgotten_idle_connection_costs_no_booking() {
+/// Asks again and again, each time after the backend server has forgotten its idle connections.
+async fn ask_on_forgotten_connections(asked: for<'a> fn(&'a str) -> Asked<'a>) {
     let mut plan = small();
     plan.behaviour = Behaviour {
         forgets_idle: Some(Duration::from_millis(200)),
@@ -284,27 +281,24 @@
     let mesh = start_users_serving(plan).await;
     for number in 0..8 {
         let id = format!("idle-{number}");
-        let reply = ask(&mesh, &Asked::post("/book/1", &id)).await;
+        let reply = ask(&mesh, &asked(&id)).await;
         assert_own_answer(&reply, &id, 64);
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
 }
 
+/// A backend server forgets connections that have been idle for a while, without a word, and resets them
+/// when something is sent on them. Nobody can tell then whether a booking has run, so none may be sent
+/// on such a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_idle_connection_costs_no_booking() {
+    ask_on_forgotten_connections(|id| Asked::post("/book/1", id)).await;
+}
+
 /// Guards against reads that fail on a connection which the backend server has forgotten.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_forgotten_idle_connection_costs_no_read() {
-    let mut plan = small();
-    plan.behaviour = Behaviour {
-        forgets_idle: Some(Duration::from_millis(200)),
-        ..Behaviour::default()
-    };
-    let mesh = start_users_serving(plan).await;
-    for number in 0..8 {
-        let id = format!("idle-{number}");
-        let reply = ask(&mesh, &Asked::get("/stock/1", &id)).await;
-        assert_own_answer(&reply, &id, 64);
-        tokio::time::sleep(Duration::from_millis(250)).await;
-    }
+    ask_on_forgotten_connections(|id| Asked::get("/stock/1", id)).await;
 }
 
 /// Guards against a new connection to the backend server for each read of a quiet time.
