Log which answers ended a refresh after a freeze

The line at the end of a refresh did not tell whether the store or peers had completed it, nor the head that the node took for the newest. Without that, an old answer of the store and answers of peers look the same in the log.

--- a/src/node/configuration/peers.rs
+++ b/src/node/configuration/peers.rs
@@ -92,9 +92,16 @@
         let has_quorum = refresh.store_read || refresh.peers.len() >= REFRESH_QUORUM;
         let caught_up = self.holder.stamp().version >= self.fetcher.head().version;
         if (has_quorum && caught_up) || now_ms >= refresh.deadline_ms {
+            log::info!(
+                caught_up,
+                store_read = refresh.store_read,
+                peers = refresh.peers.len(),
+                head = self.fetcher.head().version.0,
+                enforced = self.holder.stamp().version.0;
+                "refresh after a freeze has ended; admitting requests"
+            );
             self.refresh = None;
             self.node.proxy.refreshing.store(false, Ordering::Release);
-            log::info!(caught_up; "refresh after a freeze has ended; admitting requests");
         }
     }
 }
