Refresh after a freeze: count only answers to requests sent since then

Cause: a node that resumes refuses requests until the store or two peers have told it what is in force. Any successful read of the head counted, also one that had started before the freeze and whose answer had been waiting in the socket. It names the version of that time, which the node enforces, so the refresh ended at once.

Evidence: with the answer to a head read held back on the link across a SIGSTOP, the log of the node says 0.8 ms after the freeze was detected: refresh has ended, head 1, enforced 1, peers 0, store_read true; the next request got 200 under version 1. Excluded: peers that are behind (none had answered), the limit of two seconds.

Change: each freeze begins an epoch. Head reads, reads of the feed and floor queries carry the epoch in which they started, and only those of the refresh's own epoch complete it. A stale read sets neither the store's latency nor its availability, and a refresh that was in progress at a second freeze no longer admits requests after it. Ticks are compared by the boot clock, also before the first one after a freeze, since the monotonic clock stands still while a VM is suspended.

--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -150,6 +150,14 @@
             .send_modify(|generation| *generation += 1);
     }
 
+    /// Cuts or restores the link from one site to another, but not the link in the other direction. What is sent
+    /// meanwhile arrives once the link is restored.
+    pub fn set_cut_one_way(&self, cut: bool, from: Site, to: Site) {
+        lock(&self.policies).entry((from, to)).or_default().cut = cut;
+        self.policy_changes
+            .send_modify(|generation| *generation += 1);
+    }
+
     /// Returns whether both sites are in the same region.
     pub fn same_region(&self, a: Site, b: Site) -> bool {
         self.region_of.get(usize::from(a)) == self.region_of.get(usize::from(b))
--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -15,6 +15,7 @@
 pub mod holder;
 pub mod lead_choice;
 pub mod offer;
+pub mod refresh;
 
 pub use budget::ApplyBudget;
 pub use fetch::{Fetch, Fetcher, Source};
@@ -22,3 +23,4 @@
 pub use floor::Floor;
 pub use holder::{CompiledConfiguration, Content, DeltaStep, Holder};
 pub use offer::Offer;
+pub use refresh::Refresh;
--- /dev/null
+++ b/src/distribution/refresh.rs
@@ -0,0 +1,70 @@
+//! Refresh of the configuration after a freeze of the process, during which the node refuses
+//! requests.
+
+use std::collections::BTreeSet;
+
+use crate::core::member::NodeId;
+use crate::decide::freeze::Epoch;
+
+/// Longest time for which a node refuses requests after a freeze. Peers answer within milliseconds; a
+/// node that reaches no peer serves the version that it has after this time.
+const REFRESH_TIMEOUT_MS: u64 = 2_000;
+
+/// Number of peers whose answers complete a refresh if the store itself was not read.
+const REFRESH_QUORUM: usize = 2;
+
+/// Whether the answers received since a freeze show which version is enforced now. Only answers to
+/// requests of the refresh's own epoch count: earlier ones may have been sent before the freeze.
+#[derive(Clone, Debug)]
+pub struct Refresh {
+    epoch: Epoch,
+    deadline_ms: u64,
+    peers: BTreeSet<NodeId>,
+    store_read: bool,
+}
+
+impl Refresh {
+    /// Starts the refresh after the freeze that began `epoch`.
+    pub fn new(now_ms: u64, epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            deadline_ms: now_ms + REFRESH_TIMEOUT_MS,
+            peers: BTreeSet::new(),
+            store_read: false,
+        }
+    }
+
+    /// The epoch that began with the freeze.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Whether the store was read.
+    pub fn store_read(&self) -> bool {
+        self.store_read
+    }
+
+    /// Number of peers that have answered.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Records that the store answered a read that started in the epoch `asked_in`.
+    pub fn record_store_read(&mut self, asked_in: Epoch) {
+        self.store_read |= asked_in == self.epoch;
+    }
+
+    /// Records the answer of a peer to a query that was sent in the epoch `asked_in`.
+    pub fn record_peer_answer(&mut self, peer: NodeId, asked_in: Epoch) {
+        if asked_in == self.epoch {
+            self.peers.insert(peer);
+        }
+    }
+
+    /// Whether the node may admit requests again. `caught_up` says whether it enforces the newest
+    /// version that it knows.
+    pub fn has_ended(&self, now_ms: u64, caught_up: bool) -> bool {
+        let has_quorum = self.store_read || self.peers.len() >= REFRESH_QUORUM;
+        (has_quorum && caught_up) || now_ms >= self.deadline_ms
+    }
+}
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -19,13 +19,14 @@
 use tokio::sync::Notify;
 
 use self::head::FIRST_HEAD_POLL_SPREAD_MS;
-use self::peers::Refresh;
 use crate::core::configuration::Configuration;
 use crate::core::version::{Stamp, Version};
+use crate::decide::freeze::Epoch;
 use crate::distribution::fetch::Peer;
-use crate::distribution::{Fetch, Fetcher, Floor, Holder, Offer, floor};
+use crate::distribution::{Fetch, Fetcher, Floor, Holder, Offer, Refresh, floor};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
+use crate::peer::client::FloorAnswer;
 use crate::store::http::HttpStore;
 use crate::util::clock;
 
@@ -80,6 +81,8 @@
     HeadRead {
         head: Option<Stamp>,
         took_ms: u64,
+        /// The epoch in which the read started.
+        asked_in: Epoch,
     },
     /// A read of the configuration feed has succeeded. `configuration` is none if there is no new version.
     StoreRead {
@@ -87,6 +90,8 @@
         /// Time from the last successful read to the start of this one. A version that only this read returns was
         /// accepted after the last one.
         last_read_age_ms: u64,
+        /// The epoch in which the read started.
+        asked_in: Epoch,
     },
     /// A read of the configuration feed has failed.
     StoreReadFailed,
@@ -95,12 +100,12 @@
         offer: Offer,
         base_version: Version,
     },
-    /// A peer has answered a floor query. `reported` is the highest version that the peer has on record for this
-    /// node, also from before a restart; `enforced` is the version that the peer enforces.
+    /// A peer has answered a floor query.
     FloorAnswered {
         peer: Peer,
-        reported: Version,
-        enforced: Stamp,
+        answer: FloorAnswer,
+        /// The epoch in which the query was sent.
+        asked_in: Epoch,
     },
     /// The process was frozen and must refresh its configuration before it admits requests.
     Refresh,
@@ -217,13 +222,19 @@
             } => {
                 state.handle_fetched(now_ms, &fetch, base_version, offer);
             }
-            ConfigurationMsg::HeadRead { head, took_ms } => {
-                state.handle_head_read(now_ms, head, took_ms)
-            }
+            ConfigurationMsg::HeadRead {
+                head,
+                took_ms,
+                asked_in,
+            } => state.handle_head_read(now_ms, head, took_ms, asked_in),
             ConfigurationMsg::StoreRead {
                 configuration,
                 last_read_age_ms,
-            } => state.handle_store_read(now_ms, configuration, last_read_age_ms),
+                asked_in,
+            } => {
+                state.record_refresh_read(asked_in);
+                state.handle_store_read(now_ms, configuration, last_read_age_ms);
+            }
             ConfigurationMsg::StoreReadFailed => state.record_store_read(false),
             ConfigurationMsg::LeadOffer {
                 offer,
@@ -231,9 +242,9 @@
             } => state.handle_lead_offer(now_ms, &offer, base_version),
             ConfigurationMsg::FloorAnswered {
                 peer,
-                reported,
-                enforced,
-            } => state.handle_floor_answer(now_ms, peer, reported, enforced),
+                answer,
+                asked_in,
+            } => state.handle_floor_answer(now_ms, peer, &answer, asked_in),
             ConfigurationMsg::Refresh => state.begin_refresh(&myself, now_ms),
             ConfigurationMsg::SetRole(role) => state.set_role(now_ms, role),
             ConfigurationMsg::GetOffer(base_version, reply) => {
@@ -295,6 +306,13 @@
         }
     }
 
+    /// Records that the store answered a read that started in the epoch `asked_in`.
+    fn record_refresh_read(&mut self, asked_in: Epoch) {
+        if let Some(refresh) = &mut self.refresh {
+            refresh.record_store_read(asked_in);
+        }
+    }
+
     /// Logs the start and the end of an outage of the platform, but not each failed read.
     fn record_store_read(&mut self, store_answered: bool) {
         match (self.store_available, store_answered) {
--- a/src/node/configuration/head.rs
+++ b/src/node/configuration/head.rs
@@ -5,6 +5,7 @@
 
 use super::{ConfigurationMsg, ConfigurationOrigin, State};
 use crate::core::version::Stamp;
+use crate::decide::freeze::Epoch;
 use crate::node::membership::MembershipMsg;
 use crate::node::store;
 
@@ -64,21 +65,36 @@
         }
         let http_store = store.clone();
         let myself = myself.clone();
+        let asked_in = self.node.proxy.freezes.epoch();
         tokio::spawn(async move {
             let (head, took_ms) = store::read_head(&http_store).await;
-            let _ = myself.cast(ConfigurationMsg::HeadRead { head, took_ms });
+            let _ = myself.cast(ConfigurationMsg::HeadRead {
+                head,
+                took_ms,
+                asked_in,
+            });
         });
     }
 
-    pub(super) fn handle_head_read(&mut self, now_ms: u64, head: Option<Stamp>, took_ms: u64) {
-        self.reading_head = false;
-        self.record_store_read(head.is_some());
+    pub(super) fn handle_head_read(
+        &mut self,
+        now_ms: u64,
+        head: Option<Stamp>,
+        took_ms: u64,
+        asked_in: Epoch,
+    ) {
+        // After a freeze another read is in progress, and neither the time nor the failure of an earlier one
+        // tells anything about the store.
+        if self.node.proxy.is_current(asked_in) {
+            self.reading_head = false;
+            self.record_store_read(head.is_some());
+            if head.is_some() {
+                self.fetcher.record_store_latency(took_ms);
+            }
+        }
         let Some(head) = head else { return };
-        self.fetcher.record_store_latency(took_ms);
+        self.record_refresh_read(asked_in);
         self.floor.record_head(head.version);
-        if let Some(refresh) = &mut self.refresh {
-            refresh.store_read = true;
-        }
         self.handle_announced(now_ms, head, None);
         self.send_to_membership(MembershipMsg::SetHead(head));
     }
--- a/src/node/configuration/versions.rs
+++ b/src/node/configuration/versions.rs
@@ -22,9 +22,6 @@
         last_read_age_ms: u64,
     ) {
         self.record_store_read(true);
-        if let Some(refresh) = &mut self.refresh {
-            refresh.store_read = true;
-        }
         let Some(configuration) = configuration else {
             return;
         };
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -22,6 +22,7 @@
 use super::state::NodeState;
 use crate::core::mechanism::Mechanism;
 use crate::decide::backoff::jittered_ms;
+use crate::decide::freeze::Epoch;
 use crate::distribution::fetch::Peer;
 use crate::distribution::lead_choice::{LeadChoice, Leads, NextRead, StoreFailure};
 use crate::store::{Error, Feed, FeedPosition, FeedUpdate};
@@ -172,6 +173,7 @@
     }
 
     async fn read_store(&mut self) {
+        let asked_in = self.node.proxy.freezes.epoch();
         let last_read_age_ms = self.node.proxy.store_age_ms().unwrap_or(0);
         let budget = self.node.budget();
         let answer_timeout =
@@ -197,7 +199,7 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
-                self.handle_store_answer(answer, last_read_age_ms);
+                self.handle_store_answer(answer, last_read_age_ms, asked_in);
             }
             Err(Error::HistoryGone) => {
                 log::info!(
@@ -209,13 +211,14 @@
         }
     }
 
-    fn handle_store_answer(&mut self, answer: FeedUpdate, last_read_age_ms: u64) {
+    fn handle_store_answer(&mut self, answer: FeedUpdate, last_read_age_ms: u64, asked_in: Epoch) {
         self.lead_choice.store_answered();
         self.position = Some((answer.position, Instant::now()));
         self.node.proxy.record_store_read(0);
         self.send(ConfigurationMsg::StoreRead {
             configuration: answer.configuration.map(Box::new),
             last_read_age_ms,
+            asked_in,
         });
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -40,6 +40,15 @@
     pub(crate) state: LeadState,
 }
 
+/// A peer's answer to a floor query.
+#[derive(Clone, Copy, Debug)]
+pub struct FloorAnswer {
+    /// Highest version that the peer has on record for the node, also from before a restart of it.
+    pub reported: Version,
+    /// Stamp that the peer itself enforces.
+    pub enforced: Stamp,
+}
+
 /// Why a call to a peer failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -206,7 +215,7 @@
 
     /// Requests the highest version that the peer has on record for `node`, and the stamp that the
     /// peer itself enforces.
-    pub async fn floor(&mut self, node: NodeId) -> Result<(Version, Stamp)> {
+    pub async fn floor(&mut self, node: NodeId) -> Result<FloorAnswer> {
         let request = wire::FloorRequest {
             node: node.to_string(),
         };
@@ -220,7 +229,10 @@
         let answer = answer.get_ref();
         let enforced = convert::stamp_from_wire(answer.enforced.as_ref());
         let enforced = enforced.map_err(|error| self.protocol_error(&error))?;
-        Ok((Version(answer.reported_version), enforced))
+        Ok(FloorAnswer {
+            reported: Version(answer.reported_version),
+            enforced,
+        })
     }
 
     fn protocol_error(&self, error: &convert::Error) -> Error {
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -1,7 +1,7 @@
 //! State that the requests of a node share, and that the node's actors update.
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
@@ -26,6 +26,7 @@
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::decide::admission::{Admission, Limits};
+use crate::decide::freeze::{Epoch, FreezeDetector};
 use crate::decide::load_balancing::{Balancer, LoadReport};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::decide::uploads::{UploadLimits, UploadQueue};
@@ -33,10 +34,6 @@
 use crate::node::settings::{ReloadableSettings, Settings};
 use crate::util::clock;
 
-/// Time between two ticks of the node's freeze detection from which the process counts as having
-/// been frozen.
-pub(crate) const FREEZE_GAP_MS: u64 = 3_000;
-
 /// Shared by all requests of the node. The node's actors store the enforced configuration and the
 /// membership here.
 #[derive(Debug)]
@@ -47,6 +44,8 @@
     pub(crate) header_profile: &'static HeaderProfile,
     pub(crate) local_id: NodeId,
     pub(crate) started: Instant,
+    /// [`clock::boot_us`] at `started`.
+    started_boot_us: u64,
     pub(crate) enforced: ArcSwapOption<CompiledConfiguration>,
     pub(crate) view: ArcSwap<MembershipView>,
     /// Load and failures of endpoints, as this node has observed them as an entry node.
@@ -71,10 +70,8 @@
     /// Limits the rate of log lines about requests.
     pub(crate) log_limiter: LogLimiter,
     pub(crate) peers: PeerConnections,
-    /// Set when the process was frozen, until it has refreshed its configuration.
-    pub(crate) refreshing: AtomicBool,
-    /// Time of the last tick, in milliseconds since `started`.
-    pub(crate) last_tick_ms: AtomicU64,
+    /// Detects freezes of the process. Its times are those of [`Self::uptime_ms`].
+    pub(crate) freezes: FreezeDetector,
     /// Time of the last read of the newest version from the store, by this node or by the node that
     /// it follows. In milliseconds since `started`; 0 if there was none.
     store_read_ms: AtomicU64,
@@ -131,6 +128,7 @@
             peers: PeerConnections::new(settings.dial_options()),
             local_id,
             started: Instant::now(),
+            started_boot_us: clock::boot_us(),
             enforced: ArcSwapOption::empty(),
             view: ArcSwap::default(),
             balancer: Mutex::new(Balancer::new(mechanisms)),
@@ -141,8 +139,7 @@
             pool: BackendPool::new(mechanisms),
             running_requests: RunningRequests::default(),
             log_limiter: LogLimiter::default(),
-            refreshing: AtomicBool::new(false),
-            last_tick_ms: AtomicU64::new(0),
+            freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             gate_requests: TaskTracker::new(),
@@ -155,9 +152,9 @@
         self.settings.disabled_mechanisms
     }
 
-    /// Milliseconds since the process started.
+    /// Milliseconds since the process started, including time in which the VM was suspended.
     pub(crate) fn uptime_ms(&self) -> u64 {
-        clock::since_ms(self.started)
+        clock::boot_us().saturating_sub(self.started_boot_us) / 1_000
     }
 
     /// Records that the newest version was read from the store `age_ms` milliseconds ago.
@@ -176,10 +173,12 @@
 
     /// Whether the process has run without a freeze since it last refreshed its configuration.
     pub(crate) fn is_fresh(&self) -> bool {
-        let since_tick_ms = self
-            .uptime_ms()
-            .saturating_sub(self.last_tick_ms.load(Ordering::Acquire));
-        since_tick_ms < FREEZE_GAP_MS && !self.refreshing.load(Ordering::Acquire)
+        self.freezes.is_refreshed(self.uptime_ms())
+    }
+
+    /// Whether the process has run without a freeze since `epoch` was read.
+    pub(crate) fn is_current(&self, epoch: Epoch) -> bool {
+        self.freezes.is_current(self.uptime_ms(), epoch)
     }
 
     pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -8,9 +8,10 @@
 use dragonflywall::core::member::{Distance, NodeId};
 use dragonflywall::core::names::TeamName;
 use dragonflywall::core::version::{Digest, Stamp, Version};
+use dragonflywall::decide::freeze::{FREEZE_GAP_MS, FreezeDetector};
 use dragonflywall::distribution::fetch::Peer;
 use dragonflywall::distribution::floor::VersionSource;
-use dragonflywall::distribution::{Content, Fetch, Fetcher, Floor, Holder, Source};
+use dragonflywall::distribution::{Content, Fetch, Fetcher, Floor, Holder, Refresh, Source};
 
 use crate::spread_network::stamp;
 
@@ -380,3 +381,47 @@
         .expect("the held version is newer");
     assert_eq!(reached.version, Version(3));
 }
+
+/// Guards against a refresh after a freeze that ends by answers to requests from before it.
+#[test]
+fn refresh_counts_only_answers_to_requests_after_the_freeze() {
+    let freezes = FreezeDetector::default();
+    let before = freezes.epoch();
+    assert!(freezes.tick(FREEZE_GAP_MS).is_some());
+    let mut refresh = Refresh::new(0, freezes.epoch());
+    refresh.record_store_read(before);
+    for number in 2..6 {
+        refresh.record_peer_answer(node(number), before);
+    }
+    assert!(!refresh.has_ended(0, true));
+    refresh.record_peer_answer(node(2), freezes.epoch());
+    refresh.record_peer_answer(node(2), freezes.epoch());
+    assert!(!refresh.has_ended(0, true));
+    refresh.record_peer_answer(node(3), freezes.epoch());
+    assert!(refresh.has_ended(0, true));
+    assert!(!refresh.has_ended(0, false));
+    let mut refresh = Refresh::new(0, freezes.epoch());
+    refresh.record_store_read(freezes.epoch());
+    assert!(refresh.has_ended(0, true));
+}
+
+/// Guards against requests that are admitted after a second freeze because the refresh after the first
+/// one ends, or before the first tick after a freeze.
+#[test]
+fn refresh_of_an_earlier_freeze_does_not_end_a_later_one() {
+    let freezes = FreezeDetector::default();
+    assert!(freezes.tick(250).is_none());
+    assert!(freezes.is_refreshed(250 + FREEZE_GAP_MS - 1));
+    let start = freezes.epoch();
+    assert!(!freezes.is_refreshed(250 + FREEZE_GAP_MS));
+    assert!(!freezes.is_current(250 + FREEZE_GAP_MS, start));
+    assert!(freezes.tick(4_000).is_some());
+    let first = freezes.epoch();
+    assert!(freezes.tick(8_000).is_some());
+    freezes.record_refreshed(first);
+    assert!(!freezes.is_refreshed(8_000));
+    freezes.record_refreshed(freezes.epoch());
+    assert!(freezes.is_refreshed(8_000));
+    assert!(freezes.is_current(8_000, freezes.epoch()));
+    assert!(!freezes.is_current(8_000, first));
+}
--- a/tests/testsuite/spread_failures.rs
+++ b/tests/testsuite/spread_failures.rs
@@ -6,12 +6,13 @@
 use http::Method;
 use testkit::http::{request, wait_until};
 use testkit::mesh::Mesh;
+use testkit::network::OPERATOR_SITE;
 use testkit::platform::Faults;
 use testkit::process::Signal;
 
 use crate::support::{
-    REASON_HEADER, VERDICT_HEADER, WAIT_TIMEOUT, repository_file, run_program, send_request,
-    small_deployment,
+    REASON_HEADER, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, repository_file, run_program,
+    send_request, small_deployment,
 };
 use crate::support::{start_chatarras, vms_of};
 
@@ -196,6 +197,84 @@
     mesh.wait_joined().await;
 }
 
+/// Sends requests to a frozen node, resumes it, and sends further requests until one is served. Each must be
+/// refused as retryable or served under version 3.
+async fn resume_with_queued_requests(mesh: &Mesh, frozen: usize) {
+    let node = mesh.vms[frozen].node();
+    let caller = node.addresses.caller;
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..20 {
+        callers.spawn(async move {
+            let id = format!("queued-{number}");
+            send_request(caller, Method::GET, "tablon", "/prices/copper", &id).await
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    node.signal(Signal::Continue);
+    let mut replies = callers.join_all().await;
+    loop {
+        for reply in replies {
+            let reply = reply.expect("the node answers");
+            if reply.status == 200 {
+                assert_eq!(reply.header("x-dragonflywall-version"), "3", "{reply:?}");
+                return;
+            }
+            assert_eq!(reply.status, 503, "{reply:?}");
+            assert_eq!(reply.header(VERDICT_HEADER), "not-run");
+            assert_eq!(reply.header(REASON_HEADER), "refreshing");
+        }
+        let id = "after-the-freeze";
+        replies = vec![send_request(caller, Method::GET, "tablon", "/prices/copper", id).await];
+    }
+}
+
+/// Longer than the gap from which a process counts as frozen.
+const FREEZE: Duration = Duration::from_millis(3_500);
+
+/// Guards against a store answer from before a freeze that ends the refresh after it. The answer to a
+/// read of the head is held back on the link until the node is frozen and two versions are published.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_answer_from_before_a_freeze_does_not_end_the_refresh() {
+    let mesh = small_mesh().await;
+    let site = 1;
+    let frozen = (0..mesh.vms.len()).find(|position| mesh.vms[*position].site == site);
+    let frozen = frozen.expect("the site has nodes");
+    let node = mesh.vms[frozen].node();
+    // The refresh after a first freeze reads the head.
+    node.signal(Signal::Stop);
+    tokio::time::sleep(FREEZE).await;
+    mesh.network.set_cut_one_way(true, OPERATOR_SITE, site);
+    let reads_before = mesh.platform.counts().reads;
+    node.signal(Signal::Continue);
+    wait_until("the refresh has begun", WAIT_TIMEOUT, || async {
+        let metrics = fetch_metrics(node.addresses.operator).await;
+        metrics.contains("dragonflywall_freezes_total 1")
+    })
+    .await;
+    wait_until("the store has answered a read", WAIT_TIMEOUT, || async {
+        mesh.platform.counts().reads > reads_before
+    })
+    .await;
+    wait_until("the node is ready", WAIT_TIMEOUT, || ready(&mesh, frozen)).await;
+    node.signal(Signal::Stop);
+    mesh.network.set_cut_one_way(false, OPERATOR_SITE, site);
+    assert!(publish_change(&mesh, 31).await);
+    assert!(publish_change(&mesh, 32).await);
+    for position in (0..mesh.vms.len()).filter(|position| *position != frozen) {
+        wait_until("the others enforce the version", WAIT_TIMEOUT, || async {
+            mesh.version_at(position).await == 3
+        })
+        .await;
+    }
+    tokio::time::sleep(FREEZE).await;
+    resume_with_queued_requests(&mesh, frozen).await;
+    wait_until("the node is ready again", WAIT_TIMEOUT, || {
+        ready(&mesh, frozen)
+    })
+    .await;
+    assert_eq!(mesh.version_at(frozen).await, 3);
+}
+
 /// Guards against a restart with an older version. A node enforced version 2 and died. The store is
 /// down, the only peer with a record of this is frozen, and the reachable nodes were partitioned
 /// off and still enforce version 1. The node must not serve under version 1; when the peer resumes,
