Do not count peers that were frozen too towards a refresh or a floor

What callers saw: all nodes of a data centre were paused, two versions were published, and milliseconds after the nodes had resumed they answered 200 under the version before both.

Cause: two peers complete the refresh after a freeze. The nearest ones had slept as well and enforced the same version, so they confirmed each other. Three of them could also settle the floor of a node that starts, below what its address had enforced.

Evidence: spread_failures::peers_that_were_frozen_too_do_not_end_a_refresh freezes the four nodes of a data centre, with 50 ms to the others.

Change: a node tells in its answer to a floor query whether it refreshes, by the age of its last tick also before it has detected the freeze. Such an answer raises the floor and announces its version, but completes nothing. Peers of the release before do not send the field and count as before.

--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -121,7 +121,7 @@
         if self.settled {
             return;
         }
-        self.version = self.version.max(reported).max(enforced);
+        self.raise(reported.max(enforced));
         let counts = match self.source {
             VersionSource::Acknowledged => {
                 distance == Distance::DataCentre || self.only_node_of_data_centre
@@ -133,6 +133,13 @@
         }
     }
 
+    /// Raises the floor to a version that was enforced elsewhere, without settling it.
+    pub fn raise(&mut self, version: Version) {
+        if !self.settled {
+            self.version = self.version.max(version);
+        }
+    }
+
     /// Whether the node may begin to enforce versions. Once settled, the floor stays so: from then
     /// on only greater versions are applied.
     pub fn is_settled(&mut self, now_ms: u64) -> bool {
--- a/src/distribution/refresh.rs
+++ b/src/distribution/refresh.rs
@@ -54,9 +54,10 @@
         self.store_read |= asked_in == self.epoch;
     }
 
-    /// Records the answer of a peer to a query that was sent in the epoch `asked_in`.
-    pub fn record_peer_answer(&mut self, peer: NodeId, asked_in: Epoch) {
-        if asked_in == self.epoch {
+    /// Records the answer of a peer to a query that was sent in the epoch `asked_in`. A peer that
+    /// itself refreshes after a freeze may be behind, so its answer does not count.
+    pub fn record_peer_answer(&mut self, peer: NodeId, asked_in: Epoch, peer_refreshes: bool) {
+        if asked_in == self.epoch && !peer_refreshes {
             self.peers.insert(peer);
         }
     }
--- a/src/node/configuration/peers.rs
+++ b/src/node/configuration/peers.rs
@@ -43,13 +43,20 @@
         asked_in: Epoch,
     ) {
         let enforced = answer.enforced;
-        self.floor
-            .record_answer(peer.node, peer.distance, answer.reported, enforced.version);
+        match answer.refreshing {
+            true => self.floor.raise(answer.reported.max(enforced.version)),
+            false => self.floor.record_answer(
+                peer.node,
+                peer.distance,
+                answer.reported,
+                enforced.version,
+            ),
+        }
         if enforced.version > Version::NONE {
             self.handle_announced(now_ms, enforced, Some(peer));
         }
         if let Some(refresh) = &mut self.refresh {
-            refresh.record_peer_answer(peer.node, asked_in);
+            refresh.record_peer_answer(peer.node, asked_in, answer.refreshing);
         }
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -47,6 +47,9 @@
     pub reported: Version,
     /// Stamp that the peer itself enforces.
     pub enforced: Stamp,
+    /// Whether the peer was frozen and has not refreshed its configuration yet, so that it may be
+    /// behind.
+    pub refreshing: bool,
 }
 
 /// Why a call to a peer failed.
@@ -232,6 +235,7 @@
         Ok(FloorAnswer {
             reported: Version(answer.reported_version),
             enforced,
+            refreshing: answer.refreshing,
         })
     }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -139,6 +139,7 @@
         Ok(Response::new(wire::FloorReply {
             reported_version: reported.0,
             enforced: Some(convert::stamp_to_wire(enforced)),
+            refreshing: !self.node.proxy.is_fresh(),
         }))
     }
 }
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -391,13 +391,13 @@
     let mut refresh = Refresh::new(0, freezes.epoch());
     refresh.record_store_read(before);
     for number in 2..6 {
-        refresh.record_peer_answer(node(number), before);
+        refresh.record_peer_answer(node(number), before, false);
     }
     assert!(!refresh.has_ended(0, true));
-    refresh.record_peer_answer(node(2), freezes.epoch());
-    refresh.record_peer_answer(node(2), freezes.epoch());
+    refresh.record_peer_answer(node(2), freezes.epoch(), false);
+    refresh.record_peer_answer(node(2), freezes.epoch(), false);
     assert!(!refresh.has_ended(0, true));
-    refresh.record_peer_answer(node(3), freezes.epoch());
+    refresh.record_peer_answer(node(3), freezes.epoch(), false);
     assert!(refresh.has_ended(0, true));
     assert!(!refresh.has_ended(0, false));
     let mut refresh = Refresh::new(0, freezes.epoch());
@@ -405,6 +405,32 @@
     assert!(refresh.has_ended(0, true));
 }
 
+/// Guards against a refresh that ends by answers of peers that were frozen too and have not refreshed their
+/// configuration yet.
+#[test]
+fn refresh_does_not_count_peers_that_refresh_too() {
+    let epoch = FreezeDetector::default().epoch();
+    let mut refresh = Refresh::new(0, epoch);
+    for number in 2..6 {
+        refresh.record_peer_answer(node(number), epoch, true);
+    }
+    assert!(!refresh.has_ended(0, true));
+    refresh.record_peer_answer(node(2), epoch, false);
+    refresh.record_peer_answer(node(3), epoch, false);
+    assert!(refresh.has_ended(0, true));
+}
+
+/// Guards against a floor that is settled by a peer that was frozen and may be behind.
+#[test]
+fn floor_is_raised_but_not_settled_by_a_peer_that_refreshes() {
+    let mut floor = Floor::new(0, VersionSource::Followed);
+    floor.raise(Version(4));
+    assert!(!floor.is_settled(600_000));
+    floor.record_answer(node(2), Distance::DataCentre, Version::NONE, Version(3));
+    assert!(floor.is_settled(600_000));
+    assert_eq!(floor.version(), Version(4));
+}
+
 /// Guards against requests that are admitted after a second freeze because the refresh after the first
 /// one ends, or before the first tick after a freeze.
 #[test]
--- a/tests/testsuite/spread_failures.rs
+++ b/tests/testsuite/spread_failures.rs
@@ -1,5 +1,6 @@
 //! Distribution of versions under failures, with separate processes.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -197,34 +198,36 @@
     mesh.wait_joined().await;
 }
 
-/// Sends requests to a frozen node, resumes it, and sends further requests until one is served. Each must be
-/// refused as retryable or served under version 3.
-async fn resume_with_queued_requests(mesh: &Mesh, frozen: usize) {
-    let node = mesh.vms[frozen].node();
-    let caller = node.addresses.caller;
+/// Sends requests to frozen nodes, resumes these, and sends each further requests until one is served. Each
+/// must be refused as retryable or served under version 3.
+async fn resume_with_queued_requests(mesh: &Mesh, frozen: &[usize]) {
     let mut callers = tokio::task::JoinSet::new();
-    for number in 0..20 {
-        callers.spawn(async move {
-            let id = format!("queued-{number}");
-            send_request(caller, Method::GET, "tablon", "/prices/copper", &id).await
-        });
+    for position in frozen {
+        let caller = mesh.vms[*position].node().addresses.caller;
+        for number in 0..20 {
+            let id = format!("queued-{position}-{number}");
+            callers.spawn(send_until_served(caller, id));
+        }
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
-    node.signal(Signal::Continue);
-    let mut replies = callers.join_all().await;
+    for position in frozen {
+        mesh.vms[*position].node().signal(Signal::Continue);
+    }
+    callers.join_all().await;
+}
+
+async fn send_until_served(caller: SocketAddr, id: String) {
     loop {
-        for reply in replies {
-            let reply = reply.expect("the node answers");
-            if reply.status == 200 {
-                assert_eq!(reply.header("x-dragonflywall-version"), "3", "{reply:?}");
-                return;
-            }
-            assert_eq!(reply.status, 503, "{reply:?}");
-            assert_eq!(reply.header(VERDICT_HEADER), "not-run");
-            assert_eq!(reply.header(REASON_HEADER), "refreshing");
+        let reply = send_request(caller, Method::GET, "tablon", "/prices/copper", &id).await;
+        let reply = reply.expect("the node answers");
+        if reply.status == 200 {
+            assert_eq!(reply.header("x-dragonflywall-version"), "3", "{reply:?}");
+            return;
         }
-        let id = "after-the-freeze";
-        replies = vec![send_request(caller, Method::GET, "tablon", "/prices/copper", id).await];
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert_eq!(reply.header(VERDICT_HEADER), "not-run");
+        assert_eq!(reply.header(REASON_HEADER), "refreshing");
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
 
@@ -258,21 +261,46 @@
     wait_until("the node is ready", WAIT_TIMEOUT, || ready(&mesh, frozen)).await;
     node.signal(Signal::Stop);
     mesh.network.set_cut_one_way(false, OPERATOR_SITE, site);
-    assert!(publish_change(&mesh, 31).await);
-    assert!(publish_change(&mesh, 32).await);
-    for position in (0..mesh.vms.len()).filter(|position| *position != frozen) {
+    publish_while_frozen(&mesh, &[frozen]).await;
+    resume_with_queued_requests(&mesh, &[frozen]).await;
+    wait_until("the node is ready again", WAIT_TIMEOUT, || {
+        ready(&mesh, frozen)
+    })
+    .await;
+    assert_eq!(mesh.version_at(frozen).await, 3);
+}
+
+/// Publishes two versions, and waits until all nodes but the frozen ones enforce them and the frozen ones count as
+/// frozen.
+async fn publish_while_frozen(mesh: &Mesh, frozen: &[usize]) {
+    assert!(publish_change(mesh, 31).await);
+    assert!(publish_change(mesh, 32).await);
+    for position in (0..mesh.vms.len()).filter(|position| !frozen.contains(position)) {
         wait_until("the others enforce the version", WAIT_TIMEOUT, || async {
             mesh.version_at(position).await == 3
         })
         .await;
     }
     tokio::time::sleep(FREEZE).await;
-    resume_with_queued_requests(&mesh, frozen).await;
-    wait_until("the node is ready again", WAIT_TIMEOUT, || {
-        ready(&mesh, frozen)
-    })
-    .await;
-    assert_eq!(mesh.version_at(frozen).await, 3);
+}
+
+/// Guards against answers of peers that were frozen too, and so are behind as well, that end the refresh after
+/// a freeze. All nodes of a data centre are frozen, and their answers arrive first.
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_that_were_frozen_too_do_not_end_a_refresh() {
+    let mesh = small_mesh().await;
+    let delay = Duration::from_millis(50);
+    mesh.network.set_delays(delay, delay);
+    let in_site = |position: &usize| mesh.vms[*position].site == 1;
+    let frozen: Vec<usize> = (0..mesh.vms.len()).filter(in_site).collect();
+    for position in &frozen {
+        mesh.vms[*position].node().signal(Signal::Stop);
+    }
+    publish_while_frozen(&mesh, &frozen).await;
+    resume_with_queued_requests(&mesh, &frozen).await;
+    for position in frozen {
+        assert_eq!(mesh.version_at(position).await, 3);
+    }
 }
 
 /// Guards against a restart with an older version. A node enforced version 2 and died. The store is
