Drop responses that do not belong to the request on a connection to the backend server

Cause: a backend server sent a duplicate response where the next one was expected. The gate recognised it by its id, failed the request as lost and dropped the response, relying on hyper to close the connection. hyper reads a short body to its end instead, and the connection returned to the pool: from then on each request on it got the response of the one before it.

Change: the bytes of such connections pass through a filter that finds the start and end of each response. One with the id of another request is dropped, and the request gets its own, which follows. Both new request tests failed on the code before with 502; they pass in three runs of three.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,25 +1,35 @@
 //! HTTP/1.1 connections to the node's own backend server.
 //!
 //! A connection carries one request at a time. It returns to the pool only after its response has
-//! been read to the end, so that a late response cannot be taken for that of another request.
+//! been read to the end, so that a late response cannot be taken for that of another request. Where
+//! responses repeat the id of their request, those to other requests are dropped, see
+//! [`response_filter`].
 
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use http::{Request, Response};
+use http::header::HeaderValue;
+use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Notify;
 
 use super::body::{self, Body, BoxError, GuardedBody};
 use super::failure::{Failure, Reason};
+use super::header_profile::{self, HeaderProfile};
+use super::log_limiter;
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
 use crate::util::dial::dial;
 
+use self::response_filter::{ExpectedResponse, FilteredStream, ResponseFilter, SharedFilter};
+use super::state::lock_ignoring_poison;
+
+mod response_filter;
 #[cfg(test)]
 mod tests;
 
@@ -41,18 +51,24 @@
 /// The same limit for idempotent requests, which are retried after a connection reset.
 const IDLE_REUSE_MAX_IDEMPOTENT: Duration = Duration::from_secs(1);
 
-type Sender = http1::SendRequest<Body>;
+/// A connection to the backend server.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<Body>,
+    /// `None` if responses do not repeat the id of their request.
+    filter: Option<SharedFilter>,
+}
 
 /// A connection without a request.
 #[derive(Debug)]
 struct IdleConnection {
     address: SocketAddr,
-    sender: Sender,
+    connection: Connection,
     idle_since: Instant,
 }
 
 /// Pool of connections to the backend server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct BackendPool {
     idle: Arc<Mutex<Vec<IdleConnection>>>,
     open_count: Arc<AtomicU32>,
@@ -60,6 +76,13 @@
     /// Notified when a connection has closed.
     closed: Arc<Notify>,
     mechanisms: MechanismSwitches,
+    profile: &'static HeaderProfile,
+}
+
+impl Default for BackendPool {
+    fn default() -> Self {
+        Self::new(MechanismSwitches::default(), &header_profile::DEFAULT)
+    }
 }
 
 /// Counts a connection as open until dropped.
@@ -77,10 +100,14 @@
 
 impl BackendPool {
     /// Creates an empty pool.
-    pub(crate) fn new(mechanisms: MechanismSwitches) -> Self {
+    pub(crate) fn new(mechanisms: MechanismSwitches, profile: &'static HeaderProfile) -> Self {
         Self {
+            idle: Arc::default(),
+            open_count: Arc::default(),
+            connections_max: Arc::default(),
+            closed: Arc::default(),
             mechanisms,
-            ..Self::default()
+            profile,
         }
     }
 
@@ -103,8 +130,8 @@
             true => IDLE_REUSE_MAX_IDEMPOTENT,
             false => IDLE_REUSE_MAX,
         };
-        while let Some(sender) = self.take_idle(address, idle_max) {
-            match self.exchange(address, sender, request).await {
+        while let Some(connection) = self.take_idle(address, idle_max) {
+            match self.exchange(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 // The backend server had closed the idle connection before anything was sent.
                 Err((_, Some(unsent))) => request = unsent,
@@ -116,18 +143,18 @@
         }
         let reservation = self.reserve_connection().await;
         let reservation = reservation.ok_or(Failure::not_run(Reason::Full))?;
-        let sender = connect(address, reservation).await.map_err(|error| {
+        let connection = self.connect(address, reservation).await.map_err(|error| {
             log::debug!(backend:% = address, error:%; "failed to connect to the backend server");
             Failure::not_run(Reason::Unreachable)
         })?;
-        self.exchange(address, sender, request)
+        self.exchange(address, connection, request)
             .await
             .map_err(|(failure, _)| failure)
     }
 
     /// Closes all idle connections. The fault that broke one connection may have broken the others.
     fn drop_idle(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock_ignoring_poison(&self.idle);
         idle.clear();
     }
 
@@ -167,11 +194,21 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        mut sender: Sender,
+        mut connection: Connection,
         request: Request<Body>,
     ) -> Result<Response<Body>, (Failure, Option<Request<Body>>)> {
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.lease_until_read(address, sender, response)),
+        let id = request.headers().get(&self.profile.request_id).cloned();
+        if let Some(filter) = &connection.filter {
+            lock_ignoring_poison(filter).expect(ExpectedResponse {
+                id: id.clone(),
+                is_head: request.method() == Method::HEAD,
+            });
+        }
+        match connection.sender.try_send_request(request).await {
+            Ok(response) if self.belongs_to(id.as_ref(), &response) => {
+                Ok(self.lease_until_read(address, connection, response))
+            }
+            Ok(_) => Err((Failure::may_have_run(Reason::Lost), None)),
             Err(mut error) => match error.take_message() {
                 Some(unsent) => Err((Failure::not_run(Reason::Unreachable), Some(unsent))),
                 None => Err((Failure::may_have_run(Reason::Lost), None)),
@@ -179,16 +216,32 @@
         }
     }
 
+    /// Whether a response is that to the request with this id. Otherwise its connection must not be
+    /// used again.
+    fn belongs_to(&self, id: Option<&HeaderValue>, response: &Response<Incoming>) -> bool {
+        let belongs = id.is_none() || self.profile.is_response_to(id, response);
+        if !belongs {
+            let response_id = response.headers().get(&self.profile.request_id);
+            log::warn!(
+                request_id = log_limiter::id_text(id),
+                response_id = log_limiter::id_text(response_id),
+                status = response.status().as_u16();
+                "the backend server's response does not belong to the request"
+            );
+        }
+        belongs
+    }
+
     fn lease_until_read(
         &self,
         address: SocketAddr,
-        sender: Sender,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> Response<Body> {
         let lease = Lease {
             pool: self.clone(),
             address,
-            sender: Some(sender),
+            connection: Some(connection),
         };
         response.map(|incoming| {
             let inner = body::boxed(incoming);
@@ -197,20 +250,37 @@
     }
 
     /// Takes the most recently used idle connection, if it has been idle for less than `idle_max`.
-    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+        let mut idle = lock_ignoring_poison(&self.idle);
         let reuse_any_idle = !self.mechanisms.is_enabled(Mechanism::IdleConnectionTimeout);
-        idle.retain(|connection| {
-            let is_kept = connection.address == address && !connection.sender.is_closed();
-            is_kept
-                && (reuse_any_idle || connection.idle_since.elapsed() < IDLE_REUSE_MAX_IDEMPOTENT)
+        idle.retain(|idle| {
+            let is_kept = idle.address == address && !idle.connection.sender.is_closed();
+            is_kept && (reuse_any_idle || idle.idle_since.elapsed() < IDLE_REUSE_MAX_IDEMPOTENT)
         });
-        let is_usable = |connection: &IdleConnection| {
-            let recently_used = reuse_any_idle || connection.idle_since.elapsed() < idle_max;
-            recently_used && connection.sender.is_ready()
+        let is_usable = |idle: &IdleConnection| {
+            let recently_used = reuse_any_idle || idle.idle_since.elapsed() < idle_max;
+            recently_used && idle.connection.sender.is_ready()
         };
         let ready = idle.iter().rposition(is_usable)?;
-        Some(idle.remove(ready).sender)
+        Some(idle.remove(ready).connection)
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        reservation: OpenConnection,
+    ) -> Result<Connection, BoxError> {
+        let stream = dial(address, None, CONNECT_TIMEOUT).await?;
+        let (sender, filter) = match self.profile.responses_repeat_id {
+            true => {
+                let filter = ResponseFilter::new(self.profile.request_id.clone());
+                let filter = Arc::new(Mutex::new(filter));
+                let stream = FilteredStream::new(stream, Arc::clone(&filter));
+                (handshake(stream, reservation).await?, Some(filter))
+            }
+            false => (handshake(stream, reservation).await?, None),
+        };
+        Ok(Connection { sender, filter })
     }
 }
 
@@ -219,28 +289,26 @@
 struct Lease {
     pool: BackendPool,
     address: SocketAddr,
-    sender: Option<Sender>,
+    connection: Option<Connection>,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some(sender) = self.sender.take().filter(|sender| !sender.is_closed()) {
-            let mut idle = self
-                .pool
-                .idle
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            idle.push(IdleConnection {
+        let connection = self.connection.take();
+        if let Some(connection) = connection.filter(|connection| !connection.sender.is_closed()) {
+            lock_ignoring_poison(&self.pool.idle).push(IdleConnection {
                 address: self.address,
-                sender,
+                connection,
                 idle_since: Instant::now(),
             });
         }
     }
 }
 
-async fn connect(address: SocketAddr, reservation: OpenConnection) -> Result<Sender, BoxError> {
-    let stream = dial(address, None, CONNECT_TIMEOUT).await?;
+async fn handshake(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    reservation: OpenConnection,
+) -> hyper::Result<http1::SendRequest<Body>> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_MAX_BYTES)
         .handshake(TokioIo::new(stream))
--- /dev/null
+++ b/src/proxy/backend/response_filter.rs
@@ -0,0 +1,299 @@
+//! Drops responses that do not belong to the request on a connection to the backend server.
+//!
+//! A backend server may send a response twice, the second time in place of the response to the next
+//! request. hyper matches responses to requests by their order alone. It would return the duplicate
+//! to the next request and every later response to the request behind its own. The bytes of a
+//! connection therefore pass through a [`ResponseFilter`] before hyper reads them. It recognises a
+//! response by the request id that the response repeats. The bytes of other responses are not
+//! changed.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use http::header::{HeaderName, HeaderValue};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use self::framing::Framing;
+use crate::proxy::state::lock_ignoring_poison;
+
+mod framing;
+#[cfg(test)]
+mod tests;
+
+/// Longest head of a response; hyper rejects longer ones.
+const HEAD_MAX_BYTES: usize = super::READ_BUFFER_MAX_BYTES;
+/// Most header fields in one head, the same limit as in hyper.
+const HEADERS_MAX: usize = 100;
+/// Most bytes that are read from the connection at a time.
+const READ_BYTES: usize = 8 << 10;
+
+/// A request whose response is expected.
+#[derive(Clone, Debug)]
+pub(super) struct ExpectedResponse {
+    /// Id that the response repeats. `None` for a request without an id, which accepts any response.
+    pub(super) id: Option<HeaderValue>,
+    /// Whether the request has the method HEAD, so that the response has no body.
+    pub(super) is_head: bool,
+}
+
+impl ExpectedResponse {
+    /// Whether a response with this id may be the expected one. A response without an id may be: a
+    /// backend server need not repeat the id with a failure.
+    fn accepts(&self, response_id: Option<&HeaderValue>) -> bool {
+        match (&self.id, response_id) {
+            (Some(id), Some(response_id)) => id == response_id,
+            _ => true,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Position {
+    /// Before or in the head of a response.
+    Head,
+    /// In the body of a response. `is_expected` says whether the bytes are passed on.
+    Body { framing: Framing, is_expected: bool },
+    /// The bytes are not a valid response. They are passed on, so that hyper reports the error.
+    Invalid,
+}
+
+/// Separates the expected responses on one connection from others.
+#[derive(Debug)]
+pub(super) struct ResponseFilter {
+    id_header: HeaderName,
+    expected: Option<ExpectedResponse>,
+    position: Position,
+    /// First part of a head that is not complete yet.
+    partial_head: BytesMut,
+}
+
+/// Start of a response.
+struct ResponseHead {
+    len_bytes: usize,
+    status: u16,
+    id: Option<HeaderValue>,
+    framing: Framing,
+}
+
+enum Parsed {
+    Head(ResponseHead),
+    Partial,
+    Invalid,
+}
+
+impl ResponseFilter {
+    /// `id_header` is the name of the header in which responses repeat the id of their request.
+    pub(super) fn new(id_header: HeaderName) -> Self {
+        Self {
+            id_header,
+            expected: None,
+            position: Position::Head,
+            partial_head: BytesMut::new(),
+        }
+    }
+
+    /// Sets the response that is passed on next. Call it before the request is sent.
+    pub(super) fn expect(&mut self, expected: ExpectedResponse) {
+        self.expected = Some(expected);
+    }
+
+    /// Appends to `passed` those of `bytes` that belong to expected responses.
+    pub(super) fn feed(&mut self, bytes: &[u8], passed: &mut BytesMut) {
+        let mut input = std::mem::take(&mut self.partial_head);
+        input.extend_from_slice(bytes);
+        while !input.is_empty() {
+            match &mut self.position {
+                Position::Invalid => {
+                    passed.extend_from_slice(&input);
+                    return;
+                }
+                Position::Body {
+                    framing,
+                    is_expected,
+                } => {
+                    let part_bytes = framing.advance(&input);
+                    if *is_expected {
+                        passed.extend_from_slice(&input[..part_bytes]);
+                    }
+                    input.advance(part_bytes);
+                    if framing.has_ended() {
+                        self.position = Position::Head;
+                    }
+                }
+                Position::Head => match self.parse_head(&input) {
+                    Parsed::Head(head) => {
+                        let head_bytes = input.split_to(head.len_bytes);
+                        self.begin_response(head, &head_bytes, passed);
+                    }
+                    Parsed::Partial if input.len() < HEAD_MAX_BYTES => {
+                        self.partial_head = input;
+                        return;
+                    }
+                    Parsed::Partial | Parsed::Invalid => self.position = Position::Invalid,
+                },
+            }
+        }
+    }
+
+    /// Appends to `passed` an incomplete head at the end of the connection, so that hyper reports it.
+    fn end(&mut self, passed: &mut BytesMut) {
+        passed.extend_from_slice(&std::mem::take(&mut self.partial_head));
+    }
+
+    fn parse_head(&self, input: &[u8]) -> Parsed {
+        let mut fields = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut response = httparse::Response::new(&mut fields);
+        let len_bytes = match response.parse(input) {
+            Ok(httparse::Status::Complete(len_bytes)) => len_bytes,
+            Ok(httparse::Status::Partial) => return Parsed::Partial,
+            Err(_) => return Parsed::Invalid,
+        };
+        let (Some(status), Some(framing)) =
+            (response.code, Framing::from_headers(response.headers))
+        else {
+            return Parsed::Invalid;
+        };
+        let id_name = self.id_header.as_str();
+        let mut fields = response.headers.iter();
+        let id = fields.find(|field| field.name.eq_ignore_ascii_case(id_name));
+        let id = id.and_then(|field| HeaderValue::from_bytes(field.value).ok());
+        Parsed::Head(ResponseHead {
+            len_bytes,
+            status,
+            id,
+            framing,
+        })
+    }
+
+    fn begin_response(&mut self, head: ResponseHead, bytes: &[u8], passed: &mut BytesMut) {
+        let is_informational = (100..200).contains(&head.status);
+        if is_informational {
+            passed.extend_from_slice(bytes);
+            return;
+        }
+        let accepted = self
+            .expected
+            .take_if(|expected| expected.accepts(head.id.as_ref()));
+        if accepted.is_some() {
+            passed.extend_from_slice(bytes);
+        } else {
+            metrics::counter!("dragonflywall_misplaced_responses_total").increment(1);
+            log::debug!(
+                response_id:? = head.id,
+                expected_id:? = self.expected.as_ref().and_then(|expected| expected.id.as_ref());
+                "dropped a response that does not belong to the request on its connection"
+            );
+        }
+        let is_head = accepted.as_ref().is_some_and(|expected| expected.is_head);
+        let has_no_body = is_head || matches!(head.status, 204 | 304);
+        let framing = match has_no_body {
+            true => Framing::Length(0),
+            false => head.framing,
+        };
+        self.position = match framing.has_ended() {
+            true => Position::Head,
+            false => Position::Body {
+                framing,
+                is_expected: accepted.is_some(),
+            },
+        };
+    }
+}
+
+/// The filter of one connection, shared by its stream and the requests on it.
+pub(super) type SharedFilter = Arc<Mutex<ResponseFilter>>;
+
+/// A connection to the backend server from which only expected responses are read.
+#[derive(Debug)]
+pub(super) struct FilteredStream<S> {
+    stream: S,
+    filter: SharedFilter,
+    /// Bytes of expected responses that hyper has not read yet.
+    passed: BytesMut,
+    ended: bool,
+}
+
+impl<S> FilteredStream<S> {
+    pub(super) fn new(stream: S, filter: SharedFilter) -> Self {
+        Self {
+            stream,
+            filter,
+            passed: BytesMut::new(),
+            ended: false,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> FilteredStream<S> {
+    /// Reads from the connection into the filter.
+    fn poll_feed(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut chunk = [0; READ_BYTES];
+        let mut read = ReadBuf::new(&mut chunk);
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut read))?;
+        let filter = Arc::clone(&self.filter);
+        let mut filter = lock_ignoring_poison(&filter);
+        if read.filled().is_empty() {
+            self.ended = true;
+            filter.end(&mut self.passed);
+        } else {
+            filter.feed(read.filled(), &mut self.passed);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for FilteredStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            if !self.passed.is_empty() {
+                let len_bytes = self.passed.len().min(buffer.remaining());
+                buffer.put_slice(&self.passed.split_to(len_bytes));
+                if self.passed.is_empty() {
+                    self.passed = BytesMut::new();
+                }
+                return Poll::Ready(Ok(()));
+            }
+            if self.ended {
+                return Poll::Ready(Ok(()));
+            }
+            ready!(self.poll_feed(context))?;
+        }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for FilteredStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -148,7 +148,7 @@
     let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
         .await
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-    let response = check_response(node, &backend, id, response)?;
+    let response = check_response(node, &backend, response)?;
     let unspent_retries = running.mark_answered();
     slot.mark_answered();
     Ok(finish_response(response, unspent_retries, (slot, running)))
@@ -250,34 +250,27 @@
     }
 }
 
-/// Checks that the response belongs to this request and that the backend server ran it.
+/// Checks that the backend server ran the request.
 fn check_response(
     node: &Arc<ProxyState>,
     backend: &LocalBackend,
-    id: Option<&HeaderValue>,
     response: Response<Body>,
 ) -> Result<Response<Body>, Failure> {
     let profile = node.header_profile;
-    let (parts, body) = response.into_parts();
-    if !profile.is_response_to(id, &parts) {
-        log::warn!(status = parts.status.as_u16(); "the backend server's response does not belong to the request");
-        // Dropping the unread body closes the connection.
-        return Err(Failure::may_have_run(Reason::Lost));
-    }
-    if is_wrong_instance(profile.expected_instance.is_some(), &parts.status) {
+    if is_wrong_instance(profile.expected_instance.is_some(), response.status()) {
         node.handle_wrong_instance(backend);
         return Err(Failure::not_run(Reason::NoEndpoint));
     }
-    if profile.is_not_run(&parts.headers) {
+    if profile.is_not_run(response.headers()) {
         return Err(Failure::not_run(Reason::Rejected));
     }
-    Ok(Response::from_parts(parts, body))
+    Ok(response)
 }
 
 /// Whether another instance than the one that the request named has responded: it rejects the
 /// request with 421.
-fn is_wrong_instance(names_instance: bool, status: &StatusCode) -> bool {
-    names_instance && *status == StatusCode::MISDIRECTED_REQUEST
+fn is_wrong_instance(names_instance: bool, status: StatusCode) -> bool {
+    names_instance && status == StatusCode::MISDIRECTED_REQUEST
 }
 
 fn finish_response(
--- a/src/proxy/header_profile.rs
+++ b/src/proxy/header_profile.rs
@@ -111,18 +111,18 @@
     ///
     /// A backend server may send two responses, the second one in place of the response to the next
     /// request on the connection. Only the response with the right id is accepted.
-    pub(crate) fn is_response_to(
+    pub(crate) fn is_response_to<B>(
         &self,
         id: Option<&HeaderValue>,
-        response: &http::response::Parts,
+        response: &http::Response<B>,
     ) -> bool {
         if !self.responses_repeat_id {
             return true;
         }
-        let is_success = response.status.is_success();
+        let is_success = response.status().is_success();
         let is_sealed = self.seal.as_ref();
-        let is_sealed = is_sealed.is_none_or(|name| response.headers.contains_key(name));
-        match response.headers.get(&self.request_id) {
+        let is_sealed = is_sealed.is_none_or(|name| response.headers().contains_key(name));
+        match response.headers().get(&self.request_id) {
             Some(answered_id) => Some(answered_id) == id && (is_sealed || !is_success),
             None => !is_success,
         }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -136,7 +136,7 @@
             admission: Mutex::new(Admission::new(mechanisms)),
             backend: ArcSwapOption::from(backend),
             on_backend_lost: BackendLostCallback::default(),
-            pool: BackendPool::new(mechanisms),
+            pool: BackendPool::new(mechanisms, header_profile),
             running_requests: RunningRequests::default(),
             log_limiter: LogLimiter::default(),
             freezes: FreezeDetector::default(),
--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -64,6 +64,27 @@
     assert!(served >= 40, "{served} of 60 requests were served");
 }
 
+/// Guards against a duplicate response that costs the requests behind it their own responses: the next one on
+/// its connection, or each one from then on.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_a_duplicate_response_get_their_own() {
+    let mesh = start_serving_users_mesh(small()).await;
+    for duplicated in [ResponseMode::Duplicated, ResponseMode::DuplicatedLate] {
+        for number in 0..20 {
+            let mode = match number % 10 {
+                0 => duplicated,
+                _ => ResponseMode::Complete,
+            };
+            let answer = mode.query_value();
+            let path = format!("/book/{number}?bytes=100&work_ms=5&answer={answer}");
+            let id = format!("{}-{number}", duplicated.query_value());
+            let reply = send(&mesh, &CallerRequest::post(&path, &id)).await;
+            assert_own_response(&reply, &id, 100);
+            assert_eq!(users_mesh_runs(&mesh, &id).len(), 1);
+        }
+    }
+}
+
 /// A response without a length ends when its connection closes. It must be forwarded completely,
 /// and a truncated response must not look complete to the caller.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -6,7 +6,7 @@
 
 use testkit::http::wait_until;
 use testkit::process::Signal;
-use testkit::users::backend::AnnouncedState;
+use testkit::users::backend::{AnnouncedState, ResponseMode};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
 
@@ -216,6 +216,30 @@
     assert_eq!(failed, Vec::<String>::new());
 }
 
+/// A node is stopped with SIGTERM, and the backend server sends a duplicate response in place of that to a booking
+/// which came through the node. Guards against a node that gives up the booking while it runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_answers_a_request_behind_a_duplicate_response() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mut mesh = start_serving_users_mesh(plan).await;
+    let stopped = mesh.vms_of(SERVICES[0])[0];
+    let answer = ResponseMode::DuplicatedLate.query_value();
+    let path = format!("/book/1?answer={answer}");
+    let reply = mesh
+        .send_request(stopped, &CallerRequest::post(&path, "duplicated"))
+        .await;
+    assert_eq!(reply.expect("the request gets a response").status, 200);
+    mesh.vms[stopped].node().signal(Signal::Terminate);
+    let reply = mesh
+        .send_request(stopped, &CallerRequest::post("/book/2?work_ms=500", "next"))
+        .await;
+    assert_eq!(reply.expect("the request gets a response").status, 200);
+    assert_eq!(users_mesh_runs(&mesh, "next").len(), 1);
+    let mut node = mesh.vms[stopped].node.take().expect("the node runs");
+    assert!(node.wait_exit().await.expect("the node exits").success());
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
