Count requests of callers on the own VM as in flight at the gate when stopping

What callers saw: a booking that ran on the backend server of the node's own VM for longer than 2.2 s after the node had got SIGTERM failed, because the node refused the call that the booking made.

Cause: a stopping node closes its listener for callers once the requests at its gate have ended, and only requests of other nodes were counted there.

Evidence: users_stops::graceful_stop_serves_calls_of_requests_that_run_on_its_own_vm, in which the call never reached a backend server on the code before; it passes now, with the other 16 tests of stops and drains.

--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -257,9 +257,10 @@
         };
         let result = if endpoint.node == self.node.local_id {
             let request = self.build_request(body.next_attempt());
+            let token = self.node.gate_requests.token();
             let result = gate::run(self.node, &hop, request, uploads::BodySource::Local).await;
             self.record_load(&endpoint, self.node.load(&hop));
-            result
+            result.map(|response| response.map(|inner| body::boxed(GuardedBody::new(inner, token))))
         } else if self.is_large() {
             self.send_large(&endpoint, hop, body).await
         } else {
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -77,7 +77,7 @@
     store_read_ms: AtomicU64,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
-    /// Requests of other nodes that are in flight at this node's gate.
+    /// Requests that are in flight at this node's gate, of other nodes and of callers on this VM.
     pub(crate) gate_requests: TaskTracker,
 }
 
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -240,6 +240,28 @@
     assert!(node.wait_exit().await.expect("the node exits").success());
 }
 
+/// A node is stopped with SIGTERM while its backend server runs a booking of a caller on the same VM, which makes a
+/// call of its own only after the shortest time for which a stopping node serves callers. Guards against a node that
+/// refuses this call, so that the booking fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_serves_calls_of_requests_that_run_on_its_own_vm() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_serving_users_mesh(plan).await;
+    let stopped = mesh.vms_of(SERVICES[1])[0];
+    let path = "/book/1?work_ms=3000&call=mesh.example/stock/7";
+    let booking = CallerRequest::post(path, "own");
+    let (reply, ()) = tokio::join!(mesh.send_request(stopped, &booking), async {
+        wait_until("the booking runs", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "own").is_empty()
+        })
+        .await;
+        mesh.vms[stopped].node().signal(Signal::Terminate);
+    });
+    assert_eq!(reply.expect("the request gets a response").status, 200);
+    assert_eq!(users_mesh_runs(&mesh, "own.call").len(), 1);
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
