Keep a connection between nodes when many requests on it are cancelled

What callers saw: a booking that ran on a backend server got 502 when the node of that VM resumed after a pause of 0.4 s, in which 100 other requests to it had reached their deadlines.

Cause: the HTTP/2 library ends a connection on which more than 20 requests were received and cancelled before they were handled. After a pause all cancelled requests are read at once, and every request on the connection is lost with it.

--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -155,6 +155,8 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .max_concurrent_streams(CALLER_STREAMS_MAX)
+        // A caller may cancel all of its requests at once.
+        .max_pending_accept_reset_streams(CALLER_STREAMS_MAX as usize)
         .initial_stream_window_size(REQUEST_WINDOW_BYTES)
         .initial_connection_window_size(CALLER_STREAMS_MAX * REQUEST_WINDOW_BYTES)
         .max_send_buf_size(SEND_BUFFER_MAX_BYTES)
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -28,6 +28,10 @@
 /// Concurrent requests on one connection between nodes. More than the slots and queue of any
 /// endpoint, so that excess requests are refused by the gate instead of delayed by HTTP/2.
 const PEER_STREAMS_MAX: u32 = 1_024;
+/// Cancelled requests that may be received on one connection before the node handles them. While the
+/// process is paused, all requests whose deadlines pass are cancelled. Above the limit the connection
+/// is closed, which breaks off the other requests on it.
+const PEER_RESETS_MAX: usize = 16 * PEER_STREAMS_MAX as usize;
 /// HTTP/2 connection window: at least the sum of all stream windows, so that a stalled upload does
 /// not block other uploads.
 const PEER_WINDOW_BYTES: u32 = PEER_STREAMS_MAX * REQUEST_WINDOW_BYTES;
@@ -70,6 +74,9 @@
     builder
         .timer(TokioTimer::new())
         .max_concurrent_streams(PEER_STREAMS_MAX)
+        .max_pending_accept_reset_streams(PEER_RESETS_MAX)
+        // Without a limit: it would apply to the lifetime of the connection.
+        .max_local_error_reset_streams(None)
         .initial_stream_window_size(window_bytes)
         .initial_connection_window_size(PEER_WINDOW_BYTES)
         .max_send_buf_size(SEND_BUFFER_MAX_BYTES);
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -157,6 +157,9 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_INTERVAL)
+            // Responses to cancelled requests count towards this limit, over the lifetime of the
+            // connection.
+            .max_local_error_reset_streams(None)
             .initial_stream_window_size(RESPONSE_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(TokioIo::new(stream))
--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 
 use crate::support::{
-    SERVICES, WAIT_TIMEOUT, fetch_metrics, start_serving_users_mesh, users_mesh_runs, users_routes,
-    write_routes,
+    SERVICES, WAIT_TIMEOUT, fetch_metrics, join_all, start_serving_users_mesh, users_mesh_runs,
+    users_routes, write_routes,
 };
 
 /// One VM of each service in one data centre.
@@ -173,28 +173,6 @@
     assert!(outcomes.iter().any(|(reply, _)| reply.status == 503));
 }
 
-async fn join_all<F: Future>(futures: Vec<F>) -> Vec<F::Output> {
-    let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
-    let mut outputs: Vec<Option<F::Output>> = futures.iter().map(|_| None).collect();
-    std::future::poll_fn(|context| {
-        let mut pending = false;
-        for (future, output) in futures.iter_mut().zip(&mut outputs) {
-            if output.is_none() {
-                match future.as_mut().poll(context) {
-                    std::task::Poll::Ready(value) => *output = Some(value),
-                    std::task::Poll::Pending => pending = true,
-                }
-            }
-        }
-        match pending {
-            true => std::task::Poll::Pending,
-            false => std::task::Poll::Ready(()),
-        }
-    })
-    .await;
-    outputs.into_iter().flatten().collect()
-}
-
 /// A backend server crashes, and its address is reassigned to another service before the mesh
 /// detects it. The new backend server must not run requests for the old service.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -10,7 +10,7 @@
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
 
-use crate::support::{SERVICES, WAIT_TIMEOUT, start_serving_users_mesh, users_mesh_runs};
+use crate::support::{SERVICES, WAIT_TIMEOUT, join_all, start_serving_users_mesh, users_mesh_runs};
 
 /// Sends requests one after the other, through all nodes in turn except `excluded`, until `stop` is set. Returns the ids
 /// of the requests that were not answered with 200.
@@ -262,6 +262,41 @@
     assert_eq!(users_mesh_runs(&mesh, "own.call").len(), 1);
 }
 
+/// A node is frozen for a moment while its backend server runs a booking. The requests that other callers send to it
+/// meanwhile reach their deadlines and are cancelled. Guards against a node that closes the connection when it resumes
+/// because of the cancelled requests, and so gives up the booking.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_requests_do_not_end_another_on_their_connection() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_serving_users_mesh(plan).await;
+    let entry = mesh.vms_of(SERVICES[0])[0];
+    let frozen = mesh.vms_of(SERVICES[1])[0];
+    let booking = CallerRequest::post("/book/1?work_ms=1500", "long");
+    let (reply, ()) = tokio::join!(mesh.send_request(entry, &booking), async {
+        wait_until("the booking runs", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "long").is_empty()
+        })
+        .await;
+        mesh.vms[frozen].node().signal(Signal::Stop);
+        let ids: Vec<String> = (0..100).map(|number| format!("short-{number}")).collect();
+        let requests = ids.iter().map(|id| {
+            let mut request = CallerRequest::post("/book/2", id);
+            request.deadline_ms = 300;
+            request
+        });
+        let requests: Vec<_> = requests.collect();
+        let replies = requests
+            .iter()
+            .map(|request| mesh.send_request(entry, request));
+        for reply in join_all(replies.collect()).await {
+            assert_ne!(reply.expect("the request gets a response").status, 200);
+        }
+        mesh.vms[frozen].node().signal(Signal::Continue);
+    });
+    assert_eq!(reply.expect("the request gets a response").status, 200);
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
