Deliver a response that arrived before the deadline was acted on

What callers saw: after a pause of their node, or of the backend server's node, for 2.5 s or 4 s, a booking whose response had been in the socket for two seconds was answered 504, may-have-run.

Cause: on resuming, the timer of the deadline wakes the request directly, while the response first passes the tasks of the connection.

--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -28,7 +28,7 @@
 use crate::proxy::replay::ReplayableBody;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{gate, headers, uploads};
-use crate::util::clock;
+use crate::util::{clock, deadline};
 
 /// A request that matched a route, with the limits that apply to it.
 pub(super) struct RoutedRequest<'a> {
@@ -325,7 +325,7 @@
             .map_err(|_| Failure::not_run(Reason::TooLate))??;
         hop.write_headers(request.headers_mut());
         let exchange = sender.send(request);
-        let response = tokio::time::timeout_at(self.deadline.into(), exchange)
+        let response = deadline::timeout_at(self.deadline, exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
         let Some(load) = headers::parse_load(response.headers()) else {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -18,7 +18,7 @@
 use super::uploads::{self, permits};
 use crate::proxy::local_backend::LocalBackend;
 use crate::proxy::state::ProxyState;
-use crate::util::clock;
+use crate::util::{clock, deadline};
 
 /// Longest delay in transit with which a request is still run. It is longer than the first
 /// retransmission of a lost packet. It is shorter than the half second after which running a
@@ -145,7 +145,7 @@
     let mut running = node.running_requests.register(hop, parent_id);
     prepare_request(node, &mut request, hop, &backend, &running);
     let exchange = node.pool.send(backend.address, request, hop.idempotent);
-    let response = tokio::time::timeout_at(hop.deadline.into(), exchange)
+    let response = deadline::timeout_at(hop.deadline, exchange)
         .await
         .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
     let response = check_response(node, &backend, response)?;
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,5 +1,6 @@
-//! Helpers that several modules use: clocks, file descriptor limits, and TCP connections.
+//! Helpers that several modules use: clocks, timeouts, file descriptor limits, and TCP connections.
 
 pub(crate) mod clock;
+pub(crate) mod deadline;
 pub(crate) mod dial;
 pub(crate) mod file_descriptors;
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -297,6 +297,43 @@
     assert_eq!(reply.expect("the request gets a response").status, 200);
 }
 
+/// A node is frozen while a booking runs, and resumes after the deadline of the booking. Its response has arrived
+/// meanwhile. Guards against a node that acts on the deadline first and reports that the booking may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_that_arrived_in_a_freeze_is_delivered() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_serving_users_mesh(plan).await;
+    let entry = mesh.vms_of(SERVICES[0])[0];
+    let gate = mesh.vms_of(SERVICES[1])[0];
+    for (frozen, freeze_ms) in [(entry, 2_500), (entry, 4_000), (gate, 2_500), (gate, 4_000)] {
+        let id = format!("booking-{frozen}-{freeze_ms}");
+        let mut booking = CallerRequest::post("/book/1?work_ms=300", &id);
+        booking.deadline_ms = 1_000;
+        let (reply, ()) = tokio::join!(mesh.send_request(frozen, &booking), async {
+            wait_until("the booking runs", WAIT_TIMEOUT, || async {
+                !users_mesh_runs(&mesh, &id).is_empty()
+            })
+            .await;
+            mesh.vms[frozen].node().signal(Signal::Stop);
+            tokio::time::sleep(Duration::from_millis(freeze_ms)).await;
+            mesh.vms[frozen].node().signal(Signal::Continue);
+        });
+        assert_eq!(
+            reply.expect("the request gets a response").status,
+            200,
+            "{id}"
+        );
+        wait_until("the nodes serve each other again", WAIT_TIMEOUT, || async {
+            let id = format!("after-{id}");
+            let request = CallerRequest::post("/book/1", &id);
+            let reply = mesh.send_request(entry, &request).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
