Do not measure endpoints across a freeze of the measuring node

What callers saw: a node that had been paused for 4 s refused two of four bookings as full, with deadlines of 3 s, although its backend server had two slots and needed 0.1 s for each.

Cause: the service time of a request is the time for which it holds its slot, and included the freeze. The wait for a slot was estimated from that mean. Entry nodes that were frozen counted the requests that timed out meanwhile as lost by their endpoints.

Change: slots and attempts carry the epoch in which they began; what spans a freeze is not recorded.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -353,17 +353,14 @@
 
     /// Releases a slot and records how long it was held.
     pub fn release(&mut self, now_us: u64, released: &ReleasedSlot<'_>) {
+        self.release_unmeasured(now_us, released);
         let ReleasedSlot {
             class,
             resource,
             service_time_us,
             answered,
         } = *released;
-        let queue = self.queue_mut(class);
-        queue.in_use = queue.in_use.saturating_sub(1);
-        queue.service_time.add(service_time_us);
-        let slot_start_us = now_us.saturating_sub(service_time_us);
-        self.slot_start_sum_us = self.slot_start_sum_us.saturating_sub(slot_start_us);
+        self.queue_mut(class).service_time.add(service_time_us);
         match answered {
             true => self.service_times.record(now_us, resource, service_time_us),
             false => self
@@ -372,6 +369,15 @@
         }
     }
 
+    /// Releases a slot whose service time says nothing about the backend server, because the process
+    /// was frozen meanwhile.
+    pub fn release_unmeasured(&mut self, now_us: u64, released: &ReleasedSlot<'_>) {
+        let queue = self.queue_mut(released.class);
+        queue.in_use = queue.in_use.saturating_sub(1);
+        let slot_start_us = now_us.saturating_sub(released.service_time_us);
+        self.slot_start_sum_us = self.slot_start_sum_us.saturating_sub(slot_start_us);
+    }
+
     /// Returns the load that is reported to an entry node with the response to a request for
     /// `resource`.
     pub fn load_report(
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -251,6 +251,7 @@
         body: &ReplayableBody,
         hop: Hop,
     ) -> Result<Response<Body>, Failure> {
+        let sent_in = self.node.freezes.epoch();
         let outstanding = OutstandingRequest {
             node: Arc::clone(self.node),
             endpoint: endpoint.node,
@@ -267,7 +268,10 @@
             self.send(&endpoint, &hop, self.build_request(body.next_attempt()))
                 .await
         };
-        self.record_outcome(&endpoint, &result);
+        // After a freeze of this process, a missing response says nothing about the endpoint.
+        if result.is_ok() || self.node.is_current(sent_in) {
+            self.record_outcome(&endpoint, &result);
+        }
         if let Ok(response) = &result {
             let bytes = response.body().size_hint().lower();
             self.node
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -16,6 +16,7 @@
 use crate::decide::admission::{
     Admission, AdmitOutcome, Refusal, RefusalCause, ReleasedSlot, SlotRequest, Ticket, WaitOutcome,
 };
+use crate::decide::freeze::Epoch;
 use crate::proxy::state::ProxyState;
 use crate::util::clock;
 
@@ -29,6 +30,8 @@
     class: Class,
     resource: ResourceName,
     acquired_at: Instant,
+    /// The epoch in which the slot was acquired.
+    acquired_in: Epoch,
     answered: bool,
 }
 
@@ -39,6 +42,7 @@
             class: hop.class,
             resource: hop.resource.clone(),
             acquired_at: Instant::now(),
+            acquired_in: node.freezes.epoch(),
             answered: false,
         }
     }
@@ -95,7 +99,10 @@
             answered: self.answered,
         };
         let now_us = clock::since_us(self.node.started);
-        self.node.admission().release(now_us, &released);
+        match self.node.is_current(self.acquired_in) {
+            true => self.node.admission().release(now_us, &released),
+            false => self.node.admission().release_unmeasured(now_us, &released),
+        }
         notify_queued(&self.node);
     }
 }
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -334,6 +334,56 @@
     }
 }
 
+/// A node is frozen while its backend server runs bookings, and then gets more of them than it has slots. Guards against
+/// service times that include the freeze: by them, the wait for a slot would exceed every deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_freeze_does_not_count_as_service_time() {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.behaviour.slots = 2;
+    let mesh = start_serving_users_mesh(plan).await;
+    let gate = mesh.vms_of(SERVICES[1])[0];
+    let send_bookings = async |prefix: &str, work_ms: u64| {
+        let path = format!("/book/1?work_ms={work_ms}");
+        let ids: Vec<String> = (0..4).map(|number| format!("{prefix}-{number}")).collect();
+        let requests = ids.iter().map(|id| {
+            let mut request = CallerRequest::post(&path, id);
+            request.deadline_ms = 3_000;
+            request
+        });
+        let requests: Vec<_> = requests.collect();
+        let replies = requests
+            .iter()
+            .map(|request| mesh.send_request(gate, request));
+        let replies = join_all(replies.collect()).await;
+        replies
+            .into_iter()
+            .map(|reply| reply.map_or(0, |reply| reply.status.as_u16()))
+            .collect::<Vec<_>>()
+    };
+    let frozen = async {
+        wait_until("a booking runs", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "frozen-0").is_empty()
+        })
+        .await;
+        mesh.vms[gate].node().signal(Signal::Stop);
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        mesh.vms[gate].node().signal(Signal::Continue);
+    };
+    let _ = tokio::join!(send_bookings("frozen", 300), frozen);
+    wait_until(
+        "the node has refreshed its configuration",
+        WAIT_TIMEOUT,
+        || async {
+            let booking = CallerRequest::get("/stock/1", "look-up");
+            let reply = mesh.send_request(gate, &booking).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        },
+    )
+    .await;
+    assert_eq!(send_bookings("after", 100).await, [200; 4]);
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
