Drop what a follower reads across a freeze

What was seen: of five nodes that were paused for 4 s, two or three read the store themselves after that, one read for each version, instead of following their lead.

Cause: the request to the lead that was pending at the freeze had timed out when they resumed. The lead counted as failed and was skipped for 3 s. A lead would have counted its own pending read as a failure of the store.

Change: the result of a read or a request to a lead, also its absence, is dropped if the process was frozen since it started.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -131,6 +131,7 @@
                 .lead_choice
                 .lead_failed(self.node.proxy.uptime_ms(), lead.node);
         };
+        let asked_in = self.node.proxy.freezes.epoch();
         let started = Instant::now();
         let mut leads = self.node.leads.subscribe();
         let answer = tokio::select! {
@@ -139,6 +140,10 @@
             _ = leads.changed() => return,
         };
         let took_ms = clock::since_ms(started);
+        if !self.node.proxy.is_current(asked_in) {
+            // Neither the answer nor its absence shows the state of the lead after a freeze.
+            return;
+        }
         let response = match answer {
             Ok(response) => response,
             Err(error) => {
@@ -196,6 +201,10 @@
             }
         };
         let took_ms = clock::since_ms(started);
+        if !self.node.proxy.is_current(asked_in) {
+            self.position = None;
+            return;
+        }
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -197,6 +197,36 @@
     assert_eq!(readers.count(), 1, "{before:?} {after:?}");
 }
 
+/// The nodes of a data centre that follow a lead are frozen and resume. Guards against nodes that take the timeout of a
+/// request from before the freeze for a failure of the lead, and then all read the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_followers_still_trust_their_lead() {
+    const LAST: u64 = 6;
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.vms_per_service = 3;
+    let mesh = start_serving_users_mesh(plan).await;
+    let lead = mesh.wait_lead("gijon").await;
+    let followers: Vec<usize> = (0..mesh.vms.len())
+        .filter(|position| *position != lead)
+        .collect();
+    let reads = |position: &usize| mesh.store.configuration_reads_of(mesh.vms[*position].ip);
+    let before: Vec<u64> = followers.iter().map(reads).collect();
+    for position in &followers {
+        mesh.vms[*position].node().signal(Signal::Stop);
+    }
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    for position in &followers {
+        mesh.vms[*position].node().signal(Signal::Continue);
+    }
+    for version in 2..=LAST {
+        write_routes(&mesh, version, &users_routes(), &SERVICES);
+        mesh.wait_enforced(version).await;
+    }
+    let after: Vec<u64> = followers.iter().map(reads).collect();
+    assert_eq!(before, after);
+}
+
 /// Guards against a node that switches from its lead to the store and then reads every version since its last read of
 /// the store.
 #[tokio::test(flavor = "multi_thread")]
