Restart the time for refutations after a freeze

Fault: a node that was paused for longer than the suspicion timeout declared suspect members dead at its first tick, before it had read their refutations, and spread that.

Evidence: spread_membership::suspicion_does_not_expire_in_a_freeze got Dead at the first tick on the code before. Found on reading; no run with processes has shown it.

Change: suspicions begin anew when a freeze is detected.

--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -73,6 +73,15 @@
         change
     }
 
+    /// Lets the time for the refutation of all suspicions begin again.
+    pub fn restart_suspicions(&mut self, now_ms: u64) {
+        let suspects = self.entries.values_mut();
+        let suspects = suspects.filter(|entry| entry.member.liveness == Liveness::Suspect);
+        for suspect in suspects {
+            suspect.changed_ms = now_ms;
+        }
+    }
+
     /// Members that have been suspect for at least `suspicion_timeout_ms`.
     pub fn expired_suspects(&self, now_ms: u64, suspicion_timeout_ms: u64) -> Vec<Member> {
         self.entries
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -90,8 +90,8 @@
     pub(super) join_attempts: u32,
     pub(super) next_join_ms: u64,
     pub(super) next_probe_ms: u64,
-    /// Exchanges started before this time are ignored when they fail, because the process was
-    /// frozen since.
+    /// Exchanges started before this time neither fail nor acknowledge anything, because the process
+    /// was frozen since.
     pub(super) exchanges_valid_from_ms: u64,
     last_call_ms: u64,
 }
@@ -323,6 +323,8 @@
             return;
         }
         self.exchanges_valid_from_ms = now_ms;
+        // Refutations may have arrived meanwhile and are still to be processed.
+        self.roster.restart_suspicions(now_ms);
         for link in self.links.values_mut() {
             link.in_flight = false;
         }
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -2,7 +2,7 @@
 
 use dragonflywall::core::member::{BackendState, Liveness, Member};
 use dragonflywall::core::version::Version;
-use dragonflywall::membership::{Membership, NeighbourKind};
+use dragonflywall::membership::{Gossip, Membership, NeighbourKind};
 
 use crate::spread_network::{TICK_MS, TestNetwork, alive_nodes, stamp};
 
@@ -145,6 +145,48 @@
     assert_eq!(highest_sequence_of_others(&network), before);
 }
 
+fn gossip_from(sender: &Member, updates: Vec<Member>) -> Gossip {
+    Gossip {
+        from: sender.node,
+        view_hash: 0,
+        version: Version::NONE,
+        announce: None,
+        updates,
+        reports: Vec::new(),
+        summaries: Vec::new(),
+        want_all: false,
+    }
+}
+
+/// Guards against a member that is declared dead because the time for its refutation passed while this process was
+/// frozen.
+#[test]
+fn suspicion_does_not_expire_in_a_freeze() {
+    let mut network = converged_network(6);
+    let [sender, suspected] = [3, 4].map(|position| network.records[position].clone());
+    let start_ms = network.now_ms;
+    let suspicion = Member {
+        liveness: Liveness::Suspect,
+        sequence: suspected.sequence + 100,
+        ..suspected.clone()
+    };
+    let node = network.node(5);
+    node.receive(start_ms, &gossip_from(&sender, vec![suspicion]));
+    let liveness = |node: &Membership| {
+        let found = node.members().find(|m| m.node == suspected.node);
+        found.map(|m| m.liveness)
+    };
+    let woken_ms = start_ms + 20_000;
+    node.tick(woken_ms);
+    assert_eq!(liveness(node), Some(Liveness::Suspect));
+    for tick in 1..=4 {
+        node.tick(woken_ms + tick * 1_000);
+        assert_eq!(liveness(node), Some(Liveness::Suspect));
+    }
+    node.tick(woken_ms + 5_000);
+    assert_eq!(liveness(node), Some(Liveness::Dead));
+}
+
 /// A VM is replaced by one with the same address whose clock is an hour behind, so its records look
 /// older than the ones that the mesh has of the replaced VM.
 #[test]
