Ignore acknowledgements of exchanges from before a freeze

Fault: an answer that had arrived before a freeze counted as the record of a peer, also if the peer's process ended in the freeze and its successor has no record. A version could be enforced with fewer records than required.

Evidence: spread_membership::acknowledgement_from_before_a_freeze_does_not_count acknowledged version 1 on the code before. Found on reading; no run with processes has shown it.

Change: the contents of such an answer are merged, but it acknowledges nothing, and the peer is asked again.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -55,7 +55,8 @@
         answer
     }
 
-    /// Merges the answer to an exchange that this node started.
+    /// Merges the answer to an exchange that this node started. If this process was frozen since, the
+    /// peer may have restarted without state meanwhile, so the answer acknowledges nothing.
     pub fn exchange_done(&mut self, now_ms: u64, sent: &Exchange, answer: &Gossip) {
         self.detect_freeze(now_ms);
         let generation = self.generation();
@@ -69,7 +70,10 @@
             true => self.members().map(|member| member.node).collect(),
             false => Vec::new(),
         };
-        if let Some(link) = self.links.get_mut(&answer.from) {
+        let is_current = sent.started_ms >= self.exchanges_valid_from_ms;
+        if let Some(link) = self.links.get_mut(&answer.from)
+            && is_current
+        {
             link.exchange_answered();
             link.acked_version = link.acked_version.max(sent.gossip.version);
             let announced = sent.gossip.announce.unwrap_or(Stamp::NONE);
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -187,6 +187,32 @@
     assert_eq!(liveness(node), Some(Liveness::Dead));
 }
 
+/// Guards against an acknowledgement of a peer that restarted without state while this process was frozen: the answer
+/// is from the earlier process, and the later one has no record of the version.
+#[test]
+fn acknowledgement_from_before_a_freeze_does_not_count() {
+    let mut network = converged_network(2);
+    let start_ms = network.now_ms;
+    let peer = network.records[1].clone();
+    let node = network.node(0);
+    node.set_held(stamp(1));
+    let exchanges = (0..20).flat_map(|step| node.tick(start_ms + step * TICK_MS));
+    let sent = exchanges
+        .into_iter()
+        .find(|sent| sent.to == Some(peer.node));
+    let sent = sent.expect("the version is announced to the only peer of the data centre");
+    let answer = network.node(1).receive(sent.started_ms, &sent.gossip);
+    let woken_ms = sent.started_ms + 20_000;
+    let restarted = Member {
+        incarnation_us: peer.incarnation_us + 1,
+        ..peer
+    };
+    let node = network.node(0);
+    node.receive(woken_ms, &gossip_from(&restarted, vec![restarted.clone()]));
+    node.exchange_done(woken_ms, &sent, &answer);
+    assert_eq!(node.acknowledged_version(), Version::NONE);
+}
+
 /// A VM is replaced by one with the same address whose clock is an hour behind, so its records look
 /// older than the ones that the mesh has of the replaced VM.
 #[test]
