Actors: take the time from a clock that includes suspensions of the VM

The freeze detection of the membership compared times of the monotonic clock, which stands still while a VM is suspended, so a suspension was no freeze to it. Both actors now use the time since the start by the boot clock, like the ticks of the freeze detection. Not shown by a test: no VM is suspended here.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -28,7 +28,6 @@
 use crate::node::state::NodeState;
 use crate::peer::client::FloorAnswer;
 use crate::store::http::HttpStore;
-use crate::util::clock;
 
 /// Interval of the check for floor queries, refreshes and head reads that are due. Content is handled without
 /// waiting for it.
@@ -177,7 +176,7 @@
         (node, origin): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
         myself.send_interval(TICK_INTERVAL, || ConfigurationMsg::Tick);
-        let now_ms = clock::since_ms(node.proxy.started);
+        let now_ms = node.proxy.uptime_ms();
         let version_source = match origin {
             ConfigurationOrigin::Published(_) => floor::VersionSource::Acknowledged,
             ConfigurationOrigin::Feed(_) => floor::VersionSource::Followed,
@@ -208,7 +207,7 @@
         message: Self::Msg,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
-        let now_ms = clock::since_ms(state.node.proxy.started);
+        let now_ms = state.node.proxy.uptime_ms();
         match message {
             ConfigurationMsg::Tick => state.handle_tick(&myself, now_ms),
             ConfigurationMsg::FetchDue => state.scheduled_fetch_ms = None,
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -18,7 +18,6 @@
 use crate::node::liveness_log;
 use crate::node::state::NodeState;
 use crate::proxy::view::MembershipView;
-use crate::util::clock;
 
 /// Interval of the check for heartbeats and suspicions that are due. New information is sent without waiting for it.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -102,7 +101,7 @@
         message: Self::Msg,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
-        let now_ms = clock::since_ms(state.node.proxy.started);
+        let now_ms = state.node.proxy.uptime_ms();
         match message {
             MembershipMsg::Tick => (),
             MembershipMsg::SendDeferred => state.send_scheduled = false,
