--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -1,14 +1,17 @@
 //! Draining backend servers, stopped, killed and restarted nodes on the users' platform.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use testkit::http::wait_until;
-use testkit::process::Signal;
+use testkit::http::{request, wait_until};
+use testkit::process::{NodeProcess, Signal};
 use testkit::users::backend::{AnnouncedState, ResponseMode};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::support::{SERVICES, WAIT_TIMEOUT, join_all, start_serving_users_mesh, users_mesh_runs};
 
@@ -384,6 +387,137 @@
     assert_eq!(send_bookings("after", 100).await, [200; 4]);
 }
 
+/// Sends a request on a connection of its own, with a pause before each part of its body and before its response is
+/// read. Returns the response as it was received.
+async fn send_slowly(
+    caller: SocketAddr,
+    head: String,
+    body_parts: usize,
+    pause: Duration,
+) -> Vec<u8> {
+    let mut stream = TcpStream::connect(caller)
+        .await
+        .expect("the node accepts connections");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the node reads the request");
+    for _ in 0..body_parts {
+        tokio::time::sleep(pause).await;
+        stream
+            .write_all(&[7; BODY_PART_BYTES])
+            .await
+            .expect("the node reads the request");
+    }
+    tokio::time::sleep(pause).await;
+    let mut response = Vec::new();
+    stream
+        .read_to_end(&mut response)
+        .await
+        .expect("the response is complete");
+    response
+}
+
+/// Bytes of each part of a body that [`send_slowly`] sends.
+const BODY_PART_BYTES: usize = 20_000;
+
+/// Lets a process run for a tenth of the time until `stop` is set.
+async fn throttle(node: &NodeProcess, stop: &AtomicBool) {
+    while !stop.load(Ordering::Acquire) {
+        node.signal(Signal::Stop);
+        tokio::time::sleep(Duration::from_millis(45)).await;
+        node.signal(Signal::Continue);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A node on a VM that is short of processor time is stopped with SIGTERM, with bookings that run and wait at a full
+/// backend server, an upload whose body arrives slowly, and a response that its caller does not read yet. Guards against
+/// a stopping node that gives up any of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_of_a_slow_node_gives_up_no_request() {
+    const BOOKINGS: usize = 6;
+    const BODY_PARTS: usize = 8;
+    const RESPONSE_BYTES: usize = 3 << 20;
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.vms_per_service = 2;
+    plan.behaviour.slots = 2;
+    let mut mesh = start_serving_users_mesh(plan).await;
+    let stopped = mesh.vms_of(SERVICES[0])[0];
+    let mut node = mesh.vms[stopped].node.take().expect("the node runs");
+    let caller = node.addresses.caller;
+    let host = testkit::users::configuration::DEFAULT_HOST;
+    let head = |start: &str, id: &str, len_bytes: usize| {
+        format!(
+            "{start} HTTP/1.1\r\nhost: {host}\r\nx-dfw-attempt-id: {id}\r\nx-dfw-deadline-ms: 5000\r\n\
+             content-length: {len_bytes}\r\n\r\n"
+        )
+    };
+    let upload_head = head("POST /sheets/1", "upload", BODY_PARTS * BODY_PART_BYTES);
+    let upload = tokio::spawn(send_slowly(
+        caller,
+        upload_head,
+        BODY_PARTS,
+        Duration::from_millis(200),
+    ));
+    let start = format!("GET /stock/1?bytes={RESPONSE_BYTES}");
+    let unread = tokio::spawn(send_slowly(
+        caller,
+        head(&start, "unread", 0),
+        0,
+        Duration::from_secs(2),
+    ));
+    let mut bookings = tokio::task::JoinSet::new();
+    for number in 0..BOOKINGS {
+        bookings.spawn(async move {
+            let id = format!("booking-{number}");
+            let headers = [
+                ("x-dfw-attempt-id", id.as_str()),
+                ("x-dfw-deadline-ms", "5000"),
+            ];
+            let path = "/book/1?work_ms=900";
+            let reply = request(caller, http::Method::POST, host, path, &headers, "").await;
+            reply.map(|reply| reply.status.as_u16())
+        });
+    }
+    wait_until(
+        "four bookings run and the unread response is sent",
+        WAIT_TIMEOUT,
+        || async {
+            let running = (0..BOOKINGS)
+                .filter(|number| !users_mesh_runs(&mesh, &format!("booking-{number}")).is_empty());
+            running.count() == 4 && !users_mesh_runs(&mesh, "unread").is_empty()
+        },
+    )
+    .await;
+    node.signal(Signal::Terminate);
+    let stop = AtomicBool::new(false);
+    let (statuses, ()) = tokio::join!(
+        async {
+            let statuses = bookings.join_all().await;
+            let upload = upload.await.expect("the task does not panic");
+            let unread = unread.await.expect("the task does not panic");
+            stop.store(true, Ordering::Release);
+            assert!(
+                upload.starts_with(b"HTTP/1.1 200"),
+                "{:.300}",
+                String::from_utf8_lossy(&upload)
+            );
+            assert!(
+                unread.starts_with(b"HTTP/1.1 200"),
+                "{:.300}",
+                String::from_utf8_lossy(&unread)
+            );
+            assert!(unread.len() > RESPONSE_BYTES, "{} bytes", unread.len());
+            statuses
+        },
+        throttle(&node, &stop)
+    );
+    assert_eq!(statuses, vec![Ok(200); BOOKINGS]);
+    assert!(node.wait_exit().await.expect("the node exits").success());
+}
+
 /// All nodes are killed and then restarted, so that only the store has the configuration. Guards against a mesh that
 /// does not serve requests again, or not under the newest version.
 #[tokio::test(flavor = "multi_thread")]
