Stand-ins: refuse connections once stopped, also beside a copy of the listener

Cause: another test was starting a process at that moment, which has a copy of every descriptor until it executes its program. The kernel accepts connections for a listener as long as one copy is open, and resets them when it is closed. Shown without the product by a copied descriptor: connect succeeds, then ECONNRESET; after shutdown of the socket it is refused. The new test fails so without the change. The failing test is unchanged.

--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+use nix::sys::socket::{Shutdown, shutdown};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -105,7 +107,7 @@
 {
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = stop.cancelled() => return stop_listening(listener),
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, peer)) = accepted else {
@@ -143,6 +145,15 @@
     }
 }
 
+/// Closes a listener, so that new connections are refused from now on.
+///
+/// Closing its descriptor alone is not enough: a process that another thread is just starting has a
+/// copy of it until it executes its program, and until then the kernel accepts connections.
+fn stop_listening(listener: TcpListener) {
+    // An error means that the socket does not listen any more.
+    let _ = shutdown(listener.as_raw_fd(), Shutdown::Both);
+}
+
 /// The query of a request. Values are returned as sent, without percent-decoding.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a>(pub &'a str);
--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -4,6 +4,7 @@
 use testkit::backend::Behaviour;
 use testkit::http::{request, wait_until};
 use testkit::mesh::Mesh;
+use tokio_util::sync::CancellationToken;
 
 use crate::support::{
     CHATARRAS_TEAM_FILES, REASON_HEADER, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, publish,
@@ -117,6 +118,26 @@
     assert!(run_counts(&mesh, "cobros", "pay-3").is_empty());
 }
 
+/// Guards against a stand-in that accepts a connection after it was killed, and resets it, because a
+/// process that is just being started still has a copy of its listener.
+#[tokio::test]
+async fn a_stopped_listener_refuses_connections_beside_a_copy_of_it() {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+    let copy = listener.try_clone().expect("a descriptor can be copied");
+    let address = listener.local_addr().expect("the listener is bound");
+    listener
+        .set_nonblocking(true)
+        .expect("the mode can be changed");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("the runtime is running");
+    let stop = CancellationToken::new();
+    stop.cancel();
+    testkit::http::serve(listener, stop, |_| async { None }).await;
+    let connected = tokio::net::TcpStream::connect(address).await;
+    let refused = connected.expect_err("the listener is closed");
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    drop(copy);
+}
+
 /// Guards against work for a disconnected caller, which would keep a slot in use. The caller
 /// disconnects while its request runs on another node; the request must be cancelled at the backend
 /// server.
