--- a/crates/experiment/src/slopes/membership.rs
+++ b/crates/experiment/src/slopes/membership.rs
@@ -67,6 +67,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new(SERVICES[number % SERVICES.len()])),
         backend: BackendState::Serving,
+        software_version: None,
         enforced: Version::NONE,
     }
 }
@@ -80,6 +81,8 @@
         updates,
         reports: Vec::new(),
         summaries: Vec::new(),
+        rollouts_digest: 0,
+        rollouts: None,
         want_all: false,
     }
 }
--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -109,6 +109,8 @@
     /// If set, a connection that was idle for longer than this is treated as lost: the backend server
     /// doesn't close it, but resets it when the next bytes arrive.
     pub resets_idle_after: Option<Duration>,
+    /// If set, one in this many requests gets a response with status 500 after its run.
+    pub fails_one_in: Option<u64>,
 }
 
 impl Default for Behaviour {
@@ -119,6 +121,7 @@
             default_work_time: Duration::ZERO,
             overload_action: OverloadAction::Refuse,
             resets_idle_after: None,
+            fails_one_in: None,
         }
     }
 }
@@ -171,6 +174,8 @@
     pub started_ms: u64,
     /// Name of its data centre.
     pub data_centre: String,
+    /// Version of its software, announced as `version`.
+    pub software_version: String,
 }
 
 impl Identity {
@@ -183,6 +188,7 @@
             instance: instance.to_owned(),
             started_ms,
             data_centre: data_centre.to_owned(),
+            software_version: "v1".to_owned(),
         }
     }
 }
--- a/crates/testkit/src/users/backend/announcer.rs
+++ b/crates/testkit/src/users/backend/announcer.rs
@@ -40,7 +40,7 @@
             "service": identity.service,
             "address": self.shared.address.to_string(),
             "zone": identity.data_centre,
-            "version": "v1",
+            "version": identity.software_version,
             "slots": self.shared.behaviour().slots,
             "state": state.as_str(),
             "coldRemaining": "0ms",
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -144,6 +144,12 @@
         self.record_run(&head, arrived_at, &blake3::hash(&body).to_hex());
         let result = self.run(&head).await;
         drop(slot);
+        let runs = self.shared.record().runs.len() as u64;
+        let fails_one_in = self.shared.behaviour().fails_one_in;
+        let response_mode = match fails_one_in.is_some_and(|one_in| runs.is_multiple_of(one_in)) {
+            true => ResponseMode::Failure,
+            false => response_mode,
+        };
         self.shared.record().running -= 1;
         match result {
             Ok(()) => self.send_response(&head, response_mode).await,
--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -40,6 +40,8 @@
     pub services: Vec<&'static str>,
     /// Number of VMs for each service in each data centre.
     pub vms_per_service: usize,
+    /// Number of VMs in each data centre that tests can add later, with [`Mesh::add_endpoints`].
+    pub spare_vms: usize,
     /// Behaviour of all backend servers.
     pub behaviour: Behaviour,
     /// Receives the nodes' log lines at level `info` and above. If `None`, warnings and errors go to the
@@ -59,12 +61,24 @@
             ],
             services: services.to_vec(),
             vms_per_service: 1,
+            spare_vms: 0,
             behaviour: Behaviour::default(),
             log_lines: None,
         }
     }
 }
 
+/// An endpoint to add to a running deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct NewEndpoint {
+    /// Service of its backend server.
+    pub service: &'static str,
+    /// Software version that its backend server announces.
+    pub software_version: &'static str,
+    /// Behaviour of its backend server.
+    pub behaviour: Behaviour,
+}
+
 /// A running deployment on the users' platform.
 #[derive(Debug)]
 pub struct Mesh {
@@ -109,6 +123,11 @@
         // The store is in the first region.
         region_of.push(0);
         let store_site = to_u8(placements.len())?;
+        for _ in 0..plan.spare_vms {
+            for (_, region) in &plan.data_centres {
+                region_of.push(to_u8(region_index(region).unwrap_or(0))?);
+            }
+        }
         let network = Network::new(region_of, 30.0);
         network.set_delays(Duration::from_millis(1), Duration::from_millis(5));
         let store_address = SocketAddr::new(network.site_ip(store_site), 0);
@@ -132,7 +151,12 @@
             directory: tempfile::TempDir::new().map_err(error_text)?,
         };
         for (position, (data_centre, service)) in placements.into_iter().enumerate() {
-            mesh.add_vm(to_u8(position)?, data_centre, service).await?;
+            let new = NewEndpoint {
+                service,
+                software_version: "v1",
+                behaviour: mesh.plan.behaviour,
+            };
+            mesh.add_vm(to_u8(position)?, data_centre, new).await?;
         }
         for position in 0..mesh.vms.len() {
             mesh.start_node(position).await?;
@@ -144,12 +168,16 @@
         &mut self,
         site: Site,
         data_centre: DataCentre,
-        service: &'static str,
+        new: NewEndpoint,
     ) -> Result<()> {
         let ip = self.network.site_ip(site);
-        let identity = Identity::new(service, &format!("i-{site}-1"), data_centre.0);
+        let service = new.service;
+        let identity = Identity {
+            software_version: new.software_version.to_owned(),
+            ..Identity::new(service, &format!("i-{site}-1"), data_centre.0)
+        };
         let any_port = SocketAddr::new(ip, 0);
-        let backend = Backend::start(any_port, identity, self.plan.behaviour).await;
+        let backend = Backend::start(any_port, identity, new.behaviour).await;
         let backend = Arc::new(backend.map_err(error_text)?);
         let forwarder = Forwarder::open(&self.network, site)
             .await
@@ -174,6 +202,24 @@
         Ok(())
     }
 
+    /// Adds a VM with a backend server and a node to each data centre, on VMs that [`Plan::spare_vms`]
+    /// provides. Returns their positions.
+    pub async fn add_endpoints(&mut self, new: NewEndpoint) -> Result<Vec<usize>> {
+        let first = self.vms.len();
+        for data_centre in self.plan.data_centres.clone() {
+            // The site of the store is among those of the VMs.
+            let position = self.vms.len();
+            let site = match position < usize::from(self.store_site) {
+                true => position,
+                false => position + 1,
+            };
+            let site = u8::try_from(site).map_err(error_text)?;
+            self.add_vm(site, data_centre, new).await?;
+            self.start_node(position).await?;
+        }
+        Ok((first..self.vms.len()).collect())
+    }
+
     /// Makes `backend` the backend server of a VM and starts its periodic announcements.
     fn attach_backend(&mut self, position: usize, backend: Arc<Backend>) {
         let vm = &mut self.vms[position];
--- a/crates/testkit/src/users/store.rs
+++ b/crates/testkit/src/users/store.rs
@@ -163,6 +163,12 @@
         version
     }
 
+    /// Deletes a row of the table `op`, as an operator does.
+    pub fn delete_operator_row(&self, key: &str) {
+        self.shared.state().rows.delete("op", "", key);
+        self.shared.wake_feeds();
+    }
+
     /// Sets the fault for all callers for which [`Self::set_call_fault_for`] has set none.
     pub fn set_call_fault(&self, call_fault: CallFault) {
         self.shared.state().call_fault = call_fault;
--- a/crates/testkit/src/users/store/rows.rs
+++ b/crates/testkit/src/users/store/rows.rs
@@ -113,6 +113,11 @@
         self.version
     }
 
+    pub(super) fn delete(&mut self, table: &str, part: &str, key: &str) {
+        self.version += 1;
+        self.remove((table.to_owned(), part.to_owned(), key.to_owned()));
+    }
+
     fn insert(&mut self, name: RowName, value: Vec<u8>) {
         let stored = StoredRow {
             value,
--- a/src/bin/dragonflywall/commands.rs
+++ b/src/bin/dragonflywall/commands.rs
@@ -7,6 +7,7 @@
 mod history;
 mod node;
 mod publish;
+mod rollout;
 mod status;
 mod watch;
 
@@ -29,6 +30,7 @@
     publish::COMMAND,
     watch::COMMAND,
     status::COMMAND,
+    rollout::COMMAND,
     history::COMMAND,
     audit::COMMAND,
     drain::COMMAND,
--- a/src/core.rs
+++ b/src/core.rs
@@ -11,6 +11,7 @@
 pub mod mechanism;
 pub mod member;
 pub mod names;
+pub mod rollout;
 pub mod routing;
 pub mod status;
 pub mod team_file;
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::names::{DataCentreName, RegionName, ServiceName};
+use crate::core::names::{DataCentreName, RegionName, ServiceName, SoftwareVersion};
 use crate::core::version::Version;
 
 /// Identity of a node: the address of its peer listener for nodes of the same data centre.
@@ -79,6 +79,17 @@
     Gone,
 }
 
+/// The backend server of a node, as the node describes it to the mesh.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendRecord {
+    /// Service that it provides; `None` if there is no backend server.
+    pub service: Option<ServiceName>,
+    /// Version of the software that it runs, if it announced one.
+    pub software_version: Option<SoftwareVersion>,
+    /// Whether it accepts requests.
+    pub state: BackendState,
+}
+
 /// The gossip state of one node. Only the node itself writes it, except for [`Liveness::Suspect`]
 /// and [`Liveness::Dead`], which other nodes set.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +111,9 @@
     pub service: Option<ServiceName>,
     /// State of that backend server.
     pub backend: BackendState,
+    /// Version of the software that it runs, if it announced one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<SoftwareVersion>,
     /// Version that the node enforces, as known locally: exact for the local node, the last report
     /// for nodes of the same data centre, and 0 for all others. It is not part of the state that
     /// gossip spreads; see [`crate::membership::reports`].
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -70,6 +70,10 @@
     /// Name that a backend server chooses for itself, usually a new one each time it starts.
     InstanceName
 }
+name_type! {
+    /// Version of the software that a backend server runs, as it announces it.
+    SoftwareVersion
+}
 name_type! {
     /// Name of a data centre. The latency between its VMs is about 1 ms.
     DataCentreName
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::member::{BackendState, Member, NodeId, Place};
-use crate::core::names::{InstanceName, ServiceName};
+use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
+use crate::core::rollout::{RolloutOrder, RolloutState};
 use crate::core::version::{Stamp, Version};
 
 /// Response body of `GET /status`.
@@ -56,6 +57,40 @@
     }
 }
 
+/// Roll-out of one service, as a node sees it: an item of the response body of `GET /rollouts`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// The newest order; `None` if it was withdrawn or cannot be decoded.
+    pub order: Option<RolloutOrder>,
+    /// The newest state; `None` before the order is taken up.
+    pub state: Option<RolloutState>,
+    /// How close the candidate is to being condemned, from 0 to 1, by the evidence of this node.
+    pub suspicion: f64,
+    /// What the gates of the service have reported to this node.
+    pub versions: Vec<VersionStatus>,
+}
+
+/// What one gate has reported during a roll-out.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VersionStatus {
+    /// The gate's node.
+    pub node: NodeId,
+    /// Software version of its backend server.
+    pub version: Option<SoftwareVersion>,
+    /// Whether that is the candidate version.
+    pub candidate: bool,
+    /// Responses since the order.
+    pub answers: u64,
+    /// Failed ones among them.
+    pub failures: u64,
+    /// Requests that run.
+    pub in_flight: u32,
+    /// Whether the gate refuses every new request because of the roll-out.
+    pub closed: bool,
+}
+
 /// State that a backend server announces to its node, for example with `POST /backend-server`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -82,6 +117,9 @@
     /// record.
     #[serde(default)]
     pub slots: Option<u32>,
+    /// Version of the software that the backend server runs, by which roll-outs select endpoints.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
     /// Remaining warm-up time, during which the backend server is slow, in milliseconds.
     #[serde(default)]
     pub cold_ms: u64,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,4 +1,4 @@
-//! Decisions about requests: admission, load balancing, retries, uploads, and which connections and
+//! Decisions about requests: admission, load balancing, retries, roll-outs, uploads, and which connections and
 //! announcements a node accepts.
 //!
 //! They are plain functions and structs without I/O; the current time is an argument.
@@ -11,6 +11,7 @@
 pub mod load_balancing;
 pub mod max_wait;
 pub mod retry;
+pub mod rollout;
 pub mod service_times;
 pub mod split;
 pub mod transit;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -254,7 +254,8 @@
         self.refuse_waiting();
     }
 
-    fn refuse_waiting(&mut self) {
+    /// Refuses the waiting requests, which may still run elsewhere.
+    pub fn refuse_waiting(&mut self) {
         let refusal = self.refusal(
             RefusalCause::Closed,
             &SlotRequest::new(Class::Interactive, 0),
--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -22,10 +22,12 @@
 mod cost;
 mod endpoint_stats;
 mod free_slot_search;
+mod version_set;
 
 pub use self::cost::TimeLimits;
 pub use self::endpoint_stats::{AttemptOutcome, LoadReport};
 pub use self::free_slot_search::FreeSlotSearch;
+pub use self::version_set::{VersionIndex, VersionSet, Versions};
 
 /// Number of endpoints per service and distance that an entry node uses. Each connection costs memory at
 /// both ends, and a choice among a few endpoints spreads load nearly as well as a choice among all.
@@ -58,22 +60,27 @@
     pub address: SocketAddr,
     /// Start time of the node's process, which distinguishes restarts.
     pub incarnation_us: u64,
+    /// Software version of the backend server, in [`RankedEndpoints::versions`].
+    pub version: VersionIndex,
 }
 
 /// Endpoints of one service, by distance and then in the rendezvous order of one entry node.
 #[derive(Clone, Debug, Default)]
 pub struct RankedEndpoints {
     by_distance: [Vec<Endpoint>; 3],
+    versions: Versions,
 }
 
 impl RankedEndpoints {
     /// Adds a member to the ranking of `entry_node`, which is located at `entry_place`.
     pub fn add(&mut self, entry_node: NodeId, entry_place: &Place, member: &Member) {
         let distance_index = entry_place.distance_to(&member.place) as usize;
+        let version = self.versions.index_of(member.software_version.as_ref());
         self.by_distance[distance_index].push(Endpoint {
             node: member.node,
             address: member.dial_address(entry_place),
             incarnation_us: member.incarnation_us,
+            version,
         });
         // Rendezvous hashing: an added or removed endpoint changes one member of the subsets of a
         // few entry nodes and leaves all other connections unchanged. The next endpoint in the
@@ -82,6 +89,11 @@
             .sort_by_cached_key(|endpoint| Reverse(rendezvous_weight(entry_node, endpoint.node)));
     }
 
+    /// Software versions of the endpoints.
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
     /// Iterates over all endpoints, nearest first.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.by_distance.iter().flatten()
@@ -109,6 +121,10 @@
     pub body_bytes: u64,
     /// Endpoints at which an earlier attempt of the request failed.
     pub tried: &'a [NodeId],
+    /// Software versions of which the endpoint must have one.
+    pub versions: VersionSet,
+    /// Nodes of which the endpoint must be one; `None` for any.
+    pub only: Option<&'a [NodeId]>,
 }
 
 /// Estimated state of one endpoint, for the log.
@@ -134,6 +150,10 @@
     tried: &'a [NodeId],
     /// Whether endpoints that recently refused requests as draining are included.
     include_draining: bool,
+    /// Software versions to include.
+    versions: VersionSet,
+    /// Nodes to include; `None` for all.
+    only: Option<&'a [NodeId]>,
 }
 
 /// Measurements of endpoints by one entry node. Times are microseconds of any monotonic clock.
@@ -170,6 +190,8 @@
         let filter = EndpointFilter {
             tried: requirements.tried,
             include_draining: false,
+            versions: requirements.versions,
+            only: requirements.only,
         };
         let mut choose_filtered =
             |filter| self.choose_matching(now_us, ranked, requirements, filter, rng);
@@ -185,6 +207,7 @@
                 choose_filtered(EndpointFilter {
                     tried: &[],
                     include_draining: true,
+                    ..filter
                 })
             })
     }
@@ -428,6 +451,10 @@
         for endpoint in endpoints {
             let stats = self.stats_by_node.get(&endpoint.node);
             let stats = stats.filter(|stats| stats.incarnation_us == endpoint.incarnation_us);
+            let is_included = filter.only.is_none_or(|only| only.contains(&endpoint.node));
+            if !filter.versions.contains(endpoint.version) || !is_included {
+                continue;
+            }
             let draining = stats.is_some_and(|stats| stats.is_draining(now_us));
             let draining_excluded = draining && !filter.include_draining;
             if draining_excluded || filter.tried.contains(&endpoint.node) {
--- a/src/membership/discovery.rs
+++ b/src/membership/discovery.rs
@@ -50,6 +50,8 @@
             updates: vec![self.local_member.clone()],
             reports: Vec::new(),
             summaries: Vec::new(),
+            rollouts_digest: self.rollouts_digest,
+            rollouts: None,
             want_all: self.is_alone(),
         };
         gossip
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -2,6 +2,7 @@
 //! the view.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use super::gossip::{Exchange, Gossip};
 use super::link::{Announcement, Link};
@@ -35,6 +36,9 @@
         // If this node restarted without state while the platform is down, it has no seeds to
         // contact. It then requests the whole view of each node that sends it a heartbeat.
         answer.want_all = self.is_alone();
+        if gossip.rollouts_digest != self.rollouts_digest && self.rollouts_digest != 0 {
+            answer.rollouts = Some(Arc::clone(&self.rollouts));
+        }
         let sent_updates = !answer.updates.is_empty();
         if gossip.want_all {
             answer.updates = self.members().cloned().collect();
@@ -150,6 +154,7 @@
         Announcement {
             held: self.held.version,
             head: self.head.version,
+            rollouts_digest: self.rollouts_digest,
         }
     }
 
@@ -269,11 +274,16 @@
             updates: Vec::new(),
             reports: Vec::new(),
             summaries: Vec::new(),
+            rollouts_digest: self.rollouts_digest,
+            rollouts: None,
             want_all: false,
         };
         let Some(link) = self.links.get_mut(&to) else {
             return gossip;
         };
+        if link.lacks_rollouts(self.rollouts_digest) {
+            gossip.rollouts = Some(Arc::clone(&self.rollouts));
+        }
         let known = link.peer_head;
         gossip.announce = gossip.announce.filter(|head| head.version > known);
         let crosses_regions = matches!(link.kind, NeighbourKind::Gateway | NeighbourKind::Standby);
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::core::member::{Member, NodeId, Place};
+use crate::core::rollout::RolloutBook;
 use crate::core::version::{Stamp, Version};
 
 /// One message of an exchange: the request or the answer.
@@ -26,6 +28,10 @@
     pub reports: Vec<Report>,
     /// How many nodes of each data centre enforce which version.
     pub summaries: Vec<Summary>,
+    /// Digest of the orders and states of roll-outs that the sender has; 0 if there are none.
+    pub rollouts_digest: u64,
+    /// These orders and states, if the receiver may not have them.
+    pub rollouts: Option<Arc<RolloutBook>>,
     /// Asks the receiver for its whole view.
     pub want_all: bool,
 }
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -52,6 +52,8 @@
     pub peer_head: Version,
     /// Highest version held by this node whose announcement the neighbour has acknowledged.
     pub acked_version: Version,
+    /// Digest of its orders and states of roll-outs, as it reported.
+    pub peer_rollouts_digest: u64,
     /// Whether an exchange with it is in flight.
     pub in_flight: bool,
     /// Version held by this node that the exchange in flight announces.
@@ -74,6 +76,8 @@
     pub held: Version,
     /// Newest version known to this node, whether or not it holds the content.
     pub head: Version,
+    /// Digest of the orders and states of roll-outs that this node has.
+    pub rollouts_digest: u64,
 }
 
 impl Link {
@@ -88,6 +92,7 @@
             peer_version: Version::NONE,
             peer_head: Version::NONE,
             acked_version: Version::NONE,
+            peer_rollouts_digest: 0,
             in_flight: false,
             sending_version: Version::NONE,
             want_all: false,
@@ -118,7 +123,12 @@
             // Records that crossed by way of the gateway show here as equal view hashes. A new
             // version is sent over this link as well, because the gateway may have failed without
             // being detected yet.
-            NeighbourKind::Standby => heartbeat_due || self.has_new_version(announcement),
+            NeighbourKind::Standby => {
+                heartbeat_due
+                    || self.has_new_version(announcement)
+                    || (self.lacks_rollouts(announcement.rollouts_digest)
+                        && !self.sent_recently(now_ms))
+            }
             // Summaries wait for a heartbeat, because traffic between regions is billed by volume.
             NeighbourKind::Gateway => heartbeat_due || updates_due,
             NeighbourKind::Ring | NeighbourKind::Bridge => {
@@ -156,7 +166,15 @@
         // Traffic between regions is billed, so a version is announced to another region only if the
         // neighbour can fetch it from this node.
         let new_head = self.kind != NeighbourKind::Gateway && announcement.head > self.peer_head;
-        new_head || !self.pending_members.is_empty()
+        new_head
+            || !self.pending_members.is_empty()
+            || self.lacks_rollouts(announcement.rollouts_digest)
+    }
+
+    /// Whether the neighbour has other orders and states of roll-outs than this node, whose digest is
+    /// `digest`.
+    pub fn lacks_rollouts(&self, digest: u64) -> bool {
+        digest != 0 && digest != self.peer_rollouts_digest
     }
 
     /// Makes pending updates due at the next tick.
--- a/src/membership/merge.rs
+++ b/src/membership/merge.rs
@@ -18,6 +18,7 @@
         self.set_head(gossip.announce.unwrap_or(Stamp::NONE));
         if let Some(link) = self.links.get_mut(&gossip.from) {
             link.record_peer_versions(gossip.version, gossip.announce.map(|stamp| stamp.version));
+            link.peer_rollouts_digest = gossip.rollouts_digest;
         }
         for member in &gossip.updates {
             self.merge_member(now_ms, member.clone(), from);
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -96,6 +96,26 @@
     ranked(near, "watcher", LEADS)
 }
 
+/// The highest ranked lead of each data centre but `local_member`'s, and the position of the latter in
+/// the order of all data centres that have one.
+pub fn leads_elsewhere<'a>(
+    local_member: &Member,
+    members: impl Iterator<Item = &'a Member>,
+) -> (Vec<NodeId>, usize) {
+    let mut by_place: BTreeMap<(&str, &str), Vec<&Member>> = BTreeMap::new();
+    for member in members.filter(|member| member.liveness == Liveness::Alive) {
+        let place = &member.place;
+        let key = (place.region.as_str(), place.data_centre.as_str());
+        by_place.entry(key).or_default().push(member);
+    }
+    let place = &local_member.place;
+    let local_key = (place.region.as_str(), place.data_centre.as_str());
+    let rank = by_place.keys().filter(|key| **key < local_key).count();
+    by_place.remove(&local_key);
+    let first = |near| ranked(near, "watcher", 1);
+    (by_place.into_values().flat_map(first).collect(), rank)
+}
+
 /// Whether `local_member` is an end of the links to `remote_member`'s data centre, even if no member
 /// is alive there.
 pub fn is_bridge_to<'a>(
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -2,14 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::gossip::{Exchange, Report, Summary};
 use super::link::Link;
 use super::neighbours::{self, NeighbourKind, node_hash};
 use super::reports::{Reports, place_key};
 use super::roster::Roster;
-use crate::core::member::{BackendState, Distance, Liveness, Member, NodeId, Place};
-use crate::core::names::ServiceName;
+use crate::core::member::{BackendRecord, BackendState, Distance, Liveness, Member, NodeId, Place};
+use crate::core::rollout::RolloutBook;
 use crate::core::status::DataCentreSummary;
 use crate::core::version::{Stamp, Version};
 use crate::decide::backoff::jittered_ms;
@@ -75,6 +76,9 @@
     /// Newest stamp that is known.
     pub(super) head: Stamp,
     pub(super) acknowledged_version: Version,
+    pub(super) rollouts: Arc<RolloutBook>,
+    /// [`RolloutBook::digest`] of `rollouts`.
+    pub(super) rollouts_digest: u64,
     pub(super) generation: u64,
     pub(super) neighbours_stale: bool,
     gateway_rank: Option<usize>,
@@ -109,6 +113,8 @@
             held: Stamp::NONE,
             head: Stamp::NONE,
             acknowledged_version: Version::NONE,
+            rollouts: Arc::default(),
+            rollouts_digest: 0,
             generation: 1,
             neighbours_stale: true,
             gateway_rank: None,
@@ -265,16 +271,36 @@
         }
     }
 
-    /// Changes the service and state of the backend server in the own record.
-    pub fn set_backend(&mut self, service: Option<ServiceName>, state: BackendState) {
-        if self.local_member.service == service && self.local_member.backend == state {
+    /// Changes the backend server in the own record.
+    pub fn set_backend(&mut self, backend: BackendRecord) {
+        let BackendRecord {
+            service,
+            software_version,
+            state,
+        } = backend;
+        let member = &mut self.local_member;
+        if member.service == service
+            && member.software_version == software_version
+            && member.backend == state
+        {
             return;
         }
-        self.local_member.service = service;
-        self.local_member.backend = state;
+        member.service = service;
+        member.software_version = software_version;
+        member.backend = state;
         self.raise_sequence();
     }
 
+    /// Sets the known orders and states of roll-outs, which are sent to neighbours that do not have
+    /// them.
+    pub fn set_rollouts(&mut self, rollouts: Arc<RolloutBook>) {
+        if Arc::ptr_eq(&rollouts, &self.rollouts) {
+            return;
+        }
+        self.rollouts_digest = rollouts.digest();
+        self.rollouts = rollouts;
+    }
+
     /// Stores the newest known stamp, whatever its source.
     pub fn set_head(&mut self, head: Stamp) {
         if head.version > self.head.version {
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 pub(crate) mod recorder;
 pub(crate) mod registration;
 pub(crate) mod reload;
+pub(crate) mod rollout;
 pub mod run;
 pub mod settings;
 pub(crate) mod state;
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::core::member::BackendState;
+use crate::core::member::{BackendRecord, BackendState};
 use crate::core::names::InstanceName;
 use crate::core::status::Announcement;
 use crate::decide::announcements::AnnouncementOutcome;
@@ -106,6 +106,7 @@
         let state = announcement.state;
         let backend = LocalBackend::from(announcement);
         let service = backend.service.clone();
+        let software_version = backend.software_version.clone();
         self.proxy
             .backend
             .store((state != BackendState::Gone).then(|| Arc::new(backend)));
@@ -116,10 +117,15 @@
         }
         log::info!(
             service:%, state:?, instance:? = announcement.instance,
+            software_version:? = announcement.software_version,
             sequence:? = announcement.sequence, started_ms:? = announcement.started_ms;
             "backend server announced itself"
         );
-        self.send_to_membership(MembershipMsg::SetBackend(Some(service), state));
+        self.send_to_membership(MembershipMsg::SetBackend(BackendRecord {
+            service: Some(service),
+            software_version,
+            state,
+        }));
         self.backend_changed.notify_one();
     }
 }
--- a/src/node/configuration/peers.rs
+++ b/src/node/configuration/peers.rs
@@ -1,6 +1,8 @@
 //! Floor queries to peers: below which version this node must not enforce after a restart, and which version is
 //! enforced elsewhere when the process resumes after a freeze.
 
+use std::sync::Arc;
+
 use ractor::ActorRef;
 
 use super::{ConfigurationMsg, ConfigurationOrigin, State};
@@ -23,8 +25,11 @@
             };
             let me = self.node.proxy.local_id;
             let myself = myself.clone();
+            let node = Arc::clone(&self.node);
             tokio::spawn(async move {
                 if let Ok(answer) = client.floor(me).await {
+                    // Before the answer can settle the floor, so that no request ignores a roll-out.
+                    node.merge_rollouts(&answer.rollouts);
                     let _ = myself.cast(ConfigurationMsg::FloorAnswered {
                         peer,
                         answer,
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -11,6 +11,7 @@
 //! | new versions spread by gossip alone | not used: a node that is cut off from its neighbours but not from the store, or whose neighbours have just died, receives a version too late |
 //! | **one lead for each data centre** | used: a lead that is gone, or cannot read the store, is replaced by the next |
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,7 +26,7 @@
 use crate::decide::freeze::Epoch;
 use crate::distribution::fetch::Peer;
 use crate::distribution::lead_choice::{LeadChoice, Leads, NextRead, StoreFailure};
-use crate::store::{Error, Feed, FeedPosition, FeedUpdate};
+use crate::store::{Error, Feed, FeedPosition, FeedUpdate, OrdersRead, RolloutTable};
 use crate::util::clock;
 
 /// Age from which a position is dropped and the newest configuration is read instead. A read from an old position
@@ -39,7 +40,7 @@
 /// reads the newest version at once.
 pub(crate) async fn run(
     node: Arc<NodeState>,
-    feed: impl Feed,
+    feed: impl Feed + RolloutTable,
     configuration: ActorRef<ConfigurationMsg>,
     resync: Arc<Notify>,
     stop: CancellationToken,
@@ -63,7 +64,7 @@
     position: Option<(FeedPosition, Instant)>,
 }
 
-impl<F: Feed> Follower<F> {
+impl<F: Feed + RolloutTable> Follower<F> {
     async fn follow(mut self, resync: &Notify) {
         loop {
             tokio::select! {
@@ -126,6 +127,7 @@
 
     async fn poll_lead(&mut self, lead: Peer, wait: Duration, answer_timeout: Duration) {
         let base_version = *self.node.held_version.borrow();
+        let rollouts_digest = self.node.rollouts().digest();
         let Some(mut client) = self.node.control_pool.client(lead.address) else {
             return self
                 .lead_choice
@@ -135,7 +137,7 @@
         let started = Instant::now();
         let mut leads = self.node.leads.subscribe();
         let answer = tokio::select! {
-            answer = client.follow(base_version, wait, answer_timeout) => answer,
+            answer = client.follow(base_version, rollouts_digest, wait, answer_timeout) => answer,
             // The ranking has changed, so that another lead may be preferred now.
             _ = leads.changed() => return,
         };
@@ -169,6 +171,10 @@
             );
         }
         self.node.proxy.record_store_read(state.store_age_ms);
+        // Before the version can be enforced, so that no request ignores a roll-out.
+        if let Some(rollouts) = &response.rollouts {
+            self.node.merge_rollouts(rollouts);
+        }
         if let Some(offer) = response.offer {
             self.send(ConfigurationMsg::LeadOffer {
                 offer,
@@ -208,7 +214,10 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
-                self.handle_store_answer(answer, last_read_age_ms, asked_in);
+                match self.merge_orders(&answer).await {
+                    Ok(()) => self.handle_store_answer(answer, last_read_age_ms, asked_in),
+                    Err(error) => self.handle_store_failure(&error, took_ms).await,
+                }
             }
             Err(Error::HistoryGone) => {
                 log::info!(
@@ -220,6 +229,34 @@
         }
     }
 
+    /// Merges the orders of roll-outs that the store answered with, before the configuration can be
+    /// enforced. If orders exist when all of them are read, their states are read too.
+    async fn merge_orders(&self, answer: &FeedUpdate) -> Result<(), Error> {
+        self.node.set_store_clock(answer.store_ms);
+        match &answer.orders {
+            OrdersRead::Changed(orders) if orders.is_empty() => (),
+            OrdersRead::Changed(orders) => self.node.update_rollouts(|book| {
+                let merge = |(service, order)| book.merge_order(service, order);
+                orders.iter().map(merge).fold(false, |any, new| any | new)
+            }),
+            OrdersRead::All(orders) => {
+                let position = answer.position.0;
+                let states = match orders.is_empty() {
+                    true => BTreeMap::new(),
+                    false => self.feed.states().await?,
+                };
+                self.node.update_rollouts(|book| {
+                    let mut changed = book.merge_all_orders(position, orders);
+                    for (service, state) in states {
+                        changed |= book.merge_state(&service, state);
+                    }
+                    changed
+                });
+            }
+        }
+        Ok(())
+    }
+
     fn handle_store_answer(&mut self, answer: FeedUpdate, last_read_age_ms: u64, asked_in: Epoch) {
         self.lead_choice.store_answered();
         self.position = Some((answer.position, Instant::now()));
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -74,6 +74,7 @@
         let operator = Arc::new(Operator {
             node: Arc::clone(node),
             metrics: recorder::handle(),
+            rollout: control.rollout.clone(),
         });
         let callers = tasks.spawn(listener::callers::serve(
             self.caller,
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -7,8 +7,7 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
-use crate::core::member::{BackendState, Member, NodeId};
-use crate::core::names::ServiceName;
+use crate::core::member::{BackendRecord, Member, NodeId};
 use crate::core::version::{Stamp, Version};
 use crate::distribution::fetch::Peer;
 use crate::distribution::lead_choice::Leads;
@@ -39,7 +38,9 @@
     /// A peer did not answer an exchange that this node started.
     ExchangeFailed(Exchange),
     AddSeeds(Vec<SocketAddr>),
-    SetBackend(Option<ServiceName>, BackendState),
+    SetBackend(BackendRecord),
+    /// The known orders or states of roll-outs have changed.
+    RolloutsChanged,
     /// The version of this stamp was accepted, according to a hint or to the head row in the store.
     SetHead(Stamp),
     /// This node holds the content of this version and is about to enforce it.
@@ -106,20 +107,22 @@
             MembershipMsg::Tick => (),
             MembershipMsg::SendDeferred => state.send_scheduled = false,
             MembershipMsg::Receive(gossip, reply) => {
+                state.merge_rollouts(&gossip);
                 let answer = state.membership.receive(now_ms, &gossip);
                 // If the peer has timed out, it gets the same information with the next heartbeat.
                 let _ = reply.send(answer);
                 state.forward_announcement(&gossip);
             }
             MembershipMsg::ExchangeAnswered(sent, answer) => {
+                state.merge_rollouts(&answer);
                 state.membership.exchange_done(now_ms, &sent, &answer);
                 state.forward_announcement(&answer);
             }
             MembershipMsg::ExchangeFailed(sent) => state.membership.exchange_failed(now_ms, &sent),
             MembershipMsg::AddSeeds(seeds) => state.membership.add_seeds(seeds),
-            MembershipMsg::SetBackend(service, backend_state) => {
-                state.membership.set_backend(service, backend_state);
-            }
+            MembershipMsg::SetBackend(backend) => state.membership.set_backend(backend),
+            // The new book is passed on below, with every message.
+            MembershipMsg::RolloutsChanged => (),
             MembershipMsg::SetHead(stamp) => state.membership.set_head(stamp),
             MembershipMsg::SetHeld(stamp) => state.membership.set_held(stamp),
             MembershipMsg::SetEnforced(version) => state.membership.set_enforced(version),
@@ -132,6 +135,7 @@
                 let _ = reply.send(());
             }
         }
+        state.membership.set_rollouts(state.node.rollouts());
         for exchange in state.membership.tick(now_ms) {
             state.start_exchange(&myself, exchange);
         }
@@ -189,6 +193,14 @@
         let _ = self.configuration.cast(announced);
     }
 
+    /// Merges the orders and states of roll-outs that a peer sent, before the answer to it is made.
+    fn merge_rollouts(&mut self, gossip: &Gossip) {
+        if let Some(rollouts) = &gossip.rollouts {
+            self.node.merge_rollouts(rollouts);
+            self.membership.set_rollouts(self.node.rollouts());
+        }
+    }
+
     fn peer(&self, node: NodeId) -> Option<Peer> {
         Some(Peer {
             node,
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `GET /ready` | 200 if the node enforces a configuration and accepts requests, else 503 with the reason |
 //! | `GET /status` | the state of the node and its view of the mesh: [`Status`] as JSON |
+//! | `GET /rollouts` | the roll-outs of all services: a list of [`RolloutStatus`](crate::core::status::RolloutStatus) as JSON |
 //! | `GET /metrics` | metrics as Prometheus text |
 //! | `POST /backend-server` | announcement of the local backend server: [`Announcement`] as JSON |
 //! | `POST /drain` | stops sending new requests to the backend server; returns how many are in flight |
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
+use ractor::ActorRef;
 use serde::Serialize;
 
 use crate::core::member::BackendState;
@@ -24,15 +26,20 @@
 use crate::core::version::Stamp;
 use crate::node::backend_announcements::AnnouncementReply;
 use crate::node::membership::MembershipMsg;
+use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 use crate::platform::node_requests;
 
 /// Longest body of an announcement; bounds the memory that one request can take.
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
 
+/// Longest wait for an answer of an actor in this process.
+const ACTOR_TIMEOUT_MS: u64 = 1_000;
+
 pub(crate) struct Operator {
     pub(crate) node: Arc<NodeState>,
     pub(crate) metrics: PrometheusHandle,
+    pub(crate) rollout: ActorRef<RolloutMsg>,
 }
 
 impl Operator {
@@ -40,6 +47,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") => self.ready(),
             (&Method::GET, "/status") => json(&self.status()),
+            (&Method::GET, "/rollouts") => self.rollouts().await,
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics()),
             (&Method::POST, "/backend-server") => self.accept_announcement(request).await,
             (&Method::POST, "/drain") => self.drain(),
@@ -47,6 +55,13 @@
         }
     }
 
+    async fn rollouts(&self) -> Response<Full<Bytes>> {
+        match ractor::call_t!(self.rollout, RolloutMsg::GetStatus, ACTOR_TIMEOUT_MS) {
+            Ok(status) => json(&status),
+            Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping\n"),
+        }
+    }
+
     fn metrics(&self) -> String {
         let (in_use, waiting) = {
             let admission = self.node.proxy.admission();
@@ -111,11 +126,10 @@
     fn drain(&self) -> Response<Full<Bytes>> {
         if !self.node.drained_by_operator.swap(true, Ordering::AcqRel) {
             log::info!("an operator drains the backend server");
-            let backend = self.node.proxy.backend.load();
-            let service = backend.as_ref().map(|backend| backend.service.clone());
             self.node.proxy.close_gate();
+            let draining = self.node.backend_record(BackendState::Draining);
             self.node
-                .send_to_membership(MembershipMsg::SetBackend(service, BackendState::Draining));
+                .send_to_membership(MembershipMsg::SetBackend(draining));
         }
         let in_flight = self.node.proxy.admission().in_use();
         json(&serde_json::json!({ "draining": true, "in_flight": in_flight }))
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -18,9 +18,10 @@
 use crate::node::listeners::Listeners;
 use crate::node::membership::{self, MembershipActor, MembershipMsg};
 use crate::node::registration;
+use crate::node::rollout::{RolloutActor, RolloutMsg};
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
-use crate::node::{follower, freeze, recorder, reload};
+use crate::node::{follower, freeze, recorder, reload, rollout};
 use crate::peer::server::ControlService;
 use crate::platform::store::PlatformStore;
 use crate::store::NodeStore;
@@ -76,6 +77,7 @@
     node: Arc<NodeState>,
     membership: ActorRef<MembershipMsg>,
     configuration: ActorRef<ConfigurationMsg>,
+    rollout: ActorRef<RolloutMsg>,
     shutdown: ShutdownTokens,
     callers_task: JoinHandle<()>,
     peers_task: JoinHandle<()>,
@@ -112,6 +114,7 @@
     let origin = configuration_origin(&node.proxy.settings);
     let (configuration, membership) = start_actors(&node, &local_member, origin.clone()).await?;
     node.set_membership(membership.clone());
+    let rollout = start_rollout_actor(&node, local_member.incarnation_us).await?;
 
     let shutdown = ShutdownTokens::default();
     let tasks = TaskTracker::new();
@@ -128,6 +131,7 @@
     let control = ControlService {
         membership: membership.clone(),
         configuration: configuration.clone(),
+        rollout: rollout.clone(),
         node: Arc::clone(&node),
     };
     let (callers_task, peers_task) = listeners.serve(&node, control, &shutdown, &tasks);
@@ -164,6 +168,7 @@
         node,
         membership,
         configuration,
+        rollout,
         shutdown,
         callers_task,
         peers_task,
@@ -214,6 +219,30 @@
     Ok((configuration, membership))
 }
 
+/// Starts the actor that carries out roll-outs. Its states are written only to the users' platform.
+async fn start_rollout_actor(
+    node: &Arc<NodeState>,
+    incarnation_us: u64,
+) -> Result<ActorRef<RolloutMsg>> {
+    let settings = &node.proxy.settings;
+    let table = match settings.dialect {
+        Dialect::Native => None,
+        Dialect::Platform => Some(PlatformStore::new(
+            &settings.platform_url,
+            settings.dial_from,
+        )),
+    };
+    let arguments = rollout::Arguments {
+        node: Arc::clone(node),
+        incarnation_us,
+        table,
+    };
+    let (rollout, _) = Actor::spawn(None, RolloutActor, arguments)
+        .await
+        .context(SpawnSnafu { actor: "rollout" })?;
+    Ok(rollout)
+}
+
 impl NodeHandle {
     /// The node's addresses as one line of JSON. They contain the ports that the system chose for port 0.
     pub fn addresses_json(&self) -> String {
@@ -238,16 +267,8 @@
         log::info!("draining");
         self.node.proxy.leaving.cancel();
         self.node.proxy.close_gate();
-        let service = self
-            .node
-            .proxy
-            .backend
-            .load()
-            .as_ref()
-            .map(|b| b.service.clone());
-        let _ = self
-            .membership
-            .cast(MembershipMsg::SetBackend(service, BackendState::Draining));
+        let draining = self.node.backend_record(BackendState::Draining);
+        let _ = self.membership.cast(MembershipMsg::SetBackend(draining));
         let drain_timeout_ms = self.node.proxy.reloadable.load().drain_timeout_ms;
         let drain_timeout = Duration::from_millis(drain_timeout_ms);
         if tokio::time::timeout(drain_timeout, self.wait_for_requests())
@@ -265,6 +286,7 @@
         self.tasks.wait().await;
         self.membership.stop(None);
         self.configuration.stop(None);
+        self.rollout.stop(None);
         log::info!("stopped");
     }
 
@@ -305,6 +327,7 @@
         liveness: Liveness::Alive,
         service,
         backend,
+        software_version: None,
         enforced: Version::NONE,
     }
 }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -134,6 +134,9 @@
     /// Retries of a service's requests that are allowed beyond that percentage, for all nodes of the mesh together. If
     /// none, ten for each node.
     pub retry_reserve: Option<u32>,
+    /// Share of a service's requests that a candidate version may get before it is known to be good, in percent.
+    #[builder(default = default_value("rollout-exposure-percent"))]
+    pub exposure_percent: u32,
     /// Rate of the VM's network link in kilobits per second, by which large bodies are limited. Assumed to be fast if
     /// none.
     pub link_kbit_per_s: Option<u32>,
@@ -317,6 +320,7 @@
         let stop_least_ms = self.required("stop-least-ms");
         let apply_within_ms = self.required("apply-within-ms");
         let retry_percent = self.required("retry-percent");
+        let exposure_percent = self.percentage("rollout-exposure-percent");
         let link_kbit_per_s = self.optional("link-kbit-per-s");
         let disabled_mechanisms = self.optional("without").unwrap_or_default();
         let log_format = self.required("log-format");
@@ -336,6 +340,7 @@
             stop_least_ms: stop_least_ms.expect(checked),
             apply_within_ms: apply_within_ms.expect(checked),
             retry_percent: retry_percent.expect(checked),
+            exposure_percent: exposure_percent.expect(checked),
             link_kbit_per_s,
             disabled_mechanisms,
             caller_listen: caller_listen.expect(checked),
@@ -420,6 +425,16 @@
         self.optional(flag)
     }
 
+    /// A share of at least 1 % and at most all.
+    fn percentage(&mut self, flag: &str) -> Option<u32> {
+        let percent = self.required(flag)?;
+        if (1..=100).contains(&percent) {
+            return Some(percent);
+        }
+        self.add_problem(flag, &format!("{percent} is not from 1 to 100"));
+        None
+    }
+
     fn header_max_bytes(&mut self) -> Option<usize> {
         let flag = "caller-header-max-bytes";
         let bytes = self.required(flag)?;
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -182,6 +182,12 @@
         default: "10",
         help: "retries of a service's requests, in percent of the first attempts",
     },
+    Spec {
+        flag: "rollout-exposure-percent",
+        value_name: "PERCENT",
+        default: "10",
+        help: "share of a service's requests for a version that is not known to be good, 1 to 100",
+    },
     Spec {
         flag: "link-kbit-per-s",
         value_name: "KBIT",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,6 +1,6 @@
 //! State that the actors and tasks of a node share.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use arc_swap::ArcSwap;
@@ -8,7 +8,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::core::dialect::Dialect;
-use crate::core::member::{BackendState, NodeId};
+use crate::core::member::{BackendRecord, BackendState, NodeId};
+use crate::core::rollout::RolloutBook;
 use crate::core::version::Version;
 use crate::decide::announcements::Announcements;
 use crate::distribution::ApplyBudget;
@@ -44,6 +45,11 @@
     pub(crate) followed_node: watch::Sender<Option<NodeId>>,
     /// Whether this node's reads of the store fail, so that followers should choose another lead node.
     pub(crate) store_failing: watch::Sender<bool>,
+    /// Time of the store's clock when the process started, in milliseconds; 0 before the store's first
+    /// answer.
+    store_clock_at_start_ms: AtomicU64,
+    /// Newest known orders and states of roll-outs. Long polls of followers wait for it to change.
+    pub(crate) rollouts: watch::Sender<Arc<RolloutBook>>,
 }
 
 impl NodeState {
@@ -67,6 +73,8 @@
             leads: watch::Sender::new(Leads::default()),
             followed_node: watch::Sender::new(None),
             store_failing: watch::Sender::new(false),
+            store_clock_at_start_ms: AtomicU64::new(0),
+            rollouts: watch::Sender::new(Arc::default()),
         })
     }
 
@@ -81,8 +89,11 @@
         let loss_receiver = membership.clone();
         self.proxy.on_backend_lost.set(move |service| {
             // Sending fails only while the process is shutting down.
-            let _ =
-                loss_receiver.cast(MembershipMsg::SetBackend(Some(service), BackendState::Gone));
+            let _ = loss_receiver.cast(MembershipMsg::SetBackend(BackendRecord {
+                service: Some(service),
+                software_version: None,
+                state: BackendState::Gone,
+            }));
         });
         // Called once, when the node starts.
         let _ = self.membership.set(membership);
@@ -102,6 +113,60 @@
         self.drained_by_operator.load(Ordering::Acquire) || self.proxy.leaving.is_cancelled()
     }
 
+    /// The backend server as it is announced to the mesh, in another state.
+    pub(crate) fn backend_record(&self, state: BackendState) -> BackendRecord {
+        let backend = self.proxy.backend.load();
+        BackendRecord {
+            service: backend.as_ref().map(|backend| backend.service.clone()),
+            software_version: backend
+                .as_ref()
+                .and_then(|backend| backend.software_version.clone()),
+            state,
+        }
+    }
+
+    /// Sets the time of the store's clock from an answer that has just arrived.
+    pub(crate) fn set_store_clock(&self, store_ms: u64) {
+        let at_start_ms = store_ms.saturating_sub(self.proxy.uptime_ms());
+        self.store_clock_at_start_ms
+            .store(at_start_ms.max(1), Ordering::Release);
+    }
+
+    /// Time of the store's clock now, in milliseconds; `None` before the store's first answer.
+    pub(crate) fn store_clock_ms(&self) -> Option<u64> {
+        match self.store_clock_at_start_ms.load(Ordering::Acquire) {
+            0 => None,
+            at_start_ms => Some(at_start_ms + self.proxy.uptime_ms()),
+        }
+    }
+
+    /// The newest known orders and states of roll-outs.
+    pub(crate) fn rollouts(&self) -> Arc<RolloutBook> {
+        Arc::clone(&self.rollouts.borrow())
+    }
+
+    /// Merges orders and states of roll-outs, from whatever source. They apply to requests from now on.
+    pub(crate) fn merge_rollouts(&self, received: &RolloutBook) {
+        self.update_rollouts(|book| book.merge(received));
+    }
+
+    /// Changes the known orders and states of roll-outs by `update`, which returns whether it changed
+    /// anything.
+    pub(crate) fn update_rollouts(&self, update: impl FnOnce(&mut RolloutBook) -> bool) {
+        let changed = self.rollouts.send_if_modified(|shared| {
+            let mut book = RolloutBook::clone(shared);
+            let changed = update(&mut book);
+            if changed {
+                self.proxy.set_rollouts(&book);
+                *shared = Arc::new(book);
+            }
+            changed
+        });
+        if changed {
+            self.send_to_membership(MembershipMsg::RolloutsChanged);
+        }
+    }
+
     pub(crate) fn announcements(&self) -> MutexGuard<'_, Announcements> {
         lock_ignoring_poison(&self.announcements)
     }
--- a/src/ops/query.rs
+++ b/src/ops/query.rs
@@ -5,5 +5,6 @@
 pub mod check;
 pub mod diff;
 pub mod progress;
+pub mod rollout;
 pub mod status;
 pub mod watch;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -15,8 +15,10 @@
 use super::generated as wire;
 use super::generated::control_client::ControlClient;
 use crate::core::member::NodeId;
+use crate::core::rollout::RolloutBook;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
+use crate::decide::rollout::NodeTally;
 use crate::distribution::Offer;
 use crate::distribution::lead_choice::LeadState;
 use crate::membership::Gossip;
@@ -38,10 +40,12 @@
     pub(crate) offer: Option<Offer>,
     /// How current the peer's data from the store is.
     pub(crate) state: LeadState,
+    /// The peer's orders and states of roll-outs, if they differ from the caller's.
+    pub(crate) rollouts: Option<RolloutBook>,
 }
 
 /// A peer's answer to a floor query.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct FloorAnswer {
     /// Highest version that the peer has on record for the node, also from before a restart of it.
     pub reported: Version,
@@ -50,6 +54,8 @@
     /// Whether the peer was frozen and has not refreshed its configuration yet, so that it may be
     /// behind.
     pub refreshing: bool,
+    /// The peer's orders and states of roll-outs.
+    pub rollouts: RolloutBook,
 }
 
 /// Why a call to a peer failed.
@@ -168,16 +174,19 @@
     }
 
     /// Requests the content of a version newer than `have`, for which the peer may wait up to
-    /// `wait`. Its answer may take `answer_timeout` in addition.
+    /// `wait`, and its roll-outs if their digest differs from `rollouts_digest`. Its answer may take
+    /// `answer_timeout` in addition.
     pub(crate) async fn follow(
         &mut self,
         have: Version,
+        rollouts_digest: u64,
         wait: Duration,
         answer_timeout: Duration,
     ) -> Result<FollowAnswer> {
         let request = wire::FollowRequest {
             have_version: have.0,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            rollouts_digest,
         };
         let answer = self
             .client
@@ -197,7 +206,13 @@
             }
             None => None,
         };
-        Ok(FollowAnswer { offer, state })
+        let rollouts = answer.rollouts.as_ref();
+        let rollouts = rollouts.map(convert::rollouts::book_from_wire).transpose();
+        Ok(FollowAnswer {
+            offer,
+            state,
+            rollouts: rollouts.map_err(|error| self.protocol_error(&error))?,
+        })
     }
 
     /// Informs the peer that `head` was accepted. Returns the stamp that the peer enforces.
@@ -232,10 +247,31 @@
         let answer = answer.get_ref();
         let enforced = convert::stamp_from_wire(answer.enforced.as_ref());
         let enforced = enforced.map_err(|error| self.protocol_error(&error))?;
+        let rollouts = answer.rollouts.as_ref();
+        let rollouts = rollouts.map(convert::rollouts::book_from_wire).transpose();
+        let rollouts = rollouts.map_err(|error| self.protocol_error(&error))?;
         Ok(FloorAnswer {
             reported: Version(answer.reported_version),
             enforced,
             refreshing: answer.refreshing,
+            rollouts: rollouts.unwrap_or_default(),
+        })
+    }
+
+    /// Reports what gates have counted during a roll-out. With `forwarded` the peer does not pass the
+    /// counts on.
+    pub(crate) async fn tally(&mut self, tallies: &[NodeTally], forwarded: bool) -> Result<()> {
+        let tallies = tallies.iter().map(convert::rollouts::tally_to_wire);
+        let request = wire::TallyRequest {
+            tallies: tallies.collect(),
+            forwarded,
+        };
+        let answer = self
+            .client
+            .tally(with_timeout(request, ANSWER_TIMEOUT))
+            .await;
+        answer.map(drop).context(CallSnafu {
+            address: self.address,
         })
     }
 
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -1,16 +1,19 @@
 //! Conversion between generated messages and plain data.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::generated as wire;
 use crate::core::member::{BackendState, Liveness, Member, NodeId, Place};
-use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
+use crate::core::names::{DataCentreName, RegionName, ServiceName, SoftwareVersion, is_name};
 use crate::core::version::{Digest, InvalidDigest, Stamp, Version};
 use crate::distribution::{Content, DeltaStep, Offer};
 use crate::membership::{Gossip, Report, Summary};
 
+pub(crate) mod rollouts;
+
 /// Result of a conversion.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -52,6 +55,7 @@
 struct NameTable {
     places: Vec<Place>,
     services: Vec<ServiceName>,
+    software_versions: Vec<SoftwareVersion>,
 }
 
 impl NameTable {
@@ -63,6 +67,13 @@
     fn service_index(&mut self, service: Option<&ServiceName>) -> u32 {
         service.map_or(0, |service| index_in(&mut self.services, service) + 1)
     }
+
+    /// Index of a software version, counted from 1; 0 means that none was announced.
+    fn software_version_index(&mut self, version: Option<&SoftwareVersion>) -> u32 {
+        version.map_or(0, |version| {
+            index_in(&mut self.software_versions, version) + 1
+        })
+    }
 }
 
 fn index_in<T: Clone + PartialEq>(list: &mut Vec<T>, item: &T) -> u32 {
@@ -93,9 +104,16 @@
         announce: gossip.announce.map(stamp_to_wire),
         places: names.places.iter().map(place_to_wire).collect(),
         services: names.services.iter().map(ToString::to_string).collect(),
+        software_versions: names
+            .software_versions
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
         updates,
         reports: gossip.reports.iter().map(report_to_wire).collect(),
         summaries,
+        rollouts_digest: gossip.rollouts_digest,
+        rollouts: gossip.rollouts.as_deref().map(rollouts::book_to_wire),
         want_all: gossip.want_all,
     }
 }
@@ -108,6 +126,11 @@
     let names = NameTable {
         places: gossip.places.iter().map(place_from_wire).collect(),
         services: services_from_wire(&gossip.services)?,
+        software_versions: gossip
+            .software_versions
+            .iter()
+            .map(SoftwareVersion::new)
+            .collect(),
     };
     let updates = gossip.updates.iter();
     let updates: Result<Vec<Member>> = updates.map(|m| member_from_wire(m, &names)).collect();
@@ -116,6 +139,7 @@
     let reports: Result<_> = gossip.reports.iter().map(report_from_wire).collect();
     let announce = gossip.announce.as_ref();
     let announce = announce.map(|stamp| stamp_from_wire(Some(stamp)));
+    let rollouts = gossip.rollouts.as_ref().map(rollouts::book_from_wire);
     Ok(Gossip {
         from: node_from_wire(&gossip.from)?,
         view_hash: gossip.view_hash,
@@ -124,12 +148,14 @@
         updates: updates?,
         reports: reports?,
         summaries: summaries?,
+        rollouts_digest: gossip.rollouts_digest,
+        rollouts: rollouts.transpose()?.map(Arc::new),
         want_all: gossip.want_all,
     })
 }
 
 /// IP address and port in network byte order, as 6 or 18 bytes.
-fn address_to_wire(address: SocketAddr) -> Vec<u8> {
+pub(super) fn address_to_wire(address: SocketAddr) -> Vec<u8> {
     let mut bytes = match address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -151,7 +177,7 @@
     Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
 }
 
-fn node_from_wire(bytes: &[u8]) -> Result<NodeId> {
+pub(super) fn node_from_wire(bytes: &[u8]) -> Result<NodeId> {
     address_from_wire(bytes).map(NodeId)
 }
 
@@ -163,6 +189,15 @@
     services.iter().map(service_from_wire).collect()
 }
 
+/// The name with an index that counts from 1; `None` for 0.
+fn name_at<T: Clone>(names: &[T], index: u32, field: &'static str) -> Result<Option<T>> {
+    let Some(position) = index.checked_sub(1) else {
+        return Ok(None);
+    };
+    let name = names.get(position as usize);
+    name.cloned().context(FieldSnafu { field }).map(Some)
+}
+
 fn place_at(names: &NameTable, position: u32) -> Result<Place> {
     let place = names.places.get(position as usize);
     place.cloned().context(FieldSnafu { field: "place" })
@@ -222,6 +257,7 @@
         liveness: liveness_to_wire(member.liveness).into(),
         service: names.service_index(member.service.as_ref()),
         backend: backend_to_wire(member.backend).into(),
+        software_version: names.software_version_index(member.software_version.as_ref()),
     }
 }
 
@@ -232,13 +268,12 @@
     } else {
         address_from_wire(&member.external)?
     };
-    let service = match member.service.checked_sub(1) {
-        None => None,
-        Some(position) => {
-            let service = names.services.get(position as usize);
-            Some(service.cloned().context(FieldSnafu { field: "service" })?)
-        }
-    };
+    let service = name_at(&names.services, member.service, "service")?;
+    let software_version = name_at(
+        &names.software_versions,
+        member.software_version,
+        "software_version",
+    )?;
     Ok(Member {
         node,
         external,
@@ -248,6 +283,7 @@
         liveness: liveness_from_wire(member.liveness())?,
         service,
         backend: backend_from_wire(member.backend())?,
+        software_version,
         enforced: Version::NONE,
     })
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -14,6 +14,7 @@
 use crate::distribution::Offer;
 use crate::node::configuration::ConfigurationMsg;
 use crate::node::membership::MembershipMsg;
+use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 
 /// Longest wait for an answer of an actor in this process.
@@ -25,6 +26,7 @@
 pub(crate) struct ControlService {
     pub(crate) membership: ActorRef<MembershipMsg>,
     pub(crate) configuration: ActorRef<ConfigurationMsg>,
+    pub(crate) rollout: ActorRef<RolloutMsg>,
     pub(crate) node: Arc<NodeState>,
 }
 
@@ -76,21 +78,27 @@
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
         let mut held = self.node.held_version.subscribe();
         let mut store_failing = self.node.store_failing.subscribe();
+        let mut rollouts = self.node.rollouts.subscribe();
+        let known_digest = request.rollouts_digest;
         let is_newer = tokio::select! {
             newer = held.wait_for(|held| *held > have) => newer.is_ok(),
             _ = store_failing.wait_for(|failing| *failing) => false,
+            _ = rollouts.wait_for(|book| book.digest() != known_digest) => false,
             () = tokio::time::sleep(wait) => false,
         };
         let offer = match is_newer {
             true => self.offer(have).await?,
             false => None,
         };
+        let book = self.node.rollouts();
+        let differs = book.digest() != known_digest;
         let store_age_ms = self.node.proxy.store_age_ms().unwrap_or(u64::MAX);
         let store_age_ms = u32::try_from(store_age_ms).unwrap_or(u32::MAX);
         Ok(Response::new(wire::FollowReply {
             newer: Some(convert::offer_to_wire(offer)),
             store_age_ms,
             blind: *self.node.store_failing.borrow(),
+            rollouts: differs.then(|| convert::rollouts::book_to_wire(&book)),
         }))
     }
 
@@ -117,6 +125,23 @@
         }))
     }
 
+    async fn tally(
+        &self,
+        request: Request<wire::TallyRequest>,
+    ) -> Result<Response<wire::TallyReply>, Status> {
+        let request = request.get_ref();
+        let tallies = request.tallies.iter();
+        let tallies: convert::Result<Vec<_>> =
+            tallies.map(convert::rollouts::tally_from_wire).collect();
+        let tallies = tallies.map_err(|e| invalid_argument(&e))?;
+        // Sending fails only while the process shuts down.
+        let _ = self.rollout.cast(RolloutMsg::Tallies {
+            tallies,
+            forwarded: request.forwarded,
+        });
+        Ok(Response::new(wire::TallyReply {}))
+    }
+
     async fn floor(
         &self,
         request: Request<wire::FloorRequest>,
@@ -140,6 +165,7 @@
             reported_version: reported.0,
             enforced: Some(convert::stamp_to_wire(enforced)),
             refreshing: !self.node.proxy.is_fresh(),
+            rollouts: Some(convert::rollouts::book_to_wire(&self.node.rollouts())),
         }))
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,6 +7,7 @@
 //! - [`node_requests`]: readiness probes and announcements of backend servers.
 //! - [`configuration`]: the format in which operators write the configuration into the store.
 //! - [`duration`]: the format of durations.
+//! - [`rollouts`]: orders and statuses of roll-outs.
 //! - [`store`]: client of the store.
 //! - [`headers`]: names of the HTTP headers exchanged with callers and backend servers.
 
@@ -14,6 +15,7 @@
 pub(crate) mod duration;
 pub(crate) mod headers;
 pub(crate) mod node_requests;
+pub(crate) mod rollouts;
 pub(crate) mod settings;
 pub mod store;
 
--- a/src/platform/node_requests.rs
+++ b/src/platform/node_requests.rs
@@ -15,7 +15,7 @@
 
 use super::duration::parse_ms;
 use crate::core::member::BackendState;
-use crate::core::names::{InstanceName, ServiceName};
+use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
 use crate::core::status::Announcement;
 use crate::node::settings::BackendServer;
 
@@ -50,6 +50,8 @@
     address: String,
     /// `ready` or `draining`.
     state: String,
+    /// Version of the software that the backend server runs.
+    version: Option<String>,
     /// Number of requests that the backend server runs concurrently.
     slots: u32,
     /// Remaining, not elapsed, warm-up time of the backend server, in which it is slow.
@@ -111,6 +113,7 @@
         started_ms: fields.born,
         sequence: Some(fields.seq),
         slots: Some(fields.slots),
+        software_version: fields.version.map(SoftwareVersion::new),
         cold_ms: cold_remaining.and_then(parse_ms).unwrap_or(0),
     })
 }
@@ -131,6 +134,7 @@
         started_ms: removal.born,
         sequence: None,
         slots: None,
+        software_version: None,
         cold_ms: 0,
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -103,6 +103,7 @@
             .maybe_apply_within_ms(bounds.duration_ms("configApply"))
             .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
             .maybe_retry_reserve(bounds.integer("budgetExtra"))
+            .maybe_exposure_percent(bounds.exposure_percent())
             .maybe_link_kbit_per_s(self.link_kbit_per_s())
             // This limit applies to each caller address, and all callers on a VM share one address.
             .caller_connections_max(u32::MAX)
@@ -220,6 +221,12 @@
         self.get(name)?.parse().ok()
     }
 
+    /// Share of a service's requests for a version that is not known to be good, in percent.
+    fn exposure_percent(&self) -> Option<u32> {
+        let percent = self.percent("exposureShare")?;
+        (1..=100).contains(&percent).then_some(percent)
+    }
+
     /// A fraction such as `0.2`, in percent.
     fn percent(&self, name: &str) -> Option<u32> {
         let share: f64 = self.get(name)?.parse().ok()?;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,19 +19,28 @@
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::configuration;
+use super::duration::parse_ms;
+use super::{configuration, rollouts};
 use crate::core::configuration::Configuration;
+use crate::core::names::ServiceName;
+use crate::core::rollout::{OrderEntry, RolloutState, StateEntry};
 use crate::store::transport::Transport;
 use crate::store::{
-    self, Condition, Error, Feed, FeedPosition, FeedUpdate, Outcome, Result, Row, Table,
-    Transaction, decode_json, unexpected_status,
+    AdvanceOutcome, Condition, Error, Feed, FeedPosition, FeedUpdate, OrdersRead, Outcome, Result,
+    RolloutAdvance, RolloutTable, Row, Table, Transaction, decode_json, unexpected_status,
 };
 
 /// The table that contains dragonflywall's own rows.
 const OWN_TABLE: &str = "dragonflywall";
-/// The table that operators write. Its row [`CONFIGURATION_KEY`] contains the configuration.
+/// The table that contains the states of roll-outs, one row for each service. It is apart from
+/// [`OWN_TABLE`] because it is read as a whole.
+const ROLLOUT_TABLE: &str = "dragonflywall-rollouts";
+/// The table that operators write. Its row [`CONFIGURATION_KEY`] contains the configuration, and the
+/// rows of [`rollouts::key_of`] the orders of roll-outs.
 const OPERATORS_TABLE: &str = "op";
 const CONFIGURATION_KEY: &str = "config";
+/// The table that operators read.
+const STATUS_TABLE: &str = "status";
 
 /// Time within which the response to a call without long polling must begin. The store takes 4 ms, and
 /// up to 60 times as long when it is slow. The timeout is short enough to retry after a stalled
@@ -66,8 +75,12 @@
 
 impl WireRow {
     fn with_key(key: &str) -> Self {
+        Self::in_table(OWN_TABLE, key)
+    }
+
+    fn in_table(table: &str, key: &str) -> Self {
         Self {
-            table: OWN_TABLE.to_owned(),
+            table: table.to_owned(),
             part: String::new(),
             key: key.to_owned(),
             value: None,
@@ -110,6 +123,9 @@
     rows: Vec<WireRow>,
     /// Number of the newest transaction that the response includes.
     ver: u64,
+    /// Time of the store's clock.
+    #[serde(default)]
+    now: String,
     /// Length of the response body.
     #[serde(skip)]
     len_bytes: usize,
@@ -143,6 +159,13 @@
     }
 }
 
+/// Response to a transaction whose conditions do not hold: the current rows of the conditions.
+#[derive(Debug, Deserialize)]
+struct WireConflict {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+}
+
 /// The smallest key greater than all keys that begin with `prefix`, which must be ASCII.
 fn prefix_end(prefix: &str) -> String {
     let mut bytes = prefix.as_bytes().to_vec();
@@ -207,10 +230,11 @@
 
 impl Feed for PlatformStore {
     async fn newest(&self, answer_timeout: Duration) -> Result<FeedUpdate> {
-        let path = format!(
-            "/-/rows-get?tableName={OPERATORS_TABLE}&part=&from={CONFIGURATION_KEY}&limit=1"
-        );
-        feed_update(self.get_rows(&path, answer_timeout).await?)
+        let path =
+            format!("/-/rows-get?tableName={OPERATORS_TABLE}&part=&from={CONFIGURATION_KEY}");
+        let response = self.get_rows(&path, answer_timeout).await?;
+        let orders = OrdersRead::All(orders_in(&response.rows));
+        Ok(feed_update(&response, orders))
     }
 
     async fn newest_after(
@@ -224,21 +248,149 @@
             position.0,
             max_wait.as_millis()
         );
-        feed_update(self.get_rows(&path, max_wait + answer_timeout).await?)
+        let response = self.get_rows(&path, max_wait + answer_timeout).await?;
+        let orders = OrdersRead::Changed(orders_in(&response.rows));
+        Ok(feed_update(&response, orders))
     }
 }
 
-fn feed_update(response: WireRows) -> store::Result<FeedUpdate> {
+fn feed_update(response: &WireRows, orders: OrdersRead) -> FeedUpdate {
     let is_configuration =
         |row: &&WireRow| row.key == CONFIGURATION_KEY && row.part.is_empty() && !row.deleted;
     let newest = response.rows.iter().rfind(is_configuration);
-    Ok(FeedUpdate {
+    FeedUpdate {
         position: FeedPosition(response.ver),
         configuration: newest.and_then(decode_configuration),
+        orders,
+        store_ms: parse_ms(&response.now).unwrap_or(0),
         len_bytes: response.len_bytes,
+    }
+}
+
+/// The orders in rows of the operators' table. Of several for one service the last one is the newest.
+fn orders_in(rows: &[WireRow]) -> BTreeMap<ServiceName, OrderEntry> {
+    let rows = rows.iter().filter(|row| row.part.is_empty());
+    let orders = rows.filter_map(|row| Some((rollouts::service_of(&row.key)?, row)));
+    orders
+        .map(|(service, row)| {
+            let order = decode_order(&service, row);
+            (service, order)
+        })
+        .collect()
+}
+
+fn decode_order(service: &ServiceName, row: &WireRow) -> OrderEntry {
+    let revision = row.ver.unwrap_or(0);
+    if row.deleted {
+        return OrderEntry {
+            revision,
+            order: None,
+        };
+    }
+    let decoded = row.bytes().map_err(|error| error.to_string());
+    let decoded = decoded.and_then(|bytes| {
+        rollouts::decode_order(service, &bytes).map_err(|error| error.to_string())
+    });
+    let order = match decoded {
+        Ok(order) => Some(order),
+        Err(reason) => {
+            log::warn!(service:%, row_revision = revision, reason; "an order for a roll-out cannot be decoded and counts as withdrawn");
+            metrics::counter!("dragonflywall_unreadable_total", "what" => "rollout-order")
+                .increment(1);
+            None
+        }
+    };
+    OrderEntry { revision, order }
+}
+
+fn decode_state(row: &WireRow) -> Result<StateEntry> {
+    let state: RolloutState = decode_json(&row.bytes()?)?;
+    Ok(StateEntry {
+        revision: row.ver.unwrap_or(0),
+        state,
     })
 }
 
+impl PlatformStore {
+    async fn read_states(&self, range: &str) -> Result<BTreeMap<ServiceName, StateEntry>> {
+        let path = format!("/-/rows-get?tableName={ROLLOUT_TABLE}&part={range}");
+        let response = self.get_rows(&path, RESPONSE_TIMEOUT).await?;
+        let rows = response.rows.iter();
+        let entries = rows.map(|row| Ok((ServiceName::new(&row.key), decode_state(row)?)));
+        entries.collect()
+    }
+
+    /// The rows that made a transaction's conditions fail.
+    fn conflict(service: &ServiceName, body: &[u8]) -> Result<AdvanceOutcome> {
+        let conflict: WireConflict = decode_json(body)?;
+        let find = |table: &str| conflict.rows.iter().find(|row| row.table == table);
+        let existing = |row: &&WireRow| row.value.is_some();
+        let state = find(ROLLOUT_TABLE).filter(existing);
+        let order = find(OPERATORS_TABLE).filter(existing);
+        Ok(AdvanceOutcome::Changed {
+            order: order.map(|row| decode_order(service, row)),
+            state: state.map(decode_state).transpose()?,
+        })
+    }
+}
+
+impl RolloutTable for PlatformStore {
+    async fn states(&self) -> Result<BTreeMap<ServiceName, StateEntry>> {
+        self.read_states("").await
+    }
+
+    async fn advance(&self, advance: &RolloutAdvance<'_>) -> Result<AdvanceOutcome> {
+        let service = advance.service;
+        let order_key = rollouts::key_of(service);
+        let state_condition = WireRow {
+            ver: Some(advance.replaced_revision),
+            ..WireRow::in_table(ROLLOUT_TABLE, service.as_str())
+        };
+        let order_condition = advance.order_revision.map(|revision| WireRow {
+            ver: Some(revision),
+            ..WireRow::in_table(OPERATORS_TABLE, &order_key)
+        });
+        let state = serde_json::to_vec(advance.state).expect("a state can be encoded as JSON");
+        let status = rollouts::encode_status(service, advance.state);
+        let write = |row: WireRow, value: &[u8]| WireRow {
+            value: Some(BASE64.encode(value)),
+            ..row
+        };
+        let wire = WireTransaction {
+            conditions: [state_condition]
+                .into_iter()
+                .chain(order_condition)
+                .collect(),
+            writes: vec![
+                write(WireRow::in_table(ROLLOUT_TABLE, service.as_str()), &state),
+                write(WireRow::in_table(STATUS_TABLE, &order_key), &status),
+            ],
+            remove: Vec::new(),
+        };
+        let body = serde_json::to_vec(&wire).expect("a transaction can be encoded as JSON");
+        let call = self
+            .transport
+            .call(Method::POST, "/-/rows-tx", body, RESPONSE_TIMEOUT);
+        match call.await? {
+            (StatusCode::OK, _) => (),
+            (StatusCode::PRECONDITION_FAILED, body) => return Self::conflict(service, &body),
+            (status, _) if status.is_server_error() => {
+                return Err(Error::OutcomeUnknown {
+                    reason: format!("status {status}"),
+                });
+            }
+            (status, _) => return unexpected_status(status),
+        }
+        // The response has the newest transaction of the store, which may be a later one.
+        let range = format!("&from={service}&limit=1");
+        let state = self.read_states(&range).await?.remove(service);
+        Ok(match state {
+            Some(state) if state.state == *advance.state => AdvanceOutcome::Written(state),
+            state => AdvanceOutcome::Changed { order: None, state },
+        })
+    }
+}
+
 /// Decodes the configuration in a row. Returns `None` if it is invalid, so that nodes continue to
 /// enforce the configuration that they have.
 fn decode_configuration(row: &WireRow) -> Option<Configuration> {
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -15,8 +15,8 @@
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
 use crate::decide::load_balancing::{
-    AttemptOutcome, Endpoint, EndpointEstimate, FreeSlotSearch, LoadReport, Requirements,
-    TimeLimits,
+    AttemptOutcome, Balancer, Endpoint, EndpointEstimate, FreeSlotSearch, LoadReport, Requirements,
+    TimeLimits, VersionSet,
 };
 use crate::decide::max_wait;
 use crate::decide::retry::Attempts;
@@ -30,6 +30,13 @@
 use crate::proxy::{gate, headers, uploads};
 use crate::util::{clock, deadline};
 
+/// An endpoint that was chosen for an attempt.
+struct ChosenEndpoint {
+    endpoint: Endpoint,
+    /// Revision of the order for a roll-out, if the endpoint is of its candidate version.
+    candidate_order: Option<u64>,
+}
+
 /// A request that matched a route, with the limits that apply to it.
 pub(super) struct RoutedRequest<'a> {
     pub(super) node: &'a Arc<ProxyState>,
@@ -62,17 +69,22 @@
         let mut search = FreeSlotSearch::new(self.node.mechanisms());
         let mut verdict = Verdict::NotRun;
         let mut last_failure = None;
+        let mut may_use_candidate = true;
         loop {
-            let Some(endpoint) = self.choose_endpoint(&tried) else {
+            let Some(chosen) = self.choose_endpoint(&tried, may_use_candidate) else {
                 let no_endpoint = Failure::not_run(Reason::NoEndpoint);
                 return Err(last_failure.unwrap_or(no_endpoint).after_attempt(verdict));
             };
+            let endpoint = chosen.endpoint;
             let waits = self.is_nested() || search.queues_at(endpoint.node);
-            let hop = self.hop(attempts.downstream_budget(), waits);
-            let failure = match self.send_attempt(endpoint, body, hop).await {
+            let hop = self.hop(attempts.downstream_budget(), waits, chosen.candidate_order);
+            let result = self.send_attempt(endpoint, body, hop).await;
+            self.record_version_outcome(chosen.candidate_order, &result);
+            let failure = match result {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
+            may_use_candidate &= chosen.candidate_order.is_none();
             if !waits && failure.is_overload() {
                 search.record_busy(endpoint.node);
                 continue;
@@ -123,12 +135,17 @@
         }
     }
 
-    fn choose_endpoint(&self, tried: &[NodeId]) -> Option<Endpoint> {
+    /// Chooses an endpoint for the next attempt. With `may_use_candidate` it may be one of a candidate
+    /// version, as far as its exposure is within the limit.
+    fn choose_endpoint(&self, tried: &[NodeId], may_use_candidate: bool) -> Option<ChosenEndpoint> {
         let view = self.node.view.load();
         let Some(ranked) = view.endpoints.get(self.service()) else {
             self.log_no_endpoint(0, tried.len());
             return None;
         };
+        let rollouts = &self.node.rollouts;
+        let limit_percent = self.node.settings.exposure_percent;
+        let choices = rollouts.choices(self.service(), ranked, may_use_candidate, limit_percent);
         let requirements = Requirements {
             spill: self.target.treatment.spill,
             default_slots: self.default_slots,
@@ -136,21 +153,73 @@
             limits: self.time_limits(),
             body_bytes: self.body_bytes,
             tried,
+            versions: VersionSet::ALL,
+            only: None,
         };
         let now_us = clock::since_us(self.node.started);
         let mut balancer = self.node.balancer();
-        let Some(endpoint) = balancer.choose(now_us, ranked, &requirements, &mut rand::rng())
-        else {
-            self.log_no_endpoint(ranked.iter().count(), tried.len());
-            return None;
-        };
+        for choice in choices {
+            let requirements = Requirements {
+                versions: choice.versions,
+                only: choice.only.as_deref(),
+                ..requirements
+            };
+            let chosen = balancer.choose(now_us, ranked, &requirements, &mut rand::rng());
+            if let Some(endpoint) = chosen {
+                let endpoint = ChosenEndpoint {
+                    endpoint,
+                    candidate_order: choice.candidate_order,
+                };
+                self.record_chosen(&mut balancer, &endpoint, &requirements);
+                return Some(endpoint);
+            }
+            if let Some(order_revision) = choice.candidate_order {
+                rollouts.put_back_credit(self.service(), order_revision);
+            }
+        }
+        drop(balancer);
+        self.log_no_endpoint(ranked.iter().count(), tried.len());
+        None
+    }
+
+    fn record_chosen(
+        &self,
+        balancer: &mut Balancer,
+        chosen: &ChosenEndpoint,
+        requirements: &Requirements<'_>,
+    ) {
+        let now_us = clock::since_us(self.node.started);
+        let endpoint = &chosen.endpoint;
         self.log_endpoint_chosen(
-            &endpoint,
-            &balancer.estimate(now_us, &endpoint, &requirements),
-            tried.len(),
+            endpoint,
+            &balancer.estimate(now_us, endpoint, requirements),
+            requirements.tried.len(),
         );
-        balancer.record_start(now_us, &endpoint);
-        Some(endpoint)
+        balancer.record_start(now_us, endpoint);
+    }
+
+    /// Counts an attempt towards the share and the failures of a candidate version.
+    fn record_version_outcome(
+        &self,
+        candidate_order: Option<u64>,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let rollouts = &self.node.rollouts;
+        if result.is_ok() {
+            let limit_percent = self.node.settings.exposure_percent;
+            rollouts.record_answered(self.service(), limit_percent);
+        }
+        let Some(order_revision) = candidate_order else {
+            return;
+        };
+        let failed = match result {
+            Ok(response) => response.status().is_server_error(),
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                return rollouts.put_back_credit(self.service(), order_revision);
+            }
+            Err(_) => true,
+        };
+        rollouts.record_candidate_outcome(self.service(), order_revision, failed);
     }
 
     fn request_id(&self) -> &str {
@@ -222,7 +291,7 @@
 
     /// Metadata of an attempt for the gate. With `waits`, the request may queue there for a slot;
     /// otherwise it is refused unless a slot is free.
-    fn hop(&self, retries: u32, waits: bool) -> Hop {
+    fn hop(&self, retries: u32, waits: bool, rollout_order: Option<u64>) -> Hop {
         let treatment = &self.target.treatment;
         let max_wait = match waits {
             true if self.is_nested() => max_wait::for_nested_call(treatment),
@@ -242,6 +311,7 @@
             deadline: self.deadline,
             depth: self.depth,
             retries,
+            rollout_order,
         }
     }
 
@@ -313,7 +383,7 @@
         }
         // The request may now wait for a slot: if it were refused, its body would have used the
         // link in vain.
-        let hop = self.hop(hop.retries, true);
+        let hop = self.hop(hop.retries, true, hop.rollout_order);
         self.send(endpoint, &hop, request).await
     }
 
@@ -366,7 +436,9 @@
                 server_error: response.status().is_server_error(),
             },
             Err(failure) => match failure.reason {
-                Reason::Draining | Reason::NoEndpoint => AttemptOutcome::Draining,
+                Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion => {
+                    AttemptOutcome::Draining
+                }
                 Reason::Unreachable => AttemptOutcome::Unreachable,
                 Reason::Rejected => AttemptOutcome::Rejected,
                 Reason::Lost | Reason::Deadline => AttemptOutcome::Lost,
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -57,10 +57,13 @@
     Rejected,
     /// The request was delayed too long between its entry node and the gate.
     HeldUp,
+    /// The software version of the endpoint's backend server gets no such requests at present, because
+    /// of a roll-out.
+    OtherVersion,
 }
 
 impl Reason {
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 19] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -79,6 +82,7 @@
         Self::BodyTooLong,
         Self::Rejected,
         Self::HeldUp,
+        Self::OtherVersion,
     ];
 
     /// The code sent in [`headers::REASON`].
@@ -102,6 +106,7 @@
             Self::BodyTooLong => "body-too-long",
             Self::Rejected => "rejected",
             Self::HeldUp => "held-up",
+            Self::OtherVersion => "other-version",
         }
     }
 
@@ -130,6 +135,7 @@
             Self::BodyTooLong => "the request body is longer than allowed",
             Self::Rejected => "the endpoint's backend server did not run it",
             Self::HeldUp => "the request came to the endpoint too late",
+            Self::OtherVersion => "the endpoint runs a version that takes no such requests now",
         }
     }
 
@@ -150,7 +156,8 @@
             | Self::Draining
             | Self::Unreachable
             | Self::Rejected
-            | Self::HeldUp => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::HeldUp
+            | Self::OtherVersion => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -219,7 +226,9 @@
     /// Kind of failure that decides whether the request may be retried.
     pub(crate) fn attempt_failure(&self) -> AttemptFailure {
         match (self.verdict, self.reason) {
-            (Verdict::NotRun, Reason::Draining | Reason::NoEndpoint) => AttemptFailure::Draining,
+            (Verdict::NotRun, Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion) => {
+                AttemptFailure::Draining
+            }
             (Verdict::NotRun, _) => AttemptFailure::NotRun,
             (Verdict::MayHaveRun | Verdict::Answered, _) => AttemptFailure::MayHaveRun,
         }
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -145,12 +145,12 @@
     let mut running = node.running_requests.register(hop, parent_id);
     prepare_request(node, &mut request, hop, &backend, &running);
     let exchange = node.pool.send(backend.address, request, hop.idempotent);
-    let response = deadline::timeout_at(hop.deadline, exchange)
-        .await
-        .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
-    let response = check_response(node, &backend, response)?;
+    let response = deadline::timeout_at(hop.deadline, exchange).await;
+    let response = response.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
+    let response = response.and_then(|response| check_response(node, &backend, response));
+    slot.record_response(&response);
+    let response = response?;
     let unspent_retries = running.mark_answered();
-    slot.mark_answered();
     Ok(finish_response(response, unspent_retries, (slot, running)))
 }
 
@@ -221,7 +221,15 @@
 fn backend_for(node: &ProxyState, hop: &Hop) -> Result<Arc<LocalBackend>, Failure> {
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
-    backend.ok_or(Failure::not_run(Reason::NoEndpoint))
+    let backend = backend.ok_or(Failure::not_run(Reason::NoEndpoint))?;
+    let version = backend.software_version.as_ref();
+    match node
+        .rollouts
+        .admits(&hop.service, version, hop.rollout_order)
+    {
+        true => Ok(backend),
+        false => Err(Failure::not_run(Reason::OtherVersion)),
+    }
 }
 
 fn prepare_request(
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -28,6 +28,9 @@
 /// On a request between nodes: number of retries that the nested calls of this request may spend.
 /// On a response: how many of them are unspent.
 pub(crate) const RETRIES: HeaderName = HeaderName::from_static("x-dragonflywall-retries");
+/// On a request between nodes to an endpoint of a candidate version: revision of the order for the
+/// roll-out, as the entry node knows it.
+pub(crate) const ROLLOUT_ORDER: HeaderName = HeaderName::from_static("x-dragonflywall-rollout");
 /// On a request to a backend server: a token that the backend server copies to the calls it makes
 /// while it runs the request.
 pub(crate) const CALL_TOKEN: HeaderName = HeaderName::from_static("x-dragonflywall-call");
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -44,6 +44,9 @@
     pub(crate) depth: u32,
     /// Retries that the nested calls of this request may spend.
     pub(crate) retries: u32,
+    /// Revision of the order for a roll-out under which the endpoint of a candidate version was chosen.
+    /// `None` if it was chosen without regard to its version, or as one of an established version.
+    pub(crate) rollout_order: Option<u64>,
 }
 
 impl Hop {
@@ -56,6 +59,9 @@
         headers.insert(headers::DEADLINE_MS, self.remaining_ms());
         headers.insert(headers::DEPTH, HeaderValue::from(self.depth));
         headers.insert(headers::RETRIES, HeaderValue::from(self.retries));
+        if let Some(revision) = self.rollout_order {
+            headers.insert(headers::ROLLOUT_ORDER, HeaderValue::from(revision));
+        }
     }
 
     /// Reads the metadata of a request from another node. `delay` is the time by which the request
@@ -86,6 +92,7 @@
             deadline: now + Duration::from_millis(deadline_ms).saturating_sub(delay),
             depth: u32_header(&headers::DEPTH),
             retries: u32_header(&headers::RETRIES),
+            rollout_order: headers::get_u64(headers, &headers::ROLLOUT_ORDER),
         })
     }
 
--- a/src/proxy/local_backend.rs
+++ b/src/proxy/local_backend.rs
@@ -1,8 +1,9 @@
 //! The backend server on this node's own VM.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use crate::core::names::{InstanceName, ServiceName};
+use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
 use crate::core::status::Announcement;
 use crate::node::settings::BackendServer;
 
@@ -18,6 +19,10 @@
     /// Number of requests that it runs concurrently, if it announced one. Otherwise the service's
     /// configuration applies.
     pub(crate) slots: Option<u32>,
+    /// Version of the software that it runs, if it announced one.
+    pub(crate) software_version: Option<SoftwareVersion>,
+    /// End of its warm-up, during which it is slow.
+    pub(crate) cold_until: Instant,
 }
 
 impl From<&BackendServer> for LocalBackend {
@@ -27,6 +32,8 @@
             address: configured.address,
             instance: None,
             slots: None,
+            software_version: None,
+            cold_until: Instant::now(),
         }
     }
 }
@@ -38,6 +45,8 @@
             address: announcement.address,
             instance: announcement.instance.clone(),
             slots: announcement.slots,
+            software_version: announcement.software_version.clone(),
+            cold_until: Instant::now() + Duration::from_millis(announcement.cold_ms),
         }
     }
 }
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -7,12 +7,15 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http::Response;
 use tokio::sync::oneshot;
 
+use super::body::Body;
 use super::failure::{Failure, Reason};
 use super::hop::Hop;
 use crate::core::configuration::Class;
 use crate::core::names::ResourceName;
+use crate::core::verdict::Verdict;
 use crate::decide::admission::{
     Admission, AdmitOutcome, Refusal, RefusalCause, ReleasedSlot, SlotRequest, Ticket, WaitOutcome,
 };
@@ -47,9 +50,25 @@
         }
     }
 
-    /// Records that the backend server has answered the request that holds the slot.
-    pub(crate) fn mark_answered(&mut self) {
-        self.answered = true;
+    /// Records how the backend server has answered the request that holds the slot.
+    pub(crate) fn record_response(&mut self, response: &Result<Response<Body>, Failure>) {
+        self.answered = response.is_ok();
+        let succeeded = match response {
+            Ok(response) => !response.status().is_server_error(),
+            // The request did not run, so it says nothing about the backend server's version.
+            Err(failure) if failure.verdict == Verdict::NotRun => return,
+            Err(_) => false,
+        };
+        if self.node.is_current(self.acquired_in) {
+            let acquired_us = clock::us_between(self.node.started, self.acquired_at);
+            let service_time_us = clock::since_us(self.acquired_at);
+            self.node.rollouts.record_response(
+                &self.resource,
+                succeeded,
+                acquired_us,
+                service_time_us,
+            );
+        }
     }
 
     /// Acquires a slot, waiting for it until the queue deadline of `hop`.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -18,6 +18,7 @@
 use super::local_backend::LocalBackend;
 use super::log_limiter::LogLimiter;
 use super::peers::PeerConnections;
+use super::rollouts::RequestRollouts;
 use super::running_requests::RunningRequests;
 use super::slots::{self, WaitOutcomeSender};
 use super::uploads::permits::{self, ReservedPermits};
@@ -25,6 +26,7 @@
 use crate::core::mechanism::MechanismSwitches;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
+use crate::core::rollout::RolloutBook;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::freeze::{Epoch, FreezeDetector};
 use crate::decide::load_balancing::{Balancer, LoadReport};
@@ -67,6 +69,8 @@
     pub(crate) on_backend_lost: BackendLostCallback,
     pub(crate) pool: BackendPool,
     pub(crate) running_requests: RunningRequests,
+    /// Which software versions may get requests.
+    pub(crate) rollouts: RequestRollouts,
     /// Limits the rate of log lines about requests.
     pub(crate) log_limiter: LogLimiter,
     pub(crate) peers: PeerConnections,
@@ -138,6 +142,7 @@
             on_backend_lost: BackendLostCallback::default(),
             pool: BackendPool::new(mechanisms, header_profile),
             running_requests: RunningRequests::default(),
+            rollouts: RequestRollouts::default(),
             log_limiter: LogLimiter::default(),
             freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
@@ -228,6 +233,23 @@
         lock_ignoring_poison(&self.upload_queue)
     }
 
+    /// Applies orders and states of roll-outs. Requests that wait for a slot of the local backend server
+    /// are refused if its version gets no more requests.
+    pub(crate) fn set_rollouts(&self, book: &RolloutBook) {
+        self.rollouts.set(book);
+        let Some(backend) = self.backend.load_full() else {
+            return;
+        };
+        let version = backend.software_version.as_ref();
+        if !self
+            .rollouts
+            .admits(&backend.service, version, Some(u64::MAX))
+        {
+            self.admission().refuse_waiting();
+            slots::notify_queued(self);
+        }
+    }
+
     /// Stops admitting requests to the backend server. Queued requests are refused at once, so that
     /// their entry nodes retry them elsewhere.
     pub(crate) fn close_gate(&self) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -21,6 +21,8 @@
 
 use self::http::HttpStore;
 use crate::core::configuration::Configuration;
+use crate::core::names::ServiceName;
+use crate::core::rollout::{OrderEntry, RolloutState, StateEntry};
 use crate::core::version::Digest;
 use crate::platform::store::PlatformStore;
 
@@ -162,10 +164,62 @@
     /// The newest configuration; `None` if it is unchanged since the requested position, absent, or
     /// cannot be decoded.
     pub configuration: Option<Configuration>,
+    /// Orders of roll-outs in the response.
+    pub orders: OrdersRead,
+    /// Time of the store's clock at the response, in milliseconds.
+    pub store_ms: u64,
     /// Length of the response body.
     pub len_bytes: usize,
 }
 
+/// Orders of roll-outs in the result of reading a [`Feed`], by service.
+#[derive(Debug, PartialEq, Eq)]
+pub enum OrdersRead {
+    /// All orders that exist.
+    All(BTreeMap<ServiceName, OrderEntry>),
+    /// Orders that were written or deleted since the requested position.
+    Changed(BTreeMap<ServiceName, OrderEntry>),
+}
+
+/// A state of a roll-out to be written, and the rows that must not have changed.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutAdvance<'a> {
+    /// Service that the roll-out is of.
+    pub service: &'a ServiceName,
+    /// The state to write.
+    pub state: &'a RolloutState,
+    /// Revision of the state that it replaces; 0 if there must be none.
+    pub replaced_revision: u64,
+    /// Revision of the order that it follows from; `None` if there need not be one.
+    pub order_revision: Option<u64>,
+}
+
+/// Result of [`RolloutTable::advance`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdvanceOutcome {
+    /// The state was written.
+    Written(StateEntry),
+    /// The order or the state had changed, and nothing was written.
+    Changed {
+        /// The order that there is.
+        order: Option<OrderEntry>,
+        /// The state that there is.
+        state: Option<StateEntry>,
+    },
+}
+
+/// The states of roll-outs in the store.
+pub trait RolloutTable: Send + Sync + 'static {
+    /// Reads the states of all services.
+    fn states(&self) -> impl Future<Output = Result<BTreeMap<ServiceName, StateEntry>>> + Send;
+    /// Writes a state and the status that operators read, on condition that the order and the state
+    /// that it replaces are unchanged.
+    fn advance(
+        &self,
+        advance: &RolloutAdvance<'_>,
+    ) -> impl Future<Output = Result<AdvanceOutcome>> + Send;
+}
+
 /// A source of configurations that operators write into the store as a whole instead of using
 /// `publish`.
 pub trait Feed: Send + Sync + 'static {
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -35,6 +35,12 @@
     whole_ms(start.elapsed())
 }
 
+/// Microseconds from `start` to `end`; 0 if `end` is earlier.
+pub(crate) fn us_between(start: Instant, end: Instant) -> u64 {
+    let span = end.saturating_duration_since(start);
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Microseconds elapsed since `start` on the monotonic clock.
 pub(crate) fn since_us(start: Instant) -> u64 {
     u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -19,6 +19,7 @@
         started_ms: Some(started_ms),
         sequence: Some(sequence),
         slots: Some(18),
+        software_version: None,
         cold_ms: 0,
     }
 }
--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -8,7 +8,7 @@
 use dragonflywall::core::names::{DataCentreName, RegionName, ResourceName, ServiceName};
 use dragonflywall::core::version::Version;
 use dragonflywall::decide::load_balancing::{
-    AttemptOutcome, Balancer, LoadReport, RankedEndpoints, Requirements, TimeLimits,
+    AttemptOutcome, Balancer, LoadReport, RankedEndpoints, Requirements, TimeLimits, VersionSet,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -36,6 +36,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new("tablon")),
         backend: BackendState::Serving,
+        software_version: None,
         enforced: Version::NONE,
     }
 }
@@ -61,6 +62,8 @@
         },
         body_bytes: 3_000,
         tried: &[],
+        versions: VersionSet::ALL,
+        only: None,
     }
 }
 
--- a/tests/testsuite/fuzz_membership.rs
+++ b/tests/testsuite/fuzz_membership.rs
@@ -44,6 +44,7 @@
         liveness,
         service: Some(ServiceName::new("armazem")),
         backend,
+        software_version: None,
         enforced: Version::NONE,
     }
 }
@@ -155,6 +156,8 @@
             updates: message.records,
             reports: Vec::new(),
             summaries: Vec::new(),
+            rollouts_digest: 0,
+            rollouts: None,
             want_all: message.want_all,
         };
         let answer = view.receive(0, &gossip);
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -14,6 +14,7 @@
 };
 use dragonflywall::decide::load_balancing::{
     AttemptOutcome, Balancer, Endpoint, FreeSlotSearch, RankedEndpoints, Requirements, TimeLimits,
+    VersionSet,
 };
 use dragonflywall::decide::retry::{AttemptFailure, Attempts, RETRIES_PER_TREE, ServiceTokens};
 use rand::rngs::StdRng;
@@ -358,6 +359,8 @@
                     },
                     body_bytes: 0,
                     tried: &call.tried,
+                    versions: VersionSet::ALL,
+                    only: None,
                 };
                 let chosen = entry
                     .balancer
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -1,6 +1,6 @@
 //! Membership without sockets: convergence, partitions, message loss, and many restarts at once.
 
-use dragonflywall::core::member::{BackendState, Liveness, Member};
+use dragonflywall::core::member::{BackendRecord, BackendState, Liveness, Member};
 use dragonflywall::core::version::Version;
 use dragonflywall::membership::{Gossip, Membership, NeighbourKind};
 
@@ -145,6 +145,14 @@
     assert_eq!(highest_sequence_of_others(&network), before);
 }
 
+fn backend_in_state(state: BackendState) -> BackendRecord {
+    BackendRecord {
+        service: None,
+        software_version: None,
+        state,
+    }
+}
+
 fn gossip_from(sender: &Member, updates: Vec<Member>) -> Gossip {
     Gossip {
         from: sender.node,
@@ -154,6 +162,8 @@
         updates,
         reports: Vec::new(),
         summaries: Vec::new(),
+        rollouts_digest: 0,
+        rollouts: None,
         want_all: false,
     }
 }
@@ -351,7 +361,7 @@
     let mut network = converged_network(8);
     network.run_for(20_000);
     let leaving = network.node(20);
-    leaving.set_backend(None, BackendState::Draining);
+    leaving.set_backend(backend_in_state(BackendState::Draining));
     let node = leaving.local_member().node;
     // All neighbours have just received an update, so the next one would be batched.
     network.run_until("every view shows it as draining", 1_000, |network| {
@@ -361,7 +371,8 @@
         };
         network.running().all(draining)
     });
-    network.node(20).set_backend(None, BackendState::Serving);
+    let serving = backend_in_state(BackendState::Serving);
+    network.node(20).set_backend(serving);
     network.tick(20);
     network.run_for(3);
     network.leave(20);
