--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -1,5 +1,5 @@
 //! Command line of the model checker. Run it with
-//! `cargo run --release -p model -- distribution|publish|request [options]`.
+//! `cargo run --release -p model -- distribution|publish|request|rollout [options]`.
 
 use std::process::ExitCode;
 
@@ -8,11 +8,13 @@
 use model::distribution::{Bounds, DistributionSpec, FloorRule};
 use model::publish::{self, PublishSpec, Scenario};
 use model::request::{self, RequestSpec};
+use model::rollout::{self, RolloutSpec};
 
 const HELP: &str = "\
 Usage: model distribution [OPTIONS]
        model publish [OPTIONS]
        model request [OPTIONS]
+       model rollout [OPTIONS]
 
 Checks a specification exhaustively; prints states explored, and the shortest counterexample if a
 property fails. Exit code 1 if one does.
@@ -38,6 +40,11 @@
   --requests N  requests at once, 1 or 2 (1)
   --attempts N  attempts of one request (3)
   --faults N    connections lost, timeouts, deaths of processes, callers that hang up (3)
+
+Options of rollout:
+  --orders N        changes of the order (1)
+  --faults N        answers lost, leads restarted (2)
+  --condemnations N leads that find the candidate to be bad (1)
 ";
 
 type Result<T> = std::result::Result<T, lexopt::Error>;
@@ -75,6 +82,7 @@
         Some(Value(name)) if name == "distribution" => check_distribution(&mut parser),
         Some(Value(name)) if name == "publish" => check_publication(&mut parser),
         Some(Value(name)) if name == "request" => check_requests(&mut parser),
+        Some(Value(name)) if name == "rollout" => check_rollout(&mut parser),
         _ => {
             print!("{HELP}");
             Ok(true)
@@ -165,6 +173,24 @@
     Ok(all_hold)
 }
 
+fn check_rollout(parser: &mut lexopt::Parser) -> Result<bool> {
+    let mut bounds = rollout::Bounds {
+        orders: 1,
+        faults: 2,
+        condemnations: 1,
+    };
+    while let Some(option) = parser.next()? {
+        match option {
+            Long("orders") => bounds.orders = parser.value()?.parse()?,
+            Long("faults") => bounds.faults = parser.value()?.parse()?,
+            Long("condemnations") => bounds.condemnations = parser.value()?.parse()?,
+            _ => return Err(option.unexpected()),
+        }
+    }
+    println!("Checking roll-outs, {bounds:?}");
+    Ok(check_and_print(&RolloutSpec::new(bounds, None)))
+}
+
 /// Checks `specification` and prints the result. Returns whether all properties hold.
 fn check_and_print<T: Specification>(specification: &T) -> bool {
     let report: Report<T::State> = check(specification);
