--- a/crates/experiment/src/cli.rs
+++ b/crates/experiment/src/cli.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use crate::error::{Error, Result};
-use crate::{all, convergence, demo, node, requests, slopes};
+use crate::{all, convergence, demo, node, requests, rollout, slopes};
 
 const HELP: &str = "\
 Runs meshes of dragonflywall nodes on this machine and measures them.
@@ -18,7 +18,8 @@
   convergence                time from acceptance to enforcing, control bytes, memory
   requests                   latency added, processor time of a call, overload, drain
   slopes                     cost of the state machines at the design size
-  all                        all of these, and the numbers of docs/CAPACITY.md
+  rollout                    roll-outs of good and bad versions, in virtual time
+  all                        all of these but rollout, and the numbers of docs/CAPACITY.md
 
 Options of the measuring commands:
   --quick                    small sizes, to see that it runs (the default)
@@ -60,6 +61,7 @@
         Some("all") => block_on(all::run(rest)),
         Some("convergence") => block_on(convergence::run(rest)),
         Some("requests") => block_on(requests::run(rest)),
+        Some("rollout") => block_on(rollout::run(rest)),
         Some("slopes") => block_on(slopes::run(rest)),
         Some("node") => node::run(rest),
         Some("help" | "--help" | "-h") => {
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -24,6 +24,7 @@
 mod report;
 mod requests;
 mod requirements;
+mod rollout;
 mod slopes;
 mod wall_clock;
 
