Drain: requests that outlast the drain timeout are given up with a response

Cause: at the drain timeout all connections were closed, those with requests in flight as well. Now each gets `stopping` (502, may have run), and the process waits up to 150 ms for the responses to be written. The test failed before: the connection broke.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -34,6 +34,10 @@
 /// Longest wait for neighbours to acknowledge that this node leaves the mesh.
 const LEAVE_TIMEOUT_MS: u64 = 2_000;
 
+/// Longest wait for callers to read the responses to requests that were given up, at the end of the
+/// drain timeout.
+const GIVEN_UP_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Longest wait for other nodes to read the end of the responses that are still being sent.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -275,7 +279,10 @@
             .await
             .is_err()
         {
-            log::warn!(drain_timeout_ms; "drain timeout expired; closing connections with requests in flight");
+            log::warn!(drain_timeout_ms; "drain timeout expired; giving up the requests in flight");
+            self.node.proxy.drain_expired.cancel();
+            self.shutdown.callers.cancel();
+            let _ = tokio::time::timeout(GIVEN_UP_FLUSH_TIMEOUT, &mut self.callers_task).await;
         }
         let _ = ractor::call_t!(self.membership, MembershipMsg::Leave, LEAVE_TIMEOUT_MS);
         self.shutdown.peers.cancel();
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -180,13 +180,15 @@
     let cancellation = context.cancellation.clone();
     // Dropping this future cancels the running attempt, up to the backend server.
     let outcome = cancellation.run_until_cancelled(request.run(body, &mut attempts));
-    match outcome.await {
-        None => Err(Failure::may_have_run(Reason::GivenUp)),
-        Some(Err(failure)) => {
+    // An explicit response tells the caller more than a connection that breaks.
+    match node.drain_expired.run_until_cancelled(outcome).await {
+        None => Err(Failure::may_have_run(Reason::Stopping)),
+        Some(None) => Err(Failure::may_have_run(Reason::GivenUp)),
+        Some(Some(Err(failure))) => {
             context.budget.retries = attempts.budget_after_failure();
             Err(failure)
         }
-        Some(Ok(response)) => {
+        Some(Some(Ok(response))) => {
             let unspent_retries =
                 headers::get_u64(response.headers(), &headers::RETRIES).unwrap_or(0);
             context.budget.retries =
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -45,6 +45,8 @@
     Deadline,
     /// The parent request of this call was abandoned.
     GivenUp,
+    /// The entry node is shutting down, and the time for requests in flight is over.
+    Stopping,
     /// Too many nested calls above this one.
     TooDeep,
     /// The caller's request names no valid host, or a gate could not read the request's metadata.
@@ -63,7 +65,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -76,6 +78,7 @@
         Self::Lost,
         Self::Deadline,
         Self::GivenUp,
+        Self::Stopping,
         Self::TooDeep,
         Self::BadRequest,
         Self::HeadTooLong,
@@ -100,6 +103,7 @@
             Self::Lost => "lost",
             Self::Deadline => "deadline",
             Self::GivenUp => "given-up",
+            Self::Stopping => "stopping",
             Self::TooDeep => "too-deep",
             Self::BadRequest => "bad-request",
             Self::HeadTooLong => "head-too-long",
@@ -129,6 +133,7 @@
             Self::Lost => "the connection to the endpoint was lost",
             Self::Deadline => "the deadline passed",
             Self::GivenUp => "the call that led to this one was given up",
+            Self::Stopping => "this node stops and waits no longer",
             Self::TooDeep => "too many calls led to this one",
             Self::BadRequest => "the request is malformed or broke off",
             Self::HeadTooLong => "the head of the request is longer than allowed",
@@ -146,7 +151,7 @@
             Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            Self::Lost | Self::GivenUp => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::GivenUp | Self::Stopping => StatusCode::BAD_GATEWAY,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::NoConfiguration
             | Self::Refreshing
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -81,6 +81,8 @@
     store_read_ms: AtomicU64,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
+    /// Cancelled when the time for requests in flight at a shutdown is over.
+    pub(crate) drain_expired: CancellationToken,
     /// Requests that are in flight at this node's gate, of other nodes and of callers on this VM.
     pub(crate) gate_requests: TaskTracker,
 }
@@ -147,6 +149,7 @@
             freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
+            drain_expired: CancellationToken::new(),
             gate_requests: TaskTracker::new(),
             settings,
         }
--- a/tests/testsuite/requests_drain.rs
+++ b/tests/testsuite/requests_drain.rs
@@ -57,6 +57,29 @@
     serde_json::from_slice(&reply.body).expect("the response is JSON")
 }
 
+/// Guards against a connection that breaks without a response when a request outlasts the drain timeout of
+/// the caller's node.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_outlasts_the_drain_timeout_gets_a_response() {
+    let mut mesh = start_chatarras(small_deployment(&["tablon", "cobros"], 1)).await;
+    mesh.extra_arguments = vec!["--drain-timeout-ms=1500".to_owned()];
+    let entry = vms_of(&mesh, "tablon")[0];
+    mesh.kill_node(entry).await.expect("the node exits");
+    mesh.start_node(entry).await.expect("the node starts again");
+    mesh.wait_enforced(1).await;
+    mesh.wait_joined().await;
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let path = "/payments/1?work_ms=60000";
+    let pending = tokio::spawn(send_request(caller, Method::POST, "cobros", path, "long-1"));
+    wait_until_running(&mesh, "cobros", "long-1").await;
+    mesh.vms[entry].node().signal(Signal::Terminate);
+    let reply = pending.await.expect("the task does not panic");
+    let reply = reply.expect("the node responds before it exits");
+    assert_eq!(reply.status, 502);
+    assert_eq!(reply.header(VERDICT_HEADER), "may-have-run");
+    assert_eq!(reply.header(REASON_HEADER), "stopping");
+}
+
 /// An operator drains a backend server under load while a long payment runs on it. The payment must
 /// complete, no new one may start there, no caller may see a failure, and the node must still serve
 /// as an entry.
