Tests: late requests that a stopping node accepts and then gives up

A node goes on serving callers after the shortest serving time while its backend server runs requests. A caller that then sends a request which may outlast the drain, on a connection that it has kept open, gets 502 `stopping` at the drain timeout while a backend server works on it.

The stand-ins' client gets a connection that stays open between requests.

--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -13,7 +13,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http2;
+use hyper::client::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
@@ -198,25 +198,52 @@
     headers: &[(&str, &str)],
     body: impl Into<Bytes>,
 ) -> Result<Reply> {
-    let stream = TcpStream::connect(address).await.map_err(error_text)?;
-    let _ = stream.set_nodelay(true);
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(error_text)?;
-    tokio::spawn(connection);
-    let mut request = Request::builder().method(method).uri(path);
-    request = request.header("host", host);
-    for (name, value) in headers {
-        request = request.header(*name, *value);
+    let mut connection = Http1Connection::connect(address).await?;
+    connection.request(method, host, path, headers, body).await
+}
+
+/// An HTTP/1.1 client connection, which stays open between requests.
+#[derive(Debug)]
+pub struct Http1Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Http1Connection {
+    /// Opens a connection to `address`.
+    pub async fn connect(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await.map_err(error_text)?;
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(error_text)?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads the whole response.
+    pub async fn request(
+        &mut self,
+        method: Method,
+        host: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Reply> {
+        let mut request = Request::builder().method(method).uri(path);
+        request = request.header("host", host);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).map_err(error_text)?;
+        self.sender.ready().await.map_err(error_text)?;
+        let response = self.sender.send_request(request).await;
+        let (parts, incoming) = response.map_err(error_text)?.into_parts();
+        let body = incoming.collect().await.map_err(error_text)?.to_bytes();
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
     }
-    let request = request.body(Full::new(body.into())).map_err(error_text)?;
-    let response = sender.send_request(request).await.map_err(error_text)?;
-    let (parts, incoming) = response.into_parts();
-    let body = incoming.collect().await.map_err(error_text)?.to_bytes();
-    Ok(Reply {
-        status: parts.status,
-        headers: parts.headers,
-        body,
-    })
 }
 
 /// An HTTP/2 client connection, which carries several requests concurrently.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod requests_http2;
 mod requests_imposter;
 mod requests_pipeline;
+mod requests_stopping;
 mod requests_streams;
 mod requests_untrusted;
 mod requests_uploads;
--- /dev/null
+++ b/tests/testsuite/requests_stopping.rs
@@ -0,0 +1,234 @@
+//! Requests at a node that was stopped with SIGTERM.
+
+use std::path::Path;
+use std::time::Duration;
+
+use http::Method;
+use testkit::http::{Http1Connection, Http2Connection, Reply, request, wait_until};
+use testkit::process::Signal;
+use testkit::users::configuration::{DEFAULT_HOST, Route, RouteKind};
+use testkit::users::mesh::{CallerRequest, Mesh, Plan};
+
+use crate::support::{
+    PROGRAM, REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, users_mesh_runs, write_routes,
+};
+
+/// How long a node goes on serving callers after SIGTERM.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    stop_least_ms: u64,
+    drain_timeout_ms: u64,
+}
+
+/// Time beyond the end of every drain here.
+const LONG_MS: u64 = 120_000;
+/// Prefix of a route like `/stock/` whose timeout is [`SHORT_MS`] instead of [`LONG_MS`].
+const SHORT_ROUTE_PREFIX: &str = "/quick-stock/";
+const SHORT_MS: u64 = 20_000;
+/// Added to the shortest serving time, in case that the node started it late.
+const SERVING_TIME_MARGIN: Duration = Duration::from_secs(1);
+
+/// Starts a data centre with one VM for each of the [`SERVICES`]. The requests of its routes may take [`LONG_MS`].
+async fn start_mesh(limits: Limits, slots: u32) -> Mesh {
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    plan.behaviour.slots = slots;
+    let arguments = [
+        "node".to_owned(),
+        format!("--stop-least-ms={}", limits.stop_least_ms),
+        format!("--drain-timeout-ms={}", limits.drain_timeout_ms),
+    ];
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let mesh = Mesh::start(Path::new(PROGRAM), &arguments, plan).await;
+    let mesh = mesh.expect("all processes start");
+    let route = |prefix, kind, service, timeout_ms| Route {
+        timeout_ms,
+        target_latency_ms: timeout_ms,
+        ..Route::new(prefix, kind, service)
+    };
+    let [stock, bookings] = SERVICES;
+    let (long_ms, short_ms) = (LONG_MS as u32, SHORT_MS as u32);
+    let routes = [
+        route("/stock/", RouteKind::Idempotent, stock, long_ms),
+        route(SHORT_ROUTE_PREFIX, RouteKind::Idempotent, stock, short_ms),
+        route("/book/", RouteKind::NonIdempotent, bookings, long_ms),
+    ];
+    write_routes(&mesh, 1, &routes, &SERVICES);
+    mesh.wait_enforced(1).await;
+    mesh.wait_serving().await;
+    mesh
+}
+
+/// Index of the VM whose node is stopped. Its backend server takes bookings.
+fn stopped_vm(mesh: &Mesh) -> usize {
+    mesh.vms_of(SERVICES[1])[0]
+}
+
+/// Index of the other VM, whose backend server takes requests for stock.
+fn other_vm(mesh: &Mesh) -> usize {
+    mesh.vms_of(SERVICES[0])[0]
+}
+
+/// Sends a request through the node of VM `entry` that runs until the test ends, and waits until a backend server runs
+/// it.
+async fn start_long_request(mesh: &Mesh, entry: usize, method: Method, path: &str) {
+    let caller = mesh.vms[entry].node().addresses.caller;
+    let id = format!("long-{}", path.trim_matches('/').replace('/', "-"));
+    let path = format!("{path}?work_ms={LONG_MS}");
+    let request_id = id.clone();
+    tokio::spawn(async move {
+        let headers = headers(&request_id, LONG_MS);
+        // The node may be gone before it responds.
+        let _ = request(caller, method, DEFAULT_HOST, &path, &as_text(&headers), "").await;
+    });
+    wait_until("the long request runs", WAIT_TIMEOUT, || async {
+        !users_mesh_runs(mesh, &id).is_empty()
+    })
+    .await;
+}
+
+fn headers(id: &str, deadline_ms: u64) -> Headers {
+    [
+        ("x-dfw-attempt-id", id.to_owned()),
+        ("x-dfw-deadline-ms", deadline_ms.to_string()),
+    ]
+}
+
+/// Headers of a request, as name and value.
+type Headers = [(&'static str, String); 2];
+
+fn as_text(headers: &Headers) -> [(&'static str, &str); 2] {
+    headers
+        .each_ref()
+        .map(|(name, value)| (*name, value.as_str()))
+}
+
+/// Sends SIGTERM to the node and waits until it has begun to drain.
+async fn begin_stop(mesh: &Mesh) {
+    let node = mesh.vms[stopped_vm(mesh)].node();
+    node.signal(Signal::Terminate);
+    let operator = node.addresses.operator;
+    wait_until("the node drains", WAIT_TIMEOUT, || async {
+        let reply = request(operator, Method::GET, "node", "/ready", &[], "").await;
+        reply.is_ok_and(|reply| reply.status == 503)
+    })
+    .await;
+}
+
+/// Stops the node while its backend server runs a request from elsewhere, so that it goes on serving callers after the
+/// shortest serving time, and waits until that is over.
+async fn stop_beyond_serving_time(mesh: &Mesh, limits: Limits) {
+    start_long_request(mesh, other_vm(mesh), Method::POST, "/book/1").await;
+    begin_stop(mesh).await;
+    tokio::time::sleep(Duration::from_millis(limits.stop_least_ms) + SERVING_TIME_MARGIN).await;
+}
+
+fn assert_refused_as_not_run(reply: &Reply) {
+    let reason = reply.header(REASON_HEADER);
+    assert_eq!(reply.status, 503, "{reason}");
+    assert_eq!(reply.header(VERDICT_HEADER), "not-run", "{reason}");
+    assert_ne!(reply.header("retry-after"), "", "{reason}");
+}
+
+/// Guards against a stopping node that accepts a request which may outlast its drain, and gives it up while a backend
+/// server runs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_request_that_may_outlast_the_drain_is_refused() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 8_000,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let caller = mesh.vms[stopped_vm(&mesh)].node().addresses.caller;
+    let mut kept_connection = Http1Connection::connect(caller)
+        .await
+        .expect("the node accepts connections");
+    let mut send = async |path: &str, id: &str| {
+        let headers = headers(id, LONG_MS);
+        let reply = kept_connection
+            .request(Method::GET, DEFAULT_HOST, path, &as_text(&headers), "")
+            .await;
+        reply.expect("the node responds")
+    };
+    assert_eq!(send("/stock/1", "early").await.status, 200);
+    stop_beyond_serving_time(&mesh, limits).await;
+    let reply = send(&format!("/stock/1?work_ms={LONG_MS}"), "late").await;
+    assert_refused_as_not_run(&reply);
+    assert_eq!(reply.header("connection"), "close");
+    assert_eq!(users_mesh_runs(&mesh, "late"), Vec::<usize>::new());
+}
+
+/// Guards against a stopping node that refuses such requests only on HTTP/1 connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_http2_request_that_may_outlast_the_drain_is_refused() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 8_000,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let caller = mesh.vms[stopped_vm(&mesh)].node().addresses.caller;
+    let kept_connection = Http2Connection::connect(caller)
+        .await
+        .expect("the node accepts connections");
+    let send = async |path: &str, id: &str| {
+        let headers = headers(id, LONG_MS);
+        let reply = kept_connection.request_with_headers(
+            Method::GET,
+            DEFAULT_HOST,
+            path,
+            &as_text(&headers),
+        );
+        reply.await.expect("the node responds")
+    };
+    assert_eq!(send("/stock/1", "early").await.status, 200);
+    stop_beyond_serving_time(&mesh, limits).await;
+    let reply = send(&format!("/stock/1?work_ms={LONG_MS}"), "late").await;
+    assert_refused_as_not_run(&reply);
+    assert_eq!(users_mesh_runs(&mesh, "late"), Vec::<usize>::new());
+}
+
+/// Guards against a stopping node that refuses requests although their deadline, or the timeout of their route, is
+/// before the end of its drain.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_request_that_ends_before_the_drain_is_served() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 3 * SHORT_MS,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    stop_beyond_serving_time(&mesh, limits).await;
+    let short_route = format!("{SHORT_ROUTE_PREFIX}1");
+    for (path, deadline_ms) in [("/stock/1", SHORT_MS), (short_route.as_str(), LONG_MS)] {
+        let request = CallerRequest {
+            deadline_ms,
+            ..CallerRequest::get(path, "late")
+        };
+        let reply = mesh.send_request(stopped_vm(&mesh), &request).await;
+        let reply = reply.expect("the node responds");
+        assert_eq!(reply.status, 200, "{path}: {}", reply.header(REASON_HEADER));
+    }
+}
+
+/// Guards against a stopping node that refuses the calls of requests which its own backend server still runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_call_of_a_running_request_is_served() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 8_000,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let path = format!("/book/2?work_ms=3000&call={DEFAULT_HOST}/stock/7");
+    let booking = CallerRequest {
+        deadline_ms: LONG_MS,
+        ..CallerRequest::post(&path, "caller")
+    };
+    let (reply, ()) = tokio::join!(mesh.send_request(other_vm(&mesh), &booking), async {
+        wait_until("the booking runs", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "caller").is_empty()
+        })
+        .await;
+        begin_stop(&mesh).await;
+    });
+    assert_eq!(reply.expect("the node responds").status, 200);
+    assert_eq!(users_mesh_runs(&mesh, "caller.call"), [other_vm(&mesh)]);
+}
