Tests: what bounds the requests of a stopping node

A request accepted in the shortest serving time keeps its own limits, beyond the end of the drain. Where it still waits for a slot then, its caller is told that it may have run (502 `stopping`), and backend servers get deadlines by which the response can't be delivered. Both tests fail on the present code:

request_queued_at_the_end_of_the_drain_is_refused_as_not_run: assertion `left == right` failed: stopping left: 502 right: 503

deadlines_passed_on_are_before_the_end_of_the_drain: accepted: 119996 ms

--- a/tests/testsuite/requests_stopping.rs
+++ b/tests/testsuite/requests_stopping.rs
@@ -10,7 +10,8 @@
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 
 use crate::support::{
-    PROGRAM, REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, users_mesh_runs, write_routes,
+    PROGRAM, REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, users_mesh_runs,
+    write_routes,
 };
 
 /// How long a node goes on serving callers after SIGTERM.
@@ -232,3 +233,76 @@
     assert_eq!(reply.expect("the node responds").status, 200);
     assert_eq!(users_mesh_runs(&mesh, "caller.call"), [other_vm(&mesh)]);
 }
+
+/// Guards against a stopping node that reports of a request which still waits for a slot that it may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_queued_at_the_end_of_the_drain_is_refused_as_not_run() {
+    let limits = Limits {
+        stop_least_ms: 4_000,
+        drain_timeout_ms: 8_000,
+    };
+    let mesh = start_mesh(limits, 1).await;
+    let (stopped, other) = (stopped_vm(&mesh), other_vm(&mesh));
+    start_long_request(&mesh, other, Method::POST, "/book/1").await;
+    start_long_request(&mesh, other, Method::GET, "/stock/1").await;
+    begin_stop(&mesh).await;
+    let queued = CallerRequest {
+        deadline_ms: LONG_MS,
+        ..CallerRequest::get("/stock/2", "queued")
+    };
+    let gate = mesh.vms[other].node().addresses.operator;
+    let (reply, ()) = tokio::join!(mesh.send_request(stopped, &queued), async {
+        wait_until("the request is queued", WAIT_TIMEOUT, || async {
+            fetch_metrics(gate).await.contains("gate_waiting 1")
+        })
+        .await;
+    });
+    assert_refused_as_not_run(&reply.expect("the node responds"));
+    assert_eq!(users_mesh_runs(&mesh, "queued"), Vec::<usize>::new());
+}
+
+/// The deadline that the backend server got with a request, which it ran once.
+fn received_deadline_ms(mesh: &Mesh, id: &str) -> u64 {
+    let record = mesh.vms[other_vm(mesh)].backend().record();
+    let [run] = &record.runs[id][..] else {
+        panic!("{id} ran once")
+    };
+    run.deadline_ms.expect("the request has a deadline")
+}
+
+/// Guards against a stopping node that passes on deadlines beyond the end of its drain, by which others would work for
+/// a response that cannot be delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadlines_passed_on_are_before_the_end_of_the_drain() {
+    let limits = Limits {
+        stop_least_ms: 4_000,
+        drain_timeout_ms: 8_000,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let path = format!("/book/2?work_ms=3000&call={DEFAULT_HOST}/stock/7");
+    let booking = CallerRequest {
+        deadline_ms: LONG_MS,
+        ..CallerRequest::post(&path, "caller")
+    };
+    let (reply, ()) = tokio::join!(mesh.send_request(other_vm(&mesh), &booking), async {
+        wait_until("the booking runs", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "caller").is_empty()
+        })
+        .await;
+        begin_stop(&mesh).await;
+        let request = CallerRequest {
+            deadline_ms: LONG_MS,
+            ..CallerRequest::get("/stock/1", "accepted")
+        };
+        let reply = mesh.send_request(stopped_vm(&mesh), &request).await;
+        assert_eq!(reply.expect("the node responds").status, 200);
+    });
+    assert_eq!(reply.expect("the node responds").status, 200);
+    for id in ["accepted", "caller.call"] {
+        let deadline_ms = received_deadline_ms(&mesh, id);
+        assert!(
+            deadline_ms <= limits.drain_timeout_ms,
+            "{id}: {deadline_ms} ms"
+        );
+    }
+}
