Tests: a process that stops exits by itself while all others are silent

With a frozen peer, links that are cut, a store that does not answer and, in the second test, a response that another node does not read. Both tests pass on the present code: they guard the end of the process, and not its time.

--- a/tests/testsuite/requests_stopping.rs
+++ b/tests/testsuite/requests_stopping.rs
@@ -1,4 +1,4 @@
-//! Requests at a node that was stopped with SIGTERM.
+//! Requests at a node that was stopped with SIGTERM, and the end of its process.
 
 use std::path::Path;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use testkit::process::Signal;
 use testkit::users::configuration::{DEFAULT_HOST, Route, RouteKind};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
+use testkit::users::store::CallFault;
 
 use crate::support::{
     PROGRAM, REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, users_mesh_runs,
@@ -306,3 +307,71 @@
         );
     }
 }
+
+/// Freezes the node of the other VM, cuts the stopped VM off from all others, and lets the store answer nothing.
+fn silence_others(mesh: &Mesh) {
+    mesh.vms[other_vm(mesh)].node().signal(Signal::Stop);
+    let site = mesh.vms[stopped_vm(mesh)].site;
+    mesh.network
+        .set_cut(true, |from, to| (from == site) != (to == site));
+    mesh.store.set_call_fault(CallFault::NeverAnswer);
+}
+
+async fn assert_exits_by_itself(mesh: &mut Mesh) {
+    let stopped = stopped_vm(mesh);
+    let node = mesh.vms[stopped].node.as_mut().expect("the node runs");
+    let status = tokio::time::timeout(WAIT_TIMEOUT, node.wait_exit()).await;
+    let status = status
+        .expect("the process exits by itself")
+        .expect("the exit status can be read");
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a process that waits at its exit for other nodes or for the store, after its requests have ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn process_exits_after_its_requests_while_all_others_are_silent() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 8_000,
+    };
+    let mut mesh = start_mesh(limits, 8).await;
+    silence_others(&mesh);
+    mesh.vms[stopped_vm(&mesh)].node().signal(Signal::Terminate);
+    assert_exits_by_itself(&mut mesh).await;
+}
+
+/// Guards against a process that waits at its exit for a node which does not read a response, after the drain timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn process_exits_after_the_drain_timeout_while_all_others_are_silent() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 1_000,
+    };
+    let mut mesh = start_mesh(limits, 8).await;
+    let (stopped, other) = (stopped_vm(&mesh), other_vm(&mesh));
+    start_long_request(&mesh, other, Method::POST, "/book/1").await;
+    start_long_request(&mesh, stopped, Method::POST, "/book/2").await;
+    let entry = mesh.vms[other].node().addresses.caller;
+    // More than the HTTP/2 windows and the buffers of the sockets take.
+    let path = "/book/3?work_ms=1000&bytes=33554432";
+    let unread = tokio::spawn(async move {
+        let headers = headers("unread", LONG_MS);
+        request(
+            entry,
+            Method::POST,
+            DEFAULT_HOST,
+            path,
+            &as_text(&headers),
+            "",
+        )
+        .await
+    });
+    wait_until("the unread request runs", WAIT_TIMEOUT, || async {
+        !users_mesh_runs(&mesh, "unread").is_empty()
+    })
+    .await;
+    silence_others(&mesh);
+    begin_stop(&mesh).await;
+    assert_exits_by_itself(&mut mesh).await;
+    unread.abort();
+}
