Tests: pipelined requests that already run when their node is stopped

A caller has sent two idempotent requests on one connection, and both run. After SIGTERM the first response carries `connection: close`, the connection is closed after it, and the second request is abandoned without a response. The test fails on the present code: the connection ends after the response to `first`,

assertion `left == right` failed left: 1 right: 2

--- a/tests/testsuite/requests_stopping.rs
+++ b/tests/testsuite/requests_stopping.rs
@@ -9,6 +9,8 @@
 use testkit::users::configuration::{DEFAULT_HOST, Route, RouteKind};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::support::{
     PROGRAM, REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, users_mesh_runs,
@@ -375,3 +377,46 @@
     assert_exits_by_itself(&mut mesh).await;
     unread.abort();
 }
+
+/// Guards against a stopping node that closes a connection after one response while a backend server already runs the
+/// next request of that connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_that_run_at_the_stop_are_answered() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 2 * SHORT_MS,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let caller = mesh.vms[stopped_vm(&mesh)].node().addresses.caller;
+    let requests = [("first", 2_000), ("second", 3_000)].map(|(id, work_ms)| {
+        format!(
+            "GET /stock/1?work_ms={work_ms} HTTP/1.1\r\nhost: {DEFAULT_HOST}\r\nx-dfw-attempt-id: {id}\r\n\
+             x-dfw-deadline-ms: {SHORT_MS}\r\n\r\n"
+        )
+    });
+    let mut connection = TcpStream::connect(caller)
+        .await
+        .expect("the node accepts connections");
+    connection
+        .write_all(requests.concat().as_bytes())
+        .await
+        .expect("the node reads the requests");
+    wait_until("both requests run", WAIT_TIMEOUT, || async {
+        ["first", "second"]
+            .iter()
+            .all(|id| !users_mesh_runs(&mesh, id).is_empty())
+    })
+    .await;
+    begin_stop(&mesh).await;
+    let mut responses = Vec::new();
+    connection
+        .read_to_end(&mut responses)
+        .await
+        .expect("the responses are complete");
+    let responses = String::from_utf8_lossy(&responses);
+    assert_eq!(
+        responses.matches("HTTP/1.1 200").count(),
+        requests.len(),
+        "{responses}"
+    );
+}
