Answer pipelined requests that run at a stop before their connection closes

What callers saw: of two pipelined requests that both ran at the stop of their node, the second got no response; its connection closed after the first one's.

Cause: each response of a stopping node carried `connection: close`, also with requests behind it that had been started early. hyper closes after such a response, and their tasks are aborted. The end of the callers' listener did the same.

Change: the connection closes after the last request that has been started.

Evidence: requests_stopping::pipelined_requests_that_run_at_the_stop_are_answered got one response of two before and two now.

--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -197,7 +197,8 @@
         // Further bytes from the caller belong to this request's body.
         None => entry::serve(node, parts, body).await,
     };
-    if leaving.is_cancelled() {
+    // A connection with further running requests closes after the last of them.
+    if leaving.is_cancelled() && !pipeline.has_early_requests() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -134,6 +134,10 @@
             },
             () = graceful_stop.cancelled(), if !stop_requested => stop_requested = true,
         }
+        // The response to the last of them closes the connection.
+        if stop_requested && pipeline.has_early_requests() {
+            continue;
+        }
         // An idle connection ends at once and keeps its stream; any other ends after its current
         // request.
         Pin::new(&mut connection).graceful_shutdown();
--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -273,6 +273,13 @@
         request.response_task
     }
 
+    /// Whether requests behind the current one run already.
+    pub(crate) fn has_early_requests(&self) -> bool {
+        let shared = self.lock();
+        let mut pending = shared.requests.pending.iter();
+        pending.any(|request| request.response_task.is_some())
+    }
+
     /// Starts the parsed requests that are not running yet. `start` returns `None` for a request
     /// that must not start early; the requests behind it then wait, too.
     pub(crate) fn start_early(
