Do not send a request again when a refusal would come too late

What callers saw: a request that had waited at a gate until its deadline was refused there, 100 ms before the deadline at most, and was sent once more. Its entry node gave it up before the next refusal arrived, and answered 504 or 502 with may-have-run for a request that had run nowhere.

Cause: the entry node sent again as long as any time was left. A gate lets a request wait until an eighth of its time, at most 100 ms, is left, because its refusal has to reach the entry node in time; a further attempt has no such time.

Change: the last margin of a request's time starts no attempt, neither a retry nor a search for a free slot.

--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -23,7 +23,7 @@
 use crate::decide::uploads::SMALL_BODY_MAX_BYTES;
 use crate::proxy::body::{self, Body, GuardedBody};
 use crate::proxy::failure::{Failure, Reason};
-use crate::proxy::hop::Hop;
+use crate::proxy::hop::{self, Hop};
 use crate::proxy::log_limiter::{self, LogClass};
 use crate::proxy::replay::ReplayableBody;
 use crate::proxy::state::ProxyState;
@@ -85,7 +85,8 @@
                 Err(failure) => failure,
             };
             may_use_candidate &= chosen.candidate_order.is_none();
-            if !waits && failure.is_overload() {
+            let may_send_again = self.has_time_for_attempt();
+            if !waits && failure.is_overload() && may_send_again {
                 search.record_busy(endpoint.node);
                 continue;
             }
@@ -99,7 +100,7 @@
                 let mut tokens = self.node.retry_tokens();
                 attempts.take_retry(attempt_failure, tokens.for_service(self.service()))
             };
-            let retry = retry && body.can_replay() && Instant::now() < self.deadline;
+            let retry = retry && body.can_replay() && may_send_again;
             self.log_attempt_failed(&endpoint, &failure, retry);
             if !retry {
                 return Err(failure.after_attempt(verdict));
@@ -110,6 +111,14 @@
         }
     }
 
+    /// Whether another attempt may begin. A refusal by a gate would come too late otherwise, and the
+    /// request would count as one that may have run.
+    fn has_time_for_attempt(&self) -> bool {
+        let whole = self.deadline.saturating_duration_since(self.started_at);
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        remaining > hop::queue_margin(whole)
+    }
+
     /// Whether this is a nested call, for whose response a request of a backend server waits.
     fn is_nested(&self) -> bool {
         self.depth > 0
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -145,7 +145,7 @@
     pub(crate) fn queue_deadline(&self) -> Instant {
         let now = Instant::now();
         let remaining = self.deadline.saturating_duration_since(now);
-        now + remaining - (remaining / REMAINING_TIME_TO_QUEUE_MARGIN_RATIO).min(QUEUE_MARGIN_MAX)
+        now + remaining - queue_margin(remaining)
     }
 
     /// Milliseconds until the deadline, as a header value.
@@ -154,6 +154,11 @@
     }
 }
 
+/// How long before its deadline a request leaves the queue that has `remaining` until then.
+pub(crate) fn queue_margin(remaining: Duration) -> Duration {
+    (remaining / REMAINING_TIME_TO_QUEUE_MARGIN_RATIO).min(QUEUE_MARGIN_MAX)
+}
+
 fn millis_value(duration: Duration) -> HeaderValue {
     HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
--- a/tests/testsuite/users_requests.rs
+++ b/tests/testsuite/users_requests.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 
 use crate::support::{
-    SERVICES, WAIT_TIMEOUT, fetch_metrics, join_all, start_serving_users_mesh, users_mesh_runs,
-    users_routes, write_routes,
+    SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, fetch_metrics, join_all, start_serving_users_mesh,
+    users_mesh_runs, users_routes, write_routes,
 };
 
 /// One VM of each service in one data centre.
@@ -173,6 +173,45 @@
     assert!(outcomes.iter().any(|(reply, _)| reply.status == 503));
 }
 
+/// Guards against a request that waited for a slot until its deadline and is then sent once more, so that its entry node
+/// may give it up before the next refusal arrives and cannot tell that it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waited_until_its_deadline_is_not_sent_again() {
+    let mut plan = small();
+    plan.behaviour.slots = 1;
+    let mesh = start_serving_users_mesh(plan).await;
+    let mut routes = users_routes();
+    for route in &mut routes {
+        route.timeout_ms = 60_000;
+        route.target_latency_ms = 60_000;
+    }
+    write_routes(&mesh, 2, &routes, &SERVICES);
+    mesh.wait_enforced(2).await;
+    let entry = mesh.vms_of(SERVICES[0])[0];
+    let mut long = CallerRequest::get("/stock/1?work_ms=60000", "long");
+    long.deadline_ms = 60_000;
+    let mut queued = CallerRequest::get("/stock/2", "queued");
+    queued.deadline_ms = 2_000;
+    let waits_until_deadline = async {
+        wait_until("the slot is in use", WAIT_TIMEOUT, || async {
+            !users_mesh_runs(&mesh, "long").is_empty()
+        })
+        .await;
+        mesh.send_request(entry, &queued).await
+    };
+    let reply = tokio::select! {
+        reply = waits_until_deadline => reply.expect("the node responds"),
+        reply = mesh.send_request(entry, &long) => panic!("the slot is free again: {reply:?}"),
+    };
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.header(VERDICT_HEADER), "not-run");
+    let metrics = fetch_metrics(mesh.vms[entry].node().addresses.operator).await;
+    assert!(
+        !metrics.contains("dragonflywall_retries_total"),
+        "{metrics}"
+    );
+}
+
 /// A backend server crashes, and its address is reassigned to another service before the mesh
 /// detects it. The new backend server must not run requests for the old service.
 #[tokio::test(flavor = "multi_thread")]
