Stop: bound requests by the end of the drain, and refuse those that may outlast it

What callers saw: requests that reached a stopping node on a kept connection about three seconds after SIGTERM were taken, sent to a backend server and given up with 502 `stopping` at the end of the drain timeout, while their backend server was at work or while they waited for a slot.

Cause: a stopping node serves callers for as long as its gate has requests that may make calls. It took every request with its whole time limit, though it stops 5.5 s after the signal: deadline handed on, wait for a slot and further attempts knew nothing of that end.

Change: decide::drain::DrainSchedule says which requests a stopping node takes and until when they may run. A caller's request that arrives after the shortest serving time and may end after the drain is refused at once as not run (`drain-too-short`, 503). Deadlines of all others, of calls and of further attempts are the end of the drain at the latest, so a gate refuses a request that waits for a slot before its entry node gives it up. A request that was sent before the stop is still waited for until the drain timeout.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 pub mod announcements;
 pub mod backoff;
 pub mod connections;
+pub mod drain;
 pub mod freeze;
 pub mod load_balancing;
 pub mod max_wait;
--- /dev/null
+++ b/src/decide/drain.rs
@@ -0,0 +1,60 @@
+//! Until when a stopping node serves requests.
+
+use std::time::{Duration, Instant};
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOrigin {
+    /// A caller, which can send it to another node instead.
+    Caller,
+    /// A request that the local backend server is running. It fails if this call fails.
+    RunningRequest,
+}
+
+/// The times of a graceful stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainSchedule {
+    callers_served_until: Instant,
+    ends_at: Instant,
+}
+
+impl DrainSchedule {
+    /// The schedule of a stop that begins at `started_at`. Callers do not know of the stop for
+    /// `min_serving`. Requests that are in flight after `drain_timeout` are given up.
+    pub fn new(started_at: Instant, min_serving: Duration, drain_timeout: Duration) -> Self {
+        let ends_at = started_at + drain_timeout;
+        Self {
+            callers_served_until: (started_at + min_serving).min(ends_at),
+            ends_at,
+        }
+    }
+
+    /// Until when callers may send requests that cannot be completed for certain.
+    pub fn callers_served_until(&self) -> Instant {
+        self.callers_served_until
+    }
+
+    /// When the requests in flight are given up.
+    pub fn ends_at(&self) -> Instant {
+        self.ends_at
+    }
+
+    /// Deadline for the request with the given one that arrives at `now`; `None` if the request is to
+    /// be refused, because the node may stop before it has ended.
+    pub fn accept(
+        &self,
+        now: Instant,
+        deadline: Instant,
+        origin: RequestOrigin,
+    ) -> Option<Instant> {
+        let is_accepted = deadline <= self.ends_at
+            || origin == RequestOrigin::RunningRequest
+            || now < self.callers_served_until;
+        is_accepted.then(|| self.limit(deadline))
+    }
+
+    /// Deadline for an attempt that begins while the node stops.
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        deadline.min(self.ends_at)
+    }
+}
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
@@ -14,6 +14,7 @@
 use crate::core::dialect::Dialect;
 use crate::core::member::{BackendState, Liveness, Member, NodeId};
 use crate::core::version::Version;
+use crate::decide::drain::DrainSchedule;
 use crate::node::configuration::{ConfigurationActor, ConfigurationMsg, ConfigurationOrigin};
 use crate::node::listeners::Listeners;
 use crate::node::membership::{self, MembershipActor, MembershipMsg};
@@ -269,13 +270,18 @@
     /// requests through this node. Then the callers' connections close, and last those of other nodes.
     pub async fn drain(mut self) {
         log::info!("draining");
-        self.node.proxy.leaving.cancel();
-        self.node.proxy.close_gate();
+        let reloadable = *self.node.proxy.reloadable.load_full();
+        let drain_timeout_ms = reloadable.drain_timeout_ms;
+        let schedule = DrainSchedule::new(
+            Instant::now(),
+            Duration::from_millis(reloadable.stop_least_ms),
+            Duration::from_millis(drain_timeout_ms),
+        );
+        self.node.proxy.begin_drain(schedule);
         let draining = self.node.backend_record(BackendState::Draining);
         let _ = self.membership.cast(MembershipMsg::SetBackend(draining));
-        let drain_timeout_ms = self.node.proxy.reloadable.load().drain_timeout_ms;
-        let drain_timeout = Duration::from_millis(drain_timeout_ms);
-        if tokio::time::timeout(drain_timeout, self.wait_for_requests())
+        let requests_ended = self.wait_for_requests(&schedule);
+        if tokio::time::timeout_at(schedule.ends_at().into(), requests_ended)
             .await
             .is_err()
         {
@@ -297,18 +303,16 @@
         log::info!("stopped");
     }
 
-    async fn wait_for_requests(&mut self) {
-        // Callers are served for this time at least. Each response in it tells the caller that the
-        // connection closes, so that few connections are left to be closed while idle: a caller that
-        // sends a request on a connection that is being closed cannot tell whether it was received.
-        let min_serving_time =
-            Duration::from_millis(self.node.proxy.reloadable.load().stop_least_ms);
+    async fn wait_for_requests(&mut self, schedule: &DrainSchedule) {
         // Admission is closed and refuses every new request at once. So no request can start after the
         // tracker has become empty, and the wait misses none.
         self.node.proxy.gate_requests.close();
+        // Each response until then tells the caller that the connection closes, so that few
+        // connections are left to be closed while idle: a caller that sends a request on a connection
+        // that is being closed cannot tell whether it was received.
         tokio::join!(
             self.node.proxy.gate_requests.wait(),
-            tokio::time::sleep(min_serving_time)
+            tokio::time::sleep_until(schedule.callers_served_until().into())
         );
         self.shutdown.callers.cancel();
         let _ = (&mut self.callers_task).await;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -20,6 +20,7 @@
 use super::running_requests::{InheritedContext, RetryBudget};
 use crate::core::mechanism::Mechanism;
 use crate::core::routing::{ResolvedTarget, Route};
+use crate::decide::drain::RequestOrigin;
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
@@ -162,7 +163,12 @@
     let target = choose_target(route);
     let service = compiled.configuration.service(&target.service);
     let timeout = Duration::from_millis(u64::from(target.treatment.timeout_ms));
-    let route_deadline = Instant::now() + timeout;
+    let started_at = Instant::now();
+    let route_deadline = started_at + timeout;
+    let deadline = context
+        .deadline
+        .map_or(route_deadline, |deadline| deadline.min(route_deadline));
+    let deadline = accept_while_stopping(node, started_at, deadline, context.depth)?;
     let request = RoutedRequest {
         node,
         parts,
@@ -170,10 +176,8 @@
         target,
         default_slots: service.map_or(1, |service| service.slots_per_endpoint),
         body_bytes: body.min_len_bytes(),
-        started_at: Instant::now(),
-        deadline: context
-            .deadline
-            .map_or(route_deadline, |deadline| deadline.min(route_deadline)),
+        started_at,
+        deadline,
         depth: context.depth,
     };
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
@@ -214,6 +218,26 @@
     Err(Failure::not_run(reason))
 }
 
+/// Returns the deadline of a request, which the end of a shutdown limits. Refuses the request if it
+/// may not be finished by then, and its caller can send it to another node.
+fn accept_while_stopping(
+    node: &ProxyState,
+    now: Instant,
+    deadline: Instant,
+    depth: u32,
+) -> Result<Instant, Failure> {
+    let Some(drain) = node.drain_schedule() else {
+        return Ok(deadline);
+    };
+    let origin = match depth {
+        0 => RequestOrigin::Caller,
+        _ => RequestOrigin::RunningRequest,
+    };
+    drain
+        .accept(now, deadline, origin)
+        .ok_or(Failure::not_run(Reason::DrainTooShort))
+}
+
 fn choose_target(route: &Route) -> &ResolvedTarget {
     let weights = route.targets.iter().map(|target| target.weight);
     &route.targets[split::choose_target_index(weights, route.next_request_number())]
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -111,12 +111,18 @@
         }
     }
 
+    /// Deadline of an attempt that begins now.
+    fn attempt_deadline(&self) -> Instant {
+        let drain = self.node.drain_schedule();
+        drain.map_or(self.deadline, |drain| drain.limit(self.deadline))
+    }
+
     /// Whether another attempt may begin. A refusal by a gate would come too late otherwise, and the
     /// request would count as one that may have run.
     fn has_time_for_attempt(&self) -> bool {
-        let whole = self.deadline.saturating_duration_since(self.started_at);
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        remaining > hop::queue_margin(whole)
+        let deadline = self.attempt_deadline();
+        let whole = deadline.saturating_duration_since(self.started_at);
+        deadline.saturating_duration_since(Instant::now()) > hop::queue_margin(whole)
     }
 
     /// Whether this is a nested call, for whose response a request of a backend server waits.
@@ -137,7 +143,7 @@
             let remaining = until.saturating_duration_since(Instant::now());
             u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX)
         };
-        let deadline_us = remaining_us(self.deadline);
+        let deadline_us = remaining_us(self.attempt_deadline());
         TimeLimits {
             target_us: remaining_us(self.due()).min(deadline_us),
             deadline_us,
@@ -317,7 +323,7 @@
             max_wait,
             received_at: now,
             due_in: self.due().saturating_duration_since(now),
-            deadline: self.deadline,
+            deadline: self.attempt_deadline(),
             depth: self.depth,
             retries,
             rollout_order,
@@ -403,12 +409,12 @@
         mut request: Request<Body>,
     ) -> Result<Response<Body>, Failure> {
         let sender = self.node.peers.sender(endpoint.address);
-        let mut sender = tokio::time::timeout_at(self.deadline.into(), sender)
+        let mut sender = tokio::time::timeout_at(hop.deadline.into(), sender)
             .await
             .map_err(|_| Failure::not_run(Reason::TooLate))??;
         hop.write_headers(request.headers_mut());
         let exchange = sender.send(request);
-        let response = deadline::timeout_at(self.deadline, exchange)
+        let response = deadline::timeout_at(hop.deadline, exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
         let Some(load) = headers::parse_load(response.headers()) else {
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -47,6 +47,8 @@
     GivenUp,
     /// The entry node is shutting down, and the time for requests in flight is over.
     Stopping,
+    /// The entry node is shutting down, and the time left does not suffice for the request.
+    DrainTooShort,
     /// Too many nested calls above this one.
     TooDeep,
     /// The caller's request names no valid host, or a gate could not read the request's metadata.
@@ -65,7 +67,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 21] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -79,6 +81,7 @@
         Self::Deadline,
         Self::GivenUp,
         Self::Stopping,
+        Self::DrainTooShort,
         Self::TooDeep,
         Self::BadRequest,
         Self::HeadTooLong,
@@ -104,6 +107,7 @@
             Self::Deadline => "deadline",
             Self::GivenUp => "given-up",
             Self::Stopping => "stopping",
+            Self::DrainTooShort => "drain-too-short",
             Self::TooDeep => "too-deep",
             Self::BadRequest => "bad-request",
             Self::HeadTooLong => "head-too-long",
@@ -134,6 +138,7 @@
             Self::Deadline => "the deadline passed",
             Self::GivenUp => "the call that led to this one was given up",
             Self::Stopping => "this node stops and waits no longer",
+            Self::DrainTooShort => "this node stops before the request would be finished",
             Self::TooDeep => "too many calls led to this one",
             Self::BadRequest => "the request is malformed or broke off",
             Self::HeadTooLong => "the head of the request is longer than allowed",
@@ -159,6 +164,7 @@
             | Self::Full
             | Self::TooLate
             | Self::Draining
+            | Self::DrainTooShort
             | Self::Unreachable
             | Self::Rejected
             | Self::HeldUp
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -28,6 +28,7 @@
 use crate::core::names::ServiceName;
 use crate::core::rollout::RolloutBook;
 use crate::decide::admission::{Admission, Limits};
+use crate::decide::drain::DrainSchedule;
 use crate::decide::freeze::{Epoch, FreezeDetector};
 use crate::decide::load_balancing::{Balancer, LoadReport};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
@@ -81,6 +82,8 @@
     store_read_ms: AtomicU64,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
+    /// The times of the shutdown, once it has started.
+    drain: OnceLock<DrainSchedule>,
     /// Cancelled when the time for requests in flight at a shutdown is over.
     pub(crate) drain_expired: CancellationToken,
     /// Requests that are in flight at this node's gate, of other nodes and of callers on this VM.
@@ -149,6 +152,7 @@
             freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
             leaving: CancellationToken::new(),
+            drain: OnceLock::new(),
             drain_expired: CancellationToken::new(),
             gate_requests: TaskTracker::new(),
             settings,
@@ -253,6 +257,19 @@
         }
     }
 
+    /// Starts the shutdown: refuses requests at the gate, and requests of callers as `schedule` says.
+    pub(crate) fn begin_drain(&self, schedule: DrainSchedule) {
+        // Called once, when the node stops.
+        let _ = self.drain.set(schedule);
+        self.leaving.cancel();
+        self.close_gate();
+    }
+
+    /// The times of the shutdown; `None` before it has started.
+    pub(crate) fn drain_schedule(&self) -> Option<&DrainSchedule> {
+        self.drain.get()
+    }
+
     /// Stops admitting requests to the backend server. Queued requests are refused at once, so that
     /// their entry nodes retry them elsewhere.
     pub(crate) fn close_gate(&self) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod decide_announcements;
 mod decide_backoff;
 mod decide_connections;
+mod decide_drain;
 mod decide_load_balancing;
 mod decide_retry;
 mod decide_rollout;
