Stop: end the process by the end of its grace period

Cause: after the drain timeout, 0.5 s before the kill, a process still waited up to 150 ms for callers, 2 s for its neighbours to acknowledge that it leaves, then 2 s for nodes that read responses, without limit for its background tasks, and 0.5 s for its log.

Leaving the mesh and reading responses go on at the same time. A process that is behind its schedule gets 50 ms a step, in which callers read the responses to requests that were given up.

--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -1,7 +1,13 @@
-//! Until when a stopping node serves requests.
+//! Until when a stopping node serves requests, and how long each step of its exit may take.
 
 use std::time::{Duration, Instant};
 
+/// Time after the end of the drain within which the steps of the exit end.
+const EXIT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Shortest time for a step of the exit, if the process is behind its schedule.
+const EXIT_STEP_MIN: Duration = Duration::from_millis(50);
+
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOrigin {
@@ -57,4 +63,10 @@
     pub fn limit(&self, deadline: Instant) -> Instant {
         deadline.min(self.ends_at)
     }
+
+    /// When a step of the exit that begins at `now` and usually takes at most `step_max` is given up.
+    pub fn exit_step_ends_at(&self, now: Instant, step_max: Duration) -> Instant {
+        let exit_by = (self.ends_at + EXIT_TIMEOUT).max(now + EXIT_STEP_MIN);
+        (now + step_max).min(exit_by)
+    }
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,5 +1,6 @@
 //! Starts a node and shuts it down gracefully.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,7 +34,7 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Longest wait for neighbours to acknowledge that this node leaves the mesh.
-const LEAVE_TIMEOUT_MS: u64 = 2_000;
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest wait for callers to read the responses to requests that were given up, at the end of the
 /// drain timeout.
@@ -42,6 +43,9 @@
 /// Longest wait for other nodes to read the end of the responses that are still being sent.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for background tasks to end.
+const TASKS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -270,7 +274,7 @@
     /// requests through this node. Then the callers' connections close, and last those of other nodes.
     pub async fn drain(mut self) {
         log::info!("draining");
-        let reloadable = *self.node.proxy.reloadable.load_full();
+        let reloadable = self.node.proxy.reloadable.load();
         let drain_timeout_ms = reloadable.drain_timeout_ms;
         let schedule = DrainSchedule::new(
             Instant::now(),
@@ -288,15 +292,37 @@
             log::warn!(drain_timeout_ms; "drain timeout expired; giving up the requests in flight");
             self.node.proxy.drain_expired.cancel();
             self.shutdown.callers.cancel();
-            let _ = tokio::time::timeout(GIVEN_UP_FLUSH_TIMEOUT, &mut self.callers_task).await;
+            let flush_timeout = GIVEN_UP_FLUSH_TIMEOUT;
+            exit_step(
+                &schedule,
+                flush_timeout,
+                "responses",
+                &mut self.callers_task,
+            )
+            .await;
         }
-        let _ = ractor::call_t!(self.membership, MembershipMsg::Leave, LEAVE_TIMEOUT_MS);
+        self.exit(&schedule).await;
+    }
+
+    /// Leaves the mesh and stops all tasks.
+    async fn exit(mut self, schedule: &DrainSchedule) {
         self.shutdown.peers.cancel();
+        let membership = self.membership.clone();
+        let leave = async move { ractor::call!(membership, MembershipMsg::Leave) };
         // Responses that were received completely from the backend server may not be sent completely yet.
-        let _ = tokio::time::timeout(RESPONSE_FLUSH_TIMEOUT, &mut self.peers_task).await;
+        let flush = &mut self.peers_task;
+        tokio::join!(
+            exit_step(schedule, LEAVE_TIMEOUT, "leaving the mesh", leave),
+            exit_step(
+                schedule,
+                RESPONSE_FLUSH_TIMEOUT,
+                "responses to nodes",
+                flush
+            ),
+        );
         self.shutdown.all.cancel();
         self.tasks.close();
-        self.tasks.wait().await;
+        exit_step(schedule, TASKS_TIMEOUT, "tasks", self.tasks.wait()).await;
         self.membership.stop(None);
         self.configuration.stop(None);
         self.rollout.stop(None);
@@ -319,6 +345,22 @@
     }
 }
 
+/// Waits for a step of the exit until its time limit, and logs if the limit passes first.
+async fn exit_step<F: Future>(
+    schedule: &DrainSchedule,
+    step_max: Duration,
+    step: &'static str,
+    future: F,
+) {
+    let ends_at = schedule.exit_step_ends_at(Instant::now(), step_max);
+    if tokio::time::timeout_at(ends_at.into(), future)
+        .await
+        .is_err()
+    {
+        log::warn!(step; "a step of the exit was given up");
+    }
+}
+
 fn initial_member(settings: &Settings, peer_address: SocketAddr) -> Member {
     let node = settings.peer_advertise.unwrap_or(peer_address);
     let service = settings.backend_server.as_ref().map(|b| b.service.clone());
--- a/tests/testsuite/decide_drain.rs
+++ b/tests/testsuite/decide_drain.rs
@@ -1,4 +1,4 @@
-//! Which requests a stopping node accepts.
+//! Which requests a stopping node accepts, and how long its exit may take.
 
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,17 @@
         let since_start = accepted.saturating_duration_since(self.started_at);
         u64::try_from(since_start.as_millis()).ok()
     }
+
+    /// When a step of the exit is given up, in milliseconds since the start.
+    fn exit_step_ends_ms(&self, begins_ms: u64, step_max_ms: u64) -> u128 {
+        let step_max = Duration::from_millis(step_max_ms);
+        let ends_at = self
+            .schedule
+            .exit_step_ends_at(self.at(begins_ms), step_max);
+        ends_at
+            .saturating_duration_since(self.started_at)
+            .as_millis()
+    }
 }
 
 /// Guards against a request that a stopping node accepts from a caller, although it may stop before
@@ -84,3 +95,22 @@
     );
     assert_eq!(stop.schedule.limit(stop.at(1_000)), stop.at(1_000));
 }
+
+/// Guards against a process that is still exiting when the platform kills it, half a second after the
+/// drain timeout.
+#[test]
+fn exit_ends_soon_after_the_drain_timeout() {
+    let stop = Stop::new();
+    for begins_ms in [2_200, 5_000, 5_500, 5_800] {
+        let ends_ms = stop.exit_step_ends_ms(begins_ms, 2_000);
+        assert!(ends_ms < u128::from(DRAIN_TIMEOUT_MS + 500));
+    }
+    assert_eq!(stop.exit_step_ends_ms(2_200, 2_000), 4_200);
+}
+
+/// Guards against responses that are cut off because a process that was paused is late with its exit.
+#[test]
+fn late_step_of_the_exit_gets_a_minimum_of_time() {
+    let stop = Stop::new();
+    assert_eq!(stop.exit_step_ends_ms(8_000, 2_000), 8_050);
+}
