Answer requests that arrived before a stop closes their connection

What callers saw: a request that arrived while its node was paused, at the time at which the drain timeout passed, got a reset connection in place of a refusal.

Cause: after the pause the timers are handled before the socket is polled. The close of the idle connection then wins against bytes that have already arrived.

Change: before an idle connection is closed, the runtime gets the turns in which it reads its sockets, as before a deadline is acted on. The request is then refused as not run.

Evidence: requests_stopping::request_that_arrived_in_a_pause_is_refused_as_not_run failed with a connection error before.

--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -29,6 +29,7 @@
 use crate::proxy::stall::StallGuard;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{entry, header_profile};
+use crate::util::deadline;
 
 /// Maximum number of concurrent requests on one HTTP/2 connection of a caller.
 const CALLER_STREAMS_MAX: u32 = 128;
@@ -80,7 +81,10 @@
         biased;
         protocol = tokio::time::timeout(limits.idle_timeout, is_http2(&stream)) => protocol,
         () = idle_guard.close_requested() => return,
-        () = graceful_stop.cancelled() => return,
+        () = graceful_stop.cancelled() => match deadline::if_arrived(is_http2(&stream)).await {
+            Some(protocol) => Ok(protocol),
+            None => return,
+        },
     };
     drop(idle_guard);
     // The caller sent nothing in time, or the connection failed.
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -23,6 +23,7 @@
 use crate::proxy::pipeline::Pipeline;
 use crate::proxy::stall::StallGuard;
 use crate::proxy::state::ProxyState;
+use crate::util::deadline;
 
 /// Size and time limits for requests on a caller's connection.
 #[derive(Clone, Copy, Debug)]
@@ -76,7 +77,11 @@
         readable = idle.stream.readable() => readable.is_ok(),
         () = idle_guard.close_requested() => false,
         () = wait_idle_timeout(node) => false,
-        () = graceful_stop.cancelled() => false,
+        // A request that has arrived by then is refused with a response.
+        () = graceful_stop.cancelled() => {
+            let readable = deadline::if_arrived(idle.stream.readable()).await;
+            matches!(readable, Some(Ok(())))
+        }
     }
 }
 
--- a/src/util/deadline.rs
+++ b/src/util/deadline.rs
@@ -23,12 +23,18 @@
     if let Ok(output) = tokio::time::timeout_at(deadline.into(), &mut future).await {
         return Ok(output);
     }
+    if_arrived(future).await.ok_or(Elapsed)
+}
+
+/// The result of `future` if it has arrived, also if its bytes are still to be read and passed on.
+pub(crate) async fn if_arrived<F: Future>(future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
     for _ in 0..TURNS_AFTER_DEADLINE {
         tokio::task::yield_now().await;
         let polled = poll_fn(|context| Poll::Ready(future.as_mut().poll(context))).await;
         if let Poll::Ready(output) = polled {
-            return Ok(output);
+            return Some(output);
         }
     }
-    Err(Elapsed)
+    None
 }
--- a/tests/testsuite/requests_stopping.rs
+++ b/tests/testsuite/requests_stopping.rs
@@ -264,6 +264,38 @@
     assert_eq!(users_mesh_runs(&mesh, "queued"), Vec::<usize>::new());
 }
 
+/// Guards against a stopping node that resets a connection on which a request has arrived while the node was paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_arrived_in_a_pause_is_refused_as_not_run() {
+    let limits = Limits {
+        stop_least_ms: 500,
+        drain_timeout_ms: 4_000,
+    };
+    let mesh = start_mesh(limits, 8).await;
+    let caller = mesh.vms[stopped_vm(&mesh)].node().addresses.caller;
+    let mut kept_connection = Http1Connection::connect(caller)
+        .await
+        .expect("the node accepts connections");
+    start_long_request(&mesh, other_vm(&mesh), Method::POST, "/book/1").await;
+    begin_stop(&mesh).await;
+    let drain_timeout = Duration::from_millis(limits.drain_timeout_ms);
+    let node = mesh.vms[stopped_vm(&mesh)].node();
+    tokio::time::sleep(drain_timeout / 2).await;
+    node.signal(Signal::Stop);
+    let headers = headers("late", LONG_MS);
+    let headers = as_text(&headers);
+    let (reply, ()) = tokio::join!(
+        kept_connection.request(Method::GET, DEFAULT_HOST, "/stock/1", &headers, ""),
+        async {
+            // Less than what counts as a freeze, after which all requests are refused.
+            tokio::time::sleep(drain_timeout / 2 + Duration::from_millis(500)).await;
+            node.signal(Signal::Continue);
+        }
+    );
+    assert_refused_as_not_run(&reply.expect("the node responds"));
+    assert_eq!(users_mesh_runs(&mesh, "late"), Vec::<usize>::new());
+}
+
 /// The deadline that the backend server got with a request, which it ran once.
 fn received_deadline_ms(mesh: &Mesh, id: &str) -> u64 {
     let record = mesh.vms[other_vm(mesh)].backend().record();
