Answer a request that may have run with 502, also if its retry was refused

What callers saw: 503 with Retry-After and the verdict may-have-run, where an idempotent request was interrupted and its retry refused. 503 promises that the request has not run and never will.

Cause: the status followed from the reason of the last attempt alone, the verdict from all of them.

Evidence: requests_answers::a_refused_retry_of_a_request_that_ran_is_not_answered_with_503 guards it.

--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -257,6 +257,14 @@
         Some(failure.with_retry_after_ms(retry_after_ms))
     }
 
+    /// The status promises that the request did not run only if that is so.
+    fn status(self) -> StatusCode {
+        match (self.verdict, self.reason.status()) {
+            (Verdict::MayHaveRun, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
+            (_, status) => status,
+        }
+    }
+
     /// The response of a gate to an entry node.
     pub(crate) fn into_peer_response(self) -> Response<Body> {
         let retry_after_ms = HeaderValue::from(self.retry_after_ms);
@@ -269,7 +277,7 @@
     /// The response to a caller.
     pub(crate) fn into_response(self, profile: &HeaderProfile) -> Response<Body> {
         let mut response = Response::new(body::full(format!("{}\n", self.reason.as_str())));
-        let status = self.reason.status();
+        let status = self.status();
         *response.status_mut() = status;
         let headers = response.headers_mut();
         let verdict = HeaderValue::from_static(self.verdict.as_str());
--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -2,7 +2,7 @@
 
 use http::Method;
 use testkit::backend::Behaviour;
-use testkit::http::{request, wait_until};
+use testkit::http::{Reply, request, wait_until};
 use testkit::mesh::Mesh;
 use tokio_util::sync::CancellationToken;
 
@@ -77,6 +77,22 @@
 /// while it runs, and its retry is refused. The refusal applies only to the second attempt.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_retry_does_not_hide_the_first_attempt() {
+    let reply = interrupted_read_with_a_refused_retry().await;
+    assert!(reply.status.is_server_error(), "{reply:?}");
+    assert_eq!(reply.header(VERDICT_HEADER), "may-have-run", "{reply:?}");
+}
+
+/// Guards against the status of a refusal, which promises that the request did not run, for a request that
+/// ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_retry_of_a_request_that_ran_is_not_answered_with_503() {
+    let reply = interrupted_read_with_a_refused_retry().await;
+    assert_eq!(reply.status, 502, "{reply:?}");
+    assert_eq!(reply.header("retry-after"), "", "{reply:?}");
+}
+
+/// The response to a read whose backend server is killed while it runs, and whose retry is refused.
+async fn interrupted_read_with_a_refused_retry() -> Reply {
     let mesh = start_chatarras(small_deployment(&["tablon", "cobros"], 1)).await;
     let entry = remote_entry(&mesh, "cobros");
     let path = "/payments/2?work_ms=900";
@@ -95,9 +111,8 @@
         .await
         .expect("the task does not panic")
         .expect("the node responds");
-    assert!(reply.status.is_server_error(), "{reply:?}");
-    assert_eq!(reply.header(VERDICT_HEADER), "may-have-run", "{reply:?}");
     assert_eq!(run_counts(&mesh, "cobros", "status-2"), [(ran_at, 1)]);
+    reply
 }
 
 /// Every backend server of the service has been killed. The caller must get a response that says
