Refuse probes for a free slot also before a service time is known

What callers saw: a request that looked for a free slot was queued at a busy gate for up to 2.8 s, though it may not wait there.

Cause: the wait of a new request is estimated from service times. Without any, after a restart, the estimate is 0 and within every limit.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -334,7 +334,9 @@
         if response_us > request.deadline_us {
             return Some(RefusalCause::DeadlineTooSoon);
         }
-        (wait_us > request.max_wait_us).then_some(RefusalCause::WaitTooLong)
+        // The estimate is 0 as long as no service time is known.
+        let may_wait = request.max_wait_us > 0 && wait_us <= request.max_wait_us;
+        (!may_wait).then_some(RefusalCause::WaitTooLong)
     }
 
     /// Removes a request from the queue. Returns false if its wait has already ended; then
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -71,6 +71,21 @@
     assert_eq!(order, [4, 3, 1, 2]);
 }
 
+/// Guards against a probe for a free slot that is queued where no service time is known yet, and so waits at this gate
+/// while another one has a free slot.
+#[test]
+fn request_that_may_not_wait_is_refused_before_any_service_time_is_known() {
+    let mut admission = admission(1, 20);
+    let probe = SlotRequest {
+        max_wait_us: 0,
+        ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
+    };
+    assert_eq!(admission.admit(0, &probe, || 0), AdmitOutcome::Slot);
+    let refused = refusal_cause(admission.admit(1, &probe, || 1));
+    assert_eq!(refused, Some(RefusalCause::WaitTooLong));
+    assert_eq!(admission.waiting(), 0);
+}
+
 /// Guards against starvation of callers while nested calls arrive faster than slots become free: every
 /// sixteenth slot goes to a caller's request.
 #[test]
