Requests: read the configuration and whether it may be relied on in one step

Now one function returns the configuration by which requests are handled, if there is one; the field is private. Reads that need no fresh configuration use another function, which says so. The epoch of the last refresh is read before the value and checked after it, so neither a freeze nor the end of a refresh in between goes unnoticed.

The new test forces these orders without sockets. It fails with the value read first and both questions asked after it, as the entry node did.

--- a/src/decide/freeze.rs
+++ b/src/decide/freeze.rs
@@ -50,10 +50,25 @@
         since_tick_ms < FREEZE_GAP_MS && self.epoch() == epoch
     }
 
-    /// Whether the process has not been frozen since the configuration was last refreshed.
-    pub fn is_refreshed(&self, now_ms: u64) -> bool {
-        let refreshed_epoch = Epoch(self.refreshed_epoch.load(Ordering::Acquire));
-        self.is_current(now_ms, refreshed_epoch)
+    /// The epoch for which the configuration was last refreshed. While it is [current](Self::is_current), the
+    /// configuration may be relied on.
+    pub fn refreshed_epoch(&self) -> Epoch {
+        Epoch(self.refreshed_epoch.load(Ordering::Acquire))
+    }
+
+    /// Reads a value that a refresh brings up to date, and returns it with the epoch for which that was done. `None`
+    /// if the process has been frozen since.
+    ///
+    /// The epoch is read before the value, because a refresh that ends after the value was read does not bring it up
+    /// to date. The time is read after the value, because a freeze may have passed since.
+    pub fn read_refreshed<T>(
+        &self,
+        now_ms: impl FnOnce() -> u64,
+        read: impl FnOnce() -> T,
+    ) -> Option<(T, Epoch)> {
+        let epoch = self.refreshed_epoch();
+        let value = read();
+        self.is_current(now_ms(), epoch).then_some((value, epoch))
     }
 
     /// Records that the configuration was refreshed after the freeze that began `epoch`.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -356,8 +356,7 @@
                 self.max_enforcement_age_ms = self.max_enforcement_age_ms.max(age_ms);
                 version_metrics::record_enforcement_age(age_ms, self.max_enforcement_age_ms);
             }
-            self.node.proxy.enforced.store(Some(applied));
-            self.node.proxy.update_slot_limits();
+            self.node.proxy.enforce(applied);
             self.send_to_membership(MembershipMsg::SetEnforced(stamp.version));
         }
     }
--- a/src/node/freeze.rs
+++ b/src/node/freeze.rs
@@ -3,7 +3,7 @@
 //! A freeze is a gap between two ticks of a timer. The gap is measured by the boot clock, because the monotonic
 //! clock stands still while a VM is suspended and the wall clock can be set at any time. A request that arrives
 //! before the first tick after a freeze is refused by admission, which checks the time of the last tick
-//! ([`ProxyState::is_fresh`](crate::proxy::state::ProxyState::is_fresh)).
+//! ([`ProxyState::current_configuration`](crate::proxy::state::ProxyState::current_configuration)).
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -24,11 +24,13 @@
 use crate::core::names::is_name;
 use crate::core::status::{Announcement, Status};
 use crate::core::version::Stamp;
+use crate::distribution::CompiledConfiguration;
 use crate::node::backend_announcements::AnnouncementReply;
 use crate::node::membership::MembershipMsg;
 use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 use crate::platform::node_requests;
+use crate::proxy::state::NotServing;
 
 /// Longest body of an announcement; bounds the memory that one request can take.
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
@@ -76,19 +78,24 @@
 
     /// Returns why the node does not accept requests; nothing if it does.
     pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+        self.reason_not_to_serve(&self.node.proxy.current_configuration())
+    }
+
+    fn reason_not_to_serve(
+        &self,
+        current: &Result<Arc<CompiledConfiguration>, NotServing>,
+    ) -> Option<&'static str> {
         if self.node.proxy.leaving.is_cancelled() {
             return Some("draining");
         }
         if let Some(reason) = **self.node.blocked_reason.load() {
             return Some(reason);
         }
-        if !self.node.proxy.is_fresh() {
-            return Some("the process was frozen and catches up");
+        match current {
+            Ok(_) => None,
+            Err(NotServing::Refreshing) => Some("the process was frozen and catches up"),
+            Err(NotServing::NoConfiguration) => Some("no configuration is enforced yet"),
         }
-        if self.node.proxy.enforced.load().is_none() {
-            return Some("no configuration is enforced yet");
-        }
-        None
     }
 
     fn ready(&self) -> Response<Full<Bytes>> {
@@ -99,7 +106,12 @@
     }
 
     fn status(&self) -> Status {
-        let enforced = self.node.proxy.enforced.load();
+        let current = self.node.proxy.current_configuration();
+        let ready = self.reason_not_to_serve(&current).is_none();
+        let enforced = match current {
+            Ok(current) => Some(current),
+            Err(_) => self.node.proxy.last_configuration(),
+        };
         let view = self.node.proxy.view.load();
         let stamp = enforced.as_ref().map(|applied| applied.stamp);
         let services = enforced
@@ -113,7 +125,7 @@
         Status {
             node: self.node.proxy.local_id,
             enforced: stamp.unwrap_or(Stamp::NONE),
-            ready: self.not_ready_reason().is_none(),
+            ready,
             unreachable_services,
             follows: *self.node.followed_node.borrow(),
             members: view.members.clone(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -23,7 +23,7 @@
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
-use crate::proxy::state::ProxyState;
+use crate::proxy::state::{NotServing, ProxyState};
 
 mod request_log;
 mod routed_request;
@@ -35,12 +35,12 @@
     if !node.mechanisms().is_enabled(Mechanism::PipelinedStart) {
         return false;
     }
-    let compiled = node.enforced.load();
-    let Some(compiled) = compiled.as_ref().filter(|_| !node.leaving.is_cancelled()) else {
+    let current = node.current_configuration().ok();
+    let Some(current) = current.filter(|_| !node.leaving.is_cancelled()) else {
         return false;
     };
-    let route =
-        requested_host(parts).and_then(|host| find_route(compiled, parts, host.host()).ok());
+    let host = requested_host(parts);
+    let route = host.and_then(|host| find_route(&current, parts, host.host()).ok());
     route.is_some_and(|route| {
         let mut targets = route.targets.iter();
         targets.all(|target| target.treatment.idempotent)
@@ -55,20 +55,22 @@
 ) -> Response<Body> {
     // A request uses one configuration from start to end, even if a newer one takes effect
     // meanwhile.
-    let compiled = node.enforced.load_full();
-    let version = compiled
-        .as_ref()
-        .map_or(0, |compiled| compiled.stamp.version.0);
+    let current = node.current_configuration();
+    let version = match &current {
+        Ok(current) => Some(current.stamp.version),
+        Err(_) => node.last_configuration().map(|last| last.stamp.version),
+    };
+    let version = version.map_or(0, |version| version.0);
     let context = RequestContext::from_request(&node, &parts);
     let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh_headers(&mut parts.headers);
     add_backend_headers(&node, &mut parts, id.clone());
     let request_log = RequestLog::new(&node, &id, host_and_path(&parts), version);
-    let result = match compiled {
-        _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
-        None => Err(Failure::not_run(Reason::NoConfiguration)),
-        Some(compiled) => route_and_run(&node, &compiled, &parts, &body, context).await,
+    let result = match current {
+        Ok(current) => route_and_run(&node, &current, &parts, &body, context).await,
+        Err(NotServing::Refreshing) => Err(Failure::not_run(Reason::Refreshing)),
+        Err(NotServing::NoConfiguration) => Err(Failure::not_run(Reason::NoConfiguration)),
     };
     request_log.finish(&result);
     let mut response = match result {
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -28,8 +28,7 @@
 
 /// Checks the backend server that sent `announcement`.
 pub(crate) async fn check(node: &ProxyState, announcement: &Announcement) -> Health {
-    let enforced = node.enforced.load_full();
-    let Some(compiled) = enforced else {
+    let Some(compiled) = node.last_configuration() else {
         return Health::Unknown;
     };
     let service = compiled.configuration.service(&announcement.service);
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -97,8 +97,8 @@
 /// Limits for callers' requests: from the configuration, or else from the settings.
 pub(super) fn http_limits(node: &ProxyState) -> HttpLimits {
     let settings = &node.settings;
-    let enforced = node.enforced.load();
-    let limits = enforced.as_ref();
+    let configuration = node.last_configuration();
+    let limits = configuration.as_ref();
     match limits.and_then(|compiled| compiled.configuration.caller_limits()) {
         Some(limits) => HttpLimits {
             head_max_bytes: limits.header_max_bytes as usize,
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -48,7 +48,7 @@
     pub(crate) started: Instant,
     /// [`clock::boot_us`] at `started`.
     started_boot_us: u64,
-    pub(crate) enforced: ArcSwapOption<CompiledConfiguration>,
+    enforced: ArcSwapOption<CompiledConfiguration>,
     pub(crate) view: ArcSwap<MembershipView>,
     /// Load and failures of endpoints, as this node has observed them as an entry node.
     balancer: Mutex<Balancer>,
@@ -87,6 +87,15 @@
     pub(crate) gate_requests: TaskTracker,
 }
 
+/// Why this process handles no requests of callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotServing {
+    /// It was frozen and has not refreshed its configuration yet.
+    Refreshing,
+    /// It enforces no configuration yet.
+    NoConfiguration,
+}
+
 /// Callback for the loss of the local backend server of a service. Set once, when the node starts.
 #[derive(Default)]
 pub(crate) struct BackendLostCallback(OnceLock<Box<dyn Fn(ServiceName) + Send + Sync>>);
@@ -181,7 +190,27 @@
 
     /// Whether the process has run without a freeze since it last refreshed its configuration.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.freezes.is_refreshed(self.uptime_ms())
+        self.is_current(self.freezes.refreshed_epoch())
+    }
+
+    /// The configuration by which requests are handled that are admitted now.
+    pub(crate) fn current_configuration(&self) -> Result<Arc<CompiledConfiguration>, NotServing> {
+        let read = || self.enforced.load_full();
+        let read = self.freezes.read_refreshed(|| self.uptime_ms(), read);
+        let (enforced, _) = read.ok_or(NotServing::Refreshing)?;
+        enforced.ok_or(NotServing::NoConfiguration)
+    }
+
+    /// The configuration that was enforced last. After a freeze it may be outdated, so it decides neither whether nor
+    /// how a request is handled; [`Self::current_configuration`] does. It is for limits, health checks and reports.
+    pub(crate) fn last_configuration(&self) -> Option<Arc<CompiledConfiguration>> {
+        self.enforced.load_full()
+    }
+
+    /// Enforces a configuration and applies its limits for the local backend server.
+    pub(crate) fn enforce(&self, compiled: Arc<CompiledConfiguration>) {
+        self.enforced.store(Some(compiled));
+        self.update_slot_limits();
     }
 
     /// Whether the process has run without a freeze since `epoch` was read.
@@ -269,7 +298,7 @@
     /// server.
     pub(crate) fn update_slot_limits(&self) {
         let backend = self.backend.load_full();
-        let compiled = self.enforced.load_full();
+        let compiled = self.last_configuration();
         let (limits, connections) = match backend.as_ref().zip(compiled.as_ref()) {
             Some((backend, compiled)) => backend_limits(backend, compiled),
             None => (Limits::default(), 0),
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -1,6 +1,7 @@
 //! Decisions about configuration content, without sockets: what to fetch, when to enforce it, and
 //! which versions are below the floor.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -436,18 +437,79 @@
 #[test]
 fn refresh_of_an_earlier_freeze_does_not_end_a_later_one() {
     let freezes = FreezeDetector::default();
+    let is_refreshed = |now_ms| freezes.read_refreshed(|| now_ms, || ()).is_some();
     assert!(freezes.tick(250).is_none());
-    assert!(freezes.is_refreshed(250 + FREEZE_GAP_MS - 1));
+    assert!(is_refreshed(250 + FREEZE_GAP_MS - 1));
     let start = freezes.epoch();
-    assert!(!freezes.is_refreshed(250 + FREEZE_GAP_MS));
+    assert!(!is_refreshed(250 + FREEZE_GAP_MS));
     assert!(!freezes.is_current(250 + FREEZE_GAP_MS, start));
     assert!(freezes.tick(4_000).is_some());
     let first = freezes.epoch();
     assert!(freezes.tick(8_000).is_some());
     freezes.record_refreshed(first);
-    assert!(!freezes.is_refreshed(8_000));
+    assert!(!is_refreshed(8_000));
     freezes.record_refreshed(freezes.epoch());
-    assert!(freezes.is_refreshed(8_000));
+    assert!(is_refreshed(8_000));
     assert!(freezes.is_current(8_000, freezes.epoch()));
     assert!(!freezes.is_current(8_000, first));
 }
+
+/// Guards against a value from before a freeze that is taken for the current one after it, because the freeze, or the
+/// refresh after it, falls between the read of the value and the check.
+#[test]
+fn a_freeze_between_read_and_check_does_not_yield_the_old_value() {
+    struct Process {
+        freezes: FreezeDetector,
+        now_ms: Cell<u64>,
+        version: Cell<u64>,
+    }
+    impl Process {
+        fn freeze(&self) {
+            self.now_ms.set(self.now_ms.get() + FREEZE_GAP_MS);
+        }
+        fn freeze_and_refresh(&self) {
+            self.freeze();
+            assert!(self.freezes.tick(self.now_ms.get()).is_some());
+            self.version.set(self.version.get() + 1);
+            self.freezes.record_refreshed(self.freezes.epoch());
+        }
+        /// Reads the version, with `before_read` and `before_check` in between.
+        fn read(&self, before_read: impl Fn(), before_check: impl Fn()) -> Option<u64> {
+            let clock = || {
+                before_check();
+                self.now_ms.get()
+            };
+            let read = || {
+                before_read();
+                self.version.get()
+            };
+            let (version, epoch) = self.freezes.read_refreshed(clock, read)?;
+            assert!(self.freezes.is_current(self.now_ms.get(), epoch));
+            Some(version)
+        }
+    }
+    let process = Process {
+        freezes: FreezeDetector::default(),
+        now_ms: Cell::new(0),
+        version: Cell::new(1),
+    };
+    let nothing = || ();
+    assert_eq!(process.read(nothing, nothing), Some(1));
+    assert_eq!(
+        process.read(nothing, || process.freeze_and_refresh()),
+        None,
+        "the version before the refresh"
+    );
+    assert_eq!(process.read(nothing, nothing), Some(2));
+    assert_eq!(process.read(|| process.freeze_and_refresh(), nothing), None);
+    assert_eq!(process.read(nothing, nothing), Some(3));
+    assert_eq!(process.read(|| process.freeze(), nothing), None);
+    process.freeze_and_refresh();
+    assert_eq!(process.read(nothing, || process.freeze()), None);
+    // A refresh that began with an earlier freeze does not bring a value up to date that was read before its end.
+    assert!(process.freezes.tick(process.now_ms.get()).is_some());
+    let refreshing = process.freezes.epoch();
+    let end_refresh = || process.freezes.record_refreshed(refreshing);
+    assert_eq!(process.read(nothing, end_refresh), None);
+    assert_eq!(process.read(nothing, nothing), Some(4));
+}
