Floor answers: a refresh that ends while an answer is made does not vouch for it

Callers could see: 200 under the version from before a freeze, at a node that asked peers which had been frozen too. Cause: the control service awaited the enforced version and asked afterwards whether the process was fresh. In between the configuration actor could end its refresh, or a freeze could pass. Found by reading; not seen from outside.

Now the epoch of the last refresh is read before the first part of the answer and checked after the last one.

Both new tests failed before, with stand-ins for the actors that force the order: the answer named version 1 and did not say that the node refreshes.

--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,6 +17,9 @@
 use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest wait for an answer of an actor in this process.
 const ACTOR_TIMEOUT_MS: u64 = 1_000;
 /// Longest time for which a follower's request waits for a newer version.
@@ -148,6 +151,9 @@
     ) -> Result<Response<wire::FloorReply>, Status> {
         let node =
             convert::parse_address(&request.get_ref().node).map_err(|e| invalid_argument(&e))?;
+        // Read before everything that the answer consists of and checked after it: what is read while the
+        // configuration is being refreshed, or before a freeze, may be outdated.
+        let refreshed_epoch = self.node.proxy.freezes.refreshed_epoch();
         let reported = ractor::call_t!(
             self.membership,
             MembershipMsg::GetReportedVersion,
@@ -164,7 +170,7 @@
         Ok(Response::new(wire::FloorReply {
             reported_version: reported.0,
             enforced: Some(convert::stamp_to_wire(enforced)),
-            refreshing: !self.node.proxy.is_fresh(),
+            refreshing: !self.node.proxy.is_current(refreshed_epoch),
             rollouts: Some(convert::rollouts::book_to_wire(&self.node.rollouts())),
         }))
     }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -188,11 +188,6 @@
         }
     }
 
-    /// Whether the process has run without a freeze since it last refreshed its configuration.
-    pub(crate) fn is_fresh(&self) -> bool {
-        self.is_current(self.freezes.refreshed_epoch())
-    }
-
     /// The configuration by which requests are handled that are admitted now.
     pub(crate) fn current_configuration(&self) -> Result<Arc<CompiledConfiguration>, NotServing> {
         let read = || self.enforced.load_full();
