Requests admitted before a freeze are not sent after it

Callers saw: 200 under the version from before a freeze, by a route that had been removed meanwhile, for a payment that waited at the gate of its entry node for a slot or for its body, and for a read that was retried after the freeze. Cause: the configuration of the admission was kept across every wait before the first byte to a backend server.

Now a request carries the epoch of its admission, which is checked right before it is sent and before each attempt. After a freeze it is refused as not run; a failed attempt is not repeated. What was sent before runs on.

--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -24,13 +24,12 @@
 use crate::core::names::is_name;
 use crate::core::status::{Announcement, Status};
 use crate::core::version::Stamp;
-use crate::distribution::CompiledConfiguration;
 use crate::node::backend_announcements::AnnouncementReply;
 use crate::node::membership::MembershipMsg;
 use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 use crate::platform::node_requests;
-use crate::proxy::state::NotServing;
+use crate::proxy::state::{CurrentConfiguration, NotServing};
 
 /// Longest body of an announcement; bounds the memory that one request can take.
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
@@ -83,7 +82,7 @@
 
     fn reason_not_to_serve(
         &self,
-        current: &Result<Arc<CompiledConfiguration>, NotServing>,
+        current: &Result<CurrentConfiguration, NotServing>,
     ) -> Option<&'static str> {
         if self.node.proxy.leaving.is_cancelled() {
             return Some("draining");
@@ -109,7 +108,7 @@
         let current = self.node.proxy.current_configuration();
         let ready = self.reason_not_to_serve(&current).is_none();
         let enforced = match current {
-            Ok(current) => Some(current),
+            Ok(current) => Some(current.compiled),
             Err(_) => self.node.proxy.last_configuration(),
         };
         let view = self.node.proxy.view.load();
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -118,12 +118,14 @@
     }
 
     /// Sends a request to the backend server at `address`. `idempotent` requests may use
-    /// connections that have been idle for longer.
+    /// connections that have been idle for longer. `check` is called right before the request is sent, and prevents
+    /// that if it fails.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Body>,
         idempotent: bool,
+        check: impl Fn() -> Result<(), Failure>,
     ) -> Result<Response<Body>, Failure> {
         let mut request = request;
         let idle_max = match idempotent {
@@ -131,6 +133,7 @@
             false => IDLE_REUSE_MAX,
         };
         while let Some(connection) = self.take_idle(address, idle_max) {
+            check()?;
             match self.exchange(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 // The backend server had closed the idle connection before anything was sent.
@@ -147,6 +150,7 @@
             log::debug!(backend:% = address, error:%; "failed to connect to the backend server");
             Failure::not_run(Reason::Unreachable)
         })?;
+        check()?;
         self.exchange(address, connection, request)
             .await
             .map_err(|(failure, _)| failure)
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -107,7 +107,8 @@
 
     async fn send(&self, path: &str, id: &str) -> Result<Response<Body>, Failure> {
         let address = self.backends[self.current].address;
-        self.pool.send(address, request(path, id), true).await
+        let request = request(path, id);
+        self.pool.send(address, request, true, || Ok(())).await
     }
 
     async fn apply(&mut self, action: &Action) {
@@ -218,7 +219,10 @@
     let address = harness.backends[0].address;
     let send = async |id, idempotent| {
         let request = request("/archive?answer_bytes=10", id);
-        let response = harness.pool.send(address, request, idempotent).await;
+        let response = harness
+            .pool
+            .send(address, request, idempotent, || Ok(()))
+            .await;
         let body = response.expect("a connection is available").into_body();
         body.collect().await.expect("the response is complete");
     };
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -23,7 +23,7 @@
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
-use crate::proxy::state::{NotServing, ProxyState};
+use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
 
 mod request_log;
 mod routed_request;
@@ -40,7 +40,7 @@
         return false;
     };
     let host = requested_host(parts);
-    let route = host.and_then(|host| find_route(&current, parts, host.host()).ok());
+    let route = host.and_then(|host| find_route(&current.compiled, parts, host.host()).ok());
     route.is_some_and(|route| {
         let mut targets = route.targets.iter();
         targets.all(|target| target.treatment.idempotent)
@@ -57,7 +57,7 @@
     // meanwhile.
     let current = node.current_configuration();
     let version = match &current {
-        Ok(current) => Some(current.stamp.version),
+        Ok(current) => Some(current.compiled.stamp.version),
         Err(_) => node.last_configuration().map(|last| last.stamp.version),
     };
     let version = version.map_or(0, |version| version.0);
@@ -150,11 +150,12 @@
 
 async fn route_and_run(
     node: &Arc<ProxyState>,
-    compiled: &CompiledConfiguration,
+    current: &CurrentConfiguration,
     parts: &Parts,
     body: &ReplayableBody,
     mut context: RequestContext,
 ) -> Result<Response<Body>, Failure> {
+    let compiled = &*current.compiled;
     let host = requested_host(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
     let route = find_route(compiled, parts, host.host())?;
     if context.depth > retry::DEPTH_MAX {
@@ -177,6 +178,7 @@
             .deadline
             .map_or(route_deadline, |deadline| deadline.min(route_deadline)),
         depth: context.depth,
+        admitted_in: current.epoch,
     };
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -14,6 +14,7 @@
 use crate::core::names::ServiceName;
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
+use crate::decide::freeze::Epoch;
 use crate::decide::load_balancing::{
     AttemptOutcome, Balancer, Endpoint, EndpointEstimate, FreeSlotSearch, LoadReport, Requirements,
     TimeLimits, VersionSet,
@@ -49,6 +50,9 @@
     pub(super) started_at: Instant,
     pub(super) deadline: Instant,
     pub(super) depth: u32,
+    /// The epoch in which the request was admitted. After a freeze it is neither sent nor retried, as its route may
+    /// have been changed.
+    pub(super) admitted_in: Epoch,
 }
 
 impl RoutedRequest<'_> {
@@ -71,6 +75,9 @@
         let mut last_failure = None;
         let mut may_use_candidate = true;
         loop {
+            if let Err(refreshing) = self.node.check_admitted_in(self.admitted_in) {
+                return Err(refreshing.after_attempt(verdict));
+            }
             let Some(chosen) = self.choose_endpoint(&tried, may_use_candidate) else {
                 let no_endpoint = Failure::not_run(Reason::NoEndpoint);
                 return Err(last_failure.unwrap_or(no_endpoint).after_attempt(verdict));
@@ -99,7 +106,10 @@
                 let mut tokens = self.node.retry_tokens();
                 attempts.take_retry(attempt_failure, tokens.for_service(self.service()))
             };
-            let retry = retry && body.can_replay() && Instant::now() < self.deadline;
+            let retry = retry
+                && body.can_replay()
+                && Instant::now() < self.deadline
+                && self.node.is_current(self.admitted_in);
             self.log_attempt_failed(&endpoint, &failure, retry);
             if !retry {
                 return Err(failure.after_attempt(verdict));
@@ -312,6 +322,7 @@
             depth: self.depth,
             retries,
             rollout_order,
+            admitted_in: Some(self.admitted_in),
         }
     }
 
@@ -397,6 +408,7 @@
         let mut sender = tokio::time::timeout_at(self.deadline.into(), sender)
             .await
             .map_err(|_| Failure::not_run(Reason::TooLate))??;
+        self.node.check_admitted_in(self.admitted_in)?;
         hop.write_headers(request.headers_mut());
         let exchange = sender.send(request);
         let response = deadline::timeout_at(self.deadline, exchange)
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -144,7 +144,13 @@
     let parent_id = parent_id.and_then(|id| id.to_str().ok());
     let mut running = node.running_requests.register(hop, parent_id);
     prepare_request(node, &mut request, hop, &backend, &running);
-    let exchange = node.pool.send(backend.address, request, hop.idempotent);
+    let check = || {
+        hop.admitted_in
+            .map_or(Ok(()), |epoch| node.check_admitted_in(epoch))
+    };
+    let exchange = node
+        .pool
+        .send(backend.address, request, hop.idempotent, check);
     let response = deadline::timeout_at(hop.deadline, exchange).await;
     let response = response.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
     let response = response.and_then(|response| check_response(node, &backend, response));
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -43,7 +43,9 @@
         log::warn!(path; "the health path of the service is not a valid request path");
         return from_announcement(announcement);
     };
-    let exchange = node.pool.send(announcement.address, request, false);
+    let exchange = node
+        .pool
+        .send(announcement.address, request, false, || Ok(()));
     match tokio::time::timeout(CHECK_TIMEOUT, exchange).await {
         Ok(Ok(response)) => from_response(node, response.status(), response.headers()),
         Ok(Err(_)) | Err(_) => Health::Unknown,
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -8,6 +8,7 @@
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
 use crate::decide::admission::{Priority, SlotRequest};
+use crate::decide::freeze::Epoch;
 use crate::util::clock;
 
 /// A request leaves the queue before its deadline: by the remaining time divided by this number, at
@@ -47,6 +48,8 @@
     /// Revision of the order for a roll-out under which the endpoint of a candidate version was chosen.
     /// `None` if it was chosen without regard to its version, or as one of an established version.
     pub(crate) rollout_order: Option<u64>,
+    /// The epoch in which this process admitted the request as its entry node. `None` if another node did.
+    pub(crate) admitted_in: Option<Epoch>,
 }
 
 impl Hop {
@@ -93,6 +96,7 @@
             depth: u32_header(&headers::DEPTH),
             retries: u32_header(&headers::RETRIES),
             rollout_order: headers::get_u64(headers, &headers::ROLLOUT_ORDER),
+            admitted_in: None,
         })
     }
 
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -12,6 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::backend::BackendPool;
+use super::failure::{Failure, Reason};
 use super::header_profile::HeaderProfile;
 use super::headers;
 use super::hop::Hop;
@@ -87,6 +88,14 @@
     pub(crate) gate_requests: TaskTracker,
 }
 
+/// The enforced configuration at a time at which this process could rely on it.
+#[derive(Clone, Debug)]
+pub(crate) struct CurrentConfiguration {
+    pub(crate) compiled: Arc<CompiledConfiguration>,
+    /// After the end of this epoch the configuration may be outdated.
+    pub(crate) epoch: Epoch,
+}
+
 /// Why this process handles no requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NotServing {
@@ -189,11 +198,21 @@
     }
 
     /// The configuration by which requests are handled that are admitted now.
-    pub(crate) fn current_configuration(&self) -> Result<Arc<CompiledConfiguration>, NotServing> {
+    pub(crate) fn current_configuration(&self) -> Result<CurrentConfiguration, NotServing> {
         let read = || self.enforced.load_full();
         let read = self.freezes.read_refreshed(|| self.uptime_ms(), read);
-        let (enforced, _) = read.ok_or(NotServing::Refreshing)?;
-        enforced.ok_or(NotServing::NoConfiguration)
+        let (enforced, epoch) = read.ok_or(NotServing::Refreshing)?;
+        let compiled = enforced.ok_or(NotServing::NoConfiguration)?;
+        Ok(CurrentConfiguration { compiled, epoch })
+    }
+
+    /// Fails if a request that was admitted in `epoch` must not be sent on, because this process was frozen since: the
+    /// configuration by which it was routed may be outdated.
+    pub(crate) fn check_admitted_in(&self, epoch: Epoch) -> Result<(), Failure> {
+        match self.is_current(epoch) {
+            true => Ok(()),
+            false => Err(Failure::not_run(Reason::Refreshing)),
+        }
     }
 
     /// The configuration that was enforced last. After a freeze it may be outdated, so it decides neither whether nor
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod requests_chain;
 mod requests_delayed;
 mod requests_drain;
+mod requests_freezes;
 mod requests_http2;
 mod requests_imposter;
 mod requests_pipeline;
