--- a/tests/testsuite/requests_freezes.rs
+++ b/tests/testsuite/requests_freezes.rs
@@ -168,6 +168,33 @@
     assert!(users_mesh_runs(&mesh, "late-body").is_empty());
 }
 
+/// The rest of a short body arrives after a freeze. The first part has been forwarded to the backend server, so that
+/// the payment may run. Guards against a node that gives up or repeats a payment which was sent before the freeze.
+#[tokio::test(flavor = "multi_thread")]
+async fn payment_that_was_sent_before_a_freeze_is_answered() {
+    const BODY_BYTES: usize = 1_000;
+    let body = vec![7; BODY_BYTES];
+    let (first_part, rest) = body.split_at(BODY_BYTES / 2);
+    let mesh = start(1).await;
+    let frozen = mesh.vms_of(SERVICES[1])[0];
+    let caller = mesh.vms[frozen].node().addresses.caller;
+    let mut stream = start_payment(caller, "sent", BODY_BYTES, first_part).await;
+    wait_until("the payment was forwarded", WAIT_TIMEOUT, || async {
+        let record = mesh.vms[frozen].backend().record();
+        record.last_arrival.is_some()
+    })
+    .await;
+    mesh.vms[frozen].node().signal(Signal::Stop);
+    stream
+        .write_all(rest)
+        .await
+        .expect("the system buffers the rest");
+    resume_after_version_2(&mesh, frozen, &routes_without("/book/")).await;
+    let response = read_response(stream).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(users_mesh_runs(&mesh, "sent"), [frozen]);
+}
+
 async fn read_response(mut stream: TcpStream) -> String {
     let mut response = Vec::new();
     stream
@@ -207,3 +234,93 @@
     assert_eq!(reply.header("x-dragonflywall-verdict"), "may-have-run");
     assert_eq!(users_mesh_runs(&mesh, "read"), [running_at]);
 }
+
+/// A payment waits at the gate of its entry node during a pause of about the length from which a process counts as
+/// frozen. Guards against a payment that is lost, runs twice, or runs although its caller is told that it did not.
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_of_a_payment_matches_its_runs_after_a_pause_near_the_limit() {
+    let mesh = start(1).await;
+    let paused = mesh.vms_of(SERVICES[1])[0];
+    let operator = mesh.vms[paused].node().addresses.operator;
+    for pause_ms in [2_600, 2_800, 2_900, 3_000, 3_100] {
+        let ids = [format!("running-{pause_ms}"), format!("waiting-{pause_ms}")];
+        let running = patient(CallerRequest::post("/book/1?work_ms=1500", &ids[0]));
+        let waiting = patient(CallerRequest::post("/book/2", &ids[1]));
+        let ((), running, waiting) = tokio::join!(
+            async {
+                wait_until("a payment waits", WAIT_TIMEOUT, || async {
+                    let metrics = fetch_metrics(operator).await;
+                    metrics.contains("dragonflywall_gate_waiting 1")
+                })
+                .await;
+                mesh.vms[paused].node().signal(Signal::Stop);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                mesh.vms[paused].node().signal(Signal::Continue);
+            },
+            mesh.send_request(paused, &running),
+            async {
+                wait_until("the first payment runs", WAIT_TIMEOUT, || async {
+                    !users_mesh_runs(&mesh, &ids[0]).is_empty()
+                })
+                .await;
+                mesh.send_request(paused, &waiting).await
+            }
+        );
+        let running = running.expect("the request gets a response");
+        assert_eq!(running.status, 200, "{running:?}");
+        assert_eq!(users_mesh_runs(&mesh, &ids[0]).len(), 1);
+        let waiting = waiting.expect("the request gets a response");
+        let was_run = waiting.status == 200;
+        if !was_run {
+            assert_refused(&waiting);
+        }
+        let runs = users_mesh_runs(&mesh, &ids[1]).len();
+        assert_eq!(runs, usize::from(was_run), "{waiting:?}");
+        wait_until("the node serves again", WAIT_TIMEOUT, || async {
+            let look_up = CallerRequest::get("/stock/1", "look-up");
+            let reply = mesh.send_request(paused, &look_up).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
+
+/// A node that drains is frozen while a payment runs at another node's backend server, and one at its own. Guards
+/// against a node that gives them up when it resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_node_answers_its_payments_after_a_freeze() {
+    let mut mesh = start(2).await;
+    let draining = mesh.vms_of(SERVICES[1])[0];
+    let other = mesh.vms_of(SERVICES[0])[0];
+    let own = patient(CallerRequest::post("/book/1?work_ms=1500", "own"));
+    let read = patient(CallerRequest::get("/stock/1?work_ms=1500", "read"));
+    let ((), own, read) = tokio::join!(
+        async {
+            wait_until("both requests run", WAIT_TIMEOUT, || async {
+                let run = |id| !users_mesh_runs(&mesh, id).is_empty();
+                run("own") && run("read")
+            })
+            .await;
+            let node = mesh.vms[draining].node();
+            node.signal(Signal::Terminate);
+            wait_until("the node drains", WAIT_TIMEOUT, || async {
+                mesh.status(draining).await["ready"] == false
+            })
+            .await;
+            node.signal(Signal::Stop);
+            tokio::time::sleep(FREEZE).await;
+            node.signal(Signal::Continue);
+        },
+        mesh.send_request(draining, &own),
+        mesh.send_request(draining, &read),
+    );
+    for (reply, id) in [(own, "own"), (read, "read")] {
+        let reply = reply.expect("the request gets a response");
+        assert_eq!(reply.status, 200, "{id}: {reply:?}");
+        assert_eq!(users_mesh_runs(&mesh, id).len(), 1);
+    }
+    mesh.wait_node_exit(draining).await.expect("the node exits");
+    let look_up = CallerRequest::get("/stock/1", "after");
+    let reply = mesh.send_request(other, &look_up).await;
+    assert_eq!(reply.expect("the node responds").status, 200);
+}
