Connections between nodes: an unanswered ping does not count time in which the process was paused

Callers saw: 502 `lost` for a payment whose response had arrived in a freeze of the entry node. Cause: hyper checks whether the time for the answer to a keep-alive ping has passed before it reads the connection. If a ping was unanswered at the freeze, the connection was closed with the answer in the socket, and all requests on it were lost.

Now the timer of these connections goes on for some turns of the runtime, in which the connection is read, and for one more second if it ends late by half a second or more, as the peer may have been paused too.

The new test failed before: 502 in place of 200, with the answer in the freeze; with the turns alone it fails with the answer 0.2 s after it.

--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use snafu::{Snafu, ensure};
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +29,7 @@
 use crate::proxy::stall::StallGuard;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{entry, header_profile};
+use crate::util::patient_timer::PatientTimer;
 
 /// Maximum number of concurrent requests on one HTTP/2 connection of a caller.
 const CALLER_STREAMS_MAX: u32 = 128;
@@ -152,7 +153,7 @@
         )
     });
     let connection = http2::Builder::new(TokioExecutor::new())
-        .timer(TokioTimer::new())
+        .timer(PatientTimer)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .max_concurrent_streams(CALLER_STREAMS_MAX)
         // A caller may cancel all of its requests at once.
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -9,13 +9,14 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 
 use super::body::Body;
 use super::failure::{Failure, Reason};
 use super::headers;
 use crate::peer::client::DialOptions;
 use crate::util::dial::dial;
+use crate::util::patient_timer::PatientTimer;
 
 /// Timeout for opening a connection. An endpoint that does not respond in this time is probably
 /// gone, and a request to another endpoint is faster than a retransmitted connection attempt.
@@ -154,7 +155,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<PeerSender, super::body::BoxError> {
         let stream = dial(address, self.dial_options.dial_from, CONNECT_TIMEOUT).await?;
         let (requests, connection) = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
+            .timer(PatientTimer)
             .keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_INTERVAL)
             // Responses to cancelled requests count towards this limit, over the lifetime of the
--- a/src/util/deadline.rs
+++ b/src/util/deadline.rs
@@ -11,7 +11,7 @@
 
 /// Turns of the runtime for which a result is awaited after the deadline. In a turn, the runtime runs the tasks that
 /// are ready and reads the sockets. A response from another node passes three tasks.
-const TURNS_AFTER_DEADLINE: usize = 4;
+pub(super) const TURNS_AFTER_DEADLINE: usize = 4;
 
 /// Waits for `future` until `deadline`. After a pause of the process, the deadline and the result may both have come. The
 /// bytes of the result are then still to be read and passed on by other tasks, which get the time to do so.
--- a/tests/testsuite/requests_freezes.rs
+++ b/tests/testsuite/requests_freezes.rs
@@ -324,3 +324,51 @@
     let reply = mesh.send_request(other, &look_up).await;
     assert_eq!(reply.expect("the node responds").status, 200);
 }
+
+/// A node is frozen while it waits for the answer to a keep-alive ping, which it has sent to the node that runs a
+/// payment. The answer arrives in the freeze, or shortly after it, as from a node that was frozen too. Guards against a
+/// node that closes the connection when it resumes, because the time for the answer has passed, and so gives up the
+/// payment.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unanswered_ping_does_not_end_a_payment_after_a_freeze() {
+    let mesh = start(1).await;
+    let frozen = mesh.vms_of(SERVICES[0])[0];
+    let gate = mesh.vms_of(SERVICES[1])[0];
+    let (frozen_site, gate_site) = (mesh.vms[frozen].site, mesh.vms[gate].site);
+    let set_answers_cut = |cut| {
+        let network = &mesh.network;
+        network.set_cut_one_way(cut, gate_site, frozen_site);
+    };
+    for arrives_in_the_freeze in [true, false] {
+        let id = format!("payment-{arrives_in_the_freeze}");
+        let payment = patient(CallerRequest::post("/book/1?work_ms=4000", &id));
+        let (reply, ()) = tokio::join!(mesh.send_request(frozen, &payment), async {
+            wait_until("the payment runs", WAIT_TIMEOUT, || async {
+                !users_mesh_runs(&mesh, &id).is_empty()
+            })
+            .await;
+            set_answers_cut(true);
+            // Longer than the interval of the pings, and shorter than the time until one counts as unanswered.
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            mesh.vms[frozen].node().signal(Signal::Stop);
+            if arrives_in_the_freeze {
+                set_answers_cut(false);
+            }
+            tokio::time::sleep(FREEZE).await;
+            mesh.vms[frozen].node().signal(Signal::Continue);
+            if !arrives_in_the_freeze {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                set_answers_cut(false);
+            }
+        });
+        let reply = reply.expect("the request gets a response");
+        assert_eq!(reply.status, 200, "{id}: {reply:?}");
+        assert_eq!(users_mesh_runs(&mesh, &id).len(), 1);
+        wait_until("the node serves again", WAIT_TIMEOUT, || async {
+            let look_up = CallerRequest::post("/book/1", "look-up");
+            let reply = mesh.send_request(frozen, &look_up).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
