Pipelined requests: one that starts early is served by the version that allows it

Callers could see: a request that must run only once started before those ahead of it on its connection. Cause: whether it may start early was decided by one read of the configuration, and the task that ran it read it again later. Found by reading; not seen from outside.

Now the decision returns the request's future, which keeps the version by which it was made.

The test that forces a new version in between failed before: the response named version 2. The second test guards against a start after a freeze; before, the request was served by the refreshed version.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -27,35 +27,48 @@
 
 mod request_log;
 mod routed_request;
+#[cfg(test)]
+mod tests;
 
-/// Whether a pipelined request may start before the requests ahead of it on its connection are
-/// answered. Only idempotent requests may: if the connection closes before the response, the caller
-/// sends the request again.
-pub(crate) fn may_start_early(node: &ProxyState, parts: &Parts) -> bool {
-    if !node.mechanisms().is_enabled(Mechanism::PipelinedStart) {
-        return false;
+/// Starts a pipelined request before the requests ahead of it on its connection are answered. `None` if it must wait for
+/// them. Only idempotent requests may start early: if the connection closes before the response, the caller sends the
+/// request again. It is served by the configuration that says so, whenever the returned future is first polled.
+pub(crate) fn serve_early(
+    node: &Arc<ProxyState>,
+    parts: &Parts,
+) -> Option<impl Future<Output = Response<Body>> + Send + use<>> {
+    if !node.mechanisms().is_enabled(Mechanism::PipelinedStart) || node.leaving.is_cancelled() {
+        return None;
     }
-    let current = node.current_configuration().ok();
-    let Some(current) = current.filter(|_| !node.leaving.is_cancelled()) else {
-        return false;
-    };
-    let host = requested_host(parts);
-    let route = host.and_then(|host| find_route(&current.compiled, parts, host.host()).ok());
-    route.is_some_and(|route| {
-        let mut targets = route.targets.iter();
-        targets.all(|target| target.treatment.idempotent)
+    let current = node.current_configuration().ok()?;
+    let host = requested_host(parts)?;
+    let route = find_route(&current.compiled, parts, host.host()).ok()?;
+    let mut targets = route.targets.iter();
+    let idempotent = targets.all(|target| target.treatment.idempotent);
+    idempotent.then(|| {
+        let (node, parts) = (Arc::clone(node), parts.clone());
+        serve_by(node, Ok(current), parts, ReplayableBody::Empty)
     })
 }
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(
     node: Arc<ProxyState>,
-    mut parts: Parts,
+    parts: Parts,
     body: ReplayableBody,
 ) -> Response<Body> {
-    // A request uses one configuration from start to end, even if a newer one takes effect
-    // meanwhile.
     let current = node.current_configuration();
+    serve_by(node, current, parts, body).await
+}
+
+/// Serves one request by the configuration that was current when it was admitted, from start to end, even if a newer one
+/// takes effect meanwhile.
+async fn serve_by(
+    node: Arc<ProxyState>,
+    current: Result<CurrentConfiguration, NotServing>,
+    mut parts: Parts,
+    body: ReplayableBody,
+) -> Response<Body> {
     let version = match &current {
         Ok(current) => Some(current.compiled.stamp.version),
         Err(_) => node.last_configuration().map(|last| last.stamp.version),
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -230,8 +230,8 @@
     pending_response: impl Future<Output = Response<Body>>,
 ) -> Result<Response<Body>, CallerDisconnected> {
     let try_start = |parts: &Parts| {
-        let serving = entry::serve(Arc::clone(node), parts.clone(), ReplayableBody::Empty);
-        entry::may_start_early(node, parts).then(|| AbortOnDropHandle::new(tokio::spawn(serving)))
+        let serving = entry::serve_early(node, parts)?;
+        Some(AbortOnDropHandle::new(tokio::spawn(serving)))
     };
     tokio::pin!(pending_response);
     loop {
