--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -24,52 +24,67 @@
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
-use crate::proxy::state::ProxyState;
+use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
 
 mod request_log;
 mod routed_request;
+#[cfg(test)]
+mod tests;
 
-/// Whether a pipelined request may start before the requests ahead of it on its connection are
-/// answered. Only idempotent requests may: if the connection closes before the response, the caller
-/// sends the request again.
-pub(crate) fn may_start_early(node: &ProxyState, parts: &Parts) -> bool {
-    if !node.mechanisms().is_enabled(Mechanism::PipelinedStart) {
-        return false;
+/// Starts a pipelined request before the requests ahead of it on its connection are answered. `None` if it must wait for
+/// them. Only idempotent requests may start early: if the connection closes before the response, the caller sends the
+/// request again. It is served by the configuration that says so, whenever the returned future is first polled.
+pub(crate) fn serve_early(
+    node: &Arc<ProxyState>,
+    parts: &Parts,
+) -> Option<impl Future<Output = Response<Body>> + Send + use<>> {
+    if !node.mechanisms().is_enabled(Mechanism::PipelinedStart) || node.leaving.is_cancelled() {
+        return None;
     }
-    let compiled = node.enforced.load();
-    let Some(compiled) = compiled.as_ref().filter(|_| !node.leaving.is_cancelled()) else {
-        return false;
-    };
-    let route =
-        requested_host(parts).and_then(|host| find_route(compiled, parts, host.host()).ok());
-    route.is_some_and(|route| {
-        let mut targets = route.targets.iter();
-        targets.all(|target| target.treatment.idempotent)
+    let current = node.current_configuration().ok()?;
+    let host = requested_host(parts)?;
+    let route = find_route(&current.compiled, parts, host.host()).ok()?;
+    let mut targets = route.targets.iter();
+    let idempotent = targets.all(|target| target.treatment.idempotent);
+    idempotent.then(|| {
+        let (node, parts) = (Arc::clone(node), parts.clone());
+        serve_by(node, Ok(current), parts, ReplayableBody::Empty)
     })
 }
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(
     node: Arc<ProxyState>,
+    parts: Parts,
+    body: ReplayableBody,
+) -> Response<Body> {
+    let current = node.current_configuration();
+    serve_by(node, current, parts, body).await
+}
+
+/// Serves one request by the configuration that was current when it was admitted, from start to end, even if a newer one
+/// takes effect meanwhile.
+async fn serve_by(
+    node: Arc<ProxyState>,
+    current: Result<CurrentConfiguration, NotServing>,
     mut parts: Parts,
     body: ReplayableBody,
 ) -> Response<Body> {
-    // A request uses one configuration from start to end, even if a newer one takes effect
-    // meanwhile.
-    let compiled = node.enforced.load_full();
-    let version = compiled
-        .as_ref()
-        .map_or(0, |compiled| compiled.stamp.version.0);
+    let version = match &current {
+        Ok(current) => Some(current.compiled.stamp.version),
+        Err(_) => node.last_configuration().map(|last| last.stamp.version),
+    };
+    let version = version.map_or(0, |version| version.0);
     let context = RequestContext::from_request(&node, &parts);
     let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh_headers(&mut parts.headers);
     add_backend_headers(&node, &mut parts, id.clone());
     let request_log = RequestLog::new(&node, &id, host_and_path(&parts), version);
-    let result = match compiled {
-        _ if !node.is_fresh() => Err(Failure::not_run(Reason::Refreshing)),
-        None => Err(Failure::not_run(Reason::NoConfiguration)),
-        Some(compiled) => route_and_run(&node, &compiled, &parts, &body, context).await,
+    let result = match current {
+        Ok(current) => route_and_run(&node, &current, &parts, &body, context).await,
+        Err(NotServing::Refreshing) => Err(Failure::not_run(Reason::Refreshing)),
+        Err(NotServing::NoConfiguration) => Err(Failure::not_run(Reason::NoConfiguration)),
     };
     request_log.finish(&result);
     let mut response = match result {
@@ -149,11 +164,12 @@
 
 async fn route_and_run(
     node: &Arc<ProxyState>,
-    compiled: &CompiledConfiguration,
+    current: &CurrentConfiguration,
     parts: &Parts,
     body: &ReplayableBody,
     mut context: RequestContext,
 ) -> Result<Response<Body>, Failure> {
+    let compiled = &*current.compiled;
     let host = requested_host(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
     let route = find_route(compiled, parts, host.host())?;
     if context.depth > retry::DEPTH_MAX {
@@ -179,6 +195,7 @@
         started_at,
         deadline,
         depth: context.depth,
+        admitted_in: current.epoch,
     };
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use snafu::{Snafu, ensure};
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +30,7 @@
 use crate::proxy::state::ProxyState;
 use crate::proxy::{entry, header_profile};
 use crate::util::deadline;
+use crate::util::patient_timer::PatientTimer;
 
 /// Maximum number of concurrent requests on one HTTP/2 connection of a caller.
 const CALLER_STREAMS_MAX: u32 = 128;
@@ -101,8 +102,8 @@
 /// Limits for callers' requests: from the configuration, or else from the settings.
 pub(super) fn http_limits(node: &ProxyState) -> HttpLimits {
     let settings = &node.settings;
-    let enforced = node.enforced.load();
-    let limits = enforced.as_ref();
+    let configuration = node.last_configuration();
+    let limits = configuration.as_ref();
     match limits.and_then(|compiled| compiled.configuration.caller_limits()) {
         Some(limits) => HttpLimits {
             head_max_bytes: limits.header_max_bytes as usize,
@@ -156,7 +157,7 @@
         )
     });
     let connection = http2::Builder::new(TokioExecutor::new())
-        .timer(TokioTimer::new())
+        .timer(PatientTimer)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .max_concurrent_streams(CALLER_STREAMS_MAX)
         // A caller may cancel all of its requests at once.
@@ -234,8 +235,8 @@
     pending_response: impl Future<Output = Response<Body>>,
 ) -> Result<Response<Body>, CallerDisconnected> {
     let try_start = |parts: &Parts| {
-        let serving = entry::serve(Arc::clone(node), parts.clone(), ReplayableBody::Empty);
-        entry::may_start_early(node, parts).then(|| AbortOnDropHandle::new(tokio::spawn(serving)))
+        let serving = entry::serve_early(node, parts)?;
+        Some(AbortOnDropHandle::new(tokio::spawn(serving)))
     };
     tokio::pin!(pending_response);
     loop {
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -12,6 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::backend::BackendPool;
+use super::failure::{Failure, Reason};
 use super::header_profile::HeaderProfile;
 use super::headers;
 use super::hop::Hop;
@@ -49,7 +50,7 @@
     pub(crate) started: Instant,
     /// [`clock::boot_us`] at `started`.
     started_boot_us: u64,
-    pub(crate) enforced: ArcSwapOption<CompiledConfiguration>,
+    enforced: ArcSwapOption<CompiledConfiguration>,
     pub(crate) view: ArcSwap<MembershipView>,
     /// Load and failures of endpoints, as this node has observed them as an entry node.
     balancer: Mutex<Balancer>,
@@ -90,6 +91,23 @@
     pub(crate) gate_requests: TaskTracker,
 }
 
+/// The enforced configuration at a time at which this process could rely on it.
+#[derive(Clone, Debug)]
+pub(crate) struct CurrentConfiguration {
+    pub(crate) compiled: Arc<CompiledConfiguration>,
+    /// After the end of this epoch the configuration may be outdated.
+    pub(crate) epoch: Epoch,
+}
+
+/// Why this process handles no requests of callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotServing {
+    /// It was frozen and has not refreshed its configuration yet.
+    Refreshing,
+    /// It enforces no configuration yet.
+    NoConfiguration,
+}
+
 /// Callback for the loss of the local backend server of a service. Set once, when the node starts.
 #[derive(Default)]
 pub(crate) struct BackendLostCallback(OnceLock<Box<dyn Fn(ServiceName) + Send + Sync>>);
@@ -183,9 +201,34 @@
         }
     }
 
-    /// Whether the process has run without a freeze since it last refreshed its configuration.
-    pub(crate) fn is_fresh(&self) -> bool {
-        self.freezes.is_refreshed(self.uptime_ms())
+    /// The configuration by which requests are handled that are admitted now.
+    pub(crate) fn current_configuration(&self) -> Result<CurrentConfiguration, NotServing> {
+        let read = || self.enforced.load_full();
+        let read = self.freezes.read_refreshed(|| self.uptime_ms(), read);
+        let (enforced, epoch) = read.ok_or(NotServing::Refreshing)?;
+        let compiled = enforced.ok_or(NotServing::NoConfiguration)?;
+        Ok(CurrentConfiguration { compiled, epoch })
+    }
+
+    /// Fails if a request that was admitted in `epoch` must not be sent on, because this process was frozen since: the
+    /// configuration by which it was routed may be outdated.
+    pub(crate) fn check_admitted_in(&self, epoch: Epoch) -> Result<(), Failure> {
+        match self.is_current(epoch) {
+            true => Ok(()),
+            false => Err(Failure::not_run(Reason::Refreshing)),
+        }
+    }
+
+    /// The configuration that was enforced last. After a freeze it may be outdated, so it decides neither whether nor
+    /// how a request is handled; [`Self::current_configuration`] does. It is for limits, health checks and reports.
+    pub(crate) fn last_configuration(&self) -> Option<Arc<CompiledConfiguration>> {
+        self.enforced.load_full()
+    }
+
+    /// Enforces a configuration and applies its limits for the local backend server.
+    pub(crate) fn enforce(&self, compiled: Arc<CompiledConfiguration>) {
+        self.enforced.store(Some(compiled));
+        self.update_slot_limits();
     }
 
     /// Whether the process has run without a freeze since `epoch` was read.
@@ -286,7 +329,7 @@
     /// server.
     pub(crate) fn update_slot_limits(&self) {
         let backend = self.backend.load_full();
-        let compiled = self.enforced.load_full();
+        let compiled = self.last_configuration();
         let (limits, connections) = match backend.as_ref().zip(compiled.as_ref()) {
             Some((backend, compiled)) => backend_limits(backend, compiled),
             None => (Limits::default(), 0),
