Refresh and floor: time limits do not run on while the process is paused

Callers saw: 200 under the version from before a freeze, within milliseconds after the node had resumed, if a pause of two to three seconds fell into its refresh. Cause: the two seconds after which a refresh ends without answers passed in the pause, and a tick was handled before the answers that had arrived. The floor of a node that starts had the same limit.

Now the configuration actor notices gaps of a second or more between its messages, and the limits do not run on in them.

--- a/src/distribution/floor.rs
+++ b/src/distribution/floor.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Records a pause of the process, in which answers may have arrived that are still to be read. The time for them does
+    /// not run on in it.
+    pub fn record_pause(&mut self, paused_ms: u64) {
+        self.started_ms += paused_ms;
+    }
+
     /// Records the head that was read from the store. This settles the floor.
     pub fn record_head(&mut self, head: Version) {
         if !self.settled {
--- a/src/distribution/refresh.rs
+++ b/src/distribution/refresh.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// Records a pause of the process, in which answers may have arrived that are still to be read. The time limit does
+    /// not run on in it.
+    pub fn record_pause(&mut self, paused_ms: u64) {
+        self.deadline_ms += paused_ms;
+    }
+
     /// The epoch that began with the freeze.
     pub fn epoch(&self) -> Epoch {
         self.epoch
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -33,6 +33,10 @@
 /// waiting for it.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between two messages from which the process counts as paused. It is shorter than that of a freeze: a pause has no
+/// consequence but that time limits do not run on in it.
+const PAUSE_MIN_MS: u64 = 1_000;
+
 /// Interval between two rounds of floor queries to the neighbours.
 const FLOOR_QUERY_INTERVAL_MS: u64 = 500;
 
@@ -143,6 +147,8 @@
     floor: Floor,
     role: Role,
     refresh: Option<Refresh>,
+    /// When the last message was handled.
+    last_handled_ms: u64,
     next_head_poll_ms: u64,
     /// Whether a read of the head row is in progress.
     reading_head: bool,
@@ -191,6 +197,7 @@
             floor: Floor::new(now_ms, version_source),
             role: Role::default(),
             refresh: None,
+            last_handled_ms: now_ms,
             next_head_poll_ms: now_ms + rand::random_range(0..FIRST_HEAD_POLL_SPREAD_MS),
             reading_head: false,
             store_available: true,
@@ -208,6 +215,7 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         let now_ms = state.node.proxy.uptime_ms();
+        state.detect_pause(now_ms);
         match message {
             ConfigurationMsg::Tick => state.handle_tick(&myself, now_ms),
             ConfigurationMsg::FetchDue => state.scheduled_fetch_ms = None,
@@ -262,6 +270,19 @@
 }
 
 impl State {
+    /// Detects a pause of the process, after which the first messages are handled before the answers that arrived in it.
+    fn detect_pause(&mut self, now_ms: u64) {
+        let paused_ms = now_ms.saturating_sub(self.last_handled_ms);
+        self.last_handled_ms = now_ms;
+        if paused_ms < PAUSE_MIN_MS {
+            return;
+        }
+        self.floor.record_pause(paused_ms);
+        if let Some(refresh) = &mut self.refresh {
+            refresh.record_pause(paused_ms);
+        }
+    }
+
     fn handle_tick(&mut self, myself: &ActorRef<ConfigurationMsg>, now_ms: u64) {
         if let Some(age_ms) = self.node.proxy.store_age_ms() {
             metrics::gauge!("dragonflywall_store_age_seconds").set(age_ms as f64 / 1_000.0);
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -11,7 +11,7 @@
 use dragonflywall::core::version::{Digest, Stamp, Version};
 use dragonflywall::decide::freeze::{FREEZE_GAP_MS, FreezeDetector};
 use dragonflywall::distribution::fetch::Peer;
-use dragonflywall::distribution::floor::VersionSource;
+use dragonflywall::distribution::floor::{PARTIAL_ANSWERS_AFTER_MS, VersionSource};
 use dragonflywall::distribution::{Content, Fetch, Fetcher, Floor, Holder, Refresh, Source};
 
 use crate::spread_network::stamp;
@@ -432,6 +432,21 @@
     assert_eq!(floor.version(), Version(4));
 }
 
+/// Guards against time limits that pass while the process is paused, before the answers that arrive in the pause are
+/// read: a refresh that ends under the old version, and a floor that is settled by a part of the answers.
+#[test]
+fn time_limits_do_not_run_on_in_a_pause() {
+    let mut refresh = Refresh::new(0, FreezeDetector::default().epoch());
+    refresh.record_pause(2_500);
+    assert!(!refresh.has_ended(2_500 + 1_999, false));
+    assert!(refresh.has_ended(2_500 + 2_000, false));
+    let mut floor = Floor::new(0, VersionSource::Acknowledged);
+    floor.record_answer(node(2), Distance::DataCentre, Version::NONE, Version(1));
+    floor.record_pause(6_000);
+    assert!(!floor.is_settled(6_000 + PARTIAL_ANSWERS_AFTER_MS - 1));
+    assert!(floor.is_settled(6_000 + PARTIAL_ANSWERS_AFTER_MS));
+}
+
 /// Guards against requests that are admitted after a second freeze because the refresh after the first
 /// one ends, or before the first tick after a freeze.
 #[test]
--- a/tests/testsuite/spread_failures.rs
+++ b/tests/testsuite/spread_failures.rs
@@ -270,6 +270,36 @@
     assert_eq!(mesh.version_at(frozen).await, 3);
 }
 
+/// Guards against a refresh whose time limit passes in a pause that is too short to count as a freeze, before the answers
+/// that arrived in it are read. All answers are held back until the pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_does_not_end_a_refresh() {
+    let mesh = start_chatarras(small_deployment(&["tablon"], 1)).await;
+    let frozen = (0..mesh.vms.len()).find(|position| mesh.vms[*position].site == 1);
+    let frozen = frozen.expect("the site has a node");
+    let node = mesh.vms[frozen].node();
+    let set_answers_cut = |cut| {
+        for site in [OPERATOR_SITE, 2] {
+            mesh.network.set_cut_one_way(cut, site, 1);
+        }
+    };
+    node.signal(Signal::Stop);
+    set_answers_cut(true);
+    publish_while_frozen(&mesh, &[frozen]).await;
+    node.signal(Signal::Continue);
+    wait_until("the refresh has begun", WAIT_TIMEOUT, || async {
+        let metrics = fetch_metrics(node.addresses.operator).await;
+        metrics.contains("dragonflywall_freezes_total 1")
+    })
+    .await;
+    node.signal(Signal::Stop);
+    set_answers_cut(false);
+    // Longer than the time limit of a refresh, and shorter than a freeze.
+    tokio::time::sleep(Duration::from_millis(2_300)).await;
+    resume_with_queued_requests(&mesh, &[frozen]).await;
+    assert_eq!(mesh.version_at(frozen).await, 3);
+}
+
 /// Publishes two versions, and waits until all nodes but the frozen ones enforce them and the frozen ones count as
 /// frozen.
 async fn publish_while_frozen(mesh: &Mesh, frozen: &[usize]) {
