Followers: drop a read whose second step spans a freeze, and count the age of its data

What operators would have seen: a lead that was frozen during a read reports that its data is zero milliseconds old (dragonflywall_store_age_seconds), and its followers stay with it until its next read ends or times out, although it has slept through later versions.

Cause: while an order exists, a read of all orders has a second step, the states of the roll-outs. The epoch was checked before this step, and the age of the data was set to zero after it. A read that took long without a freeze counted as current at its end, too.

Evidence: node::follower::tests, with a store that begins an epoch in the second step. On the code before: a_read_that_spans_a_freeze_is_dropped_in_its_second_step_too: age Some(0), should be None; the_age_of_the_data_includes_the_time_that_the_read_took: Some(0) after 60 ms. Found on reading; no run with processes has shown it.

Change: the epoch is checked after the last step. The age is counted from the start of the read, less the wait of a long poll: an idle store answers a long poll when the wait is over, and an age that included it would exceed what followers accept.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -29,6 +29,9 @@
 use crate::store::{Error, Feed, FeedPosition, FeedUpdate, OrdersRead, RolloutTable};
 use crate::util::clock;
 
+#[cfg(test)]
+mod tests;
+
 /// Age from which a position is dropped and the newest configuration is read instead. A read from an old position
 /// would return every version since then, each a whole configuration.
 const MAX_POSITION_AGE: Duration = Duration::from_secs(1);
@@ -214,8 +217,16 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
-                match self.merge_orders(&answer).await {
-                    Ok(()) => self.handle_store_answer(answer, last_read_age_ms, asked_in),
+                let merged = self.merge_orders(&answer).await;
+                if !self.node.proxy.is_current(asked_in) {
+                    // The process was frozen while the states of the roll-outs were read.
+                    self.position = None;
+                    return;
+                }
+                // An answer without a change is sent when the wait is over.
+                let age_ms = clock::since_ms(started).saturating_sub(clock::whole_ms(wait));
+                match merged {
+                    Ok(()) => self.handle_store_answer(answer, age_ms, last_read_age_ms, asked_in),
                     Err(error) => self.handle_store_failure(&error, took_ms).await,
                 }
             }
@@ -257,10 +268,16 @@
         Ok(())
     }
 
-    fn handle_store_answer(&mut self, answer: FeedUpdate, last_read_age_ms: u64, asked_in: Epoch) {
+    fn handle_store_answer(
+        &mut self,
+        answer: FeedUpdate,
+        age_ms: u64,
+        last_read_age_ms: u64,
+        asked_in: Epoch,
+    ) {
         self.lead_choice.store_answered();
         self.position = Some((answer.position, Instant::now()));
-        self.node.proxy.record_store_read(0);
+        self.node.proxy.record_store_read(age_ms);
         self.send(ConfigurationMsg::StoreRead {
             configuration: answer.configuration.map(Box::new),
             last_read_age_ms,
