Followers: read the states of roll-outs although their orders are gone

What callers would have seen: a node slept through the end of a roll-out and the deletion of its order. It withholds all requests from the new version, the only one that is left (503 no-endpoint), until a peer sends it the newer state.

Cause: when all orders were read, the states were read only if there was an order. The node took the state that it had for that of a roll-out whose order was withdrawn while it ran.

Evidence: node::follower::tests::a_state_is_read_although_its_order_was_deleted: the new version was still a candidate, without requests, on the code before. Found on reading; no run with processes has shown it.

Change: the states are read unless neither an order nor a state was ever known. This costs one more read of the store when a node that knows a roll-out reads from the beginning.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -241,7 +241,7 @@
     }
 
     /// Merges the orders of roll-outs that the store answered with, before the configuration can be
-    /// enforced. If orders exist when all of them are read, their states are read too.
+    /// enforced. When all orders are read, the states are read too, unless there was no order or state.
     async fn merge_orders(&self, answer: &FeedUpdate) -> Result<(), Error> {
         self.node.set_store_clock(answer.store_ms);
         match &answer.orders {
@@ -252,7 +252,9 @@
             }),
             OrdersRead::All(orders) => {
                 let position = answer.position.0;
-                let states = match orders.is_empty() {
+                // A roll-out may have ended, and its order been deleted, since this node heard of it.
+                let is_unused = orders.is_empty() && self.node.rollouts().is_empty();
+                let states = match is_unused {
                     true => BTreeMap::new(),
                     false => self.feed.states().await?,
                 };
--- a/src/node/follower/tests.rs
+++ b/src/node/follower/tests.rs
@@ -9,35 +9,33 @@
 use super::*;
 use crate::core::member::{NodeId, Place};
 use crate::core::names::{DataCentreName, RegionName, ServiceName, SoftwareVersion};
-use crate::core::rollout::{OrderEntry, RolloutOrder, StateEntry};
+use crate::core::rollout::{OrderEntry, RolloutOrder, RolloutPhase, RolloutState, StateEntry};
 use crate::decide::freeze::FREEZE_GAP_MS;
+use crate::decide::rollout::{VersionPolicy, VersionRole};
 use crate::node::settings::Settings;
 use crate::store::{AdvanceOutcome, Result, RolloutAdvance};
 
+/// Newest transaction of the store.
+const POSITION: u64 = 5;
+
 /// How long the store takes to answer the second read, in milliseconds.
 const STATES_TOOK_MS: u64 = 60;
 
-/// A store with one order, whose states are read in a second step.
-struct StoreWithOrder {
+/// A store with orders, whose states are read in a second step.
+struct StoreWithOrders {
+    orders: BTreeMap<ServiceName, OrderEntry>,
+    states: BTreeMap<ServiceName, StateEntry>,
     node: Arc<NodeState>,
     /// Whether the process is frozen while the states are read.
     freezes: Arc<AtomicBool>,
 }
 
-impl Feed for StoreWithOrder {
+impl Feed for StoreWithOrders {
     async fn newest(&self, _answer_timeout: Duration) -> Result<FeedUpdate> {
-        let order = RolloutOrder {
-            to: SoftwareVersion::new("v2"),
-            duration_ms: 30_000,
-        };
-        let entry = OrderEntry {
-            revision: 1,
-            order: Some(order),
-        };
         Ok(FeedUpdate {
-            position: FeedPosition(1),
+            position: FeedPosition(POSITION),
             configuration: None,
-            orders: OrdersRead::All(BTreeMap::from([(ServiceName::new("stock"), entry)])),
+            orders: OrdersRead::All(self.orders.clone()),
             store_ms: 1,
             len_bytes: 0,
         })
@@ -51,7 +49,7 @@
     ) -> Result<FeedUpdate> {
         tokio::time::sleep(max_wait).await;
         Ok(FeedUpdate {
-            position: FeedPosition(1),
+            position: FeedPosition(POSITION),
             configuration: None,
             orders: OrdersRead::Changed(BTreeMap::new()),
             store_ms: 1,
@@ -60,7 +58,7 @@
     }
 }
 
-impl RolloutTable for StoreWithOrder {
+impl RolloutTable for StoreWithOrders {
     async fn states(&self) -> Result<BTreeMap<ServiceName, StateEntry>> {
         tokio::time::sleep(Duration::from_millis(STATES_TOOK_MS)).await;
         if self.freezes.load(Ordering::Acquire) {
@@ -74,7 +72,7 @@
             );
             self.node.proxy.freezes.tick(now_ms);
         }
-        Ok(BTreeMap::new())
+        Ok(self.states.clone())
     }
 
     async fn advance(&self, _advance: &RolloutAdvance<'_>) -> Result<AdvanceOutcome> {
@@ -109,8 +107,40 @@
     }
 }
 
+fn service() -> ServiceName {
+    ServiceName::new("stock")
+}
+
+fn order() -> OrderEntry {
+    OrderEntry {
+        revision: 1,
+        order: Some(RolloutOrder {
+            to: SoftwareVersion::new("v2"),
+            duration_ms: 30_000,
+        }),
+    }
+}
+
+fn state(revision: u64, phase: RolloutPhase) -> StateEntry {
+    StateEntry {
+        revision,
+        state: RolloutState {
+            order_revision: order().revision,
+            to: SoftwareVersion::new("v2"),
+            phase,
+            share_percent: 100,
+            ordered_store_ms: 0,
+            decided_store_ms: 0,
+            established: None,
+            barred: Vec::new(),
+            reason: String::new(),
+            decided_by: NodeId(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
+        },
+    }
+}
+
 struct Fixture {
-    follower: Follower<StoreWithOrder>,
+    follower: Follower<StoreWithOrders>,
     freezes: Arc<AtomicBool>,
     received: mpsc::UnboundedReceiver<ConfigurationMsg>,
 }
@@ -136,7 +166,9 @@
         let (configuration, _) = spawned.expect("the actor starts");
         let freezes = Arc::new(AtomicBool::new(false));
         let follower = Follower {
-            feed: StoreWithOrder {
+            feed: StoreWithOrders {
+                orders: BTreeMap::from([(service(), order())]),
+                states: BTreeMap::new(),
                 node: Arc::clone(&node),
                 freezes: Arc::clone(&freezes),
             },
@@ -200,3 +232,23 @@
     let age_ms = proxy.store_age_ms().expect("the store was read");
     assert!(age_ms < waited_ms, "{age_ms} of {waited_ms}");
 }
+
+/// Guards against a node that has slept through the end of a roll-out and the deletion of its order: it would withhold
+/// all requests from the new version, the only one that is left.
+#[tokio::test]
+async fn a_state_is_read_although_its_order_was_deleted() {
+    let mut fixture = Fixture::start().await;
+    fixture.follower.node.update_rollouts(|book| {
+        book.merge_order(&service(), &order());
+        book.merge_state(&service(), state(2, RolloutPhase::Settle))
+    });
+    let feed = &mut fixture.follower.feed;
+    feed.orders.clear();
+    feed.states = BTreeMap::from([(service(), state(4, RolloutPhase::Completed))]);
+    fixture.follower.read_store().await;
+    let book = fixture.follower.node.rollouts();
+    let policy = book.get(&service()).and_then(VersionPolicy::of);
+    let policy = policy.expect("the versions are restricted");
+    let role = policy.role_of(Some(&SoftwareVersion::new("v2")));
+    assert_eq!(role, VersionRole::Established);
+}
