Roll-outs: decide only by reports that were sent since the last freeze

What operators would have seen: a lead that was frozen writes the next state at its first tick, by reports and members from before the freeze: a larger share for a candidate that has turned bad since, or completed, with which the platform ends the old endpoints. A disturbance of all versions in the freeze condemns a good version. A node that has just become the lead gives the next share before it has received any report.

Cause: roll-outs knew no epoch. Reports, the time since which a decision is due, the demand and the reference of the comparison were used across a freeze, and reports that waited in the sockets came first and at once. No report counted as no demand and no suspicion.

Found on reading; no run with processes has shown it.

Excluded on reading: an established gate that has reported that it is closed and idle does not take work again in the same phase and process, as every later state or order makes the condition of the write fail.

Change: what a lead knows of a roll-out is Evidence, which restarts with each epoch, also at a message before the first tick. Reports of the first second are not used: within it, senders give up those from before. Sums of the comparison and a condemnation are kept; the next totals of each gate are only the start of what is compared.

--- a/crates/experiment/src/rollout/world.rs
+++ b/crates/experiment/src/rollout/world.rs
@@ -838,8 +838,8 @@
         let (first_us, first_ms) = state.demand[0];
         let span_ms = now_us.saturating_sub(first_us) / 1_000;
         let demand_slots = match span_ms {
-            0 => 0.0,
-            _ => busy_ms.saturating_sub(first_ms) as f64 / span_ms as f64,
+            0 => None,
+            _ => Some(busy_ms.saturating_sub(first_ms) as f64 / span_ms as f64),
         };
         let mut situation = Situation {
             store_ms: now_us / 1_000,
--- a/crates/model/src/rollout.rs
+++ b/crates/model/src/rollout.rs
@@ -239,7 +239,7 @@
         established_busy: usize::from(busy),
         established_unreachable: 0,
         view_complete: true,
-        demand_slots: 1.0,
+        demand_slots: Some(1.0),
         suspicion: 0.0,
         condemnation: condemned.then_some(condemnation),
     }
--- a/src/decide/rollout/comparison.rs
+++ b/src/decide/rollout/comparison.rs
@@ -15,7 +15,7 @@
 mod measures;
 mod reference;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use self::cumulative_sum::CumulativeSum;
@@ -93,6 +93,8 @@
     candidate: SoftwareVersion,
     /// Newest tally that is included.
     included: BTreeMap<NodeId, NodeTally>,
+    /// Nodes whose next tally is not compared, because others may not have reported for the same time.
+    uncompared: BTreeSet<NodeId>,
     reference: Reference,
     outliers: Outliers,
     /// The sums of single resources, and of all together.
@@ -106,6 +108,7 @@
             order_revision,
             candidate,
             included: BTreeMap::new(),
+            uncompared: BTreeSet::new(),
             reference: Reference::default(),
             outliers: Outliers::default(),
             sums: BTreeMap::new(),
@@ -117,6 +120,13 @@
         self.order_revision
     }
 
+    /// Compares only what is reported from now on: after a freeze of this process, the next reports of
+    /// different nodes cover different times. The sums so far are kept.
+    pub fn restart(&mut self) {
+        self.reference = Reference::default();
+        self.uncompared = self.included.keys().copied().collect();
+    }
+
     /// Includes the newest tallies. Returns the evidence if the candidate is bad.
     pub fn observe(&mut self, now_ms: u64, tallies: &Tallies) -> Option<Condemnation> {
         let mut candidate = Responses::new();
@@ -154,6 +164,10 @@
 
     /// Stores a tally and returns the responses that it adds.
     fn include(&mut self, tally: &NodeTally) -> BTreeMap<ResourceName, ResourceTally> {
+        if self.uncompared.remove(&tally.node) {
+            self.included.insert(tally.node, tally.clone());
+            return BTreeMap::new();
+        }
         let earlier = self.included.get(&tally.node);
         let earlier = earlier.filter(|earlier| earlier.incarnation_us == tally.incarnation_us);
         let since = |(resource, total): (&ResourceName, &ResourceTally)| {
--- a/src/decide/rollout/plan.rs
+++ b/src/decide/rollout/plan.rs
@@ -67,10 +67,11 @@
     pub established_busy: usize,
     /// Those of them that do not answer, but are not known to be dead, without such a report.
     pub established_unreachable: usize,
-    /// Whether this process has run for long enough to know all members.
+    /// Whether this process has run for long enough without a freeze to know all members.
     pub view_complete: bool,
-    /// Slots that all requests of the service occupy on average.
-    pub demand_slots: f64,
+    /// Slots that all requests of the service occupy on average; `None` if gates have not reported for
+    /// long enough.
+    pub demand_slots: Option<f64>,
     /// How close the candidate is to being condemned, from 0 to 1.
     pub suspicion: f64,
     /// Why the candidate is bad, if it is.
@@ -215,7 +216,9 @@
         0 => "no endpoint of the candidate was available in the time given".to_owned(),
         _ => format!(
             "not completed in the time given: {} responses, {} slots for a demand of {:.0}",
-            situation.candidate_answers, situation.candidate_slots, situation.demand_slots
+            situation.candidate_answers,
+            situation.candidate_slots,
+            situation.demand_slots.unwrap_or(0.0)
         ),
     }
 }
@@ -231,7 +234,10 @@
 
 /// Whether the candidate may get a share of `percent`.
 fn may_grow(situation: &Situation, percent: u32) -> bool {
-    let needed_slots = situation.demand_slots * f64::from(percent) / 100.0;
+    let Some(demand_slots) = situation.demand_slots else {
+        return false;
+    };
+    let needed_slots = demand_slots * f64::from(percent) / 100.0;
     let available_slots = f64::from(situation.candidate_slots) * CAPACITY_SHARE_MAX;
     situation.candidates > 0
         && needed_slots <= available_slots
@@ -270,7 +276,7 @@
     if situation.candidates == 0 {
         let in_time = elapsed_ms < order.duration_ms;
         let lost = "every endpoint of the candidate was lost";
-        return (!in_time).then(|| Decision::rolled_back(lost));
+        return (!in_time && situation.view_complete).then(|| Decision::rolled_back(lost));
     }
     let is_late = elapsed_ms >= order.duration_ms;
     let unreachable = situation.established_unreachable > 0 && !is_late;
--- a/src/node/rollout.rs
+++ b/src/node/rollout.rs
@@ -21,7 +21,7 @@
 use crate::core::names::ServiceName;
 use crate::core::rollout::RolloutState;
 use crate::core::status::RolloutStatus;
-use crate::decide::rollout::NodeTally;
+use crate::decide::rollout::{NodeTally, ReportTime};
 use crate::membership::neighbours;
 use crate::node::state::NodeState;
 use crate::platform::store::PlatformStore;
@@ -66,6 +66,7 @@
     incarnation_us: u64,
     table: Option<PlatformStore>,
     services: BTreeMap<ServiceName, ServiceRollout>,
+    report_time: ReportTime,
     /// Reports of gates of this data centre that were not passed on yet.
     to_forward: Vec<NodeTally>,
 }
@@ -88,6 +89,7 @@
             incarnation_us: arguments.incarnation_us,
             table: arguments.table,
             services: BTreeMap::new(),
+            report_time: ReportTime::default(),
             to_forward: Vec::new(),
         })
     }
@@ -117,6 +119,9 @@
             return;
         }
         self.report_own_gate(myself, &book);
+        if !self.has_current_reports() {
+            return;
+        }
         let is_active = |service: &ServiceName| {
             let record = book.get(service);
             record.is_some_and(|record| record.is_active())
@@ -124,7 +129,9 @@
         self.services.retain(|service, _| is_active(service));
         for (service, record) in book.iter().filter(|(_, record)| record.is_active()) {
             let rollout = self.services.entry(service.clone()).or_default();
-            rollout.observe(self.node.proxy.uptime_ms(), record);
+            rollout
+                .evidence
+                .observe(self.node.proxy.uptime_ms(), record);
         }
         if self.is_lead() {
             self.forward_tallies();
@@ -137,10 +144,30 @@
         self.node.followed_node.borrow().is_none()
     }
 
+    /// Whether reports that arrive now were sent after the last freeze of this process. Until then there
+    /// is nothing to decide by.
+    fn has_current_reports(&mut self) -> bool {
+        let proxy = &self.node.proxy;
+        let (now_ms, epoch) = (proxy.uptime_ms(), proxy.freezes.epoch());
+        // Before the first tick after a freeze, the epoch is still that from before it.
+        if !proxy.freezes.is_current(now_ms, epoch) {
+            return false;
+        }
+        if self.report_time.set_epoch(now_ms, epoch) {
+            self.to_forward.clear();
+            let rollouts = self.services.values_mut();
+            rollouts.for_each(|rollout| rollout.evidence.restart());
+        }
+        self.report_time.has_current_reports(now_ms)
+    }
+
     fn collect(&mut self, tallies: Vec<NodeTally>, forwarded: bool) {
+        if !self.has_current_reports() {
+            return;
+        }
         for tally in tallies {
             let rollout = self.services.entry(tally.service.clone()).or_default();
-            if rollout.merge(tally.clone()) && !forwarded {
+            if rollout.evidence.merge(tally.clone()) && !forwarded {
                 self.to_forward.push(tally);
             }
         }
--- a/tests/testsuite/decide_rollout.rs
+++ b/tests/testsuite/decide_rollout.rs
@@ -48,7 +48,7 @@
         established_busy: 0,
         established_unreachable: 0,
         view_complete: true,
-        demand_slots: 40.0,
+        demand_slots: Some(40.0),
         suspicion: 0.0,
         condemnation: None,
     }
@@ -117,6 +117,37 @@
     assert_eq!(phases, expected);
 }
 
+/// Guards against a node that becomes lead, or resumes after a freeze, and gives the candidate a larger share before
+/// it has received any report.
+#[test]
+fn the_share_does_not_grow_without_reports() {
+    let mut record = ordered(1, "v2");
+    let phases = play(&mut record, DURATION_MS, |store_ms| Situation {
+        demand_slots: None,
+        ..situation(store_ms)
+    });
+    let expected = [(RolloutPhase::Trial, 0), (RolloutPhase::RolledBack, 0)];
+    assert_eq!(phases, expected);
+}
+
+/// Guards against a roll-out that is rolled back after its deadline by a lead that does not know the members yet.
+#[test]
+fn endpoints_are_lost_only_in_a_complete_view() {
+    let mut record = ordered(1, "v2");
+    play(&mut record, DURATION_MS - 1, |store_ms| Situation {
+        established_busy: 1,
+        ..situation(store_ms)
+    });
+    let lost = |view_complete| Situation {
+        candidates: 0,
+        view_complete,
+        ..situation(DURATION_MS)
+    };
+    assert_eq!(decide(&record, &lost(false)), None);
+    let state = decide(&record, &lost(true)).expect("a decision");
+    assert_eq!(state.phase, RolloutPhase::RolledBack);
+}
+
 /// Requests that still run at established endpoints would be cut off by `completed`.
 #[test]
 fn completion_waits_for_requests_at_established_endpoints_also_after_the_deadline() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod decide_load_balancing;
 mod decide_retry;
 mod decide_rollout;
+mod decide_rollout_evidence;
 mod decide_service_times;
 mod decide_simulation;
 mod decide_split;
