Roll-outs: the report of a gate's earlier process does not show that it is idle

What operators would have seen: a gate restarts while a roll-out settles. Until its first report reaches the lead, the report of its earlier process stands, and completed may be written while the new process holds a request.

Cause: reports were looked up by node, whatever process the view of the members names.

Change: a report counts only if its process is not older than the one in the view.

--- a/src/decide/rollout/evidence.rs
+++ b/src/decide/rollout/evidence.rs
@@ -163,6 +163,8 @@
         });
         for member in of_service.filter(|member| member.liveness < Liveness::Dead) {
             let tally = self.tallies.get(member.node);
+            // What an earlier process of the gate reported says nothing about the requests of this one.
+            let tally = tally.filter(|tally| tally.incarnation_us >= member.incarnation_us);
             match policy.role_of(member.software_version.as_ref()) {
                 VersionRole::Candidate if member.accepts_requests() => {
                     situation.candidates += 1;
--- a/tests/testsuite/decide_rollout_evidence.rs
+++ b/tests/testsuite/decide_rollout_evidence.rs
@@ -261,3 +261,21 @@
     evidence.observe(now_ms + 4_000, &shifting);
     assert_eq!(next_phase(&evidence, &shifting, 9_000), rolled_back);
 }
+
+/// Guards against a roll-out that is completed by the report of a gate's earlier process, while the later one may
+/// hold requests.
+#[test]
+fn the_report_of_an_earlier_process_does_not_show_an_idle_gate() {
+    let settling = record(RolloutPhase::Settle, 100);
+    let mut evidence = Evidence::default();
+    report_for(&mut evidence, &settling, (0, 0), 3_000);
+    let policy = VersionPolicy::of(&settling).expect("a roll-out runs");
+    let mut members = members();
+    let busy = |members: &[Member]| {
+        let situation = evidence.situation(&service(), &policy, members);
+        situation.established_busy
+    };
+    assert_eq!(busy(&members), 0);
+    members[0] = member(ESTABLISHED[0], 2);
+    assert_eq!(busy(&members), 1);
+}
