Refresh: a node that knows a newer version waits for it for up to five seconds

What callers would have seen: two seconds after a freeze, a node whose peers have told it that a newer version is in force admits requests under the older one, if the content of the newer one is slow to arrive.

Cause: after the time limit of the refresh, the node admitted requests whatever it had learnt. The limit is meant for a node that is cut off.

Why refuse: other nodes serve the callers under the newer version, and the refusal says that the request did not run. A payment under the older one may go to a service that the newer one took it from. The refusal is bounded, since a node that cannot get the content has to serve again: five seconds, the longest timeout of one fetch from another region. A node without any answer since the freeze is cut off and serves after two seconds, as before.

Found on reading; no run with processes has shown it.

--- a/src/distribution/refresh.rs
+++ b/src/distribution/refresh.rs
@@ -6,10 +6,15 @@
 use crate::core::member::NodeId;
 use crate::decide::freeze::Epoch;
 
-/// Longest time for which a node refuses requests after a freeze. Peers answer within milliseconds; a
-/// node that reaches no peer serves the version that it has after this time.
+/// Longest time for which a node without answers refuses requests after a freeze. Peers answer within
+/// milliseconds; a node that reaches no peer serves the version that it has after this time.
 const REFRESH_TIMEOUT_MS: u64 = 2_000;
 
+/// Longest time for which a node refuses requests that has learnt of a newer version since the freeze.
+/// Other nodes serve its callers under that version, and a fetch from another region may take this
+/// long.
+const CATCH_UP_TIMEOUT_MS: u64 = 5_000;
+
 /// Number of peers whose answers complete a refresh if the store itself was not read.
 const REFRESH_QUORUM: usize = 2;
 
@@ -18,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct Refresh {
     epoch: Epoch,
-    deadline_ms: u64,
+    begun_ms: u64,
     peers: BTreeSet<NodeId>,
     store_read: bool,
 }
@@ -28,7 +33,7 @@
     pub fn new(now_ms: u64, epoch: Epoch) -> Self {
         Self {
             epoch,
-            deadline_ms: now_ms + REFRESH_TIMEOUT_MS,
+            begun_ms: now_ms,
             peers: BTreeSet::new(),
             store_read: false,
         }
@@ -66,6 +71,11 @@
     /// version that it knows.
     pub fn has_ended(&self, now_ms: u64, caught_up: bool) -> bool {
         let has_quorum = self.store_read || self.peers.len() >= REFRESH_QUORUM;
-        (has_quorum && caught_up) || now_ms >= self.deadline_ms
+        let is_cut_off = !self.store_read && self.peers.is_empty();
+        let timeout_ms = match caught_up || is_cut_off {
+            true => REFRESH_TIMEOUT_MS,
+            false => CATCH_UP_TIMEOUT_MS,
+        };
+        (has_quorum && caught_up) || now_ms >= self.begun_ms + timeout_ms
     }
 }
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -420,6 +420,29 @@
     assert!(refresh.has_ended(0, true));
 }
 
+/// Guards against a node that serves an older version two seconds after a freeze although it has learnt that a newer
+/// one is in force, whose content is still on its way. A node that is cut off does not wait for that.
+#[test]
+fn a_node_that_knows_a_newer_version_refreshes_for_longer() {
+    let epoch = FreezeDetector::default().epoch();
+    let mut cut_off = Refresh::new(100, epoch);
+    cut_off.record_peer_answer(node(2), epoch, true);
+    assert!(!cut_off.has_ended(2_099, false));
+    assert!(cut_off.has_ended(2_100, false));
+
+    let mut behind = Refresh::new(100, epoch);
+    behind.record_peer_answer(node(2), epoch, false);
+    assert!(!behind.has_ended(2_100, false));
+    assert!(behind.has_ended(2_100, true), "it has caught up");
+    assert!(!behind.has_ended(5_099, false));
+    assert!(behind.has_ended(5_100, false));
+
+    let mut behind = Refresh::new(100, epoch);
+    behind.record_store_read(epoch);
+    assert!(!behind.has_ended(5_099, false));
+    assert!(behind.has_ended(150, true));
+}
+
 /// Guards against a floor that is settled by a peer that was frozen and may be behind.
 #[test]
 fn floor_is_raised_but_not_settled_by_a_peer_that_refreshes() {
