Gate: the first requests on a connection are delayed by a freeze

What callers saw: a payment ran after its caller had got 504 may-have-run and left. The gate was frozen, the entry node opened its first connection to it and sent the payment, and the gate ran it when it resumed, 3.8 s later.

Cause: the delay of a request is measured against the smallest difference of the clocks on the same connection. The first request has nothing to be compared with and counted as not delayed; those that waited with it were compared with its difference, which includes the wait.

Change: until a freeze is detected and for a second after that, requests on a connection without a usual difference count as delayed by the freeze: refused as not run. They do not set the usual difference. Connections that were opened after the freeze are excepted. They are told by the listen queue, which the gate asks the operating system about: without the exception, callers of a data centre that resumed as a whole got held-up, and the runtime's own view of the queue is out of date right after a pause.

--- a/src/decide/freeze.rs
+++ b/src/decide/freeze.rs
@@ -9,6 +9,9 @@
 /// Time between two ticks from which the process counts as having been frozen, in milliseconds.
 pub const FREEZE_GAP_MS: u64 = 3_000;
 
+/// Time after a freeze within which what has arrived in it is read, in milliseconds.
+const BACKLOG_MS: u64 = 1_000;
+
 /// The time between two freezes of a process. Comparable only within one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Epoch(u64);
@@ -19,6 +22,9 @@
 pub struct FreezeDetector {
     last_tick_ms: AtomicU64,
     epoch: AtomicU64,
+    /// Length of the last freeze, and when it was detected.
+    frozen_ms: AtomicU64,
+    detected_ms: AtomicU64,
     /// The epoch for which the configuration was last refreshed.
     refreshed_epoch: AtomicU64,
 }
@@ -30,6 +36,8 @@
         let gap_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Acquire));
         let was_frozen = gap_ms >= FREEZE_GAP_MS;
         if was_frozen {
+            self.frozen_ms.store(gap_ms, Ordering::Release);
+            self.detected_ms.store(now_ms, Ordering::Release);
             // Before `last_tick_ms`, so that readers see either the new epoch or the old tick.
             self.epoch.fetch_add(1, Ordering::AcqRel);
         }
@@ -50,6 +58,24 @@
         since_tick_ms < FREEZE_GAP_MS && self.epoch() == epoch
     }
 
+    /// How long something that is read now may have waited because the process was frozen, in
+    /// milliseconds. It was sent at `earliest_ms` or later. Detects a freeze also before the first tick
+    /// after it.
+    pub fn unread_for_ms(&self, now_ms: u64, earliest_ms: u64) -> u64 {
+        if now_ms.saturating_sub(earliest_ms) < 2 * BACKLOG_MS {
+            // Too short for a freeze to lie in between.
+            return 0;
+        }
+        let since_tick_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Acquire));
+        if since_tick_ms >= FREEZE_GAP_MS {
+            return since_tick_ms;
+        }
+        match now_ms < self.detected_ms.load(Ordering::Acquire) + BACKLOG_MS {
+            true => self.frozen_ms.load(Ordering::Acquire),
+            false => 0,
+        }
+    }
+
     /// Whether the process has not been frozen since the configuration was last refreshed.
     pub fn is_refreshed(&self, now_ms: u64) -> bool {
         let refreshed_epoch = Epoch(self.refreshed_epoch.load(Ordering::Acquire));
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -1,5 +1,6 @@
 //! The listener for other nodes: control calls, and requests for the local backend server.
 
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -8,7 +9,8 @@
 use hyper::server::conn::http2::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tonic::codegen::Service;
@@ -36,6 +38,10 @@
 /// not block other uploads.
 const PEER_WINDOW_BYTES: u32 = PEER_STREAMS_MAX * REQUEST_WINDOW_BYTES;
 
+/// Interval at which an idle listen queue is checked, so that after a freeze the connections that waited
+/// in it are told from those that are opened later.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Serves other nodes until `graceful_stop`. Each connection then closes after its current
 /// responses. A draining node still takes part in gossip, so this listener stops last.
 pub(crate) async fn serve<C: Control>(
@@ -50,13 +56,20 @@
         .max_encoding_message_size(CONTROL_MESSAGE_MAX_BYTES);
     let builder = builder(node.upload_limits.window_bytes);
     let tasks = TaskTracker::new();
-    while let Some((stream, _)) = accept(&listener, &graceful_stop, &hard_stop).await {
+    let mut queue = ListenQueue {
+        listener,
+        node: Arc::clone(&node),
+        empty_ms: node.uptime_ms(),
+    };
+    while let Some(stream) = queue.accept(&graceful_stop, &hard_stop).await {
         let node = Arc::clone(&node);
+        let opened_ms = queue.empty_ms;
         let control = control.clone();
         let delay_estimator = Arc::new(Mutex::new(DelayEstimator::default()));
         let handler = infallible(move |request| {
             let (node, control) = (Arc::clone(&node), control.clone());
-            serve_peer_request(node, control, Arc::clone(&delay_estimator), request)
+            let delay_estimator = Arc::clone(&delay_estimator);
+            serve_peer_request(node, control, delay_estimator, opened_ms, request)
         });
         let connection = builder.serve_connection(TokioIo::new(stream), service_fn(handler));
         let serving = run_connection(connection, graceful_stop.clone());
@@ -67,6 +80,41 @@
     tasks.wait().await;
 }
 
+/// The connections that wait to be accepted.
+struct ListenQueue {
+    listener: TcpListener,
+    node: Arc<ProxyState>,
+    /// When the queue was last seen to be empty. What is accepted now was opened later.
+    empty_ms: u64,
+}
+
+impl ListenQueue {
+    /// Accepts the next connection. `None` once either token is cancelled.
+    async fn accept(
+        &mut self,
+        graceful_stop: &CancellationToken,
+        hard_stop: &CancellationToken,
+    ) -> Option<TcpStream> {
+        loop {
+            let checked_ms = self.node.uptime_ms();
+            if self.is_empty() {
+                self.empty_ms = checked_ms;
+            }
+            let accepting = accept(&self.listener, graceful_stop, hard_stop);
+            if let Ok(accepted) = tokio::time::timeout(QUEUE_CHECK_INTERVAL, accepting).await {
+                return accepted.map(|(stream, _)| stream);
+            }
+        }
+    }
+
+    /// Asks the operating system. The runtime may not have heard yet of connections that were opened while
+    /// the process was paused.
+    fn is_empty(&self) -> bool {
+        let mut listener = [PollFd::new(self.listener.as_fd(), PollFlags::POLLIN)];
+        poll(&mut listener, PollTimeout::ZERO) == Ok(0)
+    }
+}
+
 /// Sets the limits of a connection. `window_bytes` is the stream window: how much of a request body
 /// the sender may send before it is read.
 fn builder(window_bytes: u32) -> Builder<TokioExecutor> {
@@ -87,6 +135,7 @@
     node: Arc<ProxyState>,
     mut control: ControlServer<C>,
     delay_estimator: Arc<Mutex<DelayEstimator>>,
+    opened_ms: u64,
     request: Request<Incoming>,
 ) -> Response<Body> {
     if !has_valid_token(&node, &request) {
@@ -104,7 +153,8 @@
         let mut delay_estimator = delay_estimator
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let delay_us = delay_estimator.delay_us(clock::boot_us(), sent_us);
+        let unread_for_us = node.freezes.unread_for_ms(node.uptime_ms(), opened_ms) * 1_000;
+        let delay_us = delay_estimator.delay_us(clock::boot_us(), sent_us, unread_for_us);
         Duration::from_micros(if check_enabled { delay_us } else { 0 })
     };
     let token = node.gate_requests.token();
