--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -29,6 +29,9 @@
 use crate::store::{Error, Feed, FeedPosition, FeedUpdate, OrdersRead, RolloutTable};
 use crate::util::clock;
 
+#[cfg(test)]
+mod tests;
+
 /// Age from which a position is dropped and the newest configuration is read instead. A read from an old position
 /// would return every version since then, each a whole configuration.
 const MAX_POSITION_AGE: Duration = Duration::from_secs(1);
@@ -214,8 +217,16 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
-                match self.merge_orders(&answer).await {
-                    Ok(()) => self.handle_store_answer(answer, last_read_age_ms, asked_in),
+                let merged = self.merge_orders(&answer).await;
+                if !self.node.proxy.is_current(asked_in) {
+                    // The process was frozen while the states of the roll-outs were read.
+                    self.position = None;
+                    return;
+                }
+                // An answer without a change is sent when the wait is over.
+                let age_ms = clock::since_ms(started).saturating_sub(clock::whole_ms(wait));
+                match merged {
+                    Ok(()) => self.handle_store_answer(answer, age_ms, last_read_age_ms, asked_in),
                     Err(error) => self.handle_store_failure(&error, took_ms).await,
                 }
             }
@@ -230,7 +241,7 @@
     }
 
     /// Merges the orders of roll-outs that the store answered with, before the configuration can be
-    /// enforced. If orders exist when all of them are read, their states are read too.
+    /// enforced. When all orders are read, the states are read too, unless there was no order or state.
     async fn merge_orders(&self, answer: &FeedUpdate) -> Result<(), Error> {
         self.node.set_store_clock(answer.store_ms);
         match &answer.orders {
@@ -241,7 +252,9 @@
             }),
             OrdersRead::All(orders) => {
                 let position = answer.position.0;
-                let states = match orders.is_empty() {
+                // A roll-out may have ended, and its order been deleted, since this node heard of it.
+                let is_unused = orders.is_empty() && self.node.rollouts().is_empty();
+                let states = match is_unused {
                     true => BTreeMap::new(),
                     false => self.feed.states().await?,
                 };
@@ -257,10 +270,16 @@
         Ok(())
     }
 
-    fn handle_store_answer(&mut self, answer: FeedUpdate, last_read_age_ms: u64, asked_in: Epoch) {
+    fn handle_store_answer(
+        &mut self,
+        answer: FeedUpdate,
+        age_ms: u64,
+        last_read_age_ms: u64,
+        asked_in: Epoch,
+    ) {
         self.lead_choice.store_answered();
         self.position = Some((answer.position, Instant::now()));
-        self.node.proxy.record_store_read(0);
+        self.node.proxy.record_store_read(age_ms);
         self.send(ConfigurationMsg::StoreRead {
             configuration: answer.configuration.map(Box::new),
             last_read_age_ms,
