--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod spread_decisions;
 mod spread_deployment;
 mod spread_failures;
+mod spread_freezes;
 mod spread_leads;
 mod spread_membership;
 mod spread_network;
--- a/tests/testsuite/spread_failures.rs
+++ b/tests/testsuite/spread_failures.rs
@@ -19,7 +19,7 @@
 
 /// Publishes the example file `boletines.toml` with another queue length, which makes a new
 /// version. Returns whether that succeeded.
-async fn publish_change(mesh: &Mesh, queue_len: u32) -> bool {
+pub(crate) async fn publish_change(mesh: &Mesh, queue_len: u32) -> bool {
     let file = repository_file("examples/chatarras/boletines.toml");
     let text = std::fs::read_to_string(file).expect("the example file exists");
     let line = text.lines().find(|line| line.starts_with("queue_len"));
@@ -36,12 +36,12 @@
     run_program(&arguments).await.status.success()
 }
 
-async fn small_mesh() -> Mesh {
+pub(crate) async fn small_mesh() -> Mesh {
     start_chatarras(small_deployment(&["tablon", "cobros"], 2)).await
 }
 
 /// Kills processes at the same time, and waits until they have ended and their addresses are free.
-async fn kill(mesh: &mut Mesh, positions: &[usize]) {
+pub(crate) async fn kill(mesh: &mut Mesh, positions: &[usize]) {
     for position in positions {
         mesh.vms[*position].node().signal(Signal::Kill);
     }
@@ -200,7 +200,7 @@
 
 /// Sends requests to frozen nodes, resumes these, and sends each further requests until one is served. Each
 /// must be refused as retryable or served under version 3.
-async fn resume_with_queued_requests(mesh: &Mesh, frozen: &[usize]) {
+pub(crate) async fn resume_with_queued_requests(mesh: &Mesh, frozen: &[usize]) {
     let mut callers = tokio::task::JoinSet::new();
     for position in frozen {
         let caller = mesh.vms[*position].node().addresses.caller;
@@ -232,7 +232,7 @@
 }
 
 /// Longer than the gap from which a process counts as frozen.
-const FREEZE: Duration = Duration::from_millis(3_500);
+pub(crate) const FREEZE: Duration = Duration::from_millis(3_500);
 
 /// Guards against a store answer from before a freeze that ends the refresh after it. The answer to a
 /// read of the head is held back on the link until the node is frozen and two versions are published.
@@ -272,7 +272,7 @@
 
 /// Publishes two versions, and waits until all nodes but the frozen ones enforce them and the frozen ones count as
 /// frozen.
-async fn publish_while_frozen(mesh: &Mesh, frozen: &[usize]) {
+pub(crate) async fn publish_while_frozen(mesh: &Mesh, frozen: &[usize]) {
     assert!(publish_change(mesh, 31).await);
     assert!(publish_change(mesh, 32).await);
     for position in (0..mesh.vms.len()).filter(|position| !frozen.contains(position)) {
