Refresh: answers of peers that enforce nothing do not count

What callers saw: 200 under the version from before a freeze, within milliseconds after the node had resumed, where the peers of its data centre had just been restarted.

Cause: the answers of two peers complete a refresh, also if they enforce no version and so know of none.

--- a/src/distribution/refresh.rs
+++ b/src/distribution/refresh.rs
@@ -65,10 +65,10 @@
         self.store_read |= asked_in == self.epoch;
     }
 
-    /// Records the answer of a peer to a query that was sent in the epoch `asked_in`. A peer that
-    /// itself refreshes after a freeze may be behind, so its answer does not count.
-    pub fn record_peer_answer(&mut self, peer: NodeId, asked_in: Epoch, peer_refreshes: bool) {
-        if asked_in == self.epoch && !peer_refreshes {
+    /// Records the answer of a peer to a query that was sent in the epoch `asked_in`. The answer of a
+    /// peer that may itself be behind does not count: it refreshes after a freeze, or has just started.
+    pub fn record_peer_answer(&mut self, peer: NodeId, asked_in: Epoch, may_be_behind: bool) {
+        if asked_in == self.epoch && !may_be_behind {
             self.peers.insert(peer);
         }
     }
--- a/src/node/configuration/peers.rs
+++ b/src/node/configuration/peers.rs
@@ -61,7 +61,8 @@
             self.handle_announced(now_ms, enforced, Some(peer));
         }
         if let Some(refresh) = &mut self.refresh {
-            refresh.record_peer_answer(peer.node, asked_in, answer.refreshing);
+            let may_be_behind = answer.refreshing || enforced.version == Version::NONE;
+            refresh.record_peer_answer(peer.node, asked_in, may_be_behind);
         }
     }
 
