Floor: the offer of a lead whose data is old does not settle it

What callers saw: a restarted node answered under an older version than before its restart, where the store did not answer and its lead had just resumed after a freeze.

Cause: a follower judged the lead's answer as too old and still took the version in it for the head of the store.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -102,6 +102,8 @@
     LeadOffer {
         offer: Offer,
         base_version: Version,
+        /// Whether the lead has read the store recently enough for its version to be the head.
+        is_current: bool,
     },
     /// A peer has answered a floor query.
     FloorAnswered {
@@ -246,7 +248,8 @@
             ConfigurationMsg::LeadOffer {
                 offer,
                 base_version,
-            } => state.handle_lead_offer(now_ms, &offer, base_version),
+                is_current,
+            } => state.handle_lead_offer(now_ms, &offer, base_version, is_current),
             ConfigurationMsg::FloorAnswered {
                 peer,
                 answer,
--- a/src/node/configuration/versions.rs
+++ b/src/node/configuration/versions.rs
@@ -46,11 +46,21 @@
         }
     }
 
-    pub(super) fn handle_lead_offer(&mut self, now_ms: u64, offer: &Offer, base_version: Version) {
+    /// Handles the offer of a lead. It settles the floor only if the lead `is_current`.
+    pub(super) fn handle_lead_offer(
+        &mut self,
+        now_ms: u64,
+        offer: &Offer,
+        base_version: Version,
+        is_current: bool,
+    ) {
         let stamp = offer.stamp;
         self.fetcher.source_reported(now_ms, stamp.version);
         if self.prepare(now_ms, offer, base_version, VersionSource::Lead) {
-            self.floor.record_head(stamp.version);
+            match is_current {
+                true => self.floor.record_head(stamp.version),
+                false => self.floor.raise(stamp.version),
+            }
             self.handle_announced(now_ms, stamp, None);
             self.send_to_membership(MembershipMsg::SetHead(stamp));
         }
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -164,10 +164,10 @@
         log_late_answer("lead", took_ms, wait, len_bytes);
         let (now_ms, budget) = (self.node.proxy.uptime_ms(), self.node.budget());
         let state = response.state;
-        if !self
+        let is_current = self
             .lead_choice
-            .lead_answered(now_ms, lead.node, state, budget)
-        {
+            .lead_answered(now_ms, lead.node, state, budget);
+        if !is_current {
             log::info!(
                 lead:% = lead.node, store_age_ms = state.store_age_ms, store_failing = state.store_failing;
                 "the lead cannot read the store or its data is too old"
@@ -182,6 +182,7 @@
             self.send(ConfigurationMsg::LeadOffer {
                 offer,
                 base_version,
+                is_current,
             });
         }
     }
