Keep-alive timer: a sleep may be polled again after its end

Callers would have seen 502 `lost` for the next request on a connection between nodes that had been idle for two seconds after a cancelled request: hyper polls the sleep of a ping that it did not send again, and the sleep, an async function, panicked.

The sleep now ends once and stays ended. pause_tolerant_timer::tests::sleep_that_has_ended_may_be_polled_again panics without that. The timer is named for what it does.

--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -30,7 +30,7 @@
 use crate::proxy::state::ProxyState;
 use crate::proxy::{entry, header_profile};
 use crate::util::deadline;
-use crate::util::patient_timer::PatientTimer;
+use crate::util::pause_tolerant_timer::PauseTolerantTimer;
 
 /// Maximum number of concurrent requests on one HTTP/2 connection of a caller.
 const CALLER_STREAMS_MAX: u32 = 128;
@@ -157,7 +157,7 @@
         )
     });
     let connection = http2::Builder::new(TokioExecutor::new())
-        .timer(PatientTimer)
+        .timer(PauseTolerantTimer)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .max_concurrent_streams(CALLER_STREAMS_MAX)
         // A caller may cancel all of its requests at once.
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -16,7 +16,7 @@
 use super::headers;
 use crate::peer::client::DialOptions;
 use crate::util::dial::dial;
-use crate::util::patient_timer::PatientTimer;
+use crate::util::pause_tolerant_timer::PauseTolerantTimer;
 
 /// Timeout for opening a connection. An endpoint that does not respond in this time is probably
 /// gone, and a request to another endpoint is faster than a retransmitted connection attempt.
@@ -155,7 +155,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<PeerSender, super::body::BoxError> {
         let stream = dial(address, self.dial_options.dial_from, CONNECT_TIMEOUT).await?;
         let (requests, connection) = http2::Builder::new(TokioExecutor::new())
-            .timer(PatientTimer)
+            .timer(PauseTolerantTimer)
             .keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_INTERVAL)
             // Responses to cancelled requests count towards this limit, over the lifetime of the
--- a/src/util.rs
+++ b/src/util.rs
@@ -4,4 +4,4 @@
 pub(crate) mod deadline;
 pub(crate) mod dial;
 pub(crate) mod file_descriptors;
-pub(crate) mod patient_timer;
+pub(crate) mod pause_tolerant_timer;
--- a/src/util/patient_timer.rs
+++ b/src/util/pause_tolerant_timer.rs
@@ -2,31 +2,34 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use hyper::rt::{Sleep, Timer};
 
 use super::deadline::TURNS_AFTER_DEADLINE;
 
+#[cfg(test)]
+mod tests;
+
 /// Delay from which a sleep that ends late shows that the process was paused.
-const LATE_MIN: Duration = Duration::from_millis(500);
+const PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Time for which a sleep that ends late goes on. A peer that was paused as well answers within it.
-const GRACE: Duration = Duration::from_secs(1);
+const READ_TIME: Duration = Duration::from_secs(1);
 
-/// Timer of the runtime, with sleeps that go on for a moment after a pause of the process. hyper checks whether the time
-/// for the answer to a ping has passed before it reads what has arrived on the connection. Without the moment, the
+/// Timer of the runtime, with sleeps that go on for [`READ_TIME`] after a pause of the process. hyper checks whether the time
+/// for the answer to a ping has passed before it reads what has arrived on the connection. Without that time, the
 /// connection would be closed with the answer in the socket, and with it the requests that run.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PatientTimer;
+pub(crate) struct PauseTolerantTimer;
 
-impl Timer for PatientTimer {
+impl Timer for PauseTolerantTimer {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
         self.sleep_until(Instant::now() + duration)
     }
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
-        Box::pin(PatientSleep(Box::pin(sleep_until(deadline))))
+        Box::pin(PauseTolerantSleep(Some(Box::pin(sleep_until(deadline)))))
     }
 }
 
@@ -34,24 +37,29 @@
     loop {
         tokio::time::sleep_until(deadline.into()).await;
         let now = Instant::now();
-        if now.saturating_duration_since(deadline) < LATE_MIN {
+        if now.saturating_duration_since(deadline) < PAUSE_MIN {
             break;
         }
-        deadline = now + GRACE;
+        deadline = now + READ_TIME;
     }
     for _ in 0..TURNS_AFTER_DEADLINE {
         tokio::task::yield_now().await;
     }
 }
 
-struct PatientSleep(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
+/// `None` once it has ended. hyper polls the sleep of an idle connection again after its end.
+struct PauseTolerantSleep(Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>);
 
-impl Future for PatientSleep {
+impl Future for PauseTolerantSleep {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        self.0.as_mut().poll(context)
+        if let Some(sleep) = &mut self.0 {
+            ready!(sleep.as_mut().poll(context));
+            self.0 = None;
+        }
+        Poll::Ready(())
     }
 }
 
-impl Sleep for PatientSleep {}
+impl Sleep for PauseTolerantSleep {}
