Retries: spend tokens only on retries that are made

What callers saw: fewer retries than the budget of their service allows, while requests were refused just before their deadline, had a body that cannot be sent again, or were admitted before a freeze.

Cause: the token of the service and the retry of the call tree were taken before it was known whether a retry is possible.

By reading, in the review of this change.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -85,21 +85,29 @@
         self.budget
     }
 
+    /// Records a failed attempt, after which no retry is made.
+    pub fn record_failure(&mut self, failure: AttemptFailure) {
+        match failure {
+            AttemptFailure::Draining => self.draining_endpoints += 1,
+            AttemptFailure::NotRun => self.attempts_made += 1,
+            AttemptFailure::MayHaveRun => {
+                self.attempts_made += 1;
+                // The retries that were passed downstream may have been spent there.
+                self.budget = self.budget.min(1);
+            }
+        }
+    }
+
     /// Decides whether to retry after a failed attempt, and takes the retry from the budgets if so.
     ///
     /// A retry needs an attempt left of the team's `attempts`, a retry in the budget of the call tree
     /// and a token of the service. A request that is not idempotent is retried only if it provably
     /// did not run.
     pub fn take_retry(&mut self, failure: AttemptFailure, tokens: &mut RetryTokens) -> bool {
+        self.record_failure(failure);
         if failure == AttemptFailure::Draining {
-            self.draining_endpoints += 1;
             return self.draining_endpoints <= DRAINING_ENDPOINTS_MAX;
         }
-        self.attempts_made += 1;
-        if failure == AttemptFailure::MayHaveRun {
-            // The retries that were passed downstream may have been spent there.
-            self.budget = self.budget.min(1);
-        }
         let allowed = failure.verdict() == Verdict::NotRun || self.idempotent;
         if !allowed || self.attempts_made >= self.max_attempts || self.budget == 0 || !tokens.take()
         {
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -102,15 +102,9 @@
             if failure.verdict != Verdict::NotRun {
                 verdict = Verdict::MayHaveRun;
             }
-            let attempt_failure = failure.attempt_failure();
-            let retry = {
-                let mut tokens = self.node.retry_tokens();
-                attempts.take_retry(attempt_failure, tokens.for_service(self.service()))
-            };
-            let retry = retry
-                && body.can_replay()
-                && may_send_again
-                && self.node.is_current(self.admitted_in);
+            let may_retry =
+                may_send_again && body.can_replay() && self.node.is_current(self.admitted_in);
+            let retry = self.take_retry(attempts, &failure, may_retry);
             self.log_attempt_failed(&endpoint, &failure, retry);
             if !retry {
                 return Err(failure.after_attempt(verdict));
@@ -127,6 +121,16 @@
         drain.map_or(self.deadline, |drain| drain.limit(self.deadline))
     }
 
+    fn take_retry(&self, attempts: &mut Attempts, failure: &Failure, may_retry: bool) -> bool {
+        let failure = failure.attempt_failure();
+        if !may_retry {
+            attempts.record_failure(failure);
+            return false;
+        }
+        let mut tokens = self.node.retry_tokens();
+        attempts.take_retry(failure, tokens.for_service(self.service()))
+    }
+
     /// Whether another attempt may begin. A refusal by a gate would come too late otherwise, and the
     /// request would count as one that may have run.
     fn has_time_for_attempt(&self) -> bool {
