End of the drain: deliver what has arrived, and tell what was not sent

Cause: the timer of the drain ended requests without the turns of the runtime in which the sockets are read, which each deadline gets, and without regard to whether anything was sent. The deadline that was passed on was the same moment, so that a backend server's own response at its deadline could not arrive.

Change: what has arrived is read first; a request of which nothing was sent is refused as not run; the deadline passed on is 100 ms before the end of the drain, and the entry node waits until that end. A call of a running request is refused once that time has come. A drain timeout beyond every point in time is limited.

--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -2,6 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+/// Longest drain. Longer ones, which a setting may contain, cannot be added to every point in time.
+const DRAIN_MAX: Duration = Duration::from_hours(24 * 365);
+
+/// Time for a response to arrive from another node and to be passed on, before the end of the drain.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time after the end of the drain within which the steps of the exit end.
 const EXIT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -28,9 +34,13 @@
     /// The schedule of a stop that begins at `started_at`. Callers do not know of the stop for
     /// `min_serving`. Requests that are in flight after `drain_timeout` are given up.
     pub fn new(started_at: Instant, min_serving: Duration, drain_timeout: Duration) -> Self {
-        let ends_at = started_at + drain_timeout;
+        let after = |time: Duration| {
+            let latest = started_at + DRAIN_MAX;
+            started_at.checked_add(time).unwrap_or(latest).min(latest)
+        };
+        let ends_at = after(drain_timeout);
         Self {
-            callers_served_until: (started_at + min_serving).min(ends_at),
+            callers_served_until: after(min_serving).min(ends_at),
             ends_at,
         }
     }
@@ -45,23 +55,24 @@
         self.ends_at
     }
 
-    /// Deadline for the request with the given one that arrives at `now`; `None` if the request is to
-    /// be refused, because the node may stop before it has ended.
-    pub fn accept(
-        &self,
-        now: Instant,
-        deadline: Instant,
-        origin: RequestOrigin,
-    ) -> Option<Instant> {
-        let is_accepted = deadline <= self.ends_at
-            || origin == RequestOrigin::RunningRequest
-            || now < self.callers_served_until;
-        is_accepted.then(|| self.limit(deadline))
+    /// Whether to serve the request with the given deadline that arrives at `now`. It is refused if the
+    /// node may stop before it has ended.
+    pub fn accepts(&self, now: Instant, deadline: Instant, origin: RequestOrigin) -> bool {
+        let last_deadline = self.last_deadline();
+        let may_outlast_drain =
+            origin == RequestOrigin::RunningRequest || now < self.callers_served_until;
+        deadline <= last_deadline || (may_outlast_drain && now < last_deadline)
     }
 
-    /// Deadline for an attempt that begins while the node stops.
+    /// Deadline to pass on for an attempt that begins while the node stops.
     pub fn limit(&self, deadline: Instant) -> Instant {
-        deadline.min(self.ends_at)
+        deadline.min(self.last_deadline())
+    }
+
+    fn last_deadline(&self) -> Instant {
+        self.ends_at
+            .checked_sub(RESPONSE_MARGIN)
+            .unwrap_or(self.ends_at)
     }
 
     /// When a step of the exit that begins at `now` and usually takes at most `step_max` is given up.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -2,7 +2,9 @@
 //! retries failed attempts. The route's treatment sets the timeout, the number of attempts and
 //! whether the request is idempotent.
 
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http::Response;
@@ -25,6 +27,7 @@
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
 use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
+use crate::util::deadline;
 
 mod request_log;
 mod routed_request;
@@ -184,7 +187,7 @@
     let deadline = context
         .deadline
         .map_or(route_deadline, |deadline| deadline.min(route_deadline));
-    let deadline = accept_while_stopping(node, started_at, deadline, context.depth)?;
+    check_drain(node, started_at, deadline, context.depth)?;
     let request = RoutedRequest {
         node,
         parts,
@@ -196,13 +199,17 @@
         deadline,
         depth: context.depth,
         admitted_in: current.epoch,
+        sent: Arc::default(),
     };
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
     // Dropping this future cancels the running attempt, up to the backend server.
     let outcome = cancellation.run_until_cancelled(request.run(body, &mut attempts));
     // An explicit response tells the caller more than a connection that breaks.
-    match node.drain_expired.run_until_cancelled(outcome).await {
+    match until_drain_expired(node, outcome).await {
+        None if !request.sent.load(Ordering::Acquire) => {
+            Err(Failure::not_run(Reason::DrainTooShort))
+        }
         None => Err(Failure::may_have_run(Reason::Stopping)),
         Some(None) => Err(Failure::may_have_run(Reason::GivenUp)),
         Some(Some(Err(failure))) => {
@@ -235,24 +242,33 @@
     Err(Failure::not_run(reason))
 }
 
-/// Returns the deadline of a request, which the end of a shutdown limits. Refuses the request if it
-/// may not be finished by then, and its caller can send it to another node.
-fn accept_while_stopping(
+/// The outcome of a request; `None` if it has not arrived when the drain expires.
+async fn until_drain_expired<F: Future>(node: &ProxyState, outcome: F) -> Option<F::Output> {
+    let mut outcome = pin!(outcome);
+    tokio::select! {
+        biased;
+        outcome = &mut outcome => Some(outcome),
+        () = node.drain_expired.cancelled() => deadline::if_arrived(outcome).await,
+    }
+}
+
+/// Refuses a request that may not be finished by the end of a shutdown, if its caller can send it to
+/// another node.
+fn check_drain(
     node: &ProxyState,
     now: Instant,
     deadline: Instant,
     depth: u32,
-) -> Result<Instant, Failure> {
-    let Some(drain) = node.drain_schedule() else {
-        return Ok(deadline);
-    };
+) -> Result<(), Failure> {
     let origin = match depth {
         0 => RequestOrigin::Caller,
         _ => RequestOrigin::RunningRequest,
     };
-    drain
-        .accept(now, deadline, origin)
-        .ok_or(Failure::not_run(Reason::DrainTooShort))
+    let drain = node.drain_schedule();
+    match drain.is_none_or(|drain| drain.accepts(now, deadline, origin)) {
+        true => Ok(()),
+        false => Err(Failure::not_run(Reason::DrainTooShort)),
+    }
 }
 
 fn choose_target(route: &Route) -> &ResolvedTarget {
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -1,6 +1,7 @@
 //! Attempts of a routed request: choice of an endpoint, sending, and retries.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderMap, HeaderValue};
@@ -53,6 +54,8 @@
     /// The epoch in which the request was admitted. After a freeze it is neither sent nor retried, as its route may
     /// have been changed.
     pub(super) admitted_in: Epoch,
+    /// Set before the request, or its reservation of an upload permit, is sent on.
+    pub(super) sent: Arc<AtomicBool>,
 }
 
 impl RoutedRequest<'_> {
@@ -342,6 +345,7 @@
             retries,
             rollout_order,
             admitted_in: Some(self.admitted_in),
+            sent: Arc::clone(&self.sent),
         }
     }
 
@@ -429,8 +433,10 @@
             .map_err(|_| Failure::not_run(Reason::TooLate))??;
         self.node.check_admitted_in(self.admitted_in)?;
         hop.write_headers(request.headers_mut());
+        self.sent.store(true, Ordering::Release);
         let exchange = sender.send(request);
-        let response = deadline::timeout_at(hop.deadline, exchange)
+        // A stopping node passes on an earlier deadline, so that the response to it arrives in time.
+        let response = deadline::timeout_at(self.deadline, exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
         let Some(load) = headers::parse_load(response.headers()) else {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -2,6 +2,7 @@
 //! backend server.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderMap, HeaderValue};
@@ -145,8 +146,11 @@
     let mut running = node.running_requests.register(hop, parent_id);
     prepare_request(node, &mut request, hop, &backend, &running);
     let check = || {
-        hop.admitted_in
-            .map_or(Ok(()), |epoch| node.check_admitted_in(epoch))
+        if let Some(epoch) = hop.admitted_in {
+            node.check_admitted_in(epoch)?;
+        }
+        hop.sent.store(true, Ordering::Release);
+        Ok(())
     };
     let exchange = node
         .pool
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -1,5 +1,7 @@
 //! Metadata of a request that its entry node sends to the gate.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use http::header::{HeaderMap, HeaderValue};
@@ -50,6 +52,8 @@
     pub(crate) rollout_order: Option<u64>,
     /// The epoch in which this process admitted the request as its entry node. `None` if another node did.
     pub(crate) admitted_in: Option<Epoch>,
+    /// Set before the request is sent to the backend server or to another node.
+    pub(crate) sent: Arc<AtomicBool>,
 }
 
 impl Hop {
@@ -97,6 +101,7 @@
             retries: u32_header(&headers::RETRIES),
             rollout_order: headers::get_u64(headers, &headers::ROLLOUT_ORDER),
             admitted_in: None,
+            sent: Arc::default(),
         })
     }
 
