--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -167,11 +167,12 @@
             ACTOR_TIMEOUT_MS
         );
         let enforced = enforced.map_err(|_| node_stopping())?;
+        let rollouts = convert::rollouts::book_to_wire(&self.node.rollouts());
         Ok(Response::new(wire::FloorReply {
             reported_version: reported.0,
             enforced: Some(convert::stamp_to_wire(enforced)),
             refreshing: !self.node.proxy.is_current(refreshed_epoch),
-            rollouts: Some(convert::rollouts::book_to_wire(&self.node.rollouts())),
+            rollouts: Some(rollouts),
         }))
     }
 }
