Stop: refuse connections of other nodes once no more are accepted

A node that is leaving no longer accepts connections while it sends its last responses; the listener stayed open, so that other nodes waited for a connection until their time limit. Also: a clearer condition in admission, and the reason of a limit.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -335,8 +335,8 @@
             return Some(RefusalCause::DeadlineTooSoon);
         }
         // The estimate is 0 as long as no service time is known.
-        let may_wait = request.max_wait_us > 0 && wait_us <= request.max_wait_us;
-        (!may_wait).then_some(RefusalCause::WaitTooLong)
+        let too_long = request.max_wait_us == 0 || wait_us > request.max_wait_us;
+        too_long.then_some(RefusalCause::WaitTooLong)
     }
 
     /// Removes a request from the queue. Returns false if its wait has already ended; then
--- a/src/node/logging.rs
+++ b/src/node/logging.rs
@@ -22,7 +22,8 @@
 /// the process 1.2 MB at most.
 pub const MAX_QUEUED_LINES: usize = 4_096;
 
-/// Longest wait for the last lines at exit. Writing a full queue takes half of it.
+/// Longest wait for the last lines at exit. It is a part of the grace period, after the steps that
+/// [`DrainSchedule`](crate::decide::drain::DrainSchedule) limits.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Installs the logger of the process. Further calls have no effect.
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -76,6 +76,8 @@
         let hard_stop = hard_stop.clone();
         tasks.spawn(async move { hard_stop.run_until_cancelled(serving).await });
     }
+    // From now on the operating system refuses connections, so that other nodes do not wait for them.
+    drop(queue);
     tasks.close();
     tasks.wait().await;
 }
