Experiment: nodes get the id of their parent, which may end before they read it

Cause: a node read the id of its parent when it started to listen and waited for it to change. The parent had ended before that, so the id was that of process 1 already and never changed.

Change: the process that starts a node gives its id.

--- a/crates/experiment/src/node.rs
+++ b/crates/experiment/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dragonflywall::node::{self, Settings, logging, settings};
+use testkit::process::PARENT_ID_VARIABLE;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::{Error, Result};
@@ -42,9 +43,11 @@
 
 /// Returns when the parent process has ended, which shows as a new parent id. An experiment that
 /// is killed cannot stop its nodes; without this check hundreds of node processes would keep
-/// running.
+/// running. The parent may have ended before this process runs, so it gives its id.
 async fn parent_exited() {
-    let parent = parent_id();
+    let given = std::env::var(PARENT_ID_VARIABLE).ok();
+    let given = given.and_then(|text| text.parse().ok());
+    let parent = given.unwrap_or_else(parent_id);
     while parent_id() == parent {
         tokio::time::sleep(PARENT_CHECK_INTERVAL).await;
     }
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -10,6 +10,9 @@
 use tokio::process::{Child, Command};
 use tokio::sync::{mpsc, oneshot};
 
+/// Environment variable that gives a node process the id of the process that has started it.
+pub const PARENT_ID_VARIABLE: &str = "TESTKIT_PARENT_ID";
+
 /// Limit on the time until a node prints its addresses; after it, the start counts as failed.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -77,6 +80,7 @@
         log_lines: Option<(usize, mpsc::UnboundedSender<LogLine>)>,
     ) -> Result<Self, String> {
         let mut child = Command::new(program)
+            .env(PARENT_ID_VARIABLE, std::process::id().to_string())
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
