Backend servers' statements: decode, log and count a rate limit and leaving

The headers are decoded in one place into core::backend_statement; decide::backend_statements says what holds when responses cross or lack the header. Nothing is decided by it yet.

BackendStart moves to core::status, since a statement belongs to one start of a backend server.

--- a/src/core.rs
+++ b/src/core.rs
@@ -5,6 +5,7 @@
 //! records of all teams form a [`configuration::Configuration`], which a node compiles into a
 //! [`routing::RouteTable`]. This module does no I/O.
 
+pub mod backend_statement;
 pub mod configuration;
 pub mod dialect;
 pub mod difference;
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -91,6 +91,15 @@
     pub closed: bool,
 }
 
+/// Identifies one start of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendStart {
+    /// Name of the instance, which a restarted one may keep.
+    pub instance: InstanceName,
+    /// Start time in milliseconds since the epoch; 0 if it is unknown.
+    pub started_ms: u64,
+}
+
 /// State that a backend server announces to its node, for example with `POST /backend-server`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -124,3 +133,14 @@
     #[serde(default)]
     pub cold_ms: u64,
 }
+
+impl Announcement {
+    /// The start of the backend server, if it names its instance.
+    pub fn start(&self) -> Option<BackendStart> {
+        let instance = self.instance.clone();
+        instance.map(|instance| BackendStart {
+            instance,
+            started_ms: self.started_ms.unwrap_or(0),
+        })
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,10 +1,11 @@
-//! Decisions about requests: admission, load balancing, retries, roll-outs, uploads, and which connections and
-//! announcements a node accepts.
+//! Decisions about requests: admission, load balancing, retries, roll-outs, uploads, and which connections,
+//! announcements and statements of its backend server a node accepts.
 //!
 //! They are plain functions and structs without I/O; the current time is an argument.
 
 pub mod admission;
 pub mod announcements;
+pub mod backend_statements;
 pub mod backoff;
 pub mod connections;
 pub mod drain;
--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -8,7 +8,7 @@
 
 use crate::core::member::BackendState;
 use crate::core::names::InstanceName;
-use crate::core::status::Announcement;
+use crate::core::status::{Announcement, BackendStart};
 
 /// Number of departed instances that are retained: enough for several that follow each other at one
 /// address, as long as their delayed announcements may still arrive.
@@ -33,13 +33,6 @@
 /// stops announcing, and this many delayed announcements of it hardly ever arrive.
 const CONFIRMING_ANNOUNCEMENTS: u32 = 3;
 
-/// Identifies one start of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct BackendStart {
-    instance: InstanceName,
-    started_ms: u64,
-}
-
 /// The latest announcement of the latest start, with its order.
 #[derive(Clone, Debug)]
 struct LatestAnnouncement {
@@ -89,15 +82,11 @@
     /// An older announcement may be of a backend server that has left, or of one that had the address
     /// before. Departed instances are retained for longer than an announcement can be delayed.
     pub fn apply(&mut self, announcement: &Announcement) -> AnnouncementOutcome {
-        let Some(instance) = &announcement.instance else {
+        let Some(start) = announcement.start() else {
             // Announcements without an instance name cannot be ordered: the last one is in effect.
             self.current = None;
             return AnnouncementOutcome::Accepted;
         };
-        let start = BackendStart {
-            instance: instance.clone(),
-            started_ms: announcement.started_ms.unwrap_or(0),
-        };
         let sequence = announcement.sequence.unwrap_or(0);
         if announcement.state == BackendState::Gone {
             return self.apply_departure(start);
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -108,9 +108,7 @@
         let service = backend.service.clone();
         let software_version = backend.software_version.clone();
         self.proxy
-            .backend
-            .store((state != BackendState::Gone).then(|| Arc::new(backend)));
-        self.proxy.update_slot_limits();
+            .set_backend((state != BackendState::Gone).then_some(backend));
         match state {
             BackendState::Serving => self.proxy.open_gate(),
             BackendState::Draining | BackendState::Gone => self.proxy.close_gate(),
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -30,6 +30,7 @@
 use crate::node::state::NodeState;
 use crate::platform::node_requests;
 use crate::proxy::state::{CurrentConfiguration, NotServing};
+use crate::util::clock;
 
 /// Longest body of an announcement; bounds the memory that one request can take.
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
@@ -72,6 +73,10 @@
         metrics::gauge!("dragonflywall_gate_waiting").set(waiting);
         let incoming_bodies = self.node.proxy.incoming_uploads.load(Ordering::Acquire);
         metrics::gauge!("dragonflywall_uploads_coming").set(incoming_bodies);
+        let now_us = clock::since_us(self.node.proxy.started);
+        if let Some(age_us) = self.node.proxy.statements().current().limit_age_us(now_us) {
+            metrics::gauge!("dragonflywall_backend_limit_age_seconds").set(age_us as f64 / 1e6);
+        }
         self.metrics.render()
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -20,6 +20,11 @@
     instance: Some(HeaderName::from_static("x-dfw-instance")),
     not_run: Some(HeaderName::from_static("x-dfw-not-executed")),
     responses_repeat_id: true,
+    // Requests per second that the backend server accepts from all nodes together, as a decimal number. In each
+    // response for as long as the limit holds.
+    rate_limit: Some(HeaderName::from_static("server-limit")),
+    // `1` in each response of a backend server that shuts down.
+    leaving: Some(HeaderName::from_static("server-leaving")),
     seal: Some(HeaderName::from_static("x-dfw-response-seal")),
     retry_after_has_fractions: true,
 };
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -4,7 +4,8 @@
 
 use http::Method;
 
-use super::{configuration, duration, node_requests, settings};
+use super::{configuration, duration, headers, node_requests, settings};
+use crate::core::backend_statement::{BackendStatement, RequestRate, StatedLimit};
 use crate::core::configuration::{Configuration, Spill};
 use crate::core::dialect::Dialect;
 use crate::core::member::BackendState;
@@ -208,3 +209,39 @@
         .is_err()
     );
 }
+
+#[test]
+fn statements_of_backend_servers_are_decoded() {
+    let statement = |headers: &[(&str, &str)]| {
+        let mut map = http::HeaderMap::new();
+        for (name, value) in headers {
+            let name: http::HeaderName = name.parse().expect("a header name");
+            map.append(name, value.parse().expect("a header value"));
+        }
+        headers::PROFILE.statement(&map)
+    };
+    let rate = |per_s| StatedLimit::Rate(RequestRate::from_per_s(per_s).expect("a valid rate"));
+    assert_eq!(statement(&[]), BackendStatement::default());
+    for (text, limit) in [
+        ("14", rate(14.0)),
+        ("37.5", rate(37.5)),
+        ("0", rate(0.0)),
+        ("0.5", rate(0.5)),
+        ("1e9", rate(1e9)),
+        ("-1", StatedLimit::Unreadable),
+        ("NaN", StatedLimit::Unreadable),
+        ("inf", StatedLimit::Unreadable),
+        ("many", StatedLimit::Unreadable),
+        ("", StatedLimit::Unreadable),
+    ] {
+        assert_eq!(statement(&[("Server-Limit", text)]).limit, limit, "{text}");
+    }
+    let twice = statement(&[("Server-Limit", "20"), ("Server-Limit", "14")]);
+    assert_eq!(twice.limit, rate(14.0));
+    let one_unreadable = statement(&[("Server-Limit", "many"), ("Server-Limit", "14")]);
+    assert_eq!(one_unreadable.limit, rate(14.0));
+    assert!(statement(&[("Server-Leaving", "1")]).leaving);
+    for text in ["0", "", "true"] {
+        assert!(!statement(&[("Server-Leaving", text)]).leaving, "{text}");
+    }
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -29,5 +29,6 @@
 pub(crate) mod slots;
 pub(crate) mod stall;
 pub(crate) mod state;
+pub(crate) mod statements;
 pub(crate) mod uploads;
 pub(crate) mod view;
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -29,7 +29,7 @@
 use crate::proxy::log_limiter::{self, LogClass};
 use crate::proxy::replay::ReplayableBody;
 use crate::proxy::state::ProxyState;
-use crate::proxy::{gate, headers, uploads};
+use crate::proxy::{gate, headers, statements, uploads};
 use crate::util::{clock, deadline};
 
 /// An endpoint that was chosen for an attempt.
@@ -377,6 +377,7 @@
             self.record_outcome(&endpoint, &result);
         }
         if let Ok(response) = &result {
+            statements::count_forwarded(self.node, response.headers());
             let bytes = response.body().size_hint().lower();
             self.node
                 .balancer()
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -16,6 +16,7 @@
 use super::log_limiter::{self, LogClass};
 use super::running_requests::RunningGuard;
 use super::slots::{self, Slot};
+use super::statements;
 use super::uploads::{self, permits};
 use crate::proxy::local_backend::LocalBackend;
 use crate::proxy::state::ProxyState;
@@ -152,12 +153,13 @@
         hop.sent.store(true, Ordering::Release);
         Ok(())
     };
+    let sent_at = Instant::now();
     let exchange = node
         .pool
         .send(backend.address, request, hop.idempotent, check);
     let response = deadline::timeout_at(hop.deadline, exchange).await;
     let response = response.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
-    let response = response.and_then(|response| check_response(node, &backend, response));
+    let response = response.and_then(|response| check_response(node, &backend, sent_at, response));
     slot.record_response(&response);
     let response = response?;
     let unspent_retries = running.mark_answered();
@@ -180,7 +182,7 @@
     log::info!(
         request_id = log_limiter::id_text(id),
         backend:% = backend.address,
-        instance:? = backend.instance,
+        instance:? = backend.instance(),
         waited_ms = clock::since_ms(received_at),
         in_use = load.in_use,
         slots = load.slots;
@@ -263,15 +265,16 @@
     if let Some(name) = &profile.call_token {
         headers.insert(name, headers::to_value(&running.token()));
     }
-    if let (Some(name), Some(instance)) = (&profile.expected_instance, &backend.instance) {
+    if let (Some(name), Some(instance)) = (&profile.expected_instance, backend.instance()) {
         headers.insert(name, headers::to_value(instance.as_str()));
     }
 }
 
-/// Checks that the backend server ran the request.
+/// Checks that the backend server ran the request, and records what it states about itself.
 fn check_response(
     node: &Arc<ProxyState>,
     backend: &LocalBackend,
+    sent_at: Instant,
     response: Response<Body>,
 ) -> Result<Response<Body>, Failure> {
     let profile = node.header_profile;
@@ -279,6 +282,7 @@
         node.handle_wrong_instance(backend);
         return Err(Failure::not_run(Reason::NoEndpoint));
     }
+    statements::record_response(node, backend.start.as_ref(), sent_at, response.headers());
     if profile.is_not_run(response.headers()) {
         return Err(Failure::not_run(Reason::Rejected));
     }
--- a/src/proxy/header_profile.rs
+++ b/src/proxy/header_profile.rs
@@ -9,6 +9,7 @@
 use http::header::{HeaderMap, HeaderValue};
 
 use super::headers;
+use crate::core::backend_statement::{BackendStatement, RequestRate, StatedLimit};
 
 /// A set of header names and the conventions that apply with them.
 #[derive(Debug)]
@@ -36,6 +37,11 @@
     /// Whether backend servers repeat `request_id` in their responses, so that a response to
     /// another request is recognised.
     pub(crate) responses_repeat_id: bool,
+    /// From a backend server, on each response for as long as it holds: the requests per second that it
+    /// accepts from all nodes together, as a decimal number.
+    pub(crate) rate_limit: Option<HeaderName>,
+    /// From a backend server that shuts down, on each response: [`LEAVING`].
+    pub(crate) leaving: Option<HeaderName>,
     /// From a backend server, on each successful response: marks the response as complete and
     /// genuine.
     pub(crate) seal: Option<HeaderName>,
@@ -46,6 +52,9 @@
 /// Separates the id of the parent request from the suffix in the id of a nested call.
 pub(crate) const CALL_ID_SEPARATOR: char = '.';
 
+/// Value of [`HeaderProfile::leaving`].
+const LEAVING: &str = "1";
+
 /// The product's own header names.
 pub(crate) static DEFAULT: HeaderProfile = HeaderProfile {
     request_id: headers::REQUEST_ID,
@@ -58,6 +67,8 @@
     instance: None,
     not_run: None,
     responses_repeat_id: false,
+    rate_limit: Some(headers::RATE_LIMIT),
+    leaving: None,
     seal: None,
     retry_after_has_fractions: false,
 };
@@ -107,6 +118,29 @@
         name.is_some_and(|name| headers.contains_key(name))
     }
 
+    /// What a response says about its backend server.
+    pub(crate) fn statement(&self, headers: &HeaderMap) -> BackendStatement {
+        let name = self.leaving.as_ref();
+        BackendStatement {
+            limit: self.stated_limit(headers),
+            leaving: name.is_some_and(|name| headers::get_str(headers, name) == Some(LEAVING)),
+        }
+    }
+
+    /// The limit that a response names; of several, the lowest that can be read.
+    fn stated_limit(&self, headers: &HeaderMap) -> StatedLimit {
+        let Some(name) = &self.rate_limit else {
+            return StatedLimit::None;
+        };
+        let values = headers.get_all(name);
+        let rates = values.iter().filter_map(parse_rate);
+        match rates.reduce(RequestRate::min) {
+            Some(rate) => StatedLimit::Rate(rate),
+            None if headers.contains_key(name) => StatedLimit::Unreadable,
+            None => StatedLimit::None,
+        }
+    }
+
     /// Whether a response belongs to the request with this id, as far as its headers show.
     ///
     /// A backend server may send two responses, the second one in place of the response to the next
@@ -128,3 +162,8 @@
         }
     }
 }
+
+fn parse_rate(value: &HeaderValue) -> Option<RequestRate> {
+    let per_s = value.to_str().ok()?.trim().parse().ok()?;
+    RequestRate::from_per_s(per_s)
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -34,6 +34,9 @@
 /// On a request to a backend server: a token that the backend server copies to the calls it makes
 /// while it runs the request.
 pub(crate) const CALL_TOKEN: HeaderName = HeaderName::from_static("x-dragonflywall-call");
+/// On each response of a backend server for as long as it holds: the requests per second that it accepts
+/// from all nodes together, as a decimal number.
+pub(crate) const RATE_LIMIT: HeaderName = HeaderName::from_static("x-dragonflywall-rate-limit");
 /// On a response between nodes: load of the endpoint, as six numbers separated by spaces, in the
 /// order that [`format_load`] writes.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-dragonflywall-load");
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -1,11 +1,12 @@
 //! Health check of the local backend server.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Request, StatusCode};
 
 use super::body;
 use super::headers;
+use super::statements;
 use crate::core::names::InstanceName;
 use crate::core::status::Announcement;
 use crate::proxy::state::ProxyState;
@@ -43,11 +44,16 @@
         log::warn!(path; "the health path of the service is not a valid request path");
         return from_announcement(announcement);
     };
+    let sent_at = Instant::now();
     let exchange = node
         .pool
         .send(announcement.address, request, false, || Ok(()));
     match tokio::time::timeout(CHECK_TIMEOUT, exchange).await {
-        Ok(Ok(response)) => from_response(node, response.status(), response.headers()),
+        Ok(Ok(response)) => {
+            let headers = response.headers();
+            statements::record_response(node, announcement.start().as_ref(), sent_at, headers);
+            from_response(node, response.status(), headers)
+        }
         Ok(Err(_)) | Err(_) => Health::Unknown,
     }
 }
--- a/src/proxy/local_backend.rs
+++ b/src/proxy/local_backend.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
-use crate::core::status::Announcement;
+use crate::core::status::{Announcement, BackendStart};
 use crate::node::settings::BackendServer;
 
 /// Address and identity of the local backend server, as configured or announced.
@@ -14,8 +14,8 @@
     pub(crate) service: ServiceName,
     /// Address on which it accepts requests.
     pub(crate) address: SocketAddr,
-    /// Instance name from its announcement. `None` if it comes from the settings or gave no name.
-    pub(crate) instance: Option<InstanceName>,
+    /// Its start, as announced. `None` if it comes from the settings or named no instance.
+    pub(crate) start: Option<BackendStart>,
     /// Number of requests that it runs concurrently, if it announced one. Otherwise the service's
     /// configuration applies.
     pub(crate) slots: Option<u32>,
@@ -25,12 +25,19 @@
     pub(crate) cold_until: Instant,
 }
 
+impl LocalBackend {
+    /// Name of the instance, if it announced one.
+    pub(crate) fn instance(&self) -> Option<&InstanceName> {
+        self.start.as_ref().map(|start| &start.instance)
+    }
+}
+
 impl From<&BackendServer> for LocalBackend {
     fn from(configured: &BackendServer) -> Self {
         Self {
             service: configured.service.clone(),
             address: configured.address,
-            instance: None,
+            start: None,
             slots: None,
             software_version: None,
             cold_until: Instant::now(),
@@ -43,7 +50,7 @@
         Self {
             service: announcement.service.clone(),
             address: announcement.address,
-            instance: announcement.instance.clone(),
+            start: announcement.start(),
             slots: announcement.slots,
             software_version: announcement.software_version.clone(),
             cold_until: Instant::now() + Duration::from_millis(announcement.cold_ms),
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -22,6 +22,7 @@
 use super::rollouts::RequestRollouts;
 use super::running_requests::RunningRequests;
 use super::slots::{self, WaitOutcomeSender};
+use super::statements::LocalStatements;
 use super::uploads::permits::{self, ReservedPermits};
 use super::view::MembershipView;
 use crate::core::mechanism::MechanismSwitches;
@@ -67,6 +68,7 @@
     pub(crate) reserved_permits: ReservedPermits,
     /// The local backend server that requests may be sent to, if there is one.
     pub(crate) backend: ArcSwapOption<LocalBackend>,
+    statements: Mutex<LocalStatements>,
     /// Called when another instance responds at the backend server's address.
     pub(crate) on_backend_lost: BackendLostCallback,
     pub(crate) pool: BackendPool,
@@ -162,6 +164,7 @@
             retry_tokens: Mutex::default(),
             admission: Mutex::new(Admission::new(mechanisms)),
             backend: ArcSwapOption::from(backend),
+            statements: Mutex::default(),
             on_backend_lost: BackendLostCallback::default(),
             pool: BackendPool::new(mechanisms, header_profile),
             running_requests: RunningRequests::default(),
@@ -257,6 +260,20 @@
         lock_ignoring_poison(&self.admission)
     }
 
+    /// What the local backend server states in its responses.
+    pub(crate) fn statements(&self) -> MutexGuard<'_, LocalStatements> {
+        lock_ignoring_poison(&self.statements)
+    }
+
+    /// Sets the local backend server, whose earlier start's statements no longer apply.
+    pub(crate) fn set_backend(&self, backend: Option<LocalBackend>) {
+        if let Some(backend) = &backend {
+            self.statements().set_start(backend.start.as_ref());
+        }
+        self.backend.store(backend.map(Arc::new));
+        self.update_slot_limits();
+    }
+
     /// The load that this node's gate reports with the response to `hop`.
     pub(crate) fn load(&self, hop: &Hop) -> LoadReport {
         let now_us = clock::since_us(self.started);
@@ -347,7 +364,7 @@
         if current.as_deref() != Some(backend) {
             return;
         }
-        log::warn!(instance:? = backend.instance; "another instance responded at the backend server's address");
+        log::warn!(instance:? = backend.instance(); "another instance responded at the backend server's address");
         self.backend.store(None);
         self.on_backend_lost.call(backend.service.clone());
     }
--- /dev/null
+++ b/src/proxy/statements.rs
@@ -0,0 +1,106 @@
+//! What the local backend server states about itself in its responses.
+
+use std::time::Instant;
+
+use http::header::HeaderMap;
+
+use super::log_limiter::LogClass;
+use crate::core::backend_statement::StatedLimit;
+use crate::core::status::BackendStart;
+use crate::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
+use crate::proxy::state::ProxyState;
+use crate::util::clock;
+
+/// Statements of the local backend server since its start.
+#[derive(Debug, Default)]
+pub(crate) struct LocalStatements {
+    /// The start that they are of; `None` if backend servers do not announce it.
+    start: Option<BackendStart>,
+    statements: BackendStatements,
+}
+
+impl LocalStatements {
+    /// Forgets the statements of an earlier start.
+    pub(crate) fn set_start(&mut self, start: Option<&BackendStart>) {
+        if self.start.as_ref() != start {
+            *self = Self {
+                start: start.cloned(),
+                statements: BackendStatements::default(),
+            };
+        }
+    }
+
+    /// The statements of the latest start.
+    pub(crate) fn current(&self) -> &BackendStatements {
+        &self.statements
+    }
+}
+
+/// Records what a response says about the backend server. `start` is the start of the backend server that the request
+/// was sent to, at `sent_at` or later.
+pub(crate) fn record_response(
+    node: &ProxyState,
+    start: Option<&BackendStart>,
+    sent_at: Instant,
+    headers: &HeaderMap,
+) {
+    let statement = node.header_profile.statement(headers);
+    if statement.limit == StatedLimit::Unreadable && node.log_limiter.may_log(LogClass::Notable) {
+        log::warn!(start:?; "the backend server names a rate limit that cannot be read");
+    }
+    let changes = {
+        let mut local = node.statements();
+        // Before its first announcement is applied, only health checks are sent to a backend server.
+        if node.backend.load().is_none() {
+            local.set_start(start);
+        }
+        if local.start.as_ref() != start {
+            return;
+        }
+        let now_us = clock::since_us(node.started);
+        let sent_us = clock::us_between(node.started, sent_at);
+        local.statements.record(now_us, sent_us, &statement)
+    };
+    apply(start, changes);
+}
+
+/// Counts a response that this entry node passes on to a caller, if it states anything.
+pub(crate) fn count_forwarded(node: &ProxyState, headers: &HeaderMap) {
+    let statement = node.header_profile.statement(headers);
+    let stated = [
+        ("rate-limit", statement.limit != StatedLimit::None),
+        ("leaving", statement.leaving),
+    ];
+    for (what, _) in stated.into_iter().filter(|(_, is_stated)| *is_stated) {
+        metrics::counter!("dragonflywall_forwarded_statements_total", "what" => what).increment(1);
+    }
+}
+
+fn apply(start: Option<&BackendStart>, changes: StatementChanges) {
+    if let Some(change) = changes.limit {
+        log_limit_change(start, change);
+    }
+    if changes.started_leaving {
+        metrics::counter!("dragonflywall_backend_leaving_total").increment(1);
+        log::info!(start:?; "the backend server says that it leaves");
+    }
+}
+
+fn log_limit_change(start: Option<&BackendStart>, change: LimitChange) {
+    let (kind, per_s) = match change {
+        LimitChange::Started { rate } => {
+            log::warn!(start:?, per_s = rate.per_s(); "the backend server names a rate limit");
+            ("started", rate.per_s())
+        }
+        LimitChange::Changed { from, to } => {
+            log::info!(start:?, from_per_s = from.per_s(), per_s = to.per_s(); "the backend server names another rate limit");
+            ("changed", to.per_s())
+        }
+        LimitChange::Ended { rate, duration_us } => {
+            log::warn!(start:?, per_s = rate.per_s(), duration_ms = duration_us / 1_000; "the backend server names no rate limit any more");
+            ("ended", f64::INFINITY)
+        }
+    };
+    metrics::counter!("dragonflywall_backend_limit_changes_total", "change" => kind).increment(1);
+    metrics::gauge!("dragonflywall_backend_limit_per_second").set(per_s);
+}
--- /dev/null
+++ b/tests/testsuite/decide_backend_statements.rs
@@ -0,0 +1,163 @@
+//! Tests of what holds of a backend server's statements when responses cross or lack a header.
+
+use dragonflywall::core::backend_statement::{BackendStatement, RequestRate, StatedLimit};
+use dragonflywall::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
+
+const SECOND_US: u64 = 1_000_000;
+
+fn rate(per_s: f64) -> RequestRate {
+    RequestRate::from_per_s(per_s).expect("a valid rate")
+}
+
+fn naming(per_s: f64) -> BackendStatement {
+    BackendStatement {
+        limit: StatedLimit::Rate(rate(per_s)),
+        leaving: false,
+    }
+}
+
+fn silent() -> BackendStatement {
+    BackendStatement::default()
+}
+
+fn limit_change(changes: StatementChanges) -> Option<LimitChange> {
+    changes.limit
+}
+
+#[test]
+fn a_limit_holds_from_the_first_response_that_names_it() {
+    let mut statements = BackendStatements::default();
+    assert_eq!(statements.limit(), None);
+    let changes = statements.record(10, 5, &naming(14.0));
+    assert_eq!(
+        limit_change(changes),
+        Some(LimitChange::Started { rate: rate(14.0) })
+    );
+    assert_eq!(statements.limit(), Some(rate(14.0)));
+    assert_eq!(statements.limit_age_us(110), Some(100));
+}
+
+/// Guards against a response from before the limit was named that ends it because it arrives later.
+#[test]
+fn responses_from_before_a_limit_do_not_end_it() {
+    let mut statements = BackendStatements::default();
+    statements.record(SECOND_US, 0, &naming(14.0));
+    for sent_us in [0, SECOND_US / 2, SECOND_US] {
+        for now_us in [SECOND_US + 1, 9 * SECOND_US] {
+            assert_eq!(
+                limit_change(statements.record(now_us, sent_us, &silent())),
+                None
+            );
+        }
+    }
+    assert_eq!(statements.limit(), Some(rate(14.0)));
+}
+
+/// Guards against a limit that is dropped because some responses lack the header.
+#[test]
+fn a_limit_in_a_part_of_the_responses_holds() {
+    let mut statements = BackendStatements::default();
+    statements.record(0, 0, &naming(14.0));
+    for number in 1..200_u64 {
+        let now_us = number * 70_000;
+        let statement = match number % 5 {
+            0 => naming(14.0),
+            _ => silent(),
+        };
+        statements.record(now_us, now_us - 30_000, &statement);
+        assert_eq!(statements.limit(), Some(rate(14.0)), "at {now_us}");
+    }
+}
+
+#[test]
+fn a_limit_ends_within_about_a_second_of_its_last_naming() {
+    let mut statements = BackendStatements::default();
+    statements.record(0, 0, &naming(14.0));
+    let mut ended_us = None;
+    for number in 1..40_u64 {
+        let now_us = number * 70_000;
+        let changes = statements.record(now_us, now_us - 30_000, &silent());
+        if let Some(LimitChange::Ended { rate: ended, .. }) = changes.limit {
+            assert_eq!(ended, rate(14.0));
+            ended_us = Some(now_us);
+            break;
+        }
+    }
+    assert!(
+        ended_us.is_some_and(|at_us| at_us < 1_200_000),
+        "{ended_us:?}"
+    );
+    assert_eq!(statements.limit(), None);
+    assert_eq!(statements.limit_age_us(SECOND_US), None);
+}
+
+/// Guards against an older response that raises a limit which was lowered since.
+#[test]
+fn a_limit_falls_at_once_and_rises_only_by_later_responses() {
+    let mut statements = BackendStatements::default();
+    statements.record(100, 0, &naming(40.0));
+    let lowered = LimitChange::Changed {
+        from: rate(40.0),
+        to: rate(14.0),
+    };
+    assert_eq!(
+        limit_change(statements.record(200, 0, &naming(14.0))),
+        Some(lowered)
+    );
+    assert_eq!(
+        limit_change(statements.record(300, 150, &naming(40.0))),
+        None
+    );
+    assert_eq!(statements.limit(), Some(rate(14.0)));
+    let raised = LimitChange::Changed {
+        from: rate(14.0),
+        to: rate(40.0),
+    };
+    assert_eq!(
+        limit_change(statements.record(400, 250, &naming(40.0))),
+        Some(raised)
+    );
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_changes_nothing() {
+    let unreadable = BackendStatement {
+        limit: StatedLimit::Unreadable,
+        leaving: false,
+    };
+    let mut statements = BackendStatements::default();
+    assert_eq!(limit_change(statements.record(0, 0, &unreadable)), None);
+    assert_eq!(statements.limit(), None);
+    statements.record(0, 0, &naming(14.0));
+    for number in 1..100_u64 {
+        let now_us = number * SECOND_US;
+        assert_eq!(
+            limit_change(statements.record(now_us, now_us - 1, &unreadable)),
+            None
+        );
+    }
+    assert_eq!(statements.limit(), Some(rate(14.0)));
+}
+
+#[test]
+fn leaving_is_never_taken_back() {
+    let leaving = BackendStatement {
+        leaving: true,
+        ..silent()
+    };
+    let mut statements = BackendStatements::default();
+    assert!(statements.record(0, 0, &leaving).started_leaving);
+    assert!(!statements.record(1, 0, &leaving).started_leaving);
+    statements.record(9 * SECOND_US, 8 * SECOND_US, &silent());
+    assert!(statements.is_leaving());
+}
+
+#[test]
+fn only_finite_rates_that_are_not_negative_are_valid() {
+    for per_s in [0.0, 0.5, 37.5, 1e9] {
+        assert_eq!(rate(per_s).per_s(), per_s);
+    }
+    for per_s in [-1.0, f64::NAN, f64::INFINITY] {
+        assert_eq!(RequestRate::from_per_s(per_s), None);
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod decide_admission;
 mod decide_announcements;
+mod decide_backend_statements;
 mod decide_backoff;
 mod decide_connections;
 mod decide_drain;
