--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -20,9 +20,11 @@
 
 mod announcer;
 mod connection;
+mod statement;
 
 pub use self::announcer::AnnouncedState;
 pub use self::connection::response_seal;
+pub use self::statement::{Statement, most_arrivals_in};
 
 /// What happens to a request that gets no slot, because the queue is full or because the deadline of the
 /// request passes while it waits.
@@ -155,7 +157,9 @@
     pub refused: u64,
     /// Requests rejected with 421 because they name another instance.
     pub misdirected: u64,
-    /// Time at which the most recent request arrived.
+    /// Times at which requests arrived, health checks and rejected requests included.
+    pub arrivals: Vec<Instant>,
+    /// Time at which the most recent request other than a health check arrived.
     pub last_arrival: Option<Instant>,
     /// Requests that are running.
     pub running: u32,
@@ -203,6 +207,8 @@
     waiting: AtomicU64,
     /// Whether responses carry `Connection: close` and health checks get status 503.
     draining: AtomicBool,
+    statement: Mutex<Statement>,
+    responses: AtomicU64,
     sequence: AtomicU64,
     /// Caller listener of the node on the same VM, which takes the requests of a `call`.
     caller_listener: Mutex<Option<SocketAddr>>,
@@ -240,6 +246,8 @@
             record: Mutex::default(),
             waiting: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            statement: Mutex::default(),
+            responses: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             caller_listener: Mutex::default(),
         });
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -121,11 +121,12 @@
         let Some(head) = self.read_head().await? else {
             return Ok(NextStep::Close);
         };
+        let arrived_at = Instant::now();
+        self.shared.record().arrivals.push(arrived_at);
         if head.target == "/healthz" {
             self.send_health().await?;
             return Ok(NextStep::Request);
         }
-        let arrived_at = Instant::now();
         self.shared.record().last_arrival = Some(arrived_at);
         if let Some(next) = self.reject_misaddressed(&head).await? {
             return Ok(next);
@@ -273,12 +274,14 @@
                 self.send_failure(head, 500).await?
             }
             ResponseMode::Truncated => {
+                let seal = seal + &self.shared.next_statement_headers();
                 let text = format_response_head(200, &head.id, &seal, Some(body.len()), false);
                 self.stream.write_all(text.as_bytes()).await?;
                 self.stream.write_all(&body[..body.len() / 2]).await?;
                 return Ok(NextStep::Close);
             }
             ResponseMode::WithoutLength => {
+                let seal = seal + &self.shared.next_statement_headers();
                 let text = format_response_head(200, &head.id, &seal, None, true);
                 self.stream.write_all(text.as_bytes()).await?;
                 self.stream.write_all(&body).await?;
@@ -315,8 +318,9 @@
         body: &[u8],
     ) -> io::Result<()> {
         let draining = self.shared.draining.load(Ordering::Acquire);
+        let headers = format!("{headers}{}", self.shared.next_statement_headers());
         let mut bytes =
-            format_response_head(status, id, headers, Some(body.len()), draining).into_bytes();
+            format_response_head(status, id, &headers, Some(body.len()), draining).into_bytes();
         bytes.extend_from_slice(body);
         self.stream.write_all(&bytes).await
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,5 +59,6 @@
 mod users_requests;
 mod users_rollouts;
 mod users_settings;
+mod users_statements;
 mod users_stops;
 mod users_store;
