Backend servers that say in a response that they leave get no more requests

What callers would see: requests to a backend server that stops, which may be cut off or refused; the users count each that reaches it later than their drain time.

The header was passed on to the caller, and only announcements close a gate. One whose draining announcement is lost, or not acknowledged, stayed in use.

The gate now closes at the first response that says so, refuses what waits as not run, and tells the mesh as for a draining announcement. That is final for the start: later ready announcements of it are outdated, and a health check that says so does not confirm one. A new start, also under the same name, is not bound.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -47,6 +47,8 @@
     current: Option<LatestAnnouncement>,
     /// Starts of backend servers that have left, the latest last.
     departed: VecDeque<BackendStart>,
+    /// The latest start that has said in a response that it leaves.
+    leaving: Option<BackendStart>,
     /// Whether a ready announcement still has to be confirmed by the backend server.
     unconfirmed: bool,
     /// Unconfirmed ready announcements of the current start, each with a higher sequence.
@@ -91,7 +93,9 @@
         if announcement.state == BackendState::Gone {
             return self.apply_departure(start);
         }
-        if self.departed.contains(&start) {
+        let is_serving = announcement.state == BackendState::Serving;
+        let is_leaving = self.leaving.as_ref() == Some(&start);
+        if self.departed.contains(&start) || (is_serving && is_leaving) {
             return AnnouncementOutcome::Outdated;
         }
         let outcome = match &self.current {
@@ -106,7 +110,7 @@
             sequence,
             announcement: announcement.clone(),
         });
-        match self.unconfirmed && announcement.state == BackendState::Serving {
+        match self.unconfirmed && is_serving {
             true => self.apply_unconfirmed(previous.as_ref(), sequence),
             false => outcome,
         }
@@ -132,6 +136,19 @@
         }
     }
 
+    /// Records that a backend server has said in a response that it leaves, which it never takes back. Returns its
+    /// latest announcement as one that it is draining, unless it has announced that itself.
+    pub fn record_leaving(&mut self, start: &BackendStart) -> Option<Announcement> {
+        self.leaving = Some(start.clone());
+        let current = self.current.as_mut()?;
+        let announcement = &mut current.announcement;
+        if current.start != *start || announcement.state != BackendState::Serving {
+            return None;
+        }
+        announcement.state = BackendState::Draining;
+        Some(announcement.clone())
+    }
+
     /// Whether no instance is known, neither current nor departed.
     pub fn is_empty(&self) -> bool {
         self.current.is_none() && self.departed.is_empty()
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -11,6 +11,7 @@
 use crate::node::state::NodeState;
 use crate::proxy::health::{self, Health};
 use crate::proxy::local_backend::LocalBackend;
+use crate::proxy::state::BackendEvent;
 
 /// Health checks of a backend server after its announcement. With [`HEALTH_CHECK_INTERVAL`] between them they
 /// take about one heartbeat interval of the backend server, after which it announces itself again.
@@ -28,6 +29,34 @@
 }
 
 impl NodeState {
+    /// Handles what responses show of the backend server from now on.
+    pub(crate) fn watch_backend(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        self.proxy.on_backend_event.set(move |event| {
+            if let Some(node) = node.upgrade() {
+                node.handle_backend_event(event);
+            }
+        });
+    }
+
+    fn handle_backend_event(&self, event: BackendEvent) {
+        match event {
+            BackendEvent::Lost(service) => {
+                self.send_to_membership(MembershipMsg::SetBackend(BackendRecord {
+                    service: Some(service),
+                    software_version: None,
+                    state: BackendState::Gone,
+                }));
+            }
+            BackendEvent::Leaving(start) => {
+                let announcement = self.announcements().record_leaving(&start);
+                if let Some(announcement) = announcement {
+                    self.apply_announcement(&announcement);
+                }
+            }
+        }
+    }
+
     /// Handles an announcement. If it is valid and new, admission opens or closes at once, and the new state
     /// spreads to the mesh by gossip.
     pub(crate) fn handle_announcement(
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -124,6 +124,7 @@
     let origin = configuration_origin(&node.proxy.settings);
     let (configuration, membership) = start_actors(&node, &local_member, origin.clone()).await?;
     node.set_membership(membership.clone());
+    node.watch_backend();
     let rollout = start_rollout_actor(&node, local_member.incarnation_us).await?;
 
     let shutdown = ShutdownTokens::default();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -84,17 +84,8 @@
         ApplyBudget::new(self.proxy.reloadable.load().apply_within_ms)
     }
 
-    /// Sets the membership actor that [`Self::send_to_membership`] and the request path send messages to.
+    /// Sets the membership actor that [`Self::send_to_membership`] sends messages to.
     pub(crate) fn set_membership(&self, membership: ActorRef<MembershipMsg>) {
-        let loss_receiver = membership.clone();
-        self.proxy.on_backend_lost.set(move |service| {
-            // Sending fails only while the process is shutting down.
-            let _ = loss_receiver.cast(MembershipMsg::SetBackend(BackendRecord {
-                service: Some(service),
-                software_version: None,
-                state: BackendState::Gone,
-            }));
-        });
         // Called once, when the node starts.
         let _ = self.membership.set(membership);
     }
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -71,6 +71,9 @@
     if node.header_profile.is_not_run(response_headers) {
         return Health::Unknown;
     }
+    if node.header_profile.statement(response_headers).leaving {
+        return Health::NotServing;
+    }
     let name = node.header_profile.instance.as_ref();
     let instance = name.and_then(|name| headers::get_str(response_headers, name));
     match (status.is_success(), instance) {
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -29,6 +29,7 @@
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::core::rollout::RolloutBook;
+use crate::core::status::BackendStart;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::drain::DrainSchedule;
 use crate::decide::freeze::{Epoch, FreezeDetector};
@@ -71,8 +72,8 @@
     statements: Mutex<LocalStatements>,
     /// Notified when a queued request waits for the backend server's rate limit.
     pub(crate) permit_awaited: Notify,
-    /// Called when another instance responds at the backend server's address.
-    pub(crate) on_backend_lost: BackendLostCallback,
+    /// Called when responses show that the backend server gets no more requests.
+    pub(crate) on_backend_event: BackendEventCallback,
     pub(crate) pool: BackendPool,
     pub(crate) running_requests: RunningRequests,
     /// Which software versions may get requests.
@@ -112,26 +113,35 @@
     NoConfiguration,
 }
 
-/// Callback for the loss of the local backend server of a service. Set once, when the node starts.
+/// What responses show of the local backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum BackendEvent {
+    /// Another instance responds at the address of the backend server of this service.
+    Lost(ServiceName),
+    /// The backend server says that it leaves.
+    Leaving(BackendStart),
+}
+
+/// Callback for a [`BackendEvent`]. Set once, when the node starts.
 #[derive(Default)]
-pub(crate) struct BackendLostCallback(OnceLock<Box<dyn Fn(ServiceName) + Send + Sync>>);
+pub(crate) struct BackendEventCallback(OnceLock<Box<dyn Fn(BackendEvent) + Send + Sync>>);
 
-impl BackendLostCallback {
-    pub(crate) fn set(&self, callback: impl Fn(ServiceName) + Send + Sync + 'static) {
+impl BackendEventCallback {
+    pub(crate) fn set(&self, callback: impl Fn(BackendEvent) + Send + Sync + 'static) {
         // The node starts only once, so the callback is never already set.
         let _ = self.0.set(Box::new(callback));
     }
 
-    fn call(&self, service: ServiceName) {
+    pub(crate) fn call(&self, event: BackendEvent) {
         if let Some(callback) = self.0.get() {
-            callback(service);
+            callback(event);
         }
     }
 }
 
-impl fmt::Debug for BackendLostCallback {
+impl fmt::Debug for BackendEventCallback {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("BackendLostCallback")
+        f.write_str("BackendEventCallback")
     }
 }
 
@@ -168,7 +178,7 @@
             backend: ArcSwapOption::from(backend),
             statements: Mutex::default(),
             permit_awaited: Notify::new(),
-            on_backend_lost: BackendLostCallback::default(),
+            on_backend_event: BackendEventCallback::default(),
             pool: BackendPool::new(mechanisms, header_profile),
             running_requests: RunningRequests::default(),
             rollouts: RequestRollouts::default(),
@@ -369,7 +379,8 @@
         }
         log::warn!(instance:? = backend.instance(); "another instance responded at the backend server's address");
         self.backend.store(None);
-        self.on_backend_lost.call(backend.service.clone());
+        self.on_backend_event
+            .call(BackendEvent::Lost(backend.service.clone()));
     }
 }
 
--- a/src/proxy/statements.rs
+++ b/src/proxy/statements.rs
@@ -9,7 +9,7 @@
 use crate::core::backend_statement::{RequestRate, StatedLimit};
 use crate::core::status::BackendStart;
 use crate::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
-use crate::proxy::state::ProxyState;
+use crate::proxy::state::{BackendEvent, ProxyState};
 use crate::util::clock;
 
 /// Statements of the local backend server since its start.
@@ -94,6 +94,11 @@
     if changes.started_leaving {
         metrics::counter!("dragonflywall_backend_leaving_total").increment(1);
         log::info!(start:?; "the backend server says that it leaves");
+        node.close_gate();
+        if let Some(start) = start {
+            let event = BackendEvent::Leaving(start.clone());
+            node.on_backend_event.call(event);
+        }
     }
 }
 
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -2,7 +2,7 @@
 
 use dragonflywall::core::member::BackendState;
 use dragonflywall::core::names::{InstanceName, ServiceName};
-use dragonflywall::core::status::Announcement;
+use dragonflywall::core::status::{Announcement, BackendStart};
 use dragonflywall::decide::announcements::{AnnouncementOutcome, Announcements};
 
 fn announcement(
@@ -208,3 +208,66 @@
         AnnouncementOutcome::Accepted
     );
 }
+
+fn start(instance: &str, started_ms: u64) -> BackendStart {
+    BackendStart {
+        instance: InstanceName::new(instance),
+        started_ms,
+    }
+}
+
+/// Guards against ready announcements that bring back a backend server which has said in a response that it leaves.
+#[test]
+fn a_backend_server_that_said_it_leaves_stays_out() {
+    let mut announcements = Announcements::default();
+    announcements.apply(&serving("i-1", 10, 1));
+    let draining = announcements.record_leaving(&start("i-1", 10));
+    assert_eq!(
+        draining.map(|announcement| announcement.state),
+        Some(BackendState::Draining)
+    );
+    assert_eq!(announcements.record_leaving(&start("i-1", 10)), None);
+    for sequence in 2..9 {
+        assert_eq!(
+            announcements.apply(&serving("i-1", 10, sequence)),
+            AnnouncementOutcome::Outdated
+        );
+    }
+    assert_eq!(announcements.serving(), None);
+    let confirmed = announcement("i-1", 10, 9, BackendState::Draining);
+    assert_ne!(
+        announcements.apply(&confirmed),
+        AnnouncementOutcome::Outdated
+    );
+}
+
+/// Guards against a restarted backend server that is taken for the one before it, which said that it leaves.
+#[test]
+fn a_new_start_under_the_same_name_serves_at_once() {
+    let mut announcements = Announcements::default();
+    announcements.apply(&serving("i-1", 10, 7));
+    announcements.record_leaving(&start("i-1", 10));
+    assert_eq!(
+        announcements.apply(&serving("i-1", 20, 1)),
+        AnnouncementOutcome::Accepted
+    );
+    assert!(announcements.serving().is_some());
+    assert_eq!(announcements.record_leaving(&start("i-1", 10)), None);
+    assert!(announcements.serving().is_some());
+}
+
+/// Guards against a process that starts while its backend server leaves, and is told so by the health check.
+#[test]
+fn leaving_prevents_the_confirmation_of_a_ready_announcement() {
+    let mut announcements = Announcements::requiring_confirmation();
+    assert_eq!(
+        announcements.apply(&serving("i-1", 10, 1)),
+        AnnouncementOutcome::Unconfirmed
+    );
+    announcements.record_leaving(&start("i-1", 10));
+    for sequence in 2..9 {
+        announcements.apply(&serving("i-1", 10, sequence));
+    }
+    assert_eq!(announcements.confirm(&InstanceName::new("i-1")), None);
+    assert_eq!(announcements.serving(), None);
+}
