Load balancing: rate limits of backend servers in the choice of an endpoint

What callers saw: with the gate's limit alone, a limited backend server with free slots looks like the best of all, so entry nodes send it requests that it refuses, and a request whose other probes find no free slot is refused although another endpoint would have had room soon.

The load report now has the spacing of requests and the wait of the next one; the wait is part of an endpoint's cost. An entry node withholds most of the requests that the gate would refuse, the lowest priorities first, by what was admitted in the last seconds; one for which no endpoint is left is refused at once.

The simulation names limits; decide_simulation_limits is new and fails in its first test without this change.

--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -13,6 +13,7 @@
 
 use self::cost::Candidate;
 use self::endpoint_stats::{EJECTION_MAX_US, EndpointStats};
+use super::admission::Priority;
 use super::uploads::SMALL_BODY_MAX_BYTES;
 use crate::core::configuration::Spill;
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
@@ -22,6 +23,7 @@
 mod cost;
 mod endpoint_stats;
 mod free_slot_search;
+mod rate_throttle;
 mod version_set;
 
 pub use self::cost::TimeLimits;
@@ -117,6 +119,8 @@
     pub resource: &'a ResourceName,
     /// Target latency and deadline of the response.
     pub limits: TimeLimits,
+    /// Priority of the request at the gate.
+    pub priority: Priority,
     /// Length of the request body.
     pub body_bytes: u64,
     /// Endpoints at which an earlier attempt of the request failed.
@@ -148,6 +152,8 @@
 struct EndpointFilter<'a> {
     /// Endpoints to exclude.
     tried: &'a [NodeId],
+    /// Endpoints from which the request is withheld because of their rate limits.
+    withheld: &'a [NodeId],
     /// Whether endpoints that recently refused requests as draining are included.
     include_draining: bool,
     /// Software versions to include.
@@ -179,16 +185,58 @@
     /// Load reports arrive only with responses, and many entry nodes act on the same reports. So an
     /// entry node adds the requests that it has sent since the report, and a little random noise
     /// breaks ties. An endpoint at which the request has failed is chosen again only if there is no
-    /// other.
+    /// other. One whose backend server limits the rate of requests is left out for a part of them, so
+    /// there may be none for a request; see [`Self::rate_limit_wait_us`].
     pub fn choose(
         &mut self,
         now_us: u64,
         ranked: &RankedEndpoints,
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
+    ) -> Option<Endpoint> {
+        let mut withheld = Vec::new();
+        loop {
+            let endpoint =
+                self.choose_unless_withheld(now_us, ranked, requirements, &withheld, rng)?;
+            if !self.is_withheld(now_us, endpoint.node, requirements.priority, rng) {
+                return Some(endpoint);
+            }
+            withheld.push(endpoint.node);
+        }
+    }
+
+    /// Whether a request is not to be sent to an endpoint because its backend server limits the rate.
+    fn is_withheld(
+        &mut self,
+        now_us: u64,
+        node: NodeId,
+        priority: Priority,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let stats = self.stats_by_node.get_mut(&node);
+        stats.is_some_and(|stats| stats.withholds(now_us, priority, rng.random()))
+    }
+
+    /// Returns the time after which the rate limit of an endpoint may permit a request, in microseconds;
+    /// `None` if no endpoint has a rate limit.
+    pub fn rate_limit_wait_us(&self, now_us: u64, ranked: &RankedEndpoints) -> Option<u64> {
+        let stats = ranked
+            .iter()
+            .filter_map(|endpoint| self.stats_by_node.get(&endpoint.node));
+        stats.filter_map(|stats| stats.rate_wait_us(now_us)).min()
+    }
+
+    fn choose_unless_withheld(
+        &self,
+        now_us: u64,
+        ranked: &RankedEndpoints,
+        requirements: &Requirements<'_>,
+        withheld: &[NodeId],
+        rng: &mut impl Rng,
     ) -> Option<Endpoint> {
         let filter = EndpointFilter {
             tried: requirements.tried,
+            withheld,
             include_draining: false,
             versions: requirements.versions,
             only: requirements.only,
@@ -313,6 +361,9 @@
             failure_rate: stats.map_or(0.0, |stats| stats.failure_rate(now_us)),
             unmeasured_outstanding: f64::from(unmeasured_outstanding.unwrap_or(0)),
             upload_time_us: self.upload_time_us(stats, requirements),
+            rate_wait_us: stats
+                .and_then(|stats| stats.rate_wait_us(now_us))
+                .map_or(0.0, |wait_us| wait_us as f64),
             size_kb: 0.0,
         }
     }
@@ -419,9 +470,16 @@
     }
 
     /// Records the outcome of an attempt, which may eject the endpoint.
-    pub fn record_outcome(&mut self, now_us: u64, node: NodeId, outcome: AttemptOutcome) {
+    pub fn record_outcome(
+        &mut self,
+        now_us: u64,
+        node: NodeId,
+        priority: Priority,
+        outcome: AttemptOutcome,
+    ) {
         if let Some(stats) = self.stats_by_node.get_mut(&node) {
             stats.record_outcome(now_us, outcome);
+            stats.record_rate(now_us, priority, outcome);
         }
     }
 
@@ -457,7 +515,9 @@
             }
             let draining = stats.is_some_and(|stats| stats.is_draining(now_us));
             let draining_excluded = draining && !filter.include_draining;
-            if draining_excluded || filter.tried.contains(&endpoint.node) {
+            let is_excluded =
+                filter.tried.contains(&endpoint.node) || filter.withheld.contains(&endpoint.node);
+            if draining_excluded || is_excluded {
                 continue;
             }
             if matching.len() < max_count {
--- a/src/decide/load_balancing/cost.rs
+++ b/src/decide/load_balancing/cost.rs
@@ -55,6 +55,8 @@
     pub(super) mean_service_time_us: f64,
     /// Expected time to upload the request body, including the wait for the upload to start.
     pub(super) upload_time_us: f64,
+    /// Expected wait until the rate limit of the backend server permits the request; 0 without one.
+    pub(super) rate_wait_us: f64,
     /// Share of recent requests that failed.
     pub(super) failure_rate: f64,
     /// Expected size of the request and its response, in kilobytes.
@@ -88,14 +90,17 @@
     let queue_rounds = queued / slots;
     let delay_us = ROUND_TRIP_US[candidate.distance as usize] as f64
         + candidate.upload_time_us
+        + candidate.rate_wait_us
         + queue_rounds * candidate.mean_service_time_us;
     let probability_after = |limit_us: u64| {
         let available_us = limit_us as f64 - delay_us;
         (-available_us.max(0.0) / candidate.service_time_us.max(1.0)).exp()
     };
     let utilisation = (candidate.in_flight / slots).min(1.0);
-    // A busy link delays the uploads behind this one just as a queue for a slot delays requests.
-    let queue_rounds = queue_rounds + candidate.upload_time_us / candidate.service_time_us.max(1.0);
+    // A busy link delays the uploads behind this one just as a queue for a slot delays requests, and so
+    // does a rate limit.
+    let other_waits_us = candidate.upload_time_us + candidate.rate_wait_us;
+    let queue_rounds = queue_rounds + other_waits_us / candidate.service_time_us.max(1.0);
     let transfer = transfer_cost_per_kb(candidate.distance) * candidate.size_kb.max(MIN_SIZE_KB);
     let terms = [
         (Mechanism::CostQueued, WAIT_COST * queue_rounds),
--- a/src/decide/load_balancing/endpoint_stats.rs
+++ b/src/decide/load_balancing/endpoint_stats.rs
@@ -3,7 +3,9 @@
 //! They come from its own requests and from the load reports in their responses.
 
 use super::Endpoint;
+use super::rate_throttle::RateThrottle;
 use crate::core::names::ResourceName;
+use crate::decide::admission::Priority;
 
 /// How long a load report counts in full, in microseconds: several service times of short requests.
 const LOAD_FRESH_US: u64 = 200_000;
@@ -52,6 +54,8 @@
     },
     /// The node refused the request, for load or another reason that is no fault of the endpoint.
     Refused,
+    /// The node refused the request because its backend server limits the rate of requests.
+    RateLimited,
     /// The backend server rejected the request without running it.
     Rejected,
     /// The node refused the request because its backend server is draining or no longer
@@ -107,6 +111,8 @@
     ejections: u32,
     ejected_until_us: u64,
     draining_until_us: u64,
+    /// While the backend server limits the rate of requests.
+    throttle: Option<RateThrottle>,
 }
 
 /// Service time of a resource, and the number of waiting requests that go before a new one for it.
@@ -148,6 +154,7 @@
             ejections: 0,
             ejected_until_us: 0,
             draining_until_us: 0,
+            throttle: None,
         }
     }
 
@@ -251,7 +258,7 @@
                 self.error_score = 0;
                 self.ejections = 0;
             }
-            AttemptOutcome::Refused => (),
+            AttemptOutcome::Refused | AttemptOutcome::RateLimited => (),
             AttemptOutcome::Rejected => self.record_result(now_us, true),
             AttemptOutcome::Draining => self.draining_until_us = now_us + DRAINING_AVOIDED_US,
             AttemptOutcome::Unreachable => self.eject(now_us),
@@ -262,6 +269,43 @@
         }
     }
 
+    /// Records whether the rate limit of the backend server permitted a request.
+    pub(super) fn record_rate(&mut self, now_us: u64, priority: Priority, outcome: AttemptOutcome) {
+        let Some(throttle) = &mut self.throttle else {
+            return;
+        };
+        match outcome {
+            AttemptOutcome::Answered { .. } | AttemptOutcome::Rejected | AttemptOutcome::Lost => {
+                throttle.record_admitted(now_us, priority);
+            }
+            AttemptOutcome::RateLimited => throttle.record_not_admitted(now_us, priority),
+            AttemptOutcome::Refused | AttemptOutcome::Draining | AttemptOutcome::Unreachable => (),
+        }
+    }
+
+    /// Whether a request is to be withheld because of the rate limit; `random` is uniform between 0 and 1.
+    pub(super) fn withholds(&mut self, now_us: u64, priority: Priority, random: f64) -> bool {
+        let Some(throttle) = &mut self.throttle else {
+            return false;
+        };
+        let withheld = random < throttle.withhold_probability(now_us, priority);
+        if withheld {
+            throttle.record_not_admitted(now_us, priority);
+        }
+        withheld
+    }
+
+    /// Returns the time until the rate limit may permit a request, by the last load report; `None`
+    /// without a limit.
+    pub(super) fn rate_wait_us(&self, now_us: u64) -> Option<u64> {
+        let report = self.report.as_ref()?;
+        let rate = report.load.rate?;
+        Some(
+            rate.wait_us
+                .saturating_sub(now_us.saturating_sub(report.received_us)),
+        )
+    }
+
     /// Records a load report that came with the response to a request for `resource`.
     pub(super) fn record_load(&mut self, now_us: u64, resource: &ResourceName, load: LoadReport) {
         self.report = Some(ReceivedReport {
@@ -269,6 +313,11 @@
             received_us: now_us,
             outstanding: self.outstanding,
         });
+        self.throttle = load.rate.map(|_| {
+            self.throttle
+                .take()
+                .unwrap_or_else(|| RateThrottle::new(now_us))
+        });
         if load.resource_service_time_us == 0 {
             return;
         }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -15,6 +15,7 @@
 use crate::core::names::ServiceName;
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
+use crate::decide::admission::Priority;
 use crate::decide::freeze::Epoch;
 use crate::decide::load_balancing::{
     AttemptOutcome, Balancer, Endpoint, EndpointEstimate, FreeSlotSearch, LoadReport, Requirements,
@@ -81,9 +82,9 @@
             if let Err(refreshing) = self.node.check_admitted_in(self.admitted_in) {
                 return Err(refreshing.after_attempt(verdict));
             }
-            let Some(chosen) = self.choose_endpoint(&tried, may_use_candidate) else {
-                let no_endpoint = Failure::not_run(Reason::NoEndpoint);
-                return Err(last_failure.unwrap_or(no_endpoint).after_attempt(verdict));
+            let chosen = match self.choose_endpoint(&tried, may_use_candidate) {
+                Ok(chosen) => chosen,
+                Err(none) => return Err(last_failure.unwrap_or(none).after_attempt(verdict)),
             };
             let endpoint = chosen.endpoint;
             let waits = self.is_nested() || search.queues_at(endpoint.node);
@@ -169,11 +170,15 @@
 
     /// Chooses an endpoint for the next attempt. With `may_use_candidate` it may be one of a candidate
     /// version, as far as its exposure is within the limit.
-    fn choose_endpoint(&self, tried: &[NodeId], may_use_candidate: bool) -> Option<ChosenEndpoint> {
+    fn choose_endpoint(
+        &self,
+        tried: &[NodeId],
+        may_use_candidate: bool,
+    ) -> Result<ChosenEndpoint, Failure> {
         let view = self.node.view.load();
         let Some(ranked) = view.endpoints.get(self.service()) else {
             self.log_no_endpoint(0, tried.len());
-            return None;
+            return Err(Failure::not_run(Reason::NoEndpoint));
         };
         let rollouts = &self.node.rollouts;
         let limit_percent = self.node.settings.exposure_percent;
@@ -183,6 +188,7 @@
             default_slots: self.default_slots,
             resource: &self.target.resource,
             limits: self.time_limits(),
+            priority: self.priority(),
             body_bytes: self.body_bytes,
             tried,
             versions: VersionSet::ALL,
@@ -203,15 +209,26 @@
                     candidate_order: choice.candidate_order,
                 };
                 self.record_chosen(&mut balancer, &endpoint, &requirements);
-                return Some(endpoint);
+                return Ok(endpoint);
             }
             if let Some(order_revision) = choice.candidate_order {
                 rollouts.put_back_credit(self.service(), order_revision);
             }
         }
+        let rate_limit_wait_us = balancer.rate_limit_wait_us(now_us, ranked);
         drop(balancer);
         self.log_no_endpoint(ranked.iter().count(), tried.len());
-        None
+        Err(match rate_limit_wait_us {
+            Some(wait_us) => {
+                Failure::not_run(Reason::RateLimited).with_retry_after_ms(wait_us / 1_000)
+            }
+            None => Failure::not_run(Reason::NoEndpoint),
+        })
+    }
+
+    /// Priority of the request at the gate.
+    fn priority(&self) -> Priority {
+        hop::priority(self.depth, self.target.treatment.priority)
     }
 
     fn record_chosen(
@@ -479,6 +496,7 @@
                 }
                 Reason::Unreachable => AttemptOutcome::Unreachable,
                 Reason::Rejected => AttemptOutcome::Rejected,
+                Reason::RateLimited => AttemptOutcome::RateLimited,
                 Reason::Lost | Reason::Deadline => AttemptOutcome::Lost,
                 _ => AttemptOutcome::Refused,
             },
@@ -486,7 +504,7 @@
         let now_us = clock::since_us(self.node.started);
         self.node
             .balancer()
-            .record_outcome(now_us, endpoint.node, outcome);
+            .record_outcome(now_us, endpoint.node, self.priority(), outcome);
     }
 
     fn build_request(&self, body: Body) -> Request<Body> {
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -139,10 +139,7 @@
             |duration: Duration| u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 2);
         SlotRequest {
             class: self.class,
-            priority: match self.depth {
-                0 => Priority::CallerRequest { rank: self.rank },
-                _ => Priority::NestedCall,
-            },
+            priority: priority(self.depth, self.rank),
             due_us: to_us(self.due().saturating_duration_since(started)),
             service_time_us: None,
             deadline_us: to_us(self.queue_deadline().saturating_duration_since(started)),
@@ -163,6 +160,14 @@
     }
 }
 
+/// Priority of a request with `depth` nested calls above it.
+pub(crate) fn priority(depth: u32, rank: u8) -> Priority {
+    match depth {
+        0 => Priority::CallerRequest { rank },
+        _ => Priority::NestedCall,
+    }
+}
+
 /// How long before its deadline a request leaves the queue that has `remaining` until then.
 pub(crate) fn queue_margin(remaining: Duration) -> Duration {
     (remaining / REMAINING_TIME_TO_QUEUE_MARGIN_RATIO).min(QUEUE_MARGIN_MAX)
--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -7,6 +7,7 @@
 use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
 use dragonflywall::core::names::{DataCentreName, RegionName, ResourceName, ServiceName};
 use dragonflywall::core::version::Version;
+use dragonflywall::decide::admission::Priority;
 use dragonflywall::decide::load_balancing::{
     AttemptOutcome, Balancer, LoadReport, RankedEndpoints, Requirements, TimeLimits, VersionSet,
 };
@@ -60,6 +61,7 @@
             target_us: 300_000,
             deadline_us: 800_000,
         },
+        priority: PRIORITY,
         body_bytes: 3_000,
         tried: &[],
         versions: VersionSet::ALL,
@@ -67,6 +69,9 @@
     }
 }
 
+/// Priority of the requests.
+const PRIORITY: Priority = Priority::CallerRequest { rank: 1 };
+
 /// Returns the load report of an endpoint with 20 slots and a service time of 20 ms.
 fn load(in_flight: u32) -> LoadReport {
     LoadReport {
@@ -283,7 +288,12 @@
     }
     for number in 0..8 {
         let server_error = number % 2 == 0;
-        balancer.record_outcome(0, node(1), AttemptOutcome::Answered { server_error });
+        balancer.record_outcome(
+            0,
+            node(1),
+            PRIORITY,
+            AttemptOutcome::Answered { server_error },
+        );
     }
     let mut rng = StdRng::seed_from_u64(1);
     let mut used = |now_us| {
@@ -344,13 +354,13 @@
     assert_eq!(used(&mut balancer).len(), 8);
     for number in 1..=4 {
         for _ in 0..3 {
-            balancer.record_outcome(1, node(number), AttemptOutcome::Lost);
+            balancer.record_outcome(1, node(number), PRIORITY, AttemptOutcome::Lost);
         }
     }
     let remaining = used(&mut balancer);
     assert_eq!(remaining, (5..=8).map(node).collect());
     for _ in 0..3 {
-        balancer.record_outcome(1, node(5), AttemptOutcome::Lost);
+        balancer.record_outcome(1, node(5), PRIORITY, AttemptOutcome::Lost);
     }
     // The three remaining endpoints are idle, so they get all requests. When requests would queue
     // there, the ejected ones are used as well.
--- a/tests/testsuite/decide_simulation.rs
+++ b/tests/testsuite/decide_simulation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dragonflywall::core::configuration::Class;
+use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT};
 
 use crate::simulation::{MS, Outcomes, Policy, SECOND, Scenario, Server, Stream, run};
 
@@ -18,6 +18,7 @@
 fn reads(per_s: u64, from_us: u64, until_us: u64) -> Stream {
     Stream {
         class: Class::Interactive,
+        rank: PRIORITY_DEFAULT,
         requests_per_s: per_s,
         work_us: SERVICE_TIME_US,
         timeout_us: 400 * MS,
@@ -31,6 +32,7 @@
 fn uploads(per_s: u64, work_us: u64) -> Stream {
     Stream {
         class: Class::Bulk,
+        rank: PRIORITY_DEFAULT,
         requests_per_s: per_s,
         work_us,
         timeout_us: 60 * SECOND,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod decide_rollout_evidence;
 mod decide_service_times;
 mod decide_simulation;
+mod decide_simulation_limits;
 mod decide_split;
 mod decide_transit;
 mod decide_uploads;
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -6,11 +6,13 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+use dragonflywall::core::backend_statement::RequestRate;
 use dragonflywall::core::configuration::{Class, PRIORITY_DEFAULT, Spill, Treatment};
 use dragonflywall::core::member::{Member, NodeId};
 use dragonflywall::core::names::{ResourceName, ServiceName};
 use dragonflywall::decide::admission::{
-    self, Admission, AdmitOutcome, ReleasedSlot, SlotRequest, Ticket, WaitOutcome,
+    self, Admission, AdmitOutcome, Priority, Refusal, RefusalCause, ReleasedSlot, SlotRequest,
+    Ticket, WaitOutcome,
 };
 use dragonflywall::decide::load_balancing::{
     AttemptOutcome, Balancer, Endpoint, FreeSlotSearch, RankedEndpoints, Requirements, TimeLimits,
@@ -44,6 +46,16 @@
     pub(crate) always_fails: bool,
     /// Whether it is in the other data centre of the region. All callers are in the first one.
     pub(crate) is_remote: bool,
+    /// Rate limit that it names.
+    pub(crate) limit: Option<NamedLimit>,
+}
+
+/// A rate limit that a backend server names for some time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NamedLimit {
+    pub(crate) per_s: f64,
+    pub(crate) from_us: u64,
+    pub(crate) until_us: u64,
 }
 
 impl Default for Server {
@@ -53,6 +65,7 @@
             cold_until_us: 0,
             always_fails: false,
             is_remote: false,
+            limit: None,
         }
     }
 }
@@ -61,6 +74,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stream {
     pub(crate) class: Class,
+    /// Configured priority; 0 goes first.
+    pub(crate) rank: u8,
     pub(crate) requests_per_s: u64,
     pub(crate) work_us: u64,
     pub(crate) timeout_us: u64,
@@ -110,6 +125,18 @@
     }
 }
 
+/// Results of a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Results {
+    pub(crate) by_class: BTreeMap<Class, Outcomes>,
+    /// Calls, and successful ones among them, by rank.
+    pub(crate) calls_by_rank: BTreeMap<u8, (u64, u64)>,
+    /// When requests started at each server.
+    pub(crate) started_us: Vec<Vec<u64>>,
+    /// Attempts that a gate refused because of a rate limit.
+    pub(crate) rate_limited_attempts: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive {
@@ -135,6 +162,14 @@
         call: usize,
         attempt: u32,
     },
+    /// The server names its limit, or names it no longer.
+    LimitChange {
+        server: usize,
+    },
+    /// The rate limit of the server may permit a request.
+    Permit {
+        server: usize,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,6 +177,7 @@
     Success,
     Error,
     Refused,
+    RateLimited,
 }
 
 struct Call {
@@ -159,9 +195,14 @@
 }
 
 impl Stream {
+    fn priority(&self) -> Priority {
+        Priority::CallerRequest { rank: self.rank }
+    }
+
     /// What a request that began at `began_us` requires of a gate.
     fn slot_request(&self, began_us: u64) -> SlotRequest {
         SlotRequest {
+            priority: self.priority(),
             due_us: began_us + self.target_us,
             max_wait_us: self.max_wait_us,
             ..SlotRequest::new(self.class, began_us + self.timeout_us)
@@ -169,6 +210,15 @@
     }
 }
 
+impl Answer {
+    fn from_refusal(refusal: &Refusal) -> Self {
+        match refusal.cause {
+            RefusalCause::RateLimited => Self::RateLimited,
+            _ => Self::Refused,
+        }
+    }
+}
+
 #[derive(Clone, Copy)]
 enum AttemptState {
     UnderWay,
@@ -200,21 +250,32 @@
     calls: Vec<Call>,
     gates: Vec<Gate>,
     entries: Vec<Entry>,
-    outcomes: BTreeMap<Class, Outcomes>,
+    results: Results,
 }
 
 /// Runs a scenario to its end under a policy. Returns the results by class.
 pub(crate) fn run(scenario: &Scenario, policy: Policy) -> BTreeMap<Class, Outcomes> {
+    run_in_full(scenario, policy).by_class
+}
+
+/// Runs a scenario to its end under a policy.
+pub(crate) fn run_in_full(scenario: &Scenario, policy: Policy) -> Results {
     let mut simulation = Simulation::new(scenario.clone(), policy);
     for stream in 0..scenario.streams.len() {
         let from_us = scenario.streams[stream].from_us;
         simulation.schedule(from_us, Event::Arrive { stream });
     }
+    for (server, behaviour) in scenario.servers.iter().enumerate() {
+        if let Some(limit) = behaviour.limit {
+            simulation.schedule(limit.from_us, Event::LimitChange { server });
+            simulation.schedule(limit.until_us, Event::LimitChange { server });
+        }
+    }
     while let Some(Reverse((time_us, _, event))) = simulation.events.pop() {
         simulation.now_us = time_us;
         simulation.handle(event);
     }
-    simulation.outcomes
+    simulation.results
 }
 
 impl Simulation {
@@ -258,7 +319,10 @@
             calls: Vec::new(),
             gates: scenario.servers.iter().map(|_| gate()).collect(),
             entries: (0..scenario.entries).map(entry).collect(),
-            outcomes: BTreeMap::new(),
+            results: Results {
+                started_us: vec![Vec::new(); scenario.servers.len()],
+                ..Results::default()
+            },
             scenario,
         }
     }
@@ -296,9 +360,30 @@
                     self.timeout(call);
                 }
             }
+            Event::LimitChange { server } => self.change_limit(server),
+            Event::Permit { server } => {
+                self.gates[server]
+                    .product_admission
+                    .refuse_late(self.now_us);
+                self.start_queued(server);
+            }
         }
     }
 
+    fn change_limit(&mut self, server: usize) {
+        let limit = self.scenario.servers[server].limit;
+        let limit = limit.filter(|limit| self.now_us < limit.until_us);
+        let rate = limit.and_then(|limit| RequestRate::from_per_s(limit.per_s));
+        self.gates[server]
+            .product_admission
+            .set_rate_limit(self.now_us, rate);
+        self.start_queued(server);
+    }
+
+    fn outcomes(&mut self, class: Class) -> &mut Outcomes {
+        self.results.by_class.entry(class).or_default()
+    }
+
     fn is_current(&self, call: usize, attempt: u32) -> bool {
         let call = &self.calls[call];
         !call.ended && call.attempt == attempt
@@ -328,7 +413,8 @@
             current_attempt: None,
             ended: false,
         });
-        self.outcomes.entry(stream.class).or_default().calls += 1;
+        self.outcomes(stream.class).calls += 1;
+        self.results.calls_by_rank.entry(stream.rank).or_default().0 += 1;
         let entry = self.calls[call].entry;
         self.entries[entry].tokens.for_service(&service()).deposit();
         self.attempt(call);
@@ -357,15 +443,26 @@
                         target_us: left_us(call.began_us + call.stream.target_us),
                         deadline_us: left_us(deadline_us),
                     },
+                    priority: call.stream.priority(),
                     body_bytes: 0,
                     tried: &call.tried,
                     versions: VersionSet::ALL,
                     only: None,
                 };
-                let chosen = entry
-                    .balancer
-                    .choose(self.now_us, &entry.ranked, &requirements, &mut self.rng)
-                    .expect("there is an endpoint");
+                let chosen =
+                    entry
+                        .balancer
+                        .choose(self.now_us, &entry.ranked, &requirements, &mut self.rng);
+                let Some(chosen) = chosen else {
+                    let wait_us = entry
+                        .balancer
+                        .rate_limit_wait_us(self.now_us, &entry.ranked);
+                    assert!(wait_us.is_some(), "there is an endpoint");
+                    call.ended = true;
+                    let class = call.stream.class;
+                    self.outcomes(class).refused += 1;
+                    return;
+                };
                 entry.balancer.record_start(self.now_us, &chosen);
                 call.is_free_slot_probe =
                     self.scenario.probes_free_slots && !call.search.queues_at(chosen.node);
@@ -380,8 +477,7 @@
         call.current_attempt = Some((server, AttemptState::UnderWay));
         let class = call.stream.class;
         let hop_us = self.hop_us(server);
-        let outcomes = self.outcomes.entry(class).or_default();
-        outcomes.attempts += 1;
+        self.outcomes(class).attempts += 1;
         let reaches_gate = Event::ReachesGate {
             call: number,
             attempt,
@@ -422,12 +518,15 @@
             AdmitOutcome::Queued(ticket) => {
                 self.calls[number].current_attempt = Some((server, AttemptState::Waiting(ticket)));
             }
-            AdmitOutcome::Refused(_) => self.reply(number, attempt, server, Answer::Refused),
+            AdmitOutcome::Refused(refusal) => {
+                self.reply(number, attempt, server, Answer::from_refusal(&refusal));
+            }
         }
         self.start_queued(server);
     }
 
     fn start(&mut self, call: usize, attempt: u32, server: usize) {
+        self.results.started_us[server].push(self.now_us);
         let behaviour = &self.scenario.servers[server];
         let cold = if self.now_us < behaviour.cold_until_us {
             5
@@ -516,12 +615,16 @@
                 {
                     match outcome {
                         WaitOutcome::Slot => self.start(call, attempt, server),
-                        WaitOutcome::Refused(_) => {
+                        WaitOutcome::Refused(refusal) => {
                             self.calls[call].current_attempt = None;
-                            self.reply(call, attempt, server, Answer::Refused);
+                            self.reply(call, attempt, server, Answer::from_refusal(&refusal));
                         }
                     }
                 }
+                let admission = &self.gates[server].product_admission;
+                if let Some(at_us) = admission.next_permit_us(self.now_us) {
+                    self.schedule(at_us.max(self.now_us + 1), Event::Permit { server });
+                }
             }
             Policy::Baseline => {
                 while self.gates[server].baseline_running < self.scenario.slots {
@@ -541,6 +644,7 @@
         let latency_us = self.now_us - call.began_us;
         let observed = match answer {
             Answer::Refused => AttemptOutcome::Refused,
+            Answer::RateLimited => AttemptOutcome::RateLimited,
             Answer::Success | Answer::Error => AttemptOutcome::Answered {
                 server_error: answer == Answer::Error,
             },
@@ -548,12 +652,13 @@
         let target_us = call.stream.target_us;
         let is_remote = self.scenario.servers[server].is_remote;
         self.observe(number, server, observed);
-        let outcomes = self
-            .outcomes
-            .entry(self.calls[number].stream.class)
-            .or_default();
+        self.results.rate_limited_attempts += u64::from(answer == Answer::RateLimited);
+        let stream = self.calls[number].stream;
+        let outcomes = self.results.by_class.entry(stream.class).or_default();
         match answer {
             Answer::Success => {
+                let of_rank = self.results.calls_by_rank.entry(stream.rank);
+                of_rank.or_default().1 += 1;
                 outcomes.succeeded += 1;
                 outcomes.served_remotely += u64::from(is_remote);
                 outcomes.on_time += u64::from(latency_us <= target_us);
@@ -564,7 +669,9 @@
                 outcomes.errors += 1;
                 self.calls[number].ended = true;
             }
-            Answer::Refused => self.failed(number, server, AttemptFailure::NotRun),
+            Answer::Refused | Answer::RateLimited => {
+                self.failed(number, server, AttemptFailure::NotRun)
+            }
         }
     }
 
@@ -582,7 +689,7 @@
         if late || self.policy == Policy::Product || call.attempt >= 3 {
             call.ended = true;
             let class = call.stream.class;
-            self.outcomes.entry(class).or_default().timed_out += 1;
+            self.outcomes(class).timed_out += 1;
         } else {
             self.attempt(number);
         }
@@ -591,8 +698,6 @@
     fn observe(&mut self, call: usize, server: usize, observed: AttemptOutcome) {
         let entry = &mut self.entries[self.calls[call].entry];
         let node = node(server as u16 + 1);
-        entry.balancer.record_outcome(self.now_us, node, observed);
-        entry.balancer.record_end(node);
         let slot_request = self.calls[call].stream.slot_request(self.now_us);
         let gate = &self.gates[server].product_admission;
         let resource = resource(slot_request.class);
@@ -602,6 +707,11 @@
         entry
             .balancer
             .record_load(self.now_us, node, &resource, load);
+        let priority = slot_request.priority;
+        entry
+            .balancer
+            .record_outcome(self.now_us, node, priority, observed);
+        entry.balancer.record_end(node);
     }
 
     fn failed(&mut self, number: usize, server: usize, failed: AttemptFailure) {
@@ -618,7 +728,7 @@
         } else {
             call.ended = true;
             let class = call.stream.class;
-            self.outcomes.entry(class).or_default().refused += 1;
+            self.outcomes(class).refused += 1;
         }
     }
 }
