Gates that have started learn their backend server's statements from entry nodes

What callers would see: after a restart of a node, requests beyond the limit that its backend server names, and to one that leaves, until its first response. All other nodes that passed on such a response are still bound.

Cause: what a backend server stated lived in its gate's process alone. The health check before the first request mostly tells it again; not if it gets no result or the health checks state nothing.

Entry nodes keep what gates report (start, limit, leaving) and send it with each request. A gate believes it for the same start, the limit until its first response. An entry node forgets it when a response of that backend server says otherwise to a request that carried it. An endpoint that is back in the view is no longer avoided as draining, so a new start is used at once.

--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -113,8 +113,11 @@
     async fn send_health(&mut self) -> io::Result<()> {
         let draining = self.shared.draining.load(Ordering::Acquire);
         let status = if draining { 503 } else { 200 };
-        let instance = format!("X-Dfw-Instance: {}\r\n", self.shared.identity.instance);
-        self.write_response(status, "", &instance, b"").await
+        let mut headers = format!("X-Dfw-Instance: {}\r\n", self.shared.identity.instance);
+        if !lock(&self.shared.statement).not_in_health_checks {
+            headers.push_str(&self.shared.next_statement_headers());
+        }
+        self.send(status, "", &headers, b"").await
     }
 
     async fn serve_request(&mut self) -> io::Result<NextStep> {
@@ -317,10 +320,14 @@
         headers: &str,
         body: &[u8],
     ) -> io::Result<()> {
-        let draining = self.shared.draining.load(Ordering::Acquire);
         let headers = format!("{headers}{}", self.shared.next_statement_headers());
+        self.send(status, id, &headers, body).await
+    }
+
+    async fn send(&mut self, status: u16, id: &str, headers: &str, body: &[u8]) -> io::Result<()> {
+        let draining = self.shared.draining.load(Ordering::Acquire);
         let mut bytes =
-            format_response_head(status, id, &headers, Some(body.len()), draining).into_bytes();
+            format_response_head(status, id, headers, Some(body.len()), draining).into_bytes();
         bytes.extend_from_slice(body);
         self.stream.write_all(&bytes).await
     }
--- a/crates/testkit/src/users/backend/statement.rs
+++ b/crates/testkit/src/users/backend/statement.rs
@@ -11,6 +11,8 @@
     pub limits: Vec<String>,
     /// Whether responses carry the header `Server-Leaving: 1`.
     pub leaving: bool,
+    /// Whether responses to health checks carry no such headers.
+    pub not_in_health_checks: bool,
     /// If set, only one in this many responses carries the headers.
     pub one_in: Option<u64>,
 }
--- a/src/core/backend_statement.rs
+++ b/src/core/backend_statement.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::core::status::BackendStart;
+
 /// A rate of requests: finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct RequestRate {
@@ -53,3 +55,14 @@
     /// Whether the backend server is about to shut down.
     pub leaving: bool,
 }
+
+/// Statements of a backend server that are in force, as one node reports them to another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedStatements {
+    /// The start of the backend server that they are of.
+    pub start: BackendStart,
+    /// The rate limit.
+    pub limit: Option<RequestRate>,
+    /// Whether the backend server is about to shut down.
+    pub leaving: bool,
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,6 +10,7 @@
 pub mod connections;
 pub mod drain;
 pub mod freeze;
+pub mod known_statements;
 pub mod load_balancing;
 pub mod max_wait;
 pub mod rate_limit;
--- a/src/decide/backend_statements.rs
+++ b/src/decide/backend_statements.rs
@@ -74,6 +74,8 @@
 pub struct BackendStatements {
     limit: Option<LimitInForce>,
     leaving: bool,
+    /// Whether a response of the backend server has been recorded.
+    has_response: bool,
 }
 
 impl BackendStatements {
@@ -100,8 +102,8 @@
         sent_us: u64,
         statement: &BackendStatement,
     ) -> StatementChanges {
-        let started_leaving = statement.leaving && !self.leaving;
-        self.leaving |= statement.leaving;
+        self.has_response = true;
+        let started_leaving = self.record_leaving(statement.leaving);
         let limit = match statement.limit {
             StatedLimit::Rate(rate) => self.record_limit(now_us, sent_us, rate),
             StatedLimit::None => self.record_no_limit(now_us, sent_us),
@@ -113,6 +115,28 @@
         }
     }
 
+    /// Records what another node knows from earlier responses.
+    ///
+    /// Its limit counts only until the first response, which is newer.
+    pub fn record_reported(
+        &mut self,
+        now_us: u64,
+        limit: Option<RequestRate>,
+        leaving: bool,
+    ) -> StatementChanges {
+        let limit = limit.filter(|_| !self.has_response);
+        StatementChanges {
+            limit: limit.and_then(|rate| self.record_limit(now_us, 0, rate)),
+            started_leaving: self.record_leaving(leaving),
+        }
+    }
+
+    fn record_leaving(&mut self, leaving: bool) -> bool {
+        let started_leaving = leaving && !self.leaving;
+        self.leaving |= leaving;
+        started_leaving
+    }
+
     fn record_limit(
         &mut self,
         now_us: u64,
--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -483,6 +483,22 @@
         }
     }
 
+    /// Returns the endpoints that are avoided because they refused a request as draining.
+    pub fn draining(&self, now_us: u64) -> Vec<NodeId> {
+        let stats = self.stats_by_node.iter();
+        stats
+            .filter(|(_, stats)| stats.is_draining(now_us))
+            .map(|(node, _)| *node)
+            .collect()
+    }
+
+    /// Records that an endpoint accepts requests again.
+    pub fn record_return(&mut self, node: NodeId) {
+        if let Some(stats) = self.stats_by_node.get_mut(&node) {
+            stats.record_return();
+        }
+    }
+
     /// Whether an endpoint is ejected at `now_us`.
     pub fn is_ejected(&self, now_us: u64, node: NodeId) -> bool {
         let stats = self.stats_by_node.get(&node);
--- a/src/decide/load_balancing/endpoint_stats.rs
+++ b/src/decide/load_balancing/endpoint_stats.rs
@@ -362,6 +362,11 @@
         self.ejected_until_us > now_us
     }
 
+    /// Ends the time in which the endpoint is avoided as draining.
+    pub(super) fn record_return(&mut self) {
+        self.draining_until_us = 0;
+    }
+
     pub(super) fn is_draining(&self, now_us: u64) -> bool {
         self.draining_until_us > now_us
     }
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -288,7 +288,7 @@
             &self.node.proxy.view.load(),
             &view,
         );
-        self.node.proxy.view.store(Arc::new(view));
+        self.node.proxy.set_view(view);
         self.node.proxy.update_retry_policy();
     }
 }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -88,7 +88,10 @@
             };
             let endpoint = chosen.endpoint;
             let waits = self.is_nested() || search.queues_at(endpoint.node);
-            let hop = self.hop(attempts.downstream_budget(), waits, chosen.candidate_order);
+            let hop = Hop {
+                known_statements: self.node.known_statements().get(endpoint.node).cloned(),
+                ..self.hop(attempts.downstream_budget(), waits, chosen.candidate_order)
+            };
             let result = self.send_attempt(endpoint, body, hop).await;
             self.record_version_outcome(chosen.candidate_order, &result);
             let failure = match result {
@@ -361,6 +364,7 @@
             depth: self.depth,
             retries,
             rollout_order,
+            known_statements: None,
             admitted_in: Some(self.admitted_in),
             sent: Arc::clone(&self.sent),
         }
@@ -435,7 +439,10 @@
         }
         // The request may now wait for a slot: if it were refused, its body would have used the
         // link in vain.
-        let hop = self.hop(hop.retries, true, hop.rollout_order);
+        let hop = Hop {
+            known_statements: hop.known_statements,
+            ..self.hop(hop.retries, true, hop.rollout_order)
+        };
         self.send(endpoint, &hop, request).await
     }
 
@@ -463,7 +470,9 @@
         };
         self.record_load(endpoint, load);
         self.record_service_times(endpoint, response.headers());
-        match Failure::from_headers(response.headers()) {
+        let failure = Failure::from_headers(response.headers());
+        self.record_statements(endpoint, hop, response.headers(), failure.is_none());
+        match failure {
             None => Ok(response.map(body::boxed)),
             Some(failure) => Err(failure),
         }
@@ -484,6 +493,30 @@
         }
     }
 
+    /// Records what the gate reports of its backend server's statements. An endpoint that leaves is avoided.
+    fn record_statements(
+        &self,
+        endpoint: &Endpoint,
+        hop: &Hop,
+        headers: &HeaderMap,
+        answered: bool,
+    ) {
+        let mut known = self.node.known_statements();
+        let Some(reported) = headers::parse_statements(headers) else {
+            if answered {
+                known.record_none(endpoint.node, hop.known_statements.as_ref());
+            }
+            return;
+        };
+        if reported.leaving {
+            let now_us = clock::since_us(self.node.started);
+            let outcome = AttemptOutcome::Draining;
+            let mut balancer = self.node.balancer();
+            balancer.record_outcome(now_us, endpoint.node, self.priority(), outcome);
+        }
+        known.record(endpoint.node, reported);
+    }
+
     /// Reports to the balancer what this attempt showed about its endpoint.
     fn record_outcome(&self, endpoint: &Endpoint, result: &Result<Response<Body>, Failure>) {
         let outcome = match result {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -41,6 +41,9 @@
     let Some(hop) = Hop::read_headers(request.headers(), delay) else {
         return Failure::not_run(Reason::BadRequest).into_peer_response();
     };
+    if let Some(known) = &hop.known_statements {
+        statements::record_reported(&node, known);
+    }
     let result = match delay > TRANSIT_DELAY_MAX {
         true => Err(reject_delayed(&node, &hop, &request, delay)),
         false => dispatch(&node, &hop, request).await,
@@ -52,6 +55,10 @@
     response
         .headers_mut()
         .insert(headers::SERVICE_TIMES, service_times);
+    if let Some(reported) = node.statements().reported() {
+        let value = headers::format_statements(&reported);
+        response.headers_mut().insert(headers::STATEMENTS, value);
+    }
     response
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,10 +2,15 @@
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
-use crate::core::names::ResourceName;
+use crate::core::backend_statement::{ReportedStatements, RequestRate};
+use crate::core::names::{InstanceName, ResourceName};
+use crate::core::status::BackendStart;
 use crate::core::token::TOKEN_HEADER;
 use crate::decide::load_balancing::{LoadReport, RateReport};
 
+#[cfg(test)]
+mod tests;
+
 /// Prefix of all headers that nodes exchange. Headers with this prefix are removed from callers'
 /// requests, so that a caller cannot set its own class, deadline or verdict.
 pub(crate) const MESH_PREFIX: &str = "x-dragonflywall-";
@@ -43,6 +48,10 @@
 /// On a response between nodes: how long requests for other resources hold a slot, as
 /// comma-separated pairs `RESOURCE MICROSECONDS`.
 pub(crate) const SERVICE_TIMES: HeaderName = HeaderName::from_static("x-dragonflywall-held");
+/// On a response between nodes: statements of the backend server that are in force. On a request between nodes: what
+/// the entry node knows of them. Four words separated by spaces: the start time of the backend server in milliseconds,
+/// its limit in requests per second or `-`, `leaving` or `-`, and its instance name.
+pub(crate) const STATEMENTS: HeaderName = HeaderName::from_static("x-dragonflywall-stated");
 /// On a request between nodes: requests an upload permit for a large body, which the entry node has
 /// not sent yet. The value is the length of the body in bytes.
 pub(crate) const UPLOAD_PERMIT_REQUEST: HeaderName =
@@ -170,6 +179,39 @@
     times.collect()
 }
 
+/// Formats statements as the value of [`STATEMENTS`].
+pub(crate) fn format_statements(reported: &ReportedStatements) -> HeaderValue {
+    let limit = reported
+        .limit
+        .map_or_else(|| ABSENT.to_owned(), |rate| rate.per_s().to_string());
+    let leaving = if reported.leaving { LEAVING } else { ABSENT };
+    let BackendStart {
+        instance,
+        started_ms,
+    } = &reported.start;
+    to_value(&format!("{started_ms} {limit} {leaving} {instance}"))
+}
+
+/// Parses the value that [`format_statements`] writes.
+pub(crate) fn parse_statements(headers: &HeaderMap) -> Option<ReportedStatements> {
+    let mut words = get_str(headers, &STATEMENTS)?.splitn(4, ' ');
+    let started_ms = words.next()?.parse().ok()?;
+    let limit = words.next()?.parse().ok().and_then(RequestRate::from_per_s);
+    let leaving = words.next()? == LEAVING;
+    Some(ReportedStatements {
+        start: BackendStart {
+            instance: InstanceName::new(words.next()?),
+            started_ms,
+        },
+        limit,
+        leaving,
+    })
+}
+
+/// Words of [`STATEMENTS`].
+const ABSENT: &str = "-";
+const LEAVING: &str = "leaving";
+
 /// Converts text made by this node to a header value. Text that is not valid in a header becomes
 /// `?`.
 pub(crate) fn to_value(text: &str) -> HeaderValue {
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -7,6 +7,7 @@
 use super::body;
 use super::headers;
 use super::statements;
+use crate::core::backend_statement::BackendStatement;
 use crate::core::names::InstanceName;
 use crate::core::status::Announcement;
 use crate::proxy::state::ProxyState;
@@ -54,7 +55,10 @@
     match tokio::time::timeout(CHECK_TIMEOUT, exchange).await {
         Ok(Ok(response)) => {
             let headers = response.headers();
-            statements::record_response(node, announcement.start().as_ref(), sent_at, headers);
+            // A response that states nothing may be of a health check that never does.
+            if node.header_profile.statement(headers) != BackendStatement::default() {
+                statements::record_response(node, announcement.start().as_ref(), sent_at, headers);
+            }
             from_response(node, response.status(), headers)
         }
         Ok(Err(_)) | Err(_) => Health::Unknown,
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -7,6 +7,7 @@
 use http::header::{HeaderMap, HeaderValue};
 
 use super::headers;
+use crate::core::backend_statement::ReportedStatements;
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
 use crate::decide::admission::{Priority, SlotRequest};
@@ -50,6 +51,8 @@
     /// Revision of the order for a roll-out under which the endpoint of a candidate version was chosen.
     /// `None` if it was chosen without regard to its version, or as one of an established version.
     pub(crate) rollout_order: Option<u64>,
+    /// What the entry node knows of the statements of the gate's backend server.
+    pub(crate) known_statements: Option<ReportedStatements>,
     /// The epoch in which this process admitted the request as its entry node. `None` if another node did.
     pub(crate) admitted_in: Option<Epoch>,
     /// Set before the request is sent to the backend server or to another node.
@@ -69,6 +72,9 @@
         if let Some(revision) = self.rollout_order {
             headers.insert(headers::ROLLOUT_ORDER, HeaderValue::from(revision));
         }
+        if let Some(known) = &self.known_statements {
+            headers.insert(headers::STATEMENTS, headers::format_statements(known));
+        }
     }
 
     /// Reads the metadata of a request from another node. `delay` is the time by which the request
@@ -100,6 +106,7 @@
             depth: u32_header(&headers::DEPTH),
             retries: u32_header(&headers::RETRIES),
             rollout_order: headers::get_u64(headers, &headers::ROLLOUT_ORDER),
+            known_statements: headers::parse_statements(headers),
             admitted_in: None,
             sent: Arc::default(),
         })
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -33,6 +33,7 @@
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::drain::DrainSchedule;
 use crate::decide::freeze::{Epoch, FreezeDetector};
+use crate::decide::known_statements::KnownStatements;
 use crate::decide::load_balancing::{Balancer, LoadReport};
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::decide::uploads::{UploadLimits, UploadQueue};
@@ -56,6 +57,8 @@
     pub(crate) view: ArcSwap<MembershipView>,
     /// Load and failures of endpoints, as this node has observed them as an entry node.
     balancer: Mutex<Balancer>,
+    /// Statements of other nodes' backend servers.
+    known_statements: Mutex<KnownStatements>,
     retry_tokens: Mutex<ServiceTokens>,
     admission: Mutex<Admission<WaitOutcomeSender>>,
     /// How much of this VM's link large uploads may use at a time.
@@ -173,6 +176,7 @@
             enforced: ArcSwapOption::empty(),
             view: ArcSwap::default(),
             balancer: Mutex::new(Balancer::new(mechanisms)),
+            known_statements: Mutex::default(),
             retry_tokens: Mutex::default(),
             admission: Mutex::new(Admission::new(mechanisms)),
             backend: ArcSwapOption::from(backend),
@@ -256,6 +260,23 @@
         lock_ignoring_poison(&self.balancer)
     }
 
+    pub(crate) fn known_statements(&self) -> MutexGuard<'_, KnownStatements> {
+        lock_ignoring_poison(&self.known_statements)
+    }
+
+    /// Publishes a membership view. An endpoint that has come back in it is no longer avoided for having been draining.
+    pub(crate) fn set_view(&self, view: MembershipView) {
+        let now_us = clock::since_us(self.started);
+        let before = self.view.swap(Arc::new(view));
+        let after = self.view.load();
+        let mut balancer = self.balancer();
+        for node in balancer.draining(now_us) {
+            if after.has_endpoint(node) && !before.has_endpoint(node) {
+                balancer.record_return(node);
+            }
+        }
+    }
+
     /// Applies the retry settings and the current number of nodes to the retry tokens.
     pub(crate) fn update_retry_policy(&self) {
         let reloadable = self.reloadable.load();
--- a/src/proxy/statements.rs
+++ b/src/proxy/statements.rs
@@ -6,7 +6,7 @@
 
 use super::log_limiter::LogClass;
 use super::slots;
-use crate::core::backend_statement::{RequestRate, StatedLimit};
+use crate::core::backend_statement::{ReportedStatements, RequestRate, StatedLimit};
 use crate::core::status::BackendStart;
 use crate::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
 use crate::proxy::state::{BackendEvent, ProxyState};
@@ -33,6 +33,17 @@
         is_new
     }
 
+    /// What other nodes are told of the statements in force; `None` if there is nothing to tell.
+    pub(crate) fn reported(&self) -> Option<ReportedStatements> {
+        let reported = ReportedStatements {
+            start: self.start.clone()?,
+            limit: self.statements.limit(),
+            leaving: self.statements.is_leaving(),
+        };
+        let has_any = reported.limit.is_some() || reported.leaving;
+        has_any.then_some(reported)
+    }
+
     /// The statements of the latest start.
     pub(crate) fn current(&self) -> &BackendStatements {
         &self.statements
@@ -74,6 +85,21 @@
     apply(node, start, changes);
 }
 
+/// Records what an entry node knows of the backend server's statements. This process may have started since.
+pub(crate) fn record_reported(node: &ProxyState, reported: &ReportedStatements) {
+    let start = Some(&reported.start);
+    let changes = {
+        let mut local = node.statements();
+        if local.start.as_ref() != start {
+            return;
+        }
+        let now_us = clock::since_us(node.started);
+        let ReportedStatements { limit, leaving, .. } = *reported;
+        local.statements.record_reported(now_us, limit, leaving)
+    };
+    apply(node, start, changes);
+}
+
 /// Counts a response that this entry node passes on to a caller, if it states anything.
 pub(crate) fn count_forwarded(node: &ProxyState, headers: &HeaderMap) {
     let statement = node.header_profile.statement(headers);
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Whether a node is an endpoint of a service.
+    pub(crate) fn has_endpoint(&self, node: NodeId) -> bool {
+        let mut endpoints = self.endpoints.values().flat_map(RankedEndpoints::iter);
+        endpoints.any(|endpoint| endpoint.node == node)
+    }
+
     pub(crate) fn alive_count(&self) -> usize {
         let is_alive = |member: &&Member| member.liveness == Liveness::Alive;
         self.members.iter().filter(is_alive).count()
--- a/tests/testsuite/decide_backend_statements.rs
+++ b/tests/testsuite/decide_backend_statements.rs
@@ -1,7 +1,13 @@
 //! Tests of what holds of a backend server's statements when responses cross or lack a header.
 
-use dragonflywall::core::backend_statement::{BackendStatement, RequestRate, StatedLimit};
+use dragonflywall::core::backend_statement::{
+    BackendStatement, ReportedStatements, RequestRate, StatedLimit,
+};
+use dragonflywall::core::member::NodeId;
+use dragonflywall::core::names::InstanceName;
+use dragonflywall::core::status::BackendStart;
 use dragonflywall::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
+use dragonflywall::decide::known_statements::KnownStatements;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -161,3 +167,75 @@
         assert_eq!(RequestRate::from_per_s(per_s), None);
     }
 }
+
+fn reported(per_s: Option<f64>, leaving: bool) -> ReportedStatements {
+    ReportedStatements {
+        start: BackendStart {
+            instance: InstanceName::new("i-1"),
+            started_ms: 10,
+        },
+        limit: per_s.map(rate),
+        leaving,
+    }
+}
+
+/// Guards against a process that starts without knowing of a limit which other nodes know.
+#[test]
+fn a_reported_limit_holds_until_responses_say_otherwise() {
+    let mut statements = BackendStatements::default();
+    let changes = statements.record_reported(0, Some(rate(14.0)), false);
+    assert_eq!(
+        limit_change(changes),
+        Some(LimitChange::Started { rate: rate(14.0) })
+    );
+    statements.record_reported(1, Some(rate(20.0)), false);
+    assert_eq!(statements.limit(), Some(rate(14.0)));
+    statements.record(2 * SECOND_US, SECOND_US, &silent());
+    statements.record(2 * SECOND_US, SECOND_US, &silent());
+    assert_eq!(statements.limit(), None);
+}
+
+/// Guards against a limit that has ended and is brought back by a node that was not told of the end.
+#[test]
+fn a_reported_limit_is_ignored_after_the_first_response() {
+    let mut statements = BackendStatements::default();
+    statements.record(1, 0, &silent());
+    statements.record_reported(2, Some(rate(14.0)), false);
+    assert_eq!(statements.limit(), None);
+}
+
+#[test]
+fn reported_leaving_counts_at_any_time() {
+    let mut statements = BackendStatements::default();
+    statements.record(1, 0, &silent());
+    assert!(statements.record_reported(2, None, true).started_leaving);
+    assert!(statements.is_leaving());
+}
+
+/// Guards against a response to an earlier request that makes a node forget what it was told since.
+#[test]
+fn known_statements_are_dropped_only_if_the_gate_was_sent_them() {
+    let node = NodeId(([10, 0, 0, 1], 80).into());
+    let limit = reported(Some(14.0), false);
+    let mut known = KnownStatements::default();
+    known.record(node, limit.clone());
+    known.record_none(node, None);
+    assert_eq!(known.get(node), Some(&limit));
+    let leaving = reported(None, true);
+    known.record(node, leaving.clone());
+    known.record_none(node, Some(&limit));
+    assert_eq!(known.get(node), Some(&leaving));
+    known.record_none(node, Some(&leaving));
+    assert_eq!(known.get(node), None);
+}
+
+#[test]
+fn known_statements_are_bounded() {
+    let mut known = KnownStatements::default();
+    let node = |number: u16| NodeId(([10, 0, 0, 1], number).into());
+    for number in 0..5_000 {
+        known.record(node(number), reported(Some(14.0), false));
+    }
+    assert_eq!(known.get(node(0)), None);
+    assert!(known.get(node(4_999)).is_some());
+}
--- a/tests/testsuite/users_statements.rs
+++ b/tests/testsuite/users_statements.rs
@@ -196,13 +196,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_gate_learns_the_rate_limit_from_entry_nodes() {
     let mut plan = one_data_centre();
+    plan.vms_per_service = 4;
     plan.behaviour.slots = 64;
     let mut mesh = start_serving_users_mesh(plan).await;
     let limited = mesh.vms_of(SERVICES[0])[0];
-    let per_s = 1.0;
-    mesh.vms[limited]
-        .backend()
-        .set_statement(Statement::limit(per_s));
+    let per_s = 0.0;
+    let mut statement = Statement::limit(per_s);
+    statement.not_in_health_checks = true;
+    mesh.vms[limited].backend().set_statement(statement);
     wait_told(&mesh, "told", limited).await;
     mesh.kill_node(limited).await.expect("the node exits");
     mesh.start_node(limited).await.expect("the node starts");
@@ -210,7 +211,7 @@
     mesh.wait_serving().await;
     // The restarted node itself is not bound.
     let entries = other_entries(&mesh, limited);
-    let mut readers = Readers::new("after", &entries, 20);
+    let mut readers = Readers::new("after", &entries, 12);
     readers.work_ms = 500;
     let restarted_at = Instant::now();
     readers
@@ -265,16 +266,13 @@
 async fn a_restarted_gate_learns_from_entry_nodes_that_its_backend_server_leaves() {
     let mut mesh = start_serving_users_mesh(one_data_centre()).await;
     let leaving = mesh.vms_of(SERVICES[0])[0];
-    mesh.vms[leaving]
-        .backend()
-        .set_statement(Statement::leaving());
+    // Its health checks pass, so the new process of its gate takes it for one that stays.
+    let mut statement = Statement::leaving();
+    statement.not_in_health_checks = true;
+    mesh.vms[leaving].backend().set_statement(statement);
     let until = Instant::now() + Duration::from_secs(1);
     send_reads(&mesh, "told", 1, until).await;
     assert!(!arrivals_at(&mesh, leaving).is_empty());
-    // Its health checks pass, so the new process of its gate takes it for one that stays.
-    mesh.vms[leaving]
-        .backend()
-        .set_statement(Statement::default());
     mesh.kill_node(leaving).await.expect("the node exits");
     mesh.start_node(leaving).await.expect("the node starts");
     mesh.wait_enforced(1).await;
