Backend connections: a stated idle time limits their reuse

A connection is reused for up to a second; a backend server that closes idle ones after a second could reset it, which ends a request that may not be repeated.

It is now reused for four fifths of the stated time at most.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -22,7 +22,7 @@
 use super::body::{self, Body, BoxError, GuardedBody};
 use super::failure::{Failure, Reason};
 use super::header_profile::{self, HeaderProfile};
-use super::log_limiter;
+use super::{headers, log_limiter};
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
 use crate::util::dial::dial;
 
@@ -51,6 +51,23 @@
 /// The same limit for idempotent requests, which are retried after a connection reset.
 const IDLE_REUSE_MAX_IDEMPOTENT: Duration = Duration::from_secs(1);
 
+/// Share of the idle time that the backend server states after which a connection is not reused. The rest
+/// covers a request that is on its way when the backend server closes the connection.
+const STATED_IDLE_TIME_NUMERATOR: u32 = 4;
+const STATED_IDLE_TIME_DENOMINATOR: u32 = 5;
+
+/// Longest idle time after which a connection is reused, if the backend server says that it closes idle
+/// connections after `keep_alive`.
+fn idle_reuse_max(idempotent: bool, keep_alive: Option<Duration>) -> Duration {
+    let reuse_max = match idempotent {
+        true => IDLE_REUSE_MAX_IDEMPOTENT,
+        false => IDLE_REUSE_MAX,
+    };
+    let stated = keep_alive
+        .map(|timeout| timeout * STATED_IDLE_TIME_NUMERATOR / STATED_IDLE_TIME_DENOMINATOR);
+    stated.map_or(reuse_max, |stated| stated.min(reuse_max))
+}
+
 /// A connection to the backend server.
 #[derive(Debug)]
 struct Connection {
@@ -65,6 +82,14 @@
     address: SocketAddr,
     connection: Connection,
     idle_since: Instant,
+    /// How long the backend server keeps it open, if it said so.
+    keep_alive: Option<Duration>,
+}
+
+impl IdleConnection {
+    fn may_be_reused(&self, idempotent: bool) -> bool {
+        self.idle_since.elapsed() < idle_reuse_max(idempotent, self.keep_alive)
+    }
 }
 
 /// Pool of connections to the backend server.
@@ -128,11 +153,7 @@
         check: impl Fn() -> Result<(), Failure>,
     ) -> Result<Response<Body>, Failure> {
         let mut request = request;
-        let idle_max = match idempotent {
-            true => IDLE_REUSE_MAX_IDEMPOTENT,
-            false => IDLE_REUSE_MAX,
-        };
-        while let Some(connection) = self.take_idle(address, idle_max) {
+        while let Some(connection) = self.take_idle(address, idempotent) {
             check()?;
             match self.exchange(address, connection, request).await {
                 Ok(response) => return Ok(response),
@@ -246,6 +267,7 @@
             pool: self.clone(),
             address,
             connection: Some(connection),
+            keep_alive: headers::keep_alive_timeout(response.headers()),
         };
         response.map(|incoming| {
             let inner = body::boxed(incoming);
@@ -253,16 +275,16 @@
         })
     }
 
-    /// Takes the most recently used idle connection, if it has been idle for less than `idle_max`.
-    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+    /// Takes the most recently used idle connection, if it has not been idle for too long.
+    fn take_idle(&self, address: SocketAddr, idempotent: bool) -> Option<Connection> {
         let mut idle = lock_ignoring_poison(&self.idle);
         let reuse_any_idle = !self.mechanisms.is_enabled(Mechanism::IdleConnectionTimeout);
         idle.retain(|idle| {
             let is_kept = idle.address == address && !idle.connection.sender.is_closed();
-            is_kept && (reuse_any_idle || idle.idle_since.elapsed() < IDLE_REUSE_MAX_IDEMPOTENT)
+            is_kept && (reuse_any_idle || idle.may_be_reused(true))
         });
         let is_usable = |idle: &IdleConnection| {
-            let recently_used = reuse_any_idle || idle.idle_since.elapsed() < idle_max;
+            let recently_used = reuse_any_idle || idle.may_be_reused(idempotent);
             recently_used && idle.connection.sender.is_ready()
         };
         let ready = idle.iter().rposition(is_usable)?;
@@ -294,6 +316,7 @@
     pool: BackendPool,
     address: SocketAddr,
     connection: Option<Connection>,
+    keep_alive: Option<Duration>,
 }
 
 impl Drop for Lease {
@@ -304,6 +327,7 @@
                 address: self.address,
                 connection,
                 idle_since: Instant::now(),
+                keep_alive: self.keep_alive,
             });
         }
     }
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -230,3 +230,20 @@
     tokio::time::sleep(IDLE_REUSE_MAX).await;
     send("payment", false).await;
 }
+
+/// Guards against requests on connections that the backend server has said it would have closed by then.
+#[test]
+fn a_stated_idle_time_limits_the_reuse_of_connections() {
+    let seconds = Duration::from_secs;
+    assert_eq!(idle_reuse_max(true, None), IDLE_REUSE_MAX_IDEMPOTENT);
+    assert_eq!(
+        idle_reuse_max(true, Some(seconds(10))),
+        IDLE_REUSE_MAX_IDEMPOTENT
+    );
+    assert_eq!(
+        idle_reuse_max(true, Some(seconds(1))),
+        Duration::from_millis(800)
+    );
+    assert_eq!(idle_reuse_max(false, Some(seconds(1))), IDLE_REUSE_MAX);
+    assert_eq!(idle_reuse_max(false, Some(seconds(0))), Duration::ZERO);
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -1,5 +1,7 @@
 //! Names and formats of the mesh's own headers, and removal of headers that must not be forwarded.
 
+use std::time::Duration;
+
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::core::backend_statement::{ReportedStatements, RequestRate};
@@ -73,10 +75,12 @@
 /// On every request to a backend server and every response to a caller: id of the request.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Headers that apply to one connection only and are never forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 7] = [
     header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
+    KEEP_ALIVE,
     HeaderName::from_static("proxy-connection"),
     header::TE,
     header::TRAILER,
@@ -84,6 +88,14 @@
     header::UPGRADE,
 ];
 
+/// How long the sender of a response keeps the idle connection open, if `Keep-Alive` says so.
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let parameters = get_str(headers, &KEEP_ALIVE)?.split(',');
+    let mut pairs = parameters.filter_map(|parameter| parameter.split_once('='));
+    let (_, timeout_s) = pairs.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    timeout_s.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Removes hop-by-hop headers, including those that `Connection` lists.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/src/proxy/headers/tests.rs
+++ b/src/proxy/headers/tests.rs
@@ -22,6 +22,21 @@
     }
 }
 
+#[test]
+fn the_keep_alive_timeout_is_parsed() {
+    let timeout = |value: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert(KEEP_ALIVE, HeaderValue::from_static(value));
+        keep_alive_timeout(&headers)
+    };
+    assert_eq!(timeout("timeout=10"), Some(Duration::from_secs(10)));
+    assert_eq!(timeout("max=5, Timeout = 1"), Some(Duration::from_secs(1)));
+    for unreadable in ["", "timeout", "timeout=-1", "timeout=1.5", "max=100"] {
+        assert_eq!(timeout(unreadable), None, "{unreadable}");
+    }
+    assert_eq!(keep_alive_timeout(&HeaderMap::new()), None);
+}
+
 #[test]
 fn a_load_report_without_a_rate_limit_has_six_numbers() {
     let mut load = LoadReport {
