--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -180,8 +180,9 @@
     ) -> Result<ChosenEndpoint, Failure> {
         let view = self.node.view.load();
         let Some(ranked) = view.endpoints.get(self.service()) else {
-            self.log_no_endpoint(0, tried.len());
-            return Err(Failure::not_run(Reason::NoEndpoint));
+            let failure = Failure::not_run(Reason::NoEndpoint);
+            self.log_no_endpoint(&failure, 0, tried.len());
+            return Err(failure);
         };
         let rollouts = &self.node.rollouts;
         let limit_percent = self.node.settings.exposure_percent;
@@ -220,13 +221,15 @@
         }
         let rate_limit_wait_us = balancer.rate_limit_wait_us(now_us, ranked);
         drop(balancer);
-        self.log_no_endpoint(ranked.iter().count(), tried.len());
-        Err(match rate_limit_wait_us {
+        let failure = match rate_limit_wait_us {
             Some(wait_us) => {
+                metrics::counter!("dragonflywall_requests_withheld_total").increment(1);
                 Failure::not_run(Reason::RateLimited).with_retry_after_ms(wait_us / 1_000)
             }
             None => Failure::not_run(Reason::NoEndpoint),
-        })
+        };
+        self.log_no_endpoint(&failure, ranked.iter().count(), tried.len());
+        Err(failure)
     }
 
     /// Priority of the request at the gate.
@@ -309,13 +312,14 @@
         );
     }
 
-    fn log_no_endpoint(&self, known_endpoints: usize, tried_endpoints: usize) {
+    fn log_no_endpoint(&self, failure: &Failure, known_endpoints: usize, tried_endpoints: usize) {
         if !self.node.log_limiter.may_log(LogClass::Notable) {
             return;
         }
         log::warn!(
             request_id = self.request_id(),
             service:% = self.service(),
+            reason = failure.reason.code(),
             known_endpoints,
             tried_endpoints,
             store_age_ms:? = self.node.store_age_ms(),
