--- a/tests/testsuite/decide_backend_statements.rs
+++ b/tests/testsuite/decide_backend_statements.rs
@@ -8,6 +8,7 @@
 use dragonflywall::core::status::BackendStart;
 use dragonflywall::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
 use dragonflywall::decide::known_statements::KnownStatements;
+use proptest::prelude::*;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -239,3 +240,61 @@
     assert_eq!(known.get(node(0)), None);
     assert!(known.get(node(4_999)).is_some());
 }
+
+/// A response: when its request was sent, when it was made, when it arrived, and the limit that it names.
+#[derive(Clone, Copy, Debug)]
+struct TimedResponse {
+    sent_us: u64,
+    made_us: u64,
+    received_us: u64,
+    per_s: Option<f64>,
+}
+
+fn timed_responses() -> impl Strategy<Value = Vec<TimedResponse>> {
+    let limits = prop::collection::vec(prop::option::of(1..50_u32), 1..6);
+    let times = (0..8_000_000_u64, 0..300_000_u64, 0..400_000_u64);
+    let times = prop::collection::vec(times, 1..120);
+    (limits, times).prop_map(|(limits, times)| {
+        let limit_at = |made_us: u64| {
+            let position = made_us as usize * limits.len() / 9_000_000;
+            limits[position.min(limits.len() - 1)].map(f64::from)
+        };
+        let response = |(sent_us, work_us, delay_us)| TimedResponse {
+            sent_us,
+            made_us: sent_us + work_us,
+            received_us: sent_us + work_us + delay_us,
+            per_s: limit_at(sent_us + work_us),
+        };
+        let mut responses: Vec<TimedResponse> = times.into_iter().map(response).collect();
+        responses.sort_by_key(|response| response.received_us);
+        responses
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(44),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against responses that cross and leave a higher limit in force than the last one that was made names.
+    #[test]
+    fn crossing_responses_never_raise_the_limit_above_the_latest(responses in timed_responses()) {
+        let mut statements = BackendStatements::default();
+        let mut latest: Option<TimedResponse> = None;
+        for response in responses {
+            let statement = response.per_s.map_or_else(silent, naming);
+            statements.record(response.received_us, response.sent_us, &statement);
+            if latest.is_none_or(|latest| latest.made_us <= response.made_us) {
+                latest = Some(response);
+            }
+            let named = latest.and_then(|latest| latest.per_s);
+            if let Some(named) = named {
+                let in_force = statements.limit().map(RequestRate::per_s);
+                prop_assert!(in_force.is_some_and(|per_s| per_s <= named), "{:?} > {}", in_force, named);
+            }
+        }
+    }
+}
