Split admission, load balancing and routed requests into files by task

Moves only: requests for slots and load reports out of admission, ranked endpoints and requirements out of load balancing, log lines and results of attempts out of routed requests.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -13,147 +13,30 @@
 //! servers by the load that is reported with each response.
 
 mod class_queue;
+mod load;
 mod pacing;
+mod request;
 
 use std::collections::VecDeque;
 
 use slotmap::{SlotMap, new_key_type};
 
 use self::class_queue::{ClassQueue, QueueKey, QueuedWork};
-use super::load_balancing::{LoadReport, RateReport};
 use super::rate_limit::RatePacer;
 use super::service_times::ServiceTimes;
-use crate::core::configuration::{Class, PRIORITY_DEFAULT};
+use crate::core::configuration::Class;
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
 use crate::core::names::ResourceName;
 
+pub use self::request::{
+    AdmitOutcome, Limits, Priority, Refusal, RefusalCause, ReleasedSlot, SlotRequest, WaitOutcome,
+};
+
 new_key_type! {
     /// Identifies a waiting request.
     pub struct Ticket;
 }
 
-/// Capacity of one backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Limits {
-    /// Maximum number of requests that run concurrently.
-    pub slots: u32,
-    /// Maximum number of waiting requests, all classes together.
-    pub queue_len: u32,
-}
-
-/// Priority of a request among those of its class; the smallest value goes first.
-///
-/// A nested call goes before requests of callers, because the request that made it occupies a slot
-/// of its own service until the call returns, and its work is lost if the call is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Priority {
-    /// A call made by a request that is running at a backend server.
-    NestedCall,
-    /// A request that no other request in the mesh waits for.
-    CallerRequest {
-        /// Configured priority; 0 goes first.
-        rank: u8,
-    },
-}
-
-/// A request for a slot. Times are microseconds of the clock that [`Admission`] is called with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SlotRequest {
-    /// Class of work, which selects the queue.
-    pub class: Class,
-    /// Priority within that queue.
-    pub priority: Priority,
-    /// When the target latency ends. Among requests of the same priority the earliest goes first.
-    pub due_us: u64,
-    /// Expected time that the request holds its slot; the mean of its class if unknown.
-    pub service_time_us: Option<u64>,
-    /// When the response is no longer of use to the caller.
-    pub deadline_us: u64,
-    /// Maximum wait for a slot. The request is refused at once if the estimated wait is longer.
-    pub max_wait_us: u64,
-}
-
-impl SlotRequest {
-    /// Returns a caller's request of default rank and unknown service time, whose wait is limited
-    /// by its deadline alone.
-    pub fn new(class: Class, deadline_us: u64) -> Self {
-        Self {
-            class,
-            priority: Priority::CallerRequest {
-                rank: PRIORITY_DEFAULT,
-            },
-            due_us: deadline_us,
-            service_time_us: None,
-            deadline_us,
-            max_wait_us: u64::MAX,
-        }
-    }
-
-    fn queue_key(&self, switches: MechanismSwitches) -> QueueKey {
-        let priority = match self.priority {
-            Priority::NestedCall if switches.is_enabled(Mechanism::NestedCallsFirst) => {
-                Priority::NestedCall
-            }
-            Priority::CallerRequest { rank } if switches.is_enabled(Mechanism::PriorityOrder) => {
-                Priority::CallerRequest { rank }
-            }
-            _ => Priority::CallerRequest {
-                rank: PRIORITY_DEFAULT,
-            },
-        };
-        let due_us = match switches.is_enabled(Mechanism::DueTimeOrder) {
-            true => self.due_us,
-            false => 0,
-        };
-        QueueKey { priority, due_us }
-    }
-}
-
-/// Why a request was refused. Each cause proves that the request did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RefusalCause {
-    /// The queue is full.
-    QueueFull,
-    /// The response is expected after the deadline.
-    DeadlineTooSoon,
-    /// The estimated wait exceeds [`SlotRequest::max_wait_us`].
-    WaitTooLong,
-    /// The rate limit of the backend server leaves the request no time, or makes it wait too long.
-    RateLimited,
-    /// The backend server accepts no new requests.
-    Closed,
-}
-
-/// A refusal, with advice on when to retry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why the request was refused.
-    pub cause: RefusalCause,
-    /// Estimated wait of a new request, in milliseconds.
-    pub retry_after_ms: u64,
-}
-
-/// Result of [`Admission::admit`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AdmitOutcome {
-    /// The request holds a slot until [`Admission::release`].
-    Slot,
-    /// The request waits until [`Admission::end_next_wait`] returns it or [`Admission::cancel`]
-    /// removes it.
-    Queued(Ticket),
-    /// The request does not run here.
-    Refused(Refusal),
-}
-
-/// How the wait of a queued request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WaitOutcome {
-    /// The request holds a slot until [`Admission::release`].
-    Slot,
-    /// The request was refused while it waited.
-    Refused(Refusal),
-}
-
 /// Interactive requests of callers that get a slot in succession before a waiting bulk request goes
 /// next, so that bulk work is not starved.
 const INTERACTIVE_STREAK_MAX: u32 = 3;
@@ -195,35 +78,6 @@
     slot_start_sum_us: u64,
 }
 
-/// A slot that is released, and the request that held it.
-#[derive(Clone, Copy, Debug)]
-pub struct ReleasedSlot<'a> {
-    /// Class of the request that held the slot.
-    pub class: Class,
-    /// Resource that the request asked for.
-    pub resource: &'a ResourceName,
-    /// How long the request held the slot, in microseconds.
-    pub service_time_us: u64,
-    /// Whether the backend server responded; false if the request was abandoned before.
-    pub answered: bool,
-}
-
-/// Number of resources whose service times are reported with the response to a request for another
-/// resource. The longest are reported: they differ most between endpoints and are requested least
-/// often, so entry nodes would seldom receive them otherwise.
-const OTHER_SERVICE_TIMES_MAX: usize = 3;
-/// Service times measured longer ago than this, in microseconds, are not reported. Repeated reports
-/// of an old time would keep entry nodes away from a backend server that is no longer slow.
-const OTHER_SERVICE_TIMES_AGE_MAX_US: u64 = 1_000_000;
-
-/// A slowdown is detected only while at least one in this many slots is in use. A single long
-/// request does not show that the backend server is slow.
-const SLOWDOWN_SLOTS_PER_RUNNING_REQUEST_MAX: u32 = 2;
-/// Ratio of the mean age of running requests to the mean service time above which the backend
-/// server counts as slowed down. Service times are roughly exponential, so the two are about equal
-/// in a steady state; a few long requests among nine running ones easily double the mean age.
-const SLOWDOWN_FACTOR: u64 = 4;
-
 impl<W> Default for Admission<W> {
     fn default() -> Self {
         Self::new(MechanismSwitches::default())
@@ -396,60 +250,6 @@
         self.slot_start_sum_us = self.slot_start_sum_us.saturating_sub(slot_start_us);
     }
 
-    /// Returns the load that is reported to an entry node with the response to a request for
-    /// `resource`.
-    pub fn load_report(
-        &self,
-        now_us: u64,
-        request: &SlotRequest,
-        resource: &ResourceName,
-    ) -> LoadReport {
-        let slowdown_age_us = self.slowdown_age_us(now_us);
-        let (own, other) = self.ahead(request);
-        LoadReport {
-            in_use: self.in_use(),
-            ahead: own.count + other.count,
-            slots: self.limits.slots,
-            mean_service_time_us: self.service_times.overall_us().max(slowdown_age_us),
-            resource_service_time_us: self
-                .service_times
-                .resource_us(resource)
-                .max(slowdown_age_us),
-            upload_time_us: 0,
-            rate: self.pacer.map(|pacer| RateReport {
-                interval_us: pacer.interval_us(),
-                wait_us: self.rate_wait_us(now_us, request),
-            }),
-        }
-    }
-
-    /// Returns recent service times of resources other than `resource`, the longest first. They are
-    /// reported with responses for `resource`, for entry nodes that seldom request the others.
-    pub fn other_service_times(
-        &self,
-        now_us: u64,
-        resource: &ResourceName,
-    ) -> Vec<(&ResourceName, u64)> {
-        let since_us = now_us.saturating_sub(OTHER_SERVICE_TIMES_AGE_MAX_US);
-        self.service_times
-            .longest(OTHER_SERVICE_TIMES_MAX, resource, since_us)
-    }
-
-    /// Returns the mean age of the running requests if it shows that the backend server has slowed
-    /// down, else 0. Finished requests show a slowdown only when the first slow one has ended; until
-    /// then entry nodes would rely on outdated service times.
-    fn slowdown_age_us(&self, now_us: u64) -> u64 {
-        let running = self.in_use();
-        if running == 0 || running * SLOWDOWN_SLOTS_PER_RUNNING_REQUEST_MAX < self.limits.slots {
-            return 0;
-        }
-        let age_us = now_us.saturating_sub(self.slot_start_sum_us / u64::from(running));
-        match age_us > SLOWDOWN_FACTOR * self.service_times.overall_us() {
-            true => age_us,
-            false => 0,
-        }
-    }
-
     /// Ends the wait of one request, if one can get a slot or has to be refused.
     pub fn end_next_wait(&mut self, now_us: u64) -> Option<(W, WaitOutcome)> {
         if let Some((wake, refusal)) = self.refused.pop_front() {
--- /dev/null
+++ b/src/decide/admission/request.rs
@@ -0,0 +1,142 @@
+//! Requests for a slot, and what becomes of them.
+
+use super::Ticket;
+use super::class_queue::QueueKey;
+use crate::core::configuration::{Class, PRIORITY_DEFAULT};
+use crate::core::mechanism::{Mechanism, MechanismSwitches};
+use crate::core::names::ResourceName;
+
+/// Capacity of one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum number of requests that run concurrently.
+    pub slots: u32,
+    /// Maximum number of waiting requests, all classes together.
+    pub queue_len: u32,
+}
+
+/// Priority of a request among those of its class; the smallest value goes first.
+///
+/// A nested call goes before requests of callers, because the request that made it occupies a slot
+/// of its own service until the call returns, and its work is lost if the call is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    /// A call made by a request that is running at a backend server.
+    NestedCall,
+    /// A request that no other request in the mesh waits for.
+    CallerRequest {
+        /// Configured priority; 0 goes first.
+        rank: u8,
+    },
+}
+
+/// A request for a slot. Times are microseconds of the clock that [`Admission`] is called with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotRequest {
+    /// Class of work, which selects the queue.
+    pub class: Class,
+    /// Priority within that queue.
+    pub priority: Priority,
+    /// When the target latency ends. Among requests of the same priority the earliest goes first.
+    pub due_us: u64,
+    /// Expected time that the request holds its slot; the mean of its class if unknown.
+    pub service_time_us: Option<u64>,
+    /// When the response is no longer of use to the caller.
+    pub deadline_us: u64,
+    /// Maximum wait for a slot. The request is refused at once if the estimated wait is longer.
+    pub max_wait_us: u64,
+}
+
+impl SlotRequest {
+    /// Returns a caller's request of default rank and unknown service time, whose wait is limited
+    /// by its deadline alone.
+    pub fn new(class: Class, deadline_us: u64) -> Self {
+        Self {
+            class,
+            priority: Priority::CallerRequest {
+                rank: PRIORITY_DEFAULT,
+            },
+            due_us: deadline_us,
+            service_time_us: None,
+            deadline_us,
+            max_wait_us: u64::MAX,
+        }
+    }
+
+    pub(super) fn queue_key(&self, switches: MechanismSwitches) -> QueueKey {
+        let priority = match self.priority {
+            Priority::NestedCall if switches.is_enabled(Mechanism::NestedCallsFirst) => {
+                Priority::NestedCall
+            }
+            Priority::CallerRequest { rank } if switches.is_enabled(Mechanism::PriorityOrder) => {
+                Priority::CallerRequest { rank }
+            }
+            _ => Priority::CallerRequest {
+                rank: PRIORITY_DEFAULT,
+            },
+        };
+        let due_us = match switches.is_enabled(Mechanism::DueTimeOrder) {
+            true => self.due_us,
+            false => 0,
+        };
+        QueueKey { priority, due_us }
+    }
+}
+
+/// Why a request was refused. Each cause proves that the request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The queue is full.
+    QueueFull,
+    /// The response is expected after the deadline.
+    DeadlineTooSoon,
+    /// The estimated wait exceeds [`SlotRequest::max_wait_us`].
+    WaitTooLong,
+    /// The rate limit of the backend server leaves the request no time, or makes it wait too long.
+    RateLimited,
+    /// The backend server accepts no new requests.
+    Closed,
+}
+
+/// A refusal, with advice on when to retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub cause: RefusalCause,
+    /// Estimated wait of a new request, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// Result of [`Admission::admit`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmitOutcome {
+    /// The request holds a slot until [`Admission::release`].
+    Slot,
+    /// The request waits until [`Admission::end_next_wait`] returns it or [`Admission::cancel`]
+    /// removes it.
+    Queued(Ticket),
+    /// The request does not run here.
+    Refused(Refusal),
+}
+
+/// How the wait of a queued request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitOutcome {
+    /// The request holds a slot until [`Admission::release`].
+    Slot,
+    /// The request was refused while it waited.
+    Refused(Refusal),
+}
+
+/// A slot that is released, and the request that held it.
+#[derive(Clone, Copy, Debug)]
+pub struct ReleasedSlot<'a> {
+    /// Class of the request that held the slot.
+    pub class: Class,
+    /// Resource that the request asked for.
+    pub resource: &'a ResourceName,
+    /// How long the request held the slot, in microseconds.
+    pub service_time_us: u64,
+    /// Whether the backend server responded; false if the request was abandoned before.
+    pub answered: bool,
+}
--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -4,10 +4,7 @@
 //! endpoints of one service in the order of one entry node. [`Balancer`] holds what the entry node has
 //! measured of endpoints with its own requests, which takes precedence over their state in gossip.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
 
 use rand::{Rng, RngExt};
 
@@ -17,18 +14,22 @@
 use super::uploads::SMALL_BODY_MAX_BYTES;
 use crate::core::configuration::Spill;
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
-use crate::core::member::{Distance, Member, NodeId, Place};
+use crate::core::member::{Distance, NodeId};
 use crate::core::names::ResourceName;
 
 mod cost;
 mod endpoint_stats;
 mod free_slot_search;
+mod ranked_endpoints;
 mod rate_throttle;
+mod requirements;
 mod version_set;
 
 pub use self::cost::TimeLimits;
 pub use self::endpoint_stats::{AttemptOutcome, LoadReport, RateReport};
 pub use self::free_slot_search::FreeSlotSearch;
+pub use self::ranked_endpoints::{Endpoint, RankedEndpoints};
+pub use self::requirements::{EndpointEstimate, Requirements};
 pub use self::version_set::{VersionIndex, VersionSet, Versions};
 
 /// Number of endpoints per service and distance that an entry node uses. Each connection costs memory at
@@ -53,100 +54,6 @@
 /// Number of endpoints with statistics above which those not used recently are removed.
 const TRACKED_ENDPOINTS_MAX: usize = 2_048;
 
-/// One endpoint of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Endpoint {
-    /// Node in front of the backend server.
-    pub node: NodeId,
-    /// Address at which the entry node connects to it.
-    pub address: SocketAddr,
-    /// Start time of the node's process, which distinguishes restarts.
-    pub incarnation_us: u64,
-    /// Software version of the backend server, in [`RankedEndpoints::versions`].
-    pub version: VersionIndex,
-}
-
-/// Endpoints of one service, by distance and then in the rendezvous order of one entry node.
-#[derive(Clone, Debug, Default)]
-pub struct RankedEndpoints {
-    by_distance: [Vec<Endpoint>; 3],
-    versions: Versions,
-}
-
-impl RankedEndpoints {
-    /// Adds a member to the ranking of `entry_node`, which is located at `entry_place`.
-    pub fn add(&mut self, entry_node: NodeId, entry_place: &Place, member: &Member) {
-        let distance_index = entry_place.distance_to(&member.place) as usize;
-        let version = self.versions.index_of(member.software_version.as_ref());
-        self.by_distance[distance_index].push(Endpoint {
-            node: member.node,
-            address: member.dial_address(entry_place),
-            incarnation_us: member.incarnation_us,
-            version,
-        });
-        // Rendezvous hashing: an added or removed endpoint changes one member of the subsets of a
-        // few entry nodes and leaves all other connections unchanged. The next endpoint in the
-        // order replaces one that is not available.
-        self.by_distance[distance_index]
-            .sort_by_cached_key(|endpoint| Reverse(rendezvous_weight(entry_node, endpoint.node)));
-    }
-
-    /// Software versions of the endpoints.
-    pub fn versions(&self) -> &Versions {
-        &self.versions
-    }
-
-    /// Iterates over all endpoints, nearest first.
-    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.by_distance.iter().flatten()
-    }
-}
-
-fn rendezvous_weight(entry_node: NodeId, endpoint: NodeId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (entry_node, endpoint).hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Properties of a request that its endpoint is chosen by.
-#[derive(Clone, Copy, Debug)]
-pub struct Requirements<'a> {
-    /// Maximum distance of the endpoint.
-    pub spill: Spill,
-    /// Assumed number of slots of an endpoint that has not reported it.
-    pub default_slots: u32,
-    /// Requested resource.
-    pub resource: &'a ResourceName,
-    /// Target latency and deadline of the response.
-    pub limits: TimeLimits,
-    /// Priority of the request at the gate.
-    pub priority: Priority,
-    /// Length of the request body.
-    pub body_bytes: u64,
-    /// Endpoints at which an earlier attempt of the request failed.
-    pub tried: &'a [NodeId],
-    /// Software versions of which the endpoint must have one.
-    pub versions: VersionSet,
-    /// Nodes of which the endpoint must be one; `None` for any.
-    pub only: Option<&'a [NodeId]>,
-}
-
-/// Estimated state of one endpoint, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EndpointEstimate {
-    /// Requests running or waiting at the endpoint.
-    pub in_flight: f64,
-    /// Maximum number of concurrently running requests.
-    pub slots: f64,
-    /// Reported service time of requests for the same resource, in microseconds, if any. It decreases
-    /// with the age of the report.
-    pub service_time_us: Option<u64>,
-    /// Share of recent requests that failed.
-    pub failure_rate: f64,
-    /// Age of the last load report in microseconds; `None` if there was none.
-    pub report_age_us: Option<u64>,
-}
-
 /// Which endpoints are considered for a request.
 #[derive(Clone, Copy)]
 struct EndpointFilter<'a> {
--- /dev/null
+++ b/src/decide/load_balancing/ranked_endpoints.rs
@@ -0,0 +1,63 @@
+//! Endpoints of one service, in the order of one entry node.
+
+use std::cmp::Reverse;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+use super::version_set::{VersionIndex, Versions};
+use crate::core::member::{Member, NodeId, Place};
+
+/// One endpoint of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Node in front of the backend server.
+    pub node: NodeId,
+    /// Address at which the entry node connects to it.
+    pub address: SocketAddr,
+    /// Start time of the node's process, which distinguishes restarts.
+    pub incarnation_us: u64,
+    /// Software version of the backend server, in [`RankedEndpoints::versions`].
+    pub version: VersionIndex,
+}
+
+/// Endpoints of one service, by distance and then in the rendezvous order of one entry node.
+#[derive(Clone, Debug, Default)]
+pub struct RankedEndpoints {
+    pub(super) by_distance: [Vec<Endpoint>; 3],
+    versions: Versions,
+}
+
+impl RankedEndpoints {
+    /// Adds a member to the ranking of `entry_node`, which is located at `entry_place`.
+    pub fn add(&mut self, entry_node: NodeId, entry_place: &Place, member: &Member) {
+        let distance_index = entry_place.distance_to(&member.place) as usize;
+        let version = self.versions.index_of(member.software_version.as_ref());
+        self.by_distance[distance_index].push(Endpoint {
+            node: member.node,
+            address: member.dial_address(entry_place),
+            incarnation_us: member.incarnation_us,
+            version,
+        });
+        // Rendezvous hashing: an added or removed endpoint changes one member of the subsets of a
+        // few entry nodes and leaves all other connections unchanged. The next endpoint in the
+        // order replaces one that is not available.
+        self.by_distance[distance_index]
+            .sort_by_cached_key(|endpoint| Reverse(rendezvous_weight(entry_node, endpoint.node)));
+    }
+
+    /// Software versions of the endpoints.
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
+    /// Iterates over all endpoints, nearest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_distance.iter().flatten()
+    }
+}
+
+fn rendezvous_weight(entry_node: NodeId, endpoint: NodeId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (entry_node, endpoint).hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -18,8 +18,7 @@
 use crate::decide::admission::Priority;
 use crate::decide::freeze::Epoch;
 use crate::decide::load_balancing::{
-    AttemptOutcome, Balancer, Endpoint, EndpointEstimate, FreeSlotSearch, LoadReport, Requirements,
-    TimeLimits, VersionSet,
+    Balancer, Endpoint, FreeSlotSearch, Requirements, TimeLimits, VersionSet,
 };
 use crate::decide::max_wait;
 use crate::decide::retry::Attempts;
@@ -27,12 +26,14 @@
 use crate::proxy::body::{self, Body, GuardedBody};
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::hop::{self, Hop};
-use crate::proxy::log_limiter::{self, LogClass};
 use crate::proxy::replay::ReplayableBody;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{gate, headers, statements, uploads};
 use crate::util::{clock, deadline};
 
+mod attempt_log;
+mod attempt_results;
+
 /// An endpoint that was chosen for an attempt.
 struct ChosenEndpoint {
     endpoint: Endpoint,
@@ -253,98 +254,6 @@
         balancer.record_start(now_us, endpoint);
     }
 
-    /// Counts an attempt towards the share and the failures of a candidate version.
-    fn record_version_outcome(
-        &self,
-        candidate_order: Option<u64>,
-        result: &Result<Response<Body>, Failure>,
-    ) {
-        let rollouts = &self.node.rollouts;
-        if result.is_ok() {
-            let limit_percent = self.node.settings.exposure_percent;
-            rollouts.record_answered(self.service(), limit_percent);
-        }
-        let Some(order_revision) = candidate_order else {
-            return;
-        };
-        let failed = match result {
-            Ok(response) => response.status().is_server_error(),
-            Err(failure) if failure.verdict == Verdict::NotRun => {
-                return rollouts.put_back_credit(self.service(), order_revision);
-            }
-            Err(_) => true,
-        };
-        rollouts.record_candidate_outcome(self.service(), order_revision, failed);
-    }
-
-    fn request_id(&self) -> &str {
-        let id = self.parts.headers.get(&self.node.header_profile.request_id);
-        log_limiter::id_text(id)
-    }
-
-    fn remaining_ms(&self) -> u64 {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
-    }
-
-    fn log_endpoint_chosen(
-        &self,
-        endpoint: &Endpoint,
-        estimate: &EndpointEstimate,
-        tried_endpoints: usize,
-    ) {
-        if !self.node.log_limiter.may_log(LogClass::Routine) {
-            return;
-        }
-        log::info!(
-            request_id = self.request_id(),
-            service:% = self.service(),
-            resource:% = self.target.resource,
-            node:% = endpoint.node,
-            tried_endpoints,
-            in_flight = estimate.in_flight,
-            slots = estimate.slots,
-            service_time_us:? = estimate.service_time_us,
-            failure_rate = estimate.failure_rate,
-            report_age_us:? = estimate.report_age_us,
-            remaining_ms = self.remaining_ms();
-            "chose an endpoint for the request"
-        );
-    }
-
-    fn log_no_endpoint(&self, failure: &Failure, known_endpoints: usize, tried_endpoints: usize) {
-        if !self.node.log_limiter.may_log(LogClass::Notable) {
-            return;
-        }
-        log::warn!(
-            request_id = self.request_id(),
-            service:% = self.service(),
-            reason = failure.reason.code(),
-            known_endpoints,
-            tried_endpoints,
-            store_age_ms:? = self.node.store_age_ms(),
-            remaining_ms = self.remaining_ms();
-            "no endpoint available for the request"
-        );
-    }
-
-    fn log_attempt_failed(&self, endpoint: &Endpoint, failure: &Failure, retry: bool) {
-        if !self.node.log_limiter.may_log(LogClass::Notable) {
-            return;
-        }
-        log::warn!(
-            request_id = self.request_id(),
-            service:% = self.service(),
-            node:% = endpoint.node,
-            verdict = failure.verdict.as_str(),
-            reason = failure.reason.code(),
-            idempotent = self.target.treatment.idempotent,
-            retry,
-            remaining_ms = self.remaining_ms();
-            "an attempt failed: {}", failure.reason.as_str()
-        );
-    }
-
     /// Metadata of an attempt for the gate. With `waits`, the request may queue there for a slot;
     /// otherwise it is refused unless a slot is free.
     fn hop(&self, retries: u32, waits: bool, rollout_order: Option<u64>) -> Hop {
@@ -482,68 +391,6 @@
         }
     }
 
-    fn record_load(&self, endpoint: &Endpoint, load: LoadReport) {
-        let now_us = clock::since_us(self.node.started);
-        let resource = &self.target.resource;
-        let mut balancer = self.node.balancer();
-        balancer.record_load(now_us, endpoint.node, resource, load);
-    }
-
-    fn record_service_times(&self, endpoint: &Endpoint, headers: &HeaderMap) {
-        let now_us = clock::since_us(self.node.started);
-        let mut balancer = self.node.balancer();
-        for (resource, service_time_us) in headers::parse_service_times(headers) {
-            balancer.record_service_time(now_us, endpoint.node, &resource, service_time_us);
-        }
-    }
-
-    /// Records what the gate reports of its backend server's statements. An endpoint that leaves is avoided.
-    fn record_statements(
-        &self,
-        endpoint: &Endpoint,
-        hop: &Hop,
-        headers: &HeaderMap,
-        answered: bool,
-    ) {
-        let mut known = self.node.known_statements();
-        let Some(reported) = headers::parse_statements(headers) else {
-            if answered {
-                known.record_none(endpoint.node, hop.known_statements.as_ref());
-            }
-            return;
-        };
-        if reported.leaving {
-            let now_us = clock::since_us(self.node.started);
-            let outcome = AttemptOutcome::Draining;
-            let mut balancer = self.node.balancer();
-            balancer.record_outcome(now_us, endpoint.node, self.priority(), outcome);
-        }
-        known.record(endpoint.node, reported);
-    }
-
-    /// Reports to the balancer what this attempt showed about its endpoint.
-    fn record_outcome(&self, endpoint: &Endpoint, result: &Result<Response<Body>, Failure>) {
-        let outcome = match result {
-            Ok(response) => AttemptOutcome::Answered {
-                server_error: response.status().is_server_error(),
-            },
-            Err(failure) => match failure.reason {
-                Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion => {
-                    AttemptOutcome::Draining
-                }
-                Reason::Unreachable => AttemptOutcome::Unreachable,
-                Reason::Rejected => AttemptOutcome::Rejected,
-                Reason::RateLimited => AttemptOutcome::RateLimited,
-                Reason::Lost | Reason::Deadline => AttemptOutcome::Lost,
-                _ => AttemptOutcome::Refused,
-            },
-        };
-        let now_us = clock::since_us(self.node.started);
-        self.node
-            .balancer()
-            .record_outcome(now_us, endpoint.node, self.priority(), outcome);
-    }
-
     fn build_request(&self, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
--- /dev/null
+++ b/src/proxy/entry/routed_request/attempt_results.rs
@@ -0,0 +1,105 @@
+//! Records what the attempts of a routed request show of endpoints and software versions.
+
+use http::Response;
+use http::header::HeaderMap;
+
+use super::RoutedRequest;
+use crate::core::verdict::Verdict;
+use crate::decide::load_balancing::{AttemptOutcome, Endpoint, LoadReport};
+use crate::proxy::body::Body;
+use crate::proxy::failure::{Failure, Reason};
+use crate::proxy::headers;
+use crate::proxy::hop::Hop;
+use crate::util::clock;
+
+impl RoutedRequest<'_> {
+    /// Counts an attempt towards the share and the failures of a candidate version.
+    pub(super) fn record_version_outcome(
+        &self,
+        candidate_order: Option<u64>,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let rollouts = &self.node.rollouts;
+        if result.is_ok() {
+            let limit_percent = self.node.settings.exposure_percent;
+            rollouts.record_answered(self.service(), limit_percent);
+        }
+        let Some(order_revision) = candidate_order else {
+            return;
+        };
+        let failed = match result {
+            Ok(response) => response.status().is_server_error(),
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                return rollouts.put_back_credit(self.service(), order_revision);
+            }
+            Err(_) => true,
+        };
+        rollouts.record_candidate_outcome(self.service(), order_revision, failed);
+    }
+
+    pub(super) fn record_load(&self, endpoint: &Endpoint, load: LoadReport) {
+        let now_us = clock::since_us(self.node.started);
+        let resource = &self.target.resource;
+        let mut balancer = self.node.balancer();
+        balancer.record_load(now_us, endpoint.node, resource, load);
+    }
+
+    pub(super) fn record_service_times(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+        let now_us = clock::since_us(self.node.started);
+        let mut balancer = self.node.balancer();
+        for (resource, service_time_us) in headers::parse_service_times(headers) {
+            balancer.record_service_time(now_us, endpoint.node, &resource, service_time_us);
+        }
+    }
+
+    /// Records what the gate reports of its backend server's statements. An endpoint that leaves is avoided.
+    pub(super) fn record_statements(
+        &self,
+        endpoint: &Endpoint,
+        hop: &Hop,
+        headers: &HeaderMap,
+        answered: bool,
+    ) {
+        let mut known = self.node.known_statements();
+        let Some(reported) = headers::parse_statements(headers) else {
+            if answered {
+                known.record_none(endpoint.node, hop.known_statements.as_ref());
+            }
+            return;
+        };
+        if reported.leaving {
+            let now_us = clock::since_us(self.node.started);
+            let outcome = AttemptOutcome::Draining;
+            let mut balancer = self.node.balancer();
+            balancer.record_outcome(now_us, endpoint.node, self.priority(), outcome);
+        }
+        known.record(endpoint.node, reported);
+    }
+
+    /// Reports to the balancer what this attempt showed about its endpoint.
+    pub(super) fn record_outcome(
+        &self,
+        endpoint: &Endpoint,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let outcome = match result {
+            Ok(response) => AttemptOutcome::Answered {
+                server_error: response.status().is_server_error(),
+            },
+            Err(failure) => match failure.reason {
+                Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion => {
+                    AttemptOutcome::Draining
+                }
+                Reason::Unreachable => AttemptOutcome::Unreachable,
+                Reason::Rejected => AttemptOutcome::Rejected,
+                Reason::RateLimited => AttemptOutcome::RateLimited,
+                Reason::Lost | Reason::Deadline => AttemptOutcome::Lost,
+                _ => AttemptOutcome::Refused,
+            },
+        };
+        let now_us = clock::since_us(self.node.started);
+        self.node
+            .balancer()
+            .record_outcome(now_us, endpoint.node, self.priority(), outcome);
+    }
+}
