--- a/src/decide/admission/request.rs
+++ b/src/decide/admission/request.rs
@@ -30,7 +30,7 @@
     },
 }
 
-/// A request for a slot. Times are microseconds of the clock that [`Admission`] is called with.
+/// A request for a slot. Times are microseconds of the clock that [`super::Admission`] is called with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlotRequest {
     /// Class of work, which selects the queue.
@@ -107,12 +107,12 @@
     pub retry_after_ms: u64,
 }
 
-/// Result of [`Admission::admit`].
+/// Result of [`super::Admission::admit`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmitOutcome {
-    /// The request holds a slot until [`Admission::release`].
+    /// The request holds a slot until [`super::Admission::release`].
     Slot,
-    /// The request waits until [`Admission::end_next_wait`] returns it or [`Admission::cancel`]
+    /// The request waits until [`super::Admission::end_next_wait`] returns it or [`super::Admission::cancel`]
     /// removes it.
     Queued(Ticket),
     /// The request does not run here.
@@ -122,7 +122,7 @@
 /// How the wait of a queued request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitOutcome {
-    /// The request holds a slot until [`Admission::release`].
+    /// The request holds a slot until [`super::Admission::release`].
     Slot,
     /// The request was refused while it waited.
     Refused(Refusal),
