--- a/tests/testsuite/users_statements.rs
+++ b/tests/testsuite/users_statements.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use testkit::http::{Reply, wait_until};
+use testkit::process::Signal;
 use testkit::users::backend::{Statement, most_arrivals_in};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 
@@ -162,6 +163,30 @@
     }
 }
 
+/// Guards against requests that wait while their gate is paused and are all sent on after it, beyond the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_gate_keeps_the_rate_limit_after_the_pause() {
+    let mesh = start_serving_users_mesh(one_data_centre()).await;
+    let limited = mesh.vms_of(SERVICES[0])[0];
+    let per_s = 5.0;
+    let vm = &mesh.vms[limited];
+    vm.backend().set_statement(Statement::limit(per_s));
+    let named_at = Instant::now();
+    let pause = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        vm.node().signal(Signal::Stop);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        vm.node().signal(Signal::Continue);
+    };
+    let entries = other_entries(&mesh, limited);
+    let readers = Readers::new("read", &entries, 4);
+    let until = named_at + Duration::from_secs(6);
+    tokio::join!(pause, readers.send(&mesh, until));
+    let since = named_at + Duration::from_millis(500);
+    let most = most_arrivals_in(&arrivals_at(&mesh, limited), since, LIMIT_PERIOD);
+    assert!(most <= arrivals_allowed(per_s), "{most} arrivals in 4 s");
+}
+
 /// Guards against a limit that stays in force after the backend server has stopped naming it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rate_limit_ends_when_the_backend_server_names_it_no_longer() {
@@ -228,6 +253,10 @@
 async fn a_backend_server_that_says_it_leaves_gets_no_further_requests() {
     let mesh = start_serving_users_mesh(one_data_centre()).await;
     let leaving = mesh.vms_of(SERVICES[0])[0];
+    // The data centre is cut off from the store.
+    let store_site = mesh.store_site;
+    mesh.network
+        .set_cut(true, |from, to| from == store_site || to == store_site);
     mesh.vms[leaving]
         .backend()
         .set_statement(Statement::leaving());
