--- a/src/core/backend_statement.rs
+++ b/src/core/backend_statement.rs
@@ -1,7 +1,5 @@
 //! What a backend server states about itself in the headers of its responses.
 
-use std::fmt;
-
 use crate::core::status::BackendStart;
 
 /// A rate of requests: finite and not negative.
@@ -29,12 +27,6 @@
     }
 }
 
-impl fmt::Display for RequestRate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/s", self.per_s)
-    }
-}
-
 /// What a response says about the rate limit of its backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum StatedLimit {
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -63,8 +63,9 @@
         true => IDLE_REUSE_MAX_IDEMPOTENT,
         false => IDLE_REUSE_MAX,
     };
-    let stated = keep_alive
-        .map(|timeout| timeout * STATED_IDLE_TIME_NUMERATOR / STATED_IDLE_TIME_DENOMINATOR);
+    let stated = keep_alive.map(|timeout| {
+        timeout.saturating_mul(STATED_IDLE_TIME_NUMERATOR) / STATED_IDLE_TIME_DENOMINATOR
+    });
     stated.map_or(reuse_max, |stated| stated.min(reuse_max))
 }
 
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -246,4 +246,8 @@
     );
     assert_eq!(idle_reuse_max(false, Some(seconds(1))), IDLE_REUSE_MAX);
     assert_eq!(idle_reuse_max(false, Some(seconds(0))), Duration::ZERO);
+    assert_eq!(
+        idle_reuse_max(false, Some(seconds(u64::MAX))),
+        IDLE_REUSE_MAX
+    );
 }
--- a/src/proxy/headers/tests.rs
+++ b/src/proxy/headers/tests.rs
@@ -3,6 +3,8 @@
 use http::header::HeaderMap;
 
 use super::*;
+use crate::core::backend_statement::StatedLimit;
+use crate::proxy::header_profile;
 
 #[test]
 fn statements_are_parsed_as_they_were_formatted() {
@@ -22,6 +24,15 @@
     }
 }
 
+#[test]
+fn a_rate_limit_is_stated_under_the_own_header_name_as_well() {
+    let mut headers = HeaderMap::new();
+    headers.insert(RATE_LIMIT, HeaderValue::from_static("14.5"));
+    let statement = header_profile::DEFAULT.statement(&headers);
+    let rate = RequestRate::from_per_s(14.5).expect("a valid rate");
+    assert_eq!(statement.limit, StatedLimit::Rate(rate));
+}
+
 #[test]
 fn the_keep_alive_timeout_is_parsed() {
     let timeout = |value: &'static str| {
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -193,18 +193,20 @@
     loop {
         let now_us = clock::since_us(node.started);
         let next_us = node.admission().next_permit_us(now_us);
-        let wait = async {
+        let permit = async {
             match next_us {
                 Some(at_us) => {
                     let wait_us = at_us.saturating_sub(now_us);
                     tokio::time::sleep(Duration::from_micros(wait_us)).await;
                 }
-                None => node.permit_awaited.notified().await,
+                None => std::future::pending().await,
             }
         };
         tokio::select! {
             () = stop.cancelled() => return,
-            () = wait => (),
+            // The time of the next permit may be another now.
+            () = node.permit_awaited.notified() => continue,
+            () = permit => (),
         }
         let now_us = clock::since_us(node.started);
         node.admission().refuse_late(now_us);
--- a/src/proxy/statements.rs
+++ b/src/proxy/statements.rs
@@ -21,16 +21,19 @@
 }
 
 impl LocalStatements {
-    /// Forgets the statements of an earlier start. Returns whether there was one.
-    fn set_start(&mut self, start: Option<&BackendStart>) -> bool {
-        let is_new = self.start.as_ref() != start;
-        if is_new {
-            *self = Self {
+    /// Forgets the statements of an earlier start and returns them; `None` if the start is the same.
+    fn set_start(&mut self, start: Option<&BackendStart>) -> Option<BackendStatements> {
+        if self.start.as_ref() == start {
+            return None;
+        }
+        let earlier = std::mem::replace(
+            self,
+            Self {
                 start: start.cloned(),
                 statements: BackendStatements::default(),
-            };
-        }
-        is_new
+            },
+        );
+        Some(earlier.statements)
     }
 
     /// What other nodes are told of the statements in force; `None` if there is nothing to tell.
@@ -52,7 +55,10 @@
 
 /// Makes the statements of an earlier start of the backend server ineffective.
 pub(crate) fn begin_start(node: &ProxyState, start: Option<&BackendStart>) {
-    if node.statements().set_start(start) {
+    let earlier = node.statements().set_start(start);
+    if earlier.is_some_and(|earlier| earlier.limit().is_some()) {
+        log::info!(start:?; "the rate limit of an earlier backend server no longer applies");
+        record_limit_change("ended", f64::INFINITY);
         set_rate_limit(node, None);
     }
 }
@@ -149,6 +155,10 @@
             ("ended", f64::INFINITY)
         }
     };
+    record_limit_change(kind, per_s);
+}
+
+fn record_limit_change(kind: &'static str, per_s: f64) {
     metrics::counter!("dragonflywall_backend_limit_changes_total", "change" => kind).increment(1);
     metrics::gauge!("dragonflywall_backend_limit_per_second").set(per_s);
 }
