--- a/src/core.rs
+++ b/src/core.rs
@@ -12,6 +12,7 @@
 pub mod mechanism;
 pub mod member;
 pub mod names;
+pub mod organisation;
 pub mod rollout;
 pub mod routing;
 pub mod status;
--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -9,7 +9,8 @@
 use snafu::{ResultExt, Snafu, ensure};
 use zstd::bulk::{Compressor, Decompressor};
 
-use crate::core::names::{HostName, ResourceName, ServiceName, TeamName};
+use crate::core::names::{HostName, OrganisationName, ResourceName, ServiceName, TeamName};
+use crate::core::organisation::OrganisationRecord;
 use crate::core::version::{Digest, Stamp, Version};
 
 /// Result of this module.
@@ -155,6 +156,9 @@
     /// to `target`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub split: Vec<WeightedTarget>,
+    /// Whether requests need no key of an organisation, if the configuration has organisations.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Limits on the requests and connections of callers of the mesh.
@@ -202,6 +206,10 @@
     /// Limits for all callers of the mesh. At most one team may set them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_limits: Option<CallerLimits>,
+    /// Organisations whose callers may send requests. If any team has a list, requests need a key; `None` if
+    /// this team has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<BTreeMap<OrganisationName, OrganisationRecord>>,
 }
 
 /// The content of one accepted version: the records of all teams.
--- a/src/core/difference.rs
+++ b/src/core/difference.rs
@@ -15,6 +15,7 @@
     Treatment,
 };
 use crate::core::names::TeamName;
+use crate::core::organisation::{KeyDigest, OrganisationRecord};
 
 /// A field whose value differs between two records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -142,6 +143,9 @@
         set("header_timeout_ms", limits.header_timeout_ms.to_string());
         set("idle_timeout_ms", limits.idle_timeout_ms.to_string());
     }
+    for (name, organisation) in record.organisations.iter().flatten() {
+        flatten_organisation(&mut fields, &format!("organisation.{name}"), organisation);
+    }
     for (service, resources) in &record.calls {
         let names: Vec<_> = resources.iter().map(|name| name.as_str()).collect();
         fields.insert(format!("calls.{service}"), names.join(", "));
@@ -163,7 +167,20 @@
     }
     for route in &service.routes {
         let key = format!("{prefix}.route {}", route_key(route));
-        fields.insert(key, targets_text(route));
+        let public = if route.public { ", public" } else { "" };
+        fields.insert(key, format!("{}{public}", targets_text(route)));
+    }
+}
+
+/// Keys are shown by the first digits of their digests.
+fn flatten_organisation(fields: &mut Fields, prefix: &str, organisation: &OrganisationRecord) {
+    let mut set = |key: &str, value: String| fields.insert(format!("{prefix}.{key}"), value);
+    let keys: Vec<_> = organisation.keys.iter().map(KeyDigest::short).collect();
+    set("key_digests", keys.join(", "));
+    set("priority", organisation.priority.to_string());
+    if let Some(quota) = organisation.quota {
+        set("rate_per_s", quota.rate_per_s().to_string());
+        set("burst", quota.burst_requests.to_string());
     }
 }
 
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -66,6 +66,10 @@
     /// Host name of a route, for callers that do not use the name of a service as authority.
     HostName
 }
+name_type! {
+    /// Name of an organisation whose callers send requests.
+    OrganisationName
+}
 name_type! {
     /// Name that a backend server chooses for itself, usually a new one each time it starts.
     InstanceName
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -10,7 +10,8 @@
 use snafu::{OptionExt, Snafu, ensure};
 
 use crate::core::configuration::{Configuration, RouteRecord, Target, Treatment};
-use crate::core::names::{ResourceName, ServiceName, TeamName};
+use crate::core::names::{OrganisationName, ResourceName, ServiceName, TeamName};
+use crate::core::organisation::{Conflict, OrganisationTable};
 
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -58,6 +59,24 @@
         /// Path prefix that both routes match.
         path: String,
     },
+    /// Two teams define an organisation of the same name.
+    #[snafu(display("team `{team}` defines organisation `{organisation}`, which another team defines too"))]
+    DuplicateOrganisation {
+        /// Team of the second definition.
+        team: TeamName,
+        /// Name of the organisation.
+        organisation: OrganisationName,
+    },
+    /// Two organisations have the same key.
+    #[snafu(display("organisations `{first}` and `{second}` share the key with digest {key}.."))]
+    SharedKey {
+        /// One of the organisations.
+        first: OrganisationName,
+        /// The other organisation.
+        second: OrganisationName,
+        /// First digits of the key's digest.
+        key: String,
+    },
     /// Two teams set the limits for callers.
     #[snafu(display("caller limits are set by both `{first}` and `{second}`"))]
     DuplicateCallerLimits {
@@ -68,6 +87,17 @@
     },
 }
 
+impl From<Conflict> for Error {
+    fn from(conflict: Conflict) -> Self {
+        match conflict {
+            Conflict::Name { organisation, team } => {
+                Self::DuplicateOrganisation { team, organisation }
+            }
+            Conflict::Key { key, first, second } => Self::SharedKey { first, second, key },
+        }
+    }
+}
+
 /// A route whose targets have been resolved.
 #[derive(Debug)]
 pub struct Route {
@@ -104,6 +134,7 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     by_host: HashMap<String, Vec<Route>>,
+    organisations: Option<OrganisationTable>,
 }
 
 impl RouteTable {
@@ -134,7 +165,15 @@
             // With the longest path first, the first match is the most specific one.
             routes.sort_by_key(|route| std::cmp::Reverse(route.record.path.len()));
         }
-        Ok(Self { by_host })
+        Ok(Self {
+            by_host,
+            organisations: OrganisationTable::compile(configuration)?,
+        })
+    }
+
+    /// The organisations whose keys requests need; `None` if requests need no key.
+    pub fn organisations(&self) -> Option<&OrganisationTable> {
+        self.organisations.as_ref()
     }
 
     /// Whether the table contains `host`, which is the name of a service or the host of a route.
--- a/src/core/team_file.rs
+++ b/src/core/team_file.rs
@@ -31,6 +31,10 @@
 /// Largest priority number, which is the lowest priority. Ten priorities are more than a service
 /// has kinds of work.
 pub const PRIORITY_MAX: u32 = 9;
+/// Maximum of an organisation's rate, in requests per second.
+pub const RATE_PER_S_MAX: f64 = 1_000_000.0;
+/// Maximum of an organisation's burst, in requests.
+pub const BURST_MAX: u64 = 1_000_000;
 /// Maximum weight of one target of a split route. It allows shares of a tenth of a percent.
 pub const WEIGHT_MAX: u32 = 1_000;
 /// Lower bound of the limit on request headers, in bytes: the smallest read buffer of the HTTP
--- a/src/core/team_file/checker.rs
+++ b/src/core/team_file/checker.rs
@@ -1,5 +1,6 @@
 //! Checks of one team file by itself.
 
+mod organisations;
 mod routes;
 mod treatments;
 
@@ -58,11 +59,11 @@
     /// Builds the record of the team. It is valid only if there are no findings afterwards.
     pub(super) fn team(&mut self, raw: &RawTeam) -> TeamRecord {
         self.check_name("team", raw.team.get_ref(), raw.team.span().start);
-        if raw.service.is_empty() && raw.calls.is_empty() {
+        if raw.service.is_empty() && raw.calls.is_empty() && raw.organisation.is_none() {
             self.add_finding(
                 raw.team.span().start,
-                "the team neither offers nor calls a service",
-                "add a [service.NAME] table or a [calls] entry",
+                "the team neither offers nor calls a service, and defines no organisation",
+                "add a [service.NAME] table, a [calls] entry or an [organisation.NAME] table",
             );
         }
         for (name, treatment) in &raw.treatment {
@@ -88,6 +89,10 @@
                 .caller_limits
                 .as_ref()
                 .map(|raw| self.caller_limits(raw)),
+            organisations: raw
+                .organisation
+                .as_ref()
+                .map(|organisations| self.organisations(organisations)),
         }
     }
 
--- a/src/core/team_file/checker/routes.rs
+++ b/src/core/team_file/checker/routes.rs
@@ -72,6 +72,7 @@
             path: route.path.get_ref().clone(),
             target,
             split,
+            public: route.public,
         }
     }
 
--- a/src/core/team_file/raw.rs
+++ b/src/core/team_file/raw.rs
@@ -19,6 +19,17 @@
     #[serde(default)]
     pub(super) calls: BTreeMap<String, Spanned<Vec<String>>>,
     pub(super) caller_limits: Option<RawCallerLimits>,
+    pub(super) organisation: Option<BTreeMap<String, Spanned<RawOrganisation>>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawOrganisation {
+    #[serde(default)]
+    pub(super) key_digests: Vec<Spanned<String>>,
+    pub(super) priority: Option<Spanned<u32>>,
+    pub(super) rate_per_s: Option<Spanned<f64>>,
+    pub(super) burst: Option<Spanned<u64>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -67,6 +78,8 @@
     pub(super) resource: String,
     #[serde(default)]
     pub(super) split: Vec<Spanned<RawWeightedTarget>>,
+    #[serde(default)]
+    pub(super) public: bool,
 }
 
 #[derive(Debug, Deserialize)]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 //!
 //! They are plain functions and structs without I/O; the current time is an argument.
 
+pub mod access;
 pub mod admission;
 pub mod announcements;
 pub mod backend_statements;
@@ -10,9 +11,11 @@
 pub mod connections;
 pub mod drain;
 pub mod freeze;
+pub mod freshness;
 pub mod known_statements;
 pub mod load_balancing;
 pub mod max_wait;
+pub mod quota;
 pub mod rate_limit;
 pub mod retry;
 pub mod rollout;
--- a/src/decide/admission/class_queue.rs
+++ b/src/decide/admission/class_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use super::{Priority, Ticket};
+use super::{Priority, Rank, Ticket};
 use crate::decide::service_times::RunningMean;
 
 /// Requests of higher ranks that get a slot in succession before a waiting one of the lowest rank
@@ -193,7 +193,9 @@
 
     /// Returns the priority from which the next request is taken.
     fn next_priority(&self) -> Option<Priority> {
-        let caller_ranks = Priority::CallerRequest { rank: 0 }..;
+        let caller_ranks = Priority::CallerRequest {
+            rank: Rank::HIGHEST,
+        }..;
         let first_caller = self.by_priority.range(caller_ranks).next();
         let nested_calls_wait = self.by_priority.contains_key(&Priority::NestedCall);
         match first_caller {
--- a/src/decide/admission/request.rs
+++ b/src/decide/admission/request.rs
@@ -15,6 +15,43 @@
     pub queue_len: u32,
 }
 
+/// Rank among the requests of callers; the smallest value goes first. The priority of the organisation
+/// decides, then that of the route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    organisation: u8,
+    route: u8,
+}
+
+impl Rank {
+    /// The highest rank.
+    pub const HIGHEST: Self = Self::of_route(0);
+
+    /// Rank of a request of an organisation.
+    pub const fn new(organisation: u8, route: u8) -> Self {
+        Self {
+            organisation,
+            route,
+        }
+    }
+
+    /// Rank of a request where requests belong to no organisation.
+    pub const fn of_route(route: u8) -> Self {
+        Self::new(0, route)
+    }
+
+    /// The rank as one number, in the same order.
+    pub const fn number(self) -> u16 {
+        u16::from_be_bytes([self.organisation, self.route])
+    }
+
+    /// The rank that has this number.
+    pub const fn from_number(number: u16) -> Self {
+        let [organisation, route] = number.to_be_bytes();
+        Self::new(organisation, route)
+    }
+}
+
 /// Priority of a request among those of its class; the smallest value goes first.
 ///
 /// A nested call goes before requests of callers, because the request that made it occupies a slot
@@ -25,8 +62,8 @@
     NestedCall,
     /// A request that no other request in the mesh waits for.
     CallerRequest {
-        /// Configured priority; 0 goes first.
-        rank: u8,
+        /// Configured rank.
+        rank: Rank,
     },
 }
 
@@ -54,7 +91,7 @@
         Self {
             class,
             priority: Priority::CallerRequest {
-                rank: PRIORITY_DEFAULT,
+                rank: Rank::of_route(PRIORITY_DEFAULT),
             },
             due_us: deadline_us,
             service_time_us: None,
@@ -72,7 +109,7 @@
                 Priority::CallerRequest { rank }
             }
             _ => Priority::CallerRequest {
-                rank: PRIORITY_DEFAULT,
+                rank: Rank::of_route(PRIORITY_DEFAULT),
             },
         };
         let due_us = match switches.is_enabled(Mechanism::DueTimeOrder) {
--- a/src/distribution/budget.rs
+++ b/src/distribution/budget.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ApplyBudget {
     apply_ms: u64,
+    /// Longest time since the enforced configuration was known to be the newest.
+    freshness_ms: Option<u64>,
 }
 
 /// A share of the budget in thousandths, with an upper limit in milliseconds.
@@ -34,10 +36,27 @@
 const NON_LEAD_STORE_PAUSE: Share = share(500, 2_000);
 const HEAD_POLL_INTERVAL: Share = share(500, 120_000);
 
+/// Longest age of the configuration as a multiple of the wait of a read of the store, if that age is limited.
+const FRESHNESS_PER_STORE_WAIT: u64 = 5;
+/// The same as a multiple of the wait of a follower's request.
+const FRESHNESS_PER_FOLLOW_WAIT: u64 = 10;
+
 impl ApplyBudget {
     /// Creates a budget of `apply_ms` milliseconds.
     pub const fn new(apply_ms: u64) -> Self {
-        Self { apply_ms }
+        Self {
+            apply_ms,
+            freshness_ms: None,
+        }
+    }
+
+    /// Limits the waits for newer versions, so that each node knows at least every `freshness_ms` that
+    /// its configuration is the newest, also while a lead is replaced.
+    pub const fn with_freshness(self, freshness_ms: Option<u64>) -> Self {
+        Self {
+            freshness_ms,
+            ..self
+        }
     }
 
     /// The whole budget in milliseconds.
@@ -47,7 +66,7 @@
 
     /// How long a lead may hold a follower's request while it has no newer version.
     pub fn follow_wait_ms(self) -> u64 {
-        self.share_ms(FOLLOW_WAIT)
+        self.wait_ms(FOLLOW_WAIT, FRESHNESS_PER_FOLLOW_WAIT)
     }
 
     /// How long a lead's answer may take in addition to [`Self::follow_wait_ms`].
@@ -63,13 +82,13 @@
     /// How long a read of the store waits for a newer version if no other source would deliver that
     /// version in time when the connection to the store stalls.
     pub fn short_store_wait_ms(self) -> u64 {
-        self.share_ms(SHORT_STORE_WAIT)
+        self.wait_ms(SHORT_STORE_WAIT, FRESHNESS_PER_STORE_WAIT)
     }
 
     /// How long a read of the store waits for a newer version if other data centres read it too and
     /// versions are rare.
     pub fn long_store_wait_ms(self) -> u64 {
-        self.share_ms(LONG_STORE_WAIT)
+        self.wait_ms(LONG_STORE_WAIT, FRESHNESS_PER_STORE_WAIT)
     }
 
     /// How long the store may take to begin its answer, in addition to the wait for a newer version.
@@ -109,6 +128,17 @@
         self.share_ms(HEAD_POLL_INTERVAL)
     }
 
+    /// Longest pause between two reads by which a node learns that its configuration is the newest.
+    pub fn freshness_poll_ms(self) -> u64 {
+        let poll_ms = self.freshness_ms.map(|ms| ms / FRESHNESS_PER_STORE_WAIT);
+        poll_ms.unwrap_or(u64::MAX)
+    }
+
+    fn wait_ms(self, share: Share, freshness_ratio: u64) -> u64 {
+        let limit_ms = self.freshness_ms.map(|ms| ms / freshness_ratio);
+        self.share_ms(share).min(limit_ms.unwrap_or(u64::MAX))
+    }
+
     fn share_ms(self, share: Share) -> u64 {
         (self.apply_ms * share.per_mille / 1_000).min(share.max_ms)
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub(crate) mod membership;
 pub(crate) mod operator;
+pub(crate) mod quota;
 pub(crate) mod recorder;
 pub(crate) mod registration;
 pub(crate) mod reload;
--- a/src/node/configuration/head.rs
+++ b/src/node/configuration/head.rs
@@ -1,11 +1,14 @@
 //! Polls the head row of the store, which names the newest accepted version, as a fallback if hints and gossip about
 //! published versions are lost.
 
+use std::sync::Arc;
+
 use ractor::ActorRef;
 
 use super::{ConfigurationMsg, ConfigurationOrigin, State};
 use crate::core::version::Stamp;
 use crate::decide::freeze::Epoch;
+use crate::decide::freshness::FreshnessProof;
 use crate::node::membership::MembershipMsg;
 use crate::node::store;
 
@@ -46,7 +49,8 @@
         };
         let factor = self.fetcher.store_latency_ms() / NORMAL_STORE_READ_MS;
         let pause_ms = pause_ms * factor.clamp(1, MAX_POLL_FACTOR);
-        let pause_ms = pause_ms.min(max_pause_ms);
+        let freshness_poll_ms = self.node.budget().freshness_poll_ms();
+        let pause_ms = pause_ms.min(max_pause_ms).min(freshness_poll_ms);
         rand::random_range(pause_ms / 2..=pause_ms)
     }
 
@@ -66,8 +70,14 @@
         let http_store = store.clone();
         let myself = myself.clone();
         let asked_in = self.node.proxy.freezes.epoch();
+        let node = Arc::clone(&self.node);
+        let asked_ms = node.proxy.uptime_ms();
         tokio::spawn(async move {
             let (head, took_ms) = store::read_head(&http_store).await;
+            if let Some(head) = head {
+                let proof = FreshnessProof::from_store(head.version, asked_ms, took_ms, 0);
+                node.proxy.freshness().record(proof);
+            }
             let _ = myself.cast(ConfigurationMsg::HeadRead {
                 head,
                 took_ms,
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -22,8 +22,10 @@
 use super::configuration::ConfigurationMsg;
 use super::state::NodeState;
 use crate::core::mechanism::Mechanism;
+use crate::core::version::Version;
 use crate::decide::backoff::jittered_ms;
 use crate::decide::freeze::Epoch;
+use crate::decide::freshness::FreshnessProof;
 use crate::distribution::fetch::Peer;
 use crate::distribution::lead_choice::{LeadChoice, Leads, NextRead, StoreFailure};
 use crate::store::{Error, Feed, FeedPosition, FeedUpdate, OrdersRead, RolloutTable};
@@ -54,10 +56,22 @@
         configuration,
         lead_choice: LeadChoice::default(),
         position: None,
+        stored_version: None,
     };
     stop.run_until_cancelled(follower.follow(&resync)).await;
 }
 
+/// A read of the store that was answered.
+struct Exchange {
+    /// When it was sent, in [`ProxyState::uptime_ms`](crate::proxy::state::ProxyState::uptime_ms).
+    asked_ms: u64,
+    took_ms: u64,
+    /// Time limit of its long poll.
+    wait: Duration,
+    /// Whether the newest configuration was read, instead of changes since a position.
+    is_whole: bool,
+}
+
 struct Follower<F> {
     node: Arc<NodeState>,
     feed: F,
@@ -65,6 +79,8 @@
     lead_choice: LeadChoice,
     /// Position in the history of the store up to which this node has read, and when it was reached.
     position: Option<(FeedPosition, Instant)>,
+    /// Version of the configuration in the store at that position; none if there is none or it cannot be decoded.
+    stored_version: Option<Version>,
 }
 
 impl<F: Feed + RolloutTable> Follower<F> {
@@ -138,6 +154,7 @@
         };
         let asked_in = self.node.proxy.freezes.epoch();
         let started = Instant::now();
+        let asked_ms = self.node.proxy.uptime_ms();
         let mut leads = self.node.leads.subscribe();
         let answer = tokio::select! {
             answer = client.follow(base_version, rollouts_digest, wait, answer_timeout) => answer,
@@ -174,6 +191,11 @@
             );
         }
         self.node.proxy.record_store_read(state.store_age_ms);
+        let proof = response.proof;
+        let proof = proof.and_then(|proof| FreshnessProof::from_peer(proof, asked_ms, took_ms));
+        if let Some(proof) = proof {
+            self.node.proxy.freshness().record(proof);
+        }
         // Before the version can be enforced, so that no request ignores a roll-out.
         if let Some(rollouts) = &response.rollouts {
             self.node.merge_rollouts(rollouts);
@@ -194,6 +216,7 @@
         let answer_timeout =
             Duration::from_millis(self.lead_choice.store_answer_timeout_ms(budget));
         let started = Instant::now();
+        let asked_ms = self.node.proxy.uptime_ms();
         let recent = self
             .position
             .filter(|(_, reached_at)| reached_at.elapsed() < MAX_POSITION_AGE);
@@ -218,6 +241,13 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
+                let took = Exchange {
+                    asked_ms,
+                    took_ms,
+                    wait,
+                    is_whole: recent.is_none(),
+                };
+                self.record_proof(&answer, &took);
                 let merged = self.merge_orders(&answer).await;
                 if !self.node.proxy.is_current(asked_in) {
                     // The process was frozen while the states of the roll-outs were read.
@@ -241,6 +271,31 @@
         }
     }
 
+    /// Records that the store has shown which version is the newest.
+    fn record_proof(&mut self, answer: &FeedUpdate, exchange: &Exchange) {
+        let changed = answer.configuration.as_ref();
+        let changed = changed.map(|configuration| configuration.version);
+        let is_unchanged = changed.is_none() && !answer.is_unreadable && !exchange.is_whole;
+        if !is_unchanged {
+            self.stored_version = changed;
+        }
+        let Some(version) = self.stored_version else {
+            return;
+        };
+        // A change of something else ends the wait early, and the store may have sent it at any time since.
+        let kept_wait_ms = match is_unchanged {
+            true => clock::whole_ms(exchange.wait),
+            false => 0,
+        };
+        let proof = FreshnessProof::from_store(
+            version,
+            exchange.asked_ms,
+            exchange.took_ms,
+            kept_wait_ms,
+        );
+        self.node.proxy.freshness().record(proof);
+    }
+
     /// Merges the orders of roll-outs that the store answered with, before the configuration can be
     /// enforced. When all orders are read, the states are read too, unless there was no order or state.
     async fn merge_orders(&self, answer: &FeedUpdate) -> Result<(), Error> {
--- a/src/node/follower/tests.rs
+++ b/src/node/follower/tests.rs
@@ -35,6 +35,7 @@
         Ok(FeedUpdate {
             position: FeedPosition(POSITION),
             configuration: None,
+            is_unreadable: false,
             orders: OrdersRead::All(self.orders.clone()),
             store_ms: 1,
             len_bytes: 0,
@@ -51,6 +52,7 @@
         Ok(FeedUpdate {
             position: FeedPosition(POSITION),
             configuration: None,
+            is_unreadable: false,
             orders: OrdersRead::Changed(BTreeMap::new()),
             store_ms: 1,
             len_bytes: 0,
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -273,6 +273,7 @@
             .filter_map(|(node, _)| self.membership.address_of(node))
             .collect();
         peer_addresses.extend(self.leads().higher_ranked.iter().map(|lead| lead.address));
+        peer_addresses.extend(self.node.quota_peers());
         self.node.control_pool.retain(&peer_addresses);
         metrics::gauge!("dragonflywall_neighbours").set(peer_addresses.len() as f64);
         let members = self.membership.members_with_versions();
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -23,7 +23,7 @@
 use crate::node::rollout::{RolloutActor, RolloutMsg};
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
-use crate::node::{follower, freeze, recorder, reload, rollout};
+use crate::node::{follower, freeze, quota, recorder, reload, rollout};
 use crate::peer::server::ControlService;
 use crate::platform::store::PlatformStore;
 use crate::proxy::slots;
@@ -157,6 +157,11 @@
         Arc::clone(&node.proxy),
         shutdown.all.clone(),
     ));
+    tasks.spawn(quota::run(
+        Arc::clone(&node),
+        local_member.incarnation_us,
+        shutdown.all.clone(),
+    ));
     tasks.spawn(recorder::run_maintenance(shutdown.all.clone()));
     tasks.spawn(reload::run(Arc::clone(&node), shutdown.all.clone()));
     tasks.spawn(freeze::watch(
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -24,6 +24,7 @@
 use crate::core::names::{DataCentreName, RegionName, ServiceName, is_name};
 use crate::core::token::MeshToken;
 use crate::decide::connections::ConnectionLimits;
+use crate::decide::quota::QuotaLimits;
 use crate::peer::client::DialOptions;
 use crate::util::file_descriptors;
 
@@ -42,6 +43,9 @@
 /// and this is the smallest size that the library allows for it.
 const MIN_CALLER_HEADER_BYTES: usize = 8_192;
 
+/// Lower bound of `quota-window-ms`: nodes hear of each other's requests several times within the span.
+const MIN_QUOTA_WINDOW_MS: u64 = 2_000;
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -137,6 +141,18 @@
     /// Share of a service's requests that a candidate version may get before it is known to be good, in percent.
     #[builder(default = default_value("rollout-exposure-percent"))]
     pub exposure_percent: u32,
+    /// Longest time since the configuration was known to be the newest for which keys of organisations are accepted, in
+    /// milliseconds. Not limited if none.
+    pub key_freshness_ms: Option<u64>,
+    /// Span over which the quotas of organisations are measured, in milliseconds.
+    #[builder(default = default_value("quota-window-ms"))]
+    pub quota_window_ms: u64,
+    /// By how much an organisation's requests in a span may exceed its quota, in percent.
+    #[builder(default = default_value("quota-overage-percent"))]
+    pub quota_overage_percent: u32,
+    /// Requests in a span that are tolerated in addition.
+    #[builder(default = default_value("quota-slack"))]
+    pub quota_slack: u32,
     /// Rate of the VM's network link in kilobits per second, by which large bodies are limited. Assumed to be fast if
     /// none.
     pub link_kbit_per_s: Option<u32>,
@@ -209,6 +225,15 @@
         ConnectionLimits::for_process(descriptors, self.memory_mb, self.caller_connections_max)
     }
 
+    /// Returns what is tolerated beyond the quotas of organisations.
+    pub(crate) fn quota_limits(&self) -> QuotaLimits {
+        QuotaLimits {
+            window_ms: self.quota_window_ms,
+            overage_percent: self.quota_overage_percent,
+            slack_requests: self.quota_slack,
+        }
+    }
+
     /// Returns the options for connections to other nodes.
     pub fn dial_options(&self) -> DialOptions {
         DialOptions {
@@ -321,6 +346,10 @@
         let apply_within_ms = self.required("apply-within-ms");
         let retry_percent = self.required("retry-percent");
         let exposure_percent = self.percentage("rollout-exposure-percent");
+        let key_freshness_ms = self.optional("key-freshness-ms");
+        let quota_window_ms = self.quota_window_ms();
+        let quota_overage_percent = self.required("quota-overage-percent");
+        let quota_slack = self.required("quota-slack");
         let link_kbit_per_s = self.optional("link-kbit-per-s");
         let disabled_mechanisms = self.optional("without").unwrap_or_default();
         let log_format = self.required("log-format");
@@ -341,6 +370,10 @@
             apply_within_ms: apply_within_ms.expect(checked),
             retry_percent: retry_percent.expect(checked),
             exposure_percent: exposure_percent.expect(checked),
+            key_freshness_ms,
+            quota_window_ms: quota_window_ms.expect(checked),
+            quota_overage_percent: quota_overage_percent.expect(checked),
+            quota_slack: quota_slack.expect(checked),
             link_kbit_per_s,
             disabled_mechanisms,
             caller_listen: caller_listen.expect(checked),
@@ -435,6 +468,17 @@
         None
     }
 
+    fn quota_window_ms(&mut self) -> Option<u64> {
+        let flag = "quota-window-ms";
+        let window_ms = self.required(flag)?;
+        if window_ms >= MIN_QUOTA_WINDOW_MS {
+            return Some(window_ms);
+        }
+        let problem = format!("{window_ms} is below the minimum of {MIN_QUOTA_WINDOW_MS}");
+        self.add_problem(flag, &problem);
+        None
+    }
+
     fn header_max_bytes(&mut self) -> Option<usize> {
         let flag = "caller-header-max-bytes";
         let bytes = self.required(flag)?;
--- a/src/node/settings/file.rs
+++ b/src/node/settings/file.rs
@@ -89,6 +89,8 @@
         self.override_value("stop-least-ms", &mut settings.stop_least_ms);
         self.override_value("apply-within-ms", &mut settings.apply_within_ms);
         self.override_value("retry-percent", &mut settings.retry_percent);
+        self.override_value("quota-overage-percent", &mut settings.quota_overage_percent);
+        self.override_value("quota-slack", &mut settings.quota_slack);
         self.override_value("without", &mut settings.disabled_mechanisms);
         self.override_value("log-format", &mut settings.log_format);
         self.override_value("log-level", &mut settings.log_level);
@@ -97,6 +99,11 @@
         self.override_optional("descriptors-max", &mut settings.descriptors_max);
         self.override_optional("memory-mb", &mut settings.memory_mb);
         self.override_optional("link-kbit-per-s", &mut settings.link_kbit_per_s);
+        self.override_optional("key-freshness-ms", &mut settings.key_freshness_ms);
+        if self.explicit_values.has("quota-window-ms") {
+            let window_ms = self.quota_window_ms();
+            settings.quota_window_ms = window_ms.unwrap_or(settings.quota_window_ms);
+        }
         if self.explicit_values.has("caller-header-max-bytes") {
             let bytes = self.header_max_bytes();
             settings.caller_header_max_bytes = bytes.unwrap_or(settings.caller_header_max_bytes);
--- a/src/node/settings/specs.rs
+++ b/src/node/settings/specs.rs
@@ -188,6 +188,30 @@
         default: "10",
         help: "share of a service's requests for a version that is not known to be good, 1 to 100",
     },
+    Spec {
+        flag: "key-freshness-ms",
+        value_name: "MS",
+        default: "",
+        help: "time for which a key that was taken away may still be accepted (default: not limited)",
+    },
+    Spec {
+        flag: "quota-window-ms",
+        value_name: "MS",
+        default: "5000",
+        help: "span over which quotas of organisations are measured (at least 2000)",
+    },
+    Spec {
+        flag: "quota-overage-percent",
+        value_name: "PERCENT",
+        default: "10",
+        help: "requests in a span that are tolerated beyond a quota, in percent of it",
+    },
+    Spec {
+        flag: "quota-slack",
+        value_name: "N",
+        default: "20",
+        help: "requests in a span that are tolerated in addition",
+    },
     Spec {
         flag: "link-kbit-per-s",
         value_name: "KBIT",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,5 +1,7 @@
 //! State that the actors and tasks of a node share.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
@@ -12,6 +14,7 @@
 use crate::core::rollout::RolloutBook;
 use crate::core::version::Version;
 use crate::decide::announcements::Announcements;
+use crate::decide::quota::UsageTotals;
 use crate::distribution::ApplyBudget;
 use crate::distribution::lead_choice::Leads;
 use crate::node::membership::MembershipMsg;
@@ -48,6 +51,9 @@
     /// Time of the store's clock when the process started, in milliseconds; 0 before the store's first
     /// answer.
     store_clock_at_start_ms: AtomicU64,
+    usage_totals: Mutex<UsageTotals>,
+    /// Leads with which this node exchanges sums of requests.
+    quota_peers: ArcSwap<BTreeSet<SocketAddr>>,
     /// Newest known orders and states of roll-outs. Long polls of followers wait for it to change.
     pub(crate) rollouts: watch::Sender<Arc<RolloutBook>>,
 }
@@ -56,6 +62,7 @@
     pub(crate) fn new(settings: Settings, local_node: NodeId) -> Arc<Self> {
         let control_pool = PeerPool::new(settings.dial_options());
         let profile = header_profile_of(settings.dialect);
+        let usage_totals = UsageTotals::new(settings.quota_limits());
         let proxy = Arc::new(ProxyState::new(settings, profile, local_node));
         let announcements = match proxy.header_profile.instance {
             Some(_) => Announcements::requiring_confirmation(),
@@ -74,6 +81,8 @@
             followed_node: watch::Sender::new(None),
             store_failing: watch::Sender::new(false),
             store_clock_at_start_ms: AtomicU64::new(0),
+            usage_totals: Mutex::new(usage_totals),
+            quota_peers: ArcSwap::default(),
             rollouts: watch::Sender::new(Arc::default()),
         })
     }
@@ -82,6 +91,7 @@
     /// `apply-within-ms` setting.
     pub(crate) fn budget(&self) -> ApplyBudget {
         ApplyBudget::new(self.proxy.reloadable.load().apply_within_ms)
+            .with_freshness(self.proxy.settings.key_freshness_ms)
     }
 
     /// Sets the membership actor that [`Self::send_to_membership`] sends messages to.
@@ -158,6 +168,20 @@
         }
     }
 
+    /// Requests of organisations that nodes have reported to this one.
+    pub(crate) fn usage_totals(&self) -> MutexGuard<'_, UsageTotals> {
+        lock_ignoring_poison(&self.usage_totals)
+    }
+
+    /// Addresses of the leads with which this node exchanges sums of requests.
+    pub(crate) fn quota_peers(&self) -> Vec<SocketAddr> {
+        self.quota_peers.load().iter().copied().collect()
+    }
+
+    pub(crate) fn set_quota_peers(&self, peers: BTreeSet<SocketAddr>) {
+        self.quota_peers.store(Arc::new(peers));
+    }
+
     pub(crate) fn announcements(&self) -> MutexGuard<'_, Announcements> {
         lock_ignoring_poison(&self.announcements)
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -18,10 +18,13 @@
 use crate::core::rollout::RolloutBook;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
+use crate::decide::freshness::PeerProof;
+use crate::decide::quota::UsageSums;
 use crate::decide::rollout::NodeTally;
 use crate::distribution::Offer;
 use crate::distribution::lead_choice::LeadState;
 use crate::membership::Gossip;
+use crate::node::quota::UsageReport;
 
 /// Result of a call to a peer.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -42,6 +45,8 @@
     pub(crate) state: LeadState,
     /// The peer's orders and states of roll-outs, if they differ from the caller's.
     pub(crate) rollouts: Option<RolloutBook>,
+    /// When the peer last knew which version is the newest.
+    pub(crate) proof: Option<PeerProof>,
 }
 
 /// A peer's answer to a floor query.
@@ -200,6 +205,11 @@
             store_age_ms: u64::from(answer.store_age_ms),
             store_failing: answer.blind,
         };
+        let proof = answer.known_newest_version.map(|version| PeerProof {
+            version: Version(version),
+            age_ms: u64::from(answer.known_newest_age_ms),
+            waited_ms: u64::from(answer.waited_ms),
+        });
         let offer = match answer.newer {
             Some(newer) => {
                 convert::offer_from_wire(newer).map_err(|error| self.protocol_error(&error))?
@@ -211,6 +221,7 @@
         Ok(FollowAnswer {
             offer,
             state,
+            proof,
             rollouts: rollouts.map_err(|error| self.protocol_error(&error))?,
         })
     }
@@ -275,6 +286,37 @@
         })
     }
 
+    /// Reports the requests of organisations at this node. Returns the totals of the mesh.
+    pub(crate) async fn report_usage(
+        &mut self,
+        report: &UsageReport,
+        answer_timeout: Duration,
+    ) -> Result<UsageSums> {
+        let request = with_timeout(convert::usage::report_to_wire(report), answer_timeout);
+        let answer = self.client.report_usage(request).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        convert::usage::totals_from_wire(answer.get_ref())
+            .map_err(|error| self.protocol_error(&error))
+    }
+
+    /// Sends the sums of the reports that the node `from` has received. Returns those of the peer.
+    pub(crate) async fn share_usage(
+        &mut self,
+        from: NodeId,
+        sums: &UsageSums,
+    ) -> Result<UsageSums> {
+        let request = with_timeout(convert::usage::sums_to_wire(from, sums), ANSWER_TIMEOUT);
+        let answer = self.client.share_usage(request).await;
+        let answer = answer.context(CallSnafu {
+            address: self.address,
+        })?;
+        let (_, sums) = convert::usage::sums_from_wire(answer.get_ref())
+            .map_err(|error| self.protocol_error(&error))?;
+        Ok(sums)
+    }
+
     fn protocol_error(&self, error: &convert::Error) -> Error {
         Error::Answer {
             address: self.address,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -13,6 +13,7 @@
 use crate::membership::{Gossip, Report, Summary};
 
 pub(crate) mod rollouts;
+pub(crate) mod usage;
 
 /// Result of a conversion.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/peer/convert/usage.rs
@@ -0,0 +1,94 @@
+//! Conversion of the requests of organisations that nodes report.
+
+use snafu::ensure;
+
+use super::{FieldSnafu, Result, address_to_wire, node_from_wire, wire};
+use crate::core::member::NodeId;
+use crate::core::organisation::OrganisationId;
+use crate::decide::quota::{ReportedBy, Usage, UsageByOrganisation, UsageSums};
+use crate::node::quota::UsageReport;
+
+pub(crate) fn report_to_wire(report: &UsageReport) -> wire::UsageReport {
+    wire::UsageReport {
+        node: address_to_wire(report.reported_by.node.0),
+        incarnation: report.reported_by.incarnation_us,
+        uptime_ms: u32::try_from(report.uptime_ms).unwrap_or(u32::MAX),
+        usage: Some(usage_to_wire(&report.usage)),
+    }
+}
+
+pub(crate) fn report_from_wire(report: &wire::UsageReport) -> Result<UsageReport> {
+    Ok(UsageReport {
+        reported_by: ReportedBy {
+            node: node_from_wire(&report.node)?,
+            incarnation_us: report.incarnation,
+        },
+        uptime_ms: u64::from(report.uptime_ms),
+        usage: usage_from_wire(report.usage.as_ref())?,
+    })
+}
+
+pub(crate) fn sums_to_wire(from: NodeId, sums: &UsageSums) -> wire::UsageSums {
+    wire::UsageSums {
+        from: address_to_wire(from.0),
+        nodes: sums.nodes,
+        unknown_per_mille: sums.unknown_per_mille,
+        usage: Some(usage_to_wire(&sums.usage)),
+    }
+}
+
+/// The sums, and the lead that sent them.
+pub(crate) fn sums_from_wire(sums: &wire::UsageSums) -> Result<(NodeId, UsageSums)> {
+    let from = node_from_wire(&sums.from)?;
+    let sums = UsageSums {
+        nodes: sums.nodes,
+        unknown_per_mille: sums.unknown_per_mille,
+        usage: usage_from_wire(sums.usage.as_ref())?,
+    };
+    Ok((from, sums))
+}
+
+pub(crate) fn totals_to_wire(totals: &UsageSums) -> wire::UsageTotals {
+    wire::UsageTotals {
+        nodes: totals.nodes,
+        unknown_per_mille: totals.unknown_per_mille,
+        usage: Some(usage_to_wire(&totals.usage)),
+    }
+}
+
+pub(crate) fn totals_from_wire(totals: &wire::UsageTotals) -> Result<UsageSums> {
+    Ok(UsageSums {
+        nodes: totals.nodes,
+        unknown_per_mille: totals.unknown_per_mille,
+        usage: usage_from_wire(totals.usage.as_ref())?,
+    })
+}
+
+fn usage_to_wire(usage: &UsageByOrganisation) -> wire::Usage {
+    let mut wire = wire::Usage::default();
+    for (organisation, usage) in usage {
+        wire.organisations.push(organisation.0);
+        wire.admitted.push(usage.admitted);
+        wire.asked.push(usage.asked);
+    }
+    wire
+}
+
+fn usage_from_wire(usage: Option<&wire::Usage>) -> Result<UsageByOrganisation> {
+    let Some(usage) = usage else {
+        return Ok(UsageByOrganisation::new());
+    };
+    let len = usage.organisations.len();
+    let lists_match = usage.admitted.len() == len && usage.asked.len() == len;
+    ensure!(lists_match, FieldSnafu { field: "usage" });
+    let counts = usage.admitted.iter().zip(&usage.asked);
+    let entries = usage.organisations.iter().zip(counts);
+    let entries = entries.map(|(organisation, (admitted, asked))| {
+        let usage = Usage {
+            admitted: *admitted,
+            asked: *asked,
+        };
+        (OrganisationId(*organisation), usage)
+    });
+    Ok(entries.collect())
+}
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -14,6 +14,7 @@
 use crate::distribution::Offer;
 use crate::node::configuration::ConfigurationMsg;
 use crate::node::membership::MembershipMsg;
+use crate::node::quota;
 use crate::node::rollout::RolloutMsg;
 use crate::node::state::NodeState;
 
@@ -76,6 +77,7 @@
         &self,
         request: Request<wire::FollowRequest>,
     ) -> Result<Response<wire::FollowReply>, Status> {
+        let arrived_ms = self.node.proxy.uptime_ms();
         let request = request.get_ref();
         let have = Version(request.have_version);
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
@@ -97,11 +99,17 @@
         let differs = book.digest() != known_digest;
         let store_age_ms = self.node.proxy.store_age_ms().unwrap_or(u64::MAX);
         let store_age_ms = u32::try_from(store_age_ms).unwrap_or(u32::MAX);
+        let proof = self.node.proxy.freshness().latest();
+        let now_ms = self.node.proxy.uptime_ms();
+        let since_ms = |ms: u64| u32::try_from(now_ms.saturating_sub(ms)).unwrap_or(u32::MAX);
         Ok(Response::new(wire::FollowReply {
             newer: Some(convert::offer_to_wire(offer)),
             store_age_ms,
             blind: *self.node.store_failing.borrow(),
             rollouts: differs.then(|| convert::rollouts::book_to_wire(&book)),
+            known_newest_version: proof.map(|proof| proof.version.0),
+            known_newest_age_ms: proof.map_or(0, |proof| since_ms(proof.at_ms)),
+            waited_ms: since_ms(arrived_ms),
         }))
     }
 
@@ -145,6 +153,27 @@
         Ok(Response::new(wire::TallyReply {}))
     }
 
+    async fn report_usage(
+        &self,
+        request: Request<wire::UsageReport>,
+    ) -> Result<Response<wire::UsageTotals>, Status> {
+        let report = convert::usage::report_from_wire(request.get_ref());
+        let report = report.map_err(|e| invalid_argument(&e))?;
+        let totals = quota::add_report(&self.node, report);
+        Ok(Response::new(convert::usage::totals_to_wire(&totals)))
+    }
+
+    async fn share_usage(
+        &self,
+        request: Request<wire::UsageSums>,
+    ) -> Result<Response<wire::UsageSums>, Status> {
+        let received = convert::usage::sums_from_wire(request.get_ref());
+        let (from, sums) = received.map_err(|e| invalid_argument(&e))?;
+        let sums = quota::exchange_sums(&self.node, from, sums);
+        let local_id = self.node.proxy.local_id;
+        Ok(Response::new(convert::usage::sums_to_wire(local_id, &sums)))
+    }
+
     async fn floor(
         &self,
         request: Request<wire::FloorRequest>,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -6,7 +6,7 @@
 //! resource and a route by host in the record of its service; if its requests are split among several
 //! services, the route is in the record of the first one.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -14,10 +14,11 @@
 
 use super::duration::parse_ms;
 use crate::core::configuration::{
-    CallerLimits, Class, Configuration, RouteRecord, ServiceRecord, Spill, Target, TeamRecord,
-    Treatment, WeightedTarget,
+    CallerLimits, Class, Configuration, PRIORITY_DEFAULT, RouteRecord, ServiceRecord, Spill,
+    Target, TeamRecord, Treatment, WeightedTarget,
 };
-use crate::core::names::{HostName, ResourceName, ServiceName, TeamName};
+use crate::core::names::{HostName, OrganisationName, ResourceName, ServiceName, TeamName};
+use crate::core::organisation::{KeyDigest, OrganisationRecord, Quota};
 use crate::core::version::Version;
 
 /// Result of decoding a configuration.
@@ -46,6 +47,8 @@
     routes: WireTable,
     services: WireTable,
     limits: Option<WireLimits>,
+    /// Organisations whose keys requests need. Requests need no key if the field is absent.
+    tenants: Option<WireTable>,
 }
 
 /// A table of the configuration.
@@ -141,6 +144,7 @@
             services: BTreeMap::from([(name, record)]),
             calls: BTreeMap::new(),
             caller_limits: None,
+            organisations: None,
         };
         teams.insert(team.team.clone(), team);
     }
@@ -156,6 +160,9 @@
         }
         insert_route(&mut teams, &fields.item, route)?;
     }
+    if let Some(tenants) = &wire.tenants {
+        insert_organisations(&mut teams, decode_organisations(tenants)?);
+    }
     let limits = wire.limits.as_ref().map(decode_caller_limits).transpose()?;
     if let Some(team) = teams.values_mut().next() {
         team.caller_limits = limits;
@@ -220,6 +227,7 @@
             field: "service",
         })?,
         split,
+        public: fields.optional(Value::as_bool, "public")?.unwrap_or(false),
     };
     Ok(DecodedRoute {
         treatment: decode_treatment(fields)?,
@@ -279,6 +287,61 @@
     })
 }
 
+/// Name of the record of organisations, which belong to no service.
+const ORGANISATIONS_TEAM: &str = "organisations";
+
+fn insert_organisations(
+    teams: &mut BTreeMap<TeamName, TeamRecord>,
+    organisations: BTreeMap<OrganisationName, OrganisationRecord>,
+) {
+    let name = TeamName::new(ORGANISATIONS_TEAM);
+    // A service may have the same name as this record.
+    let team = teams.entry(name.clone()).or_insert_with(|| TeamRecord {
+        team: name,
+        services: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        caller_limits: None,
+        organisations: None,
+    });
+    team.organisations = Some(organisations);
+}
+
+fn decode_organisations(
+    table: &WireTable,
+) -> Result<BTreeMap<OrganisationName, OrganisationRecord>> {
+    let rows = table.rows.iter();
+    rows.map(|row| decode_organisation(&RowFields::new("organisation", &table.columns, row)))
+        .collect()
+}
+
+fn decode_organisation(fields: &RowFields<'_>) -> Result<(OrganisationName, OrganisationRecord)> {
+    let name = OrganisationName::new(fields.required(Value::as_str, "name")?);
+    let keys = fields.optional(as_key_digests, "apiKeys")?;
+    let priority = fields.optional(as_u32, "priority")?;
+    // Requests per second of all nodes together; 0 for no limit.
+    let rate_per_s = fields.optional(as_rate, "ratePerS")?.unwrap_or(0.0);
+    // Requests beyond the rate.
+    let burst = fields.optional(as_rate, "burst")?.unwrap_or(0.0);
+    let record = OrganisationRecord {
+        keys: keys.unwrap_or_default(),
+        priority: priority.map_or(PRIORITY_DEFAULT, |priority| {
+            u8::try_from(priority).unwrap_or(u8::MAX)
+        }),
+        quota: Quota::from_rate(rate_per_s, burst as u64),
+    };
+    Ok((name, record))
+}
+
+fn as_key_digests(value: &Value) -> Option<BTreeSet<KeyDigest>> {
+    let keys = value.as_array()?.iter();
+    keys.map(|key| Some(KeyDigest::of(key.as_str()?.as_bytes())))
+        .collect()
+}
+
+fn as_rate(value: &Value) -> Option<f64> {
+    value.as_f64().filter(|rate| *rate >= 0.0)
+}
+
 fn decode_caller_limits(limits: &WireLimits) -> Result<CallerLimits> {
     let duration_ms = |text: &str, field| {
         let ms = parse_ms(text).and_then(|ms| u32::try_from(ms).ok());
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,8 @@
     calls_extend_request_id: true,
     // The service of the VM on which the request entered the mesh, not the service of the direct caller.
     caller_service: Some(HeaderName::from_static("x-dfw-caller")),
+    // The organisation that has the caller's key, in every request that has one.
+    organisation: HeaderName::from_static("x-dfw-tenant"),
     expected_instance: Some(HeaderName::from_static("x-dfw-expected-instance")),
     instance: Some(HeaderName::from_static("x-dfw-instance")),
     not_run: Some(HeaderName::from_static("x-dfw-not-executed")),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -104,6 +104,10 @@
             .maybe_retry_percent(bounds.percent("retryBudgetRatio"))
             .maybe_retry_reserve(bounds.integer("budgetExtra"))
             .maybe_exposure_percent(bounds.exposure_percent())
+            .maybe_key_freshness_ms(bounds.key_freshness_ms())
+            .maybe_quota_window_ms(bounds.duration_ms("quotaWindow"))
+            .maybe_quota_overage_percent(bounds.percent("quotaOverage"))
+            .maybe_quota_slack(bounds.integer("quotaSlack"))
             .maybe_link_kbit_per_s(self.link_kbit_per_s())
             // This limit applies to each caller address, and all callers on a VM share one address.
             .caller_connections_max(u32::MAX)
@@ -221,6 +225,12 @@
         self.get(name)?.parse().ok()
     }
 
+    /// How long a key that was taken away may still be accepted, if that is limited for all nodes.
+    fn key_freshness_ms(&self) -> Option<u64> {
+        let is_limited = self.get("strictRevoke") == Some("true");
+        self.duration_ms("revoke").filter(|_| is_limited)
+    }
+
     /// Share of a service's requests for a version that is not known to be good, in percent.
     fn exposure_percent(&self) -> Option<u32> {
         let percent = self.percent("exposureShare")?;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -258,9 +258,11 @@
     let is_configuration =
         |row: &&WireRow| row.key == CONFIGURATION_KEY && row.part.is_empty() && !row.deleted;
     let newest = response.rows.iter().rfind(is_configuration);
+    let configuration = newest.and_then(decode_configuration);
     FeedUpdate {
         position: FeedPosition(response.ver),
-        configuration: newest.and_then(decode_configuration),
+        is_unreadable: newest.is_some() && configuration.is_none(),
+        configuration,
         orders,
         store_ms: parse_ms(&response.now).unwrap_or(0),
         len_bytes: response.len_bytes,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -13,6 +13,7 @@
 use http::uri::Authority;
 use tokio_util::sync::CancellationToken;
 
+use self::quota::Charge;
 use self::request_log::RequestLog;
 use self::routed_request::RoutedRequest;
 use super::body::Body;
@@ -20,8 +21,12 @@
 use super::headers;
 use super::replay::ReplayableBody;
 use super::running_requests::{InheritedContext, RetryBudget};
+use crate::core::configuration::PRIORITY_DEFAULT;
 use crate::core::mechanism::Mechanism;
+use crate::core::organisation::Organisation;
 use crate::core::routing::{ResolvedTarget, Route};
+use crate::decide::access::Credential;
+use crate::decide::admission::Rank;
 use crate::decide::drain::RequestOrigin;
 use crate::decide::retry::{self, Attempts};
 use crate::decide::split;
@@ -29,6 +34,8 @@
 use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
 use crate::util::deadline;
 
+mod identity;
+mod quota;
 mod request_log;
 mod routed_request;
 #[cfg(test)]
@@ -82,10 +89,14 @@
     let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh_headers(&mut parts.headers);
+    let credential = match &current {
+        Ok(current) => identity::take_credential(&node, current, &mut parts.headers),
+        Err(_) => Credential::Absent,
+    };
     add_backend_headers(&node, &mut parts, id.clone());
     let request_log = RequestLog::new(&node, &id, host_and_path(&parts), version);
     let result = match current {
-        Ok(current) => route_and_run(&node, &current, &parts, &body, context).await,
+        Ok(current) => route_and_run(&node, &current, &parts, &body, (context, credential)).await,
         Err(NotServing::Refreshing) => Err(Failure::not_run(Reason::Refreshing)),
         Err(NotServing::NoConfiguration) => Err(Failure::not_run(Reason::NoConfiguration)),
     };
@@ -170,7 +181,7 @@
     current: &CurrentConfiguration,
     parts: &Parts,
     body: &ReplayableBody,
-    mut context: RequestContext,
+    (mut context, credential): (RequestContext, Credential),
 ) -> Result<Response<Body>, Failure> {
     let compiled = &*current.compiled;
     let host = requested_host(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
@@ -178,6 +189,8 @@
     if context.depth > retry::DEPTH_MAX {
         return Err(Failure::not_run(Reason::TooDeep));
     }
+    let organisation =
+        identity::organisation_of(node, current, parts, route, &context, credential)?;
     check_body_len(compiled, body)?;
     let target = choose_target(route);
     let service = compiled.configuration.service(&target.service);
@@ -188,25 +201,28 @@
         .deadline
         .map_or(route_deadline, |deadline| deadline.min(route_deadline));
     check_drain(node, started_at, deadline, context.depth)?;
+    let charge = Charge::take(node, organisation.as_deref())?;
     let request = RoutedRequest {
         node,
         parts,
         host: &host,
         target,
+        organisation: organisation.as_deref(),
+        rank: rank_of(compiled, organisation.as_deref(), target),
         default_slots: service.map_or(1, |service| service.slots_per_endpoint),
         body_bytes: body.min_len_bytes(),
         started_at,
         deadline,
         depth: context.depth,
         admitted_in: current.epoch,
-        sent: Arc::default(),
+        sent: charge.sent(),
     };
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
     // Dropping this future cancels the running attempt, up to the backend server.
     let outcome = cancellation.run_until_cancelled(request.run(body, &mut attempts));
     // An explicit response tells the caller more than a connection that breaks.
-    match until_drain_expired(node, outcome).await {
+    let result = match until_drain_expired(node, outcome).await {
         None if !request.sent.load(Ordering::Acquire) => {
             Err(Failure::not_run(Reason::DrainTooShort))
         }
@@ -223,7 +239,9 @@
                 attempts.budget_after_response(u32::try_from(unspent_retries).unwrap_or(0));
             Ok(response)
         }
-    }
+    };
+    charge.settle(&result);
+    result
 }
 
 fn find_route<'a>(
@@ -242,6 +260,19 @@
     Err(Failure::not_run(reason))
 }
 
+/// Rank of a request at the gate: the priority of its organisation goes before that of its target.
+fn rank_of(
+    compiled: &CompiledConfiguration,
+    organisation: Option<&Organisation>,
+    target: &ResolvedTarget,
+) -> Rank {
+    let priority = organisation.map_or(PRIORITY_DEFAULT, |organisation| organisation.priority);
+    match compiled.routes.organisations() {
+        None => Rank::of_route(target.treatment.priority),
+        Some(_) => Rank::new(priority, target.treatment.priority),
+    }
+}
+
 /// The outcome of a request; `None` if it has not arrived when the drain expires.
 async fn until_drain_expired<F: Future>(node: &ProxyState, outcome: F) -> Option<F::Output> {
     let mut outcome = pin!(outcome);
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -13,9 +13,10 @@
 use crate::core::mechanism::Mechanism;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
+use crate::core::organisation::Organisation;
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
-use crate::decide::admission::Priority;
+use crate::decide::admission::{Priority, Rank};
 use crate::decide::freeze::Epoch;
 use crate::decide::load_balancing::{
     Balancer, Endpoint, FreeSlotSearch, Requirements, TimeLimits, VersionSet,
@@ -31,6 +32,8 @@
 use crate::proxy::{gate, headers, statements, uploads};
 use crate::util::{clock, deadline};
 
+use super::identity;
+
 mod attempt_log;
 mod attempt_results;
 
@@ -48,6 +51,9 @@
     /// Host that the caller requested.
     pub(super) host: &'a Authority,
     pub(super) target: &'a ResolvedTarget,
+    /// Organisation whose key the caller sent.
+    pub(super) organisation: Option<&'a Organisation>,
+    pub(super) rank: Rank,
     pub(super) default_slots: u32,
     pub(super) body_bytes: u64,
     pub(super) started_at: Instant,
@@ -235,7 +241,7 @@
 
     /// Priority of the request at the gate.
     fn priority(&self) -> Priority {
-        hop::priority(self.depth, self.target.treatment.priority)
+        hop::priority(self.depth, self.rank)
     }
 
     fn record_chosen(
@@ -268,7 +274,7 @@
             service: self.service().clone(),
             resource: self.target.resource.clone(),
             class: treatment.class,
-            rank: treatment.priority,
+            rank: self.rank,
             idempotent: treatment.idempotent,
             max_wait,
             received_at: now,
@@ -398,6 +404,7 @@
         *request.version_mut() = http::Version::HTTP_2;
         *request.headers_mut() = self.parts.headers.clone();
         request.headers_mut().remove(http::header::HOST);
+        identity::add_organisation(self.node, self.organisation, request.headers_mut());
         request
     }
 }
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -1,6 +1,6 @@
 //! Failures on the request path and the responses that report them.
 
-use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{Response, StatusCode};
 
 use super::body::{self, Body};
@@ -26,6 +26,14 @@
     NoService,
     /// No route of the service matches.
     NoRoute,
+    /// The request needs a key of an organisation, and has none or one that no organisation has.
+    UnknownKey,
+    /// The configuration is not known to be current, so the request's key cannot be checked.
+    NotFresh,
+    /// The request belongs to a running request that is not known here.
+    ParentEnded,
+    /// The organisation has used up its quota.
+    QuotaExceeded,
     /// No known endpoint of the service accepts requests, or the node that was chosen has no
     /// backend server of the service.
     NoEndpoint,
@@ -70,11 +78,15 @@
 }
 
 impl Reason {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 26] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
         Self::NoRoute,
+        Self::UnknownKey,
+        Self::NotFresh,
+        Self::ParentEnded,
+        Self::QuotaExceeded,
         Self::NoEndpoint,
         Self::Full,
         Self::TooLate,
@@ -102,6 +114,10 @@
             Self::Refreshing => "refreshing",
             Self::NoService => "no-service",
             Self::NoRoute => "no-route",
+            Self::UnknownKey => "unknown-key",
+            Self::NotFresh => "not-fresh",
+            Self::ParentEnded => "parent-ended",
+            Self::QuotaExceeded => "quota-exceeded",
             Self::NoEndpoint => "no-endpoint",
             Self::Full => "full",
             Self::TooLate => "too-late",
@@ -134,6 +150,10 @@
             Self::Refreshing => "this node was frozen and catches up",
             Self::NoService => "no such service",
             Self::NoRoute => "no route of the service matches",
+            Self::UnknownKey => "the request has no valid key",
+            Self::NotFresh => "this node cannot check keys, because it may have missed changes",
+            Self::ParentEnded => "the request that made this call is not running here",
+            Self::QuotaExceeded => "the organisation has used up its quota",
             Self::NoEndpoint => "no endpoint of the service takes work",
             Self::Full => "the service is full",
             Self::TooLate => "the request would not be served before its deadline",
@@ -158,6 +178,8 @@
     fn status(self) -> StatusCode {
         match self {
             Self::NoService | Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -166,6 +188,8 @@
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::NoConfiguration
             | Self::Refreshing
+            | Self::NotFresh
+            | Self::ParentEnded
             | Self::NoEndpoint
             | Self::Full
             | Self::TooLate
@@ -294,7 +318,10 @@
         headers.insert(headers::VERDICT, verdict);
         let reason = HeaderValue::from_static(self.reason.code());
         headers.insert(headers::REASON, reason);
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        if status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Token"));
+        }
+        if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
             headers.insert(RETRY_AFTER, profile.retry_after_value(self.retry_after_ms));
         }
         response
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -221,7 +221,7 @@
         request_id = log_limiter::id_text(id),
         service:% = hop.service,
         resource:% = hop.resource,
-        rank = hop.rank,
+        rank = hop.rank.number(),
         verdict = failure.verdict.as_str(),
         reason,
         took_ms = clock::since_ms(received_at),
--- a/src/proxy/header_profile.rs
+++ b/src/proxy/header_profile.rs
@@ -28,6 +28,8 @@
     pub(crate) calls_extend_request_id: bool,
     /// To a backend server: service of the VM on which the request entered the mesh.
     pub(crate) caller_service: Option<HeaderName>,
+    /// To a backend server: name of the organisation whose key the caller sent.
+    pub(crate) organisation: HeaderName,
     /// To a backend server: the only instance that may run the request.
     pub(crate) expected_instance: Option<HeaderName>,
     /// From a backend server, in the response to a health check: its instance name.
@@ -63,6 +65,7 @@
     call_token: Some(headers::CALL_TOKEN),
     calls_extend_request_id: false,
     caller_service: None,
+    organisation: headers::ORGANISATION,
     expected_instance: None,
     instance: None,
     not_run: None,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -75,6 +75,9 @@
 /// On every request to a backend server and every response to a caller: id of the request.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+/// On a request to a backend server: name of the organisation whose key the caller sent.
+pub(crate) const ORGANISATION: HeaderName = HeaderName::from_static("x-organisation");
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that apply to one connection only and are never forwarded (RFC 9110, section 7.6.1).
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -10,7 +10,7 @@
 use crate::core::backend_statement::ReportedStatements;
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
-use crate::decide::admission::{Priority, SlotRequest};
+use crate::decide::admission::{Priority, Rank, SlotRequest};
 use crate::decide::freeze::Epoch;
 use crate::util::clock;
 
@@ -33,8 +33,8 @@
     /// The requested resource of the service.
     pub(crate) resource: ResourceName,
     pub(crate) class: Class,
-    /// Priority among requests of the same class; 0 is the highest.
-    pub(crate) rank: u8,
+    /// Rank among requests of the same class.
+    pub(crate) rank: Rank,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
     /// Longest time that the request waits for a slot.
@@ -117,7 +117,7 @@
         headers::to_value(&format!(
             "{} {} {} {} {}",
             class_name(self.class),
-            self.rank,
+            self.rank.number(),
             self.max_wait.as_millis(),
             due_in.as_millis(),
             if self.idempotent { IDEMPOTENT } else { "once" }
@@ -168,7 +168,7 @@
 }
 
 /// Priority of a request with `depth` nested calls above it.
-pub(crate) fn priority(depth: u32, rank: u8) -> Priority {
+pub(crate) fn priority(depth: u32, rank: Rank) -> Priority {
     match depth {
         0 => Priority::CallerRequest { rank },
         _ => Priority::NestedCall,
@@ -197,7 +197,7 @@
 /// The fields of [`headers::CLASS`], as [`Hop::class_value`] writes them.
 struct ClassFields {
     class: Class,
-    rank: u8,
+    rank: Rank,
     max_wait: Duration,
     due_in: Duration,
     idempotent: bool,
@@ -218,7 +218,7 @@
         let (max_wait, due_in) = (next_duration(), next_duration());
         Self {
             class,
-            rank: rank.unwrap_or(PRIORITY_DEFAULT),
+            rank: rank.map_or(Rank::of_route(PRIORITY_DEFAULT), Rank::from_number),
             max_wait,
             due_in,
             idempotent: words.next() == Some(IDEMPOTENT),
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -30,11 +30,15 @@
 use crate::core::names::ServiceName;
 use crate::core::rollout::RolloutBook;
 use crate::core::status::BackendStart;
+use crate::core::version::Version;
+use crate::decide::access::ConfigurationAge;
 use crate::decide::admission::{Admission, Limits};
 use crate::decide::drain::DrainSchedule;
 use crate::decide::freeze::{Epoch, FreezeDetector};
+use crate::decide::freshness::Freshness;
 use crate::decide::known_statements::KnownStatements;
 use crate::decide::load_balancing::{Balancer, LoadReport};
+use crate::decide::quota::QuotaBook;
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::decide::uploads::{UploadLimits, UploadQueue};
 use crate::distribution::CompiledConfiguration;
@@ -89,6 +93,9 @@
     /// Time of the last read of the newest version from the store, by this node or by the node that
     /// it follows. In milliseconds since `started`; 0 if there was none.
     store_read_ms: AtomicU64,
+    /// When the configuration was known to be the newest. Its times are those of [`Self::uptime_ms`].
+    freshness: Mutex<Freshness>,
+    quotas: Mutex<QuotaBook>,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
     /// The times of the shutdown, once it has started.
@@ -189,6 +196,8 @@
             log_limiter: LogLimiter::default(),
             freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
+            freshness: Mutex::default(),
+            quotas: Mutex::new(QuotaBook::new(settings.quota_limits(), 0)),
             leaving: CancellationToken::new(),
             drain: OnceLock::new(),
             drain_expired: CancellationToken::new(),
@@ -221,6 +230,27 @@
         }
     }
 
+    /// When the configuration was known to be the newest.
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock_ignoring_poison(&self.freshness)
+    }
+
+    /// The requests of organisations at this entry node.
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, QuotaBook> {
+        lock_ignoring_poison(&self.quotas)
+    }
+
+    /// How current `enforced` is known to be, which decides whether keys are accepted by it.
+    pub(crate) fn configuration_age(&self, enforced: Version) -> ConfigurationAge {
+        let known_newest_at_ms = self.freshness().known_newest_at_ms(enforced);
+        ConfigurationAge {
+            known_newest_ms_ago: known_newest_at_ms
+                .map(|at_ms| self.uptime_ms().saturating_sub(at_ms)),
+            apply_within_ms: self.reloadable.load().apply_within_ms,
+            key_limit_ms: self.settings.key_freshness_ms,
+        }
+    }
+
     /// The configuration by which requests are handled that are admitted now.
     pub(crate) fn current_configuration(&self) -> Result<CurrentConfiguration, NotServing> {
         let read = || self.enforced.load_full();
--- a/src/store.rs
+++ b/src/store.rs
@@ -164,6 +164,8 @@
     /// The newest configuration; `None` if it is unchanged since the requested position, absent, or
     /// cannot be decoded.
     pub configuration: Option<Configuration>,
+    /// Whether the response has a newer configuration that cannot be decoded.
+    pub is_unreadable: bool,
     /// Orders of roll-outs in the response.
     pub orders: OrdersRead,
     /// Time of the store's clock at the response, in milliseconds.
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -201,6 +201,7 @@
         services: BTreeMap::new(),
         calls: BTreeMap::new(),
         caller_limits: None,
+            organisations: None,
     };
     (TeamName::new(name), record)
 }
@@ -342,6 +343,7 @@
             services: BTreeMap::new(),
             calls: BTreeMap::new(),
             caller_limits: None,
+            organisations: None,
         };
         (name, team)
     };
