--- a/src/decide/quota/book.rs
+++ b/src/decide/quota/book.rs
@@ -38,8 +38,21 @@
 pub struct Exhausted {
     /// When this node may expect to admit another request.
     pub retry_after_ms: u64,
-    /// Age of the totals that decided; `None` if there were none, or too old ones.
-    pub totals_age_ms: Option<u64>,
+    /// What the totals of the mesh permitted; `None` if there were none, or too old ones.
+    pub by_totals: Option<UsedAllowance>,
+}
+
+/// An allowance that was used up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsedAllowance {
+    /// Requests that this node was allowed to admit since its report.
+    pub allowed_requests: u64,
+    /// Age of the totals.
+    pub totals_age_ms: u64,
+    /// Nodes that were part of the totals.
+    pub heard_nodes: u32,
+    /// Usage of the mesh by the totals; `None` if it was low.
+    pub mesh: Option<Usage>,
 }
 
 #[derive(Debug)]
@@ -60,8 +73,8 @@
     saving_since_ms: u64,
 }
 
-/// The totals of the mesh that a node got last.
-#[derive(Debug)]
+/// The totals of the mesh that a node got last; without nodes if there were none.
+#[derive(Debug, Default)]
 struct Totals {
     /// When the report was sent that they answer.
     reported_ms: u64,
@@ -73,7 +86,7 @@
 pub struct QuotaBook {
     limits: QuotaLimits,
     accounts: HashMap<OrganisationId, Account>,
-    totals: Option<Totals>,
+    totals: Totals,
     started_ms: u64,
     last_report_ms: Option<u64>,
     /// Whether a report is due early.
@@ -89,7 +102,7 @@
         Self {
             limits,
             accounts: HashMap::new(),
-            totals: None,
+            totals: Totals::default(),
             started_ms: now_ms,
             last_report_ms: None,
             is_report_urgent: true,
@@ -115,31 +128,18 @@
         quota: Quota,
         chance: f64,
     ) -> Result<Admitted, Exhausted> {
-        let heard_ms = self.current_totals(now_ms).map(|totals| totals.reported_ms);
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         account.asked.add(now_ms);
-        let admitted = match heard_ms {
-            Some(reported_ms) => self
-                .admit_by_totals(organisation, quota, chance)
-                .map_err(|retry_after_ms| Exhausted {
-                    retry_after_ms,
-                    totals_age_ms: Some(now_ms.saturating_sub(reported_ms)),
-                }),
-            None => self
-                .admit_alone(now_ms, organisation, quota)
-                .map_err(|retry_after_ms| Exhausted {
-                    retry_after_ms,
-                    totals_age_ms: None,
-                }),
-        };
-        admitted.map(|()| {
-            let account = account_mut(&mut self.accounts, &self.limits, organisation);
-            account.admitted.add(now_ms);
-            account.admitted_total += 1;
-            Admitted {
-                organisation,
-                at_ms: now_ms,
-            }
+        match self.has_current_totals(now_ms) {
+            true => self.admit_by_totals(now_ms, organisation, quota, chance)?,
+            false => self.admit_alone(now_ms, organisation, quota)?,
+        }
+        let account = account_mut(&mut self.accounts, &self.limits, organisation);
+        account.admitted.add(now_ms);
+        account.admitted_total += 1;
+        Ok(Admitted {
+            organisation,
+            at_ms: now_ms,
         })
     }
 
@@ -151,68 +151,85 @@
         }
     }
 
-    fn current_totals(&self, now_ms: u64) -> Option<&Totals> {
-        let totals = self.totals.as_ref()?;
-        let age_ms = now_ms.saturating_sub(totals.reported_ms);
-        (age_ms < TOTALS_AGE_MAX_MS).then_some(totals)
+    fn has_current_totals(&self, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.totals.reported_ms);
+        self.totals.sums.nodes > 0 && age_ms < TOTALS_AGE_MAX_MS
     }
 
-    /// Fails with the delay before a retry.
     fn admit_by_totals(
         &mut self,
+        now_ms: u64,
         organisation: OrganisationId,
         quota: Quota,
         chance: f64,
-    ) -> Result<(), u64> {
-        let Some(totals) = &self.totals else {
-            return Err(RETRY_MAX_MS);
-        };
+    ) -> Result<(), Exhausted> {
+        let allowance = self.allowance(organisation, quota, chance);
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
-        let allowance = match account.allowance {
-            Some((known_quota, allowance)) if known_quota == quota => allowance,
-            _ => {
-                let situation = Situation {
-                    mesh: totals.sums.usage.get(&organisation).copied(),
-                    own: account.base,
-                    nodes: self.nodes.max(totals.sums.nodes),
-                    heard_nodes: totals.sums.nodes,
-                    unknown_windows: f64::from(totals.sums.unknown_per_mille) / 1_000.0,
-                };
-                let Allowance { requests, share } =
-                    allowance::allowance(&self.limits, quota, &situation);
-                let rounded_up = requests.fract() > chance;
-                let requests = requests.floor() + f64::from(u8::from(rounded_up));
-                let allowance = Allowance { requests, share };
-                account.allowance = Some((quota, allowance));
-                allowance
-            }
-        };
-        let used = (account.admitted_total - account.base_total) as f64;
-        if used + 1.0 > allowance.requests {
-            return Err(retry_after_ms(quota.rate_per_s() * allowance.share));
+        let used = (account.admitted_total - account.base_total + 1) as f64;
+        if used > allowance.requests {
+            return Err(Exhausted {
+                retry_after_ms: retry_after_ms(quota.rate_per_s() * allowance.share),
+                by_totals: Some(UsedAllowance {
+                    allowed_requests: allowance.requests as u64,
+                    totals_age_ms: now_ms.saturating_sub(self.totals.reported_ms),
+                    heard_nodes: self.totals.sums.nodes,
+                    mesh: self.totals.sums.usage.get(&organisation).copied(),
+                }),
+            });
         }
-        let is_large_part = used + 1.0 >= allowance.requests / EARLY_REPORT_ALLOWANCE_DIVISOR;
-        self.is_report_urgent |= used + 1.0 >= EARLY_REPORT_REQUESTS && is_large_part;
+        let is_large_part = used >= allowance.requests / EARLY_REPORT_ALLOWANCE_DIVISOR;
+        self.is_report_urgent |= used >= EARLY_REPORT_REQUESTS && is_large_part;
         Ok(())
     }
 
-    /// Admits this node's part of the rate, without knowing what other nodes admit. Fails with the delay before a retry.
+    /// The allowance by the current totals, in whole requests.
+    fn allowance(&mut self, organisation: OrganisationId, quota: Quota, chance: f64) -> Allowance {
+        let sums = &self.totals.sums;
+        let account = account_mut(&mut self.accounts, &self.limits, organisation);
+        if let Some((known_quota, allowance)) = account.allowance
+            && known_quota == quota
+        {
+            return allowance;
+        }
+        let situation = Situation {
+            mesh: sums.usage.get(&organisation).copied(),
+            own: account.base,
+            nodes: self.nodes.max(sums.nodes),
+            heard_nodes: sums.nodes,
+            unknown_windows: f64::from(sums.unknown_per_mille) / 1_000.0,
+        };
+        let Allowance { requests, share } = allowance::allowance(&self.limits, quota, &situation);
+        let is_rounded_up = requests.fract() > chance;
+        let allowance = Allowance {
+            requests: requests.floor() + f64::from(u8::from(is_rounded_up)),
+            share,
+        };
+        account.allowance = Some((quota, allowance));
+        allowance
+    }
+
+    /// Admits this node's part of the rate, without knowing what other nodes admit.
     fn admit_alone(
         &mut self,
         now_ms: u64,
         organisation: OrganisationId,
         quota: Quota,
-    ) -> Result<(), u64> {
-        let alone_since_ms = self.totals.as_ref().map_or(self.started_ms, |totals| {
-            totals.reported_ms + TOTALS_AGE_MAX_MS
-        });
+    ) -> Result<(), Exhausted> {
+        let alone_since_ms = match self.totals.sums.nodes {
+            0 => self.started_ms,
+            _ => self.totals.reported_ms + TOTALS_AGE_MAX_MS,
+        };
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         let saving_since_ms = account.saving_since_ms.max(alone_since_ms);
         let rate_per_s = quota.rate_per_s() / f64::from(self.nodes);
         let interval_ms = (1_000.0 / rate_per_s) as u64;
         let saved_ms = now_ms.saturating_sub(saving_since_ms);
         if saved_ms < interval_ms {
-            return Err((interval_ms - saved_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+            let missing_ms = interval_ms - saved_ms;
+            return Err(Exhausted {
+                retry_after_ms: missing_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS),
+                by_totals: None,
+            });
         }
         account.saving_since_ms = now_ms;
         Ok(())
@@ -257,7 +274,7 @@
             account.base = account.reported;
             account.allowance = None;
         }
-        self.totals = Some(Totals { reported_ms, sums });
+        self.totals = Totals { reported_ms, sums };
     }
 }
 
--- a/src/proxy/entry/quota.rs
+++ b/src/proxy/entry/quota.rs
@@ -80,7 +80,7 @@
 }
 
 fn refuse(node: &ProxyState, organisation: &Organisation, exhausted: Exhausted) -> Failure {
-    let basis = match exhausted.totals_age_ms {
+    let basis = match exhausted.by_totals {
         Some(_) => "totals",
         None => "alone",
     };
@@ -88,7 +88,8 @@
     if node.log_limiter.may_log(LogClass::Routine) {
         log::info!(
             organisation:% = organisation.name,
-            totals_age_ms:? = exhausted.totals_age_ms,
+            quota:? = organisation.quota,
+            by_totals:? = exhausted.by_totals,
             retry_after_ms = exhausted.retry_after_ms;
             "the organisation has used up its quota"
         );
