Quotas: leads grant requests to nodes; tests in virtual time

Shares by each node's own totals overshot by 5 to 24 % in the test: totals of different age added up to more than one, shares moved faster than the window, and the other side of a cut counted as its rate only. A lead now counts what it has granted as used until the next report.

--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -60,7 +60,9 @@
         path: String,
     },
     /// Two teams define an organisation of the same name.
-    #[snafu(display("team `{team}` defines organisation `{organisation}`, which another team defines too"))]
+    #[snafu(display(
+        "team `{team}` defines organisation `{organisation}`, which another team defines too"
+    ))]
     DuplicateOrganisation {
         /// Team of the second definition.
         team: TeamName,
--- a/src/decide/access.rs
+++ b/src/decide/access.rs
@@ -42,7 +42,8 @@
 
 impl ConfigurationAge {
     fn is_at_most(self, limit_ms: u64) -> bool {
-        self.known_newest_ms_ago.is_some_and(|age_ms| age_ms < limit_ms)
+        self.known_newest_ms_ago
+            .is_some_and(|age_ms| age_ms < limit_ms)
     }
 
     fn accepts_keys(self) -> bool {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -29,7 +29,8 @@
 use crate::core::names::ResourceName;
 
 pub use self::request::{
-    AdmitOutcome, Limits, Priority, Rank, Refusal, RefusalCause, ReleasedSlot, SlotRequest, WaitOutcome,
+    AdmitOutcome, Limits, Priority, Rank, Refusal, RefusalCause, ReleasedSlot, SlotRequest,
+    WaitOutcome,
 };
 
 new_key_type! {
--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -64,9 +64,8 @@
 impl Freshness {
     /// Adds a proof. Proofs that it makes useless are dropped.
     pub fn record(&mut self, proof: FreshnessProof) {
-        let is_known = |known: &FreshnessProof| {
-            known.version <= proof.version && known.at_ms >= proof.at_ms
-        };
+        let is_known =
+            |known: &FreshnessProof| known.version <= proof.version && known.at_ms >= proof.at_ms;
         if self.proofs.iter().any(is_known) {
             return;
         }
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -16,7 +16,7 @@
 
 use crate::core::organisation::{OrganisationId, Quota};
 
-pub use self::book::{Admitted, Exhausted, QuotaBook, UsedAllowance};
+pub use self::book::{Admitted, Exhausted, QuotaBook, UsedGrant};
 pub use self::totals::{ReportedBy, UsageTotals};
 
 /// What is tolerated beyond a quota, and over which span.
@@ -67,6 +67,26 @@
 /// Requests of each organisation that has sent any.
 pub type UsageByOrganisation = HashMap<OrganisationId, Usage>;
 
+/// Requests of one organisation that a node may admit until its next report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grant {
+    /// How many.
+    pub requests: u32,
+    /// Usage of the whole mesh that decided.
+    pub mesh_admitted: u32,
+}
+
+/// The answer of a lead to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Grants {
+    /// Nodes of the mesh.
+    pub nodes: u32,
+    /// Part of each quota that falls to nodes whose usage is known, in thousandths.
+    pub known_per_mille: u32,
+    /// Grants for the organisations that have used a part of their quotas. Of the others every node may admit some.
+    pub by_organisation: HashMap<OrganisationId, Grant>,
+}
+
 /// Sums of the reports of several nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UsageSums {
--- a/src/decide/quota/book.rs
+++ b/src/decide/quota/book.rs
@@ -2,22 +2,22 @@
 
 use std::collections::HashMap;
 
-use super::allowance::{self, Allowance, Situation};
+use super::allowance;
 use super::window::WindowCount;
-use super::{QuotaLimits, Usage, UsageByOrganisation, UsageSums};
+use super::{Grants, QuotaLimits, Usage, UsageByOrganisation};
 use crate::core::organisation::{OrganisationId, Quota};
 
-/// Age from which totals are not used, since other nodes may have used up what was left. Several reports fit in.
-const TOTALS_AGE_MAX_MS: u64 = 1_000;
+/// Age from which grants are not used. Several reports fit in.
+const GRANTS_AGE_MAX_MS: u64 = 1_000;
 
 /// Time between two reports.
 const REPORT_INTERVAL_MS: u64 = 300;
 /// Shortest time between two reports.
 const REPORT_INTERVAL_MIN_MS: u64 = 100;
 /// Requests of one organisation since the last report from which another is due early, if they are also this part of the
-/// allowance.
-const EARLY_REPORT_REQUESTS: f64 = 2.0;
-const EARLY_REPORT_ALLOWANCE_DIVISOR: f64 = 4.0;
+/// grant.
+const EARLY_REPORT_REQUESTS: i64 = 2;
+const EARLY_REPORT_GRANT_DIVISOR: i64 = 4;
 
 /// How long a node that is not alive any more counts as one of the mesh: it may be cut off and admit requests.
 const NODES_MEMORY_MS: u64 = 60_000;
@@ -38,21 +38,19 @@
 pub struct Exhausted {
     /// When this node may expect to admit another request.
     pub retry_after_ms: u64,
-    /// What the totals of the mesh permitted; `None` if there were none, or too old ones.
-    pub by_totals: Option<UsedAllowance>,
+    /// What a lead had granted; `None` if there was no grant, or too old a one.
+    pub used_grant: Option<UsedGrant>,
 }
 
-/// An allowance that was used up.
+/// A grant that was used up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UsedAllowance {
+pub struct UsedGrant {
     /// Requests that this node was allowed to admit since its report.
-    pub allowed_requests: u64,
-    /// Age of the totals.
-    pub totals_age_ms: u64,
-    /// Nodes that were part of the totals.
-    pub heard_nodes: u32,
-    /// Usage of the mesh by the totals; `None` if it was low.
-    pub mesh: Option<Usage>,
+    pub requests: u32,
+    /// Time since that report.
+    pub age_ms: u64,
+    /// Usage of the mesh that decided; `None` if it was too low to be listed.
+    pub mesh_admitted: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -61,24 +59,20 @@
     asked: WindowCount,
     /// Requests admitted in all, less those returned.
     admitted_total: i64,
-    /// [`Self::admitted_total`] and usage at the last report.
+    /// The same at the last report.
     reported_total: i64,
-    reported: Usage,
-    /// The same at the report that the current totals answer.
+    /// The same at the report that the current grants answer.
     base_total: i64,
-    base: Usage,
-    /// Allowance by the current totals, for the quota that it was computed with.
-    allowance: Option<(Quota, Allowance)>,
-    /// Without totals: since when the next request has been saved up for.
+    /// Without grants: since when the next request has been saved up for.
     saving_since_ms: u64,
 }
 
-/// The totals of the mesh that a node got last; without nodes if there were none.
+/// The grants that a node got last; without nodes if there were none.
 #[derive(Debug, Default)]
-struct Totals {
+struct ReceivedGrants {
     /// When the report was sent that they answer.
     reported_ms: u64,
-    sums: UsageSums,
+    grants: Grants,
 }
 
 /// The requests of organisations at one entry node.
@@ -86,7 +80,7 @@
 pub struct QuotaBook {
     limits: QuotaLimits,
     accounts: HashMap<OrganisationId, Account>,
-    totals: Totals,
+    received: ReceivedGrants,
     started_ms: u64,
     last_report_ms: Option<u64>,
     /// Whether a report is due early.
@@ -102,7 +96,7 @@
         Self {
             limits,
             accounts: HashMap::new(),
-            totals: Totals::default(),
+            received: ReceivedGrants::default(),
             started_ms: now_ms,
             last_report_ms: None,
             is_report_urgent: true,
@@ -119,19 +113,17 @@
         }
     }
 
-    /// Admits a request of an organisation, if its quota permits that. `chance` is a random number from 0 to 1, by which
-    /// fractions of a request are rounded.
+    /// Admits a request of an organisation, if its quota permits that.
     pub fn admit(
         &mut self,
         now_ms: u64,
         organisation: OrganisationId,
         quota: Quota,
-        chance: f64,
     ) -> Result<Admitted, Exhausted> {
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         account.asked.add(now_ms);
-        match self.has_current_totals(now_ms) {
-            true => self.admit_by_totals(now_ms, organisation, quota, chance)?,
+        match self.has_current_grants(now_ms) {
+            true => self.admit_by_grant(now_ms, organisation, quota)?,
             false => self.admit_alone(now_ms, organisation, quota)?,
         }
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
@@ -151,63 +143,44 @@
         }
     }
 
-    fn has_current_totals(&self, now_ms: u64) -> bool {
-        let age_ms = now_ms.saturating_sub(self.totals.reported_ms);
-        self.totals.sums.nodes > 0 && age_ms < TOTALS_AGE_MAX_MS
+    fn has_current_grants(&self, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.received.reported_ms);
+        self.received.grants.nodes > 0 && age_ms < GRANTS_AGE_MAX_MS
     }
 
-    fn admit_by_totals(
+    fn admit_by_grant(
         &mut self,
         now_ms: u64,
         organisation: OrganisationId,
         quota: Quota,
-        chance: f64,
     ) -> Result<(), Exhausted> {
-        let allowance = self.allowance(organisation, quota, chance);
+        let grants = &self.received.grants;
+        let grant = grants.by_organisation.get(&organisation);
+        let requests = match grant {
+            Some(grant) => grant.requests,
+            None => {
+                let known_share = f64::from(grants.known_per_mille) / 1_000.0;
+                allowance::unlisted_requests(&self.limits, quota, grants.nodes, known_share)
+            }
+        };
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
-        let used = (account.admitted_total - account.base_total + 1) as f64;
-        if used > allowance.requests {
+        let used = account.admitted_total - account.base_total + 1;
+        if used > i64::from(requests) {
+            let rate_per_s = quota.rate_per_s() / f64::from(grants.nodes);
             return Err(Exhausted {
-                retry_after_ms: retry_after_ms(quota.rate_per_s() * allowance.share),
-                by_totals: Some(UsedAllowance {
-                    allowed_requests: allowance.requests as u64,
-                    totals_age_ms: now_ms.saturating_sub(self.totals.reported_ms),
-                    heard_nodes: self.totals.sums.nodes,
-                    mesh: self.totals.sums.usage.get(&organisation).copied(),
+                retry_after_ms: retry_after_ms(rate_per_s, requests),
+                used_grant: Some(UsedGrant {
+                    requests,
+                    age_ms: now_ms.saturating_sub(self.received.reported_ms),
+                    mesh_admitted: grant.map(|grant| grant.mesh_admitted),
                 }),
             });
         }
-        let is_large_part = used >= allowance.requests / EARLY_REPORT_ALLOWANCE_DIVISOR;
+        let is_large_part = used >= i64::from(requests) / EARLY_REPORT_GRANT_DIVISOR;
         self.is_report_urgent |= used >= EARLY_REPORT_REQUESTS && is_large_part;
         Ok(())
     }
 
-    /// The allowance by the current totals, in whole requests.
-    fn allowance(&mut self, organisation: OrganisationId, quota: Quota, chance: f64) -> Allowance {
-        let sums = &self.totals.sums;
-        let account = account_mut(&mut self.accounts, &self.limits, organisation);
-        if let Some((known_quota, allowance)) = account.allowance
-            && known_quota == quota
-        {
-            return allowance;
-        }
-        let situation = Situation {
-            mesh: sums.usage.get(&organisation).copied(),
-            own: account.base,
-            nodes: self.nodes.max(sums.nodes),
-            heard_nodes: sums.nodes,
-            unknown_windows: f64::from(sums.unknown_per_mille) / 1_000.0,
-        };
-        let Allowance { requests, share } = allowance::allowance(&self.limits, quota, &situation);
-        let is_rounded_up = requests.fract() > chance;
-        let allowance = Allowance {
-            requests: requests.floor() + f64::from(u8::from(is_rounded_up)),
-            share,
-        };
-        account.allowance = Some((quota, allowance));
-        allowance
-    }
-
     /// Admits this node's part of the rate, without knowing what other nodes admit.
     fn admit_alone(
         &mut self,
@@ -215,9 +188,9 @@
         organisation: OrganisationId,
         quota: Quota,
     ) -> Result<(), Exhausted> {
-        let alone_since_ms = match self.totals.sums.nodes {
+        let alone_since_ms = match self.received.grants.nodes {
             0 => self.started_ms,
-            _ => self.totals.reported_ms + TOTALS_AGE_MAX_MS,
+            _ => self.received.reported_ms + GRANTS_AGE_MAX_MS,
         };
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         let saving_since_ms = account.saving_since_ms.max(alone_since_ms);
@@ -228,13 +201,18 @@
             let missing_ms = interval_ms - saved_ms;
             return Err(Exhausted {
                 retry_after_ms: missing_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS),
-                by_totals: None,
+                used_grant: None,
             });
         }
         account.saving_since_ms = now_ms;
         Ok(())
     }
 
+    /// Nodes of the mesh, also those that were alive a short time ago.
+    pub fn nodes(&self) -> u32 {
+        self.nodes
+    }
+
     /// Whether a report is due.
     pub fn is_report_due(&self, now_ms: u64) -> bool {
         let interval_ms = match self.is_report_urgent {
@@ -249,32 +227,34 @@
     pub fn report(&mut self, now_ms: u64) -> UsageByOrganisation {
         self.last_report_ms = Some(now_ms);
         self.is_report_urgent = false;
-        self.accounts.retain(|_, account| {
-            account.reported = Usage {
+        let mut usage = UsageByOrganisation::new();
+        self.accounts.retain(|organisation, account| {
+            let reported = Usage {
                 admitted: account.admitted.total(now_ms),
                 asked: account.asked.total(now_ms),
             };
             account.reported_total = account.admitted_total;
-            account.reported != Usage::default()
+            if reported != Usage::default() {
+                usage.insert(*organisation, reported);
+            }
+            reported != Usage::default()
         });
-        let accounts = self.accounts.iter();
-        accounts
-            .map(|(organisation, account)| (*organisation, account.reported))
-            .collect()
+        usage
     }
 
-    /// Records the totals that answered the last report, which was sent at `reported_ms`.
-    pub fn set_totals(&mut self, reported_ms: u64, sums: UsageSums) {
+    /// Records the grants that answered the last report, which was sent at `reported_ms`.
+    pub fn set_grants(&mut self, reported_ms: u64, grants: Grants) {
         if self.last_report_ms != Some(reported_ms) {
             // The answer to an earlier report.
             return;
         }
         for account in self.accounts.values_mut() {
             account.base_total = account.reported_total;
-            account.base = account.reported;
-            account.allowance = None;
         }
-        self.totals = Totals { reported_ms, sums };
+        self.received = ReceivedGrants {
+            reported_ms,
+            grants,
+        };
     }
 }
 
@@ -288,16 +268,16 @@
         asked: WindowCount::new(limits.window_ms),
         admitted_total: 0,
         reported_total: 0,
-        reported: Usage::default(),
         base_total: 0,
-        base: Usage::default(),
-        allowance: None,
         saving_since_ms: 0,
     })
 }
 
-/// Delay until credit for one request returns at `rate_per_s`.
-fn retry_after_ms(rate_per_s: f64) -> u64 {
-    // The conversion saturates for a rate of 0.
-    ((1_000.0 / rate_per_s) as u64).clamp(RETRY_MIN_MS, RETRY_MAX_MS)
+/// Delay until this node may expect to admit another request. Its next report may bring that about if it was granted
+/// some; else the organisation sends more than its rate.
+fn retry_after_ms(rate_per_s: f64, granted_requests: u32) -> u64 {
+    match granted_requests {
+        0 => ((1_000.0 / rate_per_s) as u64).clamp(REPORT_INTERVAL_MS, RETRY_MAX_MS),
+        _ => REPORT_INTERVAL_MS,
+    }
 }
--- a/src/decide/quota/totals.rs
+++ b/src/decide/quota/totals.rs
@@ -1,8 +1,9 @@
-//! Sums of the usage that nodes report, at a lead.
+//! Adds up the usage that nodes report, and grants requests to them, at a lead.
 
 use std::collections::HashMap;
 
-use super::{QuotaLimits, Usage, UsageByOrganisation, UsageSums, allowance};
+use super::allowance::{self, Nodes, Situation};
+use super::{Grant, Grants, QuotaLimits, Usage, UsageByOrganisation, UsageSums};
 use crate::core::member::NodeId;
 use crate::core::organisation::{OrganisationId, Quota};
 
@@ -23,6 +24,14 @@
     received_ms: u64,
     uptime_ms: u64,
     usage: UsageByOrganisation,
+    /// Requests that the answer granted.
+    granted: HashMap<OrganisationId, u32>,
+}
+
+impl Report {
+    fn is_heard(&self, now_ms: u64) -> bool {
+        now_ms < self.received_ms + HEARD_AGE_MAX_MS
+    }
 }
 
 #[derive(Debug)]
@@ -38,6 +47,8 @@
     /// Also of processes that have ended, until what they admitted has left the window.
     reports: HashMap<ReportedBy, Report>,
     peers: HashMap<NodeId, PeerSums>,
+    /// The sums that other leads got last.
+    shared: UsageSums,
 }
 
 impl UsageTotals {
@@ -47,23 +58,71 @@
             limits,
             reports: HashMap::new(),
             peers: HashMap::new(),
+            shared: UsageSums::default(),
         }
     }
 
-    /// Records the report of a process that has run for `uptime_ms`.
+    /// Records the report of a process that has run for `uptime_ms`, and grants it requests until its next report.
+    ///
+    /// `quota_of` returns the quota of an organisation, `alive` is the number of nodes of the mesh, and `chance` a source
+    /// of random numbers from 0 to 1.
     pub fn record_report(
         &mut self,
         now_ms: u64,
-        reported_by: ReportedBy,
-        uptime_ms: u64,
+        (reported_by, uptime_ms): (ReportedBy, u64),
         usage: UsageByOrganisation,
-    ) {
+        alive: u32,
+        quota_of: impl Fn(OrganisationId) -> Option<Quota>,
+        mut chance: impl FnMut() -> f64,
+    ) -> Grants {
         let report = Report {
             received_ms: now_ms,
             uptime_ms,
             usage,
+            granted: HashMap::new(),
         };
         self.reports.insert(reported_by, report);
+        let local = self.local_sums(now_ms);
+        let granted = self.granted();
+        let mesh = self.mesh_sums(now_ms, &local);
+        let nodes = Nodes {
+            local: local.nodes,
+            heard: mesh.nodes,
+            all: alive,
+            unknown: f64::from(mesh.unknown_per_mille) / 1_000.0,
+        };
+        let limits = self.limits;
+        let mut grants = Grants {
+            nodes: alive.max(mesh.nodes),
+            known_per_mille: (nodes.known_share() * 1_000.0) as u32,
+            by_organisation: HashMap::new(),
+        };
+        let Some(report) = self.reports.get_mut(&reported_by) else {
+            return grants;
+        };
+        for (organisation, mesh_usage) in mesh.usage {
+            let quota = quota_of(organisation);
+            let quota = quota.filter(|quota| allowance::is_listed(&limits, *quota, mesh_usage));
+            let Some(quota) = quota else { continue };
+            let usage_in =
+                |usage: &UsageByOrganisation| usage.get(&organisation).copied().unwrap_or_default();
+            let situation = Situation {
+                mesh: mesh_usage,
+                shared_asked: usage_in(&self.shared.usage).asked,
+                local: usage_in(&local.usage),
+                granted: granted.get(&organisation).copied().unwrap_or(0),
+                node: usage_in(&report.usage),
+                nodes,
+            };
+            let requests = allowance::granted_requests(&limits, quota, &situation, chance());
+            report.granted.insert(organisation, requests);
+            let grant = Grant {
+                requests,
+                mesh_admitted: mesh_usage.admitted,
+            };
+            grants.by_organisation.insert(organisation, grant);
+        }
+        grants
     }
 
     /// Records the sums of another lead.
@@ -82,14 +141,19 @@
     }
 
     /// The sums of the reports that this node has received, for other leads.
-    pub fn own_sums(&mut self, now_ms: u64) -> UsageSums {
+    pub fn share(&mut self, now_ms: u64) -> UsageSums {
+        self.shared = self.local_sums(now_ms);
+        self.shared.clone()
+    }
+
+    fn local_sums(&mut self, now_ms: u64) -> UsageSums {
         let window_ms = self.limits.window_ms;
         self.reports
             .retain(|_, report| now_ms < report.received_ms + window_ms);
         let mut sums = UsageSums::default();
         for (reported_by, report) in &self.reports {
             add_usage(&mut sums.usage, &report.usage);
-            if now_ms < report.received_ms + HEARD_AGE_MAX_MS {
+            if report.is_heard(now_ms) {
                 sums.nodes += 1;
                 sums.unknown_per_mille += self.unknown_per_mille(*reported_by, report);
             }
@@ -97,6 +161,16 @@
         sums
     }
 
+    /// What nodes may have admitted since their reports.
+    fn granted(&self) -> HashMap<OrganisationId, u32> {
+        let mut granted: HashMap<OrganisationId, u32> = HashMap::new();
+        let all = self.reports.values().flat_map(|report| &report.granted);
+        for (organisation, requests) in all {
+            *granted.entry(*organisation).or_default() += requests;
+        }
+        granted
+    }
+
     /// How much of the window a node has not run for, unless the reports of its earlier process are known.
     fn unknown_per_mille(&self, reported_by: ReportedBy, report: &Report) -> u32 {
         let mut others = self.reports.keys();
@@ -108,30 +182,20 @@
         }
     }
 
-    /// The sums of the whole mesh, as far as they are known. `quota_of` returns the quota of an organisation; those that
-    /// have none or have used little of it are left out.
-    pub fn totals(
-        &mut self,
-        now_ms: u64,
-        quota_of: impl Fn(OrganisationId) -> Option<Quota>,
-    ) -> UsageSums {
+    /// The sums of the whole mesh, as far as they are known.
+    fn mesh_sums(&mut self, now_ms: u64, local: &UsageSums) -> UsageSums {
         let window_ms = self.limits.window_ms;
-        let mut totals = self.own_sums(now_ms);
+        let mut sums = local.clone();
         self.peers
             .retain(|_, peer| now_ms < peer.received_ms + window_ms);
         for peer in self.peers.values() {
-            add_usage(&mut totals.usage, &peer.sums.usage);
+            add_usage(&mut sums.usage, &peer.sums.usage);
             if now_ms < peer.received_ms + HEARD_AGE_MAX_MS {
-                totals.nodes += peer.sums.nodes;
-                totals.unknown_per_mille += peer.sums.unknown_per_mille;
+                sums.nodes += peer.sums.nodes;
+                sums.unknown_per_mille += peer.sums.unknown_per_mille;
             }
         }
-        let limits = self.limits;
-        totals.usage.retain(|organisation, usage| {
-            let quota = quota_of(*organisation);
-            quota.is_some_and(|quota| allowance::is_listed(&limits, quota, *usage))
-        });
-        totals
+        sums
     }
 }
 
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -287,12 +287,8 @@
             true => clock::whole_ms(exchange.wait),
             false => 0,
         };
-        let proof = FreshnessProof::from_store(
-            version,
-            exchange.asked_ms,
-            exchange.took_ms,
-            kept_wait_ms,
-        );
+        let proof =
+            FreshnessProof::from_store(version, exchange.asked_ms, exchange.took_ms, kept_wait_ms);
         self.node.proxy.freshness().record(proof);
     }
 
--- a/src/node/quota.rs
+++ b/src/node/quota.rs
@@ -10,7 +10,7 @@
 
 use crate::core::member::NodeId;
 use crate::core::organisation::OrganisationId;
-use crate::decide::quota::{ReportedBy, UsageByOrganisation, UsageSums};
+use crate::decide::quota::{Grants, ReportedBy, UsageByOrganisation, UsageSums};
 use crate::distribution::fetch::Peer;
 use crate::membership::neighbours;
 use crate::node::state::NodeState;
@@ -38,20 +38,21 @@
     pub(crate) usage: UsageByOrganisation,
 }
 
-/// Adds a report to the sums of this node, and returns the totals of the mesh.
-pub(crate) fn add_report(node: &NodeState, report: UsageReport) -> UsageSums {
+/// Adds a report to the sums of this node, and grants the node requests until its next one.
+pub(crate) fn add_report(node: &NodeState, report: UsageReport) -> Grants {
     let now_ms = node.proxy.uptime_ms();
     let compiled = node.proxy.last_configuration();
     let table = compiled.as_ref().and_then(|c| c.routes.organisations());
     let quota_of = |id: OrganisationId| table?.find_id(id)?.quota;
-    let UsageReport {
-        reported_by,
-        uptime_ms,
-        usage,
-    } = report;
-    let mut totals = node.usage_totals();
-    totals.record_report(now_ms, reported_by, uptime_ms, usage);
-    totals.totals(now_ms, quota_of)
+    let nodes = node.proxy.quotas().nodes();
+    node.usage_totals().record_report(
+        now_ms,
+        (report.reported_by, report.uptime_ms),
+        report.usage,
+        nodes,
+        quota_of,
+        || rand::random(),
+    )
 }
 
 /// Records the sums of another lead, and returns those of this node.
@@ -59,7 +60,7 @@
     let now_ms = node.proxy.uptime_ms();
     let mut totals = node.usage_totals();
     totals.record_peer(now_ms, from, sums);
-    totals.own_sums(now_ms)
+    totals.share(now_ms)
 }
 
 /// Reports until `stop` is cancelled. `incarnation_us` identifies this process.
@@ -120,12 +121,12 @@
             uptime_ms: now_ms,
             usage: self.node.proxy.quotas().report(now_ms),
         };
-        let totals = match self.lead(now_ms) {
+        let grants = match self.lead(now_ms) {
             None => Some(add_report(&self.node, report)),
             Some((lead, client)) => self.send(lead, client, &report).await,
         };
-        if let Some(totals) = totals {
-            self.node.proxy.quotas().set_totals(now_ms, totals);
+        if let Some(grants) = grants {
+            self.node.proxy.quotas().set_grants(now_ms, grants);
         }
     }
 
@@ -144,12 +145,12 @@
         lead: Peer,
         mut client: PeerClient,
         report: &UsageReport,
-    ) -> Option<UsageSums> {
+    ) -> Option<Grants> {
         let answer = client.report_usage(report, REPORT_TIMEOUT).await;
         let result = if answer.is_ok() { "answered" } else { "failed" };
         metrics::counter!("dragonflywall_quota_reports_total", "result" => result).increment(1);
         match answer {
-            Ok(totals) => Some(totals),
+            Ok(grants) => Some(grants),
             Err(error) => {
                 log::info!(lead:% = lead.node, error:%; "the lead did not answer a report of requests");
                 self.node.control_pool.discard(lead.address);
@@ -167,7 +168,7 @@
             return;
         }
         self.last_share_ms = now_ms;
-        let sums = self.node.usage_totals().own_sums(now_ms);
+        let sums = self.node.usage_totals().share(now_ms);
         if sums.nodes == 0 {
             return;
         }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -19,7 +19,7 @@
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
 use crate::decide::freshness::PeerProof;
-use crate::decide::quota::UsageSums;
+use crate::decide::quota::{Grants, UsageSums};
 use crate::decide::rollout::NodeTally;
 use crate::distribution::Offer;
 use crate::distribution::lead_choice::LeadState;
@@ -286,18 +286,18 @@
         })
     }
 
-    /// Reports the requests of organisations at this node. Returns the totals of the mesh.
+    /// Reports the requests of organisations at this node. Returns how many more it may admit.
     pub(crate) async fn report_usage(
         &mut self,
         report: &UsageReport,
         answer_timeout: Duration,
-    ) -> Result<UsageSums> {
+    ) -> Result<Grants> {
         let request = with_timeout(convert::usage::report_to_wire(report), answer_timeout);
         let answer = self.client.report_usage(request).await;
         let answer = answer.context(CallSnafu {
             address: self.address,
         })?;
-        convert::usage::totals_from_wire(answer.get_ref())
+        convert::usage::grants_from_wire(answer.get_ref())
             .map_err(|error| self.protocol_error(&error))
     }
 
--- a/src/peer/convert/usage.rs
+++ b/src/peer/convert/usage.rs
@@ -5,7 +5,7 @@
 use super::{FieldSnafu, Result, address_to_wire, node_from_wire, wire};
 use crate::core::member::NodeId;
 use crate::core::organisation::OrganisationId;
-use crate::decide::quota::{ReportedBy, Usage, UsageByOrganisation, UsageSums};
+use crate::decide::quota::{Grant, Grants, ReportedBy, Usage, UsageByOrganisation, UsageSums};
 use crate::node::quota::UsageReport;
 
 pub(crate) fn report_to_wire(report: &UsageReport) -> wire::UsageReport {
@@ -48,19 +48,37 @@
     Ok((from, sums))
 }
 
-pub(crate) fn totals_to_wire(totals: &UsageSums) -> wire::UsageTotals {
-    wire::UsageTotals {
-        nodes: totals.nodes,
-        unknown_per_mille: totals.unknown_per_mille,
-        usage: Some(usage_to_wire(&totals.usage)),
+pub(crate) fn grants_to_wire(grants: &Grants) -> wire::UsageGrants {
+    let mut wire = wire::UsageGrants {
+        nodes: grants.nodes,
+        known_per_mille: grants.known_per_mille,
+        ..wire::UsageGrants::default()
+    };
+    for (organisation, grant) in &grants.by_organisation {
+        wire.organisations.push(organisation.0);
+        wire.requests.push(grant.requests);
+        wire.mesh_admitted.push(grant.mesh_admitted);
     }
+    wire
 }
 
-pub(crate) fn totals_from_wire(totals: &wire::UsageTotals) -> Result<UsageSums> {
-    Ok(UsageSums {
-        nodes: totals.nodes,
-        unknown_per_mille: totals.unknown_per_mille,
-        usage: usage_from_wire(totals.usage.as_ref())?,
+pub(crate) fn grants_from_wire(grants: &wire::UsageGrants) -> Result<Grants> {
+    let len = grants.organisations.len();
+    let lists_match = grants.requests.len() == len && grants.mesh_admitted.len() == len;
+    ensure!(lists_match, FieldSnafu { field: "grants" });
+    let counts = grants.requests.iter().zip(&grants.mesh_admitted);
+    let entries = grants.organisations.iter().zip(counts);
+    let entries = entries.map(|(organisation, (requests, mesh_admitted))| {
+        let grant = Grant {
+            requests: *requests,
+            mesh_admitted: *mesh_admitted,
+        };
+        (OrganisationId(*organisation), grant)
+    });
+    Ok(Grants {
+        nodes: grants.nodes,
+        known_per_mille: grants.known_per_mille,
+        by_organisation: entries.collect(),
     })
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -156,11 +156,11 @@
     async fn report_usage(
         &self,
         request: Request<wire::UsageReport>,
-    ) -> Result<Response<wire::UsageTotals>, Status> {
+    ) -> Result<Response<wire::UsageGrants>, Status> {
         let report = convert::usage::report_from_wire(request.get_ref());
         let report = report.map_err(|e| invalid_argument(&e))?;
-        let totals = quota::add_report(&self.node, report);
-        Ok(Response::new(convert::usage::totals_to_wire(&totals)))
+        let grants = quota::add_report(&self.node, report);
+        Ok(Response::new(convert::usage::grants_to_wire(&grants)))
     }
 
     async fn share_usage(
--- a/src/proxy/entry/quota.rs
+++ b/src/proxy/entry/quota.rs
@@ -36,9 +36,7 @@
             return Ok(charge);
         };
         let now_ms = node.uptime_ms();
-        let admitted = node
-            .quotas()
-            .admit(now_ms, organisation.id, quota, rand::random());
+        let admitted = node.quotas().admit(now_ms, organisation.id, quota);
         match admitted {
             Ok(admitted) => {
                 charge.admitted = Some(admitted);
@@ -80,8 +78,8 @@
 }
 
 fn refuse(node: &ProxyState, organisation: &Organisation, exhausted: Exhausted) -> Failure {
-    let basis = match exhausted.by_totals {
-        Some(_) => "totals",
+    let basis = match exhausted.used_grant {
+        Some(_) => "grant",
         None => "alone",
     };
     metrics::counter!("dragonflywall_quota_refusals_total", "basis" => basis).increment(1);
@@ -89,7 +87,7 @@
         log::info!(
             organisation:% = organisation.name,
             quota:? = organisation.quota,
-            by_totals:? = exhausted.by_totals,
+            used_grant:? = exhausted.used_grant,
             retry_after_ms = exhausted.retry_after_ms;
             "the organisation has used up its quota"
         );
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -5,8 +5,8 @@
 use dragonflywall::core::configuration::Class;
 use dragonflywall::core::names::ResourceName;
 use dragonflywall::decide::admission::{
-    Admission, AdmitOutcome, Limits, Priority, RefusalCause, ReleasedSlot, SlotRequest, Ticket,
-    WaitOutcome,
+    Admission, AdmitOutcome, Limits, Priority, Rank, RefusalCause, ReleasedSlot, SlotRequest,
+    Ticket, WaitOutcome,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -50,7 +50,9 @@
 fn nested_calls_go_before_caller_requests() {
     let mut admission = admission(1, 20);
     let urgent = SlotRequest {
-        priority: Priority::CallerRequest { rank: 0 },
+        priority: Priority::CallerRequest {
+            rank: Rank::HIGHEST,
+        },
         ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
     };
     let call = |due_us| SlotRequest {
@@ -269,7 +271,9 @@
 fn higher_ranks_go_first_without_starving_lower_ranks() {
     let mut admission = admission(1, 40);
     let ranked = |rank| SlotRequest {
-        priority: Priority::CallerRequest { rank },
+        priority: Priority::CallerRequest {
+            rank: Rank::of_route(rank),
+        },
         ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
     };
     admission.admit(0, &ranked(2), || 0);
@@ -351,7 +355,9 @@
     );
     // A request of a higher rank goes before all of them.
     let urgent = SlotRequest {
-        priority: Priority::CallerRequest { rank: 0 },
+        priority: Priority::CallerRequest {
+            rank: Rank::HIGHEST,
+        },
         ..bounded_wait
     };
     let urgent = admission.admit(0, &urgent, || 99);
@@ -535,7 +541,9 @@
         self.next_id += 1;
         let deadline_us = oracle.now_us + timeout_us;
         let request = SlotRequest {
-            priority: Priority::CallerRequest { rank },
+            priority: Priority::CallerRequest {
+                rank: Rank::of_route(rank),
+            },
             ..SlotRequest::new(class, deadline_us)
         };
         match self.admission.admit(oracle.now_us, &request, || id) {
--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -7,7 +7,7 @@
 use dragonflywall::core::member::{BackendState, Liveness, Member, NodeId, Place};
 use dragonflywall::core::names::{DataCentreName, RegionName, ResourceName, ServiceName};
 use dragonflywall::core::version::Version;
-use dragonflywall::decide::admission::Priority;
+use dragonflywall::decide::admission::{Priority, Rank};
 use dragonflywall::decide::load_balancing::{
     AttemptOutcome, Balancer, LoadReport, RankedEndpoints, Requirements, TimeLimits, VersionSet,
 };
@@ -70,7 +70,9 @@
 }
 
 /// Priority of the requests.
-const PRIORITY: Priority = Priority::CallerRequest { rank: 1 };
+const PRIORITY: Priority = Priority::CallerRequest {
+    rank: Rank::of_route(1),
+};
 
 /// Returns the load report of an endpoint with 20 slots and a service time of 20 ms.
 fn load(in_flight: u32) -> LoadReport {
--- a/tests/testsuite/decide_rate_limit.rs
+++ b/tests/testsuite/decide_rate_limit.rs
@@ -4,7 +4,8 @@
 use dragonflywall::core::configuration::Class;
 use dragonflywall::core::names::ResourceName;
 use dragonflywall::decide::admission::{
-    Admission, AdmitOutcome, Limits, Priority, RefusalCause, ReleasedSlot, SlotRequest, WaitOutcome,
+    Admission, AdmitOutcome, Limits, Priority, Rank, RefusalCause, ReleasedSlot, SlotRequest,
+    WaitOutcome,
 };
 use dragonflywall::decide::rate_limit::{BURST_US, RatePacer};
 use proptest::prelude::*;
@@ -31,7 +32,9 @@
 
 fn interactive(rank: u8) -> SlotRequest {
     SlotRequest {
-        priority: Priority::CallerRequest { rank },
+        priority: Priority::CallerRequest {
+            rank: Rank::of_route(rank),
+        },
         ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
     }
 }
@@ -126,7 +129,9 @@
             let (_, index) = pending.pop().expect("checked above");
             let arrival = arrivals[index];
             let request = SlotRequest {
-                priority: Priority::CallerRequest { rank: arrival.rank },
+                priority: Priority::CallerRequest {
+                    rank: Rank::of_route(arrival.rank),
+                },
                 ..SlotRequest::new(arrival.class, FAR_DEADLINE_US)
             };
             let id = u32::try_from(index).expect("few arrivals");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests. Some start complete node processes, others test the library through its public API.
 
 mod check;
+mod decide_access;
 mod decide_admission;
 mod decide_announcements;
 mod decide_backend_statements;
@@ -8,6 +9,7 @@
 mod decide_connections;
 mod decide_drain;
 mod decide_load_balancing;
+mod decide_quota;
 mod decide_rate_limit;
 mod decide_retry;
 mod decide_rollout;
--- a/tests/testsuite/mechanisms.rs
+++ b/tests/testsuite/mechanisms.rs
@@ -3,7 +3,9 @@
 use dragonflywall::core::configuration::Class;
 use dragonflywall::core::mechanism::{Mechanism, MechanismSwitches};
 use dragonflywall::core::names::ServiceName;
-use dragonflywall::decide::admission::{Admission, AdmitOutcome, Limits, Priority, SlotRequest};
+use dragonflywall::decide::admission::{
+    Admission, AdmitOutcome, Limits, Priority, Rank, SlotRequest,
+};
 use dragonflywall::decide::load_balancing::FreeSlotSearch;
 use dragonflywall::decide::retry::{AttemptFailure, Attempts, RetryPolicy, ServiceTokens};
 use dragonflywall::node;
@@ -27,7 +29,12 @@
         due_us,
         ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
     };
-    let first = request(Priority::CallerRequest { rank: 0 }, 0);
+    let first = request(
+        Priority::CallerRequest {
+            rank: Rank::HIGHEST,
+        },
+        0,
+    );
     assert_eq!(admission.admit(0, &first, || 9), AdmitOutcome::Slot);
     for (number, (priority, due_us)) in waiting.into_iter().enumerate() {
         admission.admit(1, &request(priority, due_us), || number);
@@ -42,7 +49,9 @@
 
 #[test]
 fn queue_order_follows_the_enabled_mechanisms() {
-    let rank = |rank| Priority::CallerRequest { rank };
+    let rank = |rank| Priority::CallerRequest {
+        rank: Rank::of_route(rank),
+    };
     let waiting = [
         (rank(2), 30),
         (rank(1), 20),
--- a/tests/testsuite/simulation.rs
+++ b/tests/testsuite/simulation.rs
@@ -11,8 +11,8 @@
 use dragonflywall::core::member::{Member, NodeId};
 use dragonflywall::core::names::{ResourceName, ServiceName};
 use dragonflywall::decide::admission::{
-    self, Admission, AdmitOutcome, Priority, Refusal, RefusalCause, ReleasedSlot, SlotRequest,
-    Ticket, WaitOutcome,
+    self, Admission, AdmitOutcome, Priority, Rank, Refusal, RefusalCause, ReleasedSlot,
+    SlotRequest, Ticket, WaitOutcome,
 };
 use dragonflywall::decide::load_balancing::{
     AttemptOutcome, Balancer, Endpoint, FreeSlotSearch, RankedEndpoints, Requirements, TimeLimits,
@@ -196,7 +196,9 @@
 
 impl Stream {
     fn priority(&self) -> Priority {
-        Priority::CallerRequest { rank: self.rank }
+        Priority::CallerRequest {
+            rank: Rank::of_route(self.rank),
+        }
     }
 
     /// What a request that began at `began_us` requires of a gate.
--- a/tests/testsuite/spread_decisions.rs
+++ b/tests/testsuite/spread_decisions.rs
@@ -201,7 +201,7 @@
         services: BTreeMap::new(),
         calls: BTreeMap::new(),
         caller_limits: None,
-            organisations: None,
+        organisations: None,
     };
     (TeamName::new(name), record)
 }
