--- a/src/node/follower/tests.rs
+++ b/src/node/follower/tests.rs
@@ -178,6 +178,7 @@
             configuration,
             lead_choice: LeadChoice::default(),
             position: None,
+            stored_version: None,
         };
         Self {
             follower,
--- a/src/node/quota.rs
+++ b/src/node/quota.rs
@@ -51,7 +51,7 @@
         report.usage,
         nodes,
         quota_of,
-        || rand::random(),
+        rand::random,
     )
 }
 
