--- a/src/core/mechanism.rs
+++ b/src/core/mechanism.rs
@@ -71,11 +71,13 @@
     /// One node of each data centre, its lead, reads the store on behalf of the others; if disabled,
     /// every node reads it.
     StoreReader,
+    /// An entry node withholds a part of the requests to a service that refuses many.
+    OverloadThrottle,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order in which messages list them.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::FreeSlotProbes,
         Self::DueTimeOrder,
         Self::PriorityOrder,
@@ -96,6 +98,7 @@
         Self::RetryBurst,
         Self::IdleConnectionTimeout,
         Self::StoreReader,
+        Self::OverloadThrottle,
     ];
 
     /// Name of the mechanism in the settings.
@@ -121,6 +124,7 @@
             Self::RetryBurst => "retry-reserve",
             Self::IdleConnectionTimeout => "short-rests",
             Self::StoreReader => "leads",
+            Self::OverloadThrottle => "overload-throttle",
         }
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,7 @@
 pub mod known_statements;
 pub mod load_balancing;
 pub mod max_wait;
+pub mod overload;
 pub mod quota;
 pub mod rate_limit;
 pub mod retry;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -35,6 +35,7 @@
 use crate::util::deadline;
 
 mod identity;
+mod overload;
 mod quota;
 mod request_log;
 mod routed_request;
@@ -217,6 +218,7 @@
         admitted_in: current.epoch,
         sent: charge.sent(),
     };
+    let throttled = overload::ThrottledRequest::admit(&request)?;
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
     // Dropping this future cancels the running attempt, up to the backend server.
@@ -240,6 +242,7 @@
             Ok(response)
         }
     };
+    throttled.record(&result);
     charge.settle(&result);
     result
 }
--- /dev/null
+++ b/src/proxy/entry/overload.rs
@@ -0,0 +1,68 @@
+//! Withholds callers' requests from services that refuse many; see [`crate::decide::overload`].
+
+use std::sync::Arc;
+
+use super::routed_request::RoutedRequest;
+use crate::core::mechanism::Mechanism;
+use crate::core::names::ServiceName;
+use crate::decide::admission::Rank;
+use crate::decide::overload::RequestEnd;
+use crate::proxy::failure::{Failure, Reason};
+use crate::proxy::state::ProxyState;
+use crate::util::clock;
+
+/// Shortest and longest delay before a retry of a request that was withheld, in milliseconds. Callers that return at
+/// different times find room that is left.
+const RETRY_MIN_MS: u64 = 200;
+const RETRY_MAX_MS: u64 = 800;
+
+/// A request that is sent, and whose end is recorded. Nested calls are always sent and not recorded.
+pub(super) struct ThrottledRequest {
+    node: Arc<ProxyState>,
+    service: ServiceName,
+    rank: Rank,
+    is_counted: bool,
+}
+
+impl ThrottledRequest {
+    /// Fails if the request is withheld.
+    pub(super) fn admit(request: &RoutedRequest<'_>) -> Result<Self, Failure> {
+        let node = request.node;
+        let is_enabled = node.mechanisms().is_enabled(Mechanism::OverloadThrottle);
+        let throttled = Self {
+            node: Arc::clone(node),
+            service: request.target.service.clone(),
+            rank: request.rank,
+            is_counted: is_enabled && request.depth == 0,
+        };
+        let now_us = clock::since_us(node.started);
+        let is_sent = !throttled.is_counted
+            || node
+                .overload()
+                .admits(now_us, &throttled.service, throttled.rank, rand::random());
+        if is_sent {
+            return Ok(throttled);
+        }
+        metrics::counter!("dragonflywall_requests_throttled_total").increment(1);
+        let retry_after_ms = rand::random_range(RETRY_MIN_MS..=RETRY_MAX_MS);
+        Err(Failure::not_run(Reason::Full).with_retry_after_ms(retry_after_ms))
+    }
+
+    /// Records how the request has ended, unless that says nothing about room for it.
+    pub(super) fn record<T>(self, result: &Result<T, Failure>) {
+        let end = match result {
+            Ok(_) => RequestEnd::Admitted,
+            Err(failure) if failure.is_overload() => RequestEnd::Refused,
+            Err(failure) => match failure.reason {
+                Reason::Deadline | Reason::HeldUp => RequestEnd::Refused,
+                _ => return,
+            },
+        };
+        if self.is_counted {
+            let now_us = clock::since_us(self.node.started);
+            self.node
+                .overload()
+                .record(now_us, &self.service, self.rank, end);
+        }
+    }
+}
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -38,6 +38,7 @@
 use crate::decide::freshness::Freshness;
 use crate::decide::known_statements::KnownStatements;
 use crate::decide::load_balancing::{Balancer, LoadReport};
+use crate::decide::overload::OverloadThrottle;
 use crate::decide::quota::QuotaBook;
 use crate::decide::retry::{RetryPolicy, ServiceTokens};
 use crate::decide::uploads::{UploadLimits, UploadQueue};
@@ -96,6 +97,7 @@
     /// When the configuration was known to be the newest. Its times are those of [`Self::uptime_ms`].
     freshness: Mutex<Freshness>,
     quotas: Mutex<QuotaBook>,
+    overload: Mutex<OverloadThrottle>,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
     /// The times of the shutdown, once it has started.
@@ -197,6 +199,7 @@
             freezes: FreezeDetector::default(),
             store_read_ms: AtomicU64::new(0),
             freshness: Mutex::default(),
+            overload: Mutex::default(),
             quotas: Mutex::new(QuotaBook::new(settings.quota_limits(), 0)),
             leaving: CancellationToken::new(),
             drain: OnceLock::new(),
@@ -240,6 +243,11 @@
         lock_ignoring_poison(&self.quotas)
     }
 
+    /// Which requests this entry node withholds from services that refuse many.
+    pub(crate) fn overload(&self) -> MutexGuard<'_, OverloadThrottle> {
+        lock_ignoring_poison(&self.overload)
+    }
+
     /// How current `enforced` is known to be, which decides whether keys are accepted by it.
     pub(crate) fn configuration_age(&self, enforced: Version) -> ConfigurationAge {
         let known_newest_at_ms = self.freshness().known_newest_at_ms(enforced);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod decide_connections;
 mod decide_drain;
 mod decide_load_balancing;
+mod decide_overload;
 mod decide_quota;
 mod decide_rate_limit;
 mod decide_retry;
