A lead that cannot read the store learns from a lower one; organisations in the test kit

Test of keys that are accepted without a gap failed: the first lead of a data centre, turned away by the store, asked nobody else and refused keys after 3 s while its followers were fresh.

--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -138,6 +138,10 @@
     pub arrived_at: Instant,
     /// Value of the header `x-dfw-caller`: the service that sent the request.
     pub caller: String,
+    /// Value of the header `x-dfw-tenant`: the organisation whose key the caller sent.
+    pub organisation: Option<String>,
+    /// Whether any header contained credentials, which a backend server must not receive.
+    pub has_credentials: bool,
     /// Value of the header `x-dfw-deadline-ms`: the time in which the response is needed.
     pub deadline_ms: Option<u64>,
     /// Method, then host, path and query as received.
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -61,6 +61,8 @@
     expected_instance: Option<String>,
     deadline_ms: Option<u64>,
     caller: String,
+    organisation: Option<String>,
+    has_credentials: bool,
     body_length: BodyLength,
 }
 
@@ -235,6 +237,8 @@
             started_at: Instant::now(),
             arrived_at,
             caller: head.caller.clone(),
+            organisation: head.organisation.clone(),
+            has_credentials: head.has_credentials,
             deadline_ms: head.deadline_ms,
             target: format!("{} {}{}", head.method, head.host, head.target),
             body_digest: body_digest.to_owned(),
@@ -476,6 +480,8 @@
         expected_instance: header("x-dfw-expected-instance"),
         deadline_ms: number("x-dfw-deadline-ms").map(|ms| ms as u64),
         caller: header("x-dfw-caller").unwrap_or_default(),
+        organisation: header("x-dfw-tenant"),
+        has_credentials: header("authorization").is_some(),
         body_length,
     };
     Ok(Some((head, len)))
--- a/crates/testkit/src/users/configuration.rs
+++ b/crates/testkit/src/users/configuration.rs
@@ -40,6 +40,21 @@
     pub attempts: u32,
     /// Services and their weights. A single service gets all requests, regardless of its weight.
     pub destinations: Vec<(String, u32)>,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// An organisation whose callers send requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Organisation<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its keys.
+    pub keys: &'a [&'a str],
+    /// Requests per second that it may send; 0 for no limit.
+    pub rate_per_s: u32,
+    /// Requests that it may send in addition.
+    pub burst: u32,
 }
 
 impl Route {
@@ -53,6 +68,7 @@
             target_latency_ms: 1_000,
             attempts: 2,
             destinations: vec![(service.to_owned(), 100)],
+            public: false,
         }
     }
 }
@@ -68,6 +84,30 @@
     json_text_with_idle_timeout(version, routes, services, DEFAULT_IDLE_TIMEOUT_MS)
 }
 
+/// Like [`json_text`], with organisations whose keys requests need.
+pub fn json_text_with_organisations(
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    organisations: &[Organisation<'_>],
+) -> String {
+    let mut configuration = json_value(version, routes, services, DEFAULT_IDLE_TIMEOUT_MS);
+    let row = |organisation: &Organisation<'_>| {
+        let Organisation {
+            name,
+            keys,
+            rate_per_s,
+            burst,
+        } = organisation;
+        json!([name, keys, 1, rate_per_s, burst])
+    };
+    configuration["tenants"] = json!({
+        "columns": ["name", "apiKeys", "priority", "ratePerS", "burst"],
+        "rows": organisations.iter().map(row).collect::<Vec<Value>>(),
+    });
+    configuration.to_string()
+}
+
 /// Like [`json_text`], with the given limit on the idle time of callers' connections.
 pub fn json_text_with_idle_timeout(
     version: u64,
@@ -75,6 +115,10 @@
     services: &[&str],
     idle_timeout_ms: u32,
 ) -> String {
+    json_value(version, routes, services, idle_timeout_ms).to_string()
+}
+
+fn json_value(version: u64, routes: &[Route], services: &[&str], idle_timeout_ms: u32) -> Value {
     let route_columns = [
         "name",
         "host",
@@ -86,6 +130,7 @@
         "service",
         "attempts",
         "weightedClusters",
+        "public",
     ];
     let routes: Vec<Value> = routes.iter().enumerate().map(route_row).collect();
     let service_columns = ["name", "healthPath", "maxConnections", "protocol", "tls"];
@@ -102,7 +147,6 @@
             "idleTimeout": format!("{idle_timeout_ms}ms"),
         },
     })
-    .to_string()
 }
 
 fn route_row((index, route): (usize, &Route)) -> Value {
@@ -124,5 +168,6 @@
         single,
         route.attempts,
         split,
+        route.public,
     ])
 }
--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -44,6 +44,8 @@
     pub spare_vms: usize,
     /// Behaviour of all backend servers.
     pub behaviour: Behaviour,
+    /// Further entries of `bounds` in the nodes' settings files.
+    pub bounds: &'static [&'static str],
     /// Receives the nodes' log lines at level `info` and above. If `None`, warnings and errors go to the
     /// standard error of this process.
     pub log_lines: Option<mpsc::UnboundedSender<LogLine>>,
@@ -63,6 +65,7 @@
             vms_per_service: 1,
             spare_vms: 0,
             behaviour: Behaviour::default(),
+            bounds: &[],
             log_lines: None,
         }
     }
@@ -289,12 +292,13 @@
         let vm = &self.vms[position];
         let any_port = SocketAddr::new(vm.ip, 0);
         let (data_centre, region) = vm.data_centre;
-        let bounds = [
+        let mut bounds = vec![
             "grace=6s",
             "drain=2500ms",
             "retryBudgetRatio=0.2",
             "budgetExtra=60",
         ];
+        bounds.extend(self.plan.bounds);
         format!(
             "nodeId = \"sidecar-{data_centre}-{site}\"\nip = \"{ip}\"\nzone = \"{data_centre}\"\n\
              region = \"{region}\"\nseeds = []\nheartbeat = \"300ms\"\nbounds = {bounds:?}\n\
@@ -466,10 +470,11 @@
     ) -> Result<Reply> {
         let caller_listener = self.vms[position].node().addresses.caller;
         let deadline = caller_request.deadline_ms.to_string();
-        let headers = [
+        let mut headers = vec![
             (REQUEST_ID, caller_request.id),
             ("x-dfw-deadline-ms", deadline.as_str()),
         ];
+        headers.extend(caller_request.headers);
         let method = caller_request.method.clone();
         request(
             caller_listener,
--- a/crates/testkit/src/users/mesh/caller_request.rs
+++ b/crates/testkit/src/users/mesh/caller_request.rs
@@ -25,6 +25,8 @@
     pub deadline_ms: u64,
     /// Request body.
     pub body: &'a [u8],
+    /// Further headers.
+    pub headers: &'a [(&'a str, &'a str)],
 }
 
 impl<'a> CallerRequest<'a> {
@@ -37,6 +39,7 @@
             id,
             deadline_ms: 5_000,
             body: b"",
+            headers: &[],
         }
     }
 
--- a/src/distribution/lead_choice.rs
+++ b/src/distribution/lead_choice.rs
@@ -38,6 +38,8 @@
 pub struct Leads {
     /// Leads ranked above this node, highest first; all leads if this node is not one.
     pub higher_ranked: Vec<Peer>,
+    /// Leads ranked below this node, highest first.
+    pub lower_ranked: Vec<Peer>,
     /// Whether this node is a lead.
     pub is_lead: bool,
     /// Whether no node of another data centre is known to be alive.
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -25,7 +25,7 @@
 use crate::core::version::Version;
 use crate::decide::backoff::jittered_ms;
 use crate::decide::freeze::Epoch;
-use crate::decide::freshness::FreshnessProof;
+use crate::decide::freshness::{FreshnessProof, PeerProof};
 use crate::distribution::fetch::Peer;
 use crate::distribution::lead_choice::{LeadChoice, Leads, NextRead, StoreFailure};
 use crate::store::{Error, Feed, FeedPosition, FeedUpdate, OrdersRead, RolloutTable};
@@ -191,11 +191,7 @@
             );
         }
         self.node.proxy.record_store_read(state.store_age_ms);
-        let proof = response.proof;
-        let proof = proof.and_then(|proof| FreshnessProof::from_peer(proof, asked_ms, took_ms));
-        if let Some(proof) = proof {
-            self.node.proxy.freshness().record(proof);
-        }
+        self.record_peer_proof(response.proof, asked_ms, took_ms);
         // Before the version can be enforced, so that no request ignores a roll-out.
         if let Some(rollouts) = &response.rollouts {
             self.node.merge_rollouts(rollouts);
@@ -351,7 +347,54 @@
         self.node
             .store_failing
             .send_replace(self.lead_choice.is_store_failing());
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let pause = tokio::time::sleep(Duration::from_millis(pause_ms));
+        tokio::join!(pause, self.ask_lower_lead());
+    }
+
+    /// Asks a lead that is ranked below this node for its versions, if the age of the configuration is limited: that lead
+    /// may reach the store while this node does not.
+    async fn ask_lower_lead(&self) {
+        if self.node.proxy.settings.key_freshness_ms.is_none() {
+            return;
+        }
+        let lower_ranked = self.node.leads.borrow().lower_ranked.clone();
+        let answer_timeout_ms = self.node.budget().probe_answer_timeout_ms();
+        for lead in lower_ranked {
+            let asked_ms = self.node.proxy.uptime_ms();
+            let started = Instant::now();
+            let base_version = *self.node.held_version.borrow();
+            let digest = self.node.rollouts().digest();
+            let Some(mut client) = self.node.control_pool.client(lead.address) else {
+                continue;
+            };
+            let answer_timeout = Duration::from_millis(answer_timeout_ms);
+            let answer = client.follow(base_version, digest, Duration::ZERO, answer_timeout);
+            let response = match answer.await {
+                Ok(response) => response,
+                Err(error) => {
+                    log::debug!(lead:% = lead.node, error:%; "a lower lead did not answer");
+                    continue;
+                }
+            };
+            self.record_peer_proof(response.proof, asked_ms, clock::since_ms(started));
+            if let Some(offer) = response.offer {
+                self.send(ConfigurationMsg::LeadOffer {
+                    offer,
+                    base_version,
+                    is_current: false,
+                });
+            }
+            if !response.state.store_failing {
+                return;
+            }
+        }
+    }
+
+    fn record_peer_proof(&self, proof: Option<PeerProof>, asked_ms: u64, took_ms: u64) {
+        let proof = proof.and_then(|proof| FreshnessProof::from_peer(proof, asked_ms, took_ms));
+        if let Some(proof) = proof {
+            self.node.proxy.freshness().record(proof);
+        }
     }
 
     fn send(&self, message: ConfigurationMsg) {
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -238,7 +238,9 @@
             .iter()
             .position(|node| *node == self.node.proxy.local_id);
         let before = &ranked[..own_rank.unwrap_or(ranked.len())];
+        let after = own_rank.map_or(&[][..], |own_rank| &ranked[own_rank + 1..]);
         Leads {
+            lower_ranked: after.iter().filter_map(|node| self.peer(*node)).collect(),
             higher_ranked: before.iter().filter_map(|node| self.peer(*node)).collect(),
             is_lead: own_rank.is_some(),
             is_only_data_centre: self.membership.is_only_data_centre(),
@@ -272,7 +274,11 @@
         let mut peer_addresses: BTreeSet<SocketAddr> = neighbours
             .filter_map(|(node, _)| self.membership.address_of(node))
             .collect();
-        peer_addresses.extend(self.leads().higher_ranked.iter().map(|lead| lead.address));
+        let leads = self.leads();
+        peer_addresses.extend(leads.higher_ranked.iter().map(|lead| lead.address));
+        if self.node.proxy.settings.key_freshness_ms.is_some() {
+            peer_addresses.extend(leads.lower_ranked.iter().map(|lead| lead.address));
+        }
         peer_addresses.extend(self.node.quota_peers());
         self.node.control_pool.retain(&peer_addresses);
         metrics::gauge!("dragonflywall_neighbours").set(peer_addresses.len() as f64);
--- a/tests/testsuite/spread_deployment.rs
+++ b/tests/testsuite/spread_deployment.rs
@@ -263,6 +263,7 @@
         let own_rank = ranked.iter().position(|lead| *lead == index);
         let higher_ranked = &ranked[..own_rank.unwrap_or(ranked.len())];
         Leads {
+            lower_ranked: Vec::new(),
             higher_ranked: higher_ranked
                 .iter()
                 .map(|lead| self.peer(index, *lead))
--- a/tests/testsuite/spread_leads.rs
+++ b/tests/testsuite/spread_leads.rs
@@ -35,6 +35,7 @@
 fn started(higher_ranked: &[u16], is_lead: bool) -> LeadChoice {
     let mut lead_choice = LeadChoice::default();
     lead_choice.set_leads(Leads {
+        lower_ranked: Vec::new(),
         higher_ranked: higher_ranked.iter().map(|number| lead(*number)).collect(),
         is_lead,
         is_only_data_centre: false,
@@ -159,6 +160,7 @@
         "versions are rare"
     );
     lead_choice.set_leads(Leads {
+        lower_ranked: Vec::new(),
         higher_ranked: Vec::new(),
         is_lead: true,
         is_only_data_centre: true,
