--- a/src/decide/load_balancing/ranked_endpoints.rs
+++ b/src/decide/load_balancing/ranked_endpoints.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use super::version_set::{VersionIndex, Versions};
-use crate::core::member::{Member, NodeId, Place};
+use crate::core::member::{Distance, Member, NodeId, Place};
 
 /// One endpoint of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +50,12 @@
         &self.versions
     }
 
+    /// Whether the endpoint of `node` is in another region than the entry node.
+    pub fn is_in_other_region(&self, node: NodeId) -> bool {
+        let elsewhere = &self.by_distance[Distance::Mesh as usize];
+        elsewhere.iter().any(|endpoint| endpoint.node == node)
+    }
+
     /// Iterates over all endpoints, nearest first.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.by_distance.iter().flatten()
--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -19,6 +19,11 @@
 /// Requests in [`WINDOW_US`] that are sent in addition, so that a service which admitted none is tried.
 const SENT_EXTRA: f64 = 2.0;
 
+/// Attempts in another region within [`WINDOW_US`] from which their refusals count.
+const CROSSING_SAMPLES_MIN: u32 = 4;
+/// Smallest share of the requests that may go to another region, so that room there is noticed.
+const CROSSING_SHARE_MIN: f64 = 0.05;
+
 /// Part of what may be sent that goes to all ranks alike; the rest goes to the highest ranks first. So that no rank is
 /// starved, the lowest gets this part of its fair share.
 const EQUAL_PART: f64 = 0.5;
@@ -45,6 +50,15 @@
     offered: BTreeMap<Rank, u32>,
 }
 
+impl Slot {
+    fn count(&mut self, end: RequestEnd) {
+        match end {
+            RequestEnd::Admitted => self.admitted += 1,
+            RequestEnd::Refused => self.refused += 1,
+        }
+    }
+}
+
 /// The requests of one entry node to one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceLoad {
@@ -63,6 +77,18 @@
         &mut self.slots[index(self.newest)]
     }
 
+    /// Probability with which a request may be sent to another region, if these are the attempts there.
+    fn crossing_share(&mut self, now_us: u64) -> f64 {
+        self.slot_mut(now_us);
+        let admitted: u32 = self.slots.iter().map(|slot| slot.admitted).sum();
+        let refused: u32 = self.slots.iter().map(|slot| slot.refused).sum();
+        if admitted + refused < CROSSING_SAMPLES_MIN {
+            return 1.0;
+        }
+        let admitted_share = f64::from(admitted) / f64::from(admitted + refused);
+        (admitted_share * SENT_TO_ADMITTED_RATIO).max(CROSSING_SHARE_MIN)
+    }
+
     /// Probability with which a request of `rank` is sent.
     fn sent_share(&mut self, now_us: u64, rank: Rank) -> f64 {
         self.slot_mut(now_us);
@@ -97,6 +123,8 @@
 #[derive(Debug, Default)]
 pub struct OverloadThrottle {
     services: HashMap<ServiceName, ServiceLoad>,
+    /// Attempts at endpoints of another region.
+    crossings: HashMap<ServiceName, ServiceLoad>,
 }
 
 impl OverloadThrottle {
@@ -114,18 +142,31 @@
 
     /// Records how a request that was sent has ended.
     pub fn record(&mut self, now_us: u64, service: &ServiceName, rank: Rank, end: RequestEnd) {
-        if !self.services.contains_key(service) {
-            self.services
-                .insert(service.clone(), ServiceLoad::default());
-        }
-        let Some(load) = self.services.get_mut(service) else {
-            return;
-        };
-        let slot = load.slot_mut(now_us);
+        let slot = load_mut(&mut self.services, service).slot_mut(now_us);
         *slot.offered.entry(rank).or_default() += 1;
-        match end {
-            RequestEnd::Admitted => slot.admitted += 1,
-            RequestEnd::Refused => slot.refused += 1,
-        }
+        slot.count(end);
+    }
+
+    /// Whether a request may be sent to another region. If most are refused there, it would only fill the link. `chance` is
+    /// a random number from 0 to 1.
+    pub fn may_cross(&mut self, now_us: u64, service: &ServiceName, chance: f64) -> bool {
+        let load = self.crossings.get_mut(service);
+        load.is_none_or(|load| chance < load.crossing_share(now_us))
+    }
+
+    /// Records how an attempt at an endpoint of another region has ended.
+    pub fn record_crossing(&mut self, now_us: u64, service: &ServiceName, end: RequestEnd) {
+        let slot = load_mut(&mut self.crossings, service).slot_mut(now_us);
+        slot.count(end);
+    }
+}
+
+fn load_mut<'a>(
+    loads: &'a mut HashMap<ServiceName, ServiceLoad>,
+    service: &ServiceName,
+) -> &'a mut ServiceLoad {
+    if !loads.contains_key(service) {
+        loads.insert(service.clone(), ServiceLoad::default());
     }
+    loads.get_mut(service).expect("inserted above")
 }
--- a/src/proxy/entry/overload.rs
+++ b/src/proxy/entry/overload.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use super::routed_request::RoutedRequest;
+use crate::core::configuration::Spill;
 use crate::core::mechanism::Mechanism;
 use crate::core::names::ServiceName;
 use crate::decide::admission::Rank;
+use crate::decide::load_balancing::Endpoint;
 use crate::decide::overload::RequestEnd;
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::state::ProxyState;
@@ -50,19 +52,51 @@
 
     /// Records how the request has ended, unless that says nothing about room for it.
     pub(super) fn record<T>(self, result: &Result<T, Failure>) {
-        let end = match result {
-            Ok(_) => RequestEnd::Admitted,
-            Err(failure) if failure.is_overload() => RequestEnd::Refused,
-            Err(failure) => match failure.reason {
-                Reason::Deadline | Reason::HeldUp => RequestEnd::Refused,
-                _ => return,
-            },
-        };
-        if self.is_counted {
+        if let Some(end) = end_of(result).filter(|_| self.is_counted) {
             let now_us = clock::since_us(self.node.started);
-            self.node
-                .overload()
-                .record(now_us, &self.service, self.rank, end);
+            let mut overload = self.node.overload();
+            overload.record(now_us, &self.service, self.rank, end);
+        }
+    }
+}
+
+/// How a request or an attempt has ended; `None` if that says nothing about room for it.
+fn end_of<T>(result: &Result<T, Failure>) -> Option<RequestEnd> {
+    match result {
+        Ok(_) => Some(RequestEnd::Admitted),
+        Err(failure) if failure.is_overload() => Some(RequestEnd::Refused),
+        Err(failure) => match failure.reason {
+            Reason::Deadline | Reason::HeldUp => Some(RequestEnd::Refused),
+            _ => None,
+        },
+    }
+}
+
+impl RoutedRequest<'_> {
+    /// How far from here the request may be served now: not in another region while that refuses most of them.
+    pub(super) fn spill(&self) -> Spill {
+        let spill = self.target.treatment.spill;
+        let switches = self.node.mechanisms();
+        if spill != Spill::Mesh || !switches.is_enabled(Mechanism::OverloadThrottle) {
+            return spill;
+        }
+        let now_us = clock::since_us(self.node.started);
+        let mut overload = self.node.overload();
+        match overload.may_cross(now_us, &self.target.service, rand::random()) {
+            true => Spill::Mesh,
+            false => Spill::Region,
+        }
+    }
+
+    /// Records how an attempt has ended, if its endpoint is in another region.
+    pub(super) fn record_crossing<T>(&self, endpoint: &Endpoint, result: &Result<T, Failure>) {
+        let view = self.node.view.load();
+        let ranked = view.endpoints.get(&self.target.service);
+        let crosses = ranked.is_some_and(|ranked| ranked.is_in_other_region(endpoint.node));
+        if let Some(end) = end_of(result).filter(|_| crosses) {
+            let now_us = clock::since_us(self.node.started);
+            let mut overload = self.node.overload();
+            overload.record_crossing(now_us, &self.target.service, end);
         }
     }
 }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response, Uri};
 use http_body::Body as _;
 
+use crate::core::configuration::Spill;
 use crate::core::mechanism::Mechanism;
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
@@ -89,7 +90,7 @@
             if let Err(refreshing) = self.node.check_admitted_in(self.admitted_in) {
                 return Err(refreshing.after_attempt(verdict));
             }
-            let chosen = match self.choose_endpoint(&tried, may_use_candidate) {
+            let chosen = match self.choose_within_spill(&tried, may_use_candidate) {
                 Ok(chosen) => chosen,
                 Err(none) => return Err(last_failure.unwrap_or(none).after_attempt(verdict)),
             };
@@ -178,12 +179,26 @@
         }
     }
 
+    fn choose_within_spill(
+        &self,
+        tried: &[NodeId],
+        may_use_candidate: bool,
+    ) -> Result<ChosenEndpoint, Failure> {
+        let (spill, farthest) = (self.spill(), self.target.treatment.spill);
+        let chosen = self.choose_endpoint(tried, may_use_candidate, spill);
+        chosen.or_else(|none| match spill == farthest {
+            true => Err(none),
+            false => self.choose_endpoint(tried, may_use_candidate, farthest),
+        })
+    }
+
     /// Chooses an endpoint for the next attempt. With `may_use_candidate` it may be one of a candidate
     /// version, as far as its exposure is within the limit.
     fn choose_endpoint(
         &self,
         tried: &[NodeId],
         may_use_candidate: bool,
+        spill: Spill,
     ) -> Result<ChosenEndpoint, Failure> {
         let view = self.node.view.load();
         let Some(ranked) = view.endpoints.get(self.service()) else {
@@ -195,7 +210,7 @@
         let limit_percent = self.node.settings.exposure_percent;
         let choices = rollouts.choices(self.service(), ranked, may_use_candidate, limit_percent);
         let requirements = Requirements {
-            spill: self.target.treatment.spill,
+            spill,
             default_slots: self.default_slots,
             resource: &self.target.resource,
             limits: self.time_limits(),
@@ -315,6 +330,7 @@
         // After a freeze of this process, a missing response says nothing about the endpoint.
         if result.is_ok() || self.node.is_current(sent_in) {
             self.record_outcome(&endpoint, &result);
+            self.record_crossing(&endpoint, &result);
         }
         if let Ok(response) = &result {
             statements::count_forwarded(self.node, response.headers());
--- a/tests/testsuite/decide_overload.rs
+++ b/tests/testsuite/decide_overload.rs
@@ -160,3 +160,30 @@
         "{after:?}"
     );
 }
+
+/// Load: a region that refuses nine of ten attempts from another one, then none. Guards against a link between regions that is
+/// filled by requests which are refused, and against room that is not noticed.
+#[test]
+fn requests_cross_regions_as_far_as_they_are_admitted_there() {
+    let mut throttle = OverloadThrottle::default();
+    let mut rng = StdRng::seed_from_u64(51);
+    let name = ServiceName::new("billing");
+    let mut crossed_of_1000 = |from_ms: u64, admitted_share: f64| {
+        let mut crossed = 0;
+        for step in 0..1_000 {
+            let now_us = (from_ms + step * 5) * MS;
+            if throttle.may_cross(now_us, &name, rng.random()) {
+                crossed += 1;
+                let end = match rng.random::<f64>() < admitted_share {
+                    true => RequestEnd::Admitted,
+                    false => RequestEnd::Refused,
+                };
+                throttle.record_crossing(now_us, &name, end);
+            }
+        }
+        crossed
+    };
+    assert!(crossed_of_1000(0, 0.1) < 300);
+    assert!(crossed_of_1000(5_000, 1.0) > 800);
+    assert_eq!(crossed_of_1000(20_000, 1.0), 1_000);
+}
