--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -10,6 +10,7 @@
 use crate::core::dialect::Dialect;
 use crate::core::member::BackendState;
 use crate::core::names::{InstanceName, ServiceName};
+use crate::core::organisation::{KeyDigest, Quota};
 use crate::core::routing::RouteTable;
 use crate::core::version::Version;
 use crate::node::settings::BackendServer;
@@ -245,3 +246,71 @@
         assert!(!statement(&[("Server-Leaving", text)]).leaving, "{text}");
     }
 }
+
+/// [`CONFIGURATION`] with organisations, whose rows are `rows`.
+fn with_organisations(rows: &str) -> String {
+    let tenants = format!(
+        r#","tenants":{{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[{rows}]}}}}"#
+    );
+    let end = CONFIGURATION.strip_suffix('}').expect("it is an object");
+    format!("{end}{tenants}")
+}
+
+/// Guards against keys that are kept, and against quotas and priorities that are lost.
+#[test]
+fn organisations_are_decoded_with_digests_of_their_keys() {
+    let text = with_organisations(
+        r#"["north",["key-of-north","other"],0,12.5,30],["south",["key-of-south"],2,0,5],["empty",[],null,null,null]"#,
+    );
+    let configuration = decoded(&text);
+    let canonical = String::from_utf8(configuration.to_canonical()).expect("JSON is text");
+    assert!(!canonical.contains("key-of-north"));
+    let table = RouteTable::compile(&configuration).expect("no key is shared");
+    let organisations = table.organisations().expect("the configuration has some");
+    let north = organisations.find(KeyDigest::of(b"other"));
+    let north = north.expect("the key is known");
+    assert_eq!((north.name.as_str(), north.priority), ("north", 0));
+    assert_eq!(north.quota, Quota::from_rate(12.5, 30));
+    let south = organisations.find(KeyDigest::of(b"key-of-south"));
+    assert_eq!(south.expect("the key is known").quota, None);
+    assert_eq!(organisations.iter().count(), 3);
+    let without = RouteTable::compile(&decoded(CONFIGURATION)).expect("all references are valid");
+    assert!(without.organisations().is_none());
+    let none = RouteTable::compile(&decoded(&with_organisations(""))).expect("no key is shared");
+    assert!(none.organisations().is_some());
+}
+
+/// Guards against a configuration with invalid organisations of which a part is applied.
+#[test]
+fn invalid_organisations_are_rejected_whole() {
+    for row in [
+        r#"["north",["k"],1,-1,0]"#,
+        r#"["north","k",1,1,0]"#,
+        r#"["north",[7],1,1,0]"#,
+        r#"[null,["k"],1,1,0]"#,
+    ] {
+        let text = with_organisations(row);
+        let error = configuration::decode(text.as_bytes()).expect_err(row);
+        assert!(!error.to_string().contains("\"k\""), "{error}");
+    }
+    let shared = with_organisations(r#"["north",["k"],1,0,0],["south",["k"],1,0,0]"#);
+    assert!(RouteTable::compile(&decoded(&shared)).is_err());
+}
+
+/// Guards against a bound for keys that is used although the deployment does not ask for it.
+#[test]
+fn keys_are_limited_only_where_the_bounds_say_so() {
+    let bounds_of = |bounds: &str| {
+        let text = SETTINGS.replace("\"grace=6s\"", &format!("\"grace=6s\",{bounds}"));
+        let settings = settings::decode(&text).expect("the file is valid");
+        (
+            settings.key_freshness_ms,
+            settings.quota_window_ms,
+            settings.quota_slack,
+        )
+    };
+    assert_eq!(bounds_of(r#""revoke=4s""#).0, None);
+    assert_eq!(bounds_of(r#""revoke=4s","strictRevoke=false""#).0, None);
+    let strict = bounds_of(r#""revoke=4s","strictRevoke=true","quotaWindow=7s","quotaSlack=9""#);
+    assert_eq!(strict, (Some(4_000), 7_000, 9));
+}
--- a/tests/testsuite/check.rs
+++ b/tests/testsuite/check.rs
@@ -186,3 +186,26 @@
         .expect("the program can be run");
     assert_snapshot!(format_output(&output));
 }
+
+/// Guards against keys in a team file, and against a finding that repeats one.
+#[tokio::test]
+async fn invalid_organisation() {
+    let text = format!(
+        "{VALID_FILE}\n[organisation.north]\nkey_digests = [\"the-key-itself\"]\npriority = 10\nrate_per_s = -1.0\nburst = 9007199254740992\n"
+    );
+    let output = check(&[("armazem.toml", &text)], &[]).await;
+    assert!(!output.contains("the-key-itself"), "{output}");
+    assert_snapshot!(output);
+}
+
+/// Guards against a key that two organisations share.
+#[tokio::test]
+async fn key_of_two_organisations() {
+    let digest = blake3::hash(b"key").to_hex();
+    let text = format!(
+        "{VALID_FILE}\n[organisation.north]\nkey_digests = [\"{digest}\"]\n[organisation.south]\nkey_digests = [\"{digest}\"]\nrate_per_s = 2.5\n"
+    );
+    let output = check(&[("armazem.toml", &text)], &["--whole"]).await;
+    assert!(output.contains("share the key"), "{output}");
+    assert!(!output.contains(digest.as_str()), "{output}");
+}
