--- a/src/bin/dragonflywall/commands.rs
+++ b/src/bin/dragonflywall/commands.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod history;
 mod node;
+mod organisations;
 mod publish;
 mod rollout;
 mod status;
@@ -31,6 +32,7 @@
     watch::COMMAND,
     status::COMMAND,
     rollout::COMMAND,
+    organisations::COMMAND,
     history::COMMAND,
     audit::COMMAND,
     drain::COMMAND,
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::member::{BackendState, Member, NodeId, Place};
-use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
+use crate::core::names::{InstanceName, OrganisationName, ServiceName, SoftwareVersion};
 use crate::core::rollout::{RolloutOrder, RolloutState};
 use crate::core::version::{Stamp, Version};
 
@@ -33,6 +33,38 @@
     pub data_centres: Vec<DataCentreSummary>,
 }
 
+/// How a node keeps the quotas of organisations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrganisationsStatus {
+    /// Milliseconds since the enforced configuration was known to be the newest; `None` if it never was.
+    pub known_newest_ms_ago: Option<u64>,
+    /// Milliseconds since the report that the current grants answer; `None` if there are no current grants.
+    pub grants_age_ms: Option<u64>,
+    /// Organisations whose callers sent requests to the node within the quota window, those that sent most first.
+    pub organisations: Vec<OrganisationStatus>,
+}
+
+/// The use of one organisation's quota, as one node knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrganisationStatus {
+    /// Name of the organisation.
+    pub name: OrganisationName,
+    /// Requests per second that its quota permits, as a decimal number.
+    pub rate_per_s: String,
+    /// Requests that its quota permits beyond that.
+    pub burst_requests: u64,
+    /// Requests that callers sent to this node within the window.
+    pub asked: u32,
+    /// Requests that this node admitted within the window.
+    pub admitted: u32,
+    /// Requests that this node refused because of the quota, since the first request within the window.
+    pub refused_total: u64,
+    /// Requests that all nodes admitted within the window; `None` if that is too little to be reported.
+    pub mesh_admitted: Option<u32>,
+    /// Requests that this node may still admit before its next report.
+    pub granted_left: u64,
+}
+
 /// How many nodes of one data centre enforce each version. One node of the data centre counts, and
 /// gossip spreads the result at a limited rate, so a summary of another data centre is a few seconds
 /// old.
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -16,7 +16,7 @@
 
 use crate::core::organisation::{OrganisationId, Quota};
 
-pub use self::book::{Admitted, Exhausted, QuotaBook, UsedGrant};
+pub use self::book::{Admitted, Exhausted, QuotaBook, QuotaUse, UsedGrant};
 pub use self::totals::{ReportedBy, UsageTotals};
 
 /// What is tolerated beyond a quota, and over which span.
--- a/src/decide/quota/book.rs
+++ b/src/decide/quota/book.rs
@@ -53,6 +53,19 @@
     pub mesh_admitted: Option<u32>,
 }
 
+/// The use of an organisation's quota, as one node knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaUse {
+    /// Requests at this node within the window.
+    pub here: Usage,
+    /// Requests that were refused here since the first request within the window.
+    pub refused_total: u64,
+    /// Requests that all nodes admitted within the window; `None` if that is too little to be listed.
+    pub mesh_admitted: Option<u32>,
+    /// Requests that this node may still admit before its next report.
+    pub granted_left: u64,
+}
+
 #[derive(Debug)]
 struct Account {
     admitted: WindowCount,
@@ -63,6 +76,7 @@
     reported_total: i64,
     /// The same at the report that the current grants answer.
     base_total: i64,
+    refused_total: u64,
     /// Without grants: since when the next request has been saved up for.
     saving_since_ms: u64,
 }
@@ -122,11 +136,13 @@
     ) -> Result<Admitted, Exhausted> {
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         account.asked.add(now_ms);
-        match self.has_current_grants(now_ms) {
-            true => self.admit_by_grant(now_ms, organisation, quota)?,
-            false => self.admit_alone(now_ms, organisation, quota)?,
-        }
+        let admitted = match self.has_current_grants(now_ms) {
+            true => self.admit_by_grant(now_ms, organisation, quota),
+            false => self.admit_alone(now_ms, organisation, quota),
+        };
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
+        account.refused_total += u64::from(admitted.is_err());
+        admitted?;
         account.admitted.add(now_ms);
         account.admitted_total += 1;
         Ok(Admitted {
@@ -148,21 +164,56 @@
         self.received.grants.nodes > 0 && age_ms < GRANTS_AGE_MAX_MS
     }
 
-    fn admit_by_grant(
+    /// Time since the report that the current grants answer; `None` if there are no current grants.
+    pub fn grants_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let is_current = self.has_current_grants(now_ms);
+        is_current.then(|| now_ms.saturating_sub(self.received.reported_ms))
+    }
+
+    /// The use of an organisation's quota; `None` without a request within the window.
+    pub fn use_of(
         &mut self,
         now_ms: u64,
         organisation: OrganisationId,
         quota: Quota,
-    ) -> Result<(), Exhausted> {
+    ) -> Option<QuotaUse> {
+        let requests = self.granted_requests(organisation, quota);
+        let grant = self.received.grants.by_organisation.get(&organisation);
+        let mesh_admitted = grant.map(|grant| grant.mesh_admitted);
+        let account = self.accounts.get_mut(&organisation)?;
+        let used = account.admitted_total - account.base_total;
+        Some(QuotaUse {
+            here: Usage {
+                admitted: account.admitted.total(now_ms),
+                asked: account.asked.total(now_ms),
+            },
+            refused_total: account.refused_total,
+            mesh_admitted,
+            granted_left: u64::try_from(i64::from(requests) - used).unwrap_or(0),
+        })
+    }
+
+    /// Requests that the node may admit since its report, by the last grants.
+    fn granted_requests(&self, organisation: OrganisationId, quota: Quota) -> u32 {
         let grants = &self.received.grants;
-        let grant = grants.by_organisation.get(&organisation);
-        let requests = match grant {
+        match grants.by_organisation.get(&organisation) {
             Some(grant) => grant.requests,
             None => {
                 let known_share = f64::from(grants.known_per_mille) / 1_000.0;
                 allowance::unlisted_requests(&self.limits, quota, grants.nodes, known_share)
             }
-        };
+        }
+    }
+
+    fn admit_by_grant(
+        &mut self,
+        now_ms: u64,
+        organisation: OrganisationId,
+        quota: Quota,
+    ) -> Result<(), Exhausted> {
+        let requests = self.granted_requests(organisation, quota);
+        let grants = &self.received.grants;
+        let grant = grants.by_organisation.get(&organisation);
         let account = account_mut(&mut self.accounts, &self.limits, organisation);
         let used = account.admitted_total - account.base_total + 1;
         if used > i64::from(requests) {
@@ -269,6 +320,7 @@
         admitted_total: 0,
         reported_total: 0,
         base_total: 0,
+        refused_total: 0,
         saving_since_ms: 0,
     })
 }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -5,6 +5,7 @@
 //! | `GET /ready` | 200 if the node enforces a configuration and accepts requests, else 503 with the reason |
 //! | `GET /status` | the state of the node and its view of the mesh: [`Status`] as JSON |
 //! | `GET /rollouts` | the roll-outs of all services: a list of [`RolloutStatus`](crate::core::status::RolloutStatus) as JSON |
+//! | `GET /organisations` | the use of quotas at this node: [`OrganisationsStatus`] as JSON |
 //! | `GET /metrics` | metrics as Prometheus text |
 //! | `POST /backend-server` | announcement of the local backend server: [`Announcement`] as JSON |
 //! | `POST /drain` | stops sending new requests to the backend server; returns how many are in flight |
@@ -22,8 +23,10 @@
 
 use crate::core::member::BackendState;
 use crate::core::names::is_name;
-use crate::core::status::{Announcement, Status};
-use crate::core::version::Stamp;
+use crate::core::organisation::Organisation;
+use crate::core::status::{Announcement, OrganisationStatus, OrganisationsStatus, Status};
+use crate::core::version::{Stamp, Version};
+use crate::decide::quota::QuotaBook;
 use crate::node::backend_announcements::AnnouncementReply;
 use crate::node::membership::MembershipMsg;
 use crate::node::rollout::RolloutMsg;
@@ -38,6 +41,28 @@
 /// Longest wait for an answer of an actor in this process.
 const ACTOR_TIMEOUT_MS: u64 = 1_000;
 
+/// Most organisations that one answer lists.
+const ORGANISATIONS_MAX: usize = 200;
+
+fn organisation_status(
+    book: &mut QuotaBook,
+    now_ms: u64,
+    organisation: &Organisation,
+) -> Option<OrganisationStatus> {
+    let quota = organisation.quota?;
+    let used = book.use_of(now_ms, organisation.id, quota)?;
+    Some(OrganisationStatus {
+        name: organisation.name.clone(),
+        rate_per_s: quota.rate_per_s().to_string(),
+        burst_requests: quota.burst_requests,
+        asked: used.here.asked,
+        admitted: used.here.admitted,
+        refused_total: used.refused_total,
+        mesh_admitted: used.mesh_admitted,
+        granted_left: used.granted_left,
+    })
+}
+
 pub(crate) struct Operator {
     pub(crate) node: Arc<NodeState>,
     pub(crate) metrics: PrometheusHandle,
@@ -50,6 +75,7 @@
             (&Method::GET, "/ready") => self.ready(),
             (&Method::GET, "/status") => json(&self.status()),
             (&Method::GET, "/rollouts") => self.rollouts().await,
+            (&Method::GET, "/organisations") => json(&self.organisations()),
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics()),
             (&Method::POST, "/backend-server") => self.accept_announcement(request).await,
             (&Method::POST, "/drain") => self.drain(),
@@ -64,6 +90,28 @@
         }
     }
 
+    fn organisations(&self) -> OrganisationsStatus {
+        let proxy = &self.node.proxy;
+        let now_ms = proxy.uptime_ms();
+        let compiled = proxy.last_configuration();
+        let enforced = compiled.as_ref().map(|compiled| compiled.stamp.version);
+        let age = proxy.configuration_age(enforced.unwrap_or(Version::NONE));
+        let table = compiled.as_ref().and_then(|c| c.routes.organisations());
+        let mut book = proxy.quotas();
+        let mut organisations: Vec<OrganisationStatus> = table
+            .into_iter()
+            .flat_map(|table| table.iter())
+            .filter_map(|organisation| organisation_status(&mut book, now_ms, organisation))
+            .collect();
+        organisations.sort_by(|a, b| b.asked.cmp(&a.asked).then_with(|| a.name.cmp(&b.name)));
+        organisations.truncate(ORGANISATIONS_MAX);
+        OrganisationsStatus {
+            known_newest_ms_ago: age.known_newest_ms_ago,
+            grants_age_ms: book.grants_age_ms(now_ms),
+            organisations,
+        }
+    }
+
     fn metrics(&self) -> String {
         let (in_use, waiting) = {
             let admission = self.node.proxy.admission();
--- a/src/ops/query.rs
+++ b/src/ops/query.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod check;
 pub mod diff;
+pub mod organisations;
 pub mod progress;
 pub mod rollout;
 pub mod status;
--- a/tests/testsuite/users_organisations.rs
+++ b/tests/testsuite/users_organisations.rs
@@ -10,7 +10,9 @@
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
 
-use crate::support::{REASON_HEADER, SERVICES, WAIT_TIMEOUT, start_users_mesh, users_routes};
+use crate::support::{
+    REASON_HEADER, SERVICES, WAIT_TIMEOUT, run_program, start_users_mesh, users_routes,
+};
 
 /// How long a key that was taken away may still be accepted, in the tests that limit it.
 const KEY_LIMIT: Duration = Duration::from_millis(3_000);
@@ -281,6 +283,12 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     assert!(refused > 0, "nothing was refused");
+    let node = mesh.vms[0].node().addresses.operator.to_string();
+    let output = run_program(&["organisations", "--node", &node]).await;
+    let text = String::from_utf8(output.stdout).expect("the output is text");
+    assert!(text.contains("was known to be the newest"), "{text}");
+    assert!(text.contains("north: quota 20 a second and 10;"), "{text}");
+    assert!(!text.contains("key-of"), "{text}");
     let bound = (f64::from(RATE_PER_S) * 5.0 + 10.0) * 1.1 + 20.0;
     for first in &ran_at {
         let window = *first..*first + Duration::from_secs(5);
