--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -122,6 +122,16 @@
     Mesh,
 }
 
+impl Spill {
+    /// The next farther one, or the farthest.
+    pub fn next(self) -> Self {
+        match self {
+            Self::DataCentre => Self::Region,
+            Self::Region | Self::Mesh => Self::Mesh,
+        }
+    }
+}
+
 /// Destination of a route.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Target {
--- a/src/decide/load_balancing/free_slot_search.rs
+++ b/src/decide/load_balancing/free_slot_search.rs
@@ -5,6 +5,8 @@
 
 /// Number of endpoints that a request probes for a free slot before it queues at one.
 const FREE_SLOT_PROBES_MAX: usize = 3;
+/// The same while the service refuses many requests, since a free slot is unlikely then.
+const FREE_SLOT_PROBES_MAX_UNDER_OVERLOAD: usize = 1;
 
 /// Endpoints that one request has probed.
 ///
@@ -15,14 +17,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct FreeSlotSearch {
     switches: MechanismSwitches,
+    is_overloaded: bool,
     busy_endpoints: Vec<NodeId>,
 }
 
 impl FreeSlotSearch {
     /// Returns a search without probes.
-    pub fn new(switches: MechanismSwitches) -> Self {
+    pub fn new(switches: MechanismSwitches, is_overloaded: bool) -> Self {
         Self {
             switches,
+            is_overloaded,
             busy_endpoints: Vec::new(),
         }
     }
@@ -30,6 +34,7 @@
     /// Whether a request that is sent to `node` queues there if no slot is free; else it is a probe.
     pub fn queues_at(&self, node: NodeId) -> bool {
         let probes_max = match self.switches.is_enabled(Mechanism::FreeSlotProbes) {
+            true if self.is_overloaded => FREE_SLOT_PROBES_MAX_UNDER_OVERLOAD,
             true => FREE_SLOT_PROBES_MAX,
             false => 0,
         };
--- a/src/decide/load_balancing/ranked_endpoints.rs
+++ b/src/decide/load_balancing/ranked_endpoints.rs
@@ -50,10 +50,13 @@
         &self.versions
     }
 
-    /// Whether the endpoint of `node` is in another region than the entry node.
-    pub fn is_in_other_region(&self, node: NodeId) -> bool {
-        let elsewhere = &self.by_distance[Distance::Mesh as usize];
-        elsewhere.iter().any(|endpoint| endpoint.node == node)
+    /// How far the endpoint of `node` is from the entry node.
+    pub fn distance_of(&self, node: NodeId) -> Option<Distance> {
+        let distances = [Distance::DataCentre, Distance::Region, Distance::Mesh];
+        let mut by_distance = self.by_distance.iter().zip(distances);
+        let is_there =
+            |(endpoints, _): &(&Vec<Endpoint>, Distance)| endpoints.iter().any(|e| e.node == node);
+        by_distance.find(is_there).map(|(_, distance)| distance)
     }
 
     /// Iterates over all endpoints, nearest first.
--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::admission::Rank;
+use crate::core::configuration::Spill;
+use crate::core::member::Distance;
 use crate::core::names::ServiceName;
 
 /// Ratio of the requests sent to those admitted. What is sent in addition shows when there is more room.
@@ -19,10 +21,12 @@
 /// Requests in [`WINDOW_US`] that are sent in addition, so that a service which admitted none is tried.
 const SENT_EXTRA: f64 = 2.0;
 
-/// Attempts in another region within [`WINDOW_US`] from which their refusals count.
-const CROSSING_SAMPLES_MIN: u32 = 4;
-/// Smallest share of the requests that may go to another region, so that room there is noticed.
-const CROSSING_SHARE_MIN: f64 = 0.05;
+/// Attempts farther away within [`WINDOW_US`] from which their refusals count.
+const ELSEWHERE_SAMPLES_MIN: f64 = 4.0;
+/// Smallest share of the requests that may go farther away, so that room there is noticed.
+const ELSEWHERE_SHARE_MIN: f64 = 0.05;
+/// Share of the sent requests from which many are refused.
+const MANY_REFUSED_SHARE: f64 = 0.1;
 
 /// Part of what may be sent that goes to all ranks alike; the rest goes to the highest ranks first. So that no rank is
 /// starved, the lowest gets this part of its fair share.
@@ -77,34 +81,43 @@
         &mut self.slots[index(self.newest)]
     }
 
-    /// Probability with which a request may be sent to another region, if these are the attempts there.
-    fn crossing_share(&mut self, now_us: u64) -> f64 {
+    /// Requests that were sent and admitted, and those that were sent and refused.
+    fn ended(&mut self, now_us: u64) -> (f64, f64) {
         self.slot_mut(now_us);
         let admitted: u32 = self.slots.iter().map(|slot| slot.admitted).sum();
         let refused: u32 = self.slots.iter().map(|slot| slot.refused).sum();
-        if admitted + refused < CROSSING_SAMPLES_MIN {
+        (f64::from(admitted), f64::from(refused))
+    }
+
+    /// Probability with which a request may be sent farther away, if these are the attempts there.
+    fn elsewhere_share(&mut self, now_us: u64) -> f64 {
+        let (admitted, refused) = self.ended(now_us);
+        if admitted + refused < ELSEWHERE_SAMPLES_MIN {
             return 1.0;
         }
-        let admitted_share = f64::from(admitted) / f64::from(admitted + refused);
-        (admitted_share * SENT_TO_ADMITTED_RATIO).max(CROSSING_SHARE_MIN)
+        let admitted_share = admitted / (admitted + refused);
+        (admitted_share * SENT_TO_ADMITTED_RATIO).max(ELSEWHERE_SHARE_MIN)
+    }
+
+    fn is_overloaded(&mut self, now_us: u64) -> bool {
+        let (admitted, refused) = self.ended(now_us);
+        refused > (admitted + refused) * MANY_REFUSED_SHARE + SENT_EXTRA
     }
 
     /// Probability with which a request of `rank` is sent.
     fn sent_share(&mut self, now_us: u64, rank: Rank) -> f64 {
-        self.slot_mut(now_us);
-        let admitted: u32 = self.slots.iter().map(|slot| slot.admitted).sum();
+        let (admitted, refused) = self.ended(now_us);
         let mut offered: BTreeMap<Rank, u32> = BTreeMap::new();
         for (rank, count) in self.slots.iter().flat_map(|slot| &slot.offered) {
             *offered.entry(*rank).or_default() += count;
         }
         let all = f64::from(offered.values().sum::<u32>());
-        let refused: u32 = self.slots.iter().map(|slot| slot.refused).sum();
-        let has_room = f64::from(refused) <= f64::from(admitted + refused) * FEW_REFUSED_SHARE;
+        let has_room = refused <= (admitted + refused) * FEW_REFUSED_SHARE;
         let ratio = match has_room {
             true => SENT_TO_ADMITTED_RATIO_WITH_ROOM,
             false => SENT_TO_ADMITTED_RATIO,
         };
-        let may_send = f64::from(admitted) * ratio + SENT_EXTRA;
+        let may_send = admitted * ratio + SENT_EXTRA;
         if all <= may_send {
             return 1.0;
         }
@@ -123,8 +136,8 @@
 #[derive(Debug, Default)]
 pub struct OverloadThrottle {
     services: HashMap<ServiceName, ServiceLoad>,
-    /// Attempts at endpoints of another region.
-    crossings: HashMap<ServiceName, ServiceLoad>,
+    /// Attempts at endpoints of other data centres of the region, and of other regions.
+    elsewhere: [HashMap<ServiceName, ServiceLoad>; 2],
 }
 
 impl OverloadThrottle {
@@ -147,17 +160,42 @@
         slot.count(end);
     }
 
-    /// Whether a request may be sent to another region. If most are refused there, it would only fill the link. `chance` is
-    /// a random number from 0 to 1.
-    pub fn may_cross(&mut self, now_us: u64, service: &ServiceName, chance: f64) -> bool {
-        let load = self.crossings.get_mut(service);
-        load.is_none_or(|load| chance < load.crossing_share(now_us))
+    /// How far a request may be sent. If most are refused farther away, it would only fill the links. `chance` is a random
+    /// number from 0 to 1.
+    pub fn reach(&mut self, now_us: u64, service: &ServiceName, chance: f64) -> Spill {
+        let [region, mesh] = &mut self.elsewhere;
+        let may_send = |loads: &mut HashMap<ServiceName, ServiceLoad>| {
+            let load = loads.get_mut(service);
+            load.is_none_or(|load| chance < load.elsewhere_share(now_us))
+        };
+        match (may_send(region), may_send(mesh)) {
+            (false, _) => Spill::DataCentre,
+            (true, false) => Spill::Region,
+            (true, true) => Spill::Mesh,
+        }
     }
 
-    /// Records how an attempt at an endpoint of another region has ended.
-    pub fn record_crossing(&mut self, now_us: u64, service: &ServiceName, end: RequestEnd) {
-        let slot = load_mut(&mut self.crossings, service).slot_mut(now_us);
-        slot.count(end);
+    /// Records how an attempt at an endpoint at this distance has ended.
+    pub fn record_attempt(
+        &mut self,
+        now_us: u64,
+        service: &ServiceName,
+        distance: Distance,
+        end: RequestEnd,
+    ) {
+        let [region, mesh] = &mut self.elsewhere;
+        let loads = match distance {
+            Distance::DataCentre => return,
+            Distance::Region => region,
+            Distance::Mesh => mesh,
+        };
+        load_mut(loads, service).slot_mut(now_us).count(end);
+    }
+
+    /// Whether a service refuses many of the requests that are sent to it.
+    pub fn is_overloaded(&mut self, now_us: u64, service: &ServiceName) -> bool {
+        let load = self.services.get_mut(service);
+        load.is_some_and(|load| load.is_overloaded(now_us))
     }
 }
 
--- a/src/proxy/entry/overload.rs
+++ b/src/proxy/entry/overload.rs
@@ -73,30 +73,38 @@
 }
 
 impl RoutedRequest<'_> {
-    /// How far from here the request may be served now: not in another region while that refuses most of them.
+    /// How far from here the request may be served now: not where most such requests are refused.
     pub(super) fn spill(&self) -> Spill {
         let spill = self.target.treatment.spill;
-        let switches = self.node.mechanisms();
-        if spill != Spill::Mesh || !switches.is_enabled(Mechanism::OverloadThrottle) {
+        if !self.is_throttled() {
             return spill;
         }
         let now_us = clock::since_us(self.node.started);
         let mut overload = self.node.overload();
-        match overload.may_cross(now_us, &self.target.service, rand::random()) {
-            true => Spill::Mesh,
-            false => Spill::Region,
-        }
+        spill.min(overload.reach(now_us, &self.target.service, rand::random()))
     }
 
-    /// Records how an attempt has ended, if its endpoint is in another region.
-    pub(super) fn record_crossing<T>(&self, endpoint: &Endpoint, result: &Result<T, Failure>) {
+    /// Whether the service refuses many requests, so that it is not worth the bytes to probe several endpoints.
+    pub(super) fn is_service_overloaded(&self) -> bool {
+        let now_us = clock::since_us(self.node.started);
+        let mut overload = self.node.overload();
+        self.is_throttled() && overload.is_overloaded(now_us, &self.target.service)
+    }
+
+    /// Records how an attempt has ended.
+    pub(super) fn record_reach<T>(&self, endpoint: &Endpoint, result: &Result<T, Failure>) {
         let view = self.node.view.load();
         let ranked = view.endpoints.get(&self.target.service);
-        let crosses = ranked.is_some_and(|ranked| ranked.is_in_other_region(endpoint.node));
-        if let Some(end) = end_of(result).filter(|_| crosses) {
+        let distance = ranked.and_then(|ranked| ranked.distance_of(endpoint.node));
+        if let Some((end, distance)) = end_of(result).zip(distance) {
             let now_us = clock::since_us(self.node.started);
             let mut overload = self.node.overload();
-            overload.record_crossing(now_us, &self.target.service, end);
+            overload.record_attempt(now_us, &self.target.service, distance, end);
         }
     }
+
+    fn is_throttled(&self) -> bool {
+        let switches = self.node.mechanisms();
+        switches.is_enabled(Mechanism::OverloadThrottle)
+    }
 }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -82,7 +82,7 @@
             .for_service(self.service())
             .deposit();
         let mut tried: Vec<NodeId> = Vec::new();
-        let mut search = FreeSlotSearch::new(self.node.mechanisms());
+        let mut search = FreeSlotSearch::new(self.node.mechanisms(), self.is_service_overloaded());
         let mut verdict = Verdict::NotRun;
         let mut last_failure = None;
         let mut may_use_candidate = true;
@@ -184,12 +184,16 @@
         tried: &[NodeId],
         may_use_candidate: bool,
     ) -> Result<ChosenEndpoint, Failure> {
-        let (spill, farthest) = (self.spill(), self.target.treatment.spill);
-        let chosen = self.choose_endpoint(tried, may_use_candidate, spill);
-        chosen.or_else(|none| match spill == farthest {
-            true => Err(none),
-            false => self.choose_endpoint(tried, may_use_candidate, farthest),
-        })
+        let farthest = self.target.treatment.spill;
+        let mut spill = self.spill();
+        loop {
+            let chosen = self.choose_endpoint(tried, may_use_candidate, spill);
+            if chosen.is_ok() || spill >= farthest {
+                return chosen;
+            }
+            // There is no endpoint so near.
+            spill = spill.next();
+        }
     }
 
     /// Chooses an endpoint for the next attempt. With `may_use_candidate` it may be one of a candidate
@@ -330,7 +334,7 @@
         // After a freeze of this process, a missing response says nothing about the endpoint.
         if result.is_ok() || self.node.is_current(sent_in) {
             self.record_outcome(&endpoint, &result);
-            self.record_crossing(&endpoint, &result);
+            self.record_reach(&endpoint, &result);
         }
         if let Ok(response) = &result {
             statements::count_forwarded(self.node, response.headers());
--- a/tests/testsuite/decide_overload.rs
+++ b/tests/testsuite/decide_overload.rs
@@ -1,9 +1,14 @@
 //! Requests that an entry node withholds from a service that refuses many.
 
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
 
+use dragonflywall::core::configuration::Spill;
+use dragonflywall::core::mechanism::MechanismSwitches;
+use dragonflywall::core::member::{Distance, NodeId};
 use dragonflywall::core::names::ServiceName;
 use dragonflywall::decide::admission::Rank;
+use dragonflywall::decide::load_balancing::FreeSlotSearch;
 use dragonflywall::decide::overload::{OverloadThrottle, RequestEnd};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -172,13 +177,13 @@
         let mut crossed = 0;
         for step in 0..1_000 {
             let now_us = (from_ms + step * 5) * MS;
-            if throttle.may_cross(now_us, &name, rng.random()) {
+            if throttle.reach(now_us, &name, rng.random()) == Spill::Mesh {
                 crossed += 1;
                 let end = match rng.random::<f64>() < admitted_share {
                     true => RequestEnd::Admitted,
                     false => RequestEnd::Refused,
                 };
-                throttle.record_crossing(now_us, &name, end);
+                throttle.record_attempt(now_us, &name, Distance::Mesh, end);
             }
         }
         crossed
@@ -187,3 +192,27 @@
     assert!(crossed_of_1000(5_000, 1.0) > 800);
     assert_eq!(crossed_of_1000(20_000, 1.0), 1_000);
 }
+
+/// Load: a service that refuses most requests. Guards against probes of several endpoints for a slot that none has, and against
+/// probes that stay away after the overload.
+#[test]
+fn a_request_probes_one_endpoint_of_an_overloaded_service() {
+    let mut service = Service::new(20.0);
+    service.play(5_000, &[(HIGH, 200.0)]);
+    let now_us = service.now_us;
+    assert!(service.throttle.is_overloaded(now_us, &service.name));
+    service.play(5_000, &[(HIGH, 5.0)]);
+    let now_us = service.now_us;
+    assert!(!service.throttle.is_overloaded(now_us, &service.name));
+    let probes = |is_overloaded| {
+        let mut search = FreeSlotSearch::new(MechanismSwitches::default(), is_overloaded);
+        let node = |port| NodeId(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+        let mut probes = 0;
+        while !search.queues_at(node(probes + 1)) {
+            probes += 1;
+            search.record_busy(node(probes));
+        }
+        probes
+    };
+    assert_eq!((probes(true), probes(false)), (1, 3));
+}
--- a/tests/testsuite/mechanisms.rs
+++ b/tests/testsuite/mechanisms.rs
@@ -106,7 +106,7 @@
 
 #[test]
 fn request_queues_at_its_first_endpoint_without_probes() {
-    let queues = |switches| FreeSlotSearch::new(switches).queues_at(node(1));
+    let queues = |switches| FreeSlotSearch::new(switches, false).queues_at(node(1));
     assert!(!queues(MechanismSwitches::default()));
     assert!(queues(MechanismSwitches::disabling(
         Mechanism::FreeSlotProbes
