--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -224,7 +224,21 @@
     // Dropping this future cancels the running attempt, up to the backend server.
     let outcome = cancellation.run_until_cancelled(request.run(body, &mut attempts));
     // An explicit response tells the caller more than a connection that breaks.
-    let result = match until_drain_expired(node, outcome).await {
+    let outcome = until_drain_expired(node, outcome).await;
+    let result = result_of(outcome, &request, &attempts, &mut context);
+    throttled.record(&result);
+    charge.settle(&result);
+    result
+}
+
+/// The result of a routed request, after which the unspent retries are those of the request that led to it.
+fn result_of(
+    outcome: Option<Option<Result<Response<Body>, Failure>>>,
+    request: &RoutedRequest<'_>,
+    attempts: &Attempts,
+    context: &mut RequestContext,
+) -> Result<Response<Body>, Failure> {
+    match outcome {
         None if !request.sent.load(Ordering::Acquire) => {
             Err(Failure::not_run(Reason::DrainTooShort))
         }
@@ -241,10 +255,7 @@
                 attempts.budget_after_response(u32::try_from(unspent_retries).unwrap_or(0));
             Ok(response)
         }
-    };
-    throttled.record(&result);
-    charge.settle(&result);
-    result
+    }
 }
 
 fn find_route<'a>(
