Freshness: a proof counts from when the store was asked, whatever the wait

While the store drops its history, watches hear nothing for a second, so an unchanged long poll does not show that there was no change in its wait.

--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -19,17 +19,12 @@
 }
 
 impl FreshnessProof {
-    /// The proof that the store's answer to a read gives. The read was sent at `asked_ms` and answered after `took_ms`.
-    /// `kept_wait_ms` is the wait of a long poll that ended without a change, which the store kept before it answered.
-    pub fn from_store(version: Version, asked_ms: u64, took_ms: u64, kept_wait_ms: u64) -> Self {
-        let waited_ms = if took_ms >= kept_wait_ms {
-            kept_wait_ms
-        } else {
-            0
-        };
+    /// The proof that the store's answer to a read gives that was sent at `asked_ms`. The wait of a long poll does not count:
+    /// the store may have missed a change that was made in it.
+    pub fn from_store(version: Version, asked_ms: u64) -> Self {
         Self {
             version,
-            at_ms: asked_ms + waited_ms,
+            at_ms: asked_ms,
         }
     }
 
--- a/src/node/configuration/head.rs
+++ b/src/node/configuration/head.rs
@@ -75,7 +75,7 @@
         tokio::spawn(async move {
             let (head, took_ms) = store::read_head(&http_store).await;
             if let Some(head) = head {
-                let proof = FreshnessProof::from_store(head.version, asked_ms, took_ms, 0);
+                let proof = FreshnessProof::from_store(head.version, asked_ms);
                 node.proxy.freshness().record(proof);
             }
             let _ = myself.cast(ConfigurationMsg::HeadRead {
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -61,17 +61,6 @@
     stop.run_until_cancelled(follower.follow(&resync)).await;
 }
 
-/// A read of the store that was answered.
-struct Exchange {
-    /// When it was sent, in [`ProxyState::uptime_ms`](crate::proxy::state::ProxyState::uptime_ms).
-    asked_ms: u64,
-    took_ms: u64,
-    /// Time limit of its long poll.
-    wait: Duration,
-    /// Whether the newest configuration was read, instead of changes since a position.
-    is_whole: bool,
-}
-
 struct Follower<F> {
     node: Arc<NodeState>,
     feed: F,
@@ -237,13 +226,7 @@
         match read {
             Ok(answer) => {
                 log_late_answer("store", took_ms, wait, answer.len_bytes);
-                let took = Exchange {
-                    asked_ms,
-                    took_ms,
-                    wait,
-                    is_whole: recent.is_none(),
-                };
-                self.record_proof(&answer, &took);
+                self.record_proof(&answer, asked_ms, recent.is_some());
                 let merged = self.merge_orders(&answer).await;
                 if !self.node.proxy.is_current(asked_in) {
                     // The process was frozen while the states of the roll-outs were read.
@@ -267,25 +250,19 @@
         }
     }
 
-    /// Records that the store has shown which version is the newest.
-    fn record_proof(&mut self, answer: &FeedUpdate, exchange: &Exchange) {
+    /// Records that the store has shown which version was the newest at `asked_ms`. With `only_changes` it was asked for changes
+    /// since the last position.
+    fn record_proof(&mut self, answer: &FeedUpdate, asked_ms: u64, only_changes: bool) {
         let changed = answer.configuration.as_ref();
         let changed = changed.map(|configuration| configuration.version);
-        let is_unchanged = changed.is_none() && !answer.is_unreadable && !exchange.is_whole;
+        let is_unchanged = only_changes && changed.is_none() && !answer.is_unreadable;
         if !is_unchanged {
             self.stored_version = changed;
         }
-        let Some(version) = self.stored_version else {
-            return;
-        };
-        // A change of something else ends the wait early, and the store may have sent it at any time since.
-        let kept_wait_ms = match is_unchanged {
-            true => clock::whole_ms(exchange.wait),
-            false => 0,
-        };
-        let proof =
-            FreshnessProof::from_store(version, exchange.asked_ms, exchange.took_ms, kept_wait_ms);
-        self.node.proxy.freshness().record(proof);
+        if let Some(version) = self.stored_version {
+            let proof = FreshnessProof::from_store(version, asked_ms);
+            self.node.proxy.freshness().record(proof);
+        }
     }
 
     /// Merges the orders of roll-outs that the store answered with, before the configuration can be
--- a/tests/testsuite/decide_access.rs
+++ b/tests/testsuite/decide_access.rs
@@ -213,20 +213,7 @@
 /// Guards against an answer that a cut or a freeze held back and that counts from its arrival.
 #[test]
 fn the_time_of_a_proof_does_not_depend_on_when_the_answer_arrived() {
-    // The store kept a long poll of 1,000 ms for its whole wait.
-    assert_eq!(
-        FreshnessProof::from_store(Version(3), 10_000, 1_004, 1_000).at_ms,
-        11_000
-    );
-    assert_eq!(
-        FreshnessProof::from_store(Version(3), 10_000, 9_000, 1_000).at_ms,
-        11_000
-    );
-    // It answered earlier, so how long it waited is not known.
-    assert_eq!(
-        FreshnessProof::from_store(Version(3), 10_000, 400, 1_000).at_ms,
-        10_000
-    );
+    assert_eq!(FreshnessProof::from_store(Version(3), 10_000).at_ms, 10_000);
     let held_back = PeerProof {
         version: Version(3),
         age_ms: 300,
@@ -242,7 +229,7 @@
 /// proof young.
 #[test]
 fn a_proof_keeps_its_age_over_two_leads() {
-    let store_read = FreshnessProof::from_store(Version(3), 1_000, 4, 0);
+    let store_read = FreshnessProof::from_store(Version(3), 1_000);
     let (now_of_first, now_of_second) = (4_000, 70_000);
     let from_first = PeerProof {
         version: store_read.version,
