--- a/src/decide/admission/request.rs
+++ b/src/decide/admission/request.rs
@@ -15,23 +15,40 @@
     pub queue_len: u32,
 }
 
-/// Rank among the requests of callers; the smallest value goes first. The priority of the organisation
-/// decides, then that of the route.
+/// Rank of a request; the smallest value goes first. The priority of the organisation decides, then that of the
+/// route, and then nested calls go before requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     organisation: u8,
     route: u8,
+    sender: RankedSender,
 }
 
+/// Who sends a ranked request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RankedSender {
+    /// A running request of this rank.
+    RunningRequest,
+    Caller,
+}
+
+/// Set in the number of a rank with an organisation's priority. Numbers below are priorities of routes.
+const NUMBER_HAS_ORGANISATION: u32 = 1 << 24;
+
 impl Rank {
     /// The highest rank.
-    pub const HIGHEST: Self = Self::of_route(0);
+    pub const HIGHEST: Self = Self {
+        organisation: 0,
+        route: 0,
+        sender: RankedSender::RunningRequest,
+    };
 
     /// Rank of a request of an organisation.
     pub const fn new(organisation: u8, route: u8) -> Self {
         Self {
             organisation,
             route,
+            sender: RankedSender::Caller,
         }
     }
 
@@ -40,27 +57,59 @@
         Self::new(0, route)
     }
 
-    /// The rank as one number, in the same order.
-    pub const fn number(self) -> u16 {
-        u16::from_be_bytes([self.organisation, self.route])
+    /// Rank of the nested calls of a request, if they are ranked like that request.
+    pub const fn of_nested_calls(self) -> Self {
+        Self {
+            sender: RankedSender::RunningRequest,
+            ..self
+        }
+    }
+
+    /// Whether this is the rank of a nested call.
+    pub const fn is_nested(self) -> bool {
+        matches!(self.sender, RankedSender::RunningRequest)
+    }
+
+    /// The rank as one number, for other nodes.
+    pub const fn number(self) -> u32 {
+        let sender = match self.sender {
+            RankedSender::RunningRequest => 0,
+            RankedSender::Caller => 1,
+        };
+        match (self.organisation, self.sender) {
+            (0, RankedSender::Caller) => self.route as u32,
+            _ => {
+                NUMBER_HAS_ORGANISATION
+                    + u32::from_be_bytes([0, self.organisation, self.route, sender])
+            }
+        }
     }
 
     /// The rank that has this number.
-    pub const fn from_number(number: u16) -> Self {
-        let [organisation, route] = number.to_be_bytes();
-        Self::new(organisation, route)
+    pub const fn from_number(number: u32) -> Self {
+        let [_, organisation, route, sender] = number.to_be_bytes();
+        if number < NUMBER_HAS_ORGANISATION {
+            return Self::of_route(if number > 255 { u8::MAX } else { number as u8 });
+        }
+        let rank = Self::new(organisation, route);
+        match sender {
+            0 => rank.of_nested_calls(),
+            _ => rank,
+        }
     }
 }
 
 /// Priority of a request among those of its class; the smallest value goes first.
 ///
 /// A nested call goes before requests of callers, because the request that made it occupies a slot
-/// of its own service until the call returns, and its work is lost if the call is refused.
+/// of its own service until the call returns, and its work is lost if the call is refused. Where requests belong to
+/// organisations, it has the rank of that request instead, so that an urgent request does not wait for the calls of a
+/// less urgent one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Priority {
-    /// A call made by a request that is running at a backend server.
+    /// A call without a rank, made by a request that is running at a backend server.
     NestedCall,
-    /// A request that no other request in the mesh waits for.
+    /// A request that no other request in the mesh waits for, or a call with a rank.
     CallerRequest {
         /// Configured rank.
         rank: Rank,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -137,6 +137,8 @@
 struct RequestContext {
     deadline: Option<Instant>,
     depth: u32,
+    /// Rank of the request that made it.
+    parent_rank: Option<Rank>,
     cancellation: CancellationToken,
     budget: RetryBudget,
 }
@@ -152,12 +154,14 @@
                         .min(deadline.unwrap_or(inherited.deadline)),
                 ),
                 depth: inherited.depth,
+                parent_rank: Some(inherited.parent_rank),
                 cancellation: inherited.cancellation,
                 budget: inherited.budget,
             },
             None => Self {
                 deadline,
                 depth: 0,
+                parent_rank: None,
                 cancellation: CancellationToken::new(),
                 budget: RetryBudget::root(retry::RETRIES_PER_TREE),
             },
@@ -209,7 +213,7 @@
         host: &host,
         target,
         organisation: organisation.as_deref(),
-        rank: rank_of(compiled, organisation.as_deref(), target),
+        rank: rank_of(compiled, &context, organisation.as_deref(), target),
         default_slots: service.map_or(1, |service| service.slots_per_endpoint),
         body_bytes: body.min_len_bytes(),
         started_at,
@@ -274,16 +278,24 @@
     Err(Failure::not_run(reason))
 }
 
-/// Rank of a request at the gate: the priority of its organisation goes before that of its target.
+/// Rank of a request at the gate. Where requests belong to organisations, the priority of the organisation goes before that
+/// of the route, and nested calls are ranked like the request that made them.
 fn rank_of(
     compiled: &CompiledConfiguration,
+    context: &RequestContext,
     organisation: Option<&Organisation>,
     target: &ResolvedTarget,
 ) -> Rank {
-    let priority = organisation.map_or(PRIORITY_DEFAULT, |organisation| organisation.priority);
-    match compiled.routes.organisations() {
-        None => Rank::of_route(target.treatment.priority),
-        Some(_) => Rank::new(priority, target.treatment.priority),
+    let route = target.treatment.priority;
+    if compiled.routes.organisations().is_none() {
+        return Rank::of_route(route);
+    }
+    match context.parent_rank {
+        Some(parent_rank) => parent_rank.of_nested_calls(),
+        None => Rank::new(
+            organisation.map_or(PRIORITY_DEFAULT, |organisation| organisation.priority),
+            route,
+        ),
     }
 }
 
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -169,9 +169,9 @@
 
 /// Priority of a request with `depth` nested calls above it.
 pub(crate) fn priority(depth: u32, rank: Rank) -> Priority {
-    match depth {
-        0 => Priority::CallerRequest { rank },
-        _ => Priority::NestedCall,
+    match depth > 0 && !rank.is_nested() {
+        true => Priority::NestedCall,
+        false => Priority::CallerRequest { rank },
     }
 }
 
--- a/src/proxy/running_requests.rs
+++ b/src/proxy/running_requests.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::hop::Hop;
+use crate::decide::admission::Rank;
 
 new_key_type! {
     /// Identifies a request that the local backend server is running.
@@ -30,6 +31,7 @@
     secret: u128,
     deadline: Instant,
     depth: u32,
+    rank: Rank,
     retries: u32,
     cancellation: CancellationToken,
 }
@@ -53,6 +55,8 @@
     pub(crate) deadline: Instant,
     /// Depth of the new call: the number of calls above it.
     pub(crate) depth: u32,
+    /// Rank of the parent request.
+    pub(crate) parent_rank: Rank,
     /// Cancelled when the parent request ends before it was answered.
     pub(crate) cancellation: CancellationToken,
     pub(crate) budget: RetryBudget,
@@ -100,6 +104,7 @@
             secret,
             deadline: hop.deadline,
             depth: hop.depth,
+            rank: hop.rank,
             retries: hop.retries,
             cancellation: CancellationToken::new(),
         };
@@ -141,6 +146,7 @@
         InheritedContext {
             deadline: request.deadline,
             depth: request.depth + 1,
+            parent_rank: request.rank,
             cancellation: request.cancellation.clone(),
             budget: RetryBudget {
                 parent: Some((self.clone(), key)),
--- a/tests/testsuite/decide_admission.rs
+++ b/tests/testsuite/decide_admission.rs
@@ -608,3 +608,47 @@
     #[test]
     fn admission_agrees_with_the_oracle(sequential 1..80 => Sut);
 }
+
+/// Load: renewals of the highest rank, and nested calls of requests of the lowest. Guards against urgent requests that wait for the
+/// calls of less urgent ones, where both belong to organisations.
+#[test]
+fn ranked_nested_calls_wait_behind_requests_of_higher_rank() {
+    let request = |rank| SlotRequest {
+        priority: Priority::CallerRequest { rank },
+        ..SlotRequest::new(Class::Interactive, FAR_DEADLINE_US)
+    };
+    let (urgent, late) = (Rank::new(1, 0), Rank::new(1, 2));
+    let mut admission = admission(1, 20);
+    assert_eq!(
+        admission.admit(0, &request(urgent), || 0),
+        AdmitOutcome::Slot
+    );
+    admission.admit(1, &request(late), || 1);
+    admission.admit(2, &request(late.of_nested_calls()), || 2);
+    admission.admit(3, &request(urgent), || 3);
+    admission.admit(4, &request(urgent.of_nested_calls()), || 4);
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        release(&mut admission, Class::Interactive, 10);
+        order.extend(grant_slots(&mut admission, 10));
+    }
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+/// Guards against a rank that another node reads as a different one.
+#[test]
+fn ranks_keep_their_order_as_numbers() {
+    let mut ranks = Vec::new();
+    for organisation in [0, 1, 255] {
+        for route in [0, 1, 9, 255] {
+            let rank = Rank::new(organisation, route);
+            ranks.extend([rank.of_nested_calls(), rank]);
+        }
+    }
+    for rank in &ranks {
+        assert_eq!(Rank::from_number(rank.number()), *rank);
+    }
+    assert!(ranks.is_sorted());
+    assert_eq!(Rank::of_route(3).number(), 3);
+    assert_eq!(Rank::from_number(1_000), Rank::of_route(255));
+}
