--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -1,14 +1,14 @@
 //! Quotas of organisations, which all entry nodes keep together.
 //!
-//! [`QuotaBook`] is the state of an entry node: it counts the requests of each organisation, and decides by the last
-//! totals of the mesh how many more it may admit. [`UsageTotals`] is the state of a lead: it adds up the reports of the
-//! nodes of its data centre and the sums of the other leads. Reports and sums hold what was counted within the quota
+//! [`QuotaBook`] is the state of an entry node: it counts the requests of each organisation, and admits as many as its last
+//! grant permits. [`UsageTotals`] is the state of a lead: it adds up the reports of the nodes of its data centre and the
+//! sums of the other leads, and grants requests in answer to each report. Reports and sums hold what was counted within the quota
 //! window, so a message that is lost, late or doubled is made up for by the next. See `docs/design/quotas.md`.
 //!
 //! Times are arguments, in milliseconds of a clock that includes the time in which the VM was suspended.
 
-mod allowance;
 mod book;
+mod grant;
 mod totals;
 mod window;
 
--- a/src/decide/quota/book.rs
+++ b/src/decide/quota/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::allowance;
+use super::grant;
 use super::window::WindowCount;
 use super::{Grants, QuotaLimits, Usage, UsageByOrganisation};
 use crate::core::organisation::{OrganisationId, Quota};
@@ -200,7 +200,7 @@
             Some(grant) => grant.requests,
             None => {
                 let known_share = f64::from(grants.known_per_mille) / 1_000.0;
-                allowance::unlisted_requests(&self.limits, quota, grants.nodes, known_share)
+                grant::unlisted_requests(&self.limits, quota, grants.nodes, known_share)
             }
         }
     }
--- a/src/decide/quota/totals.rs
+++ b/src/decide/quota/totals.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::allowance::{self, Nodes, Situation};
+use super::grant::{self, Nodes, Situation};
 use super::{Grant, Grants, QuotaLimits, Usage, UsageByOrganisation, UsageSums};
 use crate::core::member::NodeId;
 use crate::core::organisation::{OrganisationId, Quota};
@@ -102,7 +102,7 @@
         };
         for (organisation, mesh_usage) in mesh.usage {
             let quota = quota_of(organisation);
-            let quota = quota.filter(|quota| allowance::is_listed(&limits, *quota, mesh_usage));
+            let quota = quota.filter(|quota| grant::is_listed(&limits, *quota, mesh_usage));
             let Some(quota) = quota else { continue };
             let usage_in =
                 |usage: &UsageByOrganisation| usage.get(&organisation).copied().unwrap_or_default();
@@ -114,7 +114,7 @@
                 node: usage_in(&report.usage),
                 nodes,
             };
-            let requests = allowance::granted_requests(&limits, quota, &situation, chance());
+            let requests = grant::granted_requests(&limits, quota, &situation, chance());
             report.granted.insert(organisation, requests);
             let grant = Grant {
                 requests,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -86,18 +86,17 @@
         Err(_) => node.last_configuration().map(|last| last.stamp.version),
     };
     let version = version.map_or(0, |version| version.0);
-    let context = RequestContext::from_request(&node, &parts);
+    let mut context = RequestContext::from_request(&node, &parts);
     let id = request_id(&node, &parts);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh_headers(&mut parts.headers);
-    let credential = match &current {
-        Ok(current) => identity::take_credential(&node, current, &mut parts.headers),
-        Err(_) => Credential::Absent,
-    };
+    if let Ok(current) = &current {
+        context.credential = identity::take_credential(&node, current, &mut parts.headers);
+    }
     add_backend_headers(&node, &mut parts, id.clone());
     let request_log = RequestLog::new(&node, &id, host_and_path(&parts), version);
     let result = match current {
-        Ok(current) => route_and_run(&node, &current, &parts, &body, (context, credential)).await,
+        Ok(current) => route_and_run(&node, &current, &parts, &body, context).await,
         Err(NotServing::Refreshing) => Err(Failure::not_run(Reason::Refreshing)),
         Err(NotServing::NoConfiguration) => Err(Failure::not_run(Reason::NoConfiguration)),
     };
@@ -139,6 +138,8 @@
     depth: u32,
     /// Rank of the request that made it.
     parent_rank: Option<Rank>,
+    /// The key that it carried, if requests need one.
+    credential: Credential,
     cancellation: CancellationToken,
     budget: RetryBudget,
 }
@@ -155,6 +156,7 @@
                 ),
                 depth: inherited.depth,
                 parent_rank: Some(inherited.parent_rank),
+                credential: Credential::Absent,
                 cancellation: inherited.cancellation,
                 budget: inherited.budget,
             },
@@ -162,6 +164,7 @@
                 deadline,
                 depth: 0,
                 parent_rank: None,
+                credential: Credential::Absent,
                 cancellation: CancellationToken::new(),
                 budget: RetryBudget::root(retry::RETRIES_PER_TREE),
             },
@@ -186,7 +189,7 @@
     current: &CurrentConfiguration,
     parts: &Parts,
     body: &ReplayableBody,
-    (mut context, credential): (RequestContext, Credential),
+    mut context: RequestContext,
 ) -> Result<Response<Body>, Failure> {
     let compiled = &*current.compiled;
     let host = requested_host(parts).ok_or(Failure::not_run(Reason::BadRequest))?;
@@ -194,8 +197,7 @@
     if context.depth > retry::DEPTH_MAX {
         return Err(Failure::not_run(Reason::TooDeep));
     }
-    let organisation =
-        identity::organisation_of(node, current, parts, route, &context, credential)?;
+    let organisation = identity::organisation_of(node, current, parts, route, &context)?;
     check_body_len(compiled, body)?;
     let target = choose_target(route);
     let service = compiled.configuration.service(&target.service);
--- a/src/proxy/entry/identity.rs
+++ b/src/proxy/entry/identity.rs
@@ -55,7 +55,6 @@
     parts: &Parts,
     route: &Route,
     context: &RequestContext,
-    credential: Credential,
 ) -> Result<Option<Arc<Organisation>>, Failure> {
     let compiled = &*current.compiled;
     let Some(organisations) = compiled.routes.organisations() else {
@@ -63,19 +62,19 @@
     };
     let age = node.configuration_age(compiled.stamp.version);
     let sender = sender_of(node, parts, context);
-    let is_public = route.record.public;
-    access::organisation_of(Some(organisations), sender, credential, is_public, age).map_err(
-        |denial| {
-            let reason = match denial {
-                Denial::UnknownKey => Reason::UnknownKey,
-                Denial::NotFresh => Reason::NotFresh,
-                Denial::ParentEnded => Reason::ParentEnded,
-            };
-            metrics::counter!("dragonflywall_requests_denied_total", "reason" => reason.code())
-                .increment(1);
-            Failure::not_run(reason)
-        },
-    )
+    let (credential, is_public) = (context.credential, route.record.public);
+    access::organisation_of(Some(organisations), sender, credential, is_public, age).map_err(denied)
+}
+
+fn denied(denial: Denial) -> Failure {
+    let reason = match denial {
+        Denial::UnknownKey => Reason::UnknownKey,
+        Denial::NotFresh => Reason::NotFresh,
+        Denial::ParentEnded => Reason::ParentEnded,
+    };
+    metrics::counter!("dragonflywall_requests_denied_total", "reason" => reason.code())
+        .increment(1);
+    Failure::not_run(reason)
 }
 
 fn sender_of(node: &ProxyState, parts: &Parts, context: &RequestContext) -> Sender {
