--- a/src/core.rs
+++ b/src/core.rs
@@ -13,6 +13,7 @@
 pub mod member;
 pub mod names;
 pub mod organisation;
+pub mod request_digest;
 pub mod rollout;
 pub mod routing;
 pub mod status;
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -15,6 +15,7 @@
 use crate::core::member::NodeId;
 use crate::core::names::ServiceName;
 use crate::core::organisation::Organisation;
+use crate::core::request_digest::{HeadDigest, RequestDigest, RequestHead};
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
 use crate::decide::admission::{Priority, Rank};
@@ -68,6 +69,21 @@
 }
 
 impl RoutedRequest<'_> {
+    /// Identity of the request, by which its repeats are recognised. `body` may not have been read yet.
+    fn digest(&self, body: &ReplayableBody) -> RequestDigest {
+        let path = self.parts.uri.path_and_query();
+        let head = RequestHead {
+            organisation: self.organisation.map(|known| known.name.as_str()),
+            method: self.parts.method.as_str(),
+            host: self.host.host(),
+            path_and_query: path.map_or("/", |path| path.as_str()),
+        };
+        RequestDigest {
+            head: HeadDigest::of(head),
+            body: body.digest(),
+        }
+    }
+
     fn service(&self) -> &ServiceName {
         &self.target.service
     }
@@ -120,7 +136,7 @@
             let may_retry =
                 may_send_again && body.can_replay() && self.node.is_current(self.admitted_in);
             let retry = self.take_retry(attempts, &failure, may_retry);
-            self.log_attempt_failed(&endpoint, &failure, retry);
+            self.log_attempt_failed(&endpoint, body, &failure, retry);
             if !retry {
                 return Err(failure.after_attempt(verdict));
             }
--- a/src/proxy/entry/routed_request/attempt_log.rs
+++ b/src/proxy/entry/routed_request/attempt_log.rs
@@ -5,6 +5,7 @@
 use super::RoutedRequest;
 use crate::decide::load_balancing::{Endpoint, EndpointEstimate};
 use crate::proxy::failure::Failure;
+use crate::proxy::replay::ReplayableBody;
 use crate::proxy::log_limiter::{self, LogClass};
 
 impl RoutedRequest<'_> {
@@ -64,16 +65,25 @@
         );
     }
 
-    pub(super) fn log_attempt_failed(&self, endpoint: &Endpoint, failure: &Failure, retry: bool) {
+    pub(super) fn log_attempt_failed(
+        &self,
+        endpoint: &Endpoint,
+        body: &ReplayableBody,
+        failure: &Failure,
+        retry: bool,
+    ) {
+        let reason = failure.reason.code();
+        metrics::counter!("dragonflywall_attempts_failed_total", "reason" => reason).increment(1);
         if !self.node.log_limiter.may_log(LogClass::Notable) {
             return;
         }
         log::warn!(
             request_id = self.request_id(),
+            request_digest:% = self.digest(body),
             service:% = self.service(),
             node:% = endpoint.node,
             verdict = failure.verdict.as_str(),
-            reason = failure.reason.code(),
+            reason,
             idempotent = self.target.treatment.idempotent,
             retry,
             remaining_ms = self.remaining_ms();
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, Sleep};
 
 use super::body::{self, Body, BoxError};
+use crate::core::request_digest::BodyDigest;
 
 /// Bytes of a request body that are buffered for a retry. Payments and bookings are a few KB. Of a
 /// longer body, a gate accepts only a window of 64 KiB before the request is admitted. Together
@@ -118,6 +119,14 @@
         }
     }
 
+    /// Digest of the body if all of it has been read and is buffered, else of its declared length.
+    pub(crate) fn digest(&self) -> BodyDigest {
+        match self {
+            Self::Empty => BodyDigest::EMPTY,
+            Self::Streamed(source) => lock(source).digest(),
+        }
+    }
+
     /// Whether the whole body can be sent again.
     pub(crate) fn can_replay(&self) -> bool {
         match self {
@@ -170,6 +179,17 @@
 }
 
 impl SharedBody {
+    fn digest(&self) -> BodyDigest {
+        if self.ended && !self.unreplayable {
+            return BodyDigest::of_chunks(self.buffered.iter().map(Bytes::as_ref));
+        }
+        self.length_digest()
+    }
+
+    fn length_digest(&self) -> BodyDigest {
+        BodyDigest::of_length(self.size_hint.exact())
+    }
+
     fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
