--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -6,6 +6,9 @@
 //! - `bytes`: size of the response body.
 //! - `answer`: fault of the response, see [`ResponseMode`].
 //! - `call`: `HOST/PATH`, which the backend server requests through the node on its VM before it responds.
+//!   `~id~` in it stands for the id of the request.
+//! - `needs`: like `call`; the backend server responds with status 500 if that request fails.
+//! - `crash`: how the backend server ends once the work is done, see [`CrashMode`]. Its response is not sent.
 //!
 //! [`Backend::announce`] announces it to the node on its VM; [`super::mesh`] does so periodically.
 
@@ -97,6 +100,30 @@
     }
 }
 
+/// Way in which a backend server ends under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashMode {
+    /// All connections and the listener are closed.
+    Closed,
+    /// Connections stay open, and nothing is sent on any of them any more. Announcements end.
+    Silent,
+}
+
+impl CrashMode {
+    /// Returns the value of the query parameter `crash` that selects this mode.
+    pub fn query_value(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+        }
+    }
+
+    fn from_query_value(query_value: &str) -> Option<Self> {
+        let mut modes = [Self::Closed, Self::Silent].into_iter();
+        modes.find(|mode| mode.query_value() == query_value)
+    }
+}
+
 /// Capacity and faults of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Behaviour {
@@ -169,6 +196,8 @@
     pub running: u32,
     /// Requests whose client disconnected while they ran.
     pub abandoned: u64,
+    /// When the backend server ended under a request.
+    pub crashed_at: Option<Instant>,
 }
 
 /// Identity of a backend server, as it announces itself.
@@ -216,6 +245,10 @@
     sequence: AtomicU64,
     /// Caller listener of the node on the same VM, which takes the requests of a `call`.
     caller_listener: Mutex<Option<SocketAddr>>,
+    /// Cancelled when the backend server ends.
+    stop: CancellationToken,
+    /// Whether it has ended silently.
+    silent: AtomicBool,
 }
 
 /// A running backend server. Dropping it has the effect of [`Backend::crash`].
@@ -224,7 +257,6 @@
     /// Address of its listener.
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    stop: CancellationToken,
 }
 
 impl Drop for Backend {
@@ -254,18 +286,15 @@
             responses: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             caller_listener: Mutex::default(),
+            stop: CancellationToken::new(),
+            silent: AtomicBool::new(false),
         });
-        let stop = CancellationToken::new();
         tokio::spawn(connection::serve(
             listener,
             Arc::clone(&shared),
-            stop.clone(),
+            shared.stop.clone(),
         ));
-        Ok(Self {
-            address,
-            shared,
-            stop,
-        })
+        Ok(Self { address, shared })
     }
 
     /// Returns the identity with which it was started.
@@ -276,7 +305,12 @@
     /// Closes all connections and the listener, as a crash would. The tasks that close them may still run
     /// when this returns.
     pub fn crash(&self) {
-        self.stop.cancel();
+        self.shared.stop.cancel();
+    }
+
+    /// Whether it has ended, by [`Self::crash`] or under a request.
+    pub fn has_ended(&self) -> bool {
+        self.shared.has_ended()
     }
 
     /// Replaces the behaviour from now on, except for the number of requests that run concurrently: a
@@ -307,6 +341,18 @@
 }
 
 impl Shared {
+    fn end(&self, mode: CrashMode) {
+        self.record().crashed_at.get_or_insert_with(Instant::now);
+        match mode {
+            CrashMode::Closed => self.stop.cancel(),
+            CrashMode::Silent => self.silent.store(true, Ordering::Release),
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        self.stop.is_cancelled() || self.silent.load(Ordering::Acquire)
+    }
+
     fn behaviour(&self) -> Behaviour {
         *lock(&self.behaviour)
     }
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{OverloadAction, ResponseMode, Run, Shared, lock};
+use super::{CrashMode, OverloadAction, ResponseMode, Run, Shared, lock};
 use crate::backend::generated_body;
 use crate::http::{Query, request};
 
@@ -91,6 +91,12 @@
     NeverAnswer,
 }
 
+/// Whether the calls that a request needs have succeeded.
+enum CallOutcome {
+    Succeeded,
+    Failed,
+}
+
 struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
@@ -157,8 +163,15 @@
             false => response_mode,
         };
         self.shared.record().running -= 1;
+        if let Some(mode) = CrashMode::from_query_value(head.query().get("crash")) {
+            self.shared.end(mode);
+        }
+        if self.shared.has_ended() {
+            return Ok(NextStep::NeverAnswer);
+        }
         match result {
-            Ok(()) => self.send_response(&head, response_mode).await,
+            Ok(CallOutcome::Failed) => self.send_response(&head, ResponseMode::Failure).await,
+            Ok(CallOutcome::Succeeded) => self.send_response(&head, response_mode).await,
             Err(error) => {
                 self.shared.record().abandoned += 1;
                 Err(error)
@@ -246,20 +259,26 @@
     }
 
     /// Runs the request to its end; returns an error if the client disconnects first.
-    async fn run(&mut self, head: &RequestHead) -> io::Result<()> {
+    async fn run(&mut self, head: &RequestHead) -> io::Result<CallOutcome> {
         let work = head.query_number("work_ms").map(Duration::from_millis);
         let work = work.unwrap_or(self.shared.behaviour().default_work_time);
         let call = head.query().get("call").to_owned();
+        let needed_call = head.query().get("needs").to_owned();
         let shared = Arc::clone(&self.shared);
         let working = async move {
             tokio::time::sleep(work).await;
+            let caller_listener = *lock(&shared.caller_listener);
             if !call.is_empty() {
-                let caller_listener = *lock(&shared.caller_listener);
+                // The result is ignored: tests look at the record of the backend server that ran the call.
                 call_service(caller_listener, &call, &head.id).await;
             }
+            match needed_call.is_empty() {
+                true => CallOutcome::Succeeded,
+                false => call_service(caller_listener, &needed_call, &head.id).await,
+            }
         };
         tokio::select! {
-            () = working => Ok(()),
+            outcome = working => Ok(outcome),
             error = wait_disconnect(&mut self.stream, &mut self.buffer) => Err(error),
         }
     }
@@ -424,17 +443,26 @@
     }
 }
 
-async fn call_service(listener: Option<SocketAddr>, target: &str, id: &str) {
-    let Some(listener) = listener else { return };
-    let (host, path) = target.split_once('/').unwrap_or((target, ""));
+/// Stands for the id of the calling request in the target of a call.
+const PARENT_ID: &str = "~id~";
+
+async fn call_service(listener: Option<SocketAddr>, target: &str, id: &str) -> CallOutcome {
+    let Some(listener) = listener else {
+        return CallOutcome::Failed;
+    };
+    let target = target.replace(PARENT_ID, id);
+    let (host, path) = target.split_once('/').unwrap_or((&target, ""));
     let id = format!("{id}.call");
     let headers = [
         ("x-dfw-attempt-id", id.as_str()),
         ("x-dfw-deadline-ms", "10000"),
     ];
     let path = format!("/{path}");
-    // The result is ignored: tests look at the record of the backend server that ran the call.
-    let _ = request(listener, Method::GET, host, &path, &headers, "").await;
+    let reply = request(listener, Method::GET, host, &path, &headers, "").await;
+    match reply.is_ok_and(|reply| reply.status.is_success()) {
+        true => CallOutcome::Succeeded,
+        false => CallOutcome::Failed,
+    }
 }
 
 fn format_response_head(
--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -194,6 +194,7 @@
             node: None,
             backend_address: backend.address,
             backend: None,
+            ended_backends: Vec::new(),
             announcements: None,
             announce_address: Arc::default(),
             forwarder,
@@ -258,6 +259,23 @@
         .await;
     }
 
+    /// Starts a new backend server for each one that has ended under a request.
+    pub async fn restart_ended_backends(&mut self) -> Result<()> {
+        for position in 0..self.vms.len() {
+            let vm = &mut self.vms[position];
+            let Some(ended) = vm.backend.take_if(|backend| backend.has_ended()) else {
+                continue;
+            };
+            // One that ended silently still has its listener.
+            ended.crash();
+            vm.ended_backends.push(ended);
+            let service = vm.service.clone();
+            self.crash_backend(position).await;
+            self.restart_backend(position, &service).await?;
+        }
+        Ok(())
+    }
+
     /// Stops the periodic announcements of a VM's backend server, which goes on running.
     pub fn stop_announcements(&mut self, position: usize) {
         self.vms[position].announcements = None;
--- a/crates/testkit/src/users/mesh/vm.rs
+++ b/crates/testkit/src/users/mesh/vm.rs
@@ -32,6 +32,8 @@
     pub backend_address: SocketAddr,
     /// The backend server; `None` after a crash until the restart.
     pub backend: Option<Arc<Backend>>,
+    /// The backend servers that ended under a request before it was started.
+    pub ended_backends: Vec<Arc<Backend>>,
     pub(super) announcements: Option<AnnouncementTask>,
     pub(super) announce_address: Arc<Mutex<Option<SocketAddr>>>,
     pub(super) forwarder: Forwarder,
@@ -52,6 +54,11 @@
             .expect("a backend server runs on this VM")
     }
 
+    /// Returns all backend servers that have run here, the current one last.
+    pub fn all_backends(&self) -> impl Iterator<Item = &Arc<Backend>> {
+        self.ended_backends.iter().chain(&self.backend)
+    }
+
     /// Returns the address under which other nodes reach this VM's node. It stays the same when the node
     /// is restarted.
     pub fn peer_address(&self) -> SocketAddr {
@@ -93,7 +100,7 @@
     announce_address: Arc<Mutex<Option<SocketAddr>>>,
     announced_state: Arc<Mutex<AnnouncedState>>,
 ) {
-    loop {
+    while !backend.has_ended() {
         let address = *announce_address
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -61,6 +61,7 @@
 mod support;
 mod token;
 mod users_configuration;
+mod users_crashes;
 mod users_organisations;
 mod users_requests;
 mod users_rollouts;
