--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -63,6 +63,8 @@
     withheld: &'a [NodeId],
     /// Whether endpoints that recently refused requests as draining are included.
     include_draining: bool,
+    /// Whether endpoints that recently accepted no connection are included.
+    include_unreachable: bool,
     /// Software versions to include.
     versions: VersionSet,
     /// Nodes to include; `None` for all.
@@ -145,15 +147,23 @@
             tried: requirements.tried,
             withheld,
             include_draining: false,
+            include_unreachable: false,
             versions: requirements.versions,
             only: requirements.only,
         };
         let mut choose_filtered =
             |filter| self.choose_matching(now_us, ranked, requirements, filter, rng);
         choose_filtered(filter)
+            .or_else(|| {
+                choose_filtered(EndpointFilter {
+                    include_unreachable: true,
+                    ..filter
+                })
+            })
             .or_else(|| {
                 choose_filtered(EndpointFilter {
                     tried: &[],
+                    include_unreachable: true,
                     ..filter
                 })
             })
@@ -162,6 +172,7 @@
                 choose_filtered(EndpointFilter {
                     tried: &[],
                     include_draining: true,
+                    include_unreachable: true,
                     ..filter
                 })
             })
@@ -415,7 +426,7 @@
     /// Returns the subset of the endpoints of one distance that may be used, in the order of the entry
     /// node. The next endpoints in that order replace ejected ones. If that leaves less than half of
     /// the subset, the cause of the failures is probably not in the endpoints, so ejected ones are used
-    /// as well.
+    /// as well. Of unreachable ones only the one that was found so the longest time ago is returned, if all are.
     fn eligible_endpoints<'a>(
         &self,
         now_us: u64,
@@ -429,6 +440,7 @@
         let ejection_enabled = self.switches.is_enabled(Mechanism::Ejection);
         let mut eligible = Vec::with_capacity(max_count.min(endpoints.len()));
         let mut matching = Vec::with_capacity(max_count.min(endpoints.len()));
+        let mut unreachable = Vec::new();
         for endpoint in endpoints {
             let stats = self.stats_by_node.get(&endpoint.node);
             let stats = stats.filter(|stats| stats.incarnation_us == endpoint.incarnation_us);
@@ -440,7 +452,14 @@
             let draining_excluded = draining && !filter.include_draining;
             let is_excluded =
                 filter.tried.contains(&endpoint.node) || filter.withheld.contains(&endpoint.node);
-            if draining_excluded || is_excluded {
+            let is_unreachable =
+                ejection_enabled && stats.is_some_and(|stats| stats.is_unreachable(now_us));
+            let unreachable_excluded = is_unreachable && !filter.include_unreachable;
+            if draining_excluded || unreachable_excluded || is_excluded {
+                continue;
+            }
+            if is_unreachable {
+                unreachable.push(endpoint);
                 continue;
             }
             if matching.len() < max_count {
@@ -453,6 +472,14 @@
                 return eligible;
             }
         }
+        if matching.is_empty() {
+            let unreachable_since = |endpoint: &&&Endpoint| {
+                let stats = self.stats_by_node.get(&endpoint.node);
+                stats.map_or(0, |stats| stats.unreachable_since_us)
+            };
+            let oldest = unreachable.iter().min_by_key(unreachable_since);
+            return oldest.copied().into_iter().collect();
+        }
         if eligible.len() * 2 < matching.len() {
             matching
         } else {
--- a/src/decide/load_balancing/endpoint_stats.rs
+++ b/src/decide/load_balancing/endpoint_stats.rs
@@ -110,6 +110,10 @@
     error_score: u32,
     ejections: u32,
     ejected_until_us: u64,
+    /// When it last accepted no connection.
+    pub(super) unreachable_since_us: u64,
+    /// Until when it is not used for that, unless there is no other.
+    unreachable_until_us: u64,
     draining_until_us: u64,
     /// While the backend server limits the rate of requests.
     throttle: Option<RateThrottle>,
@@ -153,6 +157,8 @@
             error_score: 0,
             ejections: 0,
             ejected_until_us: 0,
+            unreachable_since_us: 0,
+            unreachable_until_us: 0,
             draining_until_us: 0,
             throttle: None,
         }
@@ -257,11 +263,16 @@
                 self.record_result(now_us, false);
                 self.error_score = 0;
                 self.ejections = 0;
+                self.unreachable_until_us = 0;
             }
             AttemptOutcome::Refused | AttemptOutcome::RateLimited => (),
             AttemptOutcome::Rejected => self.record_result(now_us, true),
             AttemptOutcome::Draining => self.draining_until_us = now_us + DRAINING_AVOIDED_US,
-            AttemptOutcome::Unreachable => self.eject(now_us),
+            AttemptOutcome::Unreachable => {
+                self.eject(now_us);
+                self.unreachable_since_us = now_us;
+                self.unreachable_until_us = self.ejected_until_us;
+            }
             AttemptOutcome::Lost => {
                 self.record_result(now_us, true);
                 self.add_error_score(now_us, LOST_ERROR_SCORE);
@@ -358,6 +369,10 @@
         resource_stats
     }
 
+    pub(super) fn is_unreachable(&self, now_us: u64) -> bool {
+        self.unreachable_until_us > now_us
+    }
+
     pub(super) fn is_ejected(&self, now_us: u64) -> bool {
         self.ejected_until_us > now_us
     }
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -21,14 +21,15 @@
 /// would multiply.
 pub const RETRIES_PER_TREE: u32 = 8;
 
-/// Number of draining endpoints that a request may try without spending an attempt. A planned stop is
-/// not a failure, and only a few endpoints of a subset stop at the same time.
+/// Number of endpoints that are draining, or whose backend servers accept no connection, that a request may try without
+/// spending an attempt. Such an endpoint receives nothing of the request.
 const DRAINING_ENDPOINTS_MAX: u32 = 4;
 
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
-    /// The endpoint no longer accepts requests; the request provably did not run.
+    /// The endpoint no longer accepts requests, or its backend server accepts no connection; the request provably did not
+    /// run.
     Draining,
     /// The request provably did not run.
     NotRun,
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -170,7 +170,7 @@
         let reservation = reservation.ok_or(Failure::not_run(Reason::Full))?;
         let connection = self.connect(address, reservation).await.map_err(|error| {
             log::debug!(backend:% = address, error:%; "failed to connect to the backend server");
-            Failure::not_run(Reason::Unreachable)
+            Failure::not_run(Reason::BackendDown)
         })?;
         check()?;
         self.exchange(address, connection, request)
--- a/src/proxy/entry/routed_request/attempt_results.rs
+++ b/src/proxy/entry/routed_request/attempt_results.rs
@@ -90,7 +90,7 @@
                 Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion => {
                     AttemptOutcome::Draining
                 }
-                Reason::Unreachable => AttemptOutcome::Unreachable,
+                Reason::Unreachable | Reason::BackendDown => AttemptOutcome::Unreachable,
                 Reason::Rejected => AttemptOutcome::Rejected,
                 Reason::RateLimited => AttemptOutcome::RateLimited,
                 Reason::Lost | Reason::Deadline => AttemptOutcome::Lost,
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -49,6 +49,8 @@
     Draining,
     /// No connection to the endpoint could be opened.
     Unreachable,
+    /// The backend server accepts no connection, though it has not announced that it leaves.
+    BackendDown,
     /// A connection was lost after a part of the request had been sent, or the response was not one
     /// to this request.
     Lost,
@@ -78,7 +80,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 26] = [
+    const ALL: [Self; 27] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -93,6 +95,7 @@
         Self::RateLimited,
         Self::Draining,
         Self::Unreachable,
+        Self::BackendDown,
         Self::Lost,
         Self::Deadline,
         Self::GivenUp,
@@ -124,6 +127,7 @@
             Self::RateLimited => "rate-limited",
             Self::Draining => "draining",
             Self::Unreachable => "unreachable",
+            Self::BackendDown => "backend-down",
             Self::Lost => "lost",
             Self::Deadline => "deadline",
             Self::GivenUp => "given-up",
@@ -160,6 +164,7 @@
             Self::RateLimited => "the endpoint's backend server limits the rate of requests",
             Self::Draining => "the endpoint is draining",
             Self::Unreachable => "the endpoint was not reached",
+            Self::BackendDown => "the endpoint's backend server accepts no connection",
             Self::Lost => "the connection to the endpoint was lost",
             Self::Deadline => "the deadline passed",
             Self::GivenUp => "the call that led to this one was given up",
@@ -197,6 +202,7 @@
             | Self::Draining
             | Self::DrainTooShort
             | Self::Unreachable
+            | Self::BackendDown
             | Self::Rejected
             | Self::HeldUp
             | Self::OtherVersion => StatusCode::SERVICE_UNAVAILABLE,
@@ -271,9 +277,13 @@
     /// Kind of failure that decides whether the request may be retried.
     pub(crate) fn attempt_failure(&self) -> AttemptFailure {
         match (self.verdict, self.reason) {
-            (Verdict::NotRun, Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion) => {
-                AttemptFailure::Draining
-            }
+            (
+                Verdict::NotRun,
+                Reason::Draining
+                | Reason::NoEndpoint
+                | Reason::OtherVersion
+                | Reason::BackendDown,
+            ) => AttemptFailure::Draining,
             (Verdict::NotRun, _) => AttemptFailure::NotRun,
             (Verdict::MayHaveRun | Verdict::Answered, _) => AttemptFailure::MayHaveRun,
         }
--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -406,3 +406,75 @@
     assert_eq!(used.len(), 37);
     assert_eq!(changed, used[&node(1)]);
 }
+
+/// Guards against sending request after request to endpoints that accept no connection, because half of them are ejected.
+#[test]
+fn unreachable_endpoints_are_used_only_if_there_is_no_other() {
+    let place = place("cantabrico", "gijon");
+    let members: Vec<Member> = (1..=4).map(|number| member(number, &place)).collect();
+    let ranked = ranked(1, &members);
+    let requirements = requirements(Spill::DataCentre);
+    let mut balancer = Balancer::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut choose = |balancer: &mut Balancer| {
+        let chosen = balancer.choose(0, &ranked, &requirements, &mut rng);
+        chosen.expect("an endpoint is chosen").node
+    };
+    let fail = |balancer: &mut Balancer, number: u16| {
+        let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
+        balancer.record_start(0, endpoint.expect("the endpoint is ranked"));
+        balancer.record_end(node(number));
+        balancer.record_outcome(0, node(number), PRIORITY, AttemptOutcome::Unreachable);
+    };
+    for number in 2..=4 {
+        fail(&mut balancer, number);
+    }
+    for _ in 0..40 {
+        assert_eq!(choose(&mut balancer), node(1));
+    }
+    fail(&mut balancer, 1);
+    choose(&mut balancer);
+}
+
+/// Guards against trying the same unreachable endpoint again and again while another one may have come back.
+#[test]
+fn unreachable_endpoints_are_tried_in_turn_if_all_are() {
+    let place = place("cantabrico", "gijon");
+    let members: Vec<Member> = (1..=4).map(|number| member(number, &place)).collect();
+    let ranked = ranked(1, &members);
+    let requirements = requirements(Spill::DataCentre);
+    let mut balancer = Balancer::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut tried = Vec::new();
+    for now_us in 0..8 {
+        let chosen = balancer.choose(now_us, &ranked, &requirements, &mut rng);
+        let chosen = chosen.expect("an endpoint is chosen");
+        balancer.record_start(now_us, &chosen);
+        balancer.record_end(chosen.node);
+        let outcome = AttemptOutcome::Unreachable;
+        balancer.record_outcome(now_us, chosen.node, PRIORITY, outcome);
+        tried.push(chosen.node);
+    }
+    assert_eq!(tried[..4], tried[4..]);
+    tried.truncate(4);
+    tried.sort();
+    assert_eq!(tried, (1..=4).map(node).collect::<Vec<_>>());
+}
+
+/// Guards against waiting for unreachable endpoints nearby while there are others farther away.
+#[test]
+fn a_farther_endpoint_is_used_if_all_nearer_ones_are_unreachable() {
+    let members = members_at_each_distance();
+    let ranked = ranked(1, &members);
+    let requirements = requirements(Spill::Mesh);
+    let mut balancer = Balancer::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    for number in [1, 2] {
+        let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
+        balancer.record_start(0, endpoint.expect("the endpoint is ranked"));
+        balancer.record_end(node(number));
+        balancer.record_outcome(0, node(number), PRIORITY, AttemptOutcome::Unreachable);
+        let chosen = balancer.choose(0, &ranked, &requirements, &mut rng);
+        assert_eq!(chosen.map(|chosen| chosen.node), Some(node(number + 1)));
+    }
+}
