A request under which three backend servers have ended is sent to no other

Callers saw backend servers end one after the other: an entry node retried a request that ends the backend server that runs it, and its client repeated it with a new id, up to twice as many ends as repeats. Innocent requests that ran beside it failed.

Entry nodes now remember, by a digest of what a client sends again, which backend servers ended under a request; calls inherit the ends under their parent and return theirs with its response; all nodes are told of two ends, and only one of them risks the last attempt. An answer clears them.

--- a/src/core/mechanism.rs
+++ b/src/core/mechanism.rs
@@ -73,11 +73,13 @@
     StoreReader,
     /// An entry node withholds a part of the requests to a service that refuses many.
     OverloadThrottle,
+    /// Requests under which several backend servers have ended are withheld.
+    CrashLimit,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order in which messages list them.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::FreeSlotProbes,
         Self::DueTimeOrder,
         Self::PriorityOrder,
@@ -99,6 +101,7 @@
         Self::IdleConnectionTimeout,
         Self::StoreReader,
         Self::OverloadThrottle,
+        Self::CrashLimit,
     ];
 
     /// Name of the mechanism in the settings.
@@ -125,6 +128,7 @@
             Self::IdleConnectionTimeout => "short-rests",
             Self::StoreReader => "leads",
             Self::OverloadThrottle => "overload-throttle",
+            Self::CrashLimit => "crash-limit",
         }
     }
 
--- a/src/core/request_digest.rs
+++ b/src/core/request_digest.rs
@@ -68,6 +68,13 @@
     pub body: BodyDigest,
 }
 
+impl RequestDigest {
+    /// The digest of a request with the same head and another body.
+    pub fn with_body(self, body: BodyDigest) -> Self {
+        Self { body, ..self }
+    }
+}
+
 impl fmt::Display for RequestDigest {
     /// Writes 16 hexadecimal digits: enough to tell the requests of a log apart.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,6 +9,7 @@
 pub mod backend_statements;
 pub mod backoff;
 pub mod connections;
+pub mod crashes;
 pub mod drain;
 pub mod freeze;
 pub mod freshness;
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 pub(crate) mod backend_announcements;
 pub(crate) mod configuration;
 pub(crate) mod content;
+pub(crate) mod crashes;
 pub(crate) mod follower;
 pub(crate) mod freeze;
 pub(crate) mod listeners;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -23,7 +23,7 @@
 use crate::node::rollout::{RolloutActor, RolloutMsg};
 use crate::node::settings::Settings;
 use crate::node::state::NodeState;
-use crate::node::{follower, freeze, quota, recorder, reload, rollout};
+use crate::node::{crashes, follower, freeze, quota, recorder, reload, rollout};
 use crate::peer::server::ControlService;
 use crate::platform::store::PlatformStore;
 use crate::proxy::slots;
@@ -162,6 +162,7 @@
         local_member.incarnation_us,
         shutdown.all.clone(),
     ));
+    tasks.spawn(crashes::run(Arc::clone(&node), shutdown.all.clone()));
     tasks.spawn(recorder::run_maintenance(shutdown.all.clone()));
     tasks.spawn(reload::run(Arc::clone(&node), shutdown.all.clone()));
     tasks.spawn(freeze::watch(
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -18,6 +18,7 @@
 use crate::core::rollout::RolloutBook;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
+use crate::decide::crashes::CrashUpdate;
 use crate::decide::freshness::PeerProof;
 use crate::decide::quota::{Grants, UsageSums};
 use crate::decide::rollout::NodeTally;
@@ -317,6 +318,19 @@
         Ok(sums)
     }
 
+    /// Reports requests under which backend servers have ended.
+    pub(crate) async fn report_crashes(
+        &mut self,
+        updates: &[CrashUpdate],
+        answer_timeout: Duration,
+    ) -> Result<()> {
+        let request = with_timeout(convert::crashes::report_to_wire(updates), answer_timeout);
+        let answer = self.client.report_crashes(request).await;
+        answer.map(drop).context(CallSnafu {
+            address: self.address,
+        })
+    }
+
     fn protocol_error(&self, error: &convert::Error) -> Error {
         Error::Answer {
             address: self.address,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -12,6 +12,7 @@
 use crate::distribution::{Content, DeltaStep, Offer};
 use crate::membership::{Gossip, Report, Summary};
 
+pub(crate) mod crashes;
 pub(crate) mod rollouts;
 pub(crate) mod usage;
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -13,6 +13,7 @@
 use crate::core::version::Version;
 use crate::distribution::Offer;
 use crate::node::configuration::ConfigurationMsg;
+use crate::node::crashes;
 use crate::node::membership::MembershipMsg;
 use crate::node::quota;
 use crate::node::rollout::RolloutMsg;
@@ -174,6 +175,16 @@
         Ok(Response::new(convert::usage::sums_to_wire(local_id, &sums)))
     }
 
+    async fn report_crashes(
+        &self,
+        request: Request<wire::CrashReport>,
+    ) -> Result<Response<wire::CrashReportReply>, Status> {
+        let updates = convert::crashes::report_from_wire(request.get_ref());
+        let updates = updates.map_err(|e| invalid_argument(&e))?;
+        crashes::merge(&self.node, &updates);
+        Ok(Response::new(wire::CrashReportReply {}))
+    }
+
     async fn floor(
         &self,
         request: Request<wire::FloorRequest>,
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -11,6 +11,7 @@
 pub(crate) mod backend;
 pub(crate) mod body;
 pub(crate) mod caller_connections;
+pub(crate) mod crashes;
 pub(crate) mod entry;
 pub(crate) mod failure;
 pub(crate) mod gate;
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -24,6 +24,8 @@
 use super::header_profile::{self, HeaderProfile};
 use super::{headers, log_limiter};
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
+use crate::decide::crashes::{BackendLife, CrashId, CrashSet};
+use crate::util::clock;
 use crate::util::dial::dial;
 
 use self::response_filter::{ExpectedResponse, FilteredStream, ResponseFilter, SharedFilter};
@@ -101,6 +103,8 @@
     connections_max: Arc<AtomicU32>,
     /// Notified when a connection has closed.
     closed: Arc<Notify>,
+    created_at: Instant,
+    life: Arc<Mutex<BackendLife>>,
     mechanisms: MechanismSwitches,
     profile: &'static HeaderProfile,
 }
@@ -132,11 +136,30 @@
             open_count: Arc::default(),
             connections_max: Arc::default(),
             closed: Arc::default(),
+            created_at: Instant::now(),
+            life: Arc::default(),
             mechanisms,
             profile,
         }
     }
 
+    /// Records a response or an announcement of the backend server.
+    pub(crate) fn record_sign_of_life(&self) {
+        let now_us = clock::since_us(self.created_at);
+        lock_ignoring_poison(&self.life).record_sign(now_us);
+    }
+
+    /// Records that the backend server did not answer a request, and returns the crash that this may be.
+    pub(crate) fn record_loss(&self) -> CrashId {
+        lock_ignoring_poison(&self.life).record_loss(|| CrashId(rand::random()))
+    }
+
+    /// Whether the backend server has shown no sign of life since `sent_at`.
+    pub(crate) fn is_silent_since(&self, sent_at: Instant) -> bool {
+        let sent_us = clock::us_between(self.created_at, sent_at);
+        lock_ignoring_poison(&self.life).is_silent_since(sent_us)
+    }
+
     /// Sets the maximum number of connections that the backend server accepts.
     pub(crate) fn set_connections_max(&self, connections_max: u32) {
         self.connections_max
@@ -232,12 +255,17 @@
         }
         match connection.sender.try_send_request(request).await {
             Ok(response) if self.belongs_to(id.as_ref(), &response) => {
+                self.record_sign_of_life();
                 Ok(self.lease_until_read(address, connection, response))
             }
             Ok(_) => Err((Failure::may_have_run(Reason::Lost), None)),
             Err(mut error) => match error.take_message() {
                 Some(unsent) => Err((Failure::not_run(Reason::Unreachable), Some(unsent))),
-                None => Err((Failure::may_have_run(Reason::Lost), None)),
+                None => {
+                    let crashes = CrashSet::of(self.record_loss());
+                    let failure = Failure::may_have_run(Reason::Lost).with_crashes(crashes);
+                    Err((failure, None))
+                }
             },
         }
     }
@@ -298,6 +326,7 @@
         reservation: OpenConnection,
     ) -> Result<Connection, BoxError> {
         let stream = dial(address, None, CONNECT_TIMEOUT).await?;
+        lock_ignoring_poison(&self.life).record_connection();
         let (sender, filter) = match self.profile.responses_repeat_id {
             true => {
                 let filter = ResponseFilter::new(self.profile.request_id.clone());
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -3,8 +3,8 @@
 //! whether the request is idempotent.
 
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use http::Response;
@@ -20,7 +20,7 @@
 use super::failure::{Failure, Reason};
 use super::headers;
 use super::replay::ReplayableBody;
-use super::running_requests::{InheritedContext, RetryBudget};
+use super::running_requests::{InheritedContext, ParentRequest, RetryBudget};
 use crate::core::configuration::PRIORITY_DEFAULT;
 use crate::core::mechanism::Mechanism;
 use crate::core::organisation::Organisation;
@@ -34,6 +34,7 @@
 use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
 use crate::util::deadline;
 
+mod crashes;
 mod identity;
 mod overload;
 mod quota;
@@ -142,6 +143,7 @@
     credential: Credential,
     cancellation: CancellationToken,
     budget: RetryBudget,
+    parent: Option<ParentRequest>,
 }
 
 impl RequestContext {
@@ -159,6 +161,7 @@
                 credential: Credential::Absent,
                 cancellation: inherited.cancellation,
                 budget: inherited.budget,
+                parent: Some(inherited.parent),
             },
             None => Self {
                 deadline,
@@ -167,6 +170,7 @@
                 credential: Credential::Absent,
                 cancellation: CancellationToken::new(),
                 budget: RetryBudget::root(retry::RETRIES_PER_TREE),
+                parent: None,
             },
         }
     }
@@ -223,7 +227,10 @@
         depth: context.depth,
         admitted_in: current.epoch,
         sent: charge.sent(),
+        parent: context.parent.take(),
+        head_digest: OnceLock::new(),
     };
+    request.check_crashes(body).await?;
     let throttled = overload::ThrottledRequest::admit(&request)?;
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -1,7 +1,7 @@
 //! Attempts of a routed request: choice of an endpoint, sending, and retries.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderMap, HeaderValue};
@@ -19,6 +19,7 @@
 use crate::core::routing::ResolvedTarget;
 use crate::core::verdict::Verdict;
 use crate::decide::admission::{Priority, Rank};
+use crate::decide::crashes::CrashSet;
 use crate::decide::freeze::Epoch;
 use crate::decide::load_balancing::{
     Balancer, Endpoint, FreeSlotSearch, Requirements, TimeLimits, VersionSet,
@@ -30,8 +31,9 @@
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::hop::{self, Hop};
 use crate::proxy::replay::ReplayableBody;
+use crate::proxy::running_requests::ParentRequest;
 use crate::proxy::state::ProxyState;
-use crate::proxy::{gate, headers, statements, uploads};
+use crate::proxy::{crashes, gate, headers, statements, uploads};
 use crate::util::{clock, deadline};
 
 use super::identity;
@@ -66,24 +68,32 @@
     pub(super) admitted_in: Epoch,
     /// Set before the request, or its reservation of an upload permit, is sent on.
     pub(super) sent: Arc<AtomicBool>,
+    /// The running request that made this one.
+    pub(super) parent: Option<ParentRequest>,
+    pub(super) head_digest: OnceLock<HeadDigest>,
 }
 
 impl RoutedRequest<'_> {
     /// Identity of the request, by which its repeats are recognised. `body` may not have been read yet.
-    fn digest(&self, body: &ReplayableBody) -> RequestDigest {
-        let path = self.parts.uri.path_and_query();
-        let head = RequestHead {
-            organisation: self.organisation.map(|known| known.name.as_str()),
-            method: self.parts.method.as_str(),
-            host: self.host.host(),
-            path_and_query: path.map_or("/", |path| path.as_str()),
-        };
+    pub(super) fn digest(&self, body: &ReplayableBody) -> RequestDigest {
         RequestDigest {
-            head: HeadDigest::of(head),
+            head: self.head_digest(),
             body: body.digest(),
         }
     }
 
+    pub(super) fn head_digest(&self) -> HeadDigest {
+        *self.head_digest.get_or_init(|| {
+            let path = self.parts.uri.path_and_query();
+            HeadDigest::of(RequestHead {
+                organisation: self.organisation.map(|known| known.name.as_str()),
+                method: self.parts.method.as_str(),
+                host: self.host.host(),
+                path_and_query: path.map_or("/", |path| path.as_str()),
+            })
+        })
+    }
+
     fn service(&self) -> &ServiceName {
         &self.target.service
     }
@@ -111,12 +121,19 @@
                 Err(none) => return Err(last_failure.unwrap_or(none).after_attempt(verdict)),
             };
             let endpoint = chosen.endpoint;
+            let attempt = match self.begin_attempt(body) {
+                Ok(attempt) => attempt,
+                Err(withheld) => return Err(withheld.after_attempt(verdict)),
+            };
             let waits = self.is_nested() || search.queues_at(endpoint.node);
             let hop = Hop {
                 known_statements: self.node.known_statements().get(endpoint.node).cloned(),
+                crashes: attempt.crashes,
                 ..self.hop(attempts.downstream_budget(), waits, chosen.candidate_order)
             };
             let result = self.send_attempt(endpoint, body, hop).await;
+            self.record_crashes(body, &result);
+            drop(attempt);
             self.record_version_outcome(chosen.candidate_order, &result);
             let failure = match result {
                 Ok(response) => return Ok(response),
@@ -133,8 +150,10 @@
             if failure.verdict != Verdict::NotRun {
                 verdict = Verdict::MayHaveRun;
             }
-            let may_retry =
-                may_send_again && body.can_replay() && self.node.is_current(self.admitted_in);
+            let may_retry = may_send_again
+                && body.can_replay()
+                && self.node.is_current(self.admitted_in)
+                && self.check_attempt(body).is_ok();
             let retry = self.take_retry(attempts, &failure, may_retry);
             self.log_attempt_failed(&endpoint, body, &failure, retry);
             if !retry {
@@ -317,6 +336,7 @@
             deadline: self.attempt_deadline(),
             depth: self.depth,
             retries,
+            crashes: CrashSet::default(),
             rollout_order,
             known_statements: None,
             admitted_in: Some(self.admitted_in),
@@ -396,6 +416,7 @@
         // link in vain.
         let hop = Hop {
             known_statements: hop.known_statements,
+            crashes: hop.crashes,
             ..self.hop(hop.retries, true, hop.rollout_order)
         };
         self.send(endpoint, &hop, request).await
@@ -418,7 +439,9 @@
         // A stopping node passes on an earlier deadline, so that the response to it arrives in time.
         let response = deadline::timeout_at(self.deadline, exchange)
             .await
-            .map_err(|_| Failure::may_have_run(Reason::Deadline))??;
+            .map_err(|_| Failure::may_have_run(Reason::Deadline))?;
+        let response = response
+            .map_err(|failure| crashes::add_node_crash(self.node, endpoint.node, failure))?;
         let Some(load) = headers::parse_load(response.headers()) else {
             log::warn!(peer:% = endpoint.node; "response without a load header: the peer refused the mesh token or is not a node");
             return Err(failure_without_load(response.headers()));
--- a/src/proxy/entry/routed_request/attempt_log.rs
+++ b/src/proxy/entry/routed_request/attempt_log.rs
@@ -5,11 +5,11 @@
 use super::RoutedRequest;
 use crate::decide::load_balancing::{Endpoint, EndpointEstimate};
 use crate::proxy::failure::Failure;
-use crate::proxy::replay::ReplayableBody;
 use crate::proxy::log_limiter::{self, LogClass};
+use crate::proxy::replay::ReplayableBody;
 
 impl RoutedRequest<'_> {
-    fn request_id(&self) -> &str {
+    pub(in crate::proxy::entry) fn request_id(&self) -> &str {
         let id = self.parts.headers.get(&self.node.header_profile.request_id);
         log_limiter::id_text(id)
     }
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -7,6 +7,7 @@
 use super::header_profile::{self, HeaderProfile};
 use super::headers;
 use crate::core::verdict::Verdict;
+use crate::decide::crashes::CrashSet;
 use crate::decide::retry::AttemptFailure;
 
 /// Retry delay where no estimate exists, and the shortest one. Several times as long as a change of
@@ -77,10 +78,12 @@
     /// The software version of the endpoint's backend server gets no such requests at present, because
     /// of a roll-out.
     OtherVersion,
+    /// Several backend servers have ended while they ran the request.
+    EndsBackends,
 }
 
 impl Reason {
-    const ALL: [Self; 27] = [
+    const ALL: [Self; 28] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -108,6 +111,7 @@
         Self::Rejected,
         Self::HeldUp,
         Self::OtherVersion,
+        Self::EndsBackends,
     ];
 
     /// The code sent in [`headers::REASON`].
@@ -140,6 +144,7 @@
             Self::Rejected => "rejected",
             Self::HeldUp => "held-up",
             Self::OtherVersion => "other-version",
+            Self::EndsBackends => "ends-backends",
         }
     }
 
@@ -176,6 +181,7 @@
             Self::BodyTooLong => "the request body is longer than allowed",
             Self::Rejected => "the endpoint's backend server did not run it",
             Self::HeldUp => "the request came to the endpoint too late",
+            Self::EndsBackends => "backend servers ended while they ran this request",
             Self::OtherVersion => "the endpoint runs a version that takes no such requests now",
         }
     }
@@ -205,7 +211,8 @@
             | Self::BackendDown
             | Self::Rejected
             | Self::HeldUp
-            | Self::OtherVersion => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::OtherVersion
+            | Self::EndsBackends => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -216,6 +223,7 @@
     pub(crate) verdict: Verdict,
     pub(crate) reason: Reason,
     retry_after_ms: u64,
+    crashes: CrashSet,
 }
 
 impl Failure {
@@ -224,6 +232,7 @@
             verdict,
             reason,
             retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+            crashes: CrashSet::default(),
         }
     }
 
@@ -241,6 +250,17 @@
         self
     }
 
+    /// Adds backend servers that ended while they ran the request or its nested calls.
+    pub(crate) fn with_crashes(mut self, crashes: CrashSet) -> Self {
+        self.crashes = self.crashes.union(crashes);
+        self
+    }
+
+    /// Backend servers that ended while they ran the request or its nested calls.
+    pub(crate) fn crashes(&self) -> CrashSet {
+        self.crashes
+    }
+
     /// Milliseconds to wait before a retry.
     pub(crate) fn retry_after_ms(&self) -> u64 {
         self.retry_after_ms
@@ -279,10 +299,7 @@
         match (self.verdict, self.reason) {
             (
                 Verdict::NotRun,
-                Reason::Draining
-                | Reason::NoEndpoint
-                | Reason::OtherVersion
-                | Reason::BackendDown,
+                Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion | Reason::BackendDown,
             ) => AttemptFailure::Draining,
             (Verdict::NotRun, _) => AttemptFailure::NotRun,
             (Verdict::MayHaveRun | Verdict::Answered, _) => AttemptFailure::MayHaveRun,
@@ -298,7 +315,12 @@
             _ => Self::may_have_run(reason.unwrap_or(Reason::Lost)),
         };
         let retry_after_ms = headers::get_u64(headers, &headers::RETRY_AFTER_MS).unwrap_or(0);
-        Some(failure.with_retry_after_ms(retry_after_ms))
+        let crashes = headers::parse_crashes(headers);
+        Some(
+            failure
+                .with_retry_after_ms(retry_after_ms)
+                .with_crashes(crashes),
+        )
     }
 
     /// The status promises that the request did not run only if that is so.
@@ -314,6 +336,7 @@
         let retry_after_ms = HeaderValue::from(self.retry_after_ms);
         let mut response = self.into_response(&header_profile::DEFAULT);
         let headers = response.headers_mut();
+        headers::insert_crashes(headers, self.crashes);
         headers.insert(headers::RETRY_AFTER_MS, retry_after_ms);
         response
     }
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response, StatusCode};
 
 use super::body::{self, Body, GuardedBody};
+use super::crashes::{self, SentRequest};
 use super::failure::{Failure, Reason};
 use super::headers;
 use super::hop::Hop;
@@ -73,6 +74,7 @@
     {
         return reserve(node, hop).await;
     }
+    crashes::refuse_withheld(node, &request)?;
     let permit = headers::get_u64(request.headers(), &headers::UPLOAD_PERMIT)
         .map(permits::PermitKey::from_number);
     run(node, hop, request, uploads::BodySource::Peer(permit)).await
@@ -152,6 +154,7 @@
     let parent_id = id.filter(|_| node.header_profile.calls_extend_request_id);
     let parent_id = parent_id.and_then(|id| id.to_str().ok());
     let mut running = node.running_requests.register(hop, parent_id);
+    let sent = SentRequest::new(node, &request, hop.deadline);
     prepare_request(node, &mut request, hop, &backend, &running);
     let check = || {
         if let Some(epoch) = hop.admitted_in {
@@ -166,11 +169,15 @@
         .send(backend.address, request, hop.idempotent, check);
     let response = deadline::timeout_at(hop.deadline, exchange).await;
     let response = response.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
+    let response = sent.finish(response);
     let response = response.and_then(|response| check_response(node, &backend, sent_at, response));
     slot.record_response(&response);
-    let response = response?;
+    let nested_crashes = running.nested_crashes();
+    let response = response.map_err(|failure| failure.with_crashes(nested_crashes))?;
     let unspent_retries = running.mark_answered();
-    Ok(finish_response(response, unspent_retries, (slot, running)))
+    let mut response = finish_response(response, unspent_retries, (slot, running));
+    headers::insert_crashes(response.headers_mut(), nested_crashes);
+    Ok(response)
 }
 
 fn log_admitted(
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -8,6 +8,7 @@
 use crate::core::names::{InstanceName, ResourceName};
 use crate::core::status::BackendStart;
 use crate::core::token::TOKEN_HEADER;
+use crate::decide::crashes::{CrashId, CrashSet};
 use crate::decide::load_balancing::{LoadReport, RateReport};
 
 #[cfg(test)]
@@ -35,6 +36,9 @@
 /// On a request between nodes: number of retries that the nested calls of this request may spend.
 /// On a response: how many of them are unspent.
 pub(crate) const RETRIES: HeaderName = HeaderName::from_static("x-dragonflywall-retries");
+/// On a request between nodes: ids of the crashes that count under this request, separated by commas. On a response: of
+/// the backend servers that ended while they ran the request or its nested calls.
+pub(crate) const CRASHES: HeaderName = HeaderName::from_static("x-dragonflywall-crashes");
 /// On a request between nodes to an endpoint of a candidate version: revision of the order for the
 /// roll-out, as the entry node knows it.
 pub(crate) const ROLLOUT_ORDER: HeaderName = HeaderName::from_static("x-dragonflywall-rollout");
@@ -133,6 +137,22 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Sets [`CRASHES`] unless there are none.
+pub(crate) fn insert_crashes(headers: &mut HeaderMap, crashes: CrashSet) {
+    if !crashes.is_empty() {
+        let ids: Vec<String> = crashes.iter().map(|id| format!("{:x}", id.0)).collect();
+        headers.insert(CRASHES, to_value(&ids.join(",")));
+    }
+}
+
+/// Reads [`CRASHES`]. Ids that cannot be read are left out.
+pub(crate) fn parse_crashes(headers: &HeaderMap) -> CrashSet {
+    let ids = get_str(headers, &CRASHES).unwrap_or("").split(',');
+    ids.filter_map(|id| u64::from_str_radix(id, 16).ok())
+        .map(CrashId)
+        .collect()
+}
+
 /// Formats a load report as the value of [`LOAD`].
 pub(crate) fn format_load(load: &LoadReport) -> HeaderValue {
     let LoadReport {
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -11,6 +11,7 @@
 use crate::core::configuration::{Class, PRIORITY_DEFAULT};
 use crate::core::names::{ResourceName, ServiceName, is_name};
 use crate::decide::admission::{Priority, Rank, SlotRequest};
+use crate::decide::crashes::CrashSet;
 use crate::decide::freeze::Epoch;
 use crate::util::clock;
 
@@ -48,6 +49,8 @@
     pub(crate) depth: u32,
     /// Retries that the nested calls of this request may spend.
     pub(crate) retries: u32,
+    /// Crashes that count under this request, and so under its nested calls.
+    pub(crate) crashes: CrashSet,
     /// Revision of the order for a roll-out under which the endpoint of a candidate version was chosen.
     /// `None` if it was chosen without regard to its version, or as one of an established version.
     pub(crate) rollout_order: Option<u64>,
@@ -69,6 +72,7 @@
         headers.insert(headers::DEADLINE_MS, self.remaining_ms());
         headers.insert(headers::DEPTH, HeaderValue::from(self.depth));
         headers.insert(headers::RETRIES, HeaderValue::from(self.retries));
+        headers::insert_crashes(headers, self.crashes);
         if let Some(revision) = self.rollout_order {
             headers.insert(headers::ROLLOUT_ORDER, HeaderValue::from(revision));
         }
@@ -105,6 +109,7 @@
             deadline: now + Duration::from_millis(deadline_ms).saturating_sub(delay),
             depth: u32_header(&headers::DEPTH),
             retries: u32_header(&headers::RETRIES),
+            crashes: headers::parse_crashes(headers),
             rollout_order: headers::get_u64(headers, &headers::ROLLOUT_ORDER),
             known_statements: headers::parse_statements(headers),
             admitted_in: None,
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -1,6 +1,7 @@
 //! A caller's request body that can be sent again as long as everything read of it fits in a
 //! buffer.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
@@ -20,6 +21,9 @@
 /// it was refused or had to wait.
 pub(crate) const REPLAY_BUFFER_MAX_BYTES: usize = 192 << 10;
 
+/// Bytes of a request body that are read before the request is sent, if they decide whether it is sent.
+const READ_AHEAD_MAX_BYTES: usize = 64 << 10;
+
 /// A request body that can be sent more than once.
 #[derive(Debug)]
 pub(crate) enum ReplayableBody {
@@ -127,6 +131,29 @@
         }
     }
 
+    /// Digest of what is known of the body before it is read.
+    pub(crate) fn length_digest(&self) -> BodyDigest {
+        match self {
+            Self::Empty => BodyDigest::EMPTY,
+            Self::Streamed(source) => lock(source).length_digest(),
+        }
+    }
+
+    /// Reads a short body into the buffer, so that [`Self::digest`] is that of its content. Does nothing if its declared
+    /// length exceeds [`READ_AHEAD_MAX_BYTES`], and stops at that length if none is declared.
+    pub(crate) async fn read_ahead(&self) {
+        let Self::Streamed(source) = self else {
+            return;
+        };
+        if self.min_len_bytes() > READ_AHEAD_MAX_BYTES as u64 {
+            return;
+        }
+        while lock(source).may_read_ahead() {
+            // An error is kept for the attempt that reads the body.
+            poll_fn(|context| lock(source).poll_frame(context)).await;
+        }
+    }
+
     /// Whether the whole body can be sent again.
     pub(crate) fn can_replay(&self) -> bool {
         match self {
@@ -179,6 +206,10 @@
 }
 
 impl SharedBody {
+    fn may_read_ahead(&self) -> bool {
+        !self.ended && !self.unreplayable && self.buffered_bytes < READ_AHEAD_MAX_BYTES
+    }
+
     fn digest(&self) -> BodyDigest {
         if self.ended && !self.unreplayable {
             return BodyDigest::of_chunks(self.buffered.iter().map(Bytes::as_ref));
@@ -211,6 +242,7 @@
                 Poll::Ready(None)
             }
             Some(Ok(frame)) => {
+                self.ended = self.incoming.is_end_stream();
                 self.buffer(&frame);
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/src/proxy/running_requests.rs
+++ b/src/proxy/running_requests.rs
@@ -20,6 +20,7 @@
 
 use super::hop::Hop;
 use crate::decide::admission::Rank;
+use crate::decide::crashes::CrashSet;
 
 new_key_type! {
     /// Identifies a request that the local backend server is running.
@@ -33,6 +34,10 @@
     depth: u32,
     rank: Rank,
     retries: u32,
+    /// Crashes that count under the request, those of its nested calls included.
+    crashes: CrashSet,
+    /// Crashes of its nested calls.
+    nested_crashes: CrashSet,
     cancellation: CancellationToken,
 }
 
@@ -60,6 +65,31 @@
     /// Cancelled when the parent request ends before it was answered.
     pub(crate) cancellation: CancellationToken,
     pub(crate) budget: RetryBudget,
+    pub(crate) parent: ParentRequest,
+}
+
+/// The running request that made a call.
+#[derive(Clone, Debug)]
+pub(crate) struct ParentRequest {
+    registry: RunningRequests,
+    key: RequestKey,
+}
+
+impl ParentRequest {
+    /// Crashes that count under the parent request and its calls.
+    pub(crate) fn crashes(&self) -> CrashSet {
+        let state = self.registry.lock();
+        let request = state.running.get(self.key);
+        request.map_or_else(CrashSet::default, |request| request.crashes)
+    }
+
+    /// Records backend servers that ended while they ran a call of the parent request.
+    pub(crate) fn record_crashes(&self, crashes: CrashSet) {
+        if let Some(request) = self.registry.lock().running.get_mut(self.key) {
+            request.crashes = request.crashes.union(crashes);
+            request.nested_crashes = request.nested_crashes.union(crashes);
+        }
+    }
 }
 
 /// Retries taken from the parent request. Unspent ones are returned when this is dropped. Of
@@ -106,6 +136,8 @@
             depth: hop.depth,
             rank: hop.rank,
             retries: hop.retries,
+            crashes: hop.crashes,
+            nested_crashes: CrashSet::default(),
             cancellation: CancellationToken::new(),
         };
         let mut state = self.lock();
@@ -148,6 +180,10 @@
             depth: request.depth + 1,
             parent_rank: request.rank,
             cancellation: request.cancellation.clone(),
+            parent: ParentRequest {
+                registry: self.clone(),
+                key,
+            },
             budget: RetryBudget {
                 parent: Some((self.clone(), key)),
                 retries: std::mem::take(&mut request.retries),
@@ -173,6 +209,13 @@
         format!("{:x}-{:x}", self.key.data().as_ffi(), self.secret)
     }
 
+    /// Backend servers that ended while they ran nested calls of the request.
+    pub(crate) fn nested_crashes(&self) -> CrashSet {
+        let state = self.registry.lock();
+        let request = state.running.get(self.key);
+        request.map_or_else(CrashSet::default, |request| request.nested_crashes)
+    }
+
     /// Records that the backend server has answered and takes back the unspent retries.
     pub(crate) fn mark_answered(&mut self) -> u32 {
         self.answered = true;
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -33,6 +33,7 @@
 use crate::core::version::Version;
 use crate::decide::access::ConfigurationAge;
 use crate::decide::admission::{Admission, Limits};
+use crate::decide::crashes::CrashBook;
 use crate::decide::drain::DrainSchedule;
 use crate::decide::freeze::{Epoch, FreezeDetector};
 use crate::decide::freshness::Freshness;
@@ -98,6 +99,9 @@
     freshness: Mutex<Freshness>,
     quotas: Mutex<QuotaBook>,
     overload: Mutex<OverloadThrottle>,
+    crashes: Mutex<CrashBook>,
+    /// Notified when other nodes are to be told of a change of the recorded crashes.
+    pub(crate) crash_reported: Notify,
     /// Cancelled when the node starts to shut down.
     pub(crate) leaving: CancellationToken,
     /// The times of the shutdown, once it has started.
@@ -200,6 +204,8 @@
             store_read_ms: AtomicU64::new(0),
             freshness: Mutex::default(),
             overload: Mutex::default(),
+            crashes: Mutex::new(CrashBook::new(local_id)),
+            crash_reported: Notify::new(),
             quotas: Mutex::new(QuotaBook::new(settings.quota_limits(), 0)),
             leaving: CancellationToken::new(),
             drain: OnceLock::new(),
@@ -248,6 +254,11 @@
         lock_ignoring_poison(&self.overload)
     }
 
+    /// The requests under which backend servers have ended.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashBook> {
+        lock_ignoring_poison(&self.crashes)
+    }
+
     /// How current `enforced` is known to be, which decides whether keys are accepted by it.
     pub(crate) fn configuration_age(&self, enforced: Version) -> ConfigurationAge {
         let known_newest_at_ms = self.freshness().known_newest_at_ms(enforced);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod decide_backend_statements;
 mod decide_backoff;
 mod decide_connections;
+mod decide_crashes;
 mod decide_drain;
 mod decide_load_balancing;
 mod decide_overload;
