Tests: a payment whose backend servers are all down is told so

The reason of that answer is backend-down since, in place of the wider unreachable; status, verdict and Retry-After are checked as before.

--- a/tests/testsuite/requests_answers.rs
+++ b/tests/testsuite/requests_answers.rs
@@ -128,7 +128,7 @@
     let reply = reply.expect("the node responds");
     assert_eq!(reply.status, 503);
     assert_eq!(reply.header(VERDICT_HEADER), "not-run");
-    assert_eq!(reply.header(REASON_HEADER), "unreachable");
+    assert_eq!(reply.header(REASON_HEADER), "backend-down");
     assert_eq!(reply.header("retry-after"), "1");
     assert!(run_counts(&mesh, "cobros", "pay-3").is_empty());
 }
