Crashes: gate and record in files of their own; an attempt is checked before its endpoint is chosen

An attempt that is refused between the choice of an endpoint and its sending left the endpoint's count of outstanding requests one too high. The time for which a request is withheld no longer overflows after 48 risked attempts.

--- a/src/decide/crashes.rs
+++ b/src/decide/crashes.rs
@@ -16,9 +16,11 @@
 
 mod backend_life;
 mod crash_set;
+mod record;
 
 pub use self::backend_life::BackendLife;
 pub use self::crash_set::{CrashId, CrashSet};
+pub use self::record::{CrashRecord, ReportedCrash};
 
 /// Result of this module.
 pub type Result<T, E = Withheld> = std::result::Result<T, E>;
@@ -40,59 +42,6 @@
 /// Number of crashes under a request from which on all nodes are told of it, and not only the one that collects the
 /// reports.
 const TOLD_ALL_MIN: usize = 2;
-/// Number of cleared crashes that are remembered for each request.
-const CLEARED_MAX: usize = 8;
-
-/// A crash, with the node that reported it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedCrash {
-    /// Identifies the end of the backend server.
-    pub id: CrashId,
-    /// The node that first recorded it, as far as the reporting node knows.
-    pub reported_by: NodeId,
-}
-
-/// What is known of the crashes under one request. Reports of nodes contain it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CrashRecord {
-    /// Crashes that count, [`CRASHES_MAX`] at most.
-    pub crashes: Vec<ReportedCrash>,
-    /// Crashes that do not count, because the request was answered afterwards.
-    pub cleared: Vec<CrashId>,
-}
-
-impl CrashRecord {
-    /// The crashes that count.
-    pub fn crash_set(&self) -> CrashSet {
-        self.crashes.iter().map(|crash| crash.id).collect()
-    }
-
-    fn add(&mut self, crash: ReportedCrash) -> bool {
-        let is_known = self.crashes.iter().any(|known| known.id == crash.id);
-        if is_known || self.cleared.contains(&crash.id) || self.crashes.len() >= CRASHES_MAX {
-            return false;
-        }
-        self.crashes.push(crash);
-        true
-    }
-
-    fn clear(&mut self, id: CrashId) -> bool {
-        if self.cleared.contains(&id) {
-            return false;
-        }
-        self.crashes.retain(|crash| crash.id != id);
-        if self.cleared.len() >= CLEARED_MAX {
-            self.cleared.remove(0);
-        }
-        self.cleared.push(id);
-        true
-    }
-
-    /// The node that may risk the last attempt.
-    fn last_attempt_owner(&self) -> Option<NodeId> {
-        self.crashes.iter().map(|crash| crash.reported_by).min()
-    }
-}
 
 /// Why a request is not sent on, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,8 +87,8 @@
     }
 
     fn withhold_ms(&self) -> u64 {
-        let doubled = WITHHOLD_MS.checked_shl(self.risked);
-        doubled.map_or(WITHHOLD_MAX_MS, |ms| ms.min(WITHHOLD_MAX_MS))
+        let doubled = WITHHOLD_MS.saturating_mul(2_u64.saturating_pow(self.risked));
+        doubled.min(WITHHOLD_MAX_MS)
     }
 
     fn is_kept(&self, now_ms: u64) -> bool {
--- a/src/node/crashes.rs
+++ b/src/node/crashes.rs
@@ -61,6 +61,9 @@
 
 /// Sends each update to the node that collects the reports on its request, or to all nodes.
 fn report(node: &Arc<NodeState>, updates: Vec<CrashUpdate>) {
+    if updates.is_empty() {
+        return;
+    }
     let updates: Arc<[CrashUpdate]> = updates.into();
     let view = node.proxy.view.load();
     let is_other = |member: &&Member| {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -230,7 +230,7 @@
         parent: context.parent.take(),
         head_digest: OnceLock::new(),
     };
-    request.check_crashes(body).await?;
+    request.check_first_attempt(body).await?;
     let throttled = overload::ThrottledRequest::admit(&request)?;
     let mut attempts = Attempts::new(&target.treatment, context.budget.retries);
     let cancellation = context.cancellation.clone();
--- a/src/proxy/entry/crashes.rs
+++ b/src/proxy/entry/crashes.rs
@@ -54,7 +54,7 @@
 
     /// Fails if the request is not to be sent on. Reads the body ahead, if requests that differ in their bodies at most
     /// have ended backend servers.
-    pub(super) async fn check_crashes(&self, body: &ReplayableBody) -> Result<(), Failure> {
+    pub(super) async fn check_first_attempt(&self, body: &ReplayableBody) -> Result<(), Failure> {
         if !self.limits_crashes() {
             return Ok(());
         }
@@ -73,7 +73,7 @@
             return Ok(());
         }
         let inherited = self.inherited_crashes();
-        let Some(request) = self.suspect(body, inherited) else {
+        let Some(request) = self.suspect_digest(body, inherited) else {
             return Ok(());
         };
         let now_ms = self.node.uptime_ms();
@@ -88,7 +88,7 @@
     /// Begins an attempt. Fails if the request is not to be sent on.
     pub(super) fn begin_attempt(&self, body: &ReplayableBody) -> Result<CheckedAttempt, Failure> {
         let inherited = self.inherited_crashes();
-        let suspect = self.suspect(body, inherited);
+        let suspect = self.suspect_digest(body, inherited);
         let Some(request) = suspect.filter(|_| self.limits_crashes()) else {
             return Ok(CheckedAttempt {
                 crashes: inherited,
@@ -111,7 +111,7 @@
     }
 
     /// The digest of the request, if crashes may count under it.
-    fn suspect(&self, body: &ReplayableBody, inherited: CrashSet) -> Option<RequestDigest> {
+    fn suspect_digest(&self, body: &ReplayableBody, inherited: CrashSet) -> Option<RequestDigest> {
         let is_any_remembered = !self.node.crashes().is_empty();
         let has_head = is_any_remembered && self.node.crashes().has_head(self.head_digest());
         (has_head || !inherited.is_empty()).then(|| self.digest(body))
@@ -135,7 +135,7 @@
 
     /// Records what an attempt has shown: backend servers that ended while they ran the request or its nested calls, or a
     /// response, after which those that ended before no longer count.
-    pub(super) fn record_crashes(
+    pub(super) fn record_attempt(
         &self,
         body: &ReplayableBody,
         result: &Result<Response<Body>, Failure>,
@@ -163,7 +163,7 @@
 
     fn record_deadline(&self, body: &ReplayableBody, result: &Result<Response<Body>, Failure>) {
         let is_unanswered = matches!(result, Err(failure) if failure.reason == Reason::Deadline);
-        let suspect = self.suspect(body, CrashSet::default());
+        let suspect = self.suspect_digest(body, CrashSet::default());
         if let Some(request) = suspect.filter(|_| is_unanswered) {
             let now_ms = self.node.uptime_ms();
             self.node.crashes().record_deadline(now_ms, &request);
@@ -171,11 +171,14 @@
     }
 
     fn record_answer(&self, body: &ReplayableBody) {
-        let Some(request) = self.suspect(body, CrashSet::default()) else {
+        let Some(request) = self.suspect_digest(body, CrashSet::default()) else {
             return;
         };
         if self.node.crashes().record_answer(&request) {
             self.node.crash_reported.notify_one();
+            if !self.node.log_limiter.may_log(LogClass::Routine) {
+                return;
+            }
             log::info!(request_digest:% = request; "a request under which backend servers ended was answered");
         }
     }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -116,15 +116,15 @@
             if let Err(refreshing) = self.node.check_admitted_in(self.admitted_in) {
                 return Err(refreshing.after_attempt(verdict));
             }
+            let attempt = match self.begin_attempt(body) {
+                Ok(attempt) => attempt,
+                Err(withheld) => return Err(withheld.after_attempt(verdict)),
+            };
             let chosen = match self.choose_within_spill(&tried, may_use_candidate) {
                 Ok(chosen) => chosen,
                 Err(none) => return Err(last_failure.unwrap_or(none).after_attempt(verdict)),
             };
             let endpoint = chosen.endpoint;
-            let attempt = match self.begin_attempt(body) {
-                Ok(attempt) => attempt,
-                Err(withheld) => return Err(withheld.after_attempt(verdict)),
-            };
             let waits = self.is_nested() || search.queues_at(endpoint.node);
             let hop = Hop {
                 known_statements: self.node.known_statements().get(endpoint.node).cloned(),
@@ -132,7 +132,7 @@
                 ..self.hop(attempts.downstream_budget(), waits, chosen.candidate_order)
             };
             let result = self.send_attempt(endpoint, body, hop).await;
-            self.record_crashes(body, &result);
+            self.record_attempt(body, &result);
             drop(attempt);
             self.record_version_outcome(chosen.candidate_order, &result);
             let failure = match result {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -10,7 +10,6 @@
 use http::{Request, Response, StatusCode};
 
 use super::body::{self, Body, GuardedBody};
-use super::crashes::{self, SentRequest};
 use super::failure::{Failure, Reason};
 use super::headers;
 use super::hop::Hop;
@@ -23,6 +22,10 @@
 use crate::proxy::state::ProxyState;
 use crate::util::{clock, deadline};
 
+use self::crashes::SentRequest;
+
+mod crashes;
+
 /// Longest delay in transit with which a request is still run. It is longer than the first
 /// retransmission of a lost packet. It is shorter than the half second after which running a
 /// request for a disconnected caller is wasted work.
