--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,11 +1,12 @@
 //! Model checking of dragonflywall's core protocols, exhaustive at small bounds.
 //!
 //! [`checker`] checks any [`checker::Specification`] against all states that it can reach. There are
-//! four specifications:
+//! five specifications:
 //!
 //! - [`publish`]: operators commit configuration versions.
 //! - [`distribution`]: nodes receive and enforce versions, and never go back to an older one.
 //! - [`request`]: a request is forwarded to a backend server, and its outcome is reported.
+//! - [`crashes`]: a request that ends backend servers is withheld.
 //! - [`rollout`]: leads decide on the state of a roll-out.
 //!
 //! They call the product's own code where possible: [`configurations`] applies real configurations
@@ -13,6 +14,7 @@
 
 pub mod checker;
 pub mod configurations;
+pub mod crashes;
 pub mod distribution;
 pub mod operator;
 pub mod publish;
