--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -407,6 +407,14 @@
     assert_eq!(changed, used[&node(1)]);
 }
 
+/// Records an attempt at an endpoint that accepted no connection.
+fn record_unreachable(balancer: &mut Balancer, ranked: &RankedEndpoints, number: u16) {
+    let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
+    balancer.record_start(0, endpoint.expect("the endpoint is ranked"));
+    balancer.record_end(node(number));
+    balancer.record_outcome(0, node(number), PRIORITY, AttemptOutcome::Unreachable);
+}
+
 /// Guards against sending request after request to endpoints that accept no connection, because half of them are ejected.
 #[test]
 fn unreachable_endpoints_are_used_only_if_there_is_no_other() {
@@ -420,19 +428,13 @@
         let chosen = balancer.choose(0, &ranked, &requirements, &mut rng);
         chosen.expect("an endpoint is chosen").node
     };
-    let fail = |balancer: &mut Balancer, number: u16| {
-        let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
-        balancer.record_start(0, endpoint.expect("the endpoint is ranked"));
-        balancer.record_end(node(number));
-        balancer.record_outcome(0, node(number), PRIORITY, AttemptOutcome::Unreachable);
-    };
     for number in 2..=4 {
-        fail(&mut balancer, number);
+        record_unreachable(&mut balancer, &ranked, number);
     }
     for _ in 0..40 {
         assert_eq!(choose(&mut balancer), node(1));
     }
-    fail(&mut balancer, 1);
+    record_unreachable(&mut balancer, &ranked, 1);
     choose(&mut balancer);
 }
 
@@ -470,10 +472,7 @@
     let mut balancer = Balancer::default();
     let mut rng = StdRng::seed_from_u64(7);
     for number in [1, 2] {
-        let endpoint = ranked.iter().find(|endpoint| endpoint.node == node(number));
-        balancer.record_start(0, endpoint.expect("the endpoint is ranked"));
-        balancer.record_end(node(number));
-        balancer.record_outcome(0, node(number), PRIORITY, AttemptOutcome::Unreachable);
+        record_unreachable(&mut balancer, &ranked, number);
         let chosen = balancer.choose(0, &ranked, &requirements, &mut rng);
         assert_eq!(chosen.map(|chosen| chosen.node), Some(node(number + 1)));
     }
