--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -15,6 +15,7 @@
         "late-heartbeats" => late_heartbeats,
         "foreign-entry" => foreign_entry,
         "header-limit" => header_limit,
+        "quota-after-kill" => quota_after_kill,
         "half-lost-upload" => half_lost_upload,
         "smuggled-requests" => smuggled_requests,
         _ => {
@@ -810,3 +811,105 @@
     }
     answers
 }
+
+/// Half of the nodes are killed at once, while an organisation sends far more than its quota. Exact windows: requests that
+/// were sent and have reached an endpoint within one `quotaWindow`.
+fn quota_after_kill(record: &Path, trouble: bool) -> std::io::Result<i32> {
+    const WINDOW_MS: u64 = 5_000;
+    const RATE_PER_S: f64 = 20.0;
+    const BURST: f64 = 20.0;
+    const ALLOWED: f64 = (RATE_PER_S * 5.0 + BURST) * 1.1 + 20.0;
+    let services = ["expedicao", "armazem"];
+    let places: [Place; 6] = [
+        ("expedicao", "aveiro-a"),
+        ("expedicao", "aveiro-b"),
+        ("expedicao", "aveiro-a"),
+        ("armazem", "aveiro-a"),
+        ("armazem", "aveiro-b"),
+        ("armazem", "aveiro-b"),
+    ];
+    let bounds = ["quotaWindow=5s", "quotaOverage=0.1", "quotaSlack=20"];
+    let mut deployment = Deployment::new(&places, record, &bounds)?;
+    let plain = configuration(1, "idempotent", &services, 1_500, 16_384);
+    let tenants = format!(
+        "{},\"tenants\":{{\"columns\":[\"name\",\"priority\",\"ratePerS\",\"burst\",\"apiKeys\"],\
+         \"rows\":[[\"hot\",1,{RATE_PER_S},{BURST},[\"khot\"]]]}}}}",
+        &plain[..plain.len() - 1]
+    );
+    put_configuration(&deployment, &tenants);
+    start_all(&mut deployment, 18, true);
+    thread::sleep(Duration::from_secs(6));
+    let stop = Arc::new(AtomicBool::new(false));
+    let sent: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
+    let clients: Vec<_> = (0..12)
+        .map(|client| {
+            let (stop, sent) = (Arc::clone(&stop), Arc::clone(&sent));
+            let to = deployment.outbound(client % 6);
+            thread::spawn(move || {
+                let mut number = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    number += 1;
+                    let id = format!("hot-{client}-{number}");
+                    sent.lock().unwrap().insert(id.clone(), unix_ms());
+                    http::send(&ClientRequest {
+                        to,
+                        method: "GET",
+                        host: "mesh.example",
+                        path: "/expedicao/work-5",
+                        id: &id,
+                        deadline_ms: 1_500,
+                        headers: "Authorization: Token khot\r\n",
+                        body: b"",
+                        watch: Duration::from_millis(1_600),
+                    });
+                    thread::sleep(Duration::from_millis(40));
+                }
+            })
+        })
+        .collect();
+    for _ in 0..3 {
+        thread::sleep(Duration::from_secs(12));
+        if trouble {
+            for position in [0, 2, 4] {
+                deployment.kill_node(position);
+            }
+            thread::sleep(Duration::from_millis(400));
+            for position in [0, 2, 4] {
+                deployment.start_node(position, false);
+            }
+        }
+    }
+    thread::sleep(Duration::from_secs(8));
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let sent = sent.lock().unwrap();
+    let mut runs: Vec<(u64, u64)> = Vec::new();
+    for position in 0..places.len() {
+        for (arrived_ms, text) in deployment.events(position) {
+            let id = text
+                .strip_prefix("runs ")
+                .and_then(|rest| rest.split(' ').next());
+            runs.extend(
+                id.and_then(|id| sent.get(id))
+                    .map(|sent_ms| (*sent_ms, arrived_ms)),
+            );
+        }
+    }
+    runs.sort();
+    let in_window = |from: usize| {
+        let end_ms = runs[from].0 + WINDOW_MS;
+        runs[from..]
+            .iter()
+            .filter(|(sent_ms, arrived_ms)| *sent_ms < end_ms && *arrived_ms < end_ms)
+            .count()
+    };
+    let most = (0..runs.len()).map(in_window).max().unwrap_or(0);
+    deployment.note(&format!(
+        "{} requests sent, {} ran, {most} at most in one window of {WINDOW_MS} ms; allowed {ALLOWED}",
+        sent.len(),
+        runs.len()
+    ));
+    Ok(if most as f64 > ALLOWED { BROKEN } else { HELD })
+}
