A caller's connection is idle only when the bodies of its requests have ended

Cause: a connection counted as idle when its responses were written and no byte was waiting, whether or not the last request's body had been read to its end. It was then taken back from hyper as soon as the reader of the body was gone, and served anew in the midst of the body. Two other guesses fall: the foreign requests ran at another service, so the entry node had routed them, and hyper itself stops reading once a body's reader is gone.

The same cause on related paths: an upload refused at the entry ended its connection with bytes unread, which resets it and may drop the response, and with it went the request behind.

Change: the connection tracks the bodies of its requests until they end. What a body's reader leaves is discarded, up to 1 MiB and for 5 s, and the connection goes on behind it. Otherwise the response says `Connection: close` where that is known in time, the connection is closed for writing, and what still arrives is discarded for 2 s. So the connection never begins a request within a body. A body that a backend server neither reads nor gives up after its response ends with the caller's idle limit.

Tests: requests_bodies. They cover early responses, a killed gate, refusals, chunks with trailers, Expect, a stalled caller, a stop, HTTP/2. A test of the pool shows that a connection to the backend server was not leased before its request body is out; it passed before.

--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -287,12 +287,25 @@
         path: &str,
         headers: &[(&str, &str)],
     ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
+        self.request_with_body(method, host, path, headers, Bytes::new())
+    }
+
+    /// Like [`Self::request_with_headers`], with a body.
+    pub fn request_with_body(
+        &self,
+        method: Method,
+        host: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
+        let body = Full::new(body);
         let uri = format!("http://{host}{path}");
         let mut request = Request::builder().method(method).uri(uri);
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(Bytes::new()));
+        let request = request.body(body);
         let mut sender = self.sender.clone();
         async move {
             let request = request.map_err(error_text)?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`network`]: the links between data centres, which can be cut, delayed, throttled and metered.
 //! - [`process`]: starts a node as a process.
 //! - [`mesh`]: starts a whole deployment.
+//! - [`raw`]: connections on which a test chooses each byte.
 //! - [`users`]: stand-ins for the platform on which the users run their VMs, which has its own protocol.
 //!
 //! Everything listens on loopback addresses. Data centre N, counted from 0, has the address
@@ -17,4 +18,5 @@
 pub mod platform;
 pub mod process;
 pub(crate) mod rate_limit;
+pub mod raw;
 pub mod users;
--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -61,6 +61,10 @@
     DuplicatedLate,
     /// Sends a response with status 500 before it reads the request body.
     EarlyFailure,
+    /// Like [`Self::EarlyFailure`], and then closes the connection instead of reading the body.
+    EarlyClose,
+    /// Like [`Self::EarlyFailure`], and never reads the body.
+    EarlyStall,
     /// Sends a response with status 500.
     Failure,
 }
@@ -76,12 +80,14 @@
             Self::Duplicated => "extra",
             Self::DuplicatedLate => "extra-late",
             Self::EarlyFailure => "early",
+            Self::EarlyClose => "early-close",
+            Self::EarlyStall => "early-stall",
             Self::Failure => "failure",
         }
     }
 
     /// All modes.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 10] = [
         Self::Complete,
         Self::Closed,
         Self::Truncated,
@@ -89,6 +95,8 @@
         Self::Duplicated,
         Self::DuplicatedLate,
         Self::EarlyFailure,
+        Self::EarlyClose,
+        Self::EarlyStall,
         Self::Failure,
     ];
 
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -22,6 +22,9 @@
 /// Pause before the second response of [`ResponseMode::DuplicatedLate`], long enough for the client to
 /// reuse the connection.
 const DUPLICATE_DELAY: Duration = Duration::from_millis(40);
+/// Pause between the response of [`ResponseMode::EarlyClose`] and the end of its connection, in which the response reaches
+/// the caller.
+const EARLY_CLOSE_DELAY: Duration = Duration::from_millis(40);
 
 pub(super) async fn serve(listener: TcpListener, shared: Arc<Shared>, stop: CancellationToken) {
     loop {
@@ -143,11 +146,8 @@
             return Ok(next);
         }
         let response_mode = ResponseMode::from_query_value(head.query().get("answer"));
-        if response_mode == ResponseMode::EarlyFailure {
-            self.record_run(&head, arrived_at, "");
-            self.send_failure(&head, 500).await?;
-            self.read_body(head.body_length).await?;
-            return Ok(NextStep::Request);
+        if let Some(next) = self.respond_early(&head, arrived_at, response_mode).await? {
+            return Ok(next);
         }
         let body = self.read_body(head.body_length).await?;
         let Some(slot) = self.acquire_slot(&head).await? else {
@@ -296,9 +296,10 @@
         );
         match response_mode {
             ResponseMode::Closed => return Ok(NextStep::Close),
-            ResponseMode::Failure | ResponseMode::EarlyFailure => {
-                self.send_failure(head, 500).await?
-            }
+            ResponseMode::Failure
+            | ResponseMode::EarlyFailure
+            | ResponseMode::EarlyClose
+            | ResponseMode::EarlyStall => self.send_failure(head, 500).await?,
             ResponseMode::Truncated => {
                 let seal = seal + &self.shared.next_statement_headers();
                 let text = format_response_head(200, &head.id, &seal, Some(body.len()), false);
@@ -330,6 +331,37 @@
         })
     }
 
+    /// Responds before the body of the request has been read, in the modes that do so.
+    async fn respond_early(
+        &mut self,
+        head: &RequestHead,
+        arrived_at: Instant,
+        response_mode: ResponseMode,
+    ) -> io::Result<Option<NextStep>> {
+        match response_mode {
+            ResponseMode::EarlyFailure => {
+                self.record_run(head, arrived_at, "");
+                self.send_failure(head, 500).await?;
+                self.read_body(head.body_length).await?;
+                Ok(Some(NextStep::Request))
+            }
+            ResponseMode::EarlyClose => {
+                self.record_run(head, arrived_at, "");
+                let headers = "Connection: close\r\n";
+                self.write_response(500, &head.id, headers, b"failed")
+                    .await?;
+                tokio::time::sleep(EARLY_CLOSE_DELAY).await;
+                Ok(Some(NextStep::Close))
+            }
+            ResponseMode::EarlyStall => {
+                self.record_run(head, arrived_at, "");
+                self.send_failure(head, 500).await?;
+                std::future::pending().await
+            }
+            _ => Ok(None),
+        }
+    }
+
     async fn send_failure(&mut self, head: &RequestHead, status: u16) -> io::Result<()> {
         let seal = format!("X-Dfw-Response-Seal: failure.{}\r\n", head.id);
         self.write_response(status, &head.id, &seal, b"failed")
--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -46,6 +46,8 @@
     pub behaviour: Behaviour,
     /// Further entries of `bounds` in the nodes' settings files.
     pub bounds: &'static [&'static str],
+    /// Further arguments of all nodes.
+    pub arguments: &'static [&'static str],
     /// Receives the nodes' log lines at level `info` and above. If `None`, warnings and errors go to the
     /// standard error of this process.
     pub log_lines: Option<mpsc::UnboundedSender<LogLine>>,
@@ -66,6 +68,7 @@
             spare_vms: 0,
             behaviour: Behaviour::default(),
             bounds: &[],
+            arguments: &[],
             log_lines: None,
         }
     }
@@ -388,6 +391,7 @@
             "warn"
         };
         add_flag("log-level", level.to_owned());
+        arguments.extend(self.plan.arguments.iter().map(|text| (*text).to_owned()));
         arguments
     }
 
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -10,6 +10,7 @@
 
 pub(crate) mod backend;
 pub(crate) mod body;
+pub(crate) mod caller_body;
 pub(crate) mod caller_connections;
 pub(crate) mod crashes;
 pub(crate) mod entry;
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -5,10 +5,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use testkit::backend::{Backend, Behaviour, expected_answer_digest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio_stream::StreamExt;
 
 use super::*;
 
@@ -231,6 +236,57 @@
     send("payment", false).await;
 }
 
+/// Guards against a request that is sent where the backend server still reads the body of an earlier one.
+#[tokio::test]
+async fn a_connection_is_not_reused_before_the_request_body_is_out() {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let pool = BackendPool::default();
+    pool.set_connections_max(CONNECTIONS_MAX);
+    let (body_sender, body) = tokio::sync::mpsc::channel::<Bytes>(1);
+    let body = tokio_stream::wrappers::ReceiverStream::new(body);
+    let body = StreamBody::new(body.map(|data| Ok::<_, BoxError>(Frame::data(data))));
+    let upload = Request::post("/upload")
+        .header("host", "hemeroteca")
+        .body(body::boxed(body))
+        .expect("the request is valid");
+    let respond_early = async {
+        let (mut stream, _) = listener.accept().await.expect("the pool connects");
+        let mut head = [0; 1_024];
+        stream.read(&mut head).await.expect("the request arrives");
+        let response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        let sent = stream.write_all(response.as_bytes()).await;
+        sent.expect("the pool reads the response");
+        stream
+    };
+    let (response, mut first) =
+        tokio::join!(pool.send(address, upload, true, || Ok(())), respond_early);
+    drop(response.expect("the response arrives"));
+    let look_up = pool.send(address, request("/archive", "look-up"), true, || Ok(()));
+    let respond = async {
+        let (mut second, _) = listener.accept().await.expect("the pool connects again");
+        let mut head = [0; 1_024];
+        second.read(&mut head).await.expect("the request arrives");
+        let response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        let sent = second.write_all(response.as_bytes()).await;
+        sent.expect("the pool reads the response");
+    };
+    let (response, ()) = tokio::join!(look_up, respond);
+    response.expect("the response arrives");
+    body_sender
+        .send(Bytes::from_static(b"rest"))
+        .await
+        .expect("the upload goes on");
+    drop(body_sender);
+    let mut rest = Vec::new();
+    while !rest.ends_with(b"0\r\n\r\n") {
+        let read = first.read_buf(&mut rest).await;
+        assert!(read.is_ok_and(|read| read > 0), "the upload was broken off");
+    }
+    assert!(!rest.windows(7).any(|bytes| bytes == b"archive"));
+}
+
 /// Guards against requests on connections that the backend server has said it would have closed by then.
 #[test]
 fn a_stated_idle_time_limits_the_reuse_of_connections() {
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -21,6 +21,7 @@
 use super::{KEEP_ALIVE_INTERVAL, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
 use super::{accept, infallible, run_connection};
 use crate::proxy::body::{self, Body, GuardedBody};
+use crate::proxy::caller_body::{CallerBody, Expectation};
 use crate::proxy::caller_connections::{CallerConnections, ConnectionGuard};
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::log_limiter::LogClass;
@@ -153,7 +154,7 @@
         entry::serve(
             Arc::clone(&node),
             parts,
-            ReplayableBody::new(incoming, stall_limit),
+            ReplayableBody::new(CallerBody::of_stream(incoming), stall_limit),
         )
     });
     let connection = http2::Builder::new(TokioExecutor::new())
@@ -186,30 +187,51 @@
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let leaving = node.leaving.clone();
     let (parts, incoming) = request.into_parts();
-    if head_bytes(&parts) > pipeline.head_max_bytes() {
-        let failure = Failure::not_run(Reason::HeadTooLong);
-        return Ok(failure.into_response(node.header_profile));
-    }
+    let incoming = CallerBody::of_connection(incoming, pipeline.bodies(), expectation(&parts));
     let body = ReplayableBody::new(incoming, stall_limit);
-    let mut response = match pipeline.take_early_response(&parts) {
-        Some(pending_response) => {
-            await_response(&node, &pipeline, early_response(pending_response)).await?
-        }
-        None if body.is_empty() => {
-            let pending_response = entry::serve(Arc::clone(&node), parts, body);
-            await_response(&node, &pipeline, pending_response).await?
+    let mut response = match head_bytes(&parts) > pipeline.head_max_bytes() {
+        true => {
+            drop(body);
+            Failure::not_run(Reason::HeadTooLong).into_response(node.header_profile)
         }
-        // Further bytes from the caller belong to this request's body.
-        None => entry::serve(node, parts, body).await,
+        false => respond(node, &pipeline, parts, body).await?,
     };
     // A connection with further running requests closes after the last of them.
-    if leaving.is_cancelled() && !pipeline.has_early_requests() {
+    let is_leaving = leaving.is_cancelled() && !pipeline.has_early_requests();
+    if is_leaving || pipeline.bodies().are_broken() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     Ok(response.map(|inner| body::boxed(GuardedBody::new(inner, active_request))))
 }
 
+async fn respond<S: AsyncRead + Unpin>(
+    node: Arc<ProxyState>,
+    pipeline: &Pipeline<S>,
+    parts: Parts,
+    body: ReplayableBody,
+) -> Result<Response<Body>, CallerDisconnected> {
+    match pipeline.take_early_response(&parts) {
+        Some(pending_response) => {
+            await_response(&node, pipeline, early_response(pending_response)).await
+        }
+        None if body.is_empty() => {
+            let pending_response = entry::serve(Arc::clone(&node), parts, body);
+            await_response(&node, pipeline, pending_response).await
+        }
+        // Further bytes from the caller belong to this request's body.
+        None => Ok(entry::serve(node, parts, body).await),
+    }
+}
+
+fn expectation(parts: &Parts) -> Expectation {
+    let expected = parts.headers.get(header::EXPECT);
+    match expected.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+        true => Expectation::Continue,
+        false => Expectation::None,
+    }
+}
+
 /// Approximate length of a request's head. hyper checks its own limit only between two reads, and
 /// one read can exceed it by much.
 fn head_bytes(parts: &Parts) -> usize {
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -5,7 +5,7 @@
 //! is reduced to its TCP stream and is handed to hyper again when the caller sends data.
 
 use std::future::poll_fn;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
@@ -14,11 +14,12 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{http_limits, serve_caller_request};
+use crate::proxy::caller_body::{BodyEvent, DISCARD_MAX_BYTES};
 use crate::proxy::caller_connections::ConnectionGuard;
 use crate::proxy::pipeline::Pipeline;
 use crate::proxy::stall::StallGuard;
@@ -35,6 +36,9 @@
     pub(super) idle_timeout: Duration,
 }
 
+/// Longest time in which the caller's last bytes are read after the connection has been closed for writing.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A connection without requests in progress.
 struct IdleConnection {
     stream: StallGuard,
@@ -105,6 +109,7 @@
     graceful_stop: &CancellationToken,
 ) -> Option<IdleConnection> {
     let limits = http_limits(node);
+    let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let (pipeline, watched_stream) = Pipeline::new(idle.stream, idle.unread, limits.head_max_bytes);
     let handler = {
         let (node, pipeline) = (Arc::clone(node), pipeline.clone());
@@ -125,6 +130,7 @@
         .serve_connection(TokioIo::new(watched_stream), service_fn(handler));
     let mut became_idle = false;
     let mut stop_requested = false;
+    let mut body_event = pin!(pipeline.bodies().next_event(stall_limit));
     let result = loop {
         let progress = poll_fn(|context| match connection.poll_without_shutdown(context) {
             Poll::Ready(result) => Poll::Ready(Some(result)),
@@ -138,6 +144,13 @@
                 None => became_idle = true,
             },
             () = graceful_stop.cancelled(), if !stop_requested => stop_requested = true,
+            event = &mut body_event => {
+                body_event.set(pipeline.bodies().next_event(stall_limit));
+                if event == BodyEvent::Stalled && pipeline.is_answered() {
+                    break Ok(());
+                }
+                continue;
+            }
         }
         // The response to the last of them closes the connection.
         if stop_requested && pipeline.has_early_requests() {
@@ -147,16 +160,38 @@
         // request.
         Pin::new(&mut connection).graceful_shutdown();
     };
+    let at_request_end = result.is_ok() && pipeline.bodies().are_complete();
     if let Err(error) = result {
         log::trace!(error:%; "connection ended with an error");
-        return None;
     }
     let parts = connection.into_parts();
-    let (mut stream, unread) = pipeline.into_stream(parts.io.into_inner(), parts.read_buf)?;
-    if became_idle && !stop_requested {
+    let (stream, unread) = pipeline
+        .clone()
+        .into_stream(parts.io.into_inner(), parts.read_buf)?;
+    if at_request_end && became_idle && !stop_requested {
         return Some(IdleConnection { stream, unread });
     }
-    // The response is written completely; an error means only that the caller has already closed.
-    let _ = stream.shutdown().await;
+    close(stream, at_request_end).await;
     None
 }
+
+/// Closes a connection. If the caller may still be sending, its bytes are read for a while: the operating system answers
+/// unread bytes with a reset, upon which the caller may lose the response.
+async fn close(mut stream: StallGuard, at_request_end: bool) {
+    if let Err(error) = stream.shutdown().await {
+        log::trace!(error:%; "the caller has already closed the connection");
+        return;
+    }
+    if at_request_end {
+        return;
+    }
+    log::debug!("closed a caller's connection before the body of its request had been read");
+    let mut unread = stream.take(DISCARD_MAX_BYTES);
+    let mut sink = tokio::io::sink();
+    let reading = tokio::io::copy(&mut unread, &mut sink);
+    match tokio::time::timeout(LINGER_TIMEOUT, reading).await {
+        Ok(Ok(_)) => (),
+        Ok(Err(error)) => log::trace!(error:%; "the caller has reset the connection"),
+        Err(_) => log::trace!("the caller has not closed the connection in time"),
+    }
+}
--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::body::Body;
+use super::caller_body::RequestBodies;
 
 /// Most requests that are parsed ahead on one connection. Clients pipeline only a few, and each
 /// uses memory for its head and its response.
@@ -171,12 +172,14 @@
 /// Requests and read-ahead buffer of one connection. Clones share them.
 pub(crate) struct Pipeline<S> {
     shared: Arc<Mutex<Shared<S>>>,
+    bodies: Arc<RequestBodies>,
 }
 
 impl<S> Clone for Pipeline<S> {
     fn clone(&self) -> Self {
         Self {
             shared: Arc::clone(&self.shared),
+            bodies: Arc::clone(&self.bodies),
         }
     }
 }
@@ -200,6 +203,7 @@
                 read_pending: false,
                 hyper_read: false,
             })),
+            bodies: Arc::default(),
         };
         (pipeline.clone(), WatchedStream(pipeline))
     }
@@ -217,16 +221,29 @@
         ActiveRequest(self.clone())
     }
 
-    /// Whether at least one request was served, all are answered, and the caller has sent nothing
-    /// more.
+    /// The request bodies of the connection.
+    pub(crate) fn bodies(&self) -> &Arc<RequestBodies> {
+        &self.bodies
+    }
+
+    /// Whether at least one request was served, all are answered, and their responses are written completely.
     ///
     /// hyper flushes the stream only after it has written everything. Releasing the connection
     /// before that would truncate a response.
+    pub(crate) fn is_answered(&self) -> bool {
+        let shared = self.lock();
+        shared.had_request && shared.active_requests == 0 && shared.flushed
+    }
+
+    /// Whether all requests are answered, and the caller has sent nothing more. The rest of a request body may arrive long
+    /// after the response, and would be taken for a request.
     pub(crate) fn is_idle(&self) -> bool {
+        if !self.is_answered() || !self.bodies.are_complete() {
+            return false;
+        }
         let shared = self.lock();
-        let answered = shared.had_request && shared.active_requests == 0 && shared.flushed;
         let waiting = shared.read_pending && shared.buffer.is_empty() && !shared.ended;
-        answered && waiting && shared.requests.pending.is_empty()
+        waiting && shared.requests.pending.is_empty()
     }
 
     /// Takes the stream back from hyper, with the bytes already read of the next request. `unread`
--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -9,10 +9,10 @@
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
 
 use super::body::{self, Body, BoxError};
+use super::caller_body::CallerBody;
 use crate::core::request_digest::BodyDigest;
 
 /// Bytes of a request body that are buffered for a retry. Payments and bookings are a few KB. Of a
@@ -33,7 +33,7 @@
 
 #[derive(Debug)]
 pub(crate) struct SharedBody {
-    incoming: Incoming,
+    incoming: CallerBody,
     size_hint: SizeHint,
     buffered: Vec<Bytes>,
     buffered_bytes: usize,
@@ -73,7 +73,7 @@
 }
 
 impl ReplayableBody {
-    pub(crate) fn new(incoming: Incoming, stall_limit: Duration) -> Self {
+    pub(crate) fn new(incoming: CallerBody, stall_limit: Duration) -> Self {
         if incoming.is_end_stream() {
             return Self::Empty;
         }
@@ -229,9 +229,10 @@
         if self.ended {
             return Poll::Ready(None);
         }
-        let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
+        let Poll::Ready(frame) = self.incoming.poll_frame(context) else {
             ready!(self.stall_timer.poll_expired(context));
             self.unreplayable = true;
+            self.incoming.give_up();
             return Poll::Ready(Some(Err(
                 "the caller sent no data within the stall limit".into()
             )));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod publish;
 mod publish_in_flight;
 mod requests_answers;
+mod requests_bodies;
 mod requests_chain;
 mod requests_delayed;
 mod requests_drain;
