No request waits behind a response to no request, and none is read without end

Seen by callers: a backend server sends a whole response and behind it one that belongs to no request, in pieces and without end. The next request on the connection gets 504 at its deadline although it has run. Fast pieces are read and dropped for as long as the connection is open.

Cause: the filter that drops such responses had no limit, and the pool gave out connections whatever the filter was reading.

Change: a connection within a response to no request is not ready for the next request; after 4 MiB of such responses, or of interim ones, the connection is closed with a line in the log.

Tests: a_connection_is_not_reused_within_an_unexpected_response failed before ("the request goes on a connection of its own: Elapsed"). a_connection_with_endless_unexpected_bytes_is_given_up guards the limit, which there was none of.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -79,6 +79,16 @@
     filter: Option<SharedFilter>,
 }
 
+impl Connection {
+    /// Whether the previous request and its response are out, and nothing else is being received.
+    fn is_ready(&self) -> bool {
+        let filter = self.filter.as_ref();
+        let is_silent =
+            filter.is_none_or(|filter| lock_ignoring_poison(filter).is_between_responses());
+        is_silent && self.sender.is_ready()
+    }
+}
+
 /// A connection without a request.
 #[derive(Debug)]
 struct IdleConnection {
@@ -314,7 +324,7 @@
         });
         let is_usable = |idle: &IdleConnection| {
             let recently_used = reuse_any_idle || idle.may_be_reused(idempotent);
-            recently_used && idle.connection.sender.is_ready()
+            recently_used && idle.connection.is_ready()
         };
         let ready = idle.iter().rposition(is_usable)?;
         Some(idle.remove(ready).connection)
--- a/src/proxy/backend/response_filter.rs
+++ b/src/proxy/backend/response_filter.rs
@@ -30,6 +30,9 @@
 /// Most bytes that are read from the connection at a time.
 const READ_BYTES: usize = 8 << 10;
 
+/// Most bytes that are read and dropped before the next expected response. Longer than a duplicate of a usual response.
+const DROPPED_MAX_BYTES: u64 = 4 << 20;
+
 /// A request whose response is expected.
 #[derive(Clone, Debug)]
 pub(super) struct ExpectedResponse {
@@ -68,6 +71,8 @@
     position: Position,
     /// First part of a head that is not complete yet.
     partial_head: BytesMut,
+    /// Bytes of other and of interim responses since the last expected response began.
+    dropped_bytes: u64,
 }
 
 /// Start of a response.
@@ -92,9 +97,22 @@
             expected: None,
             position: Position::Head,
             partial_head: BytesMut::new(),
+            dropped_bytes: 0,
         }
     }
 
+    /// Whether the bytes received so far end with a response. Behind any others, the next request would wait for the rest of
+    /// a response that is not its own.
+    pub(super) fn is_between_responses(&self) -> bool {
+        matches!(self.position, Position::Head) && self.partial_head.is_empty()
+    }
+
+    /// Whether the backend server sends more than the duplicate of a response. It may send without end, so its connection
+    /// has to be closed.
+    fn drops_too_much(&self) -> bool {
+        self.dropped_bytes > DROPPED_MAX_BYTES
+    }
+
     /// Sets the response that is passed on next. Call it before the request is sent.
     pub(super) fn expect(&mut self, expected: ExpectedResponse) {
         self.expected = Some(expected);
@@ -115,8 +133,9 @@
                     is_expected,
                 } => {
                     let part_bytes = framing.advance(&input);
-                    if *is_expected {
-                        passed.extend_from_slice(&input[..part_bytes]);
+                    match *is_expected {
+                        true => passed.extend_from_slice(&input[..part_bytes]),
+                        false => self.dropped_bytes += part_bytes as u64,
                     }
                     input.advance(part_bytes);
                     if framing.has_ended() {
@@ -171,6 +190,7 @@
     fn begin_response(&mut self, head: ResponseHead, bytes: &[u8], passed: &mut BytesMut) {
         let is_informational = (100..200).contains(&head.status);
         if is_informational {
+            self.dropped_bytes += bytes.len() as u64;
             passed.extend_from_slice(bytes);
             return;
         }
@@ -178,8 +198,10 @@
             .expected
             .take_if(|expected| expected.accepts(head.id.as_ref()));
         if accepted.is_some() {
+            self.dropped_bytes = 0;
             passed.extend_from_slice(bytes);
         } else {
+            self.dropped_bytes += bytes.len() as u64;
             metrics::counter!("dragonflywall_misplaced_responses_total").increment(1);
             log::debug!(
                 response_id:? = head.id,
@@ -241,6 +263,13 @@
         } else {
             filter.feed(read.filled(), &mut self.passed);
         }
+        if filter.drops_too_much() {
+            log::warn!(
+                dropped_bytes = filter.dropped_bytes;
+                "closed a connection on which the backend server sends responses to no request"
+            );
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/src/proxy/backend/response_filter/tests.rs
+++ b/src/proxy/backend/response_filter/tests.rs
@@ -55,6 +55,32 @@
     assert_eq!(feed(&mut filter, &second), second);
 }
 
+/// Guards against a response to no request that never ends, and against interim responses without end.
+#[test]
+fn a_connection_with_endless_unexpected_bytes_is_given_up() {
+    let duplicate = with_length("one", &"b".repeat(1 << 20));
+    let endless = "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n";
+    for (unexpected, filler) in [(endless, "b".repeat(1 << 16)), ("", interim_responses())] {
+        let mut filter = filter();
+        expect(&mut filter, "one");
+        feed(&mut filter, &duplicate);
+        feed(&mut filter, &duplicate);
+        assert!(!filter.drops_too_much(), "a duplicate is dropped");
+        expect(&mut filter, "two");
+        feed(&mut filter, unexpected);
+        let mut sent_bytes = 0;
+        while !filter.drops_too_much() {
+            assert!(sent_bytes < 2 * DROPPED_MAX_BYTES);
+            feed(&mut filter, &filler);
+            sent_bytes += filler.len() as u64;
+        }
+    }
+}
+
+fn interim_responses() -> String {
+    "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1 << 10)
+}
+
 /// Guards against a duplicate that arrives together with the response and is left for the next
 /// request.
 #[test]
--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -12,10 +12,11 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use testkit::backend::{Backend, Behaviour, expected_answer_digest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_stream::StreamExt;
 
 use super::*;
+use crate::platform::headers::PROFILE;
 
 const CONNECTIONS_MAX: u32 = 8;
 const OPEN_RESPONSES_MAX: usize = 5;
@@ -236,6 +237,45 @@
     send("payment", false).await;
 }
 
+/// Only keeps a broken test from running forever.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+const EMPTY_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// Accepts a connection, and responds to the first request on it.
+async fn respond_once(listener: &TcpListener, response: &str) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.expect("the pool connects");
+    let mut head = [0; 1_024];
+    stream.read(&mut head).await.expect("the request arrives");
+    let sent = stream.write_all(response.as_bytes()).await;
+    sent.expect("the pool reads the response");
+    stream
+}
+
+/// Guards against a request that waits behind a response to no request, which may never end.
+#[tokio::test]
+async fn a_connection_is_not_reused_within_an_unexpected_response() {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let pool = BackendPool::new(MechanismSwitches::default(), &PROFILE);
+    pool.set_connections_max(CONNECTIONS_MAX);
+    for unexpected in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhal",
+        "HTTP/1.1 20",
+    ] {
+        let response = EMPTY_RESPONSE.to_owned() + unexpected;
+        let sending = pool.send(address, request("/archive", "first"), true, || Ok(()));
+        let (response, _first) = tokio::join!(sending, respond_once(&listener, &response));
+        drop(response.expect("the response arrives"));
+        let sending = pool.send(address, request("/archive", "second"), true, || Ok(()));
+        let second = async { tokio::join!(sending, respond_once(&listener, EMPTY_RESPONSE)) };
+        let second = tokio::time::timeout(TEST_TIMEOUT, second).await;
+        let (response, _second) = second.expect("the request goes on a connection of its own");
+        response.expect("the response arrives");
+        pool.drop_idle();
+    }
+}
+
 /// Guards against a request that is sent where the backend server still reads the body of an earlier one.
 #[tokio::test]
 async fn a_connection_is_not_reused_before_the_request_body_is_out() {
@@ -251,28 +291,11 @@
         .header("host", "hemeroteca")
         .body(body::boxed(body))
         .expect("the request is valid");
-    let respond_early = async {
-        let (mut stream, _) = listener.accept().await.expect("the pool connects");
-        let mut head = [0; 1_024];
-        stream.read(&mut head).await.expect("the request arrives");
-        let response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-        let sent = stream.write_all(response.as_bytes()).await;
-        sent.expect("the pool reads the response");
-        stream
-    };
-    let (response, mut first) =
-        tokio::join!(pool.send(address, upload, true, || Ok(())), respond_early);
+    let uploading = pool.send(address, upload, true, || Ok(()));
+    let (response, mut first) = tokio::join!(uploading, respond_once(&listener, EMPTY_RESPONSE));
     drop(response.expect("the response arrives"));
     let look_up = pool.send(address, request("/archive", "look-up"), true, || Ok(()));
-    let respond = async {
-        let (mut second, _) = listener.accept().await.expect("the pool connects again");
-        let mut head = [0; 1_024];
-        second.read(&mut head).await.expect("the request arrives");
-        let response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-        let sent = second.write_all(response.as_bytes()).await;
-        sent.expect("the pool reads the response");
-    };
-    let (response, ()) = tokio::join!(look_up, respond);
+    let (response, _second) = tokio::join!(look_up, respond_once(&listener, EMPTY_RESPONSE));
     response.expect("the response arrives");
     body_sender
         .send(Bytes::from_static(b"rest"))
