The time limit of a response covers its body

They never end, neither at the route's timeout nor at the caller's deadline, nor 12 s after the request. Their slots stay occupied.

Cause: both time limits, of the entry node and of the gate, cover the exchange up to the head. That the entry node alone waits falls: a caller on the backend server's own VM, where gate and entry are one process, gets no end either (silent-0-1.1-0).

Change: decide/response_time gives the sender of a body the time until the deadline, proxy/response_body applies it at the gate and, to responses of other nodes, at the entry. Then the body fails: no last chunk, no full length, a reset on HTTP/2 and for an HTTP/1.0 caller whose response ends with its connection. What the body holds (slot, running request, lease) goes with it. The time for which the receiver leaves what has arrived is not the sender's, so a slow caller gets a whole response. What still arrives after the deadline is passed on, with at most 200 ms of waits, so that a response that was ready during a pause arrives whole; and at most 256 KiB, or the declared length up to 16 MiB, so that a flood ends too. An attempt that fails after its head is not repeated, as before. One line in the log with the request's id, the place, the limit and the byte, and a counter.

Not covered: a slow caller with more than 256 KiB without a declared length is cut; no rule tells it from a flood.

Tests: requests_endless plays silence, a silent gate, and garbage, heads, interim responses, bodies, chunk extensions and trailers without end, fast and slow, on HTTP/1.1, 1.0 and 2, with the memory of both nodes bounded.

--- a/crates/testkit/src/raw.rs
+++ b/crates/testkit/src/raw.rs
@@ -91,11 +91,16 @@
 
     async fn read_body(&mut self, head: RawResponse) -> Result<RawResponse> {
         let len = head.header("content-length").parse().unwrap_or(0);
+        let body = self.read_exactly(len).await?;
+        Ok(RawResponse { body, ..head })
+    }
+
+    /// Reads `len` bytes of a body.
+    pub async fn read_exactly(&mut self, len: usize) -> Result<Vec<u8>> {
         while self.buffer.len() < len {
             self.read_more().await?;
         }
-        let body = self.buffer.split_to(len).to_vec();
-        Ok(RawResponse { body, ..head })
+        Ok(self.buffer.split_to(len).to_vec())
     }
 
     /// Reads until the connection ends. Returns the bytes, and an error if it was reset.
--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -5,6 +5,8 @@
 //! - `work_ms`: time that the request takes.
 //! - `bytes`: size of the response body.
 //! - `answer`: fault of the response, see [`ResponseMode`].
+//! - `endless`: part of the response that never ends, see [`EndlessPart`]; `pause_ms`: pause between two pieces of it.
+//! - `halt_ms`: pause after half of the response body.
 //! - `call`: `HOST/PATH`, which the backend server requests through the node on its VM before it responds.
 //!   `~id~` in it stands for the id of the request.
 //! - `needs`: like `call`; the backend server responds with status 500 if that request fails.
@@ -23,10 +25,12 @@
 
 mod announcer;
 mod connection;
+mod endless;
 mod statement;
 
 pub use self::announcer::AnnouncedState;
 pub use self::connection::response_seal;
+pub use self::endless::EndlessPart;
 pub use self::statement::{Statement, most_arrivals_in};
 
 /// What happens to a request that gets no slot, because the queue is full or because the deadline of the
@@ -204,6 +208,8 @@
     pub running: u32,
     /// Requests whose client disconnected while they ran.
     pub abandoned: u64,
+    /// Endless responses that the client ended by closing the connection.
+    pub endless_closed: u64,
     /// When the backend server ended under a request.
     pub crashed_at: Option<Instant>,
 }
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{CrashMode, OverloadAction, ResponseMode, Run, Shared, lock};
+use super::{CrashMode, EndlessPart, OverloadAction, ResponseMode, Run, Shared, lock};
 use crate::backend::generated_body;
 use crate::http::{Query, request};
 
@@ -288,6 +288,9 @@
         head: &RequestHead,
         response_mode: ResponseMode,
     ) -> io::Result<NextStep> {
+        if let Some(part) = EndlessPart::from_query_value(head.query().get("endless")) {
+            return self.send_endless(head, part).await;
+        }
         let bytes = head.query_number("bytes").unwrap_or(64);
         let body = generated_body(&head.id, bytes);
         let seal = format!(
@@ -315,7 +318,7 @@
                 self.stream.shutdown().await?;
                 return Ok(NextStep::Close);
             }
-            ResponseMode::Complete => self.write_response(200, &head.id, &seal, &body).await?,
+            ResponseMode::Complete => self.write_halting(head, &seal, &body).await?,
             ResponseMode::Duplicated | ResponseMode::DuplicatedLate => {
                 self.write_response(200, &head.id, &seal, &body).await?;
                 if response_mode == ResponseMode::DuplicatedLate {
@@ -331,6 +334,47 @@
         })
     }
 
+    /// Writes a complete response, with the pause that the request asks for after half of the body.
+    async fn write_halting(
+        &mut self,
+        head: &RequestHead,
+        headers: &str,
+        body: &[u8],
+    ) -> io::Result<()> {
+        let Some(halt_ms) = head.query_number("halt_ms") else {
+            return self.write_response(200, &head.id, headers, body).await;
+        };
+        let headers = headers.to_owned() + &self.shared.next_statement_headers();
+        let text = format_response_head(200, &head.id, &headers, Some(body.len()), false);
+        let (first, second) = body.split_at(body.len() / 2);
+        self.stream.write_all(text.as_bytes()).await?;
+        self.stream.write_all(first).await?;
+        tokio::time::sleep(Duration::from_millis(halt_ms)).await;
+        self.stream.write_all(second).await
+    }
+
+    /// Sends a response that never ends, until the client closes the connection.
+    async fn send_endless(
+        &mut self,
+        head: &RequestHead,
+        part: EndlessPart,
+    ) -> io::Result<NextStep> {
+        let pause = Duration::from_millis(head.query_number("pause_ms").unwrap_or(0));
+        let pieces = part.pieces(&head.id);
+        let mut sent = self.stream.write_all(&pieces.start).await;
+        while sent.is_ok() {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            sent = match pieces.repeated.is_empty() {
+                true => Err(wait_disconnect(&mut self.stream, &mut self.buffer).await),
+                false => self.stream.write_all(pieces.repeated.as_bytes()).await,
+            };
+        }
+        self.shared.record().endless_closed += 1;
+        Ok(NextStep::Close)
+    }
+
     /// Responds before the body of the request has been read, in the modes that do so.
     async fn respond_early(
         &mut self,
@@ -497,7 +541,7 @@
     }
 }
 
-fn format_response_head(
+pub(super) fn format_response_head(
     status: u16,
     id: &str,
     headers: &str,
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -26,6 +26,7 @@
 pub(crate) mod peers;
 pub(crate) mod pipeline;
 pub(crate) mod replay;
+pub(crate) mod response_body;
 pub(crate) mod rollouts;
 pub(crate) mod running_requests;
 pub(crate) mod slots;
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -31,6 +31,7 @@
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::hop::{self, Hop};
 use crate::proxy::replay::ReplayableBody;
+use crate::proxy::response_body::{self, Awaiter};
 use crate::proxy::running_requests::ParentRequest;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{crashes, gate, headers, statements, uploads};
@@ -451,7 +452,16 @@
         let failure = Failure::from_headers(response.headers());
         self.record_statements(endpoint, hop, response.headers(), failure.is_none());
         match failure {
-            None => Ok(response.map(body::boxed)),
+            None => {
+                let response = response.map(body::boxed);
+                Ok(response_body::limit_time(
+                    self.node,
+                    Awaiter::Entry,
+                    self.parts.headers.get(&self.node.header_profile.request_id),
+                    response,
+                    self.deadline,
+                ))
+            }
             Some(failure) => Err(failure),
         }
     }
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -14,6 +14,7 @@
 use super::headers;
 use super::hop::Hop;
 use super::log_limiter::{self, LogClass};
+use super::response_body::{self, Awaiter};
 use super::running_requests::RunningGuard;
 use super::slots::{self, Slot};
 use super::statements;
@@ -178,7 +179,8 @@
     let nested_crashes = running.nested_crashes();
     let response = response.map_err(|failure| failure.with_crashes(nested_crashes))?;
     let unspent_retries = running.mark_answered();
-    let mut response = finish_response(response, unspent_retries, (slot, running));
+    let response = finish_response(response, unspent_retries, (slot, running));
+    let mut response = response_body::limit_time(node, Awaiter::Gate, id, response, hop.deadline);
     headers::insert_crashes(response.headers_mut(), nested_crashes);
     Ok(response)
 }
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -6,7 +6,8 @@
 
 use http::header::{self, HeaderName, HeaderValue};
 use http::request::Parts;
-use http::{Request, Response};
+use http::{Request, Response, Version};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -187,6 +188,7 @@
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let leaving = node.leaving.clone();
     let (parts, incoming) = request.into_parts();
+    let version = parts.version;
     let incoming = CallerBody::of_connection(incoming, pipeline.bodies(), expectation(&parts));
     let body = ReplayableBody::new(incoming, stall_limit);
     let mut response = match head_bytes(&parts) > pipeline.head_max_bytes() {
@@ -196,6 +198,9 @@
         }
         false => respond(node, &pipeline, parts, body).await?,
     };
+    if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
+        pipeline.set_ends_response();
+    }
     // A connection with further running requests closes after the last of them.
     let is_leaving = leaving.is_cancelled() && !pipeline.has_early_requests();
     if is_leaving || pipeline.bodies().are_broken() {
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -161,13 +161,18 @@
         Pin::new(&mut connection).graceful_shutdown();
     };
     let at_request_end = result.is_ok() && pipeline.bodies().are_complete();
-    if let Err(error) = result {
-        log::trace!(error:%; "connection ended with an error");
-    }
+    let looks_complete = pipeline.ends_response();
     let parts = connection.into_parts();
     let (stream, unread) = pipeline
         .clone()
         .into_stream(parts.io.into_inner(), parts.read_buf)?;
+    if let Err(error) = result {
+        log::trace!(error:%; "connection ended with an error");
+        if looks_complete {
+            stream.reset();
+            return None;
+        }
+    }
     if at_request_end && became_idle && !stop_requested {
         return Some(IdleConnection { stream, unread });
     }
--- a/src/proxy/pipeline.rs
+++ b/src/proxy/pipeline.rs
@@ -149,6 +149,8 @@
     read_pending: bool,
     /// Whether hyper has read data since [`Pipeline::poll_read_ahead`] last reported it.
     hyper_read: bool,
+    /// Whether the end of the connection is the end of the current response.
+    ends_response: bool,
 }
 
 impl<S: Unpin> Shared<S> {
@@ -202,6 +204,7 @@
                 flushed: true,
                 read_pending: false,
                 hyper_read: false,
+                ends_response: false,
             })),
             bodies: Arc::default(),
         };
@@ -221,6 +224,16 @@
         ActiveRequest(self.clone())
     }
 
+    /// Records that the current response has no other end than that of the connection.
+    pub(crate) fn set_ends_response(&self) {
+        self.lock().ends_response = true;
+    }
+
+    /// Whether a regular end of the connection would make the current response look complete.
+    pub(crate) fn ends_response(&self) -> bool {
+        self.lock().ends_response
+    }
+
     /// The request bodies of the connection.
     pub(crate) fn bodies(&self) -> &Arc<RequestBodies> {
         &self.bodies
--- a/src/proxy/stall.rs
+++ b/src/proxy/stall.rs
@@ -50,6 +50,13 @@
         self
     }
 
+    /// Closes the connection with a reset, so that what was sent does not look complete.
+    pub(crate) fn reset(self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::warn!(error:%; "failed to reset a caller's connection");
+        }
+    }
+
     /// Waits until data can be read or the caller has closed the connection.
     pub(crate) async fn readable(&self) -> io::Result<()> {
         self.stream.readable().await
--- a/src/util/pause_tolerant_timer.rs
+++ b/src/util/pause_tolerant_timer.rs
@@ -7,7 +7,7 @@
 
 use hyper::rt::{Sleep, Timer};
 
-use super::deadline::TURNS_AFTER_DEADLINE;
+use super::deadline::runtime_turns;
 
 #[cfg(test)]
 mod tests;
@@ -42,9 +42,7 @@
         }
         deadline = now + READ_TIME;
     }
-    for _ in 0..TURNS_AFTER_DEADLINE {
-        tokio::task::yield_now().await;
-    }
+    runtime_turns().await;
 }
 
 /// `None` once it has ended. hyper polls the sleep of an idle connection again after its end.
--- a/tests/testsuite/requests_streams.rs
+++ b/tests/testsuite/requests_streams.rs
@@ -11,7 +11,8 @@
 use tokio::net::TcpStream;
 
 use crate::support::{
-    WAIT_TIMEOUT, fetch_metrics, send_request, small_deployment, start_chatarras, vms_of,
+    WAIT_TIMEOUT, fetch_metrics, resident_bytes, send_request, small_deployment, start_chatarras,
+    vms_of,
 };
 
 /// Number of concurrent callers that request responses of 8 MiB. Nodes must not buffer these in
@@ -22,17 +23,6 @@
 /// (128 MiB), but above the windows of their streams.
 const GROWTH_MAX_BYTES: u64 = 16 << 20;
 
-fn resident_bytes(mesh: &Mesh, position: usize) -> u64 {
-    let id = mesh.vms[position].node().id().expect("the node runs");
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the node runs");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    let kib: u64 = kib
-        .and_then(|kib| kib.parse().ok())
-        .expect("VmRSS is a number");
-    kib << 10
-}
-
 async fn slots_in_use(mesh: &Mesh) -> usize {
     let mut in_use = 0;
     for position in vms_of(mesh, "hemeroteca") {
@@ -67,7 +57,7 @@
     let mesh = start().await;
     let entry = vms_of(&mesh, "tablon")[0];
     let gate = vms_of(&mesh, "hemeroteca")[0];
-    let before = [entry, gate].map(|position| resident_bytes(&mesh, position));
+    let before = [entry, gate].map(|position| resident_bytes(mesh.vms[position].node()));
     let caller = mesh.vms[entry].node().addresses.caller;
     let mut readers = Vec::new();
     for _ in 0..READERS {
@@ -94,7 +84,7 @@
     let reply = request(caller, Method::GET, "hemeroteca", path, &[], "").await;
     assert_eq!(reply.expect("the node responds").body.len(), 100_000);
     for (position, before) in [entry, gate].into_iter().zip(before) {
-        let grown = resident_bytes(&mesh, position).saturating_sub(before);
+        let grown = resident_bytes(mesh.vms[position].node()).saturating_sub(before);
         println!("slow readers: VM {position} grew by {} KiB", grown >> 10);
         assert!(
             grown < GROWTH_MAX_BYTES,
@@ -225,10 +215,10 @@
         assert_eq!(&first, b"HTTP/1.1 200");
         streams.push(stream);
         if number == 0 {
-            before = resident_bytes(&mesh, entry);
+            before = resident_bytes(mesh.vms[entry].node());
         }
     }
-    let grown = resident_bytes(&mesh, entry).saturating_sub(before);
+    let grown = resident_bytes(mesh.vms[entry].node()).saturating_sub(before);
     let bytes_per_connection = grown / IDLE_CONNECTIONS as u64;
     println!("idle connections: {bytes_per_connection} bytes each");
     assert!(
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use testkit::http::{Reply, request, wait_until};
 use testkit::mesh::{Deployment, Mesh};
+use testkit::process::NodeProcess;
 use testkit::users;
 use testkit::users::configuration::{Route, RouteKind};
 
@@ -129,6 +130,18 @@
     String::from_utf8_lossy(&body).into_owned()
 }
 
+/// Resident memory of a node's process.
+pub(crate) fn resident_bytes(node: &NodeProcess) -> u64 {
+    let id = node.id().expect("the node runs");
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the node runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let kib: u64 = kib
+        .and_then(|kib| kib.parse().ok())
+        .expect("VmRSS is a number");
+    kib << 10
+}
+
 /// Services of the test deployments on the users' platform.
 pub(crate) const SERVICES: [&str; 2] = ["armazem", "expedicao"];
 
