A response of the store is limited in bytes and in time

A store that sends without end grows the memory of each node that reads it; one that sends a byte now and then holds a read for good. Nobody has seen it; it follows from the code.

Change: 16 MiB and 30 s for a body. A write whose answer exceeds them has an unknown outcome, as after other lost answers.

Tests: both ran without end on the code before, by reading: read_body had no other exit while parts came.

--- a/src/store/transport.rs
+++ b/src/store/transport.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -19,14 +19,34 @@
 use super::{Error, Result, UnavailableSnafu};
 use crate::util::clock;
 
+#[cfg(test)]
+mod tests;
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Time within which a TCP connection to the store must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time within which the next part of a response body must arrive.
-const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limits on response bodies.
+const BODY_LIMITS: BodyLimits = BodyLimits {
+    // Above the largest rows and objects of the stores, in their encoding.
+    max_bytes: 16 << 20,
+    stall_timeout: Duration::from_secs(1),
+    total_timeout: Duration::from_secs(30),
+};
 /// Time after which an idle connection is closed. 520 nodes that each send a request every few seconds
 /// must not keep connections of the store open.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Limits on a response body.
+#[derive(Clone, Copy, Debug)]
+struct BodyLimits {
+    max_bytes: usize,
+    /// Time within which the next part must arrive.
+    stall_timeout: Duration,
+    /// Time within which the whole body must arrive.
+    total_timeout: Duration,
+}
+
 /// HTTP client of one store, independent of the store's protocol.
 #[derive(Clone, Debug)]
 pub(crate) struct Transport {
@@ -60,7 +80,7 @@
     }
 
     /// Sends a request and reads the whole response. Fails if the response does not begin within
-    /// `timeout`, or if a part of its body takes longer than [`BODY_STALL_TIMEOUT`].
+    /// `timeout`, or if its body exceeds [`BODY_LIMITS`].
     pub(crate) async fn call(
         &self,
         method: Method,
@@ -78,7 +98,7 @@
             })?;
         let response = with_timeout(timeout, self.send(request)).await??;
         let status = response.status();
-        let body = read_body(response.into_body()).await?;
+        let body = read_body(response.into_body(), BODY_LIMITS).await?;
         match status {
             StatusCode::TOO_MANY_REQUESTS => Err(Error::RateLimited),
             StatusCode::SERVICE_UNAVAILABLE => UnavailableSnafu {
@@ -109,17 +129,25 @@
     })
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes> {
-    let mut body_bytes = BytesMut::new();
-    while let Some(frame) = with_timeout(BODY_STALL_TIMEOUT, body.frame()).await? {
-        let frame = frame.map_err(|error| Error::OutcomeUnknown {
-            reason: error.to_string(),
-        })?;
-        if let Ok(data) = frame.into_data() {
-            body_bytes.extend_from_slice(&data);
+async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    let mut body = Limited::new(body, limits.max_bytes);
+    let reading = async {
+        let mut body_bytes = BytesMut::new();
+        while let Some(frame) = with_timeout(limits.stall_timeout, body.frame()).await? {
+            let frame = frame.map_err(|error| Error::OutcomeUnknown {
+                reason: error.to_string(),
+            })?;
+            if let Ok(data) = frame.into_data() {
+                body_bytes.extend_from_slice(&data);
+            }
         }
-    }
-    Ok(body_bytes.freeze())
+        Ok(body_bytes.freeze())
+    };
+    with_timeout(limits.total_timeout, reading).await?
 }
 
 fn error_chain(error: &dyn std::error::Error) -> String {
