A call to another node is limited up to the last byte of its answer

A peer that falls silent within an answer holds the call for good: a follower then awaits its lead's answer, and enforces no newer version meanwhile.

Change: each call awaits its whole answer within its timeout.

Test: calls_to_a_peer_that_falls_silent_within_its_answer_end failed on the code before ("the call ends: Elapsed", after 30 s).

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,7 +1,7 @@
 //! Client of another node's control service.
 
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use snafu::{ResultExt, Snafu};
 use tonic::Status;
@@ -27,6 +27,7 @@
 use crate::membership::Gossip;
 use crate::node::quota::UsageReport;
 use crate::store::rows::NodeRow;
+use crate::util::deadline::{self, Elapsed};
 
 /// Result of a call to a peer.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -157,10 +158,8 @@
     /// Sends a gossip message and returns the answer.
     pub async fn exchange(&mut self, gossip: &Gossip) -> Result<Gossip> {
         let request = with_timeout(convert::gossip_to_wire(gossip), ANSWER_TIMEOUT);
-        let answer = self.client.exchange(request).await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let answer = self.client.exchange(request);
+        let answer = whole_answer(self.address, ANSWER_TIMEOUT, answer).await?;
         convert::gossip_from_wire(answer.get_ref()).map_err(|error| self.protocol_error(&error))
     }
 
@@ -170,13 +169,9 @@
             have_version: have.0,
             want_version: want.0,
         };
-        let answer = self
-            .client
-            .fetch(with_timeout(request, CONTENT_TIMEOUT))
-            .await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let timeout = CONTENT_TIMEOUT;
+        let answer = self.client.fetch(with_timeout(request, timeout));
+        let answer = whole_answer(self.address, timeout, answer).await?;
         convert::offer_from_wire(answer.into_inner()).map_err(|error| self.protocol_error(&error))
     }
 
@@ -195,13 +190,9 @@
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             rollouts_digest,
         };
-        let answer = self
-            .client
-            .follow(with_timeout(request, wait + answer_timeout))
-            .await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let timeout = wait + answer_timeout;
+        let answer = self.client.follow(with_timeout(request, timeout));
+        let answer = whole_answer(self.address, timeout, answer).await?;
         let answer = answer.into_inner();
         let state = LeadState {
             store_age_ms: u64::from(answer.store_age_ms),
@@ -233,13 +224,9 @@
         let request = wire::HintRequest {
             head: Some(convert::stamp_to_wire(head)),
         };
-        let answer = self
-            .client
-            .hint(with_timeout(request, ANSWER_TIMEOUT))
-            .await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let timeout = ANSWER_TIMEOUT;
+        let answer = self.client.hint(with_timeout(request, timeout));
+        let answer = whole_answer(self.address, timeout, answer).await?;
         convert::stamp_from_wire(answer.get_ref().enforced.as_ref())
             .map_err(|error| self.protocol_error(&error))
     }
@@ -250,13 +237,9 @@
         let request = wire::FloorRequest {
             node: node.to_string(),
         };
-        let answer = self
-            .client
-            .floor(with_timeout(request, ANSWER_TIMEOUT))
-            .await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let timeout = ANSWER_TIMEOUT;
+        let answer = self.client.floor(with_timeout(request, timeout));
+        let answer = whole_answer(self.address, timeout, answer).await?;
         let answer = answer.get_ref();
         let enforced = convert::stamp_from_wire(answer.enforced.as_ref());
         let enforced = enforced.map_err(|error| self.protocol_error(&error))?;
@@ -279,13 +262,9 @@
             tallies: tallies.collect(),
             forwarded,
         };
-        let answer = self
-            .client
-            .tally(with_timeout(request, ANSWER_TIMEOUT))
-            .await;
-        answer.map(drop).context(CallSnafu {
-            address: self.address,
-        })
+        let answer = self.client.tally(with_timeout(request, ANSWER_TIMEOUT));
+        let answer = whole_answer(self.address, ANSWER_TIMEOUT, answer).await;
+        answer.map(drop)
     }
 
     /// Reports the requests of organisations at this node. Returns how many more it may admit.
@@ -295,10 +274,8 @@
         answer_timeout: Duration,
     ) -> Result<Grants> {
         let request = with_timeout(convert::usage::report_to_wire(report), answer_timeout);
-        let answer = self.client.report_usage(request).await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let answer = self.client.report_usage(request);
+        let answer = whole_answer(self.address, answer_timeout, answer).await?;
         convert::usage::grants_from_wire(answer.get_ref())
             .map_err(|error| self.protocol_error(&error))
     }
@@ -310,10 +287,8 @@
         sums: &UsageSums,
     ) -> Result<UsageSums> {
         let request = with_timeout(convert::usage::sums_to_wire(from, sums), ANSWER_TIMEOUT);
-        let answer = self.client.share_usage(request).await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let answer = self.client.share_usage(request);
+        let answer = whole_answer(self.address, ANSWER_TIMEOUT, answer).await?;
         let (_, sums) = convert::usage::sums_from_wire(answer.get_ref())
             .map_err(|error| self.protocol_error(&error))?;
         Ok(sums)
@@ -328,13 +303,9 @@
         answer_timeout: Duration,
     ) -> Result<Vec<NodeId>> {
         let report = convert::crashes::report_to_wire(updates, further);
-        let answer = self
-            .client
-            .report_crashes(with_timeout(report, answer_timeout))
-            .await;
-        let answer = answer.context(CallSnafu {
-            address: self.address,
-        })?;
+        let timeout = answer_timeout;
+        let answer = self.client.report_crashes(with_timeout(report, timeout));
+        let answer = whole_answer(self.address, timeout, answer).await?;
         convert::crashes::nodes_from_wire(&answer.get_ref().left_out)
             .map_err(|error| self.protocol_error(&error))
     }
@@ -347,10 +318,9 @@
     ) -> Result<()> {
         let row = serde_json::to_string(row).expect("the row can be encoded as JSON");
         let request = with_timeout(wire::WriteRowRequest { row }, answer_timeout);
-        let answer = self.client.write_row(request).await;
-        answer.map(drop).context(CallSnafu {
-            address: self.address,
-        })
+        let answer = self.client.write_row(request);
+        let answer = whole_answer(self.address, answer_timeout, answer).await;
+        answer.map(drop)
     }
 
     fn protocol_error(&self, error: &convert::Error) -> Error {
@@ -361,6 +331,20 @@
     }
 }
 
+/// Awaits a whole answer. The timeout of a request covers the start of its answer, and the rest may never come.
+async fn whole_answer<T>(
+    address: SocketAddr,
+    timeout: Duration,
+    answer: impl Future<Output = Result<tonic::Response<T>, Status>>,
+) -> Result<tonic::Response<T>> {
+    let answer = deadline::timeout_at(Instant::now() + timeout, answer).await;
+    let answer = answer.unwrap_or_else(|Elapsed| {
+        let message = "the answer did not arrive in time";
+        Err(Status::deadline_exceeded(message))
+    });
+    answer.context(CallSnafu { address })
+}
+
 fn with_timeout<T>(message: T, timeout: Duration) -> tonic::Request<T> {
     let mut request = tonic::Request::new(message);
     request.set_timeout(timeout);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -62,6 +62,7 @@
 mod spread_leads;
 mod spread_membership;
 mod spread_network;
+mod spread_silent_peers;
 mod spread_timing;
 mod support;
 mod token;
