A request body whose start is gone is never sent as a shorter one

Cause: a trailer frame has no data, so the buffer for a retry was dropped and the body marked as not to be sent again; the way of a free-slot refusal did not ask for the mark, and the next attempt got the rest of the body, which was empty and had a regular end.

Test: uploads_with_trailers_keep_their_body_when_they_are_sent_again failed on the code before with the digest of an empty body.

--- a/src/proxy/replay.rs
+++ b/src/proxy/replay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
@@ -35,7 +36,7 @@
 pub(crate) struct SharedBody {
     incoming: CallerBody,
     size_hint: SizeHint,
-    buffered: Vec<Bytes>,
+    buffered: Vec<Part>,
     buffered_bytes: usize,
     /// Set when more was read than is buffered, or reading failed.
     unreplayable: bool,
@@ -45,6 +46,48 @@
     stall_timer: StallTimer,
 }
 
+/// A part of a body that can be sent again.
+#[derive(Clone, Debug)]
+enum Part {
+    Data(Bytes),
+    Trailers(HeaderMap),
+}
+
+impl Part {
+    /// `None` for a frame of a kind that HTTP does not have yet.
+    fn of(frame: &Frame<Bytes>) -> Option<Self> {
+        let data = frame.data_ref().cloned().map(Self::Data);
+        data.or_else(|| frame.trailers_ref().cloned().map(Self::Trailers))
+    }
+
+    fn into_frame(self) -> Frame<Bytes> {
+        match self {
+            Self::Data(data) => Frame::data(data),
+            Self::Trailers(trailers) => Frame::trailers(trailers),
+        }
+    }
+
+    fn data(&self) -> &[u8] {
+        match self {
+            Self::Data(data) => data,
+            Self::Trailers(_) => &[],
+        }
+    }
+
+    /// Bytes that it occupies in the buffer.
+    fn len_bytes(&self) -> usize {
+        match self {
+            Self::Data(data) => data.len(),
+            Self::Trailers(trailers) => {
+                let fields = trailers.iter();
+                fields
+                    .map(|(name, value)| name.as_str().len() + value.len())
+                    .sum()
+            }
+        }
+    }
+}
+
 /// Limits how long a caller may send nothing while its body is being read.
 #[derive(Debug)]
 struct StallTimer {
@@ -117,7 +160,8 @@
                 body::boxed(AttemptBody {
                     number: locked.attempt,
                     source: Arc::clone(source),
-                    next_chunk: 0,
+                    next_part: 0,
+                    has_started: false,
                 })
             }
         }
@@ -168,7 +212,8 @@
 struct AttemptBody {
     source: Arc<Mutex<SharedBody>>,
     number: u32,
-    next_chunk: usize,
+    next_part: usize,
+    has_started: bool,
 }
 
 impl HttpBody for AttemptBody {
@@ -184,22 +229,28 @@
         if source.attempt != self.number {
             return Poll::Ready(Some(Err("a later attempt took over this body".into())));
         }
-        if let Some(buffered) = source.buffered.get(self.next_chunk) {
-            self.next_chunk += 1;
-            return Poll::Ready(Some(Ok(Frame::data(buffered.clone()))));
+        if let Some(part) = source.buffered.get(self.next_part).cloned() {
+            self.next_part += 1;
+            self.has_started = true;
+            return Poll::Ready(Some(Ok(part.into_frame())));
+        }
+        if source.unreplayable && !self.has_started {
+            return Poll::Ready(Some(Err("the start of this body was sent before".into())));
         }
         let frame = ready!(source.poll_frame(context));
-        self.next_chunk = source.buffered.len();
+        self.next_part = source.buffered.len();
+        self.has_started = true;
         Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
         let source = lock(&self.source);
-        source.ended && self.next_chunk >= source.buffered.len()
+        let is_whole = self.has_started || !source.unreplayable;
+        source.ended && is_whole && self.next_part >= source.buffered.len()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self.next_chunk {
+        match self.next_part {
             0 => lock(&self.source).size_hint,
             _ => SizeHint::default(),
         }
@@ -213,7 +264,7 @@
 
     fn digest(&self) -> BodyDigest {
         if self.ended && !self.unreplayable {
-            return BodyDigest::of_chunks(self.buffered.iter().map(Bytes::as_ref));
+            return BodyDigest::of_chunks(self.buffered.iter().map(Part::data));
         }
         self.length_digest()
     }
@@ -256,12 +307,12 @@
     }
 
     fn buffer(&mut self, frame: &Frame<Bytes>) {
-        let data = frame.data_ref().filter(|_| !self.unreplayable);
+        let part = Part::of(frame).filter(|_| !self.unreplayable);
         let room = REPLAY_BUFFER_MAX_BYTES - self.buffered_bytes;
-        match data.filter(|data| data.len() <= room) {
-            Some(data) => {
-                self.buffered_bytes += data.len();
-                self.buffered.push(data.clone());
+        match part.filter(|part| part.len_bytes() <= room) {
+            Some(part) => {
+                self.buffered_bytes += part.len_bytes();
+                self.buffered.push(part);
             }
             None => {
                 self.unreplayable = true;
--- a/tests/testsuite/requests_bodies.rs
+++ b/tests/testsuite/requests_bodies.rs
@@ -11,7 +11,7 @@
 use testkit::users::backend::ResponseMode;
 use testkit::users::mesh::{Mesh, Plan, REQUEST_ID};
 
-use crate::support::{SERVICES, start_serving_users_mesh, users_mesh_runs};
+use crate::support::{SERVICES, join_all, start_serving_users_mesh, users_mesh_runs};
 
 /// Number of pieces in which an upload is sent, each a complete request by itself. Together they are more than a gate buffers
 /// before it sends the request on.
@@ -390,3 +390,36 @@
         }
     }
 }
+
+/// Guards against uploads with a trailer section that run with an empty body after a busy backend server refused them.
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_with_trailers_keep_their_body_when_they_are_sent_again() {
+    const UPLOADS: usize = 60;
+    const BODY_BYTES: usize = 6_000;
+    let mut plan = Plan::new(&SERVICES);
+    plan.behaviour.slots = 2;
+    let mesh = start_serving_users_mesh(plan).await;
+    let upload = async |number: usize| {
+        let id = format!("trailed-{number}");
+        let head = upload_head(&format!("/sheets/{number}?work_ms=40"), &id);
+        let body = format!("{number:06}").repeat(BODY_BYTES / 6);
+        let mut connection = connect(&mesh).await;
+        let sent = connection.send(format!(
+            "{head}transfer-encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n{body}\r\n0\r\nchecksum: 520\r\n\r\n"
+        ));
+        sent.await.expect("the node reads the request");
+        let response = connection.read_response().await;
+        (id, body, response.expect("the upload is answered").status)
+    };
+    let uploads = join_all((0..UPLOADS).map(upload).collect()).await;
+    let mut served = 0;
+    for (id, body, status) in uploads {
+        let digest = blake3::hash(body.as_bytes()).to_hex().to_string();
+        for vm in users_mesh_runs(&mesh, &id) {
+            let run = mesh.vms[vm].backend().record().runs[&id][0].clone();
+            assert_eq!(run.body_digest, digest, "{id} ran with another body");
+        }
+        served += usize::from(status == 200);
+    }
+    assert!(served > 0, "no upload was served");
+}
