A limit on heads below the library's least buffer is enforced, without a panic

Cause: the limit was the size of hyper's read buffer, which panics below 8192 bytes ("the max_buf_size cannot be smaller than the minimum that h1 specifies").

Change: the buffer has at least 8 KiB; heads are held to the limit when they are complete, as before.

Test: low_limit_on_heads_is_enforced failed on the code before ("connection error").

--- a/crates/testkit/src/users/configuration.rs
+++ b/crates/testkit/src/users/configuration.rs
@@ -108,6 +108,18 @@
     configuration.to_string()
 }
 
+/// Like [`json_text`], with the given limit on the heads of callers' requests.
+pub fn json_text_with_head_limit(
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    head_max_bytes: u32,
+) -> String {
+    let mut configuration = json_value(version, routes, services, DEFAULT_IDLE_TIMEOUT_MS);
+    configuration["limits"]["maxHeaderBytes"] = json!(head_max_bytes);
+    configuration.to_string()
+}
+
 /// Like [`json_text`], with the given limit on the idle time of callers' connections.
 pub fn json_text_with_idle_timeout(
     version: u64,
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -36,6 +36,9 @@
     pub(super) idle_timeout: Duration,
 }
 
+/// Least read buffer that hyper accepts. Heads are held to a lower limit when they are complete.
+const READ_BUFFER_MIN_BYTES: usize = 8 << 10;
+
 /// Longest time in which the caller's last bytes are read after the connection has been closed for writing.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -126,7 +129,7 @@
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.head_max_bytes)
+        .max_buf_size(limits.head_max_bytes.max(READ_BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(watched_stream), service_fn(handler));
     let mut became_idle = false;
     let mut stop_requested = false;
--- a/tests/testsuite/users_configuration.rs
+++ b/tests/testsuite/users_configuration.rs
@@ -5,7 +5,9 @@
 use http::{Method, StatusCode};
 use testkit::http::wait_until;
 use testkit::process::Signal;
-use testkit::users::configuration::{DEFAULT_HOST, Route, RouteKind, json_text_with_idle_timeout};
+use testkit::users::configuration::{
+    DEFAULT_HOST, Route, RouteKind, json_text_with_head_limit, json_text_with_idle_timeout,
+};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan};
 use testkit::users::store::CallFault;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -418,3 +420,25 @@
         "the connection was closed after the old timeout"
     );
 }
+
+/// Guards against a panic of each connection under a limit on heads below the least buffer of the HTTP library.
+#[tokio::test(flavor = "multi_thread")]
+async fn low_limit_on_heads_is_enforced() {
+    const HEAD_MAX_BYTES: u32 = 4_096;
+    let mut plan = Plan::new(&SERVICES);
+    plan.data_centres.truncate(1);
+    let mesh = start_serving_users_mesh(plan).await;
+    let text = json_text_with_head_limit(2, &users_routes(), &SERVICES, HEAD_MAX_BYTES);
+    mesh.store.write_operator_row("config", text.as_bytes());
+    mesh.wait_enforced(2).await;
+    for (padding_bytes, status) in [(100, 200), (3_500, 200), (5_000, 431), (12_000, 431)] {
+        let padding = "p".repeat(padding_bytes);
+        let id = format!("padded-{padding_bytes}");
+        let mut request = CallerRequest::get("/stock/1", &id);
+        let headers = [("x-padding", padding.as_str())];
+        request.headers = &headers;
+        let reply = mesh.send_request(0, &request).await;
+        let reply = reply.expect("the node responds");
+        assert_eq!(reply.status, status, "{padding_bytes} bytes of padding");
+    }
+}
