--- a/src/proxy/backend/tests.rs
+++ b/src/proxy/backend/tests.rs
@@ -244,8 +244,9 @@
 /// Accepts a connection, and responds to the first request on it.
 async fn respond_once(listener: &TcpListener, response: &str) -> TcpStream {
     let (mut stream, _) = listener.accept().await.expect("the pool connects");
-    let mut head = [0; 1_024];
-    stream.read(&mut head).await.expect("the request arrives");
+    let mut head = Vec::new();
+    let read = stream.read_buf(&mut head).await;
+    assert!(read.is_ok_and(|read| read > 0), "no request arrives");
     let sent = stream.write_all(response.as_bytes()).await;
     sent.expect("the pool reads the response");
     stream
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -31,7 +31,7 @@
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::hop::{self, Hop};
 use crate::proxy::replay::ReplayableBody;
-use crate::proxy::response_body::{self, Awaiter};
+use crate::proxy::response_body::{self, Place};
 use crate::proxy::running_requests::ParentRequest;
 use crate::proxy::state::ProxyState;
 use crate::proxy::{crashes, gate, headers, statements, uploads};
@@ -456,7 +456,7 @@
                 let response = response.map(body::boxed);
                 Ok(response_body::limit_time(
                     self.node,
-                    Awaiter::Entry,
+                    Place::Entry,
                     self.parts.headers.get(&self.node.header_profile.request_id),
                     response,
                     self.deadline,
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -14,7 +14,7 @@
 use super::headers;
 use super::hop::Hop;
 use super::log_limiter::{self, LogClass};
-use super::response_body::{self, Awaiter};
+use super::response_body::{self, Place};
 use super::running_requests::RunningGuard;
 use super::slots::{self, Slot};
 use super::statements;
@@ -180,7 +180,7 @@
     let response = response.map_err(|failure| failure.with_crashes(nested_crashes))?;
     let unspent_retries = running.mark_answered();
     let response = finish_response(response, unspent_retries, (slot, running));
-    let mut response = response_body::limit_time(node, Awaiter::Gate, id, response, hop.deadline);
+    let mut response = response_body::limit_time(node, Place::Gate, id, response, hop.deadline);
     headers::insert_crashes(response.headers_mut(), nested_crashes);
     Ok(response)
 }
--- a/src/proxy/listener/http1.rs
+++ b/src/proxy/listener/http1.rs
@@ -21,7 +21,7 @@
 use super::callers::{http_limits, serve_caller_request};
 use crate::proxy::caller_body::{BodyEvent, DISCARD_MAX_BYTES};
 use crate::proxy::caller_connections::ConnectionGuard;
-use crate::proxy::pipeline::Pipeline;
+use crate::proxy::pipeline::{Pipeline, WatchedStream};
 use crate::proxy::stall::StallGuard;
 use crate::proxy::state::ProxyState;
 use crate::util::deadline;
@@ -133,42 +133,56 @@
         .serve_connection(TokioIo::new(watched_stream), service_fn(handler));
     let mut became_idle = false;
     let mut stop_requested = false;
-    let mut body_event = pin!(pipeline.bodies().next_event(stall_limit));
-    let result = loop {
-        let progress = poll_fn(|context| match connection.poll_without_shutdown(context) {
-            Poll::Ready(result) => Poll::Ready(Some(result)),
-            Poll::Pending if !became_idle && pipeline.is_idle() => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
-        });
-        tokio::select! {
-            biased;
-            progress = progress => match progress {
-                Some(result) => break result,
-                None => became_idle = true,
-            },
-            () = graceful_stop.cancelled(), if !stop_requested => stop_requested = true,
-            event = &mut body_event => {
-                body_event.set(pipeline.bodies().next_event(stall_limit));
-                if event == BodyEvent::Stalled && pipeline.is_answered() {
-                    break Ok(());
+    let result = {
+        let mut body_event = pin!(pipeline.bodies().next_event(stall_limit));
+        loop {
+            let progress = poll_fn(|context| match connection.poll_without_shutdown(context) {
+                Poll::Ready(result) => Poll::Ready(Some(result)),
+                Poll::Pending if !became_idle && pipeline.is_idle() => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            });
+            tokio::select! {
+                biased;
+                progress = progress => match progress {
+                    Some(result) => break result,
+                    None => became_idle = true,
+                },
+                () = graceful_stop.cancelled(), if !stop_requested => stop_requested = true,
+                event = &mut body_event => {
+                    if event == BodyEvent::Stalled && pipeline.is_answered() {
+                        break Ok(());
+                    }
+                    body_event.set(pipeline.bodies().next_event(stall_limit));
+                    continue;
                 }
+            }
+            // The response to the last of them closes the connection.
+            if stop_requested && pipeline.has_early_requests() {
                 continue;
             }
+            // An idle connection ends at once and keeps its stream; any other ends after its current
+            // request.
+            Pin::new(&mut connection).graceful_shutdown();
         }
-        // The response to the last of them closes the connection.
-        if stop_requested && pipeline.has_early_requests() {
-            continue;
-        }
-        // An idle connection ends at once and keeps its stream; any other ends after its current
-        // request.
-        Pin::new(&mut connection).graceful_shutdown();
     };
-    let at_request_end = result.is_ok() && pipeline.bodies().are_complete();
-    let looks_complete = pipeline.ends_response();
     let parts = connection.into_parts();
-    let (stream, unread) = pipeline
-        .clone()
-        .into_stream(parts.io.into_inner(), parts.read_buf)?;
+    let may_reuse = became_idle && !stop_requested;
+    let (stream, unread) = (parts.io.into_inner(), parts.read_buf);
+    release(pipeline, stream, unread, result, may_reuse).await
+}
+
+/// Takes a connection back from hyper, which has ended with `result`. Returns it if `may_reuse` and if its next byte begins a
+/// request, and otherwise closes it.
+async fn release(
+    pipeline: Pipeline<StallGuard>,
+    watched_stream: WatchedStream<StallGuard>,
+    unread: Bytes,
+    result: hyper::Result<()>,
+    may_reuse: bool,
+) -> Option<IdleConnection> {
+    let looks_complete = pipeline.ends_response();
+    let at_request_end = result.is_ok() && pipeline.bodies().are_complete();
+    let (stream, unread) = pipeline.into_stream(watched_stream, unread)?;
     if let Err(error) = result {
         log::trace!(error:%; "connection ended with an error");
         if looks_complete {
@@ -176,7 +190,7 @@
             return None;
         }
     }
-    if at_request_end && became_idle && !stop_requested {
+    if at_request_end && may_reuse {
         return Some(IdleConnection { stream, unread });
     }
     close(stream, at_request_end).await;
--- a/src/proxy/response_body.rs
+++ b/src/proxy/response_body.rs
@@ -26,16 +26,16 @@
     at_byte: u64,
 }
 
-/// Which part of a request's path awaits the response.
+/// Where on the path of a request its response is limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Awaiter {
+pub(crate) enum Place {
     /// The entry node, from the node of the backend server.
     Entry,
     /// The gate, from the backend server.
     Gate,
 }
 
-impl Awaiter {
+impl Place {
     fn as_str(self) -> &'static str {
         match self {
             Self::Entry => "entry",
@@ -48,7 +48,7 @@
 /// complete, and what it holds is dropped.
 pub(crate) fn limit_time(
     node: &Arc<ProxyState>,
-    awaiter: Awaiter,
+    place: Place,
     id: Option<&HeaderValue>,
     response: Response<Body>,
     deadline: Instant,
@@ -60,7 +60,7 @@
         let time = ResponseTime::new(deadline, inner.size_hint().exact());
         body::boxed(TimedBody {
             node: Arc::clone(node),
-            awaiter,
+            place,
             id: id.cloned(),
             time,
             passed_bytes: 0,
@@ -73,7 +73,7 @@
 
 struct TimedBody {
     node: Arc<ProxyState>,
-    awaiter: Awaiter,
+    place: Place,
     id: Option<HeaderValue>,
     time: ResponseTime,
     passed_bytes: u64,
@@ -102,13 +102,13 @@
     fn end(&mut self, overrun: Overrun) -> BoxError {
         self.inner = None;
         let limit = overrun.as_str();
-        let awaiter = self.awaiter.as_str();
-        metrics::counter!("dragonflywall_responses_ended_total", "limit" => limit, "at" => awaiter)
+        let place = self.place.as_str();
+        metrics::counter!("dragonflywall_responses_ended_total", "limit" => limit, "at" => place)
             .increment(1);
         if self.node.log_limiter.may_log(LogClass::Notable) {
             log::warn!(
                 request_id = log_limiter::id_text(self.id.as_ref()),
-                at = awaiter,
+                at = place,
                 limit,
                 at_byte = self.passed_bytes;
                 "ended a response whose rest did not arrive in time"
