A row that cannot be read hides no other row

Cause: a page of rows is decoded as a whole, so the read of the seeds fails.

Change: such a row is left out of the page, with a line in the log.

Test: row_that_cannot_be_read_hides_no_other failed on the code before ("invalid utf-8 sequence of 1 bytes").

--- a/crates/testkit/src/users/store.rs
+++ b/crates/testkit/src/users/store.rs
@@ -163,6 +163,11 @@
         version
     }
 
+    /// Writes a row of any table, as another writer does.
+    pub fn write_row(&self, table: &str, key: &str, value: &[u8]) {
+        self.shared.state().rows.put(table, "", key, value.to_vec());
+    }
+
     /// Deletes a row of the table `op`, as an operator does.
     pub fn delete_operator_row(&self, key: &str) {
         self.shared.state().rows.delete("op", "", key);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -166,6 +166,14 @@
     rows: Vec<WireRow>,
 }
 
+/// Decodes one row among others. A row of another writer that cannot be read must not hide the rest.
+fn readable_row(row: WireRow) -> Option<(String, Row)> {
+    let decoded = row.into_row();
+    decoded
+        .inspect_err(|error| log::warn!(error:%; "ignored a row that cannot be read"))
+        .ok()
+}
+
 /// The smallest key greater than all keys that begin with `prefix`, which must be ASCII.
 fn prefix_end(prefix: &str) -> String {
     let mut bytes = prefix.as_bytes().to_vec();
@@ -235,7 +243,7 @@
         let rows = self
             .read_own_rows(first, &prefix_end(prefix), limit)
             .await?;
-        rows.into_iter().map(WireRow::into_row).collect()
+        Ok(rows.into_iter().filter_map(readable_row).collect())
     }
 }
 
--- a/tests/testsuite/users_store.rs
+++ b/tests/testsuite/users_store.rs
@@ -102,6 +102,23 @@
     }
 }
 
+/// Guards against one row of another writer that keeps a node from reading all others, and thus from finding the mesh.
+#[tokio::test]
+async fn row_that_cannot_be_read_hides_no_other() {
+    let (store, client) = start().await;
+    for key in ["node/a", "node/c"] {
+        let written = client.transact(&put(key, key, Vec::new())).await;
+        assert_eq!(written.expect("the store responds"), Outcome::Committed);
+    }
+    store.write_row(TABLE, "node/b", b"\xff\xfe\x00 not text");
+    let page = client.rows_from("node/", "node/a", 10).await;
+    let page = page.expect("the other rows are read");
+    assert!(page.keys().eq(["node/a", "node/c"]));
+    let page = client.rows("node/", "node/a", 10).await;
+    let page = page.expect("the other rows are read");
+    assert!(page.keys().eq(["node/c"]));
+}
+
 /// Guards against a write that is reported as not done although it may have taken effect, which a caller
 /// would repeat. Status 503 and 429 prove that nothing was written; a lost connection proves nothing.
 #[tokio::test]
