An incomplete response does not take the pipelined responses behind it

Cause: on HTTP/1 a response that ends before its last byte ends the connection, and the responses of requests that were started early behind it are lost.

Change: while further requests of its connection run, a response is received whole, up to 64 KiB, before its head is sent. If its rest does not come, the caller gets 504 or 502, may-have-run, and the responses behind follow. The time in which a response waits for its turn counts as the receiver's.

--- a/src/decide/response_time.rs
+++ b/src/decide/response_time.rs
@@ -47,13 +47,14 @@
 }
 
 impl ResponseTime {
-    /// The limits of a response that is due at `deadline`. `declared_bytes` is the length in its head.
-    pub fn new(deadline: Instant, declared_bytes: Option<u64>) -> Self {
+    /// The limits of a response whose head has arrived and that is due at `deadline`. `declared_bytes` is the length in its
+    /// head.
+    pub fn new(now: Instant, deadline: Instant, declared_bytes: Option<u64>) -> Self {
         let plausible = declared_bytes.filter(|bytes| *bytes <= PLAUSIBLE_MAX_BYTES);
         Self {
             deadline,
             receiver_time: Duration::ZERO,
-            passed_on_at: None,
+            passed_on_at: Some(now),
             waiting_since: None,
             late_wait_left: LATE_WAIT_MAX,
             late_bytes_left: plausible.unwrap_or(LATE_MAX_BYTES),
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -21,22 +21,25 @@
 use super::http1::{self, HttpLimits};
 use super::{KEEP_ALIVE_INTERVAL, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
 use super::{accept, infallible, run_connection};
-use crate::proxy::body::{self, Body, GuardedBody};
+use crate::proxy::body::{self, Body, BufferedBody, GuardedBody};
 use crate::proxy::caller_body::{CallerBody, Expectation};
 use crate::proxy::caller_connections::{CallerConnections, ConnectionGuard};
 use crate::proxy::failure::{Failure, Reason};
-use crate::proxy::log_limiter::LogClass;
+use crate::proxy::log_limiter::{self, LogClass};
 use crate::proxy::pipeline::{ActiveRequest, Pipeline};
 use crate::proxy::replay::ReplayableBody;
 use crate::proxy::stall::StallGuard;
 use crate::proxy::state::ProxyState;
-use crate::proxy::{entry, header_profile};
+use crate::proxy::{entry, header_profile, headers, response_body};
 use crate::util::deadline;
 use crate::util::pause_tolerant_timer::PauseTolerantTimer;
 
 /// Maximum number of concurrent requests on one HTTP/2 connection of a caller.
 const CALLER_STREAMS_MAX: u32 = 128;
 
+/// Most bytes of a response that are received before they are passed on, while further requests of its connection run.
+const WHOLE_RESPONSE_MAX_BYTES: u64 = 64 << 10;
+
 /// Serves callers until `graceful_stop`. Each connection then closes after its current responses.
 pub(crate) async fn serve(
     listener: TcpListener,
@@ -218,10 +221,13 @@
 ) -> Result<Response<Body>, CallerDisconnected> {
     match pipeline.take_early_response(&parts) {
         Some(pending_response) => {
-            await_response(&node, pipeline, early_response(pending_response)).await
+            let pending_response = early_response(pending_response);
+            let pending_response = whole_before_others(&node, pipeline, pending_response);
+            await_response(&node, pipeline, pending_response).await
         }
         None if body.is_empty() => {
             let pending_response = entry::serve(Arc::clone(&node), parts, body);
+            let pending_response = whole_before_others(&node, pipeline, pending_response);
             await_response(&node, pipeline, pending_response).await
         }
         // Further bytes from the caller belong to this request's body.
@@ -229,6 +235,51 @@
     }
 }
 
+/// Receives a response whole before it is passed on, if further requests of the connection are running. If its rest does not
+/// come, it is replaced by a failure: breaking it off would end the connection, and their responses with it.
+async fn whole_before_others<S>(
+    node: &ProxyState,
+    pipeline: &Pipeline<S>,
+    pending_response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    let response = pending_response.await;
+    if !pipeline.has_early_requests() {
+        return response;
+    }
+    let (parts, body) = response.into_parts();
+    let mut body = BufferedBody::new(body, WHOLE_RESPONSE_MAX_BYTES);
+    match body.fill().await {
+        Ok(()) => Response::from_parts(parts, body::boxed(body)),
+        Err(error) => {
+            let reason = response_body::failure_reason(&error);
+            let id = parts.headers.get(&node.header_profile.request_id);
+            log::warn!(
+                request_id = log_limiter::id_text(id),
+                reason = reason.code(),
+                status = parts.status.as_u16(),
+                error:%;
+                "replaced a response whose rest did not arrive"
+            );
+            replace_response(node, &parts, reason)
+        }
+    }
+}
+
+/// The failure that a caller gets in place of a response with the head `replaced`.
+fn replace_response(
+    node: &ProxyState,
+    replaced: &http::response::Parts,
+    reason: Reason,
+) -> Response<Body> {
+    let mut response = Failure::may_have_run(reason).into_response(node.header_profile);
+    for name in [&headers::VERSION, &node.header_profile.request_id] {
+        if let Some(value) = replaced.headers.get(name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
+
 fn expectation(parts: &Parts) -> Expectation {
     let expected = parts.headers.get(header::EXPECT);
     match expected.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
--- a/src/proxy/response_body.rs
+++ b/src/proxy/response_body.rs
@@ -13,6 +13,7 @@
 use tokio::time::Sleep;
 
 use super::body::{self, Body, BoxError};
+use super::failure::Reason;
 use super::log_limiter::{self, LogClass};
 use super::state::ProxyState;
 use crate::decide::response_time::{Overrun, ResponseTime};
@@ -57,7 +58,7 @@
         if inner.is_end_stream() {
             return inner;
         }
-        let time = ResponseTime::new(deadline, inner.size_hint().exact());
+        let time = ResponseTime::new(Instant::now(), deadline, inner.size_hint().exact());
         body::boxed(TimedBody {
             node: Arc::clone(node),
             place,
@@ -71,6 +72,14 @@
     })
 }
 
+/// Why a response has failed whose body failed with `error`.
+pub(crate) fn failure_reason(error: &BoxError) -> Reason {
+    match error.downcast_ref::<Ended>() {
+        Some(_) => Reason::Deadline,
+        None => Reason::Lost,
+    }
+}
+
 struct TimedBody {
     node: Arc<ProxyState>,
     place: Place,
--- a/src/proxy/uploads.rs
+++ b/src/proxy/uploads.rs
@@ -6,18 +6,13 @@
 
 pub(crate) mod permits;
 
-use std::collections::VecDeque;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body::{Body as HttpBody, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body::Body as _;
 
-use super::body::{self, Body, BoxError, GuardedBody};
+use super::body::{self, Body, BufferedBody, GuardedBody};
 use super::failure::{Failure, Reason};
 use super::hop::Hop;
 use super::replay;
@@ -114,67 +109,3 @@
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-/// A body whose first part, or all of it, has been read into memory.
-struct BufferedBody {
-    frames: VecDeque<Frame<Bytes>>,
-    buffered_bytes: u64,
-    buffer_max_bytes: u64,
-    size_hint: SizeHint,
-    ended: bool,
-    inner: Body,
-}
-
-impl BufferedBody {
-    fn new(body: Body, buffer_max_bytes: u64) -> Self {
-        Self {
-            frames: VecDeque::new(),
-            buffered_bytes: 0,
-            buffer_max_bytes,
-            size_hint: body.size_hint(),
-            ended: false,
-            inner: body,
-        }
-    }
-
-    async fn fill(&mut self) -> Result<(), BoxError> {
-        while !self.inner.is_end_stream() && self.buffered_bytes < self.buffer_max_bytes {
-            let Some(frame) = self.inner.frame().await else {
-                self.ended = true;
-                break;
-            };
-            let frame = frame?;
-            self.buffered_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-            self.frames.push_back(frame);
-        }
-        Ok(())
-    }
-}
-
-impl HttpBody for BufferedBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        if let Some(frame) = self.frames.pop_front() {
-            return Poll::Ready(Some(Ok(frame)));
-        }
-        if self.ended {
-            return Poll::Ready(None);
-        }
-        Pin::new(&mut self.inner).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.frames.is_empty() && (self.ended || self.inner.is_end_stream())
-    }
-
-    /// The size that the sender declared. It does not shrink as the body is read; callers use it
-    /// only before the first read.
-    fn size_hint(&self) -> SizeHint {
-        self.size_hint
-    }
-}
--- a/tests/testsuite/decide_response_time.rs
+++ b/tests/testsuite/decide_response_time.rs
@@ -19,7 +19,7 @@
     until: Duration,
 ) -> Option<(Duration, Overrun)> {
     let start = Instant::now();
-    let mut time = ResponseTime::new(start + DEADLINE, declared_bytes);
+    let mut time = ResponseTime::new(start, start + DEADLINE, declared_bytes);
     let mut now = start;
     while now < start + until {
         time.record_request(now);
@@ -42,7 +42,7 @@
 #[test]
 fn silence_ends_at_the_deadline() {
     let start = Instant::now();
-    let mut time = ResponseTime::new(start + DEADLINE, Some(20_000));
+    let mut time = ResponseTime::new(start, start + DEADLINE, Some(20_000));
     time.record_request(start);
     let part = time.record_part(start + 100 * MS, 10_000);
     assert_eq!(part, Ok(()));
@@ -85,7 +85,7 @@
     const PARTS: u32 = 100;
     let start = Instant::now();
     let declared_bytes = PART_BYTES * u64::from(PARTS);
-    let mut time = ResponseTime::new(start + DEADLINE, Some(declared_bytes));
+    let mut time = ResponseTime::new(start, start + DEADLINE, Some(declared_bytes));
     let mut now = start;
     for _ in 0..PARTS {
         time.record_request(now);
@@ -101,7 +101,7 @@
 #[test]
 fn response_that_was_ready_is_delivered_after_a_pause() {
     let start = Instant::now();
-    let mut time = ResponseTime::new(start + DEADLINE, None);
+    let mut time = ResponseTime::new(start, start + DEADLINE, None);
     time.record_request(start);
     assert_eq!(time.wait_until(start), start + DEADLINE);
     let resumed = start + Duration::from_secs(4);
@@ -112,3 +112,15 @@
     assert!(limit > resumed + 40 * MS);
     assert_eq!(time.record_part(resumed + 40 * MS, 64 << 10), Ok(()));
 }
+
+/// Guards against cutting a response that waited for those before it on a connection.
+#[test]
+fn time_before_the_first_request_is_the_receivers() {
+    let start = Instant::now();
+    let mut time = ResponseTime::new(start, start + DEADLINE, None);
+    let turn = start + 2 * DEADLINE;
+    time.record_request(turn);
+    assert_eq!(time.record_part(turn, 1_000), Ok(()));
+    time.record_request(turn);
+    assert!(time.wait_until(turn) >= turn + DEADLINE);
+}
--- a/tests/testsuite/requests_endless.rs
+++ b/tests/testsuite/requests_endless.rs
@@ -297,3 +297,34 @@
     assert_has_ended("draining", &ended.err().unwrap_or_default());
     mesh.wait_node_exit(ENTRY_VM).await.expect("the node exits");
 }
+
+/// Guards against losing the responses of pipelined requests behind one whose rest does not come, or is broken off.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_an_incomplete_response_are_answered() {
+    let mesh = start().await;
+    let silent = endless_path(EndlessPart::Silence, 0, "first");
+    let truncated = "/stock/first?bytes=5000&work_ms=200&answer=cut".to_owned();
+    for (name, path) in [("silent", silent), ("truncated", truncated)] {
+        let mut connection = connect(&mesh, ENTRY_VM).await;
+        let behind = format!("behind-{name}");
+        let requests = [
+            head("1.1", &path, &format!("first-{name}"), DEADLINE_MS),
+            head("1.1", "/stock/1?bytes=100&work_ms=20", &behind, 5_000),
+        ];
+        let sent = connection.send(requests.concat()).await;
+        sent.expect("the node reads the requests");
+        let response = connection.read_response().await;
+        let response = response.unwrap_or_else(|error| panic!("{name}: {error}"));
+        assert!(
+            [502, 504].contains(&response.status),
+            "{name}: {response:?}"
+        );
+        assert_eq!(response.header(RESPONSE_SEAL), "", "{name}");
+        let response = connection.read_response().await;
+        let response = response.unwrap_or_else(|error| panic!("{behind}: {error}"));
+        assert_eq!(
+            (response.status, response.header(REQUEST_ID)),
+            (200, &*behind)
+        );
+    }
+}
