A health check refutes announcements of a backend server that has left

The gate opens, and requests reach the backend server until it exits.

Cause: three ready announcements count as a confirmation, whatever a health check has said meanwhile.

Change: a health check that shows that the backend server accepts no requests refutes the announcements of its start; only another health check confirms them. If they had taken effect by their number, the gate closes.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -29,8 +29,8 @@
 }
 
 /// Number of ready announcements of one start, each with a higher sequence than the one before, that
-/// replace the confirmation by the backend server. A backend server that leaves announces that or
-/// stops announcing, and this many delayed announcements of it hardly ever arrive.
+/// replace the confirmation by the backend server, as long as no health check refutes it. A backend server without
+/// capacity answers no health check.
 const CONFIRMING_ANNOUNCEMENTS: u32 = 3;
 
 /// The latest announcement of the latest start, with its order.
@@ -49,10 +49,30 @@
     departed: VecDeque<BackendStart>,
     /// The latest start that has said in a response that it leaves.
     leaving: Option<BackendStart>,
-    /// Whether a ready announcement still has to be confirmed by the backend server.
-    unconfirmed: bool,
-    /// Unconfirmed ready announcements of the current start, each with a higher sequence.
-    later_announcements: u32,
+    confirmation: Confirmation,
+}
+
+/// Whether ready announcements are in effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Confirmation {
+    /// They are: the backend server has confirmed one, or none needs to be confirmed.
+    #[default]
+    Given,
+    /// They are: several have arrived, and no health check has given a result.
+    Assumed,
+    /// The backend server must confirm one first.
+    Pending {
+        /// Ready announcements of the current start, each with a higher sequence.
+        later_announcements: u32,
+    },
+    /// A health check has shown that the current start accepts no requests.
+    Refuted,
+}
+
+impl Confirmation {
+    fn is_missing(self) -> bool {
+        matches!(self, Self::Pending { .. } | Self::Refuted)
+    }
 }
 
 impl Announcements {
@@ -63,7 +83,9 @@
     /// acknowledged that the backend server left.
     pub fn requiring_confirmation() -> Self {
         Self {
-            unconfirmed: true,
+            confirmation: Confirmation::Pending {
+                later_announcements: 0,
+            },
             ..Self::default()
         }
     }
@@ -75,10 +97,25 @@
         if current.start.instance != *instance {
             return None;
         }
-        self.unconfirmed = false;
+        self.confirmation = Confirmation::Given;
         self.serving()
     }
 
+    /// Records that a health check has shown that `start` accepts no requests. Its announcements then need to be confirmed,
+    /// unless they have been before. Returns the latest one as one that it is draining, if that takes it out of effect.
+    pub fn refute(&mut self, start: &BackendStart) -> Option<Announcement> {
+        let current = self.current.as_ref()?;
+        if current.start != *start || self.confirmation == Confirmation::Given {
+            return None;
+        }
+        let serving = self.serving().cloned();
+        self.confirmation = Confirmation::Refuted;
+        serving.map(|announcement| Announcement {
+            state: BackendState::Draining,
+            ..announcement
+        })
+    }
+
     /// Applies an announcement, unless a newer one is known.
     ///
     /// An older announcement may be of a backend server that has left, or of one that had the address
@@ -110,7 +147,7 @@
             sequence,
             announcement: announcement.clone(),
         });
-        match self.unconfirmed && is_serving {
+        match self.confirmation.is_missing() && is_serving {
             true => self.apply_unconfirmed(previous.as_ref(), sequence),
             false => outcome,
         }
@@ -125,15 +162,24 @@
         let current = self.current.as_ref();
         let same_start =
             previous.filter(|previous| current.is_some_and(|now| now.start == previous.start));
-        self.later_announcements = match same_start {
-            Some(previous) => self.later_announcements + u32::from(sequence > previous.sequence),
-            None => 1,
+        let later_announcements = match (same_start, self.confirmation) {
+            (Some(_), Confirmation::Refuted) => return AnnouncementOutcome::Unconfirmed,
+            (
+                Some(previous),
+                Confirmation::Pending {
+                    later_announcements,
+                },
+            ) => later_announcements + u32::from(sequence > previous.sequence),
+            _ => 1,
         };
-        self.unconfirmed = self.later_announcements < CONFIRMING_ANNOUNCEMENTS;
-        match self.unconfirmed {
-            true => AnnouncementOutcome::Unconfirmed,
-            false => AnnouncementOutcome::Accepted,
+        if later_announcements >= CONFIRMING_ANNOUNCEMENTS {
+            self.confirmation = Confirmation::Assumed;
+            return AnnouncementOutcome::Accepted;
         }
+        self.confirmation = Confirmation::Pending {
+            later_announcements,
+        };
+        AnnouncementOutcome::Unconfirmed
     }
 
     /// Records that a backend server has said in a response that it leaves, which it never takes back. Returns its
@@ -156,7 +202,8 @@
 
     /// Returns the announcement in effect if the backend server accepts requests.
     pub fn serving(&self) -> Option<&Announcement> {
-        let current = self.current.as_ref().filter(|_| !self.unconfirmed);
+        let current = self.current.as_ref();
+        let current = current.filter(|_| !self.confirmation.is_missing());
         let announcement = current.map(|current| &current.announcement);
         announcement.filter(|announcement| announcement.state == BackendState::Serving)
     }
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -100,7 +100,7 @@
                 Health::Serving(instance) => return self.handle_confirmation(&instance),
                 Health::NotServing => {
                     log::info!(instance:? = announcement.instance; "the announced backend server failed its health check");
-                    return;
+                    return self.handle_refutation(announcement);
                 }
                 Health::Unknown => tokio::time::sleep(HEALTH_CHECK_INTERVAL).await,
             }
@@ -108,6 +108,14 @@
         log::info!(instance:? = announcement.instance; "health checks of the announced backend server gave no result");
     }
 
+    fn handle_refutation(&self, announcement: &Announcement) {
+        let start = announcement.start();
+        let refuted = start.and_then(|start| self.announcements().refute(&start));
+        if let Some(draining) = refuted {
+            self.apply_announcement(&draining);
+        }
+    }
+
     fn handle_confirmation(&self, instance: &InstanceName) {
         let announcement = self.announcements().confirm(instance).cloned();
         match announcement {
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -209,6 +209,43 @@
     );
 }
 
+/// Guards against delayed announcements of a backend server that has left, which open admission although its health check
+/// says that it accepts no requests.
+#[test]
+fn refuted_announcements_need_a_confirmation() {
+    for earlier in 1..=5 {
+        let mut announcements = Announcements::requiring_confirmation();
+        let mut opened = false;
+        for sequence in 1..=earlier {
+            let outcome = announcements.apply(&serving("i-1", 10, sequence));
+            opened = outcome == AnnouncementOutcome::Accepted || opened;
+        }
+        let refuted = announcements.refute(&start("i-1", 10));
+        let state = refuted.map(|announcement| announcement.state);
+        assert_eq!(state, opened.then_some(BackendState::Draining));
+        for sequence in earlier + 1..earlier + 6 {
+            let outcome = announcements.apply(&serving("i-1", 10, sequence));
+            assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+            assert_eq!(announcements.serving(), None);
+        }
+        let confirmed = announcements.confirm(&InstanceName::new("i-1"));
+        assert!(confirmed.is_some(), "a later health check confirms it");
+        assert_eq!(announcements.refute(&start("i-1", 10)), None);
+    }
+    let mut announcements = Announcements::requiring_confirmation();
+    announcements.apply(&serving("i-1", 10, 1));
+    announcements.refute(&start("i-1", 10));
+    for sequence in 1..=2 {
+        announcements.apply(&serving("i-2", 20, sequence));
+    }
+    let outcome = announcements.apply(&serving("i-2", 20, 3));
+    assert_eq!(
+        outcome,
+        AnnouncementOutcome::Accepted,
+        "the next start is another one"
+    );
+}
+
 fn start(instance: &str, started_ms: u64) -> BackendStart {
     BackendStart {
         instance: InstanceName::new(instance),
--- a/tests/testsuite/users_stops.rs
+++ b/tests/testsuite/users_stops.rs
@@ -684,6 +684,32 @@
 async fn delayed_ready_announcement_does_not_open_admission_after_restart() {
     let mut mesh = start_serving_users_mesh(Plan::new(&SERVICES)).await;
     let leaving = mesh.vms_of(SERVICES[1])[0];
+    restart_node_of_departed_backend(&mut mesh, leaving).await;
+    announce_and_expect_no_requests(&mesh, leaving, "once").await;
+}
+
+/// Guards against several delayed announcements that open admission although the health check says that the backend server
+/// has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn several_delayed_ready_announcements_do_not_open_admission_after_restart() {
+    const ANNOUNCEMENTS: usize = 5;
+    let mut mesh = start_serving_users_mesh(Plan::new(&SERVICES)).await;
+    let leaving = mesh.vms_of(SERVICES[1])[0];
+    restart_node_of_departed_backend(&mut mesh, leaving).await;
+    for number in 0..ANNOUNCEMENTS {
+        let vm = &mesh.vms[leaving];
+        let checks = vm.backend().record().arrivals.len();
+        announce_and_expect_no_requests(&mesh, leaving, &format!("{number}")).await;
+        wait_until("the health is checked", WAIT_TIMEOUT, || async {
+            vm.backend().record().arrivals.len() > checks
+        })
+        .await;
+    }
+    announce_and_expect_no_requests(&mesh, leaving, "last").await;
+}
+
+/// Has the backend server of a VM leave, and replaces the VM's node by one that finds nothing of that in the store.
+async fn restart_node_of_departed_backend(mesh: &mut Mesh, leaving: usize) {
     mesh.stop_announcements(leaving);
     let vm = &mesh.vms[leaving];
     vm.backend().set_draining();
@@ -698,6 +724,10 @@
         reply.is_ok_and(|reply| reply.status == 200)
     })
     .await;
+}
+
+/// Sends a ready announcement of a backend server that has left, and checks that it gets no requests.
+async fn announce_and_expect_no_requests(mesh: &Mesh, leaving: usize, name: &str) {
     let vm = &mesh.vms[leaving];
     let before = vm.backend().record().last_arrival;
     assert!(
@@ -706,7 +736,7 @@
             .await
     );
     for number in 0..8 {
-        let id = format!("elsewhere-{number}");
+        let id = format!("elsewhere-{name}-{number}");
         let reply = mesh
             .send_request(leaving, &CallerRequest::post("/book/1", &id))
             .await;
