--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -219,33 +219,27 @@
     parts: Parts,
     body: ReplayableBody,
 ) -> Result<Response<Body>, CallerDisconnected> {
-    match pipeline.take_early_response(&parts) {
+    let response = match pipeline.take_early_response(&parts) {
         Some(pending_response) => {
-            let pending_response = early_response(pending_response);
-            let pending_response = whole_before_others(&node, pipeline, pending_response);
-            await_response(&node, pipeline, pending_response).await
+            await_response(&node, pipeline, early_response(pending_response)).await?
         }
         None if body.is_empty() => {
             let pending_response = entry::serve(Arc::clone(&node), parts, body);
-            let pending_response = whole_before_others(&node, pipeline, pending_response);
-            await_response(&node, pipeline, pending_response).await
+            await_response(&node, pipeline, pending_response).await?
         }
         // Further bytes from the caller belong to this request's body.
-        None => Ok(entry::serve(node, parts, body).await),
+        None => entry::serve(Arc::clone(&node), parts, body).await,
+    };
+    if !pipeline.has_early_requests() {
+        return Ok(response);
     }
+    // Boxed, so that the futures of all other requests do not reserve memory for it.
+    Ok(Box::pin(receive_whole(&node, response)).await)
 }
 
-/// Receives a response whole before it is passed on, if further requests of the connection are running. If its rest does not
-/// come, it is replaced by a failure: breaking it off would end the connection, and their responses with it.
-async fn whole_before_others<S>(
-    node: &ProxyState,
-    pipeline: &Pipeline<S>,
-    pending_response: impl Future<Output = Response<Body>>,
-) -> Response<Body> {
-    let response = pending_response.await;
-    if !pipeline.has_early_requests() {
-        return response;
-    }
+/// Receives the whole of a response behind which further requests of the connection are running. If its rest does not come, it
+/// is replaced by a failure: breaking it off would end the connection, and their responses with it.
+async fn receive_whole(node: &ProxyState, response: Response<Body>) -> Response<Body> {
     let (parts, body) = response.into_parts();
     let mut body = BufferedBody::new(body, WHOLE_RESPONSE_MAX_BYTES);
     match body.fill().await {
