Promises leave a trace: evidence in the response, a line before it leaves, the gate's own refusals

A caller's record has what a promise rests on (x-dragonflywall-evidence), the gate's own evidence included. A gate logs each refusal after something was sent, with the instance, and each request whose connection to the backend server it closes before a response. Lines that the queue of the log thread drops are reported in the log.

--- a/src/node/logging.rs
+++ b/src/node/logging.rs
@@ -4,7 +4,6 @@
 //! reading. The queue of that thread is bounded; lines that do not fit are dropped and counted.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use logforth::layout::{JsonLayout, TextLayout};
 
 use crate::node::settings::LogFormat;
+use crate::util::log_queue::{self, QueueLimit};
 
 mod bounded;
 
@@ -38,12 +38,13 @@
         Arc::clone(&queue_limit),
         stdout,
     ));
-    let append = bounded::ReservingAppend::new(queue_limit, writer.build());
+    let append = bounded::ReservingAppend::new(Arc::clone(&queue_limit), writer.build());
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.filter(own_targets_filter()).append(append))
         .build();
     if log::set_boxed_logger(Box::new(LogBridge::new(logger))).is_ok() {
         log::set_max_level(level);
+        log_queue::install(queue_limit);
     }
 }
 
@@ -64,44 +65,3 @@
 fn own_targets_filter() -> logforth::filter::rustlog::RustLogFilter {
     logforth::filter::rustlog::RustLogFilterBuilder::from_spec("dragonflywall=all").build()
 }
-
-/// Bounds the queue of lines to write, and counts the lines that are dropped because it is full.
-#[derive(Debug)]
-pub struct QueueLimit {
-    max_lines: usize,
-    queued: AtomicUsize,
-    dropped: AtomicU64,
-}
-
-impl QueueLimit {
-    /// Creates the bound of a queue of at most `max_lines` lines.
-    pub fn new(max_lines: usize) -> Arc<Self> {
-        Arc::new(Self {
-            max_lines,
-            queued: AtomicUsize::new(0),
-            dropped: AtomicU64::new(0),
-        })
-    }
-
-    /// Reserves space for one line. Returns false, and counts the line as dropped, if the queue is full.
-    pub fn try_reserve(&self) -> bool {
-        let before = self.queued.fetch_add(1, Ordering::AcqRel);
-        if before < self.max_lines {
-            return true;
-        }
-        self.queued.fetch_sub(1, Ordering::AcqRel);
-        self.dropped.fetch_add(1, Ordering::AcqRel);
-        metrics::counter!("dragonflywall_log_lines_dropped_total", "why" => "queue").increment(1);
-        false
-    }
-
-    /// Releases the space of a line that was written.
-    pub fn release(&self) {
-        self.queued.fetch_sub(1, Ordering::AcqRel);
-    }
-
-    /// Returns the number of lines dropped since the last call, and resets it.
-    pub fn take_dropped(&self) -> u64 {
-        self.dropped.swap(0, Ordering::AcqRel)
-    }
-}
--- a/src/node/logging/bounded.rs
+++ b/src/node/logging/bounded.rs
@@ -8,7 +8,7 @@
 use logforth::record::Record;
 use logforth::{Append, Diagnostic, Error};
 
-use super::QueueLimit;
+use crate::util::log_queue::QueueLimit;
 
 /// Appender in front of the queue: passes a line on only if [`QueueLimit`] has space for it.
 #[derive(Debug)]
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::quota::Charge;
-use self::request_log::RequestLog;
+use self::request_log::{Logged, LoggedRequest, RequestLog};
 use self::routed_request::RoutedRequest;
 use super::body::Body;
 use super::failure::{Failure, Reason, Refusal};
@@ -32,7 +32,7 @@
 use crate::decide::split;
 use crate::distribution::CompiledConfiguration;
 use crate::proxy::state::{CurrentConfiguration, NotServing, ProxyState};
-use crate::util::deadline;
+use crate::util::{deadline, log_queue};
 
 mod crashes;
 mod identity;
@@ -95,7 +95,14 @@
         context.credential = identity::take_credential(&node, current, &mut parts.headers);
     }
     add_backend_headers(&node, &mut parts, id.clone());
-    let request_log = RequestLog::new(&node, &id, host_and_path(&parts), version);
+    let logged = LoggedRequest {
+        id: id.clone(),
+        method: parts.method.clone(),
+        target: host_and_path(&parts),
+        version,
+        attempts: context.open_attempts.clone(),
+    };
+    let request_log = RequestLog::new(&node, logged);
     let result = match current {
         Ok(current) => route_and_run(&node, &current, &parts, &body, context).await,
         Err(NotServing::Refreshing) => Err(context.open_attempts.refuse(Reason::Refreshing)),
@@ -103,7 +110,10 @@
             Err(context.open_attempts.refuse(Reason::NoConfiguration))
         }
     };
-    request_log.finish(&result);
+    if request_log.finish(&result) == Logged::Promise {
+        // The line is there even if the process ends right after the response.
+        log_queue::wait_written().await;
+    }
     let mut response = match result {
         Ok(passed) => {
             let mut response = passed.into_inner();
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -140,7 +140,7 @@
             self.record_version_outcome(chosen.candidate_order, &result);
             let failure = match result {
                 Ok(response) => return Ok(response),
-                Err(failure) => failure,
+                Err(failure) => failure.at_gate(endpoint.node),
             };
             may_use_candidate &= chosen.candidate_order.is_none();
             let may_send_again = self.has_time_for_attempt();
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -7,6 +7,7 @@
 use super::header_profile::{self, HeaderProfile};
 use super::headers;
 use super::promise::{self, Evidence, NotRun, OpenAttempts};
+use crate::core::member::NodeId;
 use crate::core::verdict::Verdict;
 use crate::decide::crashes::CrashSet;
 use crate::decide::retry::AttemptFailure;
@@ -69,6 +70,7 @@
     pub(crate) reason: Reason,
     retry_after_ms: u64,
     crashes: CrashSet,
+    gate: Option<NodeId>,
 }
 
 impl Failure {
@@ -83,6 +85,7 @@
             reason,
             retry_after_ms,
             crashes,
+            gate: None,
         }
     }
 
@@ -96,6 +99,14 @@
         Self::new(Fate::MayHaveRun, refusal.into())
     }
 
+    /// The same failure of a request of which nothing shows that it did not run.
+    pub(super) fn into_may_have_run(self) -> Self {
+        Self {
+            fate: Fate::MayHaveRun,
+            ..self
+        }
+    }
+
     /// Why the request failed, without what that says about whether it ran.
     pub(crate) fn into_refusal(self) -> Refusal {
         Refusal {
@@ -116,6 +127,17 @@
         self.crashes
     }
 
+    /// Sets the node to whose gate the attempt that failed was sent.
+    pub(crate) fn at_gate(mut self, gate: NodeId) -> Self {
+        self.gate = Some(gate);
+        self
+    }
+
+    /// The node to whose gate the attempt that failed was sent; `None` if the request was not sent on.
+    pub(crate) fn gate(&self) -> Option<NodeId> {
+        self.gate
+    }
+
     /// Milliseconds to wait before a retry.
     pub(crate) fn retry_after_ms(&self) -> u64 {
         self.retry_after_ms
@@ -131,8 +153,13 @@
 
     /// What shows that the request has not run; `None` if it may have run.
     pub(crate) fn evidence(&self) -> Option<Evidence> {
+        self.proof().map(NotRun::evidence)
+    }
+
+    /// The proof that the request has not run; `None` if it may have run.
+    pub(crate) fn proof(&self) -> Option<NotRun> {
         match self.fate {
-            Fate::NotRun(proof) => Some(proof.evidence()),
+            Fate::NotRun(proof) => Some(proof),
             Fate::MayHaveRun => None,
         }
     }
@@ -203,6 +230,9 @@
         let headers = response.headers_mut();
         let verdict = HeaderValue::from_static(self.verdict().as_str());
         headers.insert(headers::VERDICT, verdict);
+        if let Some(proof) = self.proof() {
+            headers.insert(headers::EVIDENCE, proof.to_header_value());
+        }
         let reason = HeaderValue::from_static(self.reason.code());
         headers.insert(headers::REASON, reason);
         if status == StatusCode::UNAUTHORIZED {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -257,23 +257,21 @@
 ) {
     let reason = failure.reason.code();
     metrics::counter!("dragonflywall_gate_failures_total", "reason" => reason).increment(1);
-    // A request that may not wait is a free-slot probe: after a refusal, its entry node tries
-    // another gate.
-    let log_class = match hop.max_wait.is_zero() {
-        true => LogClass::Routine,
-        false => LogClass::Notable,
-    };
-    if !node.log_limiter.may_log(log_class) {
+    if !may_log_failed(node, hop, id, failure) {
         return;
     }
     let load = node.load(hop);
     let remaining = hop.deadline.saturating_duration_since(Instant::now());
+    let backend = node.backend.load();
     log::warn!(
         request_id = log_limiter::id_text(id),
         service:% = hop.service,
         resource:% = hop.resource,
         rank = hop.rank.number(),
         verdict = failure.verdict().as_str(),
+        evidence = failure.evidence().map_or("", Evidence::as_str),
+        instance:? = backend.as_ref().and_then(|backend| backend.instance()),
+        attempts = hop.open_attempts.begun(),
         reason,
         took_ms = clock::since_ms(received_at),
         max_wait_ms:% = hop.max_wait.as_millis(),
@@ -288,6 +286,24 @@
     );
 }
 
+fn may_log_failed(
+    node: &ProxyState,
+    hop: &Hop,
+    id: Option<&HeaderValue>,
+    failure: &Failure,
+) -> bool {
+    let limiter = &node.log_limiter;
+    match failure.evidence() {
+        // The entry node may make a promise of it, though something was sent to the backend server.
+        Some(evidence) if hop.open_attempts.begun() > 0 && !hop.idempotent => {
+            limiter.may_log_promise(id, evidence)
+        }
+        // A request that may not wait is a free-slot probe: after a refusal, its entry node tries another gate.
+        _ if hop.max_wait.is_zero() => limiter.may_log(LogClass::Routine),
+        _ => limiter.may_log(LogClass::Notable),
+    }
+}
+
 fn backend_for(node: &ProxyState, hop: &Hop) -> Result<Arc<LocalBackend>, Refusal> {
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
--- a/src/proxy/gate/crashes.rs
+++ b/src/proxy/gate/crashes.rs
@@ -15,7 +15,9 @@
 use crate::proxy::body::Body;
 use crate::proxy::crashes;
 use crate::proxy::failure::{Failure, Reason, Refusal};
+use crate::proxy::log_limiter::{self, LogClass};
 use crate::proxy::state::ProxyState;
+use crate::util::clock;
 
 /// How long before its deadline a request may be given up by its entry node because of the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
@@ -78,6 +80,7 @@
 pub(crate) struct SentRequest {
     node: Arc<ProxyState>,
     arrived: Option<ArrivedRequest>,
+    id: Option<HeaderValue>,
     sent_at: Instant,
     /// After a freeze of this process, a missing response says nothing about the backend server.
     sent_in: Epoch,
@@ -91,6 +94,10 @@
         Self {
             node: Arc::clone(node),
             arrived: ArrivedRequest::of(node, request),
+            id: request
+                .headers()
+                .get(&node.header_profile.request_id)
+                .cloned(),
             sent_at: Instant::now(),
             sent_in: node.freezes.epoch(),
             deadline,
@@ -105,11 +112,30 @@
     ) -> Result<Response<Body>, Failure> {
         self.ended = true;
         result.map_err(|failure| match failure.reason {
-            Reason::Deadline => failure.with_crashes(self.record_silence()),
+            Reason::Deadline => {
+                self.record_abandoned("deadline");
+                failure.with_crashes(self.record_silence())
+            }
             _ => failure,
         })
     }
 
+    /// Records that the connection to the backend server is closed, though it has not responded.
+    fn record_abandoned(&self, cause: &'static str) {
+        metrics::counter!("dragonflywall_backend_requests_abandoned_total", "cause" => cause)
+            .increment(1);
+        if self.node.log_limiter.may_log(LogClass::Notable) {
+            let backend = self.node.backend.load();
+            log::info!(
+                request_id = log_limiter::id_text(self.id.as_ref()),
+                instance:? = backend.as_ref().and_then(|backend| backend.instance()),
+                cause,
+                took_ms = clock::since_ms(self.sent_at);
+                "closed the connection to the backend server before it responded"
+            );
+        }
+    }
+
     fn record_silence(&self) -> CrashSet {
         let is_silent = self.node.pool.is_silent(self.sent_at);
         if !is_silent || !self.node.is_current(self.sent_in) {
@@ -127,8 +153,12 @@
 
 impl Drop for SentRequest {
     fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.record_abandoned("entry-node");
         let remaining = self.deadline.saturating_duration_since(Instant::now());
-        if !self.ended && remaining < DEADLINE_MARGIN {
+        if remaining < DEADLINE_MARGIN {
             self.record_silence();
         }
     }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -74,6 +74,9 @@
 pub(crate) const UPLOAD_PERMIT: HeaderName = HeaderName::from_static("x-dragonflywall-turn");
 /// On a failure response: whether the request may have run.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
+/// On a failure response with the verdict `not-run`: what shows that. One word, and after `gate-refused` a second one: what
+/// the gate's refusal rests on.
+pub(crate) const EVIDENCE: HeaderName = HeaderName::from_static("x-dragonflywall-evidence");
 /// On a failure response: code of the reason.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("x-dragonflywall-reason");
 /// On a failure response between nodes: milliseconds to wait before a retry.
--- a/src/proxy/log_limiter.rs
+++ b/src/proxy/log_limiter.rs
@@ -3,11 +3,15 @@
 //!
 //! The entry node and the gate log the request id, so that the lines of all nodes can be joined.
 //! Lines about successful requests are [`LogClass::Routine`]; lines about requests that are
-//! refused, retried or fail are [`LogClass::Notable`]. Each class has its own rate, so that many
-//! successful requests cannot crowd out the failures. Lines above the rate are dropped and counted, in
-//! the metrics and in the log itself ([`LogLimiter::report_dropped`]).
+//! refused, retried or fail are [`LogClass::Notable`]. A promise that a request which must not run twice has not run is
+//! [`LogClass::Promise`]. Each class has its own rate, so that many
+//! successful requests cannot crowd out the failures, nor failures the promises. Lines above the rate are dropped and
+//! counted, in the metrics and in the log itself ([`LogLimiter::report_dropped`]); the counts of promises are by evidence,
+//! with the ids of the first requests.
 
+use std::collections::BTreeMap;
 use std::num::NonZeroU32;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -15,6 +19,13 @@
 use http::header::HeaderValue;
 use tokio_util::sync::CancellationToken;
 
+use super::promise::Evidence;
+use super::state::lock_ignoring_poison;
+use crate::util::log_queue;
+
+#[cfg(test)]
+mod tests;
+
 /// How important a log line is for the analysis of a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LogClass {
@@ -22,6 +33,8 @@
     Routine,
     /// About a request that is refused, retried or fails.
     Notable,
+    /// About a request that is not to run twice, and of which its caller is told that it has not run.
+    Promise,
 }
 
 impl LogClass {
@@ -29,6 +42,7 @@
         match self {
             Self::Routine => "routine",
             Self::Notable => "notable",
+            Self::Promise => "promise",
         }
     }
 }
@@ -42,6 +56,13 @@
 const NOTABLE_LINES_PER_S: NonZeroU32 = NonZeroU32::new(100).expect("not zero");
 const NOTABLE_BURST_LINES: NonZeroU32 = NonZeroU32::new(300).expect("not zero");
 
+/// Rate and burst of lines about promises.
+const PROMISE_LINES_PER_S: NonZeroU32 = NOTABLE_LINES_PER_S;
+const PROMISE_BURST_LINES: NonZeroU32 = NOTABLE_BURST_LINES;
+
+/// Most ids that the line about dropped promises has.
+const DROPPED_IDS_MAX: usize = 16;
+
 /// Interval between two log lines about dropped lines.
 const DROPPED_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,11 +96,20 @@
     }
 }
 
+/// Promises without a line of their own since the last report.
+#[derive(Debug, Default)]
+struct DroppedPromises {
+    by_evidence: BTreeMap<&'static str, u64>,
+    first_ids: Vec<String>,
+}
+
 /// Rate limiters of one node, one per log class.
 #[derive(Debug)]
 pub(crate) struct LogLimiter {
     routine: ClassLimiter,
     notable: ClassLimiter,
+    promise: ClassLimiter,
+    dropped_promises: Mutex<DroppedPromises>,
 }
 
 impl Default for LogLimiter {
@@ -87,6 +117,8 @@
         Self {
             routine: ClassLimiter::new(ROUTINE_LINES_PER_S, ROUTINE_BURST_LINES),
             notable: ClassLimiter::new(NOTABLE_LINES_PER_S, NOTABLE_BURST_LINES),
+            promise: ClassLimiter::new(PROMISE_LINES_PER_S, PROMISE_BURST_LINES),
+            dropped_promises: Mutex::default(),
         }
     }
 }
@@ -97,6 +129,7 @@
         let limiter = match log_class {
             LogClass::Routine => &self.routine,
             LogClass::Notable => &self.notable,
+            LogClass::Promise => &self.promise,
         };
         let allowed = limiter.may_log();
         if !allowed {
@@ -106,11 +139,40 @@
         allowed
     }
 
+    /// Whether the line about a promise may be logged now. If not, it is counted with what the promise rests on.
+    pub(crate) fn may_log_promise(&self, id: Option<&HeaderValue>, evidence: Evidence) -> bool {
+        if self.may_log(LogClass::Promise) {
+            return true;
+        }
+        let mut dropped = lock_ignoring_poison(&self.dropped_promises);
+        *dropped.by_evidence.entry(evidence.as_str()).or_default() += 1;
+        if dropped.first_ids.len() < DROPPED_IDS_MAX {
+            dropped.first_ids.push(id_text(id).to_owned());
+        }
+        false
+    }
+
+    fn report_dropped_promises(&self) {
+        let dropped = std::mem::take(&mut *lock_ignoring_poison(&self.dropped_promises));
+        if !dropped.by_evidence.is_empty() {
+            log::warn!(
+                by_evidence:? = dropped.by_evidence,
+                first_ids:? = dropped.first_ids;
+                "dropped log lines about requests whose callers were told that they have not run"
+            );
+        }
+    }
+
     /// Logs how many lines were dropped, until `stop` is cancelled.
     pub(crate) async fn report_dropped(&self, stop: CancellationToken) {
         loop {
             let stopped = stop.cancelled();
             let stopped = tokio::time::timeout(DROPPED_REPORT_INTERVAL, stopped).await;
+            self.report_dropped_promises();
+            let unwritten = log_queue::take_dropped();
+            if unwritten > 0 {
+                log::warn!(unwritten; "dropped log lines because their reader was too slow");
+            }
             match (self.routine.take_dropped(), self.notable.take_dropped()) {
                 (0, 0) => (),
                 // Routine lines are dropped on every busy node.
--- a/src/proxy/promise.rs
+++ b/src/proxy/promise.rs
@@ -50,7 +50,21 @@
 }
 
 impl Evidence {
-    /// The name in metrics and log lines.
+    const ALL: [Self; 7] = [
+        Self::NotSent,
+        Self::ReturnedUnsent,
+        Self::StreamRefused,
+        Self::GateRefused,
+        Self::TokenRefused,
+        Self::BackendStated,
+        Self::OtherInstance,
+    ];
+
+    fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|known| known.as_str() == name)
+    }
+
+    /// The name in headers, metrics and log lines.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not-sent",
@@ -68,19 +82,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotRun {
     evidence: Evidence,
+    /// What the refusal of the other node rests on, if it says so.
+    reported: Option<Evidence>,
 }
 
 impl NotRun {
+    fn new(evidence: Evidence) -> Self {
+        Self {
+            evidence,
+            reported: None,
+        }
+    }
+
     /// What it rests on.
     pub(crate) fn evidence(self) -> Evidence {
         self.evidence
     }
 
+    /// What the refusal of the other node rests on, if it says so.
+    pub(crate) fn reported(self) -> Option<Evidence> {
+        self.reported
+    }
+
+    /// The value of [`headers::EVIDENCE`].
+    pub(crate) fn to_header_value(self) -> HeaderValue {
+        let evidence = self.evidence.as_str();
+        match self.reported {
+            Some(reported) => headers::to_value(&format!("{evidence} {}", reported.as_str())),
+            None => HeaderValue::from_static(evidence),
+        }
+    }
+
     /// The HTTP library has returned `_unsent` together with its error.
     pub(crate) fn returned<B>(_unsent: &Request<B>) -> Self {
-        Self {
-            evidence: Evidence::ReturnedUnsent,
-        }
+        Self::new(Evidence::ReturnedUnsent)
     }
 
     /// The other node has reset the stream before it processed the request (RFC 9113, section 8.7).
@@ -90,9 +125,7 @@
         let is_refused = reset.is_remote()
             && reset.is_reset()
             && reset.reason() == Some(h2::Reason::REFUSED_STREAM);
-        is_refused.then_some(Self {
-            evidence: Evidence::StreamRefused,
-        })
+        is_refused.then_some(Self::new(Evidence::StreamRefused))
     }
 
     /// The other node says so in the headers of its response. Only a gate that has read the request sends its load.
@@ -102,7 +135,10 @@
             Some(_) => Evidence::GateRefused,
             None => Evidence::TokenRefused,
         };
-        (Verdict::from_header_value(verdict) == Verdict::NotRun).then_some(Self { evidence })
+        let reported = headers::get_str(headers, &headers::EVIDENCE);
+        let reported = reported.and_then(|words| Evidence::from_name(words.split(' ').next()?));
+        (Verdict::from_header_value(verdict) == Verdict::NotRun)
+            .then_some(Self { evidence, reported })
     }
 
     /// The backend server says so in its response to the request with this id. `names_instance` says whether the request
@@ -122,7 +158,7 @@
             (false, headers) if profile.is_not_run(headers) => Evidence::BackendStated,
             (false, _) => return None,
         };
-        Some(Self { evidence })
+        Some(Self::new(evidence))
     }
 }
 
@@ -164,15 +200,27 @@
     }
 }
 
+#[derive(Debug, Default)]
+struct AttemptCounts {
+    open: AtomicU32,
+    begun: AtomicU32,
+}
+
 /// Counts the attempts of a request that were sent and of which nothing shows that they did not run. Clones count
 /// together.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct OpenAttempts(Arc<AtomicU32>);
+pub(crate) struct OpenAttempts(Arc<AttemptCounts>);
 
 impl OpenAttempts {
     /// Records that an attempt is sent. To be called before its first byte may leave.
     pub(crate) fn begin(&self) {
-        self.0.fetch_add(1, Ordering::AcqRel);
+        self.0.begun.fetch_add(1, Ordering::AcqRel);
+        self.0.open.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// How many attempts were begun so far, whatever became of them.
+    pub(crate) fn begun(&self) -> u32 {
+        self.0.begun.load(Ordering::Acquire)
     }
 
     /// The failure of the attempt that was begun last, which `proof` shows not to have run.
@@ -180,6 +228,7 @@
         let one_less = |open: u32| open.checked_sub(1);
         let ended = self
             .0
+            .open
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, one_less);
         debug_assert!(ended.is_ok(), "no attempt was begun");
         Failure::not_run(proof, refusal)
@@ -187,15 +236,15 @@
 
     /// Whether no attempt is open, so that the request has not run.
     pub(crate) fn is_empty(&self) -> bool {
-        self.0.load(Ordering::Acquire) == 0
+        self.0.open.load(Ordering::Acquire) == 0
     }
 
     /// The failure of the request if it is not sent on any more.
     pub(crate) fn refuse(&self, refusal: impl Into<Refusal>) -> Failure {
         match self.is_empty() {
             true => {
-                let evidence = Evidence::NotSent;
-                Failure::not_run(NotRun { evidence }, refusal)
+                let proof = NotRun::new(Evidence::NotSent);
+                Failure::not_run(proof, refusal)
             }
             false => Failure::may_have_run(refusal),
         }
@@ -205,7 +254,7 @@
     pub(crate) fn conclude(&self, failure: Failure) -> Failure {
         match self.is_empty() {
             true => failure,
-            false => Failure::may_have_run(failure.into_refusal()),
+            false => failure.into_may_have_run(),
         }
     }
 }
--- a/src/proxy/promise/tests.rs
+++ b/src/proxy/promise/tests.rs
@@ -139,3 +139,25 @@
     assert_eq!(evidence(&[load, may_have_run]), None);
     assert_eq!(evidence(&[load]), None);
 }
+
+/// Guards against a refusal of another node of which nobody can tell what it rests on.
+#[test]
+fn a_promise_names_what_the_refusal_of_the_other_node_rests_on() {
+    let load = ("x-dragonflywall-load", "0 0 1 0 0 0");
+    let not_run = ("x-dragonflywall-verdict", "not-run");
+    for (evidence, expected) in [
+        ("backend-stated", "gate-refused backend-stated"),
+        ("gate-refused not-sent", "gate-refused gate-refused"),
+        ("unknown", "gate-refused"),
+        ("", "gate-refused"),
+    ] {
+        let refused = response(
+            503,
+            &[load, not_run, ("x-dragonflywall-evidence", evidence)],
+        );
+        let proof = NotRun::refused_by_node(refused.headers());
+        let proof = proof.expect("the verdict proves it");
+        assert_eq!(proof.to_header_value(), expected);
+    }
+    assert_eq!(returned().to_header_value(), "returned-unsent");
+}
