--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`network`]: the links between data centres, which can be cut, delayed, throttled and metered.
 //! - [`process`]: starts a node as a process.
 //! - [`mesh`]: starts a whole deployment.
+//! - [`clock`]: a clock that all processes share.
+//! - [`concurrent`]: waits for several futures.
 //! - [`raw`]: connections on which a test chooses each byte.
 //! - [`users`]: stand-ins for the platform on which the users run their VMs, which has its own protocol.
 //!
@@ -12,6 +14,8 @@
 //! 127.x.N+1.1, where x differs between [`network::Network`]s.
 
 pub mod backend;
+pub mod clock;
+pub mod concurrent;
 pub mod http;
 pub mod mesh;
 pub mod network;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -46,6 +46,28 @@
     Kill,
 }
 
+impl Signal {
+    fn number(self) -> libc::c_int {
+        match self {
+            Self::Terminate => libc::SIGTERM,
+            Self::Hangup => libc::SIGHUP,
+            Self::Stop => libc::SIGSTOP,
+            Self::Continue => libc::SIGCONT,
+            Self::Kill => libc::SIGKILL,
+        }
+    }
+}
+
+/// Sends a signal to a child process, unless its exit has been waited for.
+pub(crate) fn send_signal(id: Option<u32>, signal: Signal) {
+    let Some(id) = id.and_then(|id| i32::try_from(id).ok()) else {
+        return;
+    };
+    // SAFETY: `kill` takes no pointers. `id` is a child that has not been waited for, so the
+    // system can't have reused its process id for another process.
+    unsafe { libc::kill(id, signal.number()) };
+}
+
 /// A line of a node's log.
 #[derive(Clone, Debug)]
 pub struct LogLine {
@@ -104,19 +126,7 @@
 
     /// Sends a signal to the process; does nothing once its exit has been waited for.
     pub fn signal(&self, signal: Signal) {
-        let signal_number = match signal {
-            Signal::Terminate => libc::SIGTERM,
-            Signal::Hangup => libc::SIGHUP,
-            Signal::Stop => libc::SIGSTOP,
-            Signal::Continue => libc::SIGCONT,
-            Signal::Kill => libc::SIGKILL,
-        };
-        let Some(id) = self.id().and_then(|id| i32::try_from(id).ok()) else {
-            return;
-        };
-        // SAFETY: `kill` takes no pointers. `id` is a child that has not been waited for, so the
-        // system can't have reused its process id for another process.
-        unsafe { libc::kill(id, signal_number) };
+        send_signal(self.id(), signal);
     }
 
     /// Waits until the process has exited.
--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -27,11 +27,13 @@
 mod announcer;
 mod connection;
 mod endless;
+pub mod journal;
 mod statement;
 
 pub use self::announcer::AnnouncedState;
 pub use self::connection::response_seal;
 pub use self::endless::EndlessPart;
+use self::journal::{Event, Journal};
 pub use self::statement::{Statement, most_arrivals_in};
 
 /// What happens to a request that gets no slot, because the queue is full or because the deadline of the
@@ -267,6 +269,7 @@
 #[derive(Debug)]
 struct Shared {
     identity: Identity,
+    journal: Option<Journal>,
     address: SocketAddr,
     behaviour: Mutex<Behaviour>,
     record: Mutex<Record>,
@@ -305,11 +308,22 @@
         address: SocketAddr,
         identity: Identity,
         behaviour: Behaviour,
+    ) -> std::io::Result<Self> {
+        Self::start_with_journal(address, identity, behaviour, None).await
+    }
+
+    /// Like [`Self::start`], and writes what it does with each request to `journal`.
+    pub async fn start_with_journal(
+        address: SocketAddr,
+        identity: Identity,
+        behaviour: Behaviour,
+        journal: Option<Journal>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             identity,
+            journal,
             address,
             slots: Arc::new(tokio::sync::Semaphore::new(behaviour.slots as usize)),
             behaviour: Mutex::new(behaviour),
@@ -391,6 +405,12 @@
         *lock(&self.behaviour)
     }
 
+    fn record_event(&self, id: &str, target: &str, event: Event) {
+        if let Some(journal) = &self.journal {
+            journal.record(id, target, event);
+        }
+    }
+
     fn record(&self) -> MutexGuard<'_, Record> {
         lock(&self.record)
     }
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::journal::Event;
 use super::{CrashMode, EndlessPart, OverloadAction, ResponseMode, Run, RunEnd, Shared, lock};
 use crate::backend::generated_body;
 use crate::http::{Query, request};
@@ -87,6 +88,11 @@
         self.query().get(name).parse().ok()
     }
 
+    /// Method, host, path and query.
+    fn full_target(&self) -> String {
+        format!("{} {}{}", self.method, self.host, self.target)
+    }
+
     /// Status of the response to the request after its run.
     fn status(&self) -> u16 {
         self.query().get("status").parse().unwrap_or(200)
@@ -149,6 +155,7 @@
             return Ok(NextStep::Request);
         }
         self.shared.record().last_arrival = Some(arrived_at);
+        self.record_event(&head, Event::Received);
         if let Some(next) = self.reject_misaddressed(&head).await? {
             return Ok(next);
         }
@@ -182,6 +189,7 @@
             Err(error) => {
                 self.record_end(&head, None);
                 self.shared.record().abandoned += 1;
+                self.record_event(&head, Event::Dropped);
                 return Err(error);
             }
         };
@@ -190,7 +198,15 @@
             _ => head.status(),
         };
         self.record_end(&head, Some(status));
-        self.send_response(&head, response_mode).await
+        self.record_event(&head, Event::Ended { status });
+        let next = self.send_response(&head, response_mode).await?;
+        self.record_event(&head, Event::Answered);
+        Ok(next)
+    }
+
+    fn record_event(&self, head: &RequestHead, event: Event) {
+        self.shared
+            .record_event(&head.id, &head.full_target(), event);
     }
 
     /// Responds with 400 to a request without an id, and with 421 to one for another instance. Returns
@@ -213,6 +229,7 @@
             "X-Dfw-Not-Executed: 1\r\nX-Dfw-Instance: {}\r\n",
             identity.instance
         );
+        self.record_event(head, Event::Rejected { status });
         self.read_body(head.body_length).await?;
         self.write_response(status, &head.id, &headers, b"").await?;
         Ok(Some(NextStep::Request))
@@ -229,22 +246,33 @@
         let waiting = shared.waiting.fetch_add(1, Ordering::AcqRel);
         let has_room = shared.slots.available_permits() > 0 || waiting < queue;
         let time_left = Duration::from_millis(head.deadline_ms.unwrap_or(60_000));
-        let acquired = match has_room {
-            true => {
-                tokio::time::timeout(time_left, Arc::clone(&self.shared.slots).acquire_owned())
-                    .await
-            }
-            false => {
-                shared.waiting.fetch_sub(1, Ordering::AcqRel);
-                return Ok(None);
-            }
+        if !has_room {
+            shared.waiting.fetch_sub(1, Ordering::AcqRel);
+            return Ok(None);
+        }
+        let slot = Arc::clone(&shared.slots).acquire_owned();
+        let acquired = tokio::select! {
+            biased;
+            acquired = tokio::time::timeout(time_left, slot) => Ok(acquired.ok().and_then(Result::ok)),
+            error = wait_disconnect(&mut self.stream, &mut self.buffer) => Err(error),
         };
         shared.waiting.fetch_sub(1, Ordering::AcqRel);
-        Ok(acquired.ok().and_then(Result::ok))
+        if acquired.is_err() {
+            self.record_event(head, Event::Dropped);
+        }
+        acquired
     }
 
     async fn reject_overload(&mut self, head: &RequestHead) -> io::Result<NextStep> {
-        match self.shared.behaviour().overload_action {
+        let overload_action = self.shared.behaviour().overload_action;
+        self.record_event(
+            head,
+            match overload_action {
+                OverloadAction::Refuse => Event::Rejected { status: 503 },
+                OverloadAction::Reset | OverloadAction::NeverAnswer => Event::Ignored,
+            },
+        );
+        match overload_action {
             OverloadAction::Refuse => {
                 self.shared.record().refused += 1;
                 self.write_response(503, &head.id, "X-Dfw-Not-Executed: 1\r\n", b"")
@@ -257,6 +285,7 @@
     }
 
     fn record_run(&self, head: &RequestHead, arrived_at: Instant, body_digest: &str) {
+        self.record_event(head, Event::Begun);
         let mut record = self.shared.record();
         record.running += 1;
         let runs = record.runs.entry(head.id.clone()).or_default();
@@ -267,7 +296,7 @@
             organisation: head.organisation.clone(),
             has_credentials: head.has_credentials,
             deadline_ms: head.deadline_ms,
-            target: format!("{} {}{}", head.method, head.host, head.target),
+            target: head.full_target(),
             body_digest: body_digest.to_owned(),
             end: None,
         });
--- a/crates/testkit/src/users/mesh.rs
+++ b/crates/testkit/src/users/mesh.rs
@@ -20,7 +20,9 @@
 pub use self::vm::Vm;
 use self::vm::{AnnouncementTask, announce_periodically};
 use super::backend::{AnnouncedState, Backend, Behaviour, Identity};
+use super::backend_process::{BackendPlan, BackendProcess, BackendProgram, StopMode};
 use super::store::Store;
+use crate::concurrent::join_all;
 use crate::http::{Reply, Result, request, wait_until};
 use crate::network::{Forwarder, Network, Site};
 use crate::process::{LogLine, NodeProcess, Signal};
@@ -28,6 +30,15 @@
 /// Limit on each wait. It only keeps a broken test from running forever; it doesn't measure speed.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Ports of a VM whose listeners have the same addresses after each start. No outgoing connection gets them.
+mod fixed_ports {
+    pub(super) const INBOUND: u16 = 7300;
+    pub(super) const READY: u16 = 7302;
+    pub(super) const OUTBOUND: u16 = 7304;
+    pub(super) const CONTROL: u16 = 7306;
+    pub(super) const BACKEND: u16 = 7308;
+}
+
 /// Names of a data centre and of its region.
 pub type DataCentre = (&'static str, &'static str);
 
@@ -44,6 +55,9 @@
     pub spare_vms: usize,
     /// Behaviour of all backend servers.
     pub behaviour: Behaviour,
+    /// If set, backend servers are processes of this program, and all listeners keep their addresses. Otherwise
+    /// backend servers run in this process.
+    pub backend_program: Option<BackendProgram>,
     /// Further entries of `bounds` in the nodes' settings files.
     pub bounds: &'static [&'static str],
     /// Further arguments of all nodes.
@@ -67,6 +81,7 @@
             vms_per_service: 1,
             spare_vms: 0,
             behaviour: Behaviour::default(),
+            backend_program: None,
             bounds: &[],
             arguments: &[],
             log_lines: None,
@@ -178,13 +193,6 @@
     ) -> Result<()> {
         let ip = self.network.site_ip(site);
         let service = new.service;
-        let identity = Identity {
-            software_version: new.software_version.to_owned(),
-            ..Identity::new(service, &format!("i-{site}-1"), data_centre.0)
-        };
-        let any_port = SocketAddr::new(ip, 0);
-        let backend = Backend::start(any_port, identity, new.behaviour).await;
-        let backend = Arc::new(backend.map_err(error_text)?);
         let forwarder = Forwarder::open(&self.network, site)
             .await
             .map_err(error_text)?;
@@ -195,8 +203,10 @@
             data_centre,
             service: service.to_owned(),
             node: None,
-            backend_address: backend.address,
+            backend_address: SocketAddr::new(ip, fixed_ports::BACKEND),
             backend: None,
+            backend_process: None,
+            journals: Vec::new(),
             ended_backends: Vec::new(),
             announcements: None,
             announce_address: Arc::default(),
@@ -205,10 +215,52 @@
             backend_restarts: 0,
         });
         let position = self.vms.len() - 1;
+        if self.plan.backend_program.is_some() {
+            return self.start_backend_process(position, StopMode::Exit);
+        }
+        let identity = Identity {
+            software_version: new.software_version.to_owned(),
+            ..Identity::new(service, &format!("i-{site}-1"), data_centre.0)
+        };
+        let any_port = SocketAddr::new(ip, 0);
+        let backend = Backend::start(any_port, identity, new.behaviour).await;
+        let backend = Arc::new(backend.map_err(error_text)?);
+        self.vms[position].backend_address = backend.address;
         self.attach_backend(position, backend);
         Ok(())
     }
 
+    /// Starts the backend server of a VM as a process of its own, under a new name and with a new journal. An old one must have
+    /// exited.
+    pub fn start_backend_process(&mut self, position: usize, stop_mode: StopMode) -> Result<()> {
+        let program = self.plan.backend_program.clone();
+        let program = program.ok_or("the plan has no program for backend servers")?;
+        let vm = &mut self.vms[position];
+        vm.backend_restarts += 1;
+        let instance = format!("i-{}-{}", vm.site, vm.backend_restarts);
+        let journal = self.directory.path().join(format!("{instance}.journal"));
+        let plan = BackendPlan {
+            address: vm.backend_address,
+            service: vm.service.clone(),
+            instance,
+            data_centre: vm.data_centre.0.to_owned(),
+            slots: self.plan.behaviour.slots,
+            queue_len: self.plan.behaviour.queue_len,
+            announce_address: SocketAddr::new(vm.ip, fixed_ports::CONTROL),
+            caller_listener: SocketAddr::new(vm.ip, fixed_ports::OUTBOUND),
+            journal: journal.clone(),
+            stop_mode,
+        };
+        vm.journals.push(journal);
+        vm.backend_process = Some(BackendProcess::start(&program, &plan).map_err(error_text)?);
+        Ok(())
+    }
+
+    /// Address of the caller listener of a VM, if all listeners keep their addresses.
+    pub fn fixed_caller_address(&self, position: usize) -> SocketAddr {
+        SocketAddr::new(self.vms[position].ip, fixed_ports::OUTBOUND)
+    }
+
     /// Adds a VM with a backend server and a node to each data centre, on VMs that [`Plan::spare_vms`]
     /// provides. Returns their positions.
     pub async fn add_endpoints(&mut self, new: NewEndpoint) -> Result<Vec<usize>> {
@@ -322,7 +374,10 @@
     /// Returns the contents of the settings file of a VM's node.
     pub fn settings_text(&self, position: usize) -> String {
         let vm = &self.vms[position];
-        let any_port = SocketAddr::new(vm.ip, 0);
+        let address = |fixed_port| match self.plan.backend_program {
+            Some(_) => SocketAddr::new(vm.ip, fixed_port),
+            None => SocketAddr::new(vm.ip, 0),
+        };
         let (data_centre, region) = vm.data_centre;
         let mut bounds = vec![
             "grace=6s",
@@ -335,9 +390,13 @@
             "nodeId = \"sidecar-{data_centre}-{site}\"\nip = \"{ip}\"\nzone = \"{data_centre}\"\n\
              region = \"{region}\"\nseeds = []\nheartbeat = \"300ms\"\nbounds = {bounds:?}\n\
              appAddr = \"{app}\"\nservice = \"{service}\"\n\
-             [listen]\ninbound = \"{any_port}\"\noutbound = \"{any_port}\"\n\
-             ready = \"{any_port}\"\ncontrol = \"{any_port}\"\n\
+             [listen]\ninbound = \"{inbound}\"\noutbound = \"{outbound}\"\n\
+             ready = \"{ready}\"\ncontrol = \"{control}\"\n\
              [limits]\nlinkMbps = 1000.0\n[platform]\naddress = \"{store}\"\nform = \"table\"\n",
+            inbound = address(fixed_ports::INBOUND),
+            outbound = address(fixed_ports::OUTBOUND),
+            ready = address(fixed_ports::READY),
+            control = address(fixed_ports::CONTROL),
             site = vm.site,
             ip = vm.ip,
             app = vm.backend_address,
@@ -348,11 +407,33 @@
 
     /// Writes the settings file of a VM's node and starts the node.
     pub async fn start_node(&mut self, position: usize) -> Result<()> {
+        let node = self.run_node(position).await?;
+        self.attach_node(position, node);
+        Ok(())
+    }
+
+    /// Like [`Self::start_node`], for several nodes at the same time.
+    pub async fn start_nodes(&mut self, positions: &[usize]) -> Result<()> {
+        let mut starting = Vec::new();
+        for position in positions {
+            starting.push(Box::pin(self.run_node(*position)));
+        }
+        let started = join_all(starting).await;
+        for (position, node) in positions.iter().zip(started) {
+            self.attach_node(*position, node?);
+        }
+        Ok(())
+    }
+
+    async fn run_node(&self, position: usize) -> Result<NodeProcess> {
         self.write_settings(position)?;
         let arguments = self.arguments(position);
         let log_lines = self.plan.log_lines.clone();
         let log_lines = log_lines.map(|lines| (position, lines));
-        let node = NodeProcess::start_with_log(&self.program, &arguments, log_lines).await?;
+        NodeProcess::start_with_log(&self.program, &arguments, log_lines).await
+    }
+
+    fn attach_node(&mut self, position: usize, node: NodeProcess) {
         let vm = &mut self.vms[position];
         vm.forwarder.set_target(node.addresses.peer);
         *vm.announce_address
@@ -362,7 +443,6 @@
             backend.set_caller_listener(node.addresses.caller);
         }
         vm.node = Some(node);
-        Ok(())
     }
 
     /// Kills the node of a VM and waits for its exit.
@@ -474,8 +554,8 @@
     /// running node.
     pub async fn wait_serving(&self) {
         let serving = self.vms.iter().filter(|vm| {
-            let is_running = vm.node.is_some() && vm.backend.is_some();
-            is_running && vm.announcements.is_some()
+            let announces = vm.backend.is_some() && vm.announcements.is_some();
+            vm.node.is_some() && (announces || vm.backend_process.is_some())
         });
         let expected = serving.count();
         for position in 0..self.vms.len() {
--- a/crates/testkit/src/users/mesh/vm.rs
+++ b/crates/testkit/src/users/mesh/vm.rs
@@ -11,6 +11,7 @@
 use crate::network::{Forwarder, Site};
 use crate::process::NodeProcess;
 use crate::users::backend::{AnnouncedState, Backend};
+use crate::users::backend_process::BackendProcess;
 
 /// Interval between two announcements of a backend server.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(300);
@@ -32,6 +33,10 @@
     pub backend_address: SocketAddr,
     /// The backend server; `None` after a crash until the restart.
     pub backend: Option<Arc<Backend>>,
+    /// The backend server as a process of its own, if the plan says so; `None` after its end until the restart.
+    pub backend_process: Option<BackendProcess>,
+    /// Journals of all its processes.
+    pub journals: Vec<PathBuf>,
     /// The backend servers that ended under a request before it was started.
     pub ended_backends: Vec<Arc<Backend>>,
     pub(super) announcements: Option<AnnouncementTask>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -68,6 +68,7 @@
 mod token;
 mod users_configuration;
 mod users_crashes;
+mod users_ends;
 mod users_organisations;
 mod users_promises;
 mod users_requests;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::Method;
+pub(crate) use testkit::concurrent::join_all;
 use testkit::http::{Reply, request, wait_until};
 use testkit::mesh::{Deployment, Mesh};
 use testkit::process::NodeProcess;
@@ -123,6 +124,9 @@
 /// Response header with the reason why a request failed.
 pub(crate) const REASON_HEADER: &str = "x-dragonflywall-reason";
 
+/// Response header with what shows that a request has not run.
+pub(crate) const EVIDENCE_HEADER: &str = "x-dragonflywall-evidence";
+
 /// Metrics of a node in the Prometheus text format; empty if the node does not respond.
 pub(crate) async fn fetch_metrics(operator: SocketAddr) -> String {
     let reply = request(operator, Method::GET, "node", "/metrics", &[], "").await;
@@ -192,25 +196,3 @@
     })
     .collect()
 }
-
-pub(crate) async fn join_all<F: Future>(futures: Vec<F>) -> Vec<F::Output> {
-    let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
-    let mut outputs: Vec<Option<F::Output>> = futures.iter().map(|_| None).collect();
-    std::future::poll_fn(|context| {
-        let mut pending = false;
-        for (future, output) in futures.iter_mut().zip(&mut outputs) {
-            if output.is_none() {
-                match future.as_mut().poll(context) {
-                    std::task::Poll::Ready(value) => *output = Some(value),
-                    std::task::Poll::Pending => pending = true,
-                }
-            }
-        }
-        match pending {
-            true => std::task::Poll::Pending,
-            false => std::task::Poll::Ready(()),
-        }
-    })
-    .await;
-    outputs.into_iter().flatten().collect()
-}
