--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -21,6 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -38,7 +39,7 @@
 
 /// What happens to a request that gets no slot, because the queue is full or because the deadline of the
 /// request passes while it waits.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OverloadAction {
     /// Responds with 503 and the header `X-Dfw-Not-Executed`, which says that the request did not run.
     #[default]
@@ -148,7 +149,7 @@
 }
 
 /// Capacity and faults of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Behaviour {
     /// Number of requests that run concurrently.
     pub slots: u32,
@@ -163,6 +164,10 @@
     pub resets_idle_after: Option<Duration>,
     /// If set, one in this many requests gets a response with status 500 after its run.
     pub fails_one_in: Option<u64>,
+    /// Share of requests that are treated as if the queue were full, in percent.
+    pub sheds_percent: u32,
+    /// Whether that is decided before the body of a request is read.
+    pub sheds_early: bool,
 }
 
 impl Default for Behaviour {
@@ -174,6 +179,8 @@
             overload_action: OverloadAction::Refuse,
             resets_idle_after: None,
             fails_one_in: None,
+            sheds_percent: 0,
+            sheds_early: false,
         }
     }
 }
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -14,7 +14,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::journal::Event;
-use super::{CrashMode, EndlessPart, OverloadAction, ResponseMode, Run, RunEnd, Shared, lock};
+use super::{
+    Behaviour, CrashMode, EndlessPart, OverloadAction, ResponseMode, Run, RunEnd, Shared, lock,
+};
 use crate::backend::generated_body;
 use crate::http::{Query, request};
 
@@ -163,7 +165,22 @@
         if let Some(next) = self.respond_early(&head, arrived_at, response_mode).await? {
             return Ok(next);
         }
+        let Behaviour {
+            sheds_percent,
+            sheds_early,
+            ..
+        } = self.shared.behaviour();
+        let instance = &self.shared.identity.instance;
+        let is_shed = is_drawn(instance, &head.id, sheds_percent);
+        if is_shed && sheds_early {
+            let next = self.reject_overload(&head).await?;
+            self.read_body(head.body_length).await?;
+            return Ok(next);
+        }
         let body = self.read_body(head.body_length).await?;
+        if is_shed {
+            return self.reject_overload(&head).await;
+        }
         let Some(slot) = self.acquire_slot(&head).await? else {
             return self.reject_overload(&head).await;
         };
@@ -574,6 +591,12 @@
     }
 }
 
+/// Draws a share of the requests. Each instance draws on its own.
+fn is_drawn(instance: &str, id: &str, percent: u32) -> bool {
+    let hash = blake3::hash(format!("{instance} {id}").as_bytes());
+    u32::from(hash.as_bytes()[0]) * 100 < percent * 256
+}
+
 /// Waits until the client disconnects, and returns the error that describes how. Bytes that arrive
 /// meanwhile are kept in `buffer` for the next request.
 async fn wait_disconnect(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Error {
--- a/crates/testkit/src/users/backend_process.rs
+++ b/crates/testkit/src/users/backend_process.rs
@@ -51,10 +51,8 @@
     pub instance: String,
     /// Name of its data centre.
     pub data_centre: String,
-    /// Number of requests that run concurrently.
-    pub slots: u32,
-    /// Number of requests that wait for a slot.
-    pub queue_len: u32,
+    /// Its capacity and faults.
+    pub behaviour: Behaviour,
     /// Address at which its node accepts announcements.
     pub announce_address: SocketAddr,
     /// Caller listener of its node, for its own calls.
@@ -103,13 +101,9 @@
     };
     let plan: BackendPlan = serde_json::from_str(&plan).map_err(std::io::Error::other)?;
     let identity = Identity::new(&plan.service, &plan.instance, &plan.data_centre);
-    let behaviour = Behaviour {
-        slots: plan.slots,
-        queue_len: plan.queue_len,
-        ..Behaviour::default()
-    };
     let journal = Some(Journal::open(&plan.journal, &plan.instance)?);
-    let backend = Backend::start_with_journal(plan.address, identity, behaviour, journal).await?;
+    let backend =
+        Backend::start_with_journal(plan.address, identity, plan.behaviour, journal).await?;
     backend.set_caller_listener(plan.caller_listener);
     let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
--- a/tests/testsuite/users_ends.rs
+++ b/tests/testsuite/users_ends.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use testkit::process::LogLine;
-use testkit::users::backend::Behaviour;
+use testkit::users::backend::{Behaviour, OverloadAction};
 use testkit::users::backend_process::{BackendProgram, serve_from_environment};
 use testkit::users::configuration::{Route, RouteKind};
 use testkit::users::mesh::{Mesh, Plan};
@@ -29,6 +29,8 @@
 /// Slots and queue of each backend server: few, so that requests wait for them.
 const BACKEND_SLOTS: u32 = 6;
 const BACKEND_QUEUE_LEN: u32 = 20;
+/// Share of requests that backend servers shed, if they do.
+const SHED_PERCENT: u32 = 45;
 /// Timeout and target latency of all routes.
 const ROUTE_TIMEOUT_MS: u32 = 800;
 const ROUTE_TARGET_MS: u32 = 300;
@@ -76,7 +78,30 @@
     }
 }
 
-async fn start_mesh(size: RunSize, log_lines: mpsc::UnboundedSender<LogLine>) -> Mesh {
+/// How backend servers behave in the run of a seed: sound in one of three, else they shed requests.
+fn behaviour(seed: u64) -> Behaviour {
+    let overload_actions = [
+        OverloadAction::Refuse,
+        OverloadAction::Refuse,
+        OverloadAction::Reset,
+        OverloadAction::NeverAnswer,
+    ];
+    let drawn = usize::try_from(seed / 3).unwrap_or(0) % overload_actions.len();
+    Behaviour {
+        slots: BACKEND_SLOTS,
+        queue_len: BACKEND_QUEUE_LEN,
+        overload_action: overload_actions[drawn],
+        sheds_percent: if seed.is_multiple_of(3) {
+            0
+        } else {
+            SHED_PERCENT
+        },
+        sheds_early: seed % 3 == 1,
+        ..Behaviour::default()
+    }
+}
+
+async fn start_mesh(seed: u64, size: RunSize, log_lines: mpsc::UnboundedSender<LogLine>) -> Mesh {
     let mut plan = Plan::new(&SERVICES);
     plan.data_centres = vec![
         ("ost-a", "at-ost"),
@@ -86,11 +111,7 @@
     ];
     plan.data_centres.truncate(size.data_centres);
     plan.vms_per_service = size.vms_per_service;
-    plan.behaviour = Behaviour {
-        slots: BACKEND_SLOTS,
-        queue_len: BACKEND_QUEUE_LEN,
-        ..Behaviour::default()
-    };
+    plan.behaviour = behaviour(seed);
     plan.backend_program = Some(backend_program());
     plan.log_lines = Some(log_lines);
     let mesh = start_users_mesh(plan).await;
@@ -126,7 +147,7 @@
 /// Plays the run of a seed and returns the rules that it broke.
 async fn play(seed: u64, size: RunSize) -> Vec<Broken> {
     let (sender, mut receiver) = mpsc::unbounded_channel();
-    let mesh = start_mesh(size, sender).await;
+    let mesh = start_mesh(seed, size, sender).await;
     let callers = Callers::start(&mesh, seed, size.rate_per_s);
     let mut ends = Ends::new(mesh);
     let planned = End::series(seed, size.ends);
--- a/tests/testsuite/users_ends/callers.rs
+++ b/tests/testsuite/users_ends/callers.rs
@@ -12,6 +12,7 @@
 use testkit::clock;
 use testkit::concurrent::join_all;
 use testkit::http::{Http1Connection, Http2Connection, Reply};
+use testkit::users::backend::ResponseMode;
 use testkit::users::configuration::DEFAULT_HOST;
 use testkit::users::mesh::{Mesh, REQUEST_ID};
 use tokio::task::JoinSet;
@@ -39,6 +40,18 @@
 /// Time for which callers wait on a connection that stays open.
 const KEPT_TIMEOUT: Duration = Duration::from_millis(1_100);
 
+/// Share of requests with a fault of their response, in percent.
+const RESPONSE_FAULT_PERCENT: u32 = 4;
+const RESPONSE_FAULTS: [ResponseMode; 7] = [
+    ResponseMode::Closed,
+    ResponseMode::Truncated,
+    ResponseMode::DuplicatedLate,
+    ResponseMode::EarlyFailure,
+    ResponseMode::EarlyClose,
+    ResponseMode::RefusedLate,
+    ResponseMode::RejectedLate,
+];
+
 /// What may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Kind {
@@ -88,10 +101,15 @@
             true => format!("&needs={DEFAULT_HOST}/stock/of-{id}"),
             false => String::new(),
         };
-        format!(
-            "{}{id}?work_ms={work_ms}&bytes={bytes}{call}",
-            self.prefix()
-        )
+        let answer = match rng.random_range(0..100) < RESPONSE_FAULT_PERCENT {
+            true => {
+                let mode = RESPONSE_FAULTS[rng.random_range(0..RESPONSE_FAULTS.len())];
+                format!("&answer={}", mode.query_value())
+            }
+            false => String::new(),
+        };
+        let prefix = self.prefix();
+        format!("{prefix}{id}?work_ms={work_ms}&bytes={bytes}{call}{answer}")
     }
 }
 
