An odd entry outdates no announcement and hides no other entry of its list

An announcement with a port 0, no slots or a start in the far future was accepted; after the last one, every announcement of the real backend server counted as outdated and its endpoint was lost until its node was restarted. One odd state of a roll-out hid all others in the store; one odd entry of a message between nodes failed the whole message.

Entries are decoded one by one; one that cannot be read is left out, counted by its kind and logged once. Numbers have a range where they are decoded, and sums of what others report saturate.

users_odd_entries failed on the code before: "timed out waiting for: before: entry 0 serves /stock/1".

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -14,6 +14,16 @@
 /// address, as long as their delayed announcements may still arrive.
 const DEPARTED_STARTS_MAX: usize = 16;
 
+/// How far ahead of the own time of day a backend server may say it was started. No two clocks differ by more.
+const START_AHEAD_MAX_MS: u64 = 3_600_000;
+
+/// Whether an announcement can be one of a backend server that runs at `unix_ms`. One that says it was started long after
+/// that would outdate all others for good.
+pub fn is_plausible(announcement: &Announcement, unix_ms: u64) -> bool {
+    let started_ms = announcement.started_ms.unwrap_or(0);
+    started_ms <= unix_ms.saturating_add(START_AHEAD_MAX_MS)
+}
+
 /// What the node does with an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementOutcome {
--- a/src/decide/quota/totals.rs
+++ b/src/decide/quota/totals.rs
@@ -230,7 +230,8 @@
         let mut granted: HashMap<OrganisationId, u32> = HashMap::new();
         let all = self.reports.values().flat_map(|report| &report.granted);
         for (organisation, requests) in all {
-            *granted.entry(*organisation).or_default() += requests;
+            let sum = granted.entry(*organisation).or_default();
+            *sum = sum.saturating_add(*requests);
         }
         granted
     }
@@ -255,13 +256,16 @@
         for (process, peer) in &self.peers {
             add_usage(&mut sums.usage, &peer.usage);
             if self.has_ended(now_ms, process, peer) {
-                known_nodes += peer.nodes;
+                known_nodes = u32::saturating_add(known_nodes, peer.nodes);
             } else {
-                sums.nodes += peer.nodes;
-                sums.unknown_per_mille += peer.unknown_per_mille;
+                sums.nodes = sums.nodes.saturating_add(peer.nodes);
+                sums.unknown_per_mille = sums
+                    .unknown_per_mille
+                    .saturating_add(peer.unknown_per_mille);
             }
         }
-        sums.unknown_per_mille = sums.unknown_per_mille.saturating_sub(known_nodes * 1_000);
+        let known_per_mille = known_nodes.saturating_mul(1_000);
+        sums.unknown_per_mille = sums.unknown_per_mille.saturating_sub(known_per_mille);
         sums
     }
 }
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -6,12 +6,14 @@
 use crate::core::member::{BackendRecord, BackendState};
 use crate::core::names::InstanceName;
 use crate::core::status::Announcement;
-use crate::decide::announcements::AnnouncementOutcome;
+use crate::decide::announcements::{self, AnnouncementOutcome};
 use crate::node::membership::MembershipMsg;
 use crate::node::state::NodeState;
 use crate::proxy::health::{self, Health};
 use crate::proxy::local_backend::LocalBackend;
 use crate::proxy::state::BackendEvent;
+use crate::util::clock;
+use crate::util::unreadable::{self, Entry};
 
 /// Health checks of a backend server after its announcement. With [`HEALTH_CHECK_INTERVAL`] between them they
 /// take about one heartbeat interval of the backend server, after which it announces itself again.
@@ -63,6 +65,12 @@
         self: &Arc<Self>,
         announcement: &Announcement,
     ) -> AnnouncementReply {
+        if !announcements::is_plausible(announcement, clock::unix_time_ms()) {
+            let instance = announcement.instance.as_ref();
+            let name = instance.map_or("", InstanceName::as_str);
+            unreadable::record(Entry::Announcement, name, &"its start is in the future");
+            return AnnouncementReply::Accepted;
+        }
         self.proxy.pool.record_announcement();
         let serving = announcement.state == BackendState::Serving;
         if serving && self.is_stopping() {
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -34,6 +34,7 @@
 use crate::platform::node_requests;
 use crate::proxy::state::{CurrentConfiguration, NotServing};
 use crate::util::clock;
+use crate::util::unreadable::{self, Entry};
 
 /// Longest body of an announcement; bounds the memory that one request can take.
 const ANNOUNCEMENT_MAX_BYTES: usize = 4 << 10;
@@ -222,7 +223,7 @@
                 text(StatusCode::OK, "noted\n")
             }
             Err(error) => {
-                log::warn!(path, error:%; "rejected an invalid announcement of a backend server");
+                unreadable::record(Entry::Announcement, path, &error);
                 text(StatusCode::BAD_REQUEST, format!("{error}\n"))
             }
         }
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -31,6 +31,7 @@
 use crate::store::rows::{NODE_PREFIX, NodeRow, node_key};
 use crate::store::{NodeStore, Result, Row, Table};
 use crate::util::clock;
+use crate::util::unreadable::{self, Entry};
 
 pub(crate) mod row_writer;
 
@@ -246,10 +247,11 @@
 }
 
 fn decode_own_row(row: &Row) -> Option<NodeRow> {
-    let decoded = serde_json::from_str(&row.value);
-    decoded
-        .inspect_err(|error| log::warn!(error:%; "cannot decode the stored row of this node"))
-        .ok()
+    unreadable::readable(Entry::NodeRow, "own", decode_row(row))
+}
+
+fn decode_row(row: &Row) -> serde_json::Result<NodeRow> {
+    serde_json::from_str(&row.value)
 }
 
 /// Whether the stored row says what `row` says, and need not be renewed yet.
@@ -280,9 +282,11 @@
 /// link between the regions if possible.
 fn seeds(rows: &BTreeMap<String, Row>, local_member: &Member) -> Vec<SocketAddr> {
     let now_ms = clock::unix_time_ms();
+    let decoded =
+        |(key, row): (&String, &Row)| unreadable::readable(Entry::NodeRow, key, decode_row(row));
     let mut seed_rows: Vec<NodeRow> = rows
-        .values()
-        .filter_map(|row| serde_json::from_str::<NodeRow>(&row.value).ok())
+        .iter()
+        .filter_map(decoded)
         .filter(|row| row.node != local_member.node)
         .filter(|row| now_ms.saturating_sub(row.renewed_ms) < MAX_ROW_AGE_MS)
         .collect();
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -210,12 +210,11 @@
             None => None,
         };
         let rollouts = answer.rollouts.as_ref();
-        let rollouts = rollouts.map(convert::rollouts::book_from_wire).transpose();
         Ok(FollowAnswer {
             offer,
             state,
             proof,
-            rollouts: rollouts.map_err(|error| self.protocol_error(&error))?,
+            rollouts: rollouts.map(convert::rollouts::book_from_wire),
         })
     }
 
@@ -244,8 +243,7 @@
         let enforced = convert::stamp_from_wire(answer.enforced.as_ref());
         let enforced = enforced.map_err(|error| self.protocol_error(&error))?;
         let rollouts = answer.rollouts.as_ref();
-        let rollouts = rollouts.map(convert::rollouts::book_from_wire).transpose();
-        let rollouts = rollouts.map_err(|error| self.protocol_error(&error))?;
+        let rollouts = rollouts.map(convert::rollouts::book_from_wire);
         Ok(FloorAnswer {
             reported: Version(answer.reported_version),
             enforced,
@@ -305,8 +303,9 @@
         let timeout = answer_timeout;
         let answer = self.client.report_crashes(with_timeout(report, timeout));
         let answer = whole_answer(self.address, timeout, answer).await?;
-        convert::crashes::nodes_from_wire(&answer.get_ref().left_out)
-            .map_err(|error| self.protocol_error(&error))
+        Ok(convert::crashes::nodes_from_wire(
+            &answer.get_ref().left_out,
+        ))
     }
 
     /// Has the peer write `row` into the store, which takes up to `answer_timeout`.
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use super::generated as wire;
 use crate::core::member::{BackendState, CapacityClass, Liveness, Member, NodeId, Place};
@@ -11,15 +11,25 @@
 use crate::core::version::{Digest, InvalidDigest, Stamp, Version};
 use crate::distribution::{Content, DeltaStep, Offer};
 use crate::membership::{Gossip, Report, Summary};
+use crate::util::unreadable::{self, Entry};
 
 pub(crate) mod crashes;
 pub(crate) mod rollouts;
+#[cfg(test)]
+mod tests;
 pub(crate) mod usage;
 
+/// Largest start time of a process, in microseconds, and largest number of a state. Far above all that occur, and so far below
+/// the largest number that counting on from it does not overflow.
+const NUMBER_MAX: u64 = 1 << 62;
+
+/// Most nodes that a message may count.
+const NODES_MAX: u32 = 1 << 20;
+
 /// Result of a conversion.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Why a message violates the protocol. No part of such a message is used.
+/// Why a message, or an entry of a list in it, violates the protocol. Such a message or entry is not used.
 #[derive(Debug, Snafu)]
 pub(crate) enum Error {
     #[snafu(display("`{text}` is not an address"))]
@@ -33,6 +43,30 @@
     Field { field: &'static str },
 }
 
+/// Converts the entries of a list. Those that cannot be read are left out.
+fn readable<'a, T: 'a, U>(
+    what: Entry,
+    entries: impl IntoIterator<Item = &'a T>,
+    convert: impl Fn(&'a T) -> Result<U>,
+) -> Vec<U> {
+    let entries = entries.into_iter();
+    entries
+        .filter_map(|entry| unreadable::readable(what, "", convert(entry)))
+        .collect()
+}
+
+fn number_from_wire(number: u64, field: &'static str) -> Result<u64> {
+    (number <= NUMBER_MAX)
+        .then_some(number)
+        .context(FieldSnafu { field })
+}
+
+fn node_count_from_wire(nodes: u32) -> Result<u32> {
+    (nodes <= NODES_MAX)
+        .then_some(nodes)
+        .context(FieldSnafu { field: "nodes" })
+}
+
 pub(crate) fn parse_address(text: &str) -> Result<SocketAddr> {
     text.parse().context(AddressSnafu { text })
 }
@@ -60,6 +94,13 @@
     software_versions: Vec<SoftwareVersion>,
 }
 
+/// Names of a received message. A service whose name is invalid has no name.
+struct ReceivedNames {
+    places: Vec<Place>,
+    services: Vec<Option<ServiceName>>,
+    software_versions: Vec<SoftwareVersion>,
+}
+
 impl NameTable {
     fn place_index(&mut self, place: &Place) -> u32 {
         index_in(&mut self.places, place)
@@ -125,33 +166,33 @@
         region: RegionName::new(&place.region),
         data_centre: DataCentreName::new(&place.data_centre),
     };
-    let names = NameTable {
+    let service_from_wire = |name: &String| is_name(name).then(|| ServiceName::new(name));
+    let names = ReceivedNames {
         places: gossip.places.iter().map(place_from_wire).collect(),
-        services: services_from_wire(&gossip.services)?,
+        services: gossip.services.iter().map(service_from_wire).collect(),
         software_versions: gossip
             .software_versions
             .iter()
             .map(SoftwareVersion::new)
             .collect(),
     };
-    let updates = gossip.updates.iter();
-    let updates: Result<Vec<Member>> = updates.map(|m| member_from_wire(m, &names)).collect();
-    let summaries = gossip.summaries.iter();
-    let summaries: Result<_> = summaries.map(|s| summary_from_wire(s, &names)).collect();
-    let reports: Result<_> = gossip.reports.iter().map(report_from_wire).collect();
     let announce = gossip.announce.as_ref();
-    let announce = announce.map(|stamp| stamp_from_wire(Some(stamp)));
+    let announce = readable(Entry::Stamp, announce, |stamp| stamp_from_wire(Some(stamp)));
     let rollouts = gossip.rollouts.as_ref().map(rollouts::book_from_wire);
     Ok(Gossip {
         from: node_from_wire(&gossip.from)?,
         view_hash: gossip.view_hash,
         version: Version(gossip.version),
-        announce: announce.transpose()?,
-        updates: updates?,
-        reports: reports?,
-        summaries: summaries?,
+        announce: announce.first().copied(),
+        updates: readable(Entry::Member, &gossip.updates, |member| {
+            member_from_wire(member, &names)
+        }),
+        reports: readable(Entry::VersionReport, &gossip.reports, report_from_wire),
+        summaries: readable(Entry::VersionSummary, &gossip.summaries, |summary| {
+            summary_from_wire(summary, &names)
+        }),
         rollouts_digest: gossip.rollouts_digest,
-        rollouts: rollouts.transpose()?.map(Arc::new),
+        rollouts: rollouts.map(Arc::new),
         want_all: gossip.want_all,
     })
 }
@@ -175,22 +216,17 @@
         16 => <[u8; 16]>::try_from(ip).ok().map(IpAddr::from),
         _ => None,
     };
+    let ip = ip.filter(|ip| !ip.is_unspecified() && !ip.is_multicast());
     let ip = ip.context(FieldSnafu { field: "address" })?;
-    Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+    let port = u16::from_be_bytes(*port);
+    ensure!(port > 0, FieldSnafu { field: "address" });
+    Ok(SocketAddr::new(ip, port))
 }
 
 pub(super) fn node_from_wire(bytes: &[u8]) -> Result<NodeId> {
     address_from_wire(bytes).map(NodeId)
 }
 
-fn services_from_wire(services: &[String]) -> Result<Vec<ServiceName>> {
-    let service_from_wire = |name: &String| match is_name(name) {
-        true => Ok(ServiceName::new(name)),
-        false => FieldSnafu { field: "services" }.fail(),
-    };
-    services.iter().map(service_from_wire).collect()
-}
-
 /// The name with an index that counts from 1; `None` for 0.
 fn name_at<T: Clone>(names: &[T], index: u32, field: &'static str) -> Result<Option<T>> {
     let Some(position) = index.checked_sub(1) else {
@@ -200,7 +236,7 @@
     name.cloned().context(FieldSnafu { field }).map(Some)
 }
 
-fn place_at(names: &NameTable, position: u32) -> Result<Place> {
+fn place_at(names: &ReceivedNames, position: u32) -> Result<Place> {
     let place = names.places.get(position as usize);
     place.cloned().context(FieldSnafu { field: "place" })
 }
@@ -216,7 +252,7 @@
 fn report_from_wire(report: &wire::Report) -> Result<Report> {
     Ok(Report {
         node: node_from_wire(&report.node)?,
-        incarnation_us: report.incarnation,
+        incarnation_us: number_from_wire(report.incarnation, "incarnation")?,
         version: Version(report.version),
     })
 }
@@ -234,13 +270,15 @@
     }
 }
 
-fn summary_from_wire(summary: &wire::Summary, names: &NameTable) -> Result<Summary> {
-    let count = |count: &wire::VersionCount| (Version(count.version), count.nodes);
+fn summary_from_wire(summary: &wire::Summary, names: &ReceivedNames) -> Result<Summary> {
+    let count = |count: &wire::VersionCount| {
+        Ok((Version(count.version), node_count_from_wire(count.nodes)?))
+    };
     Ok(Summary {
         place: place_at(names, summary.place)?,
-        nodes: summary.nodes,
-        versions: summary.versions.iter().map(count).collect(),
-        sequence: summary.sequence,
+        nodes: node_count_from_wire(summary.nodes)?,
+        versions: summary.versions.iter().map(count).collect::<Result<_>>()?,
+        sequence: number_from_wire(summary.sequence, "sequence")?,
     })
 }
 
@@ -264,14 +302,17 @@
     }
 }
 
-fn member_from_wire(member: &wire::Member, names: &NameTable) -> Result<Member> {
+fn member_from_wire(member: &wire::Member, names: &ReceivedNames) -> Result<Member> {
     let node = node_from_wire(&member.node)?;
     let external = if member.external.is_empty() {
         node.0
     } else {
         address_from_wire(&member.external)?
     };
-    let service = name_at(&names.services, member.service, "service")?;
+    let service = match name_at(&names.services, member.service, "service")? {
+        Some(name) => Some(name.context(FieldSnafu { field: "service" })?),
+        None => None,
+    };
     let software_version = name_at(
         &names.software_versions,
         member.software_version,
@@ -281,8 +322,8 @@
         node,
         external,
         place: place_at(names, member.place)?,
-        incarnation_us: member.incarnation,
-        sequence: member.sequence,
+        incarnation_us: number_from_wire(member.incarnation, "incarnation")?,
+        sequence: number_from_wire(member.sequence, "sequence")?,
         liveness: liveness_from_wire(member.liveness())?,
         service,
         backend: backend_from_wire(member.backend())?,
--- a/src/peer/convert/crashes.rs
+++ b/src/peer/convert/crashes.rs
@@ -2,10 +2,11 @@
 
 use snafu::{OptionExt, ensure};
 
-use super::{FieldSnafu, Result, address_to_wire, node_from_wire, wire};
+use super::{FieldSnafu, Result, address_to_wire, node_from_wire, readable, wire};
 use crate::core::member::NodeId;
 use crate::core::request_digest::{BodyDigest, HeadDigest, RequestDigest};
 use crate::decide::crashes::{CrashId, CrashRecord, CrashUpdate, ReportedCrash};
+use crate::util::unreadable::Entry;
 
 pub(crate) fn report_to_wire(updates: &[CrashUpdate], further: &[NodeId]) -> wire::CrashReport {
     wire::CrashReport {
@@ -14,16 +15,16 @@
     }
 }
 
-pub(crate) fn report_from_wire(report: &wire::CrashReport) -> Result<Vec<CrashUpdate>> {
-    report.requests.iter().map(update_from_wire).collect()
+pub(crate) fn report_from_wire(report: &wire::CrashReport) -> Vec<CrashUpdate> {
+    readable(Entry::Crash, &report.requests, update_from_wire)
 }
 
 pub(crate) fn nodes_to_wire(nodes: &[NodeId]) -> Vec<Vec<u8>> {
     nodes.iter().map(|node| address_to_wire(node.0)).collect()
 }
 
-pub(crate) fn nodes_from_wire(nodes: &[Vec<u8>]) -> Result<Vec<NodeId>> {
-    nodes.iter().map(|node| node_from_wire(node)).collect()
+pub(crate) fn nodes_from_wire(nodes: &[Vec<u8>]) -> Vec<NodeId> {
+    readable(Entry::Member, nodes, |node| node_from_wire(node))
 }
 
 fn update_to_wire(update: &CrashUpdate) -> wire::CrashedRequest {
--- a/src/peer/convert/rollouts.rs
+++ b/src/peer/convert/rollouts.rs
@@ -2,15 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use snafu::OptionExt;
+use snafu::{OptionExt, ensure};
 
-use super::{FieldSnafu, Result, address_to_wire, node_from_wire, wire};
+use super::{
+    FieldSnafu, Result, address_to_wire, node_from_wire, number_from_wire, readable, wire,
+};
 use crate::core::names::{ResourceName, ServiceName, SoftwareVersion, is_name};
 use crate::core::rollout::{
     OrderEntry, RolloutBook, RolloutOrder, RolloutPhase, RolloutRecord, RolloutState, StateEntry,
 };
 use crate::decide::rollout::tally::BUCKET_COUNT;
 use crate::decide::rollout::{NodeTally, ResourceTally};
+use crate::util::unreadable::Entry;
 
 pub(crate) fn book_to_wire(book: &RolloutBook) -> wire::RolloutBook {
     let record_to_wire = |(service, record): (&ServiceName, &RolloutRecord)| {
@@ -32,28 +35,34 @@
     }
 }
 
-pub(crate) fn book_from_wire(book: &wire::RolloutBook) -> Result<RolloutBook> {
+pub(crate) fn book_from_wire(book: &wire::RolloutBook) -> RolloutBook {
     let mut decoded = RolloutBook::default();
-    for record in &book.records {
-        let service = service_from_wire(&record.service)?;
-        let order = record.order.as_ref().map(|order| RolloutOrder {
-            to: SoftwareVersion::new(&order.to),
-            duration_ms: order.duration_ms,
-        });
-        let state = record.state.as_ref().map(state_from_wire).transpose()?;
-        let record = RolloutRecord {
-            order: OrderEntry {
-                revision: record.order_revision,
-                order,
-            },
-            state: state.map(|state| StateEntry {
-                revision: record.state_revision,
-                state,
-            }),
-        };
+    for (service, record) in readable(Entry::RolloutState, &book.records, record_from_wire) {
         decoded.merge_record(&service, &record);
     }
-    Ok(decoded)
+    decoded
+}
+
+fn record_from_wire(record: &wire::RolloutRecord) -> Result<(ServiceName, RolloutRecord)> {
+    let service = service_from_wire(&record.service)?;
+    let order = record.order.as_ref().map(|order| {
+        Ok(RolloutOrder {
+            to: SoftwareVersion::new(&order.to),
+            duration_ms: number_from_wire(order.duration_ms, "duration_ms")?,
+        })
+    });
+    let state = record.state.as_ref().map(state_from_wire).transpose()?;
+    let record = RolloutRecord {
+        order: OrderEntry {
+            revision: record.order_revision,
+            order: order.transpose()?,
+        },
+        state: state.map(|state| StateEntry {
+            revision: record.state_revision,
+            state,
+        }),
+    };
+    Ok((service, record))
 }
 
 fn service_from_wire(name: &str) -> Result<ServiceName> {
@@ -92,13 +101,19 @@
         wire::RolloutPhase::Completed => RolloutPhase::Completed,
         wire::RolloutPhase::RolledBack => RolloutPhase::RolledBack,
     };
+    ensure!(
+        state.share_percent <= 100,
+        FieldSnafu {
+            field: "share_percent"
+        }
+    );
     Ok(RolloutState {
         order_revision: state.order_revision,
         to: SoftwareVersion::new(&state.to),
         phase,
         share_percent: state.share_percent,
-        ordered_store_ms: state.ordered_store_ms,
-        decided_store_ms: state.decided_store_ms,
+        ordered_store_ms: number_from_wire(state.ordered_store_ms, "ordered_store_ms")?,
+        decided_store_ms: number_from_wire(state.decided_store_ms, "decided_store_ms")?,
         established: state.established.as_ref().map(SoftwareVersion::new),
         barred: state.barred.iter().map(SoftwareVersion::new).collect(),
         reason: state.reason.clone(),
@@ -132,7 +147,11 @@
     }
 }
 
-pub(crate) fn tally_from_wire(tally: &wire::NodeTally) -> Result<NodeTally> {
+pub(crate) fn tallies_from_wire(tallies: &[wire::NodeTally]) -> Vec<NodeTally> {
+    readable(Entry::Tally, tallies, tally_from_wire)
+}
+
+fn tally_from_wire(tally: &wire::NodeTally) -> Result<NodeTally> {
     let mut resources = BTreeMap::new();
     for counts in &tally.resources {
         let mut times = [0; BUCKET_COUNT];
@@ -141,16 +160,16 @@
             .copy_from_slice(&counts.times);
         let resource = ResourceName::new(&counts.resource);
         let counts = ResourceTally {
-            answers: counts.answers,
-            failures: counts.failures,
+            answers: number_from_wire(counts.answers, "answers")?,
+            failures: number_from_wire(counts.failures, "failures")?,
             times,
         };
         resources.insert(resource, counts);
     }
     Ok(NodeTally {
         node: node_from_wire(&tally.node)?,
-        incarnation_us: tally.incarnation,
-        sequence: tally.sequence,
+        incarnation_us: number_from_wire(tally.incarnation, "incarnation")?,
+        sequence: number_from_wire(tally.sequence, "sequence")?,
         service: service_from_wire(&tally.service)?,
         version: tally.software_version.as_ref().map(SoftwareVersion::new),
         order_revision: tally.order_revision,
@@ -158,7 +177,7 @@
         in_flight: tally.in_flight,
         closed: tally.closed,
         cold: tally.cold,
-        busy_ms: tally.busy_ms,
+        busy_ms: number_from_wire(tally.busy_ms, "busy_ms")?,
         resources,
     })
 }
--- a/src/peer/convert/usage.rs
+++ b/src/peer/convert/usage.rs
@@ -2,12 +2,16 @@
 
 use snafu::ensure;
 
-use super::{FieldSnafu, Result, address_to_wire, node_from_wire, wire};
+use super::{
+    FieldSnafu, Result, address_to_wire, node_count_from_wire, node_from_wire, number_from_wire,
+    readable, wire,
+};
 use crate::core::organisation::OrganisationId;
 use crate::decide::quota::{
     EndedSums, Grant, Grants, ProcessId, Usage, UsageByOrganisation, UsageSums,
 };
 use crate::node::quota::UsageReport;
+use crate::util::unreadable::Entry;
 
 pub(crate) fn report_to_wire(report: &UsageReport) -> wire::UsageReport {
     wire::UsageReport {
@@ -22,7 +26,7 @@
     Ok(UsageReport {
         process: ProcessId {
             node: node_from_wire(&report.node)?,
-            incarnation_us: report.incarnation,
+            incarnation_us: number_from_wire(report.incarnation, "incarnation")?,
         },
         uptime_ms: u64::from(report.uptime_ms),
         usage: usage_from_wire(report.usage.as_ref())?,
@@ -54,10 +58,10 @@
     Ok(EndedSums {
         process: ProcessId {
             node: node_from_wire(&ended.from)?,
-            incarnation_us: ended.incarnation,
+            incarnation_us: number_from_wire(ended.incarnation, "incarnation")?,
         },
         age_ms: u64::from(ended.age_ms),
-        nodes: ended.nodes,
+        nodes: node_count_from_wire(ended.nodes)?,
         usage: usage_from_wire(ended.usage.as_ref())?,
     })
 }
@@ -66,17 +70,13 @@
 pub(crate) fn sums_from_wire(sums: &wire::UsageSums) -> Result<(ProcessId, UsageSums)> {
     let from = ProcessId {
         node: node_from_wire(&sums.from)?,
-        incarnation_us: sums.incarnation,
+        incarnation_us: number_from_wire(sums.incarnation, "incarnation")?,
     };
     let sums = UsageSums {
-        nodes: sums.nodes,
-        unknown_per_mille: sums.unknown_per_mille,
+        nodes: node_count_from_wire(sums.nodes)?,
+        unknown_per_mille: sums.unknown_per_mille.min(sums.nodes.saturating_mul(1_000)),
         usage: usage_from_wire(sums.usage.as_ref())?,
-        ended: sums
-            .ended
-            .iter()
-            .map(ended_from_wire)
-            .collect::<Result<_>>()?,
+        ended: readable(Entry::Usage, &sums.ended, ended_from_wire),
     };
     Ok((from, sums))
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -143,10 +143,7 @@
         request: Request<wire::TallyRequest>,
     ) -> Result<Response<wire::TallyReply>, Status> {
         let request = request.get_ref();
-        let tallies = request.tallies.iter();
-        let tallies: convert::Result<Vec<_>> =
-            tallies.map(convert::rollouts::tally_from_wire).collect();
-        let tallies = tallies.map_err(|e| invalid_argument(&e))?;
+        let tallies = convert::rollouts::tallies_from_wire(&request.tallies);
         // Sending fails only while the process shuts down.
         let _ = self.rollout.cast(RolloutMsg::Tallies {
             tallies,
@@ -182,9 +179,7 @@
     ) -> Result<Response<wire::CrashReportReply>, Status> {
         let report = request.get_ref();
         let updates = convert::crashes::report_from_wire(report);
-        let updates = updates.map_err(|e| invalid_argument(&e))?;
         let further = convert::crashes::nodes_from_wire(&report.further);
-        let further = further.map_err(|e| invalid_argument(&e))?;
         crashes::merge(&self.node, &updates);
         let left_out = crashes::pass_on(&self.node, further, updates.into()).await;
         let left_out = convert::crashes::nodes_to_wire(&left_out);
--- a/src/platform/node_requests.rs
+++ b/src/platform/node_requests.rs
@@ -22,6 +22,11 @@
 const READY_PATH: &str = "/-/readyz";
 const INSTANCES_PATH: &str = "/-/instances/";
 
+/// Largest number that is the same in every implementation of JSON.
+const NUMBER_MAX: u64 = (1 << 53) - 1;
+/// Most requests that a backend server may say it runs concurrently.
+const SLOTS_MAX: u32 = 1 << 20;
+
 /// Result of parsing an announcement.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -98,6 +103,13 @@
         _ => None,
     };
     let address: Option<SocketAddr> = fields.address.parse().ok();
+    let address = address.filter(|address| address.port() > 0 && !address.ip().is_unspecified());
+    let number = |number: u64, field| {
+        (number <= NUMBER_MAX)
+            .then_some(number)
+            .context(InvalidFieldSnafu { instance, field })
+    };
+    let slots = Some(fields.slots).filter(|slots| (1..=SLOTS_MAX).contains(slots));
     let cold_remaining = fields.cold_remaining.as_deref();
     Ok(Announcement {
         service: ServiceName::new(fields.service),
@@ -110,9 +122,15 @@
             field: "state",
         })?,
         instance: Some(InstanceName::new(instance)),
-        started_ms: fields.born,
-        sequence: Some(fields.seq),
-        slots: Some(fields.slots),
+        started_ms: fields
+            .born
+            .map(|started_ms| number(started_ms, "born"))
+            .transpose()?,
+        sequence: Some(number(fields.seq, "seq")?),
+        slots: Some(slots.context(InvalidFieldSnafu {
+            instance,
+            field: "slots",
+        })?),
         software_version: fields.version.map(SoftwareVersion::new),
         cold_ms: cold_remaining.and_then(parse_ms).unwrap_or(0),
     })
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,13 +22,14 @@
 use super::duration::parse_ms;
 use super::{configuration, rollouts};
 use crate::core::configuration::Configuration;
-use crate::core::names::ServiceName;
+use crate::core::names::{ServiceName, is_name};
 use crate::core::rollout::{OrderEntry, RolloutState, StateEntry};
 use crate::store::transport::Transport;
 use crate::store::{
     AdvanceOutcome, Condition, Error, Feed, FeedPosition, FeedUpdate, OrdersRead, Outcome, Result,
     RolloutAdvance, RolloutTable, Row, Table, Transaction, decode_json, unexpected_status,
 };
+use crate::util::unreadable::{self, Entry};
 
 /// The table that contains dragonflywall's own rows.
 const OWN_TABLE: &str = "dragonflywall";
@@ -168,10 +169,8 @@
 
 /// Decodes one row among others. A row of another writer that cannot be read must not hide the rest.
 fn readable_row(row: WireRow) -> Option<(String, Row)> {
-    let decoded = row.into_row();
-    decoded
-        .inspect_err(|error| log::warn!(error:%; "ignored a row that cannot be read"))
-        .ok()
+    let key = row.key.clone();
+    unreadable::readable(Entry::Row, &key, row.into_row())
 }
 
 /// The smallest key greater than all keys that begin with `prefix`, which must be ASCII.
@@ -312,15 +311,8 @@
     let decoded = decoded.and_then(|bytes| {
         rollouts::decode_order(service, &bytes).map_err(|error| error.to_string())
     });
-    let order = match decoded {
-        Ok(order) => Some(order),
-        Err(reason) => {
-            log::warn!(service:%, row_revision = revision, reason; "an order for a roll-out cannot be decoded and counts as withdrawn");
-            metrics::counter!("dragonflywall_unreadable_total", "what" => "rollout-order")
-                .increment(1);
-            None
-        }
-    };
+    // An order that cannot be decoded counts as withdrawn.
+    let order = unreadable::readable(Entry::RolloutOrder, service.as_str(), decoded);
     OrderEntry { revision, order }
 }
 
@@ -336,9 +328,12 @@
     async fn read_states(&self, range: &str) -> Result<BTreeMap<ServiceName, StateEntry>> {
         let path = format!("/-/rows-get?tableName={ROLLOUT_TABLE}&part={range}");
         let response = self.get_rows(&path, RESPONSE_TIMEOUT).await?;
-        let rows = response.rows.iter();
-        let entries = rows.map(|row| Ok((ServiceName::new(&row.key), decode_state(row)?)));
-        entries.collect()
+        let rows = response.rows.iter().filter(|row| is_name(&row.key));
+        let entries = rows.filter_map(|row| {
+            let state = unreadable::readable(Entry::RolloutState, &row.key, decode_state(row))?;
+            Some((ServiceName::new(&row.key), state))
+        });
+        Ok(entries.collect())
     }
 
     /// The rows that made a transaction's conditions fail.
@@ -418,13 +413,6 @@
     let decoded = row.bytes().map_err(|error| error.to_string());
     let decoded =
         decoded.and_then(|bytes| configuration::decode(&bytes).map_err(|error| error.to_string()));
-    match decoded {
-        Ok(configuration) => Some(configuration),
-        Err(reason) => {
-            log::warn!(row_revision = row.ver.unwrap_or(0), reason; "ignoring an invalid configuration in the store");
-            metrics::counter!("dragonflywall_unreadable_total", "what" => "configuration")
-                .increment(1);
-            None
-        }
-    }
+    let revision = row.ver.unwrap_or(0).to_string();
+    unreadable::readable(Entry::Configuration, &revision, decoded)
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -69,6 +69,7 @@
 mod users_configuration;
 mod users_crashes;
 mod users_ends;
+mod users_odd_entries;
 mod users_organisations;
 mod users_promises;
 mod users_requests;
--- a/tests/testsuite/users_ends/check.rs
+++ b/tests/testsuite/users_ends/check.rs
@@ -40,9 +40,15 @@
         let counted = entries.iter().filter(|entry| is_counted(entry.event));
         counted.count()
     };
+    let by_id = by_id(entries);
+    let in_part = by_id.values().filter(|entries| {
+        let mut events = entries.iter().map(|entry| entry.event);
+        events.all(|event| event == Event::Received)
+    });
     format!(
-        "{} requests, by status {statuses:?}, promises {promises:?}; backend servers began {}, dropped {}, rejected {}",
+        "{} requests, by status {statuses:?}, promises {promises:?}; backend servers got {} only in part, began {}, dropped {}, rejected {}",
         answers.len(),
+        in_part.count(),
         count(|event| event == Event::Begun),
         count(|event| event == Event::Dropped),
         count(|event| matches!(event, Event::Rejected { .. })),
