--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -7,6 +7,8 @@
 //! - `answer`: fault of the response, see [`ResponseMode`].
 //! - `status`: status of the response in place of 200. It does not say whether the request ran.
 //! - `endless`: part of the response that never ends, see [`EndlessPart`]; `pause_ms`: pause between two pieces of it.
+//! - `cut`: number of bytes of the response, its head included, after which the connection is closed; with `reset=1` by a
+//!   reset. `framing` is how its body ends: `length` if it is absent, `chunks`, or `close`.
 //! - `halt_ms`: pause after half of the response body.
 //! - `call`: `HOST/PATH`, which the backend server requests through the node on its VM before it responds.
 //!   `~id~` in it stands for the id of the request.
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -31,6 +31,9 @@
 /// the caller.
 const EARLY_CLOSE_DELAY: Duration = Duration::from_millis(40);
 
+/// Pause between the last byte of a response that is cut and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(5);
+
 pub(super) async fn serve(listener: TcpListener, shared: Arc<Shared>, stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
@@ -369,6 +372,9 @@
             "X-Dfw-Response-Seal: {}\r\n",
             response_seal(&head.id, bytes)
         );
+        if let Some(cut) = head.query_number("cut") {
+            return self.send_cut(head, &seal, &body, cut).await;
+        }
         match response_mode {
             ResponseMode::Closed => return Ok(NextStep::Close),
             ResponseMode::Failure
@@ -418,6 +424,38 @@
         })
     }
 
+    /// Sends the first `cut` bytes of a response and closes the connection.
+    async fn send_cut(
+        &mut self,
+        head: &RequestHead,
+        headers: &str,
+        body: &[u8],
+        cut: u64,
+    ) -> io::Result<NextStep> {
+        let (headers, len, body) = match head.query().get("framing") {
+            "chunks" => {
+                let mut chunk = format!("{:x}\r\n", body.len()).into_bytes();
+                chunk.extend_from_slice(body);
+                chunk.extend_from_slice(b"\r\n0\r\n\r\n");
+                let headers = format!("{headers}Transfer-Encoding: chunked\r\n");
+                (headers, None, chunk)
+            }
+            "close" => (headers.to_owned(), None, body.to_vec()),
+            _ => (headers.to_owned(), Some(body.len()), body.to_vec()),
+        };
+        let text = format_response_head(200, &head.id, &headers, len, false);
+        let mut response = text.into_bytes();
+        response.extend_from_slice(&body);
+        response.truncate(usize::try_from(cut).unwrap_or(usize::MAX));
+        self.stream.write_all(&response).await?;
+        if head.query_number("reset").is_some() {
+            // What was sent arrives before the reset.
+            tokio::time::sleep(RESET_DELAY).await;
+            self.stream.set_zero_linger()?;
+        }
+        Ok(NextStep::Close)
+    }
+
     /// Writes a complete response, with the pause that the request asks for after half of the body.
     async fn write_halting(
         &mut self,
