A request takes a slot when its body is there

A payment of which the body was still awaited held a slot of the backend server, so that the next caller got 503; if its caller broke off, the backend server had got the head of a request that nobody sent whole. The gate buffered bodies before admission only if they were long or of unknown length; now it does so with short ones, too.

--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -233,6 +233,8 @@
     pub misdirected: u64,
     /// Times at which requests arrived, health checks and rejected requests included.
     pub arrivals: Vec<Instant>,
+    /// Number of requests other than health checks that arrived, rejected ones included.
+    pub requests: u64,
     /// Time at which the most recent request other than a health check arrived.
     pub last_arrival: Option<Instant>,
     /// Requests that are running.
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -159,7 +159,11 @@
             self.send_health().await?;
             return Ok(NextStep::Request);
         }
-        self.shared.record().last_arrival = Some(arrived_at);
+        {
+            let mut record = self.shared.record();
+            record.requests += 1;
+            record.last_arrival = Some(arrived_at);
+        }
         self.record_event(&head, Event::Received);
         if let Some(next) = self.reject_misaddressed(&head).await? {
             return Ok(next);
--- a/src/proxy/uploads.rs
+++ b/src/proxy/uploads.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body::Body as _;
 
@@ -50,8 +50,8 @@
     Ok(permits::hold_for_body(node, permit))
 }
 
-/// Waits for an upload permit and buffers a large body before its request takes a slot. A small
-/// body is returned unread.
+/// Buffers a body before its request takes a slot, a large one after waiting for an upload permit. So a caller that sends
+/// its body slowly occupies no slot, and the backend server gets nothing of a request that breaks off.
 ///
 /// The entry node still buffers what is read here, so that a request that gets no slot can be sent
 /// whole to another endpoint. A body that is too long for the entry node's buffer is therefore
@@ -62,9 +62,18 @@
     body: Body,
     source: BodySource,
 ) -> Result<Body, Refusal> {
+    if body.is_end_stream() {
+        return Ok(body);
+    }
     let len_bytes = body.size_hint().upper();
-    let uses_permits = node.mechanisms().is_enabled(Mechanism::UploadScheduling);
-    if !uses_permits || len_bytes.is_some_and(|len_bytes| len_bytes <= SMALL_BODY_MAX_BYTES) {
+    if len_bytes.is_some_and(|len_bytes| len_bytes <= SMALL_BODY_MAX_BYTES) {
+        let mut buffered = BufferedBody::new(body, SMALL_BODY_MAX_BYTES);
+        fill_until(&mut buffered, hop.queue_deadline())
+            .await?
+            .or_too_late()?;
+        return Ok(body::boxed(buffered));
+    }
+    if !node.mechanisms().is_enabled(Mechanism::UploadScheduling) {
         return Ok(body);
     }
     let permit = match source {
@@ -79,21 +88,46 @@
     }
     let _count_guard = UploadCountGuard::new(&node.incoming_uploads);
     let mut buffered = BufferedBody::new(body, len_bytes.unwrap_or(UNKNOWN_LEN_BUFFER_BYTES));
-    let filled_in_time = tokio::time::timeout(PERMIT_HOLD_MAX, buffered.fill()).await;
+    let permit_until = Instant::now() + PERMIT_HOLD_MAX;
+    let filled = fill_until(&mut buffered, permit_until).await?;
     drop(permit);
-    let filled = match filled_in_time {
-        Ok(filled) => filled,
-        Err(_) => tokio::time::timeout_at(hop.deadline.into(), buffered.fill())
-            .await
-            .map_err(|_| Refusal::from(Reason::TooLate))?,
-    };
-    filled.map_err(|error| {
-        log::debug!(error:% = error; "an upload was interrupted before it was forwarded");
-        Refusal::from(Reason::Lost)
-    })?;
+    if filled == Filled::InPart {
+        fill_until(&mut buffered, hop.queue_deadline())
+            .await?
+            .or_too_late()?;
+    }
     Ok(body::boxed(buffered))
 }
 
+/// How much of a body has been read into its buffer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Filled {
+    /// All of it, or as much as the buffer holds.
+    Whole,
+    InPart,
+}
+
+impl Filled {
+    fn or_too_late(self) -> Result<(), Refusal> {
+        match self {
+            Self::Whole => Ok(()),
+            Self::InPart => Err(Reason::TooLate.into()),
+        }
+    }
+}
+
+/// Reads a body into its buffer until `deadline`. Fails if the body breaks off.
+async fn fill_until(buffered: &mut BufferedBody, deadline: Instant) -> Result<Filled, Refusal> {
+    match tokio::time::timeout_at(deadline.into(), buffered.fill()).await {
+        Ok(Ok(())) => Ok(Filled::Whole),
+        Ok(Err(error)) => {
+            log::debug!(error:% = error; "a request was interrupted before it was forwarded");
+            Err(Reason::Lost.into())
+        }
+        Err(_) => Ok(Filled::InPart),
+    }
+}
+
 /// Counts a large body in [`ProxyState::incoming_uploads`] while it is being received.
 struct UploadCountGuard<'a>(&'a AtomicU32);
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -66,6 +66,7 @@
 mod spread_timing;
 mod support;
 mod token;
+mod users_bodies;
 mod users_configuration;
 mod users_crashes;
 mod users_ends;
