--- a/tests/testsuite/users_ends.rs
+++ b/tests/testsuite/users_ends.rs
@@ -1,5 +1,6 @@
-//! All nodes and backend servers end one after the other within half a second, as processes, while callers send requests, and
-//! start again. Afterwards what each backend server did with a request is compared with the response that its caller got.
+//! Nodes and backend servers, as processes, end one after the other within half a second while callers send requests, and
+//! start again: all of them, all of a kind, or some, while links or the store may fail. Afterwards what each backend server did
+//! with a request is compared with the response that its caller got.
 //!
 //! CI plays a short run. To play others:
 //! `DRAGONFLYWALL_ENDS_SEEDS=1..50 DRAGONFLYWALL_ENDS_COUNT=4 DRAGONFLYWALL_ENDS_VMS=1 cargo test --test testsuite
--- a/tests/testsuite/users_ends/ends.rs
+++ b/tests/testsuite/users_ends/ends.rs
@@ -5,10 +5,12 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use testkit::network::Site;
 use testkit::process::Signal;
 use testkit::users::backend::journal::{self, Entry};
 use testkit::users::backend_process::StopMode;
 use testkit::users::mesh::Mesh;
+use testkit::users::store::CallFault;
 
 use super::routes;
 use crate::support::{SERVICES, write_routes};
@@ -63,6 +65,58 @@
     All,
     Nodes,
     Backends,
+    /// Both processes of some VMs.
+    SomeVms,
+    SomeNodes,
+    SomeBackends,
+}
+
+impl Extent {
+    const ALL: [Self; 8] = [
+        Self::All,
+        Self::All,
+        Self::All,
+        Self::Nodes,
+        Self::Backends,
+        Self::SomeVms,
+        Self::SomeNodes,
+        Self::SomeBackends,
+    ];
+
+    fn includes(self, process: Process, is_chosen: bool) -> bool {
+        match self {
+            Self::All => true,
+            Self::Nodes => process == Process::Node,
+            Self::Backends => process == Process::Backend,
+            Self::SomeVms => is_chosen,
+            Self::SomeNodes => is_chosen && process == Process::Node,
+            Self::SomeBackends => is_chosen && process == Process::Backend,
+        }
+    }
+}
+
+/// What fails around the processes from before an end until after the start that follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Surroundings {
+    Sound,
+    /// The store does not answer as it should.
+    Store(CallFault),
+    /// The links between some VMs and the others carry nothing, in one direction or both.
+    Cut {
+        both: bool,
+    },
+}
+
+impl Surroundings {
+    const ALL: [Self; 7] = [
+        Self::Sound,
+        Self::Sound,
+        Self::Sound,
+        Self::Store(CallFault::Unavailable),
+        Self::Store(CallFault::NeverAnswer),
+        Self::Cut { both: false },
+        Self::Cut { both: true },
+    ];
 }
 
 /// The end of all processes, or of all of a kind.
@@ -72,6 +126,7 @@
     order: Order,
     way: Way,
     extent: Extent,
+    surroundings: Surroundings,
     spread_ms: u64,
     down_ms: u64,
     running_ms: u64,
@@ -105,20 +160,14 @@
             Way::Stop { held_ms },
             Way::Silence { held_ms },
         ];
-        let extents = [
-            Extent::All,
-            Extent::All,
-            Extent::All,
-            Extent::Nodes,
-            Extent::Backends,
-        ];
         let stop_modes = [StopMode::Exit, StopMode::Drain(200), StopMode::Drain(1_000)];
         let is_at_once = rng.random_bool(0.3);
         Self {
             seed: rng.random(),
             order: orders[rng.random_range(0..orders.len())],
             way: ways[rng.random_range(0..ways.len())],
-            extent: extents[rng.random_range(0..extents.len())],
+            extent: Extent::ALL[rng.random_range(0..Extent::ALL.len())],
+            surroundings: Surroundings::ALL[rng.random_range(0..Surroundings::ALL.len())],
             spread_ms: match is_at_once {
                 true => 0,
                 false => rng.random_range(0..SPREAD_MAX_MS),
@@ -148,10 +197,9 @@
         if self.order == Order::Mixed {
             processes.shuffle(&mut rng);
         }
-        processes.retain(|(_, process)| match self.extent {
-            Extent::All => true,
-            Extent::Nodes => *process == Process::Node,
-            Extent::Backends => *process == Process::Backend,
+        let chosen = &positions[..vms.div_ceil(2)];
+        processes.retain(|(position, process)| {
+            self.extent.includes(*process, chosen.contains(position))
         });
         processes
     }
@@ -206,6 +254,7 @@
             self.version += 1;
             write_routes(&self.mesh, self.version, &routes(), &SERVICES);
         }
+        self.set_surroundings(end);
         if let Way::Silence { held_ms } = end.way {
             self.mesh.network.set_cut(true, |from, to| from != to);
             tokio::time::sleep(Duration::from_millis(held_ms)).await;
@@ -226,6 +275,28 @@
         for (position, process) in &processes {
             self.wait_exit(*position, *process).await;
         }
+        self.set_surroundings(end);
+    }
+
+    fn set_surroundings(&self, end: &End) {
+        let vms = u8::try_from(self.mesh.vms.len()).unwrap_or(u8::MAX);
+        let is_inside = |site: Site| site < vms && (u64::from(site) + end.seed).is_multiple_of(3);
+        let (fault, is_cut): (_, Box<dyn Fn(Site, Site) -> bool>) = match end.surroundings {
+            Surroundings::Sound => (CallFault::None, Box::new(|_, _| false)),
+            Surroundings::Store(fault) => (fault, Box::new(|_, _| false)),
+            Surroundings::Cut { both } => {
+                let is_cut = move |from: Site, to: Site| {
+                    is_inside(from) && !is_inside(to) || both && is_inside(to) && !is_inside(from)
+                };
+                (CallFault::None, Box::new(is_cut))
+            }
+        };
+        self.mesh.store.set_call_fault(fault);
+        self.mesh.network.set_cut_links(is_cut);
+    }
+
+    fn end_surroundings(&self) {
+        self.mesh.store.set_call_fault(CallFault::None);
         self.mesh.network.set_cut(false, |_, _| true);
     }
 
@@ -267,6 +338,8 @@
         let nodes: Vec<usize> = positions.filter(without_node).collect();
         let started = self.mesh.start_nodes(&nodes).await;
         started.expect("the nodes start");
+        tokio::time::sleep(Duration::from_millis(end.down_ms) / 2).await;
+        self.end_surroundings();
     }
 
     /// Ends all processes and returns what all backend servers did, in the order of time.
