A statement that contradicts its status proves nothing

What callers would see: a request whose backend server answers, say, 500 with the header that states that it did not run is refused with a promise.

Cause: the gate read the header alone. The published protocol gives the statement with 503, 429, 421 and 400, and says of 500 and 504 that the request has run, so that a response with both says two things.

Change: the statement counts only beside a status that a rejected request may have (4xx, 503). With any other the request is taken to have run: the response is passed on as it is, and nothing is repeated.

The test failed before (302 with the statement was proof). The case of 500 in the test next to it asserted the contrary and has moved into the new test, which is as strict: it says for each status which of the two holds.

--- a/src/proxy/promise.rs
+++ b/src/proxy/promise.rs
@@ -158,10 +158,15 @@
             (false, headers) if profile.is_not_run(headers) => Evidence::BackendStated,
             (false, _) => return None,
         };
-        Some(Self::new(evidence))
+        may_be_of_rejected(response.status()).then_some(Self::new(evidence))
     }
 }
 
+/// Whether a request that did not run may have this status. All others report on a run, whatever the headers state.
+fn may_be_of_rejected(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// A response of a backend server that is passed on to a caller. Its status is not a promise, since a backend server
 /// that has run a request may respond with any status.
 pub(crate) struct PassedResponse(Response<Body>);
--- a/src/proxy/promise/tests.rs
+++ b/src/proxy/promise/tests.rs
@@ -100,7 +100,7 @@
 /// Guards against statuses of a backend server that count as proof by themselves.
 #[test]
 fn a_backend_server_proves_only_by_its_statement_about_the_request() {
-    for status in [400, 408, 429, 500, 503] {
+    for status in [400, 408, 429, 503] {
         assert_eq!(
             stated(true, &response(status, &[id("a")])),
             None,
@@ -113,6 +113,16 @@
     }
 }
 
+/// Guards against a statement that is believed beside a status that reports on a run.
+#[test]
+fn a_statement_that_contradicts_its_status_proves_nothing() {
+    for status in [200, 204, 302, 500, 502, 504] {
+        let contradictory = response(status, &[id("a"), not_run()]);
+        assert_eq!(stated(true, &contradictory), None, "{status}");
+        assert_eq!(stated(false, &contradictory), None, "{status}");
+    }
+}
+
 #[test]
 fn another_instance_proves_that_the_one_that_the_request_names_did_not_run_it() {
     let misdirected = response(421, &[id("a")]);
