A promise names what shows that earlier attempts did not run

The header now reads "not-sent after backend-stated", the line has earlier_evidence.

No decision changes. The unit test failed before (by reading: the value had one word).

--- a/src/proxy/entry/request_log.rs
+++ b/src/proxy/entry/request_log.rs
@@ -111,6 +111,7 @@
             verdict = failure.verdict().as_str(),
             evidence = failure.evidence().map_or("", Evidence::as_str),
             gate_evidence = failure.proof().and_then(NotRun::reported).map_or("", Evidence::as_str),
+            earlier_evidence:% = failure.proof().map(NotRun::earlier).unwrap_or_default(),
             gate:? = failure.gate(),
             attempts = self.request.attempts.begun(),
             reason = failure.reason.code(),
--- a/src/proxy/promise.rs
+++ b/src/proxy/promise.rs
@@ -5,7 +5,7 @@
 //! HTTP library, another node or the backend server says about one attempt.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 
 use http::header::{HeaderMap, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -78,12 +78,45 @@
     }
 }
 
+/// A set of [`Evidence`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EvidenceSet(u8);
+
+impl EvidenceSet {
+    fn of(evidence: Evidence) -> Self {
+        Self(1 << evidence as u8)
+    }
+
+    fn contains(self, evidence: Evidence) -> bool {
+        self.0 & Self::of(evidence).0 != 0
+    }
+
+    fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl std::fmt::Display for EvidenceSet {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let contained = Evidence::ALL
+            .into_iter()
+            .filter(|evidence| self.contains(*evidence));
+        for (position, evidence) in contained.enumerate() {
+            let separator = if position > 0 { "," } else { "" };
+            write!(formatter, "{separator}{}", evidence.as_str())?;
+        }
+        Ok(())
+    }
+}
+
 /// Proof that a request, or an attempt of it, has not run and never will.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotRun {
     evidence: Evidence,
     /// What the refusal of the other node rests on, if it says so.
     reported: Option<Evidence>,
+    /// What shows that the earlier attempts have not run.
+    earlier: EvidenceSet,
 }
 
 impl NotRun {
@@ -91,6 +124,7 @@
         Self {
             evidence,
             reported: None,
+            earlier: EvidenceSet::default(),
         }
     }
 
@@ -104,13 +138,19 @@
         self.reported
     }
 
+    /// What shows that the earlier attempts of the request have not run.
+    pub(crate) fn earlier(self) -> EvidenceSet {
+        self.earlier
+    }
+
     /// The value of [`headers::EVIDENCE`].
     pub(crate) fn to_header_value(self) -> HeaderValue {
-        let evidence = self.evidence.as_str();
-        match self.reported {
-            Some(reported) => headers::to_value(&format!("{evidence} {}", reported.as_str())),
-            None => HeaderValue::from_static(evidence),
+        let mut words = vec![self.evidence.as_str().to_owned()];
+        words.extend(self.reported.map(|reported| reported.as_str().to_owned()));
+        if !self.earlier.is_empty() {
+            words.push(format!("after {}", self.earlier));
         }
+        headers::to_value(&words.join(" "))
     }
 
     /// The HTTP library has returned `_unsent` together with its error.
@@ -137,8 +177,11 @@
         };
         let reported = headers::get_str(headers, &headers::EVIDENCE);
         let reported = reported.and_then(|words| Evidence::from_name(words.split(' ').next()?));
-        (Verdict::from_header_value(verdict) == Verdict::NotRun)
-            .then_some(Self { evidence, reported })
+        let proof = Self {
+            reported,
+            ..Self::new(evidence)
+        };
+        (Verdict::from_header_value(verdict) == Verdict::NotRun).then_some(proof)
     }
 
     /// The backend server says so in its response to the request with this id. `names_instance` says whether the request
@@ -209,6 +252,8 @@
 struct AttemptCounts {
     open: AtomicU32,
     begun: AtomicU32,
+    /// The bits of an [`EvidenceSet`]: what has shown of attempts that they did not run.
+    disproved: AtomicU8,
 }
 
 /// Counts the attempts of a request that were sent and of which nothing shows that they did not run. Clones count
@@ -236,6 +281,12 @@
             .open
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, one_less);
         debug_assert!(ended.is_ok(), "no attempt was begun");
+        let basis = EvidenceSet::of(proof.reported.unwrap_or(proof.evidence));
+        let earlier = self.0.disproved.fetch_or(basis.0, Ordering::AcqRel);
+        let proof = NotRun {
+            earlier: EvidenceSet(earlier),
+            ..proof
+        };
         Failure::not_run(proof, refusal)
     }
 
@@ -248,7 +299,10 @@
     pub(crate) fn refuse(&self, refusal: impl Into<Refusal>) -> Failure {
         match self.is_empty() {
             true => {
-                let proof = NotRun::new(Evidence::NotSent);
+                let proof = NotRun {
+                    earlier: EvidenceSet(self.0.disproved.load(Ordering::Acquire)),
+                    ..NotRun::new(Evidence::NotSent)
+                };
                 Failure::not_run(proof, refusal)
             }
             false => Failure::may_have_run(refusal),
--- a/src/proxy/promise/tests.rs
+++ b/src/proxy/promise/tests.rs
@@ -97,6 +97,29 @@
     (name.expect("the profile has a name for it").as_str(), "1")
 }
 
+/// Guards against a promise that rests on the word of a backend server and does not say so, because another refusal came last.
+#[test]
+fn a_promise_names_what_shows_that_earlier_attempts_did_not_run() {
+    let open_attempts = OpenAttempts::default();
+    let shown = |failure: Failure| {
+        let value = failure.proof().expect("a proof").to_header_value();
+        value.to_str().expect("the value is text").to_owned()
+    };
+    open_attempts.begin();
+    let stated = NotRun::new(Evidence::BackendStated);
+    let rejected = open_attempts.disprove(stated, Reason::Rejected);
+    assert_eq!(shown(rejected), "backend-stated");
+    open_attempts.begin();
+    let by_gate = NotRun {
+        reported: Some(Evidence::NotSent),
+        ..NotRun::new(Evidence::GateRefused)
+    };
+    let refused = open_attempts.disprove(by_gate, Reason::Full);
+    assert_eq!(shown(refused), "gate-refused not-sent after backend-stated");
+    let not_sent = open_attempts.refuse(Reason::NoEndpoint);
+    assert_eq!(shown(not_sent), "not-sent after not-sent,backend-stated");
+}
+
 /// Guards against statuses of a backend server that count as proof by themselves.
 #[test]
 fn a_backend_server_proves_only_by_its_statement_about_the_request() {
