A request without a body is not wrapped to observe its end; whether a rejection counts is one question

No change of behaviour: RequestEnd leaves requests without a body as they are, and Rejection::is_credible says whether a statement counts, so that what a refused status rests on is decided at one place of the gate.

--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -393,17 +393,15 @@
     let profile = node.header_profile;
     let names_instance = named_instance(profile, exchange.backend).is_some();
     let stated = NotRun::stated_by_backend(profile, exchange.id, names_instance, &response);
-    let rejection = stated.map(|stated| (exchange.rejection(&response), stated));
-    let proof = match rejection {
-        Some((rejection, stated)) => rejection.confirm(stated).await,
-        None => None,
-    };
-    let basis = match (stated, proof) {
-        (_, Some(proof)) => PromiseBasis::Proof(proof),
-        (Some(_), None) => PromiseBasis::Contradicted,
-        (None, None) => PromiseBasis::None,
+    let basis = match stated.map(|stated| (stated, exchange.rejection(&response))) {
+        None => PromiseBasis::None,
+        Some((stated, rejection)) => match rejection.is_credible().await {
+            true => PromiseBasis::Proof(stated),
+            false => PromiseBasis::Contradicted,
+        },
     };
     record_promise(exchange, &response, basis);
+    let proof = basis.proof();
     let is_other_instance = proof.map(NotRun::evidence) == Some(Evidence::OtherInstance);
     if is_other_instance {
         node.handle_wrong_instance(exchange.backend);
@@ -432,6 +430,13 @@
 }
 
 impl PromiseBasis {
+    fn proof(self) -> Option<NotRun> {
+        match self {
+            Self::Proof(proof) => Some(proof),
+            Self::Contradicted | Self::None => None,
+        }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::Proof(proof) => proof.evidence().as_str(),
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -75,7 +75,7 @@
 /// On a failure response: whether the request may have run.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-dragonflywall-verdict");
 /// On a failure response with the verdict `not-run`: what shows that. One word, and after `gate-refused` a second one: what
-/// the gate's refusal rests on.
+/// the gate's refusal rests on. Behind `after`, what shows that earlier attempts have not run.
 pub(crate) const EVIDENCE: HeaderName = HeaderName::from_static("x-dragonflywall-evidence");
 /// On a failure response: code of the reason.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("x-dragonflywall-reason");
--- a/src/proxy/rejections.rs
+++ b/src/proxy/rejections.rs
@@ -8,7 +8,6 @@
 
 use super::hop::Hop;
 use super::log_limiter::{self, LogClass};
-use super::promise::NotRun;
 use super::state::ProxyState;
 use crate::decide::rejections::{self, RejectedRequest};
 use crate::util::clock;
@@ -27,11 +26,11 @@
 }
 
 impl Rejection<'_> {
-    /// Returns `proof` unless what this gate has observed contradicts it.
+    /// Whether nothing that this gate has observed contradicts it.
     ///
     /// A backend server that stops may reject all requests that it runs at once. So the rejection of a request that must not run
-    /// twice counts only if none that contradicts it comes in the time that a rejection takes.
-    pub(crate) async fn confirm(&self, proof: NotRun) -> Option<NotRun> {
+    /// twice counts only if no contradicted one comes in the time that a rejection takes.
+    pub(crate) async fn is_credible(&self) -> bool {
         let observed = self.observed();
         let mut is_credible = {
             let now_us = clock::since_us(self.node.started);
@@ -45,7 +44,7 @@
         if !is_credible {
             self.record_contradicted(&observed);
         }
-        is_credible.then_some(proof)
+        is_credible
     }
 
     fn observed(&self) -> RejectedRequest {
--- a/src/proxy/request_end.rs
+++ b/src/proxy/request_end.rs
@@ -19,17 +19,21 @@
     /// Observes the end of `request`. A request without a body ends now.
     pub(crate) fn observe(request: Request<Body>) -> (Request<Body>, Self) {
         let end = Self::default();
+        if request.body().is_end_stream() {
+            end.record();
+            return (request, end);
+        }
         let request = request.map(|inner| {
-            let observed = ObservedBody {
-                inner,
-                end: end.clone(),
-            };
-            observed.record_end();
-            body::boxed(observed)
+            let end = end.clone();
+            body::boxed(ObservedBody { inner, end })
         });
         (request, end)
     }
 
+    fn record(&self) {
+        self.0.get_or_init(Instant::now);
+    }
+
     /// Time since the end of the request; zero if it has not ended.
     pub(crate) fn elapsed(&self) -> Duration {
         self.0.get().map_or(Duration::ZERO, Instant::elapsed)
@@ -41,14 +45,6 @@
     end: RequestEnd,
 }
 
-impl ObservedBody {
-    fn record_end(&self) {
-        if self.inner.is_end_stream() {
-            self.end.0.get_or_init(Instant::now);
-        }
-    }
-}
-
 impl HttpBody for ObservedBody {
     type Data = Bytes;
     type Error = BoxError;
@@ -58,11 +54,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
-        match &frame {
-            None => {
-                self.end.0.get_or_init(Instant::now);
-            }
-            Some(_) => self.record_end(),
+        if frame.is_none() || self.inner.is_end_stream() {
+            self.end.record();
         }
         Poll::Ready(frame)
     }
