--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -22,7 +22,7 @@
 use super::body::{self, Body, BoxError, GuardedBody};
 use super::failure::{Failure, Reason, Refusal};
 use super::header_profile::{self, HeaderProfile};
-use super::promise::{NotRun, OpenAttempts};
+use super::promise::{self, NotRun, OpenAttempts};
 use super::request_end::{RequestEnd, ResponseDelay};
 use super::{headers, log_limiter};
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
@@ -280,8 +280,10 @@
         match connection.sender.try_send_request(request).await {
             Ok(mut response) if self.belongs_to(id.as_ref(), &response) => {
                 self.record_response();
-                let delay = ResponseDelay(request_end.elapsed());
-                response.extensions_mut().insert(delay);
+                if promise::may_be_of_rejected(response.status()) {
+                    let delay = ResponseDelay(request_end.elapsed());
+                    response.extensions_mut().insert(delay);
+                }
                 Ok(self.lease_until_read(address, connection, response))
             }
             Ok(_) => Err((Failure::may_have_run(Reason::Lost), None)),
