Traces: requests that are received again, evidence and version of attempts

Nothing told whether an entry node or a backend server had received a request that must not run twice a second time (hypotheses 1 and 2), nor by which kind and version of the configuration an attempt was sent, nor what its failure proved (1 and 3).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,7 @@
 pub mod overload;
 pub mod quota;
 pub mod rate_limit;
+pub mod recent_ids;
 pub mod rejections;
 pub mod response_time;
 pub mod retry;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -26,6 +26,7 @@
 pub(crate) mod peers;
 pub(crate) mod pipeline;
 pub(crate) mod promise;
+pub(crate) mod received_ids;
 pub(crate) mod rejections;
 pub(crate) mod replay;
 pub(crate) mod request_end;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -19,6 +19,7 @@
 use super::failure::{Failure, Reason, Refusal};
 use super::headers;
 use super::promise::{OpenAttempts, PassedResponse};
+use super::received_ids::{ReceivedBy, ReceivedIds};
 use super::replay::ReplayableBody;
 use super::running_requests::{InheritedContext, ParentRequest, RetryBudget};
 use crate::core::configuration::PRIORITY_DEFAULT;
@@ -223,6 +224,10 @@
     let organisation = organisation.map_err(refuse)?;
     check_body_len(compiled, body).map_err(refuse)?;
     let target = choose_target(route);
+    if !target.treatment.idempotent {
+        let id = parts.headers.get(&node.header_profile.request_id);
+        ReceivedIds::record(node, ReceivedBy::Entry, id, open_attempts.begun());
+    }
     let service = compiled.configuration.service(&target.service);
     let timeout = Duration::from_millis(u64::from(target.treatment.timeout_ms));
     let started_at = Instant::now();
@@ -245,6 +250,7 @@
         deadline,
         depth: context.depth,
         admitted_in: current.epoch,
+        version: compiled.stamp.version.0,
         open_attempts: open_attempts.clone(),
         parent: context.parent.take(),
         head_digest: OnceLock::new(),
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -71,6 +71,8 @@
     /// The epoch in which the request was admitted. After a freeze it is neither sent nor retried, as its route may
     /// have been changed.
     pub(super) admitted_in: Epoch,
+    /// Version of the configuration that applies to it.
+    pub(super) version: u64,
     pub(super) open_attempts: OpenAttempts,
     /// The running request that made this one.
     pub(super) parent: Option<ParentRequest>,
--- a/src/proxy/entry/routed_request/attempt_log.rs
+++ b/src/proxy/entry/routed_request/attempt_log.rs
@@ -6,6 +6,7 @@
 use crate::decide::load_balancing::{Endpoint, EndpointEstimate};
 use crate::proxy::failure::{Failure, Refusal};
 use crate::proxy::log_limiter::{self, LogClass};
+use crate::proxy::promise::{Evidence, NotRun};
 use crate::proxy::replay::ReplayableBody;
 
 impl RoutedRequest<'_> {
@@ -33,6 +34,8 @@
             service:% = self.service(),
             resource:% = self.target.resource,
             node:% = endpoint.node,
+            version = self.version,
+            idempotent = self.target.treatment.idempotent,
             tried_endpoints,
             in_flight = estimate.in_flight,
             slots = estimate.slots,
@@ -83,7 +86,10 @@
             service:% = self.service(),
             node:% = endpoint.node,
             verdict = failure.verdict().as_str(),
+            evidence = failure.evidence().map_or("", Evidence::as_str),
+            gate_evidence = failure.proof().and_then(NotRun::reported).map_or("", Evidence::as_str),
             reason,
+            version = self.version,
             idempotent = self.target.treatment.idempotent,
             retry,
             remaining_ms = self.remaining_ms();
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -17,6 +17,7 @@
 use super::hop::Hop;
 use super::log_limiter::{self, LogClass};
 use super::promise::{self, Evidence, NotRun, OpenAttempts};
+use super::received_ids::{ReceivedBy, ReceivedIds};
 use super::rejections::Rejection;
 use super::response_body::{self, Place};
 use super::running_requests::RunningGuard;
@@ -200,6 +201,9 @@
         let epoch = hop.admitted_in;
         epoch.map_or(Ok(()), |epoch| node.check_admitted_in(epoch))
     };
+    if !hop.idempotent {
+        ReceivedIds::record(node, ReceivedBy::Backend, id, hop.open_attempts.begun());
+    }
     let sent_at = Instant::now();
     let (pool, open_attempts) = (&node.pool, &hop.open_attempts);
     let exchange = pool.send(
@@ -254,6 +258,7 @@
         backend:% = backend.address,
         instance:? = backend.instance(),
         waited_ms = clock::since_ms(received_at),
+        idempotent = hop.idempotent,
         in_use = load.in_use,
         slots = load.slots;
         "the request acquired a slot"
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -19,6 +19,7 @@
 use super::local_backend::LocalBackend;
 use super::log_limiter::LogLimiter;
 use super::peers::PeerConnections;
+use super::received_ids::ReceivedIds;
 use super::rollouts::RequestRollouts;
 use super::running_requests::RunningRequests;
 use super::slots::{self, WaitOutcomeSender};
@@ -82,6 +83,8 @@
     statements: Mutex<LocalStatements>,
     /// Requests that the local backend server states not to have run.
     rejections: Mutex<Rejections>,
+    /// Ids of requests that must not run twice.
+    pub(crate) received_ids: ReceivedIds,
     /// Notified when a queued request waits for the backend server's rate limit.
     pub(crate) permit_awaited: Notify,
     /// Called when responses show that the backend server gets no more requests.
@@ -198,6 +201,7 @@
             backend: ArcSwapOption::from(backend),
             statements: Mutex::default(),
             rejections: Mutex::default(),
+            received_ids: ReceivedIds::default(),
             permit_awaited: Notify::new(),
             on_backend_event: BackendEventCallback::default(),
             pool: BackendPool::new(mechanisms, header_profile),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod decide_overload;
 mod decide_quota;
 mod decide_rate_limit;
+mod decide_recent_ids;
 mod decide_rejections;
 mod decide_response_time;
 mod decide_retry;
