Failing: a backend server denies what it has just begun

Real processes of both kinds (users_ends, seed 70, 10 of 100 requests denied right after they began): both rules of the report are broken at once, REFUSED where no attempt is left and TWICE where another endpoint takes it. users_promises shows the same with one payment and a denial 0, 1, 3 and 20 ms after the beginning.

--- a/crates/testkit/src/users/backend.rs
+++ b/crates/testkit/src/users/backend.rs
@@ -174,6 +174,8 @@
     pub resets_idle_after: Option<Duration>,
     /// If set, one in this many requests gets a response with status 500 after its run.
     pub fails_one_in: Option<u64>,
+    /// Share of requests that begin and are then said not to have run, in percent.
+    pub denies_percent: u32,
     /// Share of requests that are treated as if the queue were full, in percent.
     pub sheds_percent: u32,
     /// Whether that is decided before the body of a request is read.
@@ -189,6 +191,7 @@
             overload_action: OverloadAction::Refuse,
             resets_idle_after: None,
             fails_one_in: None,
+            denies_percent: 0,
             sheds_percent: 0,
             sheds_early: false,
         }
--- a/crates/testkit/src/users/backend/connection.rs
+++ b/crates/testkit/src/users/backend/connection.rs
@@ -179,6 +179,7 @@
         let Behaviour {
             sheds_percent,
             sheds_early,
+            denies_percent,
             ..
         } = self.shared.behaviour();
         let instance = &self.shared.identity.instance;
@@ -199,6 +200,12 @@
             return self.send_not_run(&head).await;
         }
         self.record_run(&head, arrived_at, &blake3::hash(&body).to_hex());
+        let instance = &self.shared.identity.instance;
+        if is_drawn(instance, &format!("denied {}", head.id), denies_percent) {
+            self.shared.record().running -= 1;
+            self.record_end(&head, Some(503));
+            return self.send_not_run(&head).await;
+        }
         let result = self.run(&head).await;
         drop(slot);
         let runs = self.shared.record().runs.len() as u64;
--- a/tests/testsuite/users_ends.rs
+++ b/tests/testsuite/users_ends.rs
@@ -6,7 +6,8 @@
 //! `DRAGONFLYWALL_ENDS_SEEDS=1..50 DRAGONFLYWALL_ENDS_COUNT=4 DRAGONFLYWALL_ENDS_VMS=1 cargo test --test testsuite
 //! users_ends::seeds_of_the_environment -- --nocapture`, where `DRAGONFLYWALL_ENDS_COUNT` is the number of ends of a run and
 //! `DRAGONFLYWALL_ENDS_VMS` the number of VMs for each service in each of four data centres. With `DRAGONFLYWALL_ENDS_DENY=1`
-//! backend servers that are told to end state of all that they run that they did not run it.
+//! backend servers that are told to end state of all that they run that they did not run it; with
+//! `DRAGONFLYWALL_ENDS_DENY_PERCENT=10` they state it of a share of all requests right after these have begun.
 
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
 const BACKEND_QUEUE_LEN: u32 = 20;
 /// Share of requests that backend servers shed, if they do.
 const SHED_PERCENT: u32 = 45;
+/// Share of requests that backend servers deny right after they have begun them, if they do.
+const DENIED_PERCENT: u32 = 10;
 /// Timeout and target latency of all routes.
 const ROUTE_TIMEOUT_MS: u32 = 800;
 const ROUTE_TARGET_MS: u32 = 300;
@@ -50,6 +53,8 @@
     rate_per_s: u32,
     /// Whether backend servers end by denying what they run.
     denies: bool,
+    /// Share of requests that backend servers deny right after they have begun them, in percent.
+    denies_percent: u32,
 }
 
 impl RunSize {
@@ -59,6 +64,7 @@
         ends: 2,
         rate_per_s: 40,
         denies: false,
+        denies_percent: 0,
     };
 }
 
@@ -116,7 +122,10 @@
     ];
     plan.data_centres.truncate(size.data_centres);
     plan.vms_per_service = size.vms_per_service;
-    plan.behaviour = behaviour(seed);
+    plan.behaviour = Behaviour {
+        denies_percent: size.denies_percent,
+        ..behaviour(seed)
+    };
     plan.backend_program = Some(backend_program());
     plan.log_lines = Some(log_lines);
     let mesh = start_users_mesh(plan).await;
@@ -192,6 +201,17 @@
     assert_eq!(broken, 0);
 }
 
+/// Guards against a second run of, or a promise for, a request that its backend server denies right after it began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_hold_while_backend_servers_deny_what_they_have_begun() {
+    let size = RunSize {
+        denies_percent: DENIED_PERCENT,
+        ..RunSize::CI
+    };
+    let broken = count_broken(CI_SEED, size).await;
+    assert_eq!(broken, 0);
+}
+
 const CI_SEED: u64 = 70;
 
 fn number(name: &str, default: usize) -> usize {
@@ -215,6 +235,8 @@
         ends: number("DRAGONFLYWALL_ENDS_COUNT", 4),
         rate_per_s: u32::try_from(rate_per_s).expect("the rate fits"),
         denies: number("DRAGONFLYWALL_ENDS_DENY", 0) > 0,
+        denies_percent: u32::try_from(number("DRAGONFLYWALL_ENDS_DENY_PERCENT", 0))
+            .expect("the share fits"),
     };
     let mut failed = Vec::new();
     for seed in to_number(first)..=to_number(last) {
--- a/tests/testsuite/users_promises.rs
+++ b/tests/testsuite/users_promises.rs
@@ -154,6 +154,30 @@
     }
 }
 
+/// Guards against a payment that runs again at another endpoint, or gets a promise, since its backend server denies it right
+/// after it began it, and goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_that_is_denied_right_after_it_began_neither_runs_again_nor_gets_a_promise() {
+    let mut plan = small();
+    plan.vms_per_service = 2;
+    let mesh = start_serving_users_mesh(plan).await;
+    for entry in entries(&mesh) {
+        for work_ms in [0, 1, 3, 20] {
+            let id = format!("denied-{entry}-{work_ms}");
+            let path = format!("/book/1?answer=denied&work_ms={work_ms}");
+            let reply = send(&mesh, entry, &CallerRequest::post(&path, &id)).await;
+            assert_eq!(users_mesh_runs(&mesh, &id).len(), 1, "{id}");
+            assert_no_promise(&reply);
+            wait_until("payments are not withheld", WAIT_TIMEOUT, || async {
+                let id = format!("accepted-{}", rand::random::<u64>());
+                let payment = CallerRequest::post("/book/1", &id);
+                send(&mesh, entry, &payment).await.status == StatusCode::OK
+            })
+            .await;
+        }
+    }
+}
+
 /// Guards against metrics that do not tell a refusal that the backend server states from one that it does not.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusals_of_a_backend_server_are_counted_by_what_they_state() {
