No word of a backend server proves that a request which must not run twice did not run

What callers saw: payments ran and were promised not to have run, and one ran twice. Cause: a gate took a backend server's statement, made while it listened to a clock, as proof; the entry node then sent the payment to another endpoint, or promised that it had not run. Class: a proof that rests on what another program says of itself.

Now a promise about such a request rests on what nodes have done and not done. Requests that may run twice are handled as before.

--- a/src/core/mechanism.rs
+++ b/src/core/mechanism.rs
@@ -75,11 +75,14 @@
     OverloadThrottle,
     /// Requests under which several backend servers have ended are withheld.
     CrashLimit,
+    /// That a request which must not run twice did not run is proved by nodes alone; if disabled, also by the
+    /// statement of a backend server.
+    OwnProof,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order in which messages list them.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::FreeSlotProbes,
         Self::DueTimeOrder,
         Self::PriorityOrder,
@@ -102,6 +105,7 @@
         Self::StoreReader,
         Self::OverloadThrottle,
         Self::CrashLimit,
+        Self::OwnProof,
     ];
 
     /// Name of the mechanism in the settings.
@@ -129,6 +133,7 @@
             Self::StoreReader => "leads",
             Self::OverloadThrottle => "overload-throttle",
             Self::CrashLimit => "crash-limit",
+            Self::OwnProof => "own-proof",
         }
     }
 
--- a/src/decide/rejections.rs
+++ b/src/decide/rejections.rs
@@ -1,61 +1,82 @@
-//! Which rejections of a backend server are consistent with what its gate has observed.
+//! What the rejections of a backend server count for.
 //!
-//! A backend server decides whether to reject a request when the request arrives. Its gate sends it no more requests than it has
-//! slots, so that a request which is not rejected then begins to run. A rejection that comes later, or that comes after calls
-//! which the backend server made for the request, is contradicted by that. So is one of a backend server that then closes the
-//! connection: it may be stopping, and reject what it is running.
-
-/// Share of the usual service time within which a rejection comes.
-const REJECTION_TIME_DIVISOR: u64 = 16;
-/// Bounds of that time, in microseconds.
-const REJECTION_TIME_MIN_US: u64 = 5_000;
-const REJECTION_TIME_MAX_US: u64 = 10_000;
-/// How long no rejection of a backend server counts after a contradicted one, in microseconds.
-const DOUBT_US: u64 = 200_000;
-
-/// Longest time from the end of a request until its rejection, in microseconds. `service_time_us` is how long such requests
-/// usually run; 0 if that is not known.
-pub fn rejection_time_max_us(service_time_us: u64) -> u64 {
-    (service_time_us / REJECTION_TIME_DIVISOR).clamp(REJECTION_TIME_MIN_US, REJECTION_TIME_MAX_US)
-}
+//! A backend server rejects a request with the statement that it did not run it. Its gate observes when the statement comes
+//! and which calls came before it, but not whether the request has begun. So the statement is no proof for a request that
+//! must not run twice. It does show that the backend server does not accept all requests now: until it has accepted one
+//! that may be repeated, its gate sends it none that must not run twice.
+
+use crate::core::mechanism::{Mechanism, MechanismSwitches};
 
-/// What a gate has observed of a request that its backend server rejects.
+/// How long requests that must not run twice are withheld after a rejection, if the backend server gets no others. In
+/// microseconds.
+const WITHHOLD_MAX_US: u64 = 500_000;
+
+/// Whether a rejection is proof that the request did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RejectedRequest {
-    /// Time from the end of the request until its rejection.
-    pub held_us: u64,
-    /// [`rejection_time_max_us`] of such requests.
-    pub rejection_time_max_us: u64,
-    /// Whether the backend server has made calls for it.
-    pub has_calls: bool,
-    /// Whether the backend server has closed the connection after the rejection.
-    pub is_disconnected: bool,
+pub enum RejectionPolicy {
+    /// Only of a request that may run twice.
+    RepeatableOnly,
+    /// Of any request, unless a rejection of the same backend server was contradicted.
+    Believed,
 }
 
-impl RejectedRequest {
-    fn may_have_begun(&self) -> bool {
-        self.has_calls || self.is_disconnected || self.held_us > self.rejection_time_max_us
+impl RejectionPolicy {
+    /// The policy of a node.
+    pub fn from_switches(switches: MechanismSwitches) -> Self {
+        match switches.is_enabled(Mechanism::OwnProof) {
+            true => Self::RepeatableOnly,
+            false => Self::Believed,
+        }
     }
 }
 
-/// Rejections of one backend server. Times are microseconds of any monotonic clock.
+/// A request that its backend server rejects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RejectedRequest {
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Whether the backend server has made calls for it, which contradicts that it did not run it.
+    pub has_calls: bool,
+}
+
+/// Rejections of one backend server since its start. Times are microseconds of any monotonic clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rejections {
-    contradicted_us: Option<u64>,
+    is_contradicted: bool,
+    /// The last rejection, if no request that was sent after it has been accepted.
+    rejected_us: Option<u64>,
 }
 
 impl Rejections {
-    /// Records what is known of a rejection by now. Returns whether it may count as proof that the request has not run.
-    pub fn record(&mut self, now_us: u64, request: &RejectedRequest) -> bool {
-        if request.may_have_begun() {
-            self.contradicted_us = Some(now_us);
-        }
-        self.are_credible(now_us)
+    /// Records a rejection. Returns whether it is proof that the request did not run.
+    pub fn record(
+        &mut self,
+        now_us: u64,
+        request: &RejectedRequest,
+        policy: RejectionPolicy,
+    ) -> bool {
+        self.rejected_us = Some(now_us);
+        self.is_contradicted |= request.has_calls;
+        let counts = match policy {
+            RejectionPolicy::RepeatableOnly => request.idempotent,
+            RejectionPolicy::Believed => true,
+        };
+        counts && !self.is_contradicted
     }
 
-    /// Whether no rejection has been contradicted lately.
-    fn are_credible(&self, now_us: u64) -> bool {
-        self.contradicted_us
-            .is_none_or(|contradicted_us| now_us.saturating_sub(contradicted_us) >= DOUBT_US)
+    /// Records that the backend server ran a request that was sent at `sent_us`.
+    pub fn record_accepted(&mut self, sent_us: u64) {
+        self.rejected_us = self
+            .rejected_us
+            .filter(|rejected_us| sent_us <= *rejected_us);
+    }
+
+    /// For how much longer requests that must not run twice are withheld, in microseconds; `None` if they are not.
+    pub fn withheld_us(&self, now_us: u64, policy: RejectionPolicy) -> Option<u64> {
+        if policy == RejectionPolicy::Believed {
+            return None;
+        }
+        let until_us = self.rejected_us? + WITHHOLD_MAX_US;
+        until_us.checked_sub(now_us).filter(|left_us| *left_us > 0)
     }
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -29,7 +29,6 @@
 pub(crate) mod received_ids;
 pub(crate) mod rejections;
 pub(crate) mod replay;
-pub(crate) mod request_end;
 pub(crate) mod response_body;
 pub(crate) mod rollouts;
 pub(crate) mod running_requests;
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -18,13 +18,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
 
 use super::body::{self, Body, BoxError, GuardedBody};
 use super::failure::{Failure, Reason, Refusal};
 use super::header_profile::{self, HeaderProfile};
-use super::promise::{self, NotRun, OpenAttempts};
-use super::request_end::RequestEnd;
+use super::promise::{NotRun, OpenAttempts};
 use super::{headers, log_limiter};
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
 use crate::decide::crashes::{BackendLife, CrashId, CrashSet};
@@ -80,17 +78,6 @@
     sender: http1::SendRequest<Body>,
     /// `None` if responses do not repeat the id of their request.
     filter: Option<SharedFilter>,
-    /// Cancelled when it is closed.
-    closed: CancellationToken,
-}
-
-/// How a response arrived: an extension of responses whose status a rejected request may have.
-#[derive(Clone, Debug)]
-pub(crate) struct ResponseArrival {
-    /// Time from the end of the request until the head of the response.
-    pub(crate) delay: Duration,
-    /// Cancelled when the connection is closed.
-    pub(crate) connection_closed: CancellationToken,
 }
 
 impl Connection {
@@ -281,7 +268,6 @@
         open_attempts: &OpenAttempts,
     ) -> Result<Response<Body>, (Failure, Option<Request<Body>>)> {
         let id = request.headers().get(&self.profile.request_id).cloned();
-        let (request, request_end) = RequestEnd::observe(request);
         if let Some(filter) = &connection.filter {
             lock_ignoring_poison(filter).expect(ExpectedResponse {
                 id: id.clone(),
@@ -290,14 +276,8 @@
         }
         open_attempts.begin();
         match connection.sender.try_send_request(request).await {
-            Ok(mut response) if self.belongs_to(id.as_ref(), &response) => {
+            Ok(response) if self.belongs_to(id.as_ref(), &response) => {
                 self.record_response();
-                if promise::may_be_of_rejected(response.status()) {
-                    response.extensions_mut().insert(ResponseArrival {
-                        delay: request_end.elapsed(),
-                        connection_closed: connection.closed.clone(),
-                    });
-                }
                 Ok(self.lease_until_read(address, connection, response))
             }
             Ok(_) => Err((Failure::may_have_run(Reason::Lost), None)),
@@ -373,22 +353,17 @@
     ) -> Result<Connection, BoxError> {
         let stream = dial(address, None, CONNECT_TIMEOUT).await?;
         lock_ignoring_poison(&self.life).record_connection();
-        let closed = CancellationToken::new();
         let (sender, filter) = match self.profile.responses_repeat_id {
             true => {
                 let filter = ResponseFilter::new(self.profile.request_id.clone());
                 let filter = Arc::new(Mutex::new(filter));
                 let stream = FilteredStream::new(stream, Arc::clone(&filter));
-                let sender = handshake(stream, reservation, closed.clone()).await?;
+                let sender = handshake(stream, reservation).await?;
                 (sender, Some(filter))
             }
-            false => (handshake(stream, reservation, closed.clone()).await?, None),
+            false => (handshake(stream, reservation).await?, None),
         };
-        Ok(Connection {
-            sender,
-            filter,
-            closed,
-        })
+        Ok(Connection { sender, filter })
     }
 }
 
@@ -418,7 +393,6 @@
 async fn handshake(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     reservation: OpenConnection,
-    closed: CancellationToken,
 ) -> hyper::Result<http1::SendRequest<Body>> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_MAX_BYTES)
@@ -426,7 +400,6 @@
         .await?;
     tokio::spawn(async move {
         let _reservation = reservation;
-        let _closed = closed.drop_guard();
         // An error is also returned to the request on the connection.
         let _ = connection.await;
     });
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -146,7 +146,7 @@
             };
             may_use_candidate &= chosen.candidate_order.is_none();
             let may_send_again = self.has_time_for_attempt();
-            if !waits && failure.is_overload() && may_send_again && body.can_replay() {
+            if !waits && failure.is_gate_full() && may_send_again && body.can_replay() {
                 search.record_busy(endpoint.node);
                 continue;
             }
--- a/src/proxy/entry/routed_request/attempt_results.rs
+++ b/src/proxy/entry/routed_request/attempt_results.rs
@@ -3,7 +3,6 @@
 use http::header::HeaderMap;
 
 use super::RoutedRequest;
-use crate::core::verdict::Verdict;
 use crate::decide::load_balancing::{AttemptOutcome, Endpoint, LoadReport};
 use crate::proxy::failure::{Failure, Reason};
 use crate::proxy::headers;
@@ -19,7 +18,7 @@
 fn candidate_failed(result: &Result<PassedResponse, Failure>, is_current: bool) -> Option<bool> {
     match result {
         Ok(response) => Some(response.status().is_server_error()),
-        Err(failure) if failure.verdict() == Verdict::NotRun => None,
+        Err(failure) if failure.is_version_neutral() => None,
         Err(_) => is_current.then_some(true),
     }
 }
--- a/src/proxy/failure.rs
+++ b/src/proxy/failure.rs
@@ -164,6 +164,16 @@
         }
     }
 
+    /// Whether the attempt says nothing about the software version of the endpoint's backend server.
+    pub(crate) fn is_version_neutral(&self) -> bool {
+        self.verdict() == Verdict::NotRun || self.reason == Reason::Rejected
+    }
+
+    /// Whether a gate refused the request only because of the load of its backend server, which received nothing.
+    pub(crate) fn is_gate_full(&self) -> bool {
+        self.is_overload() || (self.reason == Reason::Withheld && self.verdict() == Verdict::NotRun)
+    }
+
     /// Whether a gate refused the request only because of its load. The backend server received
     /// nothing.
     pub(crate) fn is_overload(&self) -> bool {
@@ -179,7 +189,11 @@
         match (self.fate, self.reason) {
             (
                 Fate::NotRun(_),
-                Reason::Draining | Reason::NoEndpoint | Reason::OtherVersion | Reason::BackendDown,
+                Reason::Draining
+                | Reason::NoEndpoint
+                | Reason::OtherVersion
+                | Reason::BackendDown
+                | Reason::Withheld,
             ) => AttemptFailure::Draining,
             (Fate::NotRun(_), _) => AttemptFailure::NotRun,
             (Fate::MayHaveRun, _) => AttemptFailure::MayHaveRun,
--- a/src/proxy/failure/reason.rs
+++ b/src/proxy/failure/reason.rs
@@ -59,6 +59,8 @@
     BodyTooLong,
     /// The backend server reported that it did not run the request.
     Rejected,
+    /// The backend server has rejected others lately, and the request must not run twice.
+    Withheld,
     /// The backend server responded with a status that promises that the request did not run, and did not report it.
     Unproved,
     /// The request was delayed too long between its entry node and the gate.
@@ -71,7 +73,7 @@
 }
 
 impl Reason {
-    pub(super) const ALL: [Self; 29] = [
+    pub(super) const ALL: [Self; 30] = [
         Self::NoConfiguration,
         Self::Refreshing,
         Self::NoService,
@@ -97,6 +99,7 @@
         Self::HeadTooLong,
         Self::BodyTooLong,
         Self::Rejected,
+        Self::Withheld,
         Self::Unproved,
         Self::HeldUp,
         Self::OtherVersion,
@@ -131,6 +134,7 @@
             Self::HeadTooLong => "head-too-long",
             Self::BodyTooLong => "body-too-long",
             Self::Rejected => "rejected",
+            Self::Withheld => "withheld",
             Self::Unproved => "unproved",
             Self::HeldUp => "held-up",
             Self::OtherVersion => "other-version",
@@ -169,7 +173,8 @@
             Self::BadRequest => "the request is malformed or broke off",
             Self::HeadTooLong => "the head of the request is longer than allowed",
             Self::BodyTooLong => "the request body is longer than allowed",
-            Self::Rejected => "the endpoint's backend server did not run it",
+            Self::Rejected => "the endpoint's backend server rejected it",
+            Self::Withheld => "the endpoint's backend server rejects requests",
             Self::Unproved => {
                 "the endpoint's backend server refused the request and may have run it"
             }
@@ -205,6 +210,7 @@
             | Self::Unreachable
             | Self::BackendDown
             | Self::Rejected
+            | Self::Withheld
             | Self::HeldUp
             | Self::OtherVersion
             | Self::EndsBackends => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -7,9 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::uri::Authority;
 use http::{Request, Response};
-use tokio_util::sync::CancellationToken;
 
-use super::backend::ResponseArrival;
 use super::body::{self, Body, BufferedBody, GuardedBody};
 use super::failure::{Failure, Reason, Refusal};
 use super::header_profile::HeaderProfile;
@@ -18,7 +16,7 @@
 use super::log_limiter::{self, LogClass};
 use super::promise::{self, Evidence, NotRun, OpenAttempts};
 use super::received_ids::{ReceivedBy, ReceivedIds};
-use super::rejections::Rejection;
+use super::rejections::{self, Rejection};
 use super::response_body::{self, Place};
 use super::running_requests::RunningGuard;
 use super::slots::{self, Slot};
@@ -325,6 +323,7 @@
     let backend = node.backend.load_full();
     let backend = backend.filter(|backend| backend.service == hop.service);
     let backend = backend.ok_or(Refusal::from(Reason::NoEndpoint))?;
+    rejections::check_withheld(node, hop)?;
     let version = backend.software_version.as_ref();
     match node
         .rollouts
@@ -381,16 +380,11 @@
 
 impl<'a> BackendExchange<'a> {
     fn rejection(&self, response: &Response<Body>) -> Rejection<'a> {
-        let arrival = response.extensions().get::<ResponseArrival>();
         Rejection {
             node: self.node,
             hop: self.hop,
             id: self.id,
             status: response.status(),
-            held: arrival.map_or(Duration::ZERO, |arrival| arrival.delay),
-            connection_closed: arrival.map_or_else(CancellationToken::new, |arrival| {
-                arrival.connection_closed.clone()
-            }),
             has_calls: self.running.has_calls(),
         }
     }
@@ -405,46 +399,49 @@
     let profile = node.header_profile;
     let names_instance = named_instance(profile, exchange.backend).is_some();
     let stated = NotRun::stated_by_backend(profile, exchange.id, names_instance, &response);
-    let (response, basis) = match stated {
-        None => (response, PromiseBasis::None),
-        Some(stated) => {
-            let rejection = exchange.rejection(&response);
-            let response = receive_rejection(exchange, response).await?;
-            match rejection.is_credible().await {
-                true => (response, PromiseBasis::Proof(stated)),
-                false => (response, PromiseBasis::Contradicted),
-            }
-        }
+    let Some(stated) = stated else {
+        rejections::record_accepted(node, exchange.sent_at);
+        record_promise(exchange, &response, PromiseBasis::None);
+        record_statement(exchange, &response);
+        return Ok(response);
+    };
+    let is_proof = exchange.rejection(&response).record();
+    let basis = match is_proof {
+        true => PromiseBasis::Proof(stated),
+        false => PromiseBasis::Unproven,
     };
     record_promise(exchange, &response, basis);
-    let proof = basis.proof();
-    let is_other_instance = proof.map(NotRun::evidence) == Some(Evidence::OtherInstance);
-    if is_other_instance {
-        node.handle_wrong_instance(exchange.backend);
-    } else {
-        let start = exchange.backend.start.as_ref();
-        statements::record_response(node, start, exchange.sent_at, response.headers());
+    let is_other_instance = stated.evidence() == Evidence::OtherInstance;
+    match is_other_instance {
+        true => node.handle_wrong_instance(exchange.backend),
+        false => record_statement(exchange, &response),
     }
+    receive_rejection(exchange, response).await?;
     let reason = match is_other_instance {
         true => Reason::NoEndpoint,
         false => Reason::Rejected,
     };
-    match proof {
-        Some(proof) => Err(exchange.hop.open_attempts.disprove(proof, reason)),
-        None => Ok(response),
-    }
+    Err(match is_proof {
+        true => exchange.hop.open_attempts.disprove(stated, reason),
+        false => Failure::may_have_run(Reason::Rejected),
+    })
+}
+
+/// Records what the backend server states about itself in a response.
+fn record_statement(exchange: &BackendExchange<'_>, response: &Response<Body>) {
+    let start = exchange.backend.start.as_ref();
+    statements::record_response(exchange.node, start, exchange.sent_at, response.headers());
 }
 
-/// Reads the body of a rejection. Whether its connection is closed shows only after that.
+/// Reads the body of a rejection, so that its connection can be used again.
 async fn receive_rejection(
     exchange: &BackendExchange<'_>,
     response: Response<Body>,
-) -> Result<Response<Body>, Failure> {
-    let (parts, body) = response.into_parts();
-    let mut body = BufferedBody::new(body, REJECTION_BUFFER_BYTES);
+) -> Result<(), Failure> {
+    let mut body = BufferedBody::new(response.into_body(), REJECTION_BUFFER_BYTES);
     let deadline = exchange.hop.deadline.into();
     match tokio::time::timeout_at(deadline, body.fill()).await {
-        Ok(Ok(())) => Ok(Response::from_parts(parts, body::boxed(body))),
+        Ok(Ok(())) => Ok(()),
         Ok(Err(error)) => {
             log::debug!(request_id = log_limiter::id_text(exchange.id), error:%; "a rejection broke off");
             Err(Failure::may_have_run(Reason::Lost))
@@ -457,24 +454,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PromiseBasis {
     Proof(NotRun),
-    /// It states so, which this gate's observations contradict.
-    Contradicted,
+    /// It states so, which does not count as proof.
+    Unproven,
     /// It does not state so.
     None,
 }
 
 impl PromiseBasis {
-    fn proof(self) -> Option<NotRun> {
-        match self {
-            Self::Proof(proof) => Some(proof),
-            Self::Contradicted | Self::None => None,
-        }
-    }
-
     fn as_str(self) -> &'static str {
         match self {
             Self::Proof(proof) => proof.evidence().as_str(),
-            Self::Contradicted => "contradicted",
+            Self::Unproven => "unproven",
             Self::None => "none",
         }
     }
--- a/src/proxy/promise.rs
+++ b/src/proxy/promise.rs
@@ -206,7 +206,7 @@
 }
 
 /// Whether a request that did not run may have this status. All others report on a run, whatever the headers state.
-pub(crate) fn may_be_of_rejected(status: StatusCode) -> bool {
+fn may_be_of_rejected(status: StatusCode) -> bool {
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
--- a/src/proxy/rejections.rs
+++ b/src/proxy/rejections.rs
@@ -1,18 +1,40 @@
-//! Requests that the local backend server states not to have run, and whether that is consistent with what this gate has
-//! observed.
+//! Rejections of the local backend server: what they prove, and which requests it gets after one.
 
-use std::time::Duration;
+use std::time::Instant;
 
 use http::StatusCode;
 use http::header::HeaderValue;
-use tokio_util::sync::CancellationToken;
 
+use super::failure::{Reason, Refusal};
 use super::hop::Hop;
 use super::log_limiter::{self, LogClass};
 use super::state::ProxyState;
-use crate::decide::rejections::{self, RejectedRequest};
+use crate::decide::rejections::{RejectedRequest, RejectionPolicy};
 use crate::util::clock;
 
+fn policy(node: &ProxyState) -> RejectionPolicy {
+    RejectionPolicy::from_switches(node.mechanisms())
+}
+
+/// Fails if the request is withheld from a backend server that may reject it.
+pub(crate) fn check_withheld(node: &ProxyState, hop: &Hop) -> Result<(), Refusal> {
+    if hop.idempotent {
+        return Ok(());
+    }
+    let now_us = clock::since_us(node.started);
+    let withheld_us = node.rejections().withheld_us(now_us, policy(node));
+    match withheld_us {
+        Some(left_us) => Err(Refusal::from(Reason::Withheld).with_retry_after_ms(left_us / 1_000)),
+        None => Ok(()),
+    }
+}
+
+/// Records that the backend server ran a request that was sent at `sent_at`.
+pub(crate) fn record_accepted(node: &ProxyState, sent_at: Instant) {
+    let sent_us = clock::us_between(node.started, sent_at);
+    node.rejections().record_accepted(sent_us);
+}
+
 /// A request that the backend server states not to have run.
 pub(crate) struct Rejection<'a> {
     pub(crate) node: &'a ProxyState,
@@ -20,52 +42,29 @@
     pub(crate) id: Option<&'a HeaderValue>,
     /// Status of the response that states it.
     pub(crate) status: StatusCode,
-    /// Time from the end of the request until the response.
-    pub(crate) held: Duration,
-    /// Cancelled when the connection on which the response came is closed.
-    pub(crate) connection_closed: CancellationToken,
     /// Whether the backend server has made calls for the request.
     pub(crate) has_calls: bool,
 }
 
 impl Rejection<'_> {
-    /// Whether nothing that this gate has observed contradicts it.
-    ///
-    /// A backend server that stops may reject all requests that it runs at once. So the rejection of a request that must not run
-    /// twice counts only if no contradicted one comes in the time that a rejection takes, and the connection stays open.
-    pub(crate) async fn is_credible(&self) -> bool {
-        let mut observed = self.observed();
-        let mut is_credible = self.record(&observed);
-        if is_credible && !self.hop.idempotent {
-            let wait = Duration::from_micros(observed.rejection_time_max_us);
-            let waited = self
-                .connection_closed
-                .run_until_cancelled(tokio::time::sleep(wait));
-            observed.is_disconnected = waited.await.is_none();
-            is_credible = self.record(&observed);
-        }
-        if !is_credible {
-            self.log_contradicted(&observed);
-        }
-        is_credible
-    }
-
-    fn record(&self, observed: &RejectedRequest) -> bool {
+    /// Records the rejection. Returns whether it is proof that the request did not run.
+    pub(crate) fn record(&self) -> bool {
         let now_us = clock::since_us(self.node.started);
-        self.node.rejections().record(now_us, observed)
-    }
-
-    fn observed(&self) -> RejectedRequest {
-        let service_time_us = self.node.load(self.hop).resource_service_time_us;
-        RejectedRequest {
-            held_us: u64::try_from(self.held.as_micros()).unwrap_or(u64::MAX),
-            rejection_time_max_us: rejections::rejection_time_max_us(service_time_us),
+        let request = RejectedRequest {
+            idempotent: self.hop.idempotent,
             has_calls: self.has_calls,
-            is_disconnected: false,
+        };
+        let is_proof = self
+            .node
+            .rejections()
+            .record(now_us, &request, policy(self.node));
+        if !is_proof {
+            self.log_unproven();
         }
+        is_proof
     }
 
-    fn log_contradicted(&self, observed: &RejectedRequest) {
+    fn log_unproven(&self) {
         if !self.node.log_limiter.may_log(LogClass::Notable) {
             return;
         }
@@ -74,11 +73,9 @@
             request_id = log_limiter::id_text(self.id),
             instance:? = backend.as_ref().and_then(|backend| backend.instance()),
             status = self.status.as_u16(),
-            held_us = observed.held_us,
-            rejection_time_max_us = observed.rejection_time_max_us,
-            has_calls = observed.has_calls,
-            is_disconnected = observed.is_disconnected;
-            "the backend server states that it did not run a request, and may have begun it"
+            idempotent = self.hop.idempotent,
+            has_calls = self.has_calls;
+            "the backend server states that it did not run a request, which does not count as proof"
         );
     }
 }
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -16,7 +16,6 @@
 use super::hop::Hop;
 use crate::core::configuration::Class;
 use crate::core::names::ResourceName;
-use crate::core::verdict::Verdict;
 use crate::decide::admission::{
     self, Admission, AdmitOutcome, RefusalCause, ReleasedSlot, SlotRequest, Ticket, WaitOutcome,
 };
@@ -56,8 +55,7 @@
         self.answered = response.is_ok();
         let succeeded = match response {
             Ok(response) => !response.status().is_server_error(),
-            // The request did not run, so it says nothing about the backend server's version.
-            Err(failure) if failure.verdict() == Verdict::NotRun => return,
+            Err(failure) if failure.is_version_neutral() => return,
             Err(_) => false,
         };
         if self.node.is_current(self.acquired_in) {
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -81,7 +81,7 @@
     /// The local backend server that requests may be sent to, if there is one.
     pub(crate) backend: ArcSwapOption<LocalBackend>,
     statements: Mutex<LocalStatements>,
-    /// Requests that the local backend server states not to have run.
+    /// Rejections of the local backend server since its start.
     rejections: Mutex<Rejections>,
     /// Ids of requests that must not run twice.
     pub(crate) received_ids: ReceivedIds,
--- a/src/proxy/statements.rs
+++ b/src/proxy/statements.rs
@@ -9,6 +9,7 @@
 use crate::core::backend_statement::{ReportedStatements, RequestRate, StatedLimit};
 use crate::core::status::BackendStart;
 use crate::decide::backend_statements::{BackendStatements, LimitChange, StatementChanges};
+use crate::decide::rejections::Rejections;
 use crate::proxy::state::{BackendEvent, ProxyState};
 use crate::util::clock;
 
@@ -56,6 +57,9 @@
 /// Makes the statements of an earlier start of the backend server ineffective.
 pub(crate) fn begin_start(node: &ProxyState, start: Option<&BackendStart>) {
     let earlier = node.statements().set_start(start);
+    if earlier.is_some() {
+        *node.rejections() = Rejections::default();
+    }
     if earlier.is_some_and(|earlier| earlier.limit().is_some()) {
         log::info!(start:?; "the rate limit of an earlier backend server no longer applies");
         record_limit_change("ended", f64::INFINITY);
