--- a/tests/testsuite/users_ends.rs
+++ b/tests/testsuite/users_ends.rs
@@ -7,7 +7,8 @@
 //! users_ends::seeds_of_the_environment -- --nocapture`, where `DRAGONFLYWALL_ENDS_COUNT` is the number of ends of a run and
 //! `DRAGONFLYWALL_ENDS_VMS` the number of VMs for each service in each of four data centres. With `DRAGONFLYWALL_ENDS_DENY=1`
 //! backend servers that are told to end state of all that they run that they did not run it; with
-//! `DRAGONFLYWALL_ENDS_DENY_PERCENT=10` they state it of a share of all requests right after these have begun.
+//! `DRAGONFLYWALL_ENDS_PAUSE=1` processes are suspended for up to 6 s and go on; with
+//! `DRAGONFLYWALL_ENDS_DENY_PERCENT=10` backend servers state it of a share of all requests right after these have begun.
 
 use std::time::Duration;
 
@@ -40,9 +41,22 @@
 const ROUTE_TIMEOUT_MS: u32 = 800;
 const ROUTE_TARGET_MS: u32 = 300;
 
+/// Message of the line about a request that a node receives again.
+const RECEIVED_AGAIN: &str = "a request that must not run twice was received again";
+
 /// Most broken rules of a run that are printed.
 const EXAMPLES_MAX: usize = 10;
 
+/// What happens to the processes of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disturbance {
+    Ends,
+    /// Backend servers end by denying what they run.
+    Denials,
+    /// Processes are paused and go on.
+    Pauses,
+}
+
 /// Size and length of a run.
 #[derive(Clone, Copy, Debug)]
 struct RunSize {
@@ -51,8 +65,7 @@
     ends: usize,
     /// Requests a second that callers begin at each node.
     rate_per_s: u32,
-    /// Whether backend servers end by denying what they run.
-    denies: bool,
+    disturbance: Disturbance,
     /// Share of requests that backend servers deny right after they have begun them, in percent.
     denies_percent: u32,
 }
@@ -63,7 +76,7 @@
         vms_per_service: 1,
         ends: 2,
         rate_per_s: 40,
-        denies: false,
+        disturbance: Disturbance::Ends,
         denies_percent: 0,
     };
 }
@@ -164,9 +177,10 @@
     let mesh = start_mesh(seed, size, sender).await;
     let callers = Callers::start(&mesh, seed, size.rate_per_s);
     let mut ends = Ends::new(mesh);
-    let planned = match size.denies {
-        true => End::denials(seed, size.ends),
-        false => End::series(seed, size.ends),
+    let planned = match size.disturbance {
+        Disturbance::Ends => End::series(seed, size.ends),
+        Disturbance::Denials => End::denials(seed, size.ends),
+        Disturbance::Pauses => End::pauses(seed, size.ends),
     };
     ends.play(&planned).await;
     let answers = callers.stop().await;
@@ -179,10 +193,21 @@
     receiver.close();
     receiver.recv_many(&mut log_lines, usize::MAX).await;
     let broken = check::broken_rules(&answers, &entries);
-    broken
+    let broken = broken
         .into_iter()
-        .map(|broken| with_log(broken, &log_lines))
-        .collect()
+        .map(|broken| with_log(broken, &log_lines));
+    broken.chain(received_again(&log_lines)).collect()
+}
+
+/// The requests that an entry node received a second time.
+fn received_again(log_lines: &[LogLine]) -> impl Iterator<Item = Broken> {
+    let is_again = |line: &&LogLine| {
+        line.text.contains(RECEIVED_AGAIN) && line.text.contains("\"by\":\"entry\"")
+    };
+    log_lines.iter().filter(is_again).map(|line| Broken {
+        id: String::new(),
+        text: format!("received again at node {}: {}", line.position, line.text),
+    })
 }
 
 /// Plays the run of a seed, prints the rules that it broke, and returns their number.
@@ -212,6 +237,17 @@
     assert_eq!(broken, 0);
 }
 
+/// Guards against a promise for a request that a paused process runs later.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_hold_while_processes_are_paused_and_go_on() {
+    let size = RunSize {
+        disturbance: Disturbance::Pauses,
+        ..RunSize::CI
+    };
+    let broken = count_broken(CI_SEED, size).await;
+    assert_eq!(broken, 0);
+}
+
 const CI_SEED: u64 = 70;
 
 fn number(name: &str, default: usize) -> usize {
@@ -234,7 +270,14 @@
         vms_per_service: number("DRAGONFLYWALL_ENDS_VMS", 1),
         ends: number("DRAGONFLYWALL_ENDS_COUNT", 4),
         rate_per_s: u32::try_from(rate_per_s).expect("the rate fits"),
-        denies: number("DRAGONFLYWALL_ENDS_DENY", 0) > 0,
+        disturbance: match (
+            number("DRAGONFLYWALL_ENDS_DENY", 0),
+            number("DRAGONFLYWALL_ENDS_PAUSE", 0),
+        ) {
+            (0, 0) => Disturbance::Ends,
+            (0, _) => Disturbance::Pauses,
+            (_, _) => Disturbance::Denials,
+        },
         denies_percent: u32::try_from(number("DRAGONFLYWALL_ENDS_DENY_PERCENT", 0))
             .expect("the share fits"),
     };
--- a/tests/testsuite/users_ends/ends.rs
+++ b/tests/testsuite/users_ends/ends.rs
@@ -21,6 +21,9 @@
 const DOWN_MAX_MS: u64 = 2_500;
 /// Longest time for which a process is stopped or cut off before it is killed, or drains.
 const HELD_MAX_MS: u64 = 1_200;
+/// Time for which processes are paused that go on afterwards.
+const PAUSE_MIN_MS: u64 = 300;
+const PAUSE_MAX_MS: u64 = 6_000;
 /// Time for which backend servers that deny what they run go on.
 const DENY_MS: u64 = 100;
 const DENY_SHORT_MS: u64 = 4;
@@ -58,6 +61,8 @@
     TerminateNodes { held_ms: u64 },
     /// SIGSTOP, and SIGKILL after this time.
     Stop { held_ms: u64 },
+    /// SIGSTOP, and SIGCONT after this time: nothing ends.
+    Pause { held_ms: u64 },
     /// The links between VMs carry nothing for this time, then SIGKILL.
     Silence { held_ms: u64 },
 }
@@ -169,6 +174,21 @@
         ends.into_iter().enumerate().map(denial).collect()
     }
 
+    /// Pauses of processes, which then go on with what they had received.
+    pub(super) fn pauses(seed: u64, count: usize) -> Vec<Self> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut pause = |end| Self {
+            way: Way::Pause {
+                held_ms: rng.random_range(PAUSE_MIN_MS..PAUSE_MAX_MS),
+            },
+            extent: [Extent::SomeVms, Extent::SomeNodes, Extent::SomeBackends]
+                [rng.random_range(0..3)],
+            ..end
+        };
+        let ends = Self::series(seed, count);
+        ends.into_iter().map(&mut pause).collect()
+    }
+
     fn random(rng: &mut StdRng) -> Self {
         let orders = [
             Order::NodesFirst,
@@ -233,7 +253,7 @@
     fn signal(&self, process: Process) -> Signal {
         match (self.way, process) {
             (Way::Kill, _) | (Way::Silence { .. }, _) => Signal::Kill,
-            (Way::Stop { .. }, _) => Signal::Stop,
+            (Way::Stop { .. } | Way::Pause { .. }, _) => Signal::Stop,
             (Way::Terminate { .. }, _) => Signal::Terminate,
             (Way::TerminateBackends, Process::Backend) => Signal::Terminate,
             (Way::TerminateBackends, Process::Node) => Signal::Kill,
@@ -247,7 +267,8 @@
             Way::Kill | Way::TerminateBackends | Way::Silence { .. } => Duration::ZERO,
             Way::Terminate { held_ms }
             | Way::TerminateNodes { held_ms }
-            | Way::Stop { held_ms } => Duration::from_millis(held_ms),
+            | Way::Stop { held_ms }
+            | Way::Pause { held_ms } => Duration::from_millis(held_ms),
         }
     }
 }
@@ -295,6 +316,12 @@
             }
         }
         tokio::time::sleep(end.held()).await;
+        if let Way::Pause { .. } = end.way {
+            for (position, process) in &processes {
+                self.signal(*position, *process, Signal::Continue);
+            }
+            return;
+        }
         for (position, process) in &processes {
             self.signal(*position, *process, Signal::Kill);
         }
