--- a/tests/testsuite/users_promises.rs
+++ b/tests/testsuite/users_promises.rs
@@ -185,6 +185,22 @@
     }
 }
 
+/// Guards against a payment that is received twice and leaves no trace of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_that_is_received_again_is_counted() {
+    let mesh = start_serving_users_mesh(small()).await;
+    let entry = entries(&mesh)[0];
+    for _ in 0..2 {
+        let reply = send(&mesh, entry, &CallerRequest::post("/book/1", "twice")).await;
+        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    }
+    let metrics = fetch_metrics(mesh.vms[entry].node().addresses.operator).await;
+    for by in ["entry", "backend"] {
+        let counted = format!("dragonflywall_requests_received_again_total{{by=\"{by}\"}} 1");
+        assert!(metrics.contains(&counted), "{metrics}");
+    }
+}
+
 /// Backend servers that reject all requests.
 fn rejecting() -> Plan {
     Plan {
