--- a/tests/testsuite/decide_rejections.rs
+++ b/tests/testsuite/decide_rejections.rs
@@ -17,7 +17,7 @@
 };
 
 #[test]
-fn a_node_believes_no_rejection_of_a_payment_unless_it_is_told_to() {
+fn the_default_policy_takes_no_rejection_of_a_payment_as_proof() {
     let policy = RejectionPolicy::from_switches(MechanismSwitches::default());
     assert_eq!(policy, RejectionPolicy::RepeatableOnly);
     let without = MechanismSwitches::disabling(Mechanism::OwnProof);
@@ -34,14 +34,14 @@
 }
 
 #[test]
-fn a_rejection_is_proof_if_it_is_believed() {
+fn a_rejection_is_proof_without_own_proof() {
     let mut rejections = Rejections::default();
     assert!(rejections.record(0, &PAYMENT, RejectionPolicy::Believed));
     assert!(rejections.record(0, &READ, RejectionPolicy::Believed));
     assert_eq!(rejections.withheld_us(0, RejectionPolicy::Believed), None);
 }
 
-/// Guards against a backend server that is believed again after it denied a request for which it has made calls.
+/// Guards against a rejection that is proof although its backend server has denied a request for which it had made calls.
 #[test]
 fn no_rejection_of_a_backend_server_is_proof_after_a_contradicted_one() {
     for policy in [RejectionPolicy::RepeatableOnly, RejectionPolicy::Believed] {
--- a/tests/testsuite/users_promises.rs
+++ b/tests/testsuite/users_promises.rs
@@ -212,7 +212,7 @@
     }
 }
 
-/// Guards against a caller that cannot send its payment again where an operator has chosen to believe backend servers.
+/// Guards against a caller that cannot send its payment again where an operator has switched `own-proof` off.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_payment_that_every_backend_server_rejects_gets_not_run_without_own_proof() {
     let mesh = start_serving_users_mesh(Plan {
