review: three killed nodes take a popular request out of service for a minute

Nodes that are killed count as backend servers that a request has ended. After three, the other nodes refuse the request everywhere for a minute, though its endpoints are back.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns how the rule was broken, or `None` if it held.
 
+use std::net::SocketAddr;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
         "late-heartbeat" => late_heartbeat(trouble, record),
         "late-departure" => late_departure(trouble, record),
         "other-writer" => other_writer(trouble, record),
+        "killed-machines" => killed_machines(trouble, record),
         _ => Err(format!("no such case: {case}")),
     }
 }
@@ -40,6 +42,19 @@
         service: "expedicao",
     },
 ];
+/// Machines of the case with killed machines, and how many of them are killed: those of one service.
+const MACHINES: usize = 15;
+const KILLED_MACHINES: usize = 3;
+/// How long killed machines are down.
+const RESTART_PAUSE: Duration = Duration::from_secs(2);
+/// How long clients read the page before the steady state is measured.
+const READING_MS: u64 = 6_000;
+/// Clients on each machine that read the page, and the pause between two requests of one.
+const CLIENTS_PER_MACHINE: usize = 2;
+const CLIENT_PAUSE: Duration = Duration::from_millis(150);
+/// The page that they read, with the time that its work takes.
+const TODAY: &str = "/book/today?work_ms=120";
+
 const SERVICES: [&str; 2] = ["armazem", "expedicao"];
 
 /// Starts an endpoint on a machine, and its heartbeats.
@@ -165,21 +180,20 @@
     }))
 }
 
-/// Counts how many of `count` requests for each of the two routes are served.
-fn served(entry: &Machine, count: usize, record: &Record) -> (usize, usize) {
+/// CONFIG: routes that were added later are served like the first ones.
+fn check_added_route(entry: &Machine, record: &Record) -> Option<String> {
+    let count = 100;
     let (mut first, mut added) = (0, 0);
     for _ in 0..count {
         first += usize::from(client::get(entry.outbound(), "/stock/9", record).1 == 200);
         added += usize::from(client::get(entry.outbound(), "/book/9", record).1 == 200);
         sleep(Duration::from_millis(50));
     }
-    (first, added)
+    broken_config(first, added, count, record)
 }
 
-/// CONFIG: routes that were added later are served like the first ones.
-fn check_added_route(entry: &Machine, record: &Record) -> Option<String> {
-    let count = 100;
-    let (first, added) = served(entry, count, record);
+/// Whether an added route is served less than a quarter as often as the first one.
+fn broken_config(first: usize, added: usize, count: usize, record: &Record) -> Option<String> {
     record.line(&format!(
         "served: {first} of {count} on the first route, {added} of {count} on the added one"
     ));
@@ -188,16 +202,19 @@
     })
 }
 
-/// Starts a deployment whose first version has the first route only, and adds the second one. Returns the endpoint
-/// that serves the second one.
-fn start_with_added_route(record: &Record) -> Result<(Deployment, Endpoint)> {
+/// Starts a deployment whose first version has the first route only, and adds the second one. Returns the endpoints
+/// of the machines too.
+fn start_with_added_route(
+    services: &[&str],
+    record: &Record,
+) -> Result<(Deployment, Vec<Endpoint>)> {
     let configuration = deployment::configuration(7, &ROUTES[..1], &SERVICES);
-    let deployment = Deployment::start(&SERVICES, &configuration, record)?;
-    let [entry, machine] = &deployment.machines[..] else {
-        return Err("there are two machines".to_owned());
-    };
-    start_endpoint(entry, "i-a1", record)?;
-    let endpoint = start_endpoint(machine, "i-e1", record)?;
+    let deployment = Deployment::start(services, &configuration, record)?;
+    let mut endpoints = Vec::new();
+    for (index, machine) in deployment.machines.iter().enumerate() {
+        endpoints.push(start_endpoint(machine, &format!("i-e{index}"), record)?);
+    }
+    let entry = &deployment.machines[0];
     wait_served(entry, "/stock/1", record)?;
     let configuration = deployment::configuration(9, &ROUTES, &SERVICES);
     record.line(&format!("the operator writes {configuration}"));
@@ -205,14 +222,16 @@
         .store
         .write_operator_row("config", &configuration);
     sleep(APPLIED);
-    wait_served(entry, "/book/1", record)?;
-    Ok((deployment, endpoint))
+    for entry in &deployment.machines {
+        wait_served(entry, "/book/1", record)?;
+    }
+    Ok((deployment, endpoints))
 }
 
 /// CONFIG: an endpoint leaves and starts again under its id, and the notice that the first incarnation is gone arrives late.
 fn late_departure(trouble: bool, record: &Record) -> Outcome {
-    let (mut deployment, first) = start_with_added_route(record)?;
-    let [entry, machine] = &deployment.machines[..] else {
+    let (mut deployment, endpoints) = start_with_added_route(&SERVICES, record)?;
+    let ([entry, machine], [_, first]) = (&deployment.machines[..], &endpoints[..]) else {
         return Err("there are two machines".to_owned());
     };
     first.set_leaving();
@@ -248,8 +267,8 @@
 
 /// CONFIG: a heartbeat of another writer names a service that the configuration does not have.
 fn other_writer(trouble: bool, record: &Record) -> Outcome {
-    let (mut deployment, endpoint) = start_with_added_route(record)?;
-    let [entry, machine] = &deployment.machines[..] else {
+    let (mut deployment, endpoints) = start_with_added_route(&SERVICES, record)?;
+    let ([entry, machine], [_, endpoint]) = (&deployment.machines[..], &endpoints[..]) else {
         return Err("there are two machines".to_owned());
     };
     if trouble {
@@ -272,3 +291,55 @@
     }
     Ok(broken)
 }
+
+/// CONFIG: the machines of a service are killed at the same moment, while clients everywhere read the same page of it.
+fn killed_machines(trouble: bool, record: &Record) -> Outcome {
+    let mut services = ["armazem"; MACHINES];
+    services[MACHINES - KILLED_MACHINES..].fill("expedicao");
+    let (mut deployment, endpoints) = start_with_added_route(&services, record)?;
+    sleep(STABLE);
+    let entries: Vec<SocketAddr> = deployment.machines.iter().map(Machine::outbound).collect();
+    let until_ms = record.now_ms() + READING_MS;
+    let restarted = std::thread::scope(|scope| {
+        for entry in &entries {
+            for _ in 0..CLIENTS_PER_MACHINE {
+                scope.spawn(move || read_until(*entry, until_ms, record));
+            }
+        }
+        sleep(Duration::from_millis(READING_MS / 4));
+        let killed: Vec<usize> = (MACHINES - KILLED_MACHINES..MACHINES).collect();
+        match trouble {
+            true => deployment.kill_and_restart(&killed, RESTART_PAUSE, record),
+            false => Ok(()),
+        }
+    });
+    restarted?;
+    deployment.wait_ready()?;
+    sleep(STABLE + APPLIED);
+    let (mut first, mut added, count) = (0, 0, 10 * MACHINES);
+    for number in 0..count {
+        let entry = entries[number % MACHINES];
+        first += usize::from(client::get(entry, "/stock/9", record).1 == 200);
+        added += usize::from(client::get(entry, TODAY, record).1 == 200);
+    }
+    let other = client::get(entries[0], "/book/tomorrow", record).1;
+    record.line(&format!("another page of the added route: {other}"));
+    let runs: usize = endpoints.iter().map(|endpoint| endpoint.runs().len()).sum();
+    record.line(&format!("all endpoints have run {runs} requests"));
+    deployment.keep_logs();
+    if deployment.has_ended_node() {
+        return Err("a node has ended".to_owned());
+    }
+    Ok(broken_config(first, added, count, record))
+}
+
+/// Reads the page again and again, as a client does: it repeats a request that failed once.
+fn read_until(entry: SocketAddr, until_ms: u64, record: &Record) {
+    while record.now_ms() < until_ms {
+        let status = client::get(entry, TODAY, record).1;
+        if status != 200 && status != 503 {
+            client::get(entry, TODAY, record);
+        }
+        sleep(CLIENT_PAUSE);
+    }
+}
--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -138,20 +138,8 @@
         };
         for (index, (service, ip)) in services.iter().zip(ips).enumerate() {
             let settings = settings_text(index, service, ip, base_port, deployment.store.address);
-            let path = deployment.directory.join(format!("machine-{index}.toml"));
-            fs::write(&path, settings).map_err(text)?;
-            let log = File::create(deployment.directory.join(format!("machine-{index}.log")));
-            let mut command = Command::new("target/release/dragonflywall");
-            command
-                .arg("node")
-                .env_clear()
-                .env("DRAGONFLYWALL_CONFIG", &path)
-                .stdin(Stdio::null())
-                .stdout(log.map_err(text)?)
-                .stderr(Stdio::null());
-            end_with_this_process(&mut command);
-            let node = command.spawn();
-            let node = node.map_err(|error| format!("cannot start the node: {error}"))?;
+            fs::write(deployment.settings_path(index), settings).map_err(text)?;
+            let node = deployment.start_node(index)?;
             deployment.machines.push(Machine {
                 service: (*service).to_owned(),
                 ip,
@@ -164,7 +152,52 @@
         Ok(deployment)
     }
 
-    fn wait_ready(&self) -> Result<()> {
+    fn settings_path(&self, index: usize) -> PathBuf {
+        self.directory.join(format!("machine-{index}.toml"))
+    }
+
+    /// Starts the node of a machine as the deploy file says.
+    fn start_node(&self, index: usize) -> Result<Child> {
+        let log = self.directory.join(format!("machine-{index}.log"));
+        let log = File::options().create(true).append(true).open(log);
+        let mut command = Command::new("target/release/dragonflywall");
+        command
+            .arg("node")
+            .env_clear()
+            .env("DRAGONFLYWALL_CONFIG", self.settings_path(index))
+            .stdin(Stdio::null())
+            .stdout(log.map_err(|error| error.to_string())?)
+            .stderr(Stdio::null());
+        end_with_this_process(&mut command);
+        let node = command.spawn();
+        node.map_err(|error| format!("cannot start the node: {error}"))
+    }
+
+    /// Kills the nodes of some machines at the same moment, and starts them again after `pause`.
+    pub fn kill_and_restart(
+        &mut self,
+        indices: &[usize],
+        pause: Duration,
+        record: &Record,
+    ) -> Result<()> {
+        for index in indices {
+            let killed = self.machines[*index].node.kill();
+            killed.map_err(|error| error.to_string())?;
+        }
+        record.line(&format!("the nodes of the machines {indices:?} are killed"));
+        for index in indices {
+            let _ = self.machines[*index].node.wait();
+        }
+        std::thread::sleep(pause);
+        for index in indices {
+            self.machines[*index].node = self.start_node(*index)?;
+        }
+        record.line("they are started again");
+        Ok(())
+    }
+
+    /// Waits until all nodes say that they are ready.
+    pub fn wait_ready(&self) -> Result<()> {
         let until = Instant::now() + START_TIMEOUT;
         while !self.machines.iter().all(Machine::is_ready) {
             if Instant::now() > until {
