A backend server that announces itself again was not ended by a request

Cause: a lost connection to a node counts as the end of the backend server beside it, and nothing ever corrects that guess. Three of them withhold the request, so the answer that would clear it is never asked for. The same holds for connections that a living backend server closes, for cut links, for frozen processes, and for an entry node whose connections end while it is frozen itself.

Evidence: the clients' records of the case (all refusals have the reason ends-backends, other pages of the route are served); the two tests below, red before: "timed out waiting for: /book/popular?work_ms=700 is served at VM 0" and "timed out waiting for: the request is sent again".

Why this works: a crash id now names the start that is taken for ended (a digest of name and start time), which nodes spread with their records. Nodes with a record of two or more crashes ask where that start runs now, and a start that has announced itself twice since did not end: the crash is cleared everywhere.

--- a/crates/experiment/src/slopes/membership.rs
+++ b/crates/experiment/src/slopes/membership.rs
@@ -67,6 +67,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new(SERVICES[number % SERVICES.len()])),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version::NONE,
--- a/crates/model/src/crashes.rs
+++ b/crates/model/src/crashes.rs
@@ -10,7 +10,7 @@
 use dragonflywall::core::member::NodeId;
 use dragonflywall::core::request_digest::{BodyDigest, HeadDigest, RequestDigest};
 use dragonflywall::decide::crashes::{
-    CRASHES_MAX, CrashBook, CrashId, CrashRecord, CrashSet, ReportedCrash,
+    CRASHES_KEPT, CRASHES_MAX, CrashBook, CrashId, CrashRecord, CrashSet, ReportedCrash,
 };
 
 use crate::checker::Specification;
@@ -194,7 +194,7 @@
     fn learn(known: &mut Vec<(u64, u8)>, crashes: &[(u64, u8)]) {
         for crash in crashes {
             let is_known = known.iter().any(|(id, _)| *id == crash.0);
-            if !is_known && known.len() < CRASHES_MAX {
+            if !is_known && known.len() < CRASHES_KEPT {
                 known.push(*crash);
             }
         }
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 
 use serde::{Deserialize, Serialize};
 
@@ -105,11 +106,19 @@
     Gone,
 }
 
+/// Digest of one start of a backend server; see [`crate::core::status::BackendStart::digest`]. A backend server that
+/// restarts has another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StartDigest(pub NonZeroU32);
+
 /// The backend server of a node, as the node describes it to the mesh.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendRecord {
     /// Service that it provides; `None` if there is no backend server.
     pub service: Option<ServiceName>,
+    /// Its start; `None` if it did not announce one.
+    pub start: Option<StartDigest>,
     /// Version of the software that it runs, if it announced one.
     pub software_version: Option<SoftwareVersion>,
     /// Whether it accepts requests.
@@ -137,6 +146,9 @@
     pub service: Option<ServiceName>,
     /// State of that backend server.
     pub backend: BackendState,
+    /// Start of that backend server, if it announced one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backend_start: Option<StartDigest>,
     /// Version of the software that it runs, if it announced one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub software_version: Option<SoftwareVersion>,
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -3,10 +3,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::member::{BackendState, Member, NodeId, Place};
+use crate::core::member::{BackendState, Member, NodeId, Place, StartDigest};
 use crate::core::names::{InstanceName, OrganisationName, ServiceName, SoftwareVersion};
 use crate::core::rollout::{RolloutOrder, RolloutState};
 use crate::core::version::{Stamp, Version};
@@ -132,6 +133,22 @@
     pub started_ms: u64,
 }
 
+impl BackendStart {
+    /// Digest by which other nodes tell this start from others. `None` without a start time, as the next start may have the
+    /// same name.
+    pub fn digest(&self) -> Option<StartDigest> {
+        if self.started_ms == 0 {
+            return None;
+        }
+        let hash = blake3::hash(format!("{} {}", self.started_ms, self.instance).as_bytes());
+        let bytes = hash.as_bytes().first_chunk();
+        let number = u32::from_be_bytes(*bytes.expect("a digest has 32 bytes"));
+        Some(StartDigest(
+            NonZeroU32::new(number).unwrap_or(NonZeroU32::MAX),
+        ))
+    }
+}
+
 /// State that a backend server announces to its node, for example with `POST /backend-server`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/decide/crashes.rs
+++ b/src/decide/crashes.rs
@@ -6,6 +6,8 @@
 //! `docs/design/crashes.md`.
 //!
 //! A request that a backend server has answered does not end backend servers, so the crashes under it no longer count.
+//! A crash is inferred from a missing response, so it no longer counts either once the same start of the backend server has
+//! announced itself again ([`UnsettledEnd`]).
 //! A record is a set of crashes, each of which may be cleared, and records are merged by union. So a report may be late,
 //! doubled or passed on.
 
@@ -14,13 +16,16 @@
 use crate::core::member::NodeId;
 use crate::core::request_digest::{HeadDigest, RequestDigest};
 
+mod announced_start;
 mod backend_life;
 mod crash_set;
 mod record;
+mod unsettled;
 
 pub use self::backend_life::BackendLife;
 pub use self::crash_set::{CrashId, CrashSet};
-pub use self::record::{CrashRecord, ReportedCrash};
+pub use self::record::{CRASHES_KEPT, CrashRecord, ReportedCrash};
+pub use self::unsettled::{SETTLED_AFTER_MS, UnsettledEnd};
 
 /// Result of this module.
 pub type Result<T, E = Withheld> = std::result::Result<T, E>;
@@ -226,7 +231,7 @@
         let mut changed = false;
         for crash in crashes {
             let was_withheld = tracked.record.crashes.len() >= CRASHES_MAX;
-            let is_known = tracked.record.crash_set().contains(crash.id);
+            let is_known = tracked.record.contains(crash.id);
             if was_withheld && !is_known && tracked.may_attempt(now_ms) {
                 tracked.ended_after_limit += 1;
                 tracked.crashed_ms = now_ms;
@@ -248,16 +253,29 @@
         let Some(tracked) = self.requests.get_mut(request) else {
             return false;
         };
-        let ids: Vec<CrashId> = tracked.record.crash_set().iter().collect();
-        for id in &ids {
-            tracked.record.clear(*id);
-        }
+        let ids: Vec<CrashId> = tracked.record.ids().collect();
         tracked.ended_after_limit = 0;
         tracked.unsettled_until_ms = 0;
-        if !ids.is_empty() {
-            self.queue(*request, ids.len() < REPORT_TO_ALL_MIN);
+        self.clear(request, &ids)
+    }
+
+    /// Clears crashes under a request that count, and queues a report of that. Returns whether there were any.
+    fn clear(&mut self, request: &RequestDigest, ids: &[CrashId]) -> bool {
+        let Some(tracked) = self.requests.get_mut(request) else {
+            return false;
+        };
+        let before = tracked.record.crashes.len();
+        for id in ids {
+            if tracked.record.contains(*id) {
+                tracked.record.clear(*id);
+            }
+        }
+        let is_changed = tracked.record.crashes.len() < before;
+        let known = tracked.record.crashes.len() + tracked.record.cleared.len();
+        if is_changed {
+            self.queue(*request, known < REPORT_TO_ALL_MIN);
         }
-        !ids.is_empty()
+        is_changed
     }
 
     /// Merges what another node knows of the crashes under a request. Returns whether that changed anything.
@@ -278,8 +296,11 @@
             }
         }
         let after = tracked.record.crashes.len();
+        let mut ids = tracked.record.ids();
+        let adds_up = ids.any(|id| !received.contains(id));
         // The reports of several nodes add up to what only this one knows.
-        if after > before && after > received.crashes.len() && after >= REPORT_TO_ALL_MIN {
+        if after > before && adds_up && after >= REPORT_TO_ALL_MIN {
+            drop(ids);
             self.queue_update(request);
         }
         changed
@@ -360,6 +381,7 @@
     let passed_ms = now_ms.saturating_sub(tracked.crashed_ms);
     let retry_after_ms = match crashes.len() + 1 < CRASHES_MAX {
         true => tracked.unsettled_until_ms.saturating_sub(now_ms),
+        false if tracked.may_be_refuted(now_ms) => SETTLED_AFTER_MS,
         false => wait_ms.saturating_sub(passed_ms),
     };
     Withheld {
--- a/src/decide/crashes/backend_life.rs
+++ b/src/decide/crashes/backend_life.rs
@@ -1,6 +1,8 @@
 //! Signs of life of a node's own backend server, by which its ends are counted once each.
 
 use super::CrashId;
+use super::announced_start::AnnouncedStart;
+use crate::core::member::StartDigest;
 
 /// Number of intervals between announcements of which the longest is the one that is expected.
 const INTERVALS_MAX: usize = 4;
@@ -30,11 +32,13 @@
     }
 }
 
-/// When a backend server last showed that it runs. Times are microseconds of any monotonic clock.
+/// When a backend server last showed that it runs. Times are microseconds of any monotonic clock, and those of announced
+/// starts of one that counts the time in which the VM is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendLife {
     last_sign_us: u64,
     announcements: AnnouncementIntervals,
+    announced: Option<AnnouncedStart>,
     /// Whether it has shown that it runs since its last crash.
     runs: bool,
     last_crash: CrashId,
@@ -45,6 +49,7 @@
         Self {
             last_sign_us: 0,
             announcements: AnnouncementIntervals::default(),
+            announced: None,
             runs: true,
             last_crash: CrashId::default(),
         }
@@ -64,6 +69,25 @@
         self.announcements.record(now_us);
     }
 
+    /// Records which start an announcement is of, unless a later one outdates it.
+    pub fn record_announced_start(
+        &mut self,
+        now_us: u64,
+        start: StartDigest,
+        sequence: Option<u64>,
+    ) {
+        match &mut self.announced {
+            Some(announced) => announced.record(now_us, start, sequence),
+            None => self.announced = Some(AnnouncedStart::new(now_us, start, sequence)),
+        }
+    }
+
+    /// Whether the announcements since `since_us` show that the backend server of this start did not end by then.
+    pub fn has_announced_since(&self, start: StartDigest, since_us: u64) -> bool {
+        let announced = self.announced.as_ref();
+        announced.is_some_and(|announced| announced.has_announced_since(start, since_us))
+    }
+
     /// Records that a connection was accepted. A backend server that hangs accepts connections too.
     pub fn record_connection(&mut self) {
         self.runs = true;
--- a/src/decide/crashes/crash_set.rs
+++ b/src/decide/crashes/crash_set.rs
@@ -1,12 +1,31 @@
 //! Identities of crashes, and small sets of them.
 
+use std::num::NonZeroU32;
+
 use super::CRASHES_MAX;
+use crate::core::member::StartDigest;
 
 /// Identifies the end of one backend server. All requests that it was running then have the same crash.
+///
+/// The upper half is the digest of the start that ended, or 0 if the backend server announced none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashId(pub u64);
 
-/// Different crashes, [`CRASHES_MAX`] at most. More make no difference to any decision, so they are left out.
+impl CrashId {
+    /// The end of `start`. `number` tells it from other ends that the same start is taken to have had.
+    pub fn new(start: Option<StartDigest>, number: u32) -> Self {
+        let start = start.map_or(0, |StartDigest(digest)| digest.get());
+        Self(u64::from(start) << u32::BITS | u64::from(number))
+    }
+
+    /// The start that ended, if the backend server announced one.
+    pub fn start(self) -> Option<StartDigest> {
+        let upper_half = u32::try_from(self.0 >> u32::BITS).expect("32 bits are left");
+        NonZeroU32::new(upper_half).map(StartDigest)
+    }
+}
+
+/// Different crashes, [`CRASHES_MAX`] at most. More make no difference to a single decision, so they are left out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CrashSet {
     ids: [CrashId; CRASHES_MAX],
--- a/src/decide/load_balancing/ranked_endpoints.rs
+++ b/src/decide/load_balancing/ranked_endpoints.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use super::version_set::{VersionIndex, Versions};
-use crate::core::member::{Distance, Member, NodeId, Place};
+use crate::core::member::{Distance, Member, NodeId, Place, StartDigest};
 
 /// One endpoint of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// Start time of the node's process, which distinguishes restarts.
     pub incarnation_us: u64,
+    /// Start of the backend server, if it announced one.
+    pub backend_start: Option<StartDigest>,
     /// Software version of the backend server, in [`RankedEndpoints::versions`].
     pub version: VersionIndex,
 }
@@ -56,6 +58,7 @@
                 node: member.node,
                 address: member.dial_address(entry_place),
                 incarnation_us: member.incarnation_us,
+                backend_start: member.backend_start,
                 version,
             });
         }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -275,17 +275,20 @@
     pub fn set_backend(&mut self, backend: BackendRecord) {
         let BackendRecord {
             service,
+            start,
             software_version,
             state,
         } = backend;
         let member = &mut self.local_member;
         if member.service == service
+            && member.backend_start == start
             && member.software_version == software_version
             && member.backend == state
         {
             return;
         }
         member.service = service;
+        member.backend_start = start;
         member.software_version = software_version;
         member.backend = state;
         self.raise_sequence();
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -30,6 +30,15 @@
     Draining,
 }
 
+/// Where an announcement comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnnouncementSource {
+    /// The backend server sent it to this process.
+    Received,
+    /// The previous process stored it.
+    Stored,
+}
+
 impl NodeState {
     /// Handles what responses show of the backend server from now on.
     pub(crate) fn watch_backend(self: &Arc<Self>) {
@@ -46,6 +55,7 @@
             BackendEvent::Lost(service) => {
                 self.send_to_membership(MembershipMsg::SetBackend(BackendRecord {
                     service: Some(service),
+                    start: None,
                     software_version: None,
                     state: BackendState::Gone,
                 }));
@@ -64,6 +74,14 @@
     pub(crate) fn handle_announcement(
         self: &Arc<Self>,
         announcement: &Announcement,
+    ) -> AnnouncementReply {
+        self.order_announcement(announcement, AnnouncementSource::Received)
+    }
+
+    fn order_announcement(
+        self: &Arc<Self>,
+        announcement: &Announcement,
+        source: AnnouncementSource,
     ) -> AnnouncementReply {
         if !announcements::is_plausible(announcement, clock::unix_time_ms()) {
             let instance = announcement.instance.as_ref();
@@ -77,6 +95,9 @@
             return AnnouncementReply::Draining;
         }
         let outcome = self.announcements().apply(announcement);
+        if outcome != AnnouncementOutcome::Outdated && source == AnnouncementSource::Received {
+            self.record_announced_start(announcement);
+        }
         match outcome {
             AnnouncementOutcome::Outdated => {
                 log::info!(
@@ -144,7 +165,17 @@
         });
         if is_own && self.announcements().is_empty() {
             log::info!(instance:? = announcement.instance; "restored the backend server from the stored row");
-            self.handle_announcement(announcement);
+            self.order_announcement(announcement, AnnouncementSource::Stored);
+        }
+    }
+
+    /// Records that the backend server runs, for nodes that take it for ended.
+    fn record_announced_start(&self, announcement: &Announcement) {
+        let start = announcement.start().and_then(|start| start.digest());
+        let runs = announcement.state != BackendState::Gone;
+        if let Some(start) = start.filter(|_| runs) {
+            let sequence = announcement.sequence;
+            self.proxy.pool.record_announced_start(start, sequence);
         }
     }
 
@@ -152,6 +183,7 @@
         let state = announcement.state;
         let backend = LocalBackend::from(announcement);
         let service = backend.service.clone();
+        let start = backend.start_digest();
         let software_version = backend.software_version.clone();
         self.proxy
             .set_backend((state != BackendState::Gone).then_some(backend));
@@ -167,6 +199,7 @@
         );
         self.send_to_membership(MembershipMsg::SetBackend(BackendRecord {
             service: Some(service),
+            start,
             software_version,
             state,
         }));
--- a/src/node/crashes.rs
+++ b/src/node/crashes.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -14,8 +14,12 @@
 use crate::distribution::relay::{self, Branch};
 use crate::node::state::NodeState;
 
+mod unsettled;
+
 /// Shortest time between two reports. Changes in between are reported together.
 const REPORT_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which this node checks whether backend servers that are taken for ended have.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which old records are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of nodes that are sent a report at the same time, if those that were to pass it on did not.
@@ -29,19 +33,28 @@
 }
 
 async fn report_always(node: Arc<NodeState>) {
+    let mut settled_at = Instant::now();
+    let mut expired_at = Instant::now();
     loop {
+        let pause = match node.proxy.crashes().is_empty() {
+            true => EXPIRY_INTERVAL,
+            false => SETTLE_INTERVAL,
+        };
         let changed = node.proxy.crash_reported.notified();
-        if tokio::time::timeout(EXPIRY_INTERVAL, changed)
-            .await
-            .is_err()
-        {
+        if tokio::time::timeout(pause, changed).await.is_ok() {
+            let updates = node.proxy.crashes().take_updates();
+            report(&node, updates);
+            set_gauge(&node);
+            tokio::time::sleep(REPORT_INTERVAL).await;
+        }
+        if settled_at.elapsed() >= SETTLE_INTERVAL {
+            settled_at = Instant::now();
+            unsettled::check(&node);
+        }
+        if expired_at.elapsed() >= EXPIRY_INTERVAL {
+            expired_at = Instant::now();
             remove_expired(&node);
-            continue;
         }
-        let updates = node.proxy.crashes().take_updates();
-        report(&node, updates);
-        set_gauge(&node);
-        tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -404,6 +404,7 @@
         liveness: Liveness::Alive,
         service,
         backend,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::of(settings.cpu_percent, settings.link_kbit_per_s),
         enforced: Version::NONE,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -126,6 +126,7 @@
         let backend = self.proxy.backend.load();
         BackendRecord {
             service: backend.as_ref().map(|backend| backend.service.clone()),
+            start: backend.as_ref().and_then(|backend| backend.start_digest()),
             software_version: backend
                 .as_ref()
                 .and_then(|backend| backend.software_version.clone()),
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -14,7 +14,7 @@
 use super::convert;
 use super::generated as wire;
 use super::generated::control_client::ControlClient;
-use crate::core::member::NodeId;
+use crate::core::member::{NodeId, StartDigest};
 use crate::core::rollout::RolloutBook;
 use crate::core::token::{MeshToken, TOKEN_HEADER};
 use crate::core::version::{Stamp, Version};
@@ -308,6 +308,24 @@
         ))
     }
 
+    /// Returns whether the peer's backend server, of this start, has announced itself within a time so that it cannot have
+    /// ended before.
+    pub(crate) async fn check_backend(
+        &mut self,
+        start: StartDigest,
+        within: Duration,
+    ) -> Result<bool> {
+        let request = wire::BackendCheck {
+            start: convert::start_to_wire(Some(start)),
+            within_ms: u32::try_from(within.as_millis()).unwrap_or(u32::MAX),
+        };
+        let answer = self
+            .client
+            .check_backend(with_timeout(request, ANSWER_TIMEOUT));
+        let answer = whole_answer(self.address, ANSWER_TIMEOUT, answer).await?;
+        Ok(answer.get_ref().has_announced)
+    }
+
     /// Has the peer write `row` into the store, which takes up to `answer_timeout`.
     pub(crate) async fn write_row(
         &mut self,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -1,12 +1,15 @@
 //! Conversion between generated messages and plain data.
 
 use std::net::{IpAddr, SocketAddr};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use super::generated as wire;
-use crate::core::member::{BackendState, CapacityClass, Liveness, Member, NodeId, Place};
+use crate::core::member::{
+    BackendState, CapacityClass, Liveness, Member, NodeId, Place, StartDigest,
+};
 use crate::core::names::{DataCentreName, RegionName, ServiceName, SoftwareVersion, is_name};
 use crate::core::version::{Digest, InvalidDigest, Stamp, Version};
 use crate::distribution::{Content, DeltaStep, Offer};
@@ -299,6 +302,7 @@
         backend: backend_to_wire(member.backend).into(),
         software_version: names.software_version_index(member.software_version.as_ref()),
         capacity: member.capacity.0.into(),
+        backend_start: start_to_wire(member.backend_start),
     }
 }
 
@@ -328,11 +332,21 @@
         service,
         backend: backend_from_wire(member.backend())?,
         software_version,
+        backend_start: start_from_wire(member.backend_start),
         capacity: CapacityClass(u8::try_from(member.capacity).unwrap_or(u8::MAX)),
         enforced: Version::NONE,
     })
 }
 
+/// A missing start is 0.
+pub(super) fn start_to_wire(start: Option<StartDigest>) -> u32 {
+    start.map_or(0, |StartDigest(number)| number.get())
+}
+
+pub(super) fn start_from_wire(number: u32) -> Option<StartDigest> {
+    NonZeroU32::new(number).map(StartDigest)
+}
+
 fn liveness_to_wire(liveness: Liveness) -> wire::Liveness {
     match liveness {
         Liveness::Alive => wire::Liveness::Alive,
--- a/src/peer/convert/tests.rs
+++ b/src/peer/convert/tests.rs
@@ -20,6 +20,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new("cobros")),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version::NONE,
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -186,6 +186,18 @@
         Ok(Response::new(wire::CrashReportReply { left_out }))
     }
 
+    async fn check_backend(
+        &self,
+        request: Request<wire::BackendCheck>,
+    ) -> Result<Response<wire::BackendCheckReply>, Status> {
+        let check = request.get_ref();
+        let within = Duration::from_millis(u64::from(check.within_ms));
+        let start = convert::start_from_wire(check.start);
+        let pool = &self.node.proxy.pool;
+        let has_announced = start.is_some_and(|start| pool.has_announced_within(start, within));
+        Ok(Response::new(wire::BackendCheckReply { has_announced }))
+    }
+
     async fn write_row(
         &self,
         request: Request<wire::WriteRowRequest>,
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -6,6 +6,7 @@
 //! [`response_filter`](crate::util::response_filter).
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -25,6 +26,7 @@
 use super::promise::{NotRun, OpenAttempts};
 use super::{headers, log_limiter};
 use crate::core::mechanism::{Mechanism, MechanismSwitches};
+use crate::core::member::StartDigest;
 use crate::decide::crashes::{BackendLife, CrashId, CrashSet};
 use crate::util::clock;
 use crate::util::dial::dial;
@@ -113,6 +115,8 @@
     closed: Arc<Notify>,
     created_at: Instant,
     life: Arc<Mutex<BackendLife>>,
+    /// Digest of the start of the backend server, or 0.
+    start: Arc<AtomicU32>,
     mechanisms: MechanismSwitches,
     profile: &'static HeaderProfile,
 }
@@ -146,6 +150,7 @@
             closed: Arc::default(),
             created_at: Instant::now(),
             life: Arc::default(),
+            start: Arc::default(),
             mechanisms,
             profile,
         }
@@ -162,9 +167,33 @@
         lock_ignoring_poison(&self.life).record_announcement(now_us);
     }
 
-    /// Records that the backend server did not answer a request, and returns the crash that this may be.
-    pub(crate) fn record_loss(&self) -> CrashId {
-        lock_ignoring_poison(&self.life).record_loss(|| CrashId(rand::random()))
+    /// Records which start of the backend server an announcement is of, unless a later one outdates it.
+    pub(crate) fn record_announced_start(&self, start: StartDigest, sequence: Option<u64>) {
+        lock_ignoring_poison(&self.life).record_announced_start(clock::boot_us(), start, sequence);
+    }
+
+    /// Whether the announcements within a time show that the backend server of this start has not ended before it.
+    pub(crate) fn has_announced_within(&self, start: StartDigest, within: Duration) -> bool {
+        let within_us = u64::try_from(within.as_micros()).unwrap_or(u64::MAX);
+        let since_us = clock::boot_us().saturating_sub(within_us);
+        lock_ignoring_poison(&self.life).has_announced_since(start, since_us)
+    }
+
+    /// Sets the start of the backend server, if it announced one.
+    pub(crate) fn set_start(&self, start: Option<StartDigest>) {
+        let number = start.map_or(0, |StartDigest(number)| number.get());
+        self.start.store(number, Ordering::Release);
+    }
+
+    /// The start of the backend server, if it announced one.
+    pub(crate) fn start(&self) -> Option<StartDigest> {
+        NonZeroU32::new(self.start.load(Ordering::Acquire)).map(StartDigest)
+    }
+
+    /// Records that the backend server, which had this start, did not answer a request. Returns the crash that this may be.
+    pub(crate) fn record_loss(&self, start: Option<StartDigest>) -> CrashId {
+        let new_id = || CrashId::new(start, rand::random());
+        lock_ignoring_poison(&self.life).record_loss(new_id)
     }
 
     /// Whether the backend server has fallen silent under a request that was sent at `sent_at` and has no response yet.
@@ -278,6 +307,7 @@
             }),
             false => request,
         };
+        let start = self.start();
         open_attempts.begin();
         match connection.sender.try_send_request(request).await {
             Ok(response) if self.belongs_to(id.as_ref(), &response) => {
@@ -292,7 +322,7 @@
                     Err((failure, Some(unsent)))
                 }
                 None => {
-                    let crashes = CrashSet::of(self.record_loss());
+                    let crashes = CrashSet::of(self.record_loss(start));
                     let failure = Failure::may_have_run(Reason::Lost).with_crashes(crashes);
                     Err((failure, None))
                 }
--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -3,9 +3,9 @@
 use super::failure::{Failure, Reason, Refusal};
 use super::log_limiter::LogClass;
 use super::state::ProxyState;
-use crate::core::member::NodeId;
 use crate::core::request_digest::RequestDigest;
 use crate::decide::crashes::{CrashId, CrashSet, Withheld};
+use crate::decide::load_balancing::Endpoint;
 
 /// Records that backend servers ended while they ran a request, and has that reported to other nodes.
 pub(crate) fn record(node: &ProxyState, request: RequestDigest, crashes: CrashSet) {
@@ -32,17 +32,20 @@
         .with_crashes(withheld.crashes)
 }
 
-/// Adds the crash of the backend server behind `endpoint` to a failure of the connection to that node. The backend server
-/// may have ended with its node.
-pub(crate) fn add_node_crash(node: &ProxyState, endpoint: NodeId, failure: Failure) -> Failure {
+/// Adds the crash of the backend server behind `endpoint` to a failure of the connection to its node. The backend server
+/// may have ended with it.
+pub(crate) fn add_node_crash(endpoint: &Endpoint, failure: Failure) -> Failure {
     if failure.reason != Reason::Lost {
         return failure;
     }
-    let view = node.view.load();
-    let member = view.members.iter().find(|member| member.node == endpoint);
-    let incarnation_us = member.map_or(0, |member| member.incarnation_us);
-    let hash = blake3::hash(format!("{endpoint} {incarnation_us}").as_bytes());
+    let Endpoint {
+        node,
+        incarnation_us,
+        backend_start,
+        ..
+    } = endpoint;
+    let hash = blake3::hash(format!("{node} {incarnation_us}").as_bytes());
     let bytes = hash.as_bytes().first_chunk();
-    let id = u64::from_be_bytes(*bytes.expect("a digest has 32 bytes"));
-    failure.with_crashes(CrashSet::of(CrashId(id)))
+    let process = u32::from_be_bytes(*bytes.expect("a digest has 32 bytes"));
+    failure.with_crashes(CrashSet::of(CrashId::new(*backend_start, process)))
 }
--- a/src/proxy/entry/routed_request.rs
+++ b/src/proxy/entry/routed_request.rs
@@ -460,8 +460,12 @@
         let response = deadline::timeout_at(self.deadline, exchange)
             .await
             .map_err(|_| Failure::may_have_run(Reason::Deadline))?;
-        let response = response
-            .map_err(|failure| crashes::add_node_crash(self.node, endpoint.node, failure))?;
+        let response =
+            response.map_err(|failure| match self.node.is_current(self.admitted_in) {
+                true => crashes::add_node_crash(endpoint, failure),
+                // Connections that end during a freeze of this process say nothing about their nodes.
+                false => failure,
+            })?;
         let Some(load) = headers::parse_load(response.headers()) else {
             log::warn!(peer:% = endpoint.node; "response without a load header: the peer refused the mesh token or is not a node");
             return Err(failure_without_load(response.headers(), open_attempts));
--- a/src/proxy/entry/tests.rs
+++ b/src/proxy/entry/tests.rs
@@ -110,6 +110,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new(SERVICE)),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version(1),
--- a/src/proxy/gate/arrived_response.rs
+++ b/src/proxy/gate/arrived_response.rs
@@ -42,7 +42,7 @@
             error:%;
             "the response of the backend server broke off before it was passed on"
         );
-        let crashes = CrashSet::of(pool.record_loss());
+        let crashes = CrashSet::of(pool.record_loss(pool.start()));
         return Err(Failure::may_have_run(Reason::Lost).with_crashes(crashes));
     }
     Ok(Response::from_parts(parts, body::boxed(body)))
--- a/src/proxy/gate/crashes.rs
+++ b/src/proxy/gate/crashes.rs
@@ -9,6 +9,7 @@
 use http_body::Body as _;
 
 use crate::core::mechanism::Mechanism;
+use crate::core::member::StartDigest;
 use crate::core::request_digest::{BodyDigest, HeadDigest, RequestDigest, RequestHead};
 use crate::decide::crashes::CrashSet;
 use crate::decide::freeze::Epoch;
@@ -82,6 +83,8 @@
     arrived: Option<ArrivedRequest>,
     id: Option<HeaderValue>,
     sent_at: Instant,
+    /// Start of the backend server that it is sent to, if that announced one.
+    sent_to: Option<StartDigest>,
     /// After a freeze of this process, a missing response says nothing about the backend server.
     sent_in: Epoch,
     deadline: Instant,
@@ -99,6 +102,7 @@
                 .get(&node.header_profile.request_id)
                 .cloned(),
             sent_at: Instant::now(),
+            sent_to: node.pool.start(),
             sent_in: node.freezes.epoch(),
             deadline,
             ended: false,
@@ -141,7 +145,7 @@
         if !is_silent || !self.node.is_current(self.sent_in) {
             return CrashSet::default();
         }
-        let lost = CrashSet::of(self.node.pool.record_loss());
+        let lost = CrashSet::of(self.node.pool.record_loss(self.sent_to));
         let is_enabled = self.node.mechanisms().is_enabled(Mechanism::CrashLimit);
         let digest = self.arrived.as_ref().filter(|_| is_enabled);
         if let Some(digest) = digest.and_then(|arrived| arrived.digest(&self.node)) {
--- a/src/proxy/local_backend.rs
+++ b/src/proxy/local_backend.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::core::member::StartDigest;
 use crate::core::names::{InstanceName, ServiceName, SoftwareVersion};
 use crate::core::status::{Announcement, BackendStart};
 use crate::node::settings::BackendServer;
@@ -26,6 +27,11 @@
 }
 
 impl LocalBackend {
+    /// Digest of its start, if it announced one.
+    pub(crate) fn start_digest(&self) -> Option<StartDigest> {
+        self.start.as_ref().and_then(BackendStart::digest)
+    }
+
     /// Name of the instance, if it announced one.
     pub(crate) fn instance(&self) -> Option<&InstanceName> {
         self.start.as_ref().map(|start| &start.instance)
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -366,6 +366,8 @@
         if let Some(backend) = &backend {
             statements::begin_start(self, backend.start.as_ref());
         }
+        self.pool
+            .set_start(backend.as_ref().and_then(LocalBackend::start_digest));
         self.backend.store(backend.map(Arc::new));
         self.update_slot_limits();
     }
--- a/tests/testsuite/decide_crashes.rs
+++ b/tests/testsuite/decide_crashes.rs
@@ -2,11 +2,14 @@
 
 use std::collections::VecDeque;
 
-use dragonflywall::core::member::NodeId;
+use dragonflywall::core::member::{NodeId, StartDigest};
+use dragonflywall::core::names::InstanceName;
 use dragonflywall::core::request_digest::{BodyDigest, HeadDigest, RequestDigest, RequestHead};
+use dragonflywall::core::status::BackendStart;
 use dragonflywall::decide::crashes::{
-    BackendLife, CRASHES_MAX, CrashBook, CrashId, CrashRecord, CrashSet, REQUESTS_MAX,
-    ReportedCrash, SUSPECT_KEEP_MS, UNSETTLED_MS, WITHHOLD_MAX_MS, WITHHOLD_MS,
+    BackendLife, CRASHES_KEPT, CRASHES_MAX, CrashBook, CrashId, CrashRecord, CrashSet,
+    REQUESTS_MAX, ReportedCrash, SETTLED_AFTER_MS, SUSPECT_KEEP_MS, UNSETTLED_MS, UnsettledEnd,
+    WITHHOLD_MAX_MS, WITHHOLD_MS,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -249,6 +252,138 @@
     assert!(!life.is_silent(1_000_000, 700));
 }
 
+/// The start of the backend server behind node `number`.
+fn start(number: u64) -> StartDigest {
+    let start = BackendStart {
+        instance: InstanceName::new(format!("i-{number}")),
+        started_ms: 1_000 + number,
+    };
+    start.digest().expect("the start time is known")
+}
+
+/// The loss of a request that ran on the backend server behind node `number`.
+fn loss(number: u64) -> CrashId {
+    CrashId::new(Some(start(number)), 7)
+}
+
+fn losses(numbers: impl IntoIterator<Item = u64>) -> CrashSet {
+    numbers.into_iter().map(loss).collect()
+}
+
+#[test]
+fn a_crash_names_the_start_that_ended() {
+    assert_eq!(loss(1).start(), Some(start(1)));
+    assert_ne!(loss(1).start(), loss(2).start());
+    assert_eq!(CrashId::new(None, 7).start(), None);
+    let unknown = BackendStart {
+        instance: InstanceName::new("i-1"),
+        started_ms: 0,
+    };
+    assert_eq!(unknown.digest(), None);
+}
+
+/// Guards against a request that stays withheld though the backend servers that it was said to have ended live.
+#[test]
+fn refuted_crashes_withhold_no_request() {
+    let mut book = CrashBook::new(node(1));
+    book.record_crashes(5, request(1), losses([1, 2, 3]));
+    book.record_crashes(5, request(2), losses([1]));
+    book.take_updates();
+    let withheld = book.check(6, &request(1), no_crashes());
+    let retry_after_ms = withheld.map_err(|withheld| withheld.retry_after_ms);
+    assert_eq!(retry_after_ms, Err(SETTLED_AFTER_MS));
+    let ends = book.unsettled_ends(6);
+    assert_eq!(ends.len(), 3);
+    for end in &ends {
+        assert_eq!(end.recorded_ms, 5);
+        assert!(book.refute(end));
+        assert!(!book.refute(end), "it counts no longer");
+    }
+    assert!(book.check(6, &request(1), no_crashes()).is_ok());
+    assert!(book.crashes(&request(2)).is_empty(), "it counted there too");
+    assert!(book.unsettled_ends(6).is_empty());
+    let mut other = CrashBook::new(node(2));
+    other.merge(
+        6,
+        request(1),
+        &record(&[(loss(1).0, 1), (loss(2).0, 1)], &[]),
+    );
+    for update in book.take_updates() {
+        other.merge(7, update.request, &update.record);
+    }
+    assert!(
+        other.crashes(&request(1)).is_empty(),
+        "the refutation is reported"
+    );
+}
+
+#[test]
+fn only_the_refuted_crashes_no_longer_count() {
+    let mut book = CrashBook::new(node(1));
+    book.record_crashes(5, request(1), losses([1, 2, 3]));
+    let ends = book.unsettled_ends(6);
+    let of_first = ends.iter().find(|end| end.start == start(1));
+    book.refute(of_first.expect("its end is unsettled"));
+    assert_eq!(book.crashes(&request(1)), losses([2, 3]));
+    // Another loss of the same start is another crash.
+    let again = CrashSet::of(CrashId::new(Some(start(1)), 8));
+    book.record_crashes(9, request(1), again);
+    assert!(book.check(10, &request(1), no_crashes()).is_err());
+}
+
+/// Guards against crashes beyond the limit that are left out, and missing when another one is refuted.
+#[test]
+fn crashes_beyond_the_limit_count_when_others_are_refuted() {
+    let mut book = CrashBook::new(node(1));
+    for number in 1..=4 {
+        book.record_crashes(5, request(1), losses([number]));
+    }
+    let ends = book.unsettled_ends(6);
+    let of_first = ends.iter().find(|end| end.start == start(1));
+    book.refute(of_first.expect("its end is unsettled"));
+    assert!(book.check(6, &request(1), no_crashes()).is_err());
+    for number in 5..100 {
+        book.record_crashes(5, request(1), losses([number]));
+    }
+    let ids = book.unsettled_ends(6).len();
+    assert_eq!(ids, CRASHES_KEPT);
+}
+
+#[test]
+fn crashes_without_a_known_start_and_single_ones_are_not_checked() {
+    let mut book = book_with_crashes(3);
+    assert!(book.unsettled_ends(6).is_empty());
+    book.record_crashes(5, request(2), losses([1]));
+    assert!(book.unsettled_ends(6).is_empty());
+    book.record_crashes(5, request(2), losses([2]));
+    assert_eq!(book.unsettled_ends(6).len(), 2);
+    assert!(book.unsettled_ends(5 + SUSPECT_KEEP_MS).is_empty());
+}
+
+/// Guards against a single announcement that was on its way when the backend server ended.
+#[test]
+fn two_later_announcements_show_that_a_start_has_not_ended() {
+    let mut life = BackendLife::default();
+    life.record_announced_start(100, start(1), Some(1));
+    life.record_announced_start(200, start(1), Some(2));
+    assert!(life.has_announced_since(start(1), 99));
+    assert!(
+        !life.has_announced_since(start(1), 100),
+        "only one is later"
+    );
+    life.record_announced_start(300, start(1), Some(2));
+    assert!(
+        !life.has_announced_since(start(1), 150),
+        "it is the same one"
+    );
+    life.record_announced_start(400, start(1), Some(3));
+    assert!(life.has_announced_since(start(1), 150));
+    life.record_announced_start(500, start(2), Some(1));
+    assert!(!life.has_announced_since(start(1), 0), "it was replaced");
+    life.record_announced_start(600, start(2), Some(2));
+    assert!(life.has_announced_since(start(2), 450));
+}
+
 #[test]
 fn requests_are_the_same_if_everything_is_that_a_client_sends_again() {
     let head = RequestHead {
@@ -305,6 +440,10 @@
     Send { entry: usize },
     /// The backend server of the oldest running attempt ends.
     End,
+    /// The response to the oldest running attempt is lost, and its backend server goes on to announce itself.
+    Lose,
+    /// A node asks about all backend servers that it takes for ended.
+    Ask { entry: usize },
     /// A message arrives, in any order, or twice.
     Deliver { position: usize, again: bool },
 }
@@ -313,6 +452,8 @@
     let step = prop_oneof![
         4 => (0..NODES).prop_map(|entry| Step::Send { entry }),
         4 => Just(Step::End),
+        2 => Just(Step::Lose),
+        2 => (0..NODES).prop_map(|entry| Step::Ask { entry }),
         6 => (0..64_usize, any::<bool>())
             .prop_map(|(position, again)| Step::Deliver { position, again }),
     ];
@@ -329,8 +470,12 @@
     running: VecDeque<usize>,
     messages: Vec<(usize, CrashRecord)>,
     ends: u64,
+    losses: u64,
 }
 
+/// Numbers of the backend servers that did not end begin here.
+const LOST_FIRST: u64 = 1_000;
+
 impl Mesh {
     fn new() -> Self {
         let id = |number: usize| -> NodeId { node(u16::try_from(number).expect("few nodes")) };
@@ -341,6 +486,7 @@
             running: VecDeque::new(),
             messages: Vec::new(),
             ends: 0,
+            losses: 0,
         }
     }
 
@@ -358,16 +504,36 @@
     }
 
     fn end(&mut self) {
-        let Some(entry) = self.running.pop_front() else {
-            return;
-        };
-        self.ends += 1;
+        if let Some(entry) = self.running.pop_front() {
+            self.ends += 1;
+            self.record_loss(entry, self.ends);
+        }
+    }
+
+    fn lose(&mut self) {
+        if let Some(entry) = self.running.pop_front() {
+            self.losses += 1;
+            self.record_loss(entry, LOST_FIRST + self.losses);
+        }
+    }
+
+    fn record_loss(&mut self, entry: usize, number: u64) {
         let book = &mut self.books[entry];
-        book.record_crashes(1, request(1), crash(self.ends));
+        book.record_crashes(1, request(1), losses([number]));
         book.end_attempt(&request(1));
         self.post(entry);
     }
 
+    fn ask(&mut self, entry: usize) {
+        let has_ended = |end: &UnsettledEnd| (1..=self.ends).any(|n| start(n) == end.start);
+        let mut ends = self.books[entry].unsettled_ends(1);
+        ends.retain(|end| !has_ended(end));
+        for end in ends {
+            self.books[entry].refute(&end);
+        }
+        self.post(entry);
+    }
+
     fn post(&mut self, from: usize) {
         for update in self.books[from].take_updates() {
             let recipients =
@@ -418,6 +584,8 @@
                     prop_assert!(!mesh.send(entry) || known < CRASHES_MAX);
                 }
                 Step::End => mesh.end(),
+                Step::Lose => mesh.lose(),
+                Step::Ask { entry } => mesh.ask(entry),
                 Step::Deliver { position, again } => mesh.deliver(position, again),
             }
         }
@@ -441,6 +609,8 @@
                     prop_assert!(!mesh.send(entry) || ended < CRASHES_MAX as u64);
                 }
                 Step::End => mesh.end(),
+                Step::Lose => mesh.lose(),
+                Step::Ask { entry } => mesh.ask(entry),
                 Step::Deliver { .. } => (),
             }
             mesh.deliver_all();
--- a/tests/testsuite/decide_load_balancing.rs
+++ b/tests/testsuite/decide_load_balancing.rs
@@ -37,6 +37,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new("tablon")),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version::NONE,
--- a/tests/testsuite/decide_rollout_evidence.rs
+++ b/tests/testsuite/decide_rollout_evidence.rs
@@ -54,6 +54,7 @@
         liveness: Liveness::Alive,
         service: Some(service()),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: Some(version_of(number)),
         capacity: CapacityClass::default(),
         enforced: Version(1),
--- a/tests/testsuite/fuzz_membership.rs
+++ b/tests/testsuite/fuzz_membership.rs
@@ -44,6 +44,7 @@
         liveness,
         service: Some(ServiceName::new("armazem")),
         backend,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version::NONE,
--- a/tests/testsuite/spread_membership.rs
+++ b/tests/testsuite/spread_membership.rs
@@ -148,6 +148,7 @@
 fn backend_in_state(state: BackendState) -> BackendRecord {
     BackendRecord {
         service: None,
+        start: None,
         software_version: None,
         state,
     }
--- a/tests/testsuite/spread_network.rs
+++ b/tests/testsuite/spread_network.rs
@@ -298,6 +298,7 @@
         liveness: Liveness::Alive,
         service: Some(ServiceName::new("tablon")),
         backend: BackendState::Serving,
+        backend_start: None,
         software_version: None,
         capacity: CapacityClass::default(),
         enforced: Version::NONE,
--- a/tests/testsuite/users_crashes.rs
+++ b/tests/testsuite/users_crashes.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use testkit::http::Reply;
+use testkit::http::{Reply, request, wait_until};
 use testkit::users::backend::{AnnouncedState, CrashMode, Run};
 use testkit::users::configuration::{DEFAULT_HOST, Route, RouteKind};
 use testkit::users::mesh::{CallerRequest, Mesh, Plan, REQUEST_ID};
@@ -12,8 +12,8 @@
 use tokio::net::TcpStream;
 
 use crate::support::{
-    REASON_HEADER, SERVICES, VERDICT_HEADER, join_all, start_users_mesh, users_mesh_runs,
-    write_routes,
+    REASON_HEADER, SERVICES, VERDICT_HEADER, WAIT_TIMEOUT, join_all, start_users_mesh,
+    users_mesh_runs, write_routes,
 };
 
 /// Number of backend servers that may end under one request.
@@ -361,3 +361,81 @@
     send(b"second", "second").await;
     assert!(!users_mesh_runs(&mesh, "second").is_empty());
 }
+
+/// Waits until a node serves the request with this path, as callers send it again and again.
+async fn wait_served(mesh: &Mesh, entry: usize, path: &str) {
+    let description = format!("{path} is served at VM {entry}");
+    wait_until(&description, WAIT_TIMEOUT, || async move {
+        let id = format!("served-{entry}-{:08x}", rand::random::<u32>());
+        get(mesh, entry, path, &id).await.status == StatusCode::OK
+    })
+    .await;
+}
+
+/// Guards against taking the backend servers of killed nodes for ended: a popular request was refused for a minute after they
+/// had announced themselves again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_popular_request_is_served_again_after_its_nodes_were_killed() {
+    let mut routes = reads();
+    routes.push(Route::new("/book/", RouteKind::Idempotent, SERVICES[1]));
+    let mut mesh = start(&SERVICES, 2, &routes).await;
+    let (entries, killed) = (mesh.vms_of(SERVICES[0]), mesh.vms_of(SERVICES[1]));
+    let path = "/book/popular?work_ms=700";
+    let copies = (0..4).flat_map(|number| entries.iter().map(move |entry| (*entry, number)));
+    let copies: Vec<(usize, usize)> = copies.collect();
+    let readers = copies.into_iter().map(|(entry, number)| {
+        let caller_listener = mesh.vms[entry].node().addresses.caller;
+        tokio::spawn(async move {
+            let id = format!("copy-{entry}-{number}");
+            let headers = [(REQUEST_ID, id.as_str()), ("x-dfw-deadline-ms", "1500")];
+            let _ = request(
+                caller_listener,
+                Method::GET,
+                DEFAULT_HOST,
+                path,
+                &headers,
+                "",
+            )
+            .await;
+        })
+    });
+    let readers: Vec<_> = readers.collect();
+    let running = || async {
+        let mut killed = killed.iter();
+        killed.all(|position| mesh.vms[*position].backend().record().running > 0)
+    };
+    wait_until("a copy runs behind each node", WAIT_TIMEOUT, running).await;
+    for position in &killed {
+        mesh.kill_node(*position).await.expect("the node ends");
+    }
+    for reader in readers {
+        reader.await.expect("the reader ends");
+    }
+    let entry = entries[0];
+    wait_until("the request is withheld", WAIT_TIMEOUT, || async {
+        let reply = get(&mesh, entry, path, "withheld").await;
+        reply.header(REASON_HEADER) == "ends-backends"
+    })
+    .await;
+    let started = mesh.start_nodes(&killed).await;
+    started.expect("the nodes start again");
+    mesh.wait_serving().await;
+    for entry in entries {
+        wait_served(&mesh, entry, path).await;
+    }
+}
+
+/// Guards against taking a backend server for ended for good because it closed connections without a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_responses_were_lost_is_sent_again() {
+    let mesh = start(&SERVICES[..1], 2, &reads()).await;
+    let path = "/stock/lost?answer=lost";
+    let replies = repeat(&mesh, 0, path, 4).await;
+    assert_withheld(&replies[3]);
+    let runs_before = runs_of(&mesh, path).len();
+    wait_until("the request is sent again", WAIT_TIMEOUT, || async {
+        get(&mesh, 0, path, "again").await;
+        runs_of(&mesh, path).len() > runs_before
+    })
+    .await;
+}
