The backend server of the settings file changes without a restart

A changed service or address in the settings file was only named in the log. The node went on to send requests of callers as those of the old service (X-Dfw-Caller), and compared the stored row with the old setting. Both now follow the file.

a_changed_service_takes_effect_without_a_restart fails on the code before: left: ["armazem"], right: ["expedicao"].

--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -208,7 +208,8 @@
         if node_requests::is_readiness_probe(request.method(), request.uri().path()) {
             return self.ready();
         }
-        let Some(local) = &self.node.proxy.settings.backend_server else {
+        let settings = self.node.proxy.reloadable.load_full();
+        let Some(local) = &settings.backend_server else {
             return text(StatusCode::NOT_FOUND, "this VM has no backend server\n");
         };
         let (parts, body) = request.into_parts();
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -122,7 +122,7 @@
         ("platform", running.platform_url != reloaded.platform_url),
         (
             "backend-server",
-            running.backend_server != reloaded.backend_server,
+            !running.backend_server_announces && running.backend_server != reloaded.backend_server,
         ),
     ];
     let differing = startup_settings.into_iter().filter(|(_, differs)| *differs);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -201,13 +201,14 @@
 }
 
 /// Settings that take effect without a restart when the settings file changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ReloadableSettings {
     pub(crate) apply_within_ms: u64,
     pub(crate) drain_timeout_ms: u64,
     pub(crate) stop_least_ms: u64,
     pub(crate) retry_percent: u32,
     pub(crate) retry_reserve: Option<u32>,
+    pub(crate) backend_server: Option<BackendServer>,
 }
 
 impl Settings {
@@ -219,6 +220,7 @@
             stop_least_ms: self.stop_least_ms,
             retry_percent: self.retry_percent,
             retry_reserve: self.retry_reserve,
+            backend_server: self.backend_server.clone(),
         }
     }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -135,8 +135,8 @@
     let profile = node.header_profile;
     profile.strip_reserved(&mut parts.headers);
     parts.headers.insert(&profile.request_id, id);
-    let local_backend = node.settings.backend_server.as_ref();
-    if let (Some(name), Some(local_backend)) = (&profile.caller_service, local_backend) {
+    let settings = node.reloadable.load();
+    if let (Some(name), Some(local_backend)) = (&profile.caller_service, &settings.backend_server) {
         let service = headers::to_value(local_backend.service.as_str());
         parts.headers.insert(name, service);
     }
--- a/tests/testsuite/users_settings.rs
+++ b/tests/testsuite/users_settings.rs
@@ -147,3 +147,45 @@
     })
     .await;
 }
+
+/// Guards against a node that ignores its backend server, or names the old service as the caller's, after the settings file
+/// has named another service.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_service_takes_effect_without_a_restart() {
+    let mut plan = single_data_centre_plan();
+    plan.vms_per_service = 2;
+    let mut mesh = start_serving_users_mesh(plan).await;
+    let [old_service, new_service] = SERVICES;
+    let position = mesh.vms_of(old_service)[0];
+    mesh.crash_backend(position).await;
+    let text = mesh.settings_text(position);
+    let changed = text.replace(
+        &format!("service = \"{old_service}\""),
+        &format!("service = \"{new_service}\""),
+    );
+    assert_ne!(text, changed);
+    std::fs::write(mesh.settings_path(position), changed).expect("the file is written");
+    mesh.vms[position].node().signal(Signal::Hangup);
+    let restarted = mesh.restart_backend(position, new_service).await;
+    restarted.expect("the address can be reused");
+    wait_until(
+        "the backend server is listed under its service",
+        WAIT_TIMEOUT,
+        || async {
+            let status = mesh.status(0).await;
+            let members = status["members"].as_array().cloned().unwrap_or_default();
+            let of_service = |member: &&serde_json::Value| {
+                member["service"] == new_service && member["backend"] == "serving"
+            };
+            members.iter().filter(of_service).count() == 3
+        },
+    )
+    .await;
+    let request = CallerRequest::get("/stock/1", "changed");
+    let reply = mesh.send_request(position, &request).await;
+    assert_eq!(reply.expect("the node responds").status, 200);
+    let backends = mesh.vms.iter().filter_map(|vm| vm.backend.as_ref());
+    let runs = backends.filter_map(|backend| backend.record().runs.remove("changed"));
+    let callers: Vec<String> = runs.flatten().map(|run| run.caller).collect();
+    assert_eq!(callers, [new_service]);
+}
