One announcement of another sender does not replace a running backend server

Cause: announcements are ordered by start time and number, both the sender's word, and neither service nor address was compared with the settings. The health check, which names who answers at the address, was asked once in the life of a process, so any later start replaced the running one, whose own announcements were then outdated for good.

Why this works: what is of another service or address is refused. Each start needs the health check's word on who is at the address, and a start in effect is replaced only by one that answers or that goes on alone. A start or number that the order outdates, but that goes on to announce itself, is put to the health check as well, so no single message holds for good. The property test mixes any foreign announcements with those of a running backend server.

first_ready_after_a_restart_needs_confirmation expected that further starts need no confirmation, which is this fault; now each of them needs it.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -3,13 +3,20 @@
 //! An announcement may arrive late: it was delayed in the network, or its sender has crashed and
 //! another backend server has its address now. Announcements with an instance name are ordered by
 //! the start time of the instance, and then by sequence number; the newest one is in effect.
+//!
+//! Start times and sequence numbers are the sender's word, and an announcement may have another sender than the backend
+//! server. So where the backend server can be asked, a health check decides on announcements that contradict the one in effect
+//! ([`contender`]): those of another start, and those of a start that goes on to announce itself though it is outdated.
 
 use std::collections::VecDeque;
 
+use self::contender::{Contender, Contradiction};
 use crate::core::member::BackendState;
 use crate::core::names::InstanceName;
 use crate::core::status::{Announcement, BackendStart};
 
+mod contender;
+
 /// Number of departed instances that are retained: enough for several that follow each other at one
 /// address, as long as their delayed announcements may still arrive.
 const DEPARTED_STARTS_MAX: usize = 16;
@@ -29,8 +36,8 @@
 pub enum AnnouncementOutcome {
     /// The announcement is now in effect.
     Accepted,
-    /// The announcement may date from before this process started. The backend server must confirm
-    /// it first.
+    /// The announcement may date from before this process started, or be of another sender. The backend server must
+    /// confirm it first.
     Unconfirmed,
     /// The announcement repeats the one in effect.
     Duplicate,
@@ -38,7 +45,7 @@
     Outdated,
 }
 
-/// Number of ready announcements of one start, each with a higher sequence than the one before, that
+/// Number of announcements of one start, each with a higher sequence than the one before, that
 /// replace the confirmation by the backend server, as long as no health check refutes it. A backend server without
 /// capacity answers no health check.
 const CONFIRMING_ANNOUNCEMENTS: u32 = 3;
@@ -55,11 +62,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Announcements {
     current: Option<LatestAnnouncement>,
+    /// An announcement that contradicts the current one.
+    contender: Option<Contender>,
     /// Starts of backend servers that have left, the latest last.
     departed: VecDeque<BackendStart>,
     /// The latest start that has said in a response that it leaves.
     leaving: Option<BackendStart>,
     confirmation: Confirmation,
+    /// Whether backend servers can be asked whether they accept requests.
+    can_ask: bool,
 }
 
 /// Whether ready announcements are in effect.
@@ -74,19 +85,40 @@
     Pending {
         /// Ready announcements of the current start, each with a higher sequence.
         later_announcements: u32,
+        proof: NeededProof,
     },
     /// A health check has shown that the current start accepts no requests.
     Refuted,
 }
 
+/// What the response to a health check has to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NeededProof {
+    /// That the backend server accepts requests: it may have left before this process started.
+    Serving,
+    /// That it is the announced instance.
+    Identity,
+}
+
 impl Confirmation {
     fn is_missing(self) -> bool {
         matches!(self, Self::Pending { .. } | Self::Refuted)
     }
+
+    /// What holds for another start than before.
+    fn of_next_start(self) -> Self {
+        match self {
+            Self::Given | Self::Assumed => Self::Pending {
+                later_announcements: 0,
+                proof: NeededProof::Identity,
+            },
+            Self::Pending { .. } | Self::Refuted => self,
+        }
+    }
 }
 
 impl Announcements {
-    /// Returns an empty state in which the first ready announcement needs confirmation. It is for
+    /// Returns an empty state in which the ready announcements of each start need confirmation. It is for
     /// backend servers that can be asked whether they accept requests.
     ///
     /// A delayed ready announcement may reach this process after the process before it has
@@ -95,7 +127,9 @@
         Self {
             confirmation: Confirmation::Pending {
                 later_announcements: 0,
+                proof: NeededProof::Serving,
             },
+            can_ask: true,
             ..Self::default()
         }
     }
@@ -103,21 +137,51 @@
     /// Records that `instance` has confirmed that it accepts requests. Returns its announcement if
     /// the latest one is of that instance and announces that it is ready.
     pub fn confirm(&mut self, instance: &InstanceName) -> Option<&Announcement> {
+        let contender = self.contender.take_if(|c| c.is_answered_by(instance));
+        if let Some(contender) = contender.filter(Contender::is_confirmed_by_health) {
+            self.set_current(contender.latest);
+        }
         let current = self.current.as_ref()?;
         if current.start.instance != *instance {
             return None;
         }
+        self.contender = None;
         self.confirmation = Confirmation::Given;
         self.serving()
     }
 
-    /// Records that a health check has shown that `start` accepts no requests. Its announcements then need to be confirmed,
-    /// unless they have been before. Returns the latest one as one that it is draining, if that takes it out of effect.
-    pub fn refute(&mut self, start: &BackendStart) -> Option<Announcement> {
+    /// Makes an announcement the current one, against the order.
+    fn set_current(&mut self, latest: LatestAnnouncement) {
+        self.departed.retain(|departed| *departed != latest.start);
+        self.current = Some(latest);
+    }
+
+    /// Records that a health check of `start` has shown that `instance`, if the response names it, accepts no requests.
+    /// Returns the announcement that takes effect now: that of a new start, if the response is its, or the current one as
+    /// one that it is draining, if a further health check must confirm it.
+    pub fn refute(
+        &mut self,
+        start: &BackendStart,
+        instance: Option<&InstanceName>,
+    ) -> Option<Announcement> {
+        if let Some(contender) = self.contender.take_if(|c| c.latest.start == *start) {
+            return self.settle_contender(contender, instance);
+        }
         let current = self.current.as_ref()?;
         if current.start != *start || self.confirmation == Confirmation::Given {
             return None;
         }
+        let needs_identity = matches!(
+            self.confirmation,
+            Confirmation::Pending {
+                proof: NeededProof::Identity,
+                ..
+            }
+        );
+        if needs_identity && instance == Some(&current.start.instance) {
+            self.confirmation = Confirmation::Given;
+            return self.serving().cloned();
+        }
         let serving = self.serving().cloned();
         self.confirmation = Confirmation::Refuted;
         serving.map(|announcement| Announcement {
@@ -142,21 +206,37 @@
         }
         let is_serving = announcement.state == BackendState::Serving;
         let is_leaving = self.leaving.as_ref() == Some(&start);
-        if self.departed.contains(&start) || (is_serving && is_leaving) {
+        if is_serving && is_leaving {
             return AnnouncementOutcome::Outdated;
         }
         let outcome = match &self.current {
+            _ if self.departed.contains(&start) => AnnouncementOutcome::Outdated,
             None => AnnouncementOutcome::Accepted,
             Some(current) => current.classify(&start, sequence, announcement),
         };
-        if outcome == AnnouncementOutcome::Outdated {
-            return outcome;
-        }
-        let previous = self.current.replace(LatestAnnouncement {
+        let is_new_start = self.current.as_ref().is_none_or(|c| c.start != start);
+        let latest = LatestAnnouncement {
             start,
             sequence,
             announcement: announcement.clone(),
-        });
+        };
+        if self.can_ask && outcome == AnnouncementOutcome::Outdated {
+            return self.contend(latest, Contradiction::Outdated);
+        }
+        let is_in_effect = self.current.is_some() && !self.confirmation.is_missing();
+        if self.can_ask && is_new_start && is_in_effect {
+            return self.contend(latest, Contradiction::OtherStart);
+        }
+        if outcome == AnnouncementOutcome::Outdated {
+            return outcome;
+        }
+        if is_new_start && self.can_ask {
+            self.confirmation = self.confirmation.of_next_start();
+        }
+        let previous = self.current.replace(latest);
+        if previous.as_ref().is_none_or(|p| p.sequence < sequence) {
+            self.contender = None;
+        }
         match self.confirmation.is_missing() && is_serving {
             true => self.apply_unconfirmed(previous.as_ref(), sequence),
             false => outcome,
@@ -172,15 +252,20 @@
         let current = self.current.as_ref();
         let same_start =
             previous.filter(|previous| current.is_some_and(|now| now.start == previous.start));
-        let later_announcements = match (same_start, self.confirmation) {
+        let (later_announcements, proof) = match (same_start, self.confirmation) {
             (Some(_), Confirmation::Refuted) => return AnnouncementOutcome::Unconfirmed,
             (
                 Some(previous),
                 Confirmation::Pending {
                     later_announcements,
+                    proof,
                 },
-            ) => later_announcements + u32::from(sequence > previous.sequence),
-            _ => 1,
+            ) => {
+                let is_later = sequence > previous.sequence;
+                (later_announcements + u32::from(is_later), proof)
+            }
+            (None, Confirmation::Pending { proof, .. }) => (1, proof),
+            _ => (1, NeededProof::Serving),
         };
         if later_announcements >= CONFIRMING_ANNOUNCEMENTS {
             self.confirmation = Confirmation::Assumed;
@@ -188,6 +273,7 @@
         }
         self.confirmation = Confirmation::Pending {
             later_announcements,
+            proof,
         };
         AnnouncementOutcome::Unconfirmed
     }
@@ -205,6 +291,15 @@
         Some(announcement.clone())
     }
 
+    /// Whether an announcement is the latest one in the order, in effect or not.
+    pub fn is_latest(&self, announcement: &Announcement) -> bool {
+        let current = self.current.as_ref();
+        let sequence = announcement.sequence.unwrap_or(0);
+        current.is_some_and(|current| {
+            current.sequence == sequence && Some(&current.start) == announcement.start().as_ref()
+        })
+    }
+
     /// Whether no instance is known, neither current nor departed.
     pub fn is_empty(&self) -> bool {
         self.current.is_none() && self.departed.is_empty()
--- a/src/node/backend_announcements.rs
+++ b/src/node/backend_announcements.rs
@@ -28,6 +28,8 @@
     Accepted,
     /// The node is draining its backend server, and so ignores an announcement that it is serving.
     Draining,
+    /// The announcement is of another backend server than the configured one, and was ignored.
+    Foreign,
 }
 
 /// Where an announcement comes from.
@@ -89,13 +91,27 @@
             unreadable::record(Entry::Announcement, name, &"its start is in the future");
             return AnnouncementReply::Accepted;
         }
-        self.proxy.pool.record_announcement();
+        if !self.is_configured_backend(announcement) {
+            let instance = announcement.instance.as_ref();
+            let name = instance.map_or("", InstanceName::as_str);
+            let problem = "it is of another service or address than the backend server of this VM";
+            unreadable::record(Entry::Announcement, name, &problem);
+            return AnnouncementReply::Foreign;
+        }
         let serving = announcement.state == BackendState::Serving;
         if serving && self.is_stopping() {
+            self.proxy.pool.record_announcement();
             return AnnouncementReply::Draining;
         }
-        let outcome = self.announcements().apply(announcement);
-        if outcome != AnnouncementOutcome::Outdated && source == AnnouncementSource::Received {
+        let (outcome, is_current) = {
+            let mut announcements = self.announcements();
+            let outcome = announcements.apply(announcement);
+            (outcome, announcements.is_latest(announcement))
+        };
+        if is_current || announcement.instance.is_none() {
+            self.proxy.pool.record_announcement();
+        }
+        if is_current && source == AnnouncementSource::Received {
             self.record_announced_start(announcement);
         }
         match outcome {
@@ -127,9 +143,9 @@
         for _ in 0..HEALTH_CHECK_ATTEMPTS {
             match health::check(&self.proxy, announcement).await {
                 Health::Serving(instance) => return self.handle_confirmation(&instance),
-                Health::NotServing => {
-                    log::info!(instance:? = announcement.instance; "the announced backend server failed its health check");
-                    return self.handle_refutation(announcement);
+                Health::NotServing(instance) => {
+                    log::info!(instance:? = announcement.instance, responded:? = instance; "the announced backend server failed its health check");
+                    return self.handle_refutation(announcement, instance.as_ref());
                 }
                 Health::Unknown => tokio::time::sleep(HEALTH_CHECK_INTERVAL).await,
             }
@@ -137,18 +153,25 @@
         log::info!(instance:? = announcement.instance; "health checks of the announced backend server gave no result");
     }
 
-    fn handle_refutation(&self, announcement: &Announcement) {
+    fn handle_refutation(&self, announcement: &Announcement, responded: Option<&InstanceName>) {
         let start = announcement.start();
-        let refuted = start.and_then(|start| self.announcements().refute(&start));
-        if let Some(draining) = refuted {
-            self.apply_announcement(&draining);
+        let changed = start.and_then(|start| self.announcements().refute(&start, responded));
+        if let Some(changed) = changed.filter(|changed| self.may_apply(changed)) {
+            self.apply_announcement(&changed);
         }
     }
 
+    /// Whether an announcement may take effect now. A node that drains its backend server ignores that it is serving.
+    fn may_apply(&self, announcement: &Announcement) -> bool {
+        announcement.state != BackendState::Serving || !self.is_stopping()
+    }
+
     fn handle_confirmation(&self, instance: &InstanceName) {
         let announcement = self.announcements().confirm(instance).cloned();
         match announcement {
-            Some(announcement) if !self.is_stopping() => self.apply_announcement(&announcement),
+            Some(announcement) if self.may_apply(&announcement) => {
+                self.apply_announcement(&announcement);
+            }
             Some(_) => (),
             None => {
                 log::info!(instance:%; "the health check does not confirm the latest announcement, which is of another instance or not ready");
@@ -159,16 +182,22 @@
     /// Handles the announcement that the previous process of this node stored in its row, unless the backend
     /// server has announced itself to this process already.
     pub(crate) fn restore_backend(self: &Arc<Self>, announcement: &Announcement) {
-        let configured = self.proxy.settings.backend_server.as_ref();
-        let is_own = configured.is_some_and(|configured| {
-            configured.service == announcement.service && configured.address == announcement.address
-        });
-        if is_own && self.announcements().is_empty() {
+        if self.announcements().is_empty() {
             log::info!(instance:? = announcement.instance; "restored the backend server from the stored row");
             self.order_announcement(announcement, AnnouncementSource::Stored);
         }
     }
 
+    /// Whether an announcement is of the backend server that the settings name. Without such a setting, the announcement
+    /// names it.
+    fn is_configured_backend(&self, announcement: &Announcement) -> bool {
+        let settings = self.proxy.reloadable.load();
+        let configured = settings.backend_server.as_ref();
+        configured.is_none_or(|configured| {
+            configured.service == announcement.service && configured.address == announcement.address
+        })
+    }
+
     /// Records that the backend server runs, for nodes that take it for ended.
     fn record_announced_start(&self, announcement: &Announcement) {
         let start = announcement.start().and_then(|start| start.digest());
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -219,9 +219,13 @@
         let path = parts.uri.path();
         match node_requests::parse_announcement(&parts.method, path, &body.to_bytes(), local) {
             Ok(announcement) => {
-                // The reply is the same whether or not the announcement has an effect: it was received.
-                self.node.handle_announcement(&announcement);
-                text(StatusCode::OK, "noted\n")
+                match self.node.handle_announcement(&announcement) {
+                    // The reply is the same whether or not the announcement has an effect: it was received.
+                    AnnouncementReply::Accepted | AnnouncementReply::Draining => {
+                        text(StatusCode::OK, "noted\n")
+                    }
+                    AnnouncementReply::Foreign => foreign_announcement(),
+                }
             }
             Err(error) => {
                 unreadable::record(Entry::Announcement, path, &error);
@@ -245,10 +249,16 @@
         match self.node.handle_announcement(&announcement) {
             AnnouncementReply::Accepted => text(StatusCode::OK, "noted\n"),
             AnnouncementReply::Draining => text(StatusCode::CONFLICT, "the node is draining\n"),
+            AnnouncementReply::Foreign => foreign_announcement(),
         }
     }
 }
 
+fn foreign_announcement() -> Response<Full<Bytes>> {
+    let text_of_reply = "the announcement is not of this VM's backend server; see its settings\n";
+    text(StatusCode::BAD_REQUEST, text_of_reply)
+}
+
 fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -23,8 +23,8 @@
 pub(crate) enum Health {
     /// The instance accepts requests.
     Serving(InstanceName),
-    /// The backend server is shutting down or failing.
-    NotServing,
+    /// The backend server is shutting down or failing. Its response may name the instance.
+    NotServing(Option<InstanceName>),
     /// The backend server cannot be checked yet, did not answer the check, or did not identify
     /// itself.
     Unknown,
@@ -59,8 +59,10 @@
     match tokio::time::timeout(CHECK_TIMEOUT, exchange).await {
         Ok(Ok(response)) => {
             let headers = response.headers();
+            let responded = responding_instance(node, headers);
+            let is_other = responded.is_some() && responded != announcement.instance;
             // A response that states nothing may be of a health check that never does.
-            if node.header_profile.statement(headers) != BackendStatement::default() {
+            if !is_other && node.header_profile.statement(headers) != BackendStatement::default() {
                 statements::record_response(node, announcement.start().as_ref(), sent_at, headers);
             }
             from_response(node, response.status(), headers)
@@ -79,14 +81,19 @@
     if node.header_profile.is_not_run(response_headers) {
         return Health::Unknown;
     }
+    let instance = responding_instance(node, response_headers);
     if node.header_profile.statement(response_headers).leaving {
-        return Health::NotServing;
+        return Health::NotServing(instance);
     }
-    let name = node.header_profile.instance.as_ref();
-    let instance = name.and_then(|name| headers::get_str(response_headers, name));
     match (status.is_success(), instance) {
-        (true, Some(instance)) => Health::Serving(InstanceName::new(instance)),
+        (true, Some(instance)) => Health::Serving(instance),
         (true, None) => Health::Unknown,
-        (false, _) => Health::NotServing,
+        (false, instance) => Health::NotServing(instance),
     }
 }
+
+/// The instance that a response names as its sender.
+fn responding_instance(node: &ProxyState, response_headers: &HeaderMap) -> Option<InstanceName> {
+    let name = node.header_profile.instance.as_ref()?;
+    headers::get_str(response_headers, name).map(InstanceName::new)
+}
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -4,6 +4,8 @@
 use dragonflywall::core::names::{InstanceName, ServiceName};
 use dragonflywall::core::status::{Announcement, BackendStart};
 use dragonflywall::decide::announcements::{AnnouncementOutcome, Announcements};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
 fn announcement(
     instance: &str,
@@ -162,11 +164,14 @@
         announcements.apply(&serving("i-1", 10, 5)),
         AnnouncementOutcome::Duplicate
     );
-    // The process now has the earlier announcements, so the next start needs no confirmation.
+    // The next start needs one, too: its announcement may be of another sender.
     assert_eq!(
         announcements.apply(&serving("i-3", 20, 1)),
-        AnnouncementOutcome::Accepted
+        AnnouncementOutcome::Unconfirmed
     );
+    assert_eq!(announcements.serving(), Some(&serving("i-1", 10, 5)));
+    let confirmed = announcements.confirm(&InstanceName::new("i-3"));
+    assert_eq!(confirmed, Some(&serving("i-3", 20, 1)));
 }
 
 /// Guards against a confirmation that arrives after a draining announcement and undoes it.
@@ -220,7 +225,7 @@
             let outcome = announcements.apply(&serving("i-1", 10, sequence));
             opened = outcome == AnnouncementOutcome::Accepted || opened;
         }
-        let refuted = announcements.refute(&start("i-1", 10));
+        let refuted = announcements.refute(&start("i-1", 10), None);
         let state = refuted.map(|announcement| announcement.state);
         assert_eq!(state, opened.then_some(BackendState::Draining));
         for sequence in earlier + 1..earlier + 6 {
@@ -230,11 +235,11 @@
         }
         let confirmed = announcements.confirm(&InstanceName::new("i-1"));
         assert!(confirmed.is_some(), "a later health check confirms it");
-        assert_eq!(announcements.refute(&start("i-1", 10)), None);
+        assert_eq!(announcements.refute(&start("i-1", 10), None), None);
     }
     let mut announcements = Announcements::requiring_confirmation();
     announcements.apply(&serving("i-1", 10, 1));
-    announcements.refute(&start("i-1", 10));
+    announcements.refute(&start("i-1", 10), None);
     for sequence in 1..=2 {
         announcements.apply(&serving("i-2", 20, sequence));
     }
@@ -308,3 +313,134 @@
     assert_eq!(announcements.confirm(&InstanceName::new("i-1")), None);
     assert_eq!(announcements.serving(), None);
 }
+
+/// Announcements of a backend server `i-1` that runs and has confirmed its first one.
+fn confirmed() -> Announcements {
+    let mut announcements = Announcements::requiring_confirmation();
+    announcements.apply(&serving("i-1", 10, 1));
+    announcements.confirm(&InstanceName::new("i-1"));
+    announcements
+}
+
+/// Guards against one announcement of another sender, with a later start time, that outdates all of the backend server.
+#[test]
+fn another_start_takes_effect_only_if_it_answers() {
+    for state in [BackendState::Serving, BackendState::Draining] {
+        let mut announcements = confirmed();
+        let foreign = announcement("i-9", 500, 400, state);
+        let outcome = announcements.apply(&foreign);
+        assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+        assert_eq!(announcements.serving(), Some(&serving("i-1", 10, 1)));
+        assert!(announcements.confirm(&InstanceName::new("i-1")).is_some());
+        let own = announcements.apply(&serving("i-1", 10, 2));
+        assert_eq!(own, AnnouncementOutcome::Duplicate);
+        assert_eq!(announcements.serving(), Some(&serving("i-1", 10, 2)));
+    }
+}
+
+#[test]
+fn another_start_that_answers_takes_effect() {
+    for (state, is_serving) in [
+        (BackendState::Serving, true),
+        (BackendState::Draining, false),
+    ] {
+        let mut announcements = confirmed();
+        let next = announcement("i-2", 20, 1, state);
+        announcements.apply(&next);
+        let name = InstanceName::new("i-2");
+        let applied = announcements.refute(&start("i-2", 20), Some(&name));
+        assert_eq!(applied, Some(next), "the response names it");
+        assert_eq!(announcements.serving().is_some(), is_serving);
+    }
+    // A healthy backend server does not leave.
+    let mut announcements = confirmed();
+    announcements.apply(&announcement("i-1", 20, 1, BackendState::Draining));
+    assert!(announcements.confirm(&InstanceName::new("i-1")).is_some());
+    assert!(announcements.serving().is_some());
+}
+
+/// Guards against a backend server that has no capacity for health checks and gets no requests after a restart.
+#[test]
+fn another_start_that_goes_on_takes_effect_without_an_answer() {
+    let mut announcements = confirmed();
+    for sequence in 1..3 {
+        let outcome = announcements.apply(&serving("i-2", 20, sequence));
+        assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+    }
+    let outcome = announcements.apply(&serving("i-2", 20, 3));
+    assert_eq!(outcome, AnnouncementOutcome::Accepted);
+    assert_eq!(announcements.serving(), Some(&serving("i-2", 20, 3)));
+
+    // It does not while the one before goes on, too.
+    let mut announcements = confirmed();
+    for sequence in 2..9 {
+        announcements.apply(&serving("i-1", 10, sequence));
+        let outcome = announcements.apply(&serving("i-9", 500, sequence));
+        assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+    }
+    assert_eq!(announcements.serving(), Some(&serving("i-1", 10, 8)));
+}
+
+/// Guards against delayed ready announcements of a backend server that is draining.
+#[test]
+fn delayed_announcements_do_not_undo_draining() {
+    let mut announcements = confirmed();
+    announcements.apply(&announcement("i-1", 10, 9, BackendState::Draining));
+    for sequence in 2..5 {
+        announcements.apply(&serving("i-1", 10, sequence));
+    }
+    let name = InstanceName::new("i-1");
+    assert_eq!(announcements.refute(&start("i-1", 10), Some(&name)), None);
+    assert_eq!(announcements.serving(), None);
+    assert_eq!(announcements.confirm(&name), None);
+}
+
+/// One announcement that a sender other than the backend server may send.
+fn foreign_announcements() -> impl Strategy<Value = Announcement> {
+    let instance = prop_oneof![Just("i-1"), Just("i-9")];
+    let started_ms = prop_oneof![Just(10_u64), 0..2_000_000_u64];
+    let sequence = prop_oneof![0..20_u64, Just((1 << 53) - 1)];
+    let state = prop_oneof![Just(BackendState::Serving), Just(BackendState::Draining)];
+    (instance, started_ms, sequence, state).prop_map(|(instance, started_ms, sequence, state)| {
+        announcement(instance, started_ms, sequence, state)
+    })
+}
+
+/// Applies an announcement while the backend server answers each health check as `i-1`, which accepts requests.
+fn apply_beside_i1(announcements: &mut Announcements, applied: &Announcement) {
+    if announcements.apply(applied) == AnnouncementOutcome::Unconfirmed {
+        announcements.confirm(&InstanceName::new("i-1"));
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 512,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        ..Config::default()
+    })]
+
+    /// Guards against announcements of other senders that hold for good: a backend server that goes on to announce itself is
+    /// in effect again, as is its draining.
+    #[test]
+    fn a_running_backend_server_prevails(
+        foreign in prop::collection::vec((0..6_u64, foreign_announcements()), 0..4),
+    ) {
+        let mut announcements = confirmed();
+        for sequence in 2..8 {
+            apply_beside_i1(&mut announcements, &serving("i-1", 10, sequence));
+            for (_, foreign) in foreign.iter().filter(|(after, _)| after + 2 == sequence) {
+                apply_beside_i1(&mut announcements, foreign);
+            }
+        }
+        for sequence in 8..12 {
+            apply_beside_i1(&mut announcements, &serving("i-1", 10, sequence));
+        }
+        prop_assert_eq!(announcements.serving(), Some(&serving("i-1", 10, 11)));
+        let draining = announcement("i-1", 10, 12, BackendState::Draining);
+        announcements.apply(&draining);
+        prop_assert_eq!(announcements.serving(), None);
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -73,6 +73,7 @@
 mod users_configuration;
 mod users_crashes;
 mod users_ends;
+mod users_foreign_announcements;
 mod users_half_heads;
 mod users_late_requests;
 mod users_odd_entries;
