A response to HEAD has no body on HTTP/2

What callers saw: a HEAD request on HTTP/2 that the mesh refuses ended in an error of its stream ("error reading a body from connection") in place of its status.

Cause: the text of the failure was sent behind the head of the response. The library leaves it out on HTTP/1 only. The same holds for the gate's responses to nodes.

a_refused_head_request_gets_its_response fails before.

--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use http::header::HeaderValue;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -92,6 +92,15 @@
     }
 }
 
+/// The response to a request with this method, as HTTP/2 sends it: the library only leaves out the body of a response to
+/// HEAD on HTTP/1.
+fn response_to(method: &Method, response: Response<Body>) -> Response<Body> {
+    match *method {
+        Method::HEAD => response.map(|_| body::empty()),
+        _ => response,
+    }
+}
+
 /// Accepts the next connection. `None` once either token is cancelled.
 async fn accept(
     listener: &TcpListener,
--- a/src/proxy/listener/callers.rs
+++ b/src/proxy/listener/callers.rs
@@ -20,7 +20,7 @@
 
 use super::http1::{self, HttpLimits};
 use super::{KEEP_ALIVE_INTERVAL, REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
-use super::{accept, infallible, run_connection};
+use super::{accept, infallible, response_to, run_connection};
 use crate::proxy::body::{self, Body, BufferedBody, DeferredErrorBody, GuardedBody};
 use crate::proxy::caller_body::{CallerBody, Expectation};
 use crate::proxy::caller_connections::{CallerConnections, ConnectionGuard};
@@ -156,11 +156,13 @@
     let stall_limit = Duration::from_millis(node.settings.caller_idle_timeout_ms);
     let handler = infallible(move |request: Request<Incoming>| {
         let (parts, incoming) = request.into_parts();
-        entry::serve(
+        let method = parts.method.clone();
+        let response = entry::serve(
             Arc::clone(&node),
             parts,
             ReplayableBody::new(CallerBody::of_stream(incoming), stall_limit),
-        )
+        );
+        async move { response_to(&method, response.await) }
     });
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(PauseTolerantTimer)
--- a/src/proxy/listener/peers.rs
+++ b/src/proxy/listener/peers.rs
@@ -16,7 +16,7 @@
 use tonic::codegen::Service;
 
 use super::{REQUEST_WINDOW_BYTES, SEND_BUFFER_MAX_BYTES};
-use super::{accept, has_valid_token, infallible, run_connection, unauthorized};
+use super::{accept, has_valid_token, infallible, response_to, run_connection, unauthorized};
 use crate::core::mechanism::Mechanism;
 use crate::decide::transit::DelayEstimator;
 use crate::peer::generated::control_server::{Control, ControlServer};
@@ -161,6 +161,7 @@
         Duration::from_micros(if check_enabled { delay_us } else { 0 })
     };
     let token = node.gate_requests.token();
+    let method = request.method().clone();
     let response = gate::serve(node, request.map(body::boxed), delay).await;
-    response.map(|inner| body::boxed(body::GuardedBody::new(inner, token)))
+    response_to(&method, response).map(|inner| body::boxed(body::GuardedBody::new(inner, token)))
 }
--- a/tests/testsuite/requests_http2.rs
+++ b/tests/testsuite/requests_http2.rs
@@ -66,3 +66,18 @@
     let ended = node.wait_exit().await.expect("the exit status can be read");
     assert!(ended.success(), "{ended:?}");
 }
+
+/// Guards against a body behind the head of a response to HEAD, which ends the stream with an error.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_head_request_gets_its_response() {
+    let mesh = start_chatarras(small_deployment(&["tablon", "cobros"], 1)).await;
+    let entry = mesh.vms[vms_of(&mesh, "cobros")[0]].node();
+    let connection = Http2Connection::connect(entry.addresses.caller).await;
+    let connection = connection.expect("the node accepts connections");
+    for (number, host) in ["tablon", "unknown"].into_iter().enumerate() {
+        let id = format!("head-{number}");
+        let reply = connection.request(Method::HEAD, host, "/no-such-path", &id);
+        let reply = reply.await.expect("the node responds");
+        assert_eq!((reply.status.as_u16(), reply.body.len()), (404, 0));
+    }
+}
