The body of a request arrives whatever its method and framing

Cause: the framing of a body belongs to one connection, so it is removed at the entry node, and the gate left it to the HTTP library to frame a body of unknown length. The library assumes that GET, HEAD and CONNECT have none unless a header says so. A caller on HTTP/2 that declares no length met the same.

Why this works: the gate sets the framing of each request from its body alone: a length, chunks, or nothing where there is no body. What others wrote into these headers is removed.

--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -4,15 +4,17 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use ::http::{HeaderMap, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Frame, Incoming};
 use hyper::client::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -276,11 +278,26 @@
 /// An HTTP/2 client connection, which carries several requests concurrently.
 #[derive(Debug)]
 pub struct Http2Connection {
-    sender: http2::SendRequest<Full<Bytes>>,
+    sender: http2::SendRequest<Body>,
     connection: JoinHandle<()>,
     ended: CancellationToken,
 }
 
+/// A body of which the receiver learns the length only at its end.
+struct UndeclaredLength(Full<Bytes>);
+
+impl HttpBody for UndeclaredLength {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.0).poll_frame(context)
+    }
+}
+
 impl Http2Connection {
     /// Opens a connection to `address` without TLS.
     pub async fn connect(address: SocketAddr) -> Result<Self> {
@@ -334,7 +351,31 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
-        let body = Full::new(body);
+        self.send(method, host, path, headers, full_body(body))
+    }
+
+    /// Like [`Self::request_with_body`], without the length of the body.
+    pub fn request_without_length(
+        &self,
+        method: Method,
+        host: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
+        let body = UndeclaredLength(Full::new(body));
+        let body = body.map_err(|never| match never {}).boxed_unsync();
+        self.send(method, host, path, headers, body)
+    }
+
+    fn send(
+        &self,
+        method: Method,
+        host: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Body,
+    ) -> impl Future<Output = Result<Reply>> + Send + 'static + use<> {
         let uri = format!("http://{host}{path}");
         let mut request = Request::builder().method(method).uri(uri);
         for (name, value) in headers {
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -35,6 +35,7 @@
     ExpectedResponse, FilteredStream, RequestBodyGuard, ResponseFilter, SharedFilter,
 };
 
+mod framing;
 #[cfg(test)]
 mod tests;
 
@@ -290,9 +291,10 @@
         &self,
         address: SocketAddr,
         mut connection: Connection,
-        request: Request<Body>,
+        mut request: Request<Body>,
         open_attempts: &OpenAttempts,
     ) -> Result<Response<Body>, (Failure, Option<Request<Body>>)> {
+        framing::frame_body(&mut request);
         let id = request.headers().get(&self.profile.request_id).cloned();
         let sends_body = !request.body().is_end_stream();
         lock_ignoring_poison(&connection.filter).expect(ExpectedResponse {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -69,6 +69,7 @@
 mod support;
 mod token;
 mod users_bodies;
+mod users_body_framing;
 mod users_broken_responses;
 mod users_configuration;
 mod users_crashes;
