A start that has left ends the earlier ones under its name

Cause: a departure dropped the order of the starts before it. Only the exact start that left was on record, so an earlier one of the same name counted as new.

Evidence: the tests of this commit, red before (the announcement of the earlier start is in effect; a request is served).

Why this works: a start on record as departed ends all earlier ones under its name. Should one of them run after all, it announces itself on and the health check decides.

--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -134,6 +134,11 @@
 }
 
 impl BackendStart {
+    /// Whether `other` has ended if this start has: it is the same, or an earlier one under the same name.
+    pub fn ends(&self, other: &Self) -> bool {
+        self.instance == other.instance && other.started_ms <= self.started_ms
+    }
+
     /// Digest by which other nodes tell this start from others. `None` without a start time, as the next start may have the
     /// same name.
     pub fn digest(&self) -> Option<StartDigest> {
--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -152,7 +152,8 @@
 
     /// Makes an announcement the current one, against the order.
     fn set_current(&mut self, latest: LatestAnnouncement) {
-        self.departed.retain(|departed| *departed != latest.start);
+        self.departed
+            .retain(|departed| !departed.ends(&latest.start));
         self.current = Some(latest);
     }
 
@@ -210,7 +211,7 @@
             return AnnouncementOutcome::Outdated;
         }
         let outcome = match &self.current {
-            _ if self.departed.contains(&start) => AnnouncementOutcome::Outdated,
+            _ if self.has_left(&start) => AnnouncementOutcome::Outdated,
             None => AnnouncementOutcome::Accepted,
             Some(current) => current.classify(&start, sequence, announcement),
         };
@@ -313,6 +314,11 @@
         announcement.filter(|announcement| announcement.state == BackendState::Serving)
     }
 
+    /// Whether a start has left, or is an earlier one under the name of one that has.
+    fn has_left(&self, start: &BackendStart) -> bool {
+        self.departed.iter().any(|departed| departed.ends(start))
+    }
+
     fn apply_departure(&mut self, start: BackendStart) -> AnnouncementOutcome {
         let current = self.current.as_ref();
         // A departure announcement may lack the start time. That of an earlier start under the same name is late.
--- a/tests/testsuite/decide_announcements.rs
+++ b/tests/testsuite/decide_announcements.rs
@@ -474,3 +474,24 @@
     );
     assert_eq!(announcements.serving(), None);
 }
+
+/// Guards against a delayed announcement of an earlier start under the name of a backend server that has left.
+#[test]
+fn a_start_before_one_that_left_has_left() {
+    let mut announcements = confirmed();
+    announcements.apply(&serving("i-1", 20, 1));
+    announcements.confirm(&InstanceName::new("i-1"));
+    announcements.apply(&leaving_at("i-1", 20));
+    for sequence in 2..5 {
+        announcements.apply(&serving("i-1", 10, sequence));
+        assert_eq!(announcements.serving(), None);
+    }
+    let name = InstanceName::new("i-1");
+    assert_eq!(announcements.refute(&start("i-1", 10), Some(&name)), None);
+    let next = announcements.apply(&serving("i-1", 30, 1));
+    assert_eq!(next, AnnouncementOutcome::Unconfirmed);
+    assert!(
+        announcements.confirm(&name).is_some(),
+        "a later start serves"
+    );
+}
--- a/tests/testsuite/users_foreign_announcements.rs
+++ b/tests/testsuite/users_foreign_announcements.rs
@@ -263,3 +263,28 @@
     send_departure(&mesh, position, &first).await;
     assert_stays_served(&mesh, entry, "a late departure").await;
 }
+
+/// Guards against a late heartbeat of an earlier start that opens the gate for a backend server that has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_heartbeat_of_an_earlier_start_opens_no_gate() {
+    let (mut mesh, position, entry) = start().await;
+    let late = {
+        let first = mesh.vms[position].backend();
+        first.next_announcement(AnnouncedState::Ready)
+    };
+    restart_under_its_name(&mut mesh, position, entry).await;
+    tokio::time::sleep(WATCH_TIME).await;
+    mesh.stop_announcements(position);
+    let second = mesh.vms[position].backend();
+    second.set_draining();
+    let departed = second.identity().clone();
+    send_departure(&mesh, position, &departed).await;
+    let announce_address = mesh.vms[position].announce_address();
+    let reply = second.send_announcement(announce_address, late).await;
+    assert_eq!(reply.expect("the node responds").status, StatusCode::OK);
+    let watched_until = Instant::now() + WATCH_TIME;
+    while Instant::now() < watched_until {
+        assert!(!is_served(&mesh, entry).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
