A silence that shows only after the deadline is recorded then

Cause, as far as it is shown: a gate decided once, at the deadline. A delayed announcement that arrives shortly before it leaves less than two intervals without a sign of life, and lengthens the interval that counts as usual. Either hides the silence for good.

Why this works: the gate looks again when two intervals have passed, and a single delayed announcement no longer changes the interval. A backend server that was only late refutes the end by its announcements.

--- a/src/decide/crashes/backend_life.rs
+++ b/src/decide/crashes/backend_life.rs
@@ -4,7 +4,8 @@
 use super::announced_start::AnnouncedStart;
 use crate::core::member::StartDigest;
 
-/// Number of intervals between announcements of which the longest is the one that is expected.
+/// Number of intervals between announcements of which the second longest is the one that is expected. The longest may be
+/// that to an announcement which was delayed.
 const INTERVALS_MAX: usize = 4;
 /// Number of intervals without any sign of life after which a backend server counts as silent. One announcement may be lost.
 const SILENT_INTERVALS: u64 = 2;
@@ -25,10 +26,12 @@
         }
     }
 
-    /// The longest of the last intervals; `None` before the second announcement.
-    fn longest_us(&self) -> Option<u64> {
-        let longest_us = self.intervals_us.into_iter().max();
-        longest_us.filter(|interval_us| *interval_us > 0)
+    /// The interval that is expected; `None` before the second announcement.
+    fn expected_us(&self) -> Option<u64> {
+        let mut intervals_us = self.intervals_us;
+        intervals_us.sort_unstable_by(|a, b| b.cmp(a));
+        let known = intervals_us.into_iter().take_while(|us| *us > 0);
+        known.take(2).last()
     }
 }
 
@@ -102,12 +105,20 @@
         self.last_crash
     }
 
+    /// How long after `now_us` it will have shown no sign of life for so long that it has fallen silent, if it shows none
+    /// meanwhile. `None` while it is not known how often it announces itself.
+    pub fn silent_in_us(&self, now_us: u64) -> Option<u64> {
+        let interval_us = self.announcements.expected_us()?;
+        let silent_us = self.last_sign_us + SILENT_INTERVALS * interval_us;
+        Some(silent_us.saturating_sub(now_us))
+    }
+
     /// Whether it has fallen silent under a request that was sent at `sent_us` and has no response at `now_us`. A sign of
     /// life that arrives after the request was sent may be older than the request, so it does not count for longer than the
     /// backend server usually takes until the next one.
     pub fn is_silent(&self, now_us: u64, sent_us: u64) -> bool {
         let quiet_us = now_us.saturating_sub(self.last_sign_us);
-        let interval_us = self.announcements.longest_us();
+        let interval_us = self.announcements.expected_us();
         let missed = |interval_us| quiet_us >= SILENT_INTERVALS * interval_us;
         self.last_sign_us <= sent_us || interval_us.is_some_and(missed)
     }
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -204,6 +204,13 @@
         lock_ignoring_poison(&self.life).is_silent(now_us, sent_us)
     }
 
+    /// Time after which the backend server will have fallen silent unless it shows a sign of life. `None` if that is not known.
+    pub(crate) fn silent_in(&self) -> Option<Duration> {
+        let now_us = clock::since_us(self.created_at);
+        let silent_in_us = lock_ignoring_poison(&self.life).silent_in_us(now_us);
+        silent_in_us.map(Duration::from_micros)
+    }
+
     /// Sets the maximum number of connections that the backend server accepts.
     pub(crate) fn set_connections_max(&self, connections_max: u32) {
         self.connections_max
--- a/src/proxy/gate/crashes.rs
+++ b/src/proxy/gate/crashes.rs
@@ -7,6 +7,7 @@
 use http::header::HeaderValue;
 use http::{Method, Request, Response, Uri};
 use http_body::Body as _;
+use tokio::runtime::Handle;
 
 use crate::core::mechanism::Mechanism;
 use crate::core::member::StartDigest;
@@ -140,19 +141,67 @@
         }
     }
 
+    /// Records the backend server's end if it has fallen silent, now or once that shows.
     fn record_silence(&self) -> CrashSet {
+        let silence = Silence {
+            node: Arc::clone(&self.node),
+            request: self.suspect_digest(),
+            sent_at: self.sent_at,
+            sent_to: self.sent_to,
+            sent_in: self.sent_in,
+        };
+        let recorded = silence.record();
+        if recorded.is_empty() && silence.request.is_some() {
+            silence.watch();
+        }
+        recorded
+    }
+
+    /// Digest of the request, if crashes may count under it.
+    fn suspect_digest(&self) -> Option<RequestDigest> {
+        let is_enabled = self.node.mechanisms().is_enabled(Mechanism::CrashLimit);
+        let arrived = self.arrived.as_ref().filter(|_| is_enabled);
+        arrived.and_then(|arrived| arrived.digest(&self.node))
+    }
+}
+
+/// A backend server that has not responded to a request by its deadline.
+struct Silence {
+    node: Arc<ProxyState>,
+    request: Option<RequestDigest>,
+    sent_at: Instant,
+    sent_to: Option<StartDigest>,
+    sent_in: Epoch,
+}
+
+impl Silence {
+    /// Records the end of the backend server if it has shown no sign of life since the request was sent, or for too long.
+    fn record(&self) -> CrashSet {
         let is_silent = self.node.pool.is_silent(self.sent_at);
         if !is_silent || !self.node.is_current(self.sent_in) {
             return CrashSet::default();
         }
         let lost = CrashSet::of(self.node.pool.record_loss(self.sent_to));
-        let is_enabled = self.node.mechanisms().is_enabled(Mechanism::CrashLimit);
-        let digest = self.arrived.as_ref().filter(|_| is_enabled);
-        if let Some(digest) = digest.and_then(|arrived| arrived.digest(&self.node)) {
-            crashes::record(&self.node, digest, lost);
+        if let Some(request) = self.request {
+            crashes::record(&self.node, request, lost);
         }
         lost
     }
+
+    /// Records the end later, unless the backend server shows a sign of life: one that came last may be older than the
+    /// request, but was delayed.
+    fn watch(self) {
+        let Some(silent_in) = self.node.pool.silent_in() else {
+            return;
+        };
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            tokio::time::sleep(silent_in).await;
+            self.record();
+        });
+    }
 }
 
 impl Drop for SentRequest {
--- a/tests/testsuite/decide_crashes.rs
+++ b/tests/testsuite/decide_crashes.rs
@@ -240,8 +240,22 @@
     }
     let sent_us = 700;
     assert!(!life.is_silent(1_300, sent_us) && life.is_silent(1_301, sent_us));
+    assert_eq!(life.silent_in_us(800), Some(501));
     life.record_response(1_301);
     assert!(!life.is_silent(1_900, sent_us) && life.is_silent(1_901, sent_us));
+    assert_eq!(life.silent_in_us(2_000), Some(0));
+    assert_eq!(BackendLife::default().silent_in_us(800), None);
+}
+
+/// Guards against a delayed announcement after which the silence of a server shows much later.
+#[test]
+fn one_delayed_announcement_does_not_change_the_expected_interval() {
+    let mut life = BackendLife::default();
+    for announced_us in [100, 400, 700, 2_000] {
+        life.record_announcement(announced_us);
+    }
+    assert_eq!(life.silent_in_us(2_000), Some(600));
+    assert!(!life.is_silent(2_599, 1_900) && life.is_silent(2_600, 1_900));
 }
 
 /// Guards against taking a server for silent before it is clear how often it announces itself.
--- a/tests/testsuite/users_crashes.rs
+++ b/tests/testsuite/users_crashes.rs
@@ -255,13 +255,15 @@
     assert_limit_kept(&mesh, &path);
 }
 
-/// Sends an announcement of each backend server that has fallen silent, as one that was on its way at that moment.
-async fn announce_late(mesh: &Mesh) {
+/// Sends an announcement of each backend server that fell silent `delay` ago, as one that was on its way at that moment.
+async fn announce_late(mesh: &Mesh, delay: Duration) {
     let mut announced = BTreeSet::new();
     loop {
         for (position, vm) in mesh.vms.iter().enumerate() {
             let backend = vm.backend();
-            if backend.record().crashed_at.is_some() && announced.insert(position) {
+            let crashed_at = backend.record().crashed_at;
+            let is_due = crashed_at.is_some_and(|at| at.elapsed() >= delay);
+            if is_due && announced.insert(position) {
                 let text = backend.next_announcement(AnnouncedState::Ready);
                 let reply = backend.send_announcement(vm.announce_address(), text).await;
                 reply.expect("the node takes the announcement");
@@ -277,12 +279,25 @@
     let mesh = start(&SERVICES[..1], 4, &reads()).await;
     let path = crash_path("late", CrashMode::Silent);
     tokio::select! {
-        () = announce_late(&mesh) => (),
+        () = announce_late(&mesh, Duration::ZERO) => (),
         _ = repeat(&mesh, 0, &path, 5) => (),
     }
     assert_limit_kept(&mesh, &path);
 }
 
+/// Guards against an announcement that is delayed until shortly before the deadline, so that nothing shows by then that the
+/// server fell silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_announcement_before_the_deadline_does_not_hide_that_a_server_fell_silent() {
+    let mesh = start(&SERVICES[..1], 4, &reads()).await;
+    let path = crash_path("later", CrashMode::Silent);
+    tokio::select! {
+        () = announce_late(&mesh, Duration::from_millis(1_200)) => (),
+        _ = repeat(&mesh, 0, &path, 6) => (),
+    }
+    assert_limit_kept(&mesh, &path);
+}
+
 /// Guards against a body that is too long for the replay buffer, and so is never read ahead.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_with_a_long_body_is_withheld() {
