A response that goes on arriving is not cut off at the deadline

Cause: a trace of the limits beside 24 busy loops shows that the caller's slowness has no part in it (5 to 16 ms of waiting for it). The response takes 48 round trips, which under load reach beyond the deadline. A wait that began just before the deadline ended at it (3 of 9 traced runs), and those after it added up to 200 ms (6 of 9).

Why this works: a wait lasts 200 ms at least, also across the deadline, and late parts make up for late waits, a millisecond for each KiB. What falls silent, trickles or floods is given up as before.

The new test of the decision is red before.

--- a/src/decide/response_time.rs
+++ b/src/decide/response_time.rs
@@ -2,13 +2,17 @@
 //!
 //! The sender has until the deadline. The time for which the receiver leaves what has arrived is added, so that a slow
 //! receiver gets a whole response. After the deadline, what still arrives is passed on within limits: it may have been ready
-//! in time. A sender that never ends its response is thus given up soon after the deadline.
+//! in time. A sender that falls silent, that sends little at a time or without end, is thus given up soon after the deadline.
 
 use std::time::{Duration, Instant};
 
-/// Longest sum of the waits after the deadline.
+/// Longest wait after the deadline, and longest sum of the waits that nothing makes up for.
 const LATE_WAIT_MAX: Duration = Duration::from_millis(200);
 
+/// Wait after the deadline that each KiB which arrives then makes up for. A response of several windows takes as many round
+/// trips, and its caller gets more of a late rest than of a connection that ends before it.
+const LATE_WAIT_PER_KIB: Duration = Duration::from_millis(1);
+
 /// Most bytes of a response without a plausible length that are passed on after the deadline.
 const LATE_MAX_BYTES: u64 = 256 << 10;
 
@@ -72,9 +76,11 @@
     pub fn wait_until(&mut self, now: Instant) -> Instant {
         let since = *self.waiting_since.get_or_insert(now);
         let deadline = self.sender_deadline();
+        // What was sent in time may be on its way, so a wait that began shortly before the deadline does not end at it.
+        let late_until = since + self.late_wait_left;
         match since < deadline {
-            true => deadline,
-            false => since + self.late_wait_left,
+            true => deadline.max(late_until),
+            false => late_until,
         }
     }
 
@@ -89,6 +95,8 @@
         self.passed_on_at = Some(now);
         // Not the deadline of the sender: one that sends without end would move it with a slow receiver.
         if now >= self.deadline {
+            let made_up = LATE_WAIT_PER_KIB.mul_f64(len_bytes as f64 / 1_024.0);
+            self.late_wait_left = (self.late_wait_left + made_up).min(LATE_WAIT_MAX);
             let left = self.late_bytes_left.checked_sub(len_bytes);
             self.late_bytes_left = left.ok_or(Overrun::LateBytes)?;
         }
--- a/tests/testsuite/decide_response_time.rs
+++ b/tests/testsuite/decide_response_time.rs
@@ -124,3 +124,32 @@
     time.record_request(turn);
     assert!(time.wait_until(turn) >= turn + DEADLINE);
 }
+
+/// Guards against ending a long response in the middle, because the round trips that it takes after the deadline add up.
+#[test]
+fn a_response_that_goes_on_arriving_is_passed_on_after_the_deadline() {
+    let start = Instant::now();
+    let mut left_bytes = 6 << 20;
+    let mut time = ResponseTime::new(start, start + DEADLINE, Some(left_bytes));
+    let mut now = start + DEADLINE - MS;
+    while left_bytes > 0 {
+        time.record_request(now);
+        assert!(now < start + DEADLINE || time.wait_until(now) > now + 30 * MS);
+        now += 30 * MS;
+        assert_eq!(time.record_part(now, 64 << 10), Ok(()));
+        left_bytes -= 64 << 10;
+    }
+}
+
+/// Guards against a sender that holds its request by sending little at a time.
+#[test]
+fn a_trickle_is_given_up() {
+    for receiver_pause in [Duration::ZERO, 5 * MS] {
+        let until = Duration::from_secs(60);
+        let declared = Some(PLAUSIBLE_MAX_BYTES);
+        let ended = play(declared, 100, 50 * MS, receiver_pause, until);
+        let (after, overrun) = ended.expect("a trickle is given up");
+        assert_eq!(overrun, Overrun::Deadline);
+        assert!(after < DEADLINE + 2 * END_MAX, "{after:?}");
+    }
+}
